--- /dev/null
+++ b/packages/kelpspar-platform/src/endpoint/http_endpoint_client.ts
@@ -0,0 +1,208 @@
+import type {
+  CacheEventPage,
+  CacheSnapshot,
+  EndpointAddress,
+  EngineOrder,
+  LoadReport,
+  StageCall,
+  StageRecord,
+  TimerService,
+} from "kelpspar-shared";
+import type { EndpointClient, StageCallOptions } from "./endpoint_client.ts";
+import type { Dispatcher } from "undici";
+import { KelpsparError, readJsonLines } from "kelpspar-shared";
+import { Agent, Client } from "undici";
+import { isRefusal } from "../http/json_http_client.ts";
+
+const DEFAULT_CONNECTIONS = 128;
+const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 500;
+const DEFAULT_CONTROL_TIMEOUT_MILLISECONDS = 1_000;
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+const JSON_HEADERS = { "content-type": "application/json" };
+
+/** How calls to endpoints are carried. */
+export interface HttpEndpointClientOptions {
+  readonly timer: TimerService;
+  /** Connections kept to each endpoint; default 128. */
+  readonly connections?: number;
+  /** How long a connection may take to open, milliseconds; default 500. */
+  readonly connectTimeoutMilliseconds?: number;
+  /** How long a control call may take, milliseconds; default 1,000. */
+  readonly controlTimeoutMilliseconds?: number;
+}
+
+interface ControlExchange {
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+/** Endpoints over their HTTP protocol (docs/PLATFORM.md). */
+export class HttpEndpointClient implements EndpointClient {
+  readonly #timer: TimerService;
+  readonly #connectTimeoutMilliseconds: number;
+  readonly #controlTimeoutMilliseconds: number;
+  readonly #agent: Agent;
+
+  constructor(options: HttpEndpointClientOptions) {
+    this.#timer = options.timer;
+    this.#connectTimeoutMilliseconds = options.connectTimeoutMilliseconds ??
+      DEFAULT_CONNECT_TIMEOUT_MILLISECONDS;
+    this.#controlTimeoutMilliseconds = options.controlTimeoutMilliseconds ??
+      DEFAULT_CONTROL_TIMEOUT_MILLISECONDS;
+    this.#agent = new Agent({
+      connections: options.connections ?? DEFAULT_CONNECTIONS,
+      connect: { timeout: this.#connectTimeoutMilliseconds },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  async *call(
+    endpoint: EndpointAddress,
+    call: StageCall,
+    options: StageCallOptions,
+  ): AsyncGenerator<StageRecord, void, void> {
+    const dispatcher = options.once
+      ? this.#createClient(endpoint)
+      : this.#agent;
+    try {
+      const answer = await dispatcher.request({
+        origin: originOf(endpoint),
+        path: "/v1/calls",
+        method: "POST",
+        headers: JSON_HEADERS,
+        body: JSON.stringify(call),
+        signal: options.signal,
+      });
+      if (answer.statusCode !== STATUS_OK) {
+        throw await unexpectedStatus(endpoint, answer);
+      }
+      yield* readJsonLines(answer.body) as AsyncGenerator<StageRecord>;
+    } catch (cause) {
+      throw toEndpointError(endpoint, cause);
+    } finally {
+      if (options.once) void dispatcher.destroy();
+    }
+  }
+
+  async cancel(endpoint: EndpointAddress, attemptId: string): Promise<void> {
+    const path = `/v1/calls/${encodeURIComponent(attemptId)}`;
+    await this.#control(endpoint, { method: "DELETE", path });
+  }
+
+  async load(endpoint: EndpointAddress): Promise<LoadReport> {
+    const exchange = { method: "GET", path: "/v1/load" } as const;
+    return await this.#control(endpoint, exchange) as LoadReport;
+  }
+
+  async cacheEvents(
+    endpoint: EndpointAddress,
+    afterSequence: number,
+  ): Promise<CacheEventPage> {
+    const path = `/v1/cache-events?after=${afterSequence}`;
+    const exchange = { method: "GET", path } as const;
+    return await this.#control(endpoint, exchange) as CacheEventPage;
+  }
+
+  async cacheSnapshot(endpoint: EndpointAddress): Promise<CacheSnapshot> {
+    const exchange = { method: "GET", path: "/v1/cache-snapshot" } as const;
+    return await this.#control(endpoint, exchange) as CacheSnapshot;
+  }
+
+  async order(endpoint: EndpointAddress, order: EngineOrder): Promise<void> {
+    const exchange = {
+      method: "POST",
+      path: "/v1/orders",
+      body: order,
+    } as const;
+    await this.#control(endpoint, exchange);
+  }
+
+  async copyCache(
+    prefixHash: string,
+    options: { readonly from: EndpointAddress; readonly to: EndpointAddress },
+  ): Promise<void> {
+    const path = `/v1/cache/${encodeURIComponent(prefixHash)}`;
+    const content = await this.#control(options.from, { method: "GET", path });
+    await this.#control(options.to, { method: "POST", path, body: content });
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  /**
+   * Control calls travel on a new connection each, so that they tell an
+   * endpoint that is gone from a connection that went silent.
+   */
+  async #control(
+    endpoint: EndpointAddress,
+    exchange: ControlExchange,
+  ): Promise<unknown> {
+    const client = this.#createClient(endpoint);
+    const abort = new AbortController();
+    const stopTimer = this.#timer.registerTimeout(
+      () => abort.abort(new Error("timed out")),
+      this.#controlTimeoutMilliseconds,
+    );
+    try {
+      const answer = await client.request({
+        path: exchange.path,
+        method: exchange.method,
+        headers: JSON_HEADERS,
+        body: exchange.body === undefined
+          ? null
+          : JSON.stringify(exchange.body),
+        signal: abort.signal,
+      });
+      if (answer.statusCode !== STATUS_OK) {
+        throw await unexpectedStatus(endpoint, answer);
+      }
+      return await answer.body.json();
+    } catch (cause) {
+      throw toEndpointError(endpoint, cause);
+    } finally {
+      stopTimer();
+      void client.destroy();
+    }
+  }
+
+  #createClient(endpoint: EndpointAddress): Client {
+    return new Client(originOf(endpoint), {
+      connect: { timeout: this.#connectTimeoutMilliseconds },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+}
+
+function originOf(endpoint: EndpointAddress): string {
+  return `http://${endpoint.address}:${endpoint.port}`;
+}
+
+async function unexpectedStatus(
+  endpoint: EndpointAddress,
+  answer: Dispatcher.ResponseData,
+): Promise<KelpsparError> {
+  const text = await answer.body.text();
+  const message =
+    `Endpoint "${endpoint.endpointId}" answered status ${answer.statusCode}: ${text}`;
+  if (answer.statusCode === STATUS_CONFLICT) {
+    return new KelpsparError("stale_fencing_number", message);
+  }
+  return new KelpsparError("endpoint_failed", message);
+}
+
+function toEndpointError(endpoint: EndpointAddress, cause: unknown): unknown {
+  if (cause instanceof KelpsparError) return cause;
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  const result = isRefusal(cause) ? "endpoint_refused" : "endpoint_failed";
+  return new KelpsparError(
+    result,
+    `Call to endpoint "${endpoint.endpointId}" failed: ${reason}`,
+    { cause },
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-shared/src/caller/address_answer.ts
@@ -0,0 +1,17 @@
+/** One daemon that a caller may use. */
+export interface DaemonAddress {
+  readonly address: string;
+  readonly port: number;
+  readonly availabilityZone: string;
+  /** The daemon's incarnation; prefixes idempotency keys bound to it. */
+  readonly incarnation: string;
+  /** Share of new requests to send here, relative to the others. */
+  readonly weight: number;
+}
+
+/** The answer of `GET /v1/addresses`. */
+export interface AddressAnswer {
+  readonly daemons: readonly DaemonAddress[];
+  /** How long a caller may keep this answer, in milliseconds. */
+  readonly keepMilliseconds: number;
+}
--- /dev/null
+++ b/packages/kelpspar-shared/src/results/result_code.ts
@@ -0,0 +1,16 @@
+import type { Outcome } from "./outcome.ts";
+import type { RetryAdvice } from "./retry_advice.ts";
+
+/** One row of the table of result codes in docs/RESULT_CODES.md. */
+export interface ResultCode {
+  /** The number that callers, operators and logs see. */
+  readonly number: number;
+  /** The outcome unless the failure itself proves another one. */
+  readonly outcome: Outcome;
+  readonly retry: RetryAdvice;
+  readonly httpStatus: number;
+  /** The exit code of a process that ends with this result. */
+  readonly exitCode: number;
+  /** One sentence for people, without a full stop. */
+  readonly meaning: string;
+}
--- /dev/null
+++ b/packages/kelpspar-shared/src/timer/system_timer.ts
@@ -0,0 +1,23 @@
+import type { TimerService } from "./timer_service.ts";
+import { performance } from "node:perf_hooks";
+
+/** The timer service of a running process, on the monotonic clock. */
+export class SystemTimer implements TimerService {
+  now(): number {
+    return performance.now();
+  }
+
+  wallClock(): number {
+    return Date.now();
+  }
+
+  registerTimeout(listener: () => void, milliseconds: number): () => void {
+    const handle = setTimeout(listener, Math.max(0, milliseconds));
+    return () => clearTimeout(handle);
+  }
+
+  registerInterval(listener: () => void, milliseconds: number): () => void {
+    const handle = setInterval(listener, Math.max(1, milliseconds));
+    return () => clearInterval(handle);
+  }
+}
