Serve a request through four stages, from separate processes

Cause: everything else stands on a whole path from caller to answer. Change: daemon with HTTP front, operator interface, roles as actors, stage attempts with ids, offsets and progress watch; stand-ins for platform and endpoints; a site of separate processes; checked configuration and examples. The scheduler is plain round robin, without claims or retries: the baseline. Conclusion: the thin path stands; decisions replace the baseline piece by piece.

--- /dev/null
+++ b/packages/kelpspar-daemon/src/configuration/configuration_store.ts
@@ -0,0 +1,96 @@
+import type { TableRow, TableService } from "kelpspar-platform";
+import type { ConfigurationRow } from "./configuration_row.ts";
+import { KelpsparError } from "kelpspar-shared";
+import { configurationRowSchema } from "./configuration_row.ts";
+
+const TABLE = "configuration";
+const CURRENT_KEY = "current";
+const REVISION_PREFIX = "revision/";
+const REVISION_DIGITS = 8;
+
+/** The newest configuration and the version of its row, 0 if there is none. */
+export interface StoredConfiguration {
+  readonly row: ConfigurationRow | undefined;
+  readonly version: number;
+}
+
+/** The accepted configurations in the platform's table service. */
+export class ConfigurationStore {
+  readonly #table: TableService;
+
+  constructor(options: { readonly table: TableService }) {
+    this.#table = options.table;
+  }
+
+  /** Reads the newest revision. Throws `table_unavailable`. */
+  async read(): Promise<StoredConfiguration> {
+    const [row] = await this.#table.read([{ table: TABLE, key: CURRENT_KEY }]);
+    return toStored(row ?? null);
+  }
+
+  /**
+   * Writes a revision on top of `before`, and its history row with it, in one
+   * transaction. Returns the conflicting newest row, or undefined when it was
+   * committed. Throws `table_unavailable` or `write_unknown`.
+   */
+  async write(
+    row: ConfigurationRow,
+    before: StoredConfiguration,
+  ): Promise<StoredConfiguration | undefined> {
+    const result = await this.#table.commit({
+      writes: [
+        {
+          table: TABLE,
+          key: CURRENT_KEY,
+          value: row,
+          expectedVersion: before.version,
+        },
+        {
+          table: TABLE,
+          key: revisionKey(row.revision),
+          value: row,
+          expectedVersion: 0,
+        },
+      ],
+    });
+    if (result.committed) return undefined;
+    const conflict = result.conflicts.find((found) =>
+      found.key === CURRENT_KEY
+    );
+    return conflict === undefined ? this.read() : toStored(conflict.row);
+  }
+
+  /** Reads one accepted revision; undefined when there is none. */
+  async readRevision(revision: number): Promise<ConfigurationRow | undefined> {
+    const key = revisionKey(revision);
+    const [row] = await this.#table.read([{ table: TABLE, key }]);
+    return toStored(row ?? null).row;
+  }
+
+  /** The last `limit` revisions at most, the newest first. */
+  async history(limit: number): Promise<readonly ConfigurationRow[]> {
+    const { row } = await this.read();
+    if (row === undefined) return [];
+    const first = Math.max(1, row.revision - limit + 1);
+    const keys = Array.from(
+      { length: row.revision - first + 1 },
+      (_, index) => ({ table: TABLE, key: revisionKey(row.revision - index) }),
+    );
+    const rows = await this.#table.read(keys);
+    return rows.flatMap((found) => toStored(found).row ?? []);
+  }
+}
+
+function revisionKey(revision: number): string {
+  return REVISION_PREFIX + String(revision).padStart(REVISION_DIGITS, "0");
+}
+
+function toStored(row: TableRow | null): StoredConfiguration {
+  if (row === null) return { row: undefined, version: 0 };
+  const parsed = configurationRowSchema.safeParse(row.value);
+  if (parsed.success) return { row: parsed.data, version: row.version };
+  throw new KelpsparError(
+    "table_unavailable",
+    `Cannot read row "${row.table}/${row.key}": it is no configuration`,
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/daemon_ports.ts
@@ -0,0 +1,21 @@
+import type {
+  EndpointClient,
+  TableService,
+  VmList,
+  WeightStore,
+} from "kelpspar-platform";
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { DaemonLog } from "./log/daemon_log.ts";
+import type { PeerClient } from "./peers/peer_client.ts";
+
+/** Everything outside a daemon that it works with; tests pass small fakes. */
+export interface DaemonPorts {
+  readonly table: TableService;
+  readonly vmList: VmList;
+  readonly weightStore: WeightStore;
+  readonly endpoints: EndpointClient;
+  readonly peers: PeerClient;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: DaemonLog;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/front/bearer_key.ts
@@ -0,0 +1,11 @@
+import type { IncomingMessage } from "node:http";
+
+const PREFIX = "Bearer ";
+
+/** The key of the `authorization` header; undefined when there is none. */
+export function bearerKey(request: IncomingMessage): string | undefined {
+  const header = request.headers.authorization;
+  if (header === undefined || !header.startsWith(PREFIX)) return undefined;
+  const key = header.slice(PREFIX.length);
+  return key === "" ? undefined : key;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/front/caller_routes.ts
@@ -0,0 +1,167 @@
+import type { AddressAnswer, TimerService } from "kelpspar-shared";
+import type { AccountConfiguration } from "kelpspar-configuration";
+import type { RequestContext } from "../requests/request_context.ts";
+import type { RequestRegistry } from "../requests/request_registry.ts";
+import type { RequestService } from "../requests/request_service.ts";
+import type { StateConfigurationReader } from "../state/state_configuration_reader.ts";
+import type { HttpExchange } from "./http_exchange.ts";
+import type { Route } from "./route.ts";
+import { KelpsparError, submitRequestSchema } from "kelpspar-shared";
+import { bearerKey } from "./bearer_key.ts";
+import { parseJsonBody, readBody } from "./read_json_body.ts";
+import { sendJson } from "./send_json.ts";
+import { streamAnswer } from "./stream_answer.ts";
+
+/** What the callers' interface answers from. */
+export interface CallerRoutesOptions {
+  readonly configuration: StateConfigurationReader;
+  readonly requests: RequestService;
+  readonly registry: RequestRegistry;
+  readonly incarnation: string;
+  readonly addresses: () => AddressAnswer;
+  readonly maximumBodyBytes: number;
+  readonly bodyTimeoutMilliseconds: number;
+  readonly timer: TimerService;
+}
+
+/** The routes that callers use. */
+export function createCallerRoutes(
+  options: CallerRoutesOptions,
+): readonly Route[] {
+  return [
+    {
+      method: "GET",
+      path: "/v1/addresses",
+      handle: (exchange) => answerAddresses(exchange, options),
+    },
+    {
+      method: "POST",
+      path: "/v1/requests",
+      handle: (exchange) => submit(exchange, options),
+    },
+    {
+      method: "GET",
+      path: "/v1/requests/:requestId/stream",
+      handle: (exchange) => attach(exchange, options),
+    },
+    {
+      method: "DELETE",
+      path: "/v1/requests/:requestId",
+      handle: (exchange) => cancel(exchange, options),
+    },
+  ];
+}
+
+async function answerAddresses(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): Promise<void> {
+  authenticate(exchange, options);
+  sendJson(exchange.response, options.addresses());
+}
+
+async function submit(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): Promise<void> {
+  const account = authenticate(exchange, options);
+  const text = await readBody(exchange.request, {
+    maximumBytes: options.maximumBodyBytes,
+    timeoutMilliseconds: options.bodyTimeoutMilliseconds,
+    timer: options.timer,
+  });
+  const parsed = submitRequestSchema.safeParse(parseJsonBody(text));
+  if (!parsed.success) {
+    const problems = parsed.error.issues.map((issue) =>
+      `${issue.path.join(".") || "(root)"}: ${issue.message}`
+    );
+    throw new KelpsparError(
+      "malformed_request",
+      `Cannot take the request: ${problems.join("; ")}`,
+    );
+  }
+  const context = await options.requests.submit(account, parsed.data);
+  follow(exchange, options, {
+    context,
+    offset: parsed.data.resumeOffset,
+  });
+}
+
+async function attach(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): Promise<void> {
+  const context = findRequest(exchange, options);
+  const offset = Number(exchange.url.searchParams.get("offset") ?? 0);
+  if (!Number.isSafeInteger(offset) || offset < 0) {
+    throw new KelpsparError(
+      "malformed_request",
+      "Cannot attach: the offset is not a whole number from 0",
+    );
+  }
+  follow(exchange, options, { context, offset });
+}
+
+async function cancel(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): Promise<void> {
+  const context = findRequest(exchange, options);
+  context.abort.abort(
+    new KelpsparError(
+      "cancelled",
+      `Request "${context.requestId}" was cancelled by its caller`,
+    ),
+  );
+  sendJson(exchange.response, { requestId: context.requestId });
+}
+
+function follow(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+  answer: { readonly context: RequestContext; readonly offset: number },
+): void {
+  streamAnswer(answer.context.log, exchange.response, {
+    accepted: {
+      type: "accepted",
+      requestId: answer.context.requestId,
+      daemon: options.incarnation,
+    },
+    offset: answer.offset,
+  });
+}
+
+function authenticate(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): AccountConfiguration {
+  if (options.configuration.current() === undefined) {
+    throw new KelpsparError(
+      "no_configuration",
+      "The daemon has no configuration yet",
+    );
+  }
+  const key = bearerKey(exchange.request);
+  const account = key === undefined
+    ? undefined
+    : options.configuration.accountOfKey(key);
+  if (account !== undefined) return account;
+  throw new KelpsparError(
+    "unknown_caller_key",
+    "No client account has this caller key",
+  );
+}
+
+function findRequest(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): RequestContext {
+  const account = authenticate(exchange, options);
+  const requestId = exchange.parameters["requestId"] ?? "";
+  const context = options.registry.find(requestId, account.id);
+  if (context !== undefined) return context;
+  throw new KelpsparError(
+    "request_not_found",
+    `No request "${requestId}" of this client account is known here`,
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/front/http_front.ts
@@ -0,0 +1,151 @@
+import type { TimerService } from "kelpspar-shared";
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Route } from "./route.ts";
+import { createServer } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import { KelpsparError, toKelpsparError } from "kelpspar-shared";
+import { answerClientError } from "./client_error_answer.ts";
+import { Router } from "./router.ts";
+import { sendFailure } from "./send_json.ts";
+
+/** Where the front listens, its limits and what it answers. */
+export interface HttpFrontOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly routes: readonly Route[];
+  /** Takes whole paths that start with `prefix`, before the routes. */
+  readonly mounted?: {
+    readonly prefix: string;
+    readonly listener: RequestListener;
+  };
+  readonly maximumHeaderBytes: number;
+  readonly headersTimeoutMilliseconds: number;
+  readonly requestTimeoutMilliseconds: number;
+  readonly maximumConnections: number;
+  readonly tls?: { readonly certificate: string; readonly key: string };
+  readonly timer: TimerService;
+  /** Other daemons, for answers that send a caller elsewhere. */
+  readonly elsewhere: () => readonly string[];
+  readonly onInternalError: (error: KelpsparError) => void;
+}
+
+const KEEP_ALIVE_MILLISECONDS = 30_000;
+
+/** The listener for callers, operators and other daemons. */
+export class HttpFront {
+  readonly #options: HttpFrontOptions;
+  readonly #router: Router;
+  readonly #server: Server;
+
+  constructor(options: HttpFrontOptions) {
+    this.#options = options;
+    this.#router = new Router(options.routes);
+    this.#server = this.#createServer();
+  }
+
+  /** Starts listening; resolves to the port. Throws `listen_failed`. */
+  async listen(): Promise<number> {
+    const { address, port } = this.#options;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", (cause) =>
+        reject(
+          new KelpsparError(
+            "listen_failed",
+            `Cannot listen on ${address}:${port}: ${cause.message}`,
+            { cause },
+          ),
+        ));
+      this.#server.listen(port, address, resolve);
+    });
+    const bound = this.#server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : port;
+  }
+
+  /** Stops taking connections and waits for those in use to end. */
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  /** Drops every connection at once, as a process that dies does. */
+  destroy(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #createServer(): Server {
+    const options = this.#options;
+    const listener: RequestListener = (request, response) =>
+      void this.#answer(request, response);
+    const limits = {
+      maxHeaderSize: options.maximumHeaderBytes,
+      headersTimeout: options.headersTimeoutMilliseconds,
+      requestTimeout: options.requestTimeoutMilliseconds,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      connectionsCheckingInterval: 1_000,
+    };
+    const server: Server = options.tls === undefined
+      ? createServer(limits, listener)
+      : createTlsServer(
+        { ...limits, cert: options.tls.certificate, key: options.tls.key },
+        listener,
+      );
+    server.maxConnections = options.maximumConnections;
+    server.on(
+      "clientError",
+      (error, socket) => answerClientError(error, socket as Socket),
+    );
+    return server;
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    response.on("error", () => response.destroy());
+    const { mounted } = this.#options;
+    try {
+      const url = new URL(request.url ?? "/", "http://localhost");
+      if (mounted !== undefined && url.pathname.startsWith(mounted.prefix)) {
+        return mounted.listener(request, response);
+      }
+      const method = request.method ?? "";
+      const match = this.#router.match(method, url.pathname);
+      await match.route.handle({
+        request,
+        response,
+        url,
+        parameters: match.parameters,
+      });
+    } catch (thrown) {
+      this.#fail(response, thrown);
+    }
+  }
+
+  #fail(response: ServerResponse, thrown: unknown): void {
+    const error = toKelpsparError(thrown);
+    if (error.result === "internal_error") {
+      this.#options.onInternalError(error);
+    }
+    if (response.headersSent) {
+      // A stream that cannot go on is cut, never ended as if it were whole.
+      response.destroy();
+      return;
+    }
+    const elsewhere = this.#options.elsewhere();
+    sendFailure(response, error, needsElsewhere(error) ? { elsewhere } : {});
+  }
+}
+
+function needsElsewhere(error: KelpsparError): boolean {
+  return error.result === "draining" || error.result === "no_configuration" ||
+    error.result === "wrong_daemon";
+}
--- a/packages/kelpspar-daemon/src/mod.ts
+++ b/packages/kelpspar-daemon/src/mod.ts
@@ -1,1 +1,11 @@
-export {};
+export type { OpenPorts } from "./create_ports.ts";
+export type { Daemon } from "./daemon.ts";
+export type { DaemonPorts } from "./daemon_ports.ts";
+export type { DaemonLog } from "./log/daemon_log.ts";
+export type { PeerAddress, PeerClient } from "./peers/peer_client.ts";
+export type { PeerDigest } from "./peers/peer_digest.ts";
+export type { Settings } from "./settings/settings_schema.ts";
+export { createPorts } from "./create_ports.ts";
+export { startDaemon } from "./daemon.ts";
+export { parseSettings } from "./settings/parse_settings.ts";
+export { settingsSchema } from "./settings/settings_schema.ts";
--- /dev/null
+++ b/packages/kelpspar-daemon/src/peers/peer_client.ts
@@ -0,0 +1,19 @@
+import type { ConfigurationRow } from "../configuration/configuration_row.ts";
+import type { ClaimInquiry, ClaimState } from "./claim_inquiry.ts";
+import type { PeerDigest } from "./peer_digest.ts";
+
+/** Where another daemon is. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Calls to other daemons. Each throws `peer_unavailable`. */
+export interface PeerClient {
+  /** Gives a digest and gets the other's. */
+  exchange(peer: PeerAddress, digest: PeerDigest): Promise<PeerDigest>;
+  /** The configuration in force there; null while it has none. */
+  configuration(peer: PeerAddress): Promise<ConfigurationRow | null>;
+  /** Asks the daemon that holds a claim what became of it. */
+  askClaim(peer: PeerAddress, inquiry: ClaimInquiry): Promise<ClaimState>;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/requests/request_context.ts
@@ -0,0 +1,28 @@
+import type {
+  AccountConfiguration,
+  PipelineConfiguration,
+} from "kelpspar-configuration";
+import type { SubmitRequest } from "kelpspar-shared";
+import type { AnswerLog } from "./answer_log.ts";
+import type { StageTrace } from "./stage_trace.ts";
+
+/** One request while this daemon runs it. */
+export interface RequestContext {
+  readonly requestId: string;
+  readonly account: AccountConfiguration;
+  readonly pipeline: PipelineConfiguration;
+  readonly request: SubmitRequest;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number;
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number;
+  /** SHA-256 of the body, to tell a reused idempotency key. */
+  readonly bodyHash: string;
+  readonly log: AnswerLog;
+  /** Aborted at the deadline, by the caller's cancel, or when abandoned. */
+  readonly abort: AbortController;
+  /** What each stage did so far, for operators and for the cost. */
+  readonly traces: Map<string, StageTrace>;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/requests/stage_attempt.ts
@@ -0,0 +1,189 @@
+import type {
+  EndpointAddress,
+  KelpsparError,
+  StageCall,
+  StageChunkRecord,
+  StageEndRecord,
+  StageFailureReason,
+  StageFailureRecord,
+  StageRecord,
+  TimerService,
+} from "kelpspar-shared";
+import type { ResultName } from "kelpspar-shared";
+import type { EndpointClient } from "kelpspar-platform";
+import type { StageProgress } from "./stage_progress.ts";
+import { KelpsparError as ResultError, toKelpsparError } from "kelpspar-shared";
+
+/** One call of one stage at one endpoint. */
+export interface StageAttemptOptions {
+  readonly endpoints: EndpointClient;
+  readonly endpoint: EndpointAddress;
+  readonly call: StageCall;
+  /** True for a call that must not be repeated. */
+  readonly once: boolean;
+  readonly progress: StageProgress;
+  readonly timer: TimerService;
+  /** How long the call may go without a record, milliseconds. */
+  readonly progressTimeoutMilliseconds: number;
+  readonly signal: AbortSignal;
+  /** Told of each record that answers another call and was dropped. */
+  readonly onForeignRecord: (record: StageRecord) => void;
+  /** Told when the first record arrives. */
+  readonly onFirstRecord?: () => void;
+}
+
+const CLOSE_WAIT_MILLISECONDS = 20;
+const CHECK_MILLISECONDS = 50;
+
+const RESULT_BY_REASON: Readonly<Record<StageFailureReason, ResultName>> = {
+  overloaded: "endpoint_overloaded",
+  leaving: "endpoint_leaving",
+  failed: "endpoint_failed",
+  cancelled: "endpoint_failed",
+  unknown_attempt: "endpoint_failed",
+  wrong_model: "endpoint_refused",
+};
+
+/**
+ * Makes one call and follows its records to the end. Throws `endpoint_silent`
+ * when the connection makes no progress, else as the endpoint client and the
+ * endpoint's own failure records say. An error whose outcome is `not_run`
+ * proves that the endpoint did not start the call.
+ */
+export async function runStageAttempt(
+  options: StageAttemptOptions,
+): Promise<StageEndRecord> {
+  const abort = new AbortController();
+  const forwardAbort = (): void => abort.abort(options.signal.reason);
+  if (options.signal.aborted) forwardAbort();
+  options.signal.addEventListener("abort", forwardAbort);
+  const follow: RecordFollower = {
+    signal: abort.signal,
+    lastProgressAt: options.timer.now(),
+    end: undefined,
+    isSilent: false,
+  };
+  const stopWatch = watchProgress(options, follow, () => abort.abort());
+  try {
+    await followRecords(options, follow);
+  } catch (error) {
+    if (isWhole(options.progress, follow.end)) return follow.end;
+    if (follow.isSilent) throw silentError(options);
+    throw toKelpsparError(error, "endpoint_failed");
+  } finally {
+    stopWatch();
+    options.signal.removeEventListener("abort", forwardAbort);
+  }
+  if (isWhole(options.progress, follow.end)) return follow.end;
+  throw new ResultError(
+    "endpoint_failed",
+    `Endpoint "${options.endpoint.endpointId}" ended stage "${options.call.stageId}" before its result was whole`,
+  );
+}
+
+/** How far the records of a call were followed. */
+interface RecordFollower {
+  readonly signal: AbortSignal;
+  lastProgressAt: number;
+  end: StageEndRecord | undefined;
+  isSilent: boolean;
+}
+
+/**
+ * Follows the stream to its close, not only to the end record, since a
+ * connection is kept for the next call only when its answer was read whole.
+ */
+async function followRecords(
+  options: StageAttemptOptions,
+  follow: RecordFollower,
+): Promise<void> {
+  const records = options.endpoints.call(options.endpoint, options.call, {
+    signal: follow.signal,
+    once: options.once,
+  });
+  let isFirst = true;
+  for await (const record of records) {
+    follow.lastProgressAt = options.timer.now();
+    if (!answersCall(record, options.call)) {
+      options.onForeignRecord(record);
+      continue;
+    }
+    if (isFirst) options.onFirstRecord?.();
+    isFirst = false;
+    if (record.type === "failure") throw failureError(options, record);
+    if (record.type === "end") follow.end = record;
+    else options.progress.push(toPiece(record));
+  }
+}
+
+function toPiece(
+  record: StageChunkRecord,
+): { readonly offset: number; readonly text: string } {
+  return { offset: record.offset, text: record.text };
+}
+
+function isWhole(
+  progress: StageProgress,
+  end: StageEndRecord | undefined,
+): end is StageEndRecord {
+  return end !== undefined && !progress.hasGap &&
+    progress.length === end.length;
+}
+
+function answersCall(record: StageRecord, call: StageCall): boolean {
+  return record.requestId === call.requestId &&
+    record.stageId === call.stageId &&
+    record.attemptId === call.attemptId;
+}
+
+/**
+ * One timer follows a whole call rather than one a record, since a stream has
+ * thousands of records. A result that is whole waits only a moment for its
+ * stream to close.
+ */
+function watchProgress(
+  options: StageAttemptOptions,
+  follow: RecordFollower,
+  onSilent: () => void,
+): () => void {
+  const { timer } = options;
+  const limit = (): number =>
+    isWhole(options.progress, follow.end)
+      ? CLOSE_WAIT_MILLISECONDS
+      : options.progressTimeoutMilliseconds;
+  let stop = (): void => {};
+  const check = (): void => {
+    const quiet = timer.now() - follow.lastProgressAt;
+    if (quiet >= limit()) {
+      follow.isSilent = true;
+      return onSilent();
+    }
+    const wait = Math.min(limit() - quiet, CHECK_MILLISECONDS);
+    stop = timer.registerTimeout(check, wait);
+  };
+  stop = timer.registerTimeout(check, CHECK_MILLISECONDS);
+  return () => stop();
+}
+
+function silentError(options: StageAttemptOptions): KelpsparError {
+  return new ResultError(
+    "endpoint_silent",
+    `Endpoint "${options.endpoint.endpointId}" made no progress on stage "${options.call.stageId}" for ${options.progressTimeoutMilliseconds} ms`,
+  );
+}
+
+function failureError(
+  options: StageAttemptOptions,
+  record: StageFailureRecord,
+): KelpsparError {
+  return new ResultError(
+    RESULT_BY_REASON[record.reason],
+    `Endpoint "${options.endpoint.endpointId}" failed stage "${options.call.stageId}": ${record.reason}`,
+    {
+      outcome: record.started ? "outcome_unknown" : "not_run",
+      ...(record.retryAfterMilliseconds === undefined
+        ? {}
+        : { retryAfterMilliseconds: record.retryAfterMilliseconds }),
+    },
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/requests/stage_runner.ts
@@ -0,0 +1,7 @@
+import type { StageTask } from "./stage_task.ts";
+
+/** Runs one stage of one request to its whole result. */
+export interface StageRunner {
+  /** Returns the result's text; throws KelpsparError. */
+  run(task: StageTask): Promise<string>;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/scheduling/permit_request.ts
@@ -0,0 +1,18 @@
+/** What the scheduler needs to know to give a permit. */
+export interface PermitRequest {
+  readonly service: string;
+  readonly model: string | undefined;
+  readonly adapter: string | undefined;
+  readonly accountId: string;
+  readonly pipelineId: string;
+  readonly stageId: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number;
+  readonly bytes: number;
+  readonly prefixHash: string | undefined;
+  /** Endpoints not to use, for retries and hedges. */
+  readonly exclude: ReadonlySet<string>;
+  readonly signal: AbortSignal;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/state/configuration_reader.ts
@@ -0,0 +1,14 @@
+import type {
+  AccountConfiguration,
+  Configuration,
+  ServiceConfiguration,
+} from "kelpspar-configuration";
+
+/** Reads the configuration in force; each call sees the newest revision. */
+export interface ConfigurationIndexReader {
+  /** 0 while the daemon has no configuration. */
+  revision(): number;
+  current(): Configuration | undefined;
+  services(): ReadonlyMap<string, ServiceConfiguration>;
+  accounts(): ReadonlyMap<string, AccountConfiguration>;
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/state/daemon_state.ts
@@ -0,0 +1,33 @@
+import type { Configuration } from "kelpspar-configuration";
+import type { ListedVm } from "kelpspar-platform";
+import type { ConfigurationRow } from "../configuration/configuration_row.ts";
+
+/** Endpoints and daemons that operators took out. */
+export interface Drains {
+  readonly endpoints: readonly string[];
+  readonly daemons: readonly string[];
+}
+
+/** What the whole daemon shares: one immutable snapshot. */
+export interface DaemonState {
+  /** The configuration in force, as stored; undefined until the first. */
+  readonly configurationRow: ConfigurationRow | undefined;
+  /** The same, checked; always of `configurationRow`. */
+  readonly configuration: Configuration | undefined;
+  /** The VM list as last seen, which lags. */
+  readonly vms: readonly ListedVm[];
+  readonly drains: Drains;
+  /** True once the daemon is to stop: it takes no new requests. */
+  readonly isLeaving: boolean;
+}
+
+/** The state of a daemon that just started. */
+export function createDaemonState(): DaemonState {
+  return {
+    configurationRow: undefined,
+    configuration: undefined,
+    vms: [],
+    drains: { endpoints: [], daemons: [] },
+    isLeaving: false,
+  };
+}
--- a/packages/kelpspar-shared/src/caller/address_answer.ts
+++ b/packages/kelpspar-shared/src/caller/address_answer.ts
@@ -5,6 +5,8 @@
   readonly availabilityZone: string;
   /** The daemon's incarnation; prefixes idempotency keys bound to it. */
   readonly incarnation: string;
+  /** The epoch to put into keys bound to this daemon. */
+  readonly keyEpoch: number;
   /** Share of new requests to send here, relative to the others. */
   readonly weight: number;
 }
--- /dev/null
+++ b/packages/kelpspar-standins/src/endpoint/execution_log.ts
@@ -0,0 +1,88 @@
+import type { StageCall } from "kelpspar-shared";
+import { readToken } from "./input_tags.ts";
+
+/** One run of a call. */
+export interface Execution {
+  readonly requestId: string;
+  readonly stageId: string;
+  readonly attemptId: string;
+  /** The input's `token=…`, if it has one. */
+  readonly token?: string;
+}
+
+/** The answer of `GET /control/executions`. */
+export interface ExecutionReport {
+  /** How often each `token=…` ran. */
+  readonly byToken: Readonly<Record<string, number>>;
+  readonly byRequest: Readonly<Record<string, number>>;
+  readonly executions: number;
+  readonly completed: number;
+  /** Runs that went on from another endpoint's partial text. */
+  readonly continued: number;
+  /** Calls refused before they ran. */
+  readonly refused: number;
+  /** Partial texts that were not the beginning of the answer. */
+  readonly wrongPartialTexts: number;
+  readonly runnerMilliseconds: number;
+}
+
+/** Counts what an endpoint ran, so that a checker finds doubled work. */
+export class ExecutionLog {
+  readonly #byToken = new Map<string, number>();
+  readonly #byRequest = new Map<string, number>();
+  readonly #onExecution: (execution: Execution) => void;
+  #executions = 0;
+  #completed = 0;
+  #continued = 0;
+  #refused = 0;
+  #wrongPartialTexts = 0;
+  #runnerMilliseconds = 0;
+
+  constructor(onExecution: (execution: Execution) => void = () => {}) {
+    this.#onExecution = onExecution;
+  }
+
+  start(call: StageCall): void {
+    const { requestId, stageId, attemptId } = call;
+    const token = readToken(call.input);
+    this.#executions += 1;
+    if (call.partialText !== undefined) this.#continued += 1;
+    increase(this.#byRequest, requestId);
+    if (token !== undefined) increase(this.#byToken, token);
+    const ids = { requestId, stageId, attemptId };
+    this.#onExecution(token === undefined ? ids : { ...ids, token });
+  }
+
+  complete(): void {
+    this.#completed += 1;
+  }
+
+  refuse(): void {
+    this.#refused += 1;
+  }
+
+  countWrongPartialText(): void {
+    this.#wrongPartialTexts += 1;
+  }
+
+  spend(milliseconds: number): void {
+    this.#runnerMilliseconds += milliseconds;
+  }
+
+  report(): ExecutionReport {
+    return {
+      byToken: Object.fromEntries(this.#byToken),
+      byRequest: Object.fromEntries(this.#byRequest),
+      executions: this.#executions,
+      completed: this.#completed,
+      continued: this.#continued,
+      refused: this.#refused,
+      wrongPartialTexts: this.#wrongPartialTexts,
+      runnerMilliseconds: this.#runnerMilliseconds,
+    };
+  }
+}
+
+function increase(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/faults/delay.ts
@@ -0,0 +1,28 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+
+/** Resolves after `milliseconds` of the timer service. */
+export function delay(
+  timer: TimerService,
+  milliseconds: number,
+): Promise<void> {
+  return new Promise((resolve) => {
+    timer.registerTimeout(resolve, milliseconds);
+  });
+}
+
+/** True by chance, in `share` of the draws; draws nothing for 0. */
+export function happens(random: RandomSource, share: number): boolean {
+  return share > 0 && random.next() < share;
+}
+
+/** A call's latency under faults, milliseconds. */
+export function drawLatency(
+  random: RandomSource,
+  faults: {
+    readonly latencyMilliseconds: number;
+    readonly jitterMilliseconds: number;
+  },
+): number {
+  if (faults.jitterMilliseconds === 0) return faults.latencyMilliseconds;
+  return faults.latencyMilliseconds + faults.jitterMilliseconds * random.next();
+}
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -1,1 +1,32 @@
-export {};
+export type { EndpointFaults } from "./endpoint/endpoint_faults.ts";
+export type { EndpointSettings } from "./endpoint/endpoint_settings.ts";
+export type { Execution, ExecutionReport } from "./endpoint/execution_log.ts";
+export type { LoggedOrder } from "./endpoint/engine/order_log.ts";
+export type { RunningEndpoint } from "./endpoint/running_endpoint.ts";
+export type { StartEndpointOptions } from "./endpoint/start_endpoint.ts";
+export type { ServiceFaults } from "./faults/service_faults.ts";
+export type { PlatformSettings } from "./platform/platform_settings.ts";
+export type {
+  PlatformService,
+  RunningPlatform,
+} from "./platform/running_platform.ts";
+export type { ProgramStart } from "./process/process_group.ts";
+export type { ProcessExit, RunningProcess } from "./process/running_process.ts";
+export type { InMemoryTableOptions } from "./table/in_memory_table.ts";
+export type { TableCounters } from "./table/table_counters.ts";
+export type { TableFaults } from "./table/table_faults.ts";
+export type { LaggingVmListOptions } from "./vm/lagging_vm_list.ts";
+export { endpointSettingsSchema } from "./endpoint/endpoint_settings.ts";
+export { engineAnswer } from "./endpoint/engine/engine_answer.ts";
+export {
+  readTags,
+  readToken,
+  readTokensWanted,
+} from "./endpoint/input_tags.ts";
+export { plainAnswer } from "./endpoint/plain/plain_answer.ts";
+export { startEndpoint } from "./endpoint/start_endpoint.ts";
+export { platformSettingsSchema } from "./platform/platform_settings.ts";
+export { startPlatform } from "./platform/start_platform.ts";
+export { ProcessGroup } from "./process/process_group.ts";
+export { InMemoryTable } from "./table/in_memory_table.ts";
+export { LaggingVmList } from "./vm/lagging_vm_list.ts";
--- /dev/null
+++ b/packages/kelpspar-standins/src/process/process_group.ts
@@ -0,0 +1,86 @@
+import type { TimerService } from "kelpspar-shared";
+import type { RunningProcess } from "./running_process.ts";
+import { StartedProcess } from "./started_process.ts";
+
+const DEFAULT_START_LIMIT_MILLISECONDS = 20_000;
+const DEFAULT_STOP_LIMIT_MILLISECONDS = 20_000;
+
+/** A program to start. */
+export interface ProgramStart {
+  /** The path of the program's JavaScript file. */
+  readonly program: string;
+  /** Given as JSON behind `settingsOption`; absent gives no such option. */
+  readonly settings?: unknown;
+  /** Default `--settings-json`. */
+  readonly settingsOption?: string;
+  /** Arguments before the settings, such as a subcommand. */
+  readonly arguments?: readonly string[];
+  /** Arguments for Node.js itself. */
+  readonly nodeArguments?: readonly string[];
+  /** A name for messages; default the program's path. */
+  readonly name?: string;
+}
+
+/**
+ * Starts the processes of a demonstration, a test or an experiment and ends
+ * all of them. The product itself starts no process.
+ */
+export class ProcessGroup {
+  readonly #timer: TimerService;
+  readonly #processes = new Set<StartedProcess>();
+  readonly #killAll = (): void => {
+    for (const started of this.#processes) started.signal("SIGKILL");
+  };
+
+  constructor(options: { readonly timer: TimerService }) {
+    this.#timer = options.timer;
+  }
+
+  /**
+   * Starts a program and waits for its listening line. Throws, with the
+   * program's last output, when it ends or stays silent before that.
+   */
+  async start(
+    start: ProgramStart,
+    options: { readonly limitMilliseconds?: number } = {},
+  ): Promise<RunningProcess> {
+    // What goes wrong: the parent ends by an error and its children run on.
+    // It shows as stray processes and busy ports. The exit hook ends them.
+    process.off("exit", this.#killAll);
+    process.on("exit", this.#killAll);
+    const started = new StartedProcess(start);
+    this.#processes.add(started);
+    void started.exited.then(() => this.#processes.delete(started));
+    const limit = options.limitMilliseconds ?? DEFAULT_START_LIMIT_MILLISECONDS;
+    const stopTimer = this.#timer.registerTimeout(() => {
+      started.signal("SIGKILL");
+    }, limit);
+    try {
+      await started.waitUntilListening();
+    } finally {
+      stopTimer();
+    }
+    return started;
+  }
+
+  /**
+   * Stops every process gracefully. Returns the names of those that had to be
+   * killed, because they did not end in time.
+   */
+  async stopAll(
+    options: { readonly limitMilliseconds?: number } = {},
+  ): Promise<readonly string[]> {
+    const limit = options.limitMilliseconds ?? DEFAULT_STOP_LIMIT_MILLISECONDS;
+    const killed: string[] = [];
+    const stopTimer = this.#timer.registerTimeout(() => {
+      for (const started of this.#processes) {
+        killed.push(started.name);
+        started.signal("SIGKILL");
+      }
+    }, limit);
+    await Promise.all([...this.#processes].map((started) => started.stop()));
+    stopTimer();
+    process.off("exit", this.#killAll);
+    return killed;
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/site/site_plan.ts
@@ -0,0 +1,25 @@
+import type { EndpointSettings } from "../endpoint/endpoint_settings.ts";
+import type { PlatformSettings } from "../platform/platform_settings.ts";
+
+/** A pool of endpoints of a site. */
+export interface PoolPlan {
+  readonly service: string;
+  readonly count: number;
+  /** True for endpoints that refuse orders with an old fencing number. */
+  readonly checksFencing?: boolean;
+  readonly settings: Omit<EndpointSettings, "service">;
+}
+
+/** What a site consists of, for a demonstration or an experiment. */
+export interface SitePlan {
+  readonly daemons: number;
+  readonly availabilityZones: readonly string[];
+  readonly pools: readonly PoolPlan[];
+  /** The whole configuration, as an operator would apply it. */
+  readonly configuration: unknown;
+  readonly platform?: PlatformSettings;
+  /** Laid over each daemon's settings. */
+  readonly daemonSettings?: Readonly<Record<string, unknown>>;
+  /** Seeds the endpoints' chance. */
+  readonly seed: number;
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/table/in_memory_table.ts
@@ -0,0 +1,109 @@
+import type {
+  TableKey,
+  TableRow,
+  TableScan,
+  TableService,
+  TableTransaction,
+  TransactionResult,
+} from "kelpspar-platform";
+import type { RandomSource, ResultName, TimerService } from "kelpspar-shared";
+import type { TableAnswer } from "./table_answer.ts";
+import type { TableCounters } from "./table_counters.ts";
+import type { TableFaults } from "./table_faults.ts";
+import { KelpsparError, SeededRandom } from "kelpspar-shared";
+import { ScriptedTable } from "./scripted_table.ts";
+import { tableFaultsSchema } from "./table_faults.ts";
+
+const DEFAULT_TIMEOUT_MILLISECONDS = 1_000;
+
+/** How an in-memory table behaves. */
+export interface InMemoryTableOptions {
+  readonly timer: TimerService;
+  /** Chance for the seeded faults; default a generator with seed 1. */
+  readonly random?: RandomSource;
+  readonly faults?: Partial<TableFaults>;
+  /** How long its users wait for an answer, milliseconds; default 1,000. */
+  readonly timeoutMilliseconds?: number;
+}
+
+/**
+ * The table service in memory, for tests that need no HTTP. Its faults show as
+ * they do through `HttpTableService`: `table_unavailable` when nothing was
+ * written, `write_unknown` when a write's answer never came. A transaction
+ * that is not valid throws `platform_refused`.
+ */
+export class InMemoryTable implements TableService {
+  /** The table behind the port; the HTTP front uses it too. */
+  readonly scripted: ScriptedTable;
+  readonly #timer: TimerService;
+  readonly #timeoutMilliseconds: number;
+
+  constructor(options: InMemoryTableOptions) {
+    this.#timer = options.timer;
+    this.#timeoutMilliseconds = options.timeoutMilliseconds ??
+      DEFAULT_TIMEOUT_MILLISECONDS;
+    this.scripted = new ScriptedTable({
+      timer: options.timer,
+      random: options.random ?? new SeededRandom(1),
+      faults: tableFaultsSchema.parse(options.faults ?? {}),
+    });
+  }
+
+  get counters(): TableCounters {
+    return this.scripted.counters;
+  }
+
+  setFaults(changes: Partial<TableFaults>): void {
+    this.scripted.setFaults(changes);
+  }
+
+  async commit(transaction: TableTransaction): Promise<TransactionResult> {
+    const pending = this.scripted.commit(transaction);
+    return unwrap(await this.#within(pending), "write_unknown");
+  }
+
+  async read(
+    keys: readonly TableKey[],
+  ): Promise<readonly (TableRow | null)[]> {
+    const pending = this.scripted.read(keys);
+    return unwrap(await this.#within(pending), "table_unavailable");
+  }
+
+  async scan(scan: TableScan): Promise<readonly TableRow[]> {
+    const pending = this.scripted.scan(scan);
+    return unwrap(await this.#within(pending), "table_unavailable");
+  }
+
+  #within<Value>(
+    pending: Promise<TableAnswer<Value>>,
+  ): Promise<TableAnswer<Value>> {
+    return new Promise((resolve, reject) => {
+      const stopTimer = this.#timer.registerTimeout(
+        () => resolve({ kind: "hang" }),
+        this.#timeoutMilliseconds,
+      );
+      pending.then((answer) => {
+        if (answer.kind === "hang") return;
+        stopTimer();
+        resolve(answer);
+      }, reject);
+    });
+  }
+}
+
+function unwrap<Value>(answer: TableAnswer<Value>, lost: ResultName): Value {
+  if (answer.kind === "answered") return answer.value;
+  if (answer.kind !== "refused") {
+    throw new KelpsparError(
+      lost,
+      `The table's answer was lost: ${answer.kind}`,
+    );
+  }
+  const result = answer.reason === "invalid"
+    ? "platform_refused"
+    : "table_unavailable";
+  throw new KelpsparError(
+    result,
+    `The table service refused the call: ${answer.reason}`,
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/table/sorted_keys.ts
@@ -0,0 +1,45 @@
+/** Keys in the order of their UTF-16 units, for scans. */
+export class SortedKeys {
+  readonly #keys: string[] = [];
+
+  add(key: string): void {
+    const index = this.#firstAtLeast(key);
+    if (this.#keys[index] !== key) this.#keys.splice(index, 0, key);
+  }
+
+  delete(key: string): void {
+    const index = this.#firstAtLeast(key);
+    if (this.#keys[index] === key) this.#keys.splice(index, 1);
+  }
+
+  /** At most `limit` keys that begin with `prefix` and come after `after`. */
+  list(
+    prefix: string,
+    options: { readonly after?: string | undefined; readonly limit: number },
+  ): string[] {
+    const { after, limit } = options;
+    const listed: string[] = [];
+    let index = this.#firstAtLeast(
+      after !== undefined && after > prefix ? after : prefix,
+    );
+    if (this.#keys[index] === after) index += 1;
+    while (listed.length < limit) {
+      const key = this.#keys[index];
+      if (key === undefined || !key.startsWith(prefix)) break;
+      listed.push(key);
+      index += 1;
+    }
+    return listed;
+  }
+
+  #firstAtLeast(key: string): number {
+    let low = 0;
+    let high = this.#keys.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if ((this.#keys[middle] ?? "") < key) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
