Take only a failed connect as proof that nothing arrived

Cause: an open connection can end with EHOSTUNREACH after its request was sent; taken as a refusal, the daemon would have said not_run of a call that ran (noticed by reading; not reproduced). Change: proof needs the failed system call to be connect itself, or the connect timeout. Also: roles and peer handlers stand apart from the listener, so that scenarios run daemons without sockets.

--- /dev/null
+++ b/packages/kelpspar-daemon/src/create_peer_handlers.ts
@@ -0,0 +1,20 @@
+import type { DaemonCore } from "./create_core.ts";
+import type { PeerHandlers } from "./peers/peer_router.ts";
+import type { TimerService } from "kelpspar-shared";
+import { answerClaimInquiry } from "./answer_claim_inquiry.ts";
+
+/** What a daemon answers its peers. */
+export function createPeerHandlers(
+  core: DaemonCore,
+  options: { readonly timer: TimerService },
+): PeerHandlers {
+  return {
+    exchange: (digest) => {
+      core.fleet.heard(digest);
+      return core.fleet.createDigest();
+    },
+    configuration: () => core.state.read().configurationRow ?? null,
+    askClaim: (inquiry) =>
+      answerClaimInquiry({ ...core, timer: options.timer }, inquiry),
+  };
+}
--- a/packages/kelpspar-platform/src/http/json_http_client.ts
+++ b/packages/kelpspar-platform/src/http/json_http_client.ts
@@ -111,12 +111,15 @@
 }
 
 /**
- * True only where no connection was made, so that nothing can have arrived.
- * A reset or a timeout is no proof.
+ * True only where no connection was made, so that nothing can have arrived. A
+ * reset or a timeout is no proof, and neither is an unreachable host on a
+ * connection that was open: only a failed system call `connect` is.
  */
 export function isRefusal(cause: unknown): boolean {
   if (!(cause instanceof Error)) return false;
-  const code = (cause as { readonly code?: unknown }).code;
-  return code === "ECONNREFUSED" || code === "EHOSTUNREACH" ||
-    code === "ENETUNREACH" || code === "UND_ERR_CONNECT_TIMEOUT";
+  const { code, syscall } = cause as {
+    readonly code?: unknown;
+    readonly syscall?: unknown;
+  };
+  return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT";
 }
