Show both sites by one command, and end every process gracefully

Cause: npm run demo had to kill one daemon of three. Ruled out: idle connections (closing them all changed nothing). Found by asking the stopped daemon: its claim's result could not be written, since the platform's stand-in had been stopped beside it. Change: demonstrations of both examples; a site stops daemons before the platform; a planned stop waits at most 10 s for a store that is down, after its last request; connections that carry no request no longer hold a stop up; a parked call that never runs is refunded.

--- a/packages/kelpspar-daemon/src/daemon.ts
+++ b/packages/kelpspar-daemon/src/daemon.ts
@@ -84,6 +84,7 @@
         key: readFileSync(tls.keyFile, "utf8"),
       },
     }),
+    timer: ports.timer,
     isClosing: () => core.state.read().isLeaving,
     elsewhere: () => core.fleet.elsewhere(),
     onInternalError: (error) =>
--- a/packages/kelpspar-daemon/src/drain_daemon.ts
+++ b/packages/kelpspar-daemon/src/drain_daemon.ts
@@ -3,6 +3,8 @@
 
 const CHECK_MILLISECONDS = 20;
 const LISTED_MILLISECONDS = 500;
+/** How long a stop waits for a store that is down, after the last request. */
+const CLAIMS_LIMIT_MILLISECONDS = 10_000;
 
 /** What a planned stop works on. */
 export interface DrainOptions {
@@ -28,11 +30,17 @@
   const startedAt = timer.now();
   core.state.update(() => ({ isLeaving: true }));
   await options.announce();
+  let lastRunningAt = startedAt;
   const isDone = (): boolean => {
-    const elapsed = timer.now() - startedAt;
-    if (elapsed >= options.limitMilliseconds) return true;
-    if (elapsed < LISTED_MILLISECONDS) return false;
-    return core.registry.running === 0 && core.claims.open === 0;
+    const now = timer.now();
+    if (now - startedAt >= options.limitMilliseconds) return true;
+    if (core.registry.running > 0) lastRunningAt = now;
+    if (now - startedAt < LISTED_MILLISECONDS) return false;
+    if (core.registry.running > 0) return false;
+    if (core.claims.open === 0) return true;
+    // A result that is not stored costs its caller's retry an answer of
+    // `outcome_unknown`; it never makes anything run again.
+    return now - lastRunningAt >= CLAIMS_LIMIT_MILLISECONDS;
   };
   await new Promise<void>((resolve) => {
     const stop = timer.registerInterval(() => {
--- a/packages/kelpspar-daemon/src/front/http_front.ts
+++ b/packages/kelpspar-daemon/src/front/http_front.ts
@@ -1,3 +1,4 @@
+import type { TimerService } from "kelpspar-shared";
 import type {
   IncomingMessage,
   RequestListener,
@@ -28,6 +29,7 @@
   readonly requestTimeoutMilliseconds: number;
   readonly maximumConnections: number;
   readonly tls?: { readonly certificate: string; readonly key: string };
+  readonly timer: TimerService;
   /** True when connections are to be closed after their answer. */
   readonly isClosing: () => boolean;
   /** Other daemons, for answers that send a caller elsewhere. */
@@ -36,12 +38,14 @@
 }
 
 const KEEP_ALIVE_MILLISECONDS = 30_000;
+const CLOSE_CHECK_MILLISECONDS = 50;
 
 /** The listener for callers, operators and other daemons. */
 export class HttpFront {
   readonly #options: HttpFrontOptions;
   readonly #router: Router;
   readonly #server: Server;
+  #answering = 0;
 
   constructor(options: HttpFrontOptions) {
     this.#options = options;
@@ -67,18 +71,26 @@
     return typeof bound === "object" && bound !== null ? bound.port : port;
   }
 
-  /** Stops taking connections and waits for those in use to end. */
+  /**
+   * Stops taking connections and waits for the answers under way. What goes
+   * wrong without the check: a connection that carries no request, or that
+   * became idle a moment later, keeps the process from ending.
+   */
   async close(): Promise<void> {
-    await new Promise<void>((resolve) => {
+    const closed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
     });
-  }
-
-  /** Drops every connection at once, as a process that dies does. */
-  destroy(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    const closeUnused = (): void => {
+      if (this.#answering === 0) this.#server.closeAllConnections();
+      else this.#server.closeIdleConnections();
+    };
+    closeUnused();
+    const stop = this.#options.timer.registerInterval(
+      closeUnused,
+      CLOSE_CHECK_MILLISECONDS,
+    );
+    await closed;
+    stop();
   }
 
   #createServer(): Server {
@@ -110,6 +122,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.#answering++;
+    response.on("close", () => this.#answering--);
     response.on("error", () => response.destroy());
     const { mounted, isClosing } = this.#options;
     if (isClosing()) response.setHeader("connection", "close");
--- a/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
+++ b/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
@@ -24,7 +24,8 @@
 import { ServiceGate } from "./service_gate.ts";
 
 const TICK_MILLISECONDS = 20;
-const SHARES_EVERY_TICKS = 5;
+/** The shares' arithmetic grows with accounts times services. */
+const SHARES_EVERY_TICKS = 10;
 const COMEBACK_MILLISECONDS = 500;
 
 type Pool = NonNullable<ReturnType<EndpointRegistry["candidates"]>>;
@@ -87,7 +88,7 @@
       const ticket = this.#enqueue(gate, call);
       if (ticket === undefined) return;
       const cancel = (): void => {
-        if (!gate.queue.remove(ticket)) gate.unpark(call);
+        if (!gate.queue.remove(ticket)) gate.cancelParked(call);
         reject(request.signal.reason);
       };
       request.signal.addEventListener("abort", cancel);
--- a/packages/kelpspar-daemon/src/scheduling/service_gate.ts
+++ b/packages/kelpspar-daemon/src/scheduling/service_gate.ts
@@ -95,8 +95,9 @@
   }
 
   /** Takes out a parked call that nobody wants any more. */
-  unpark(call: WaitingCall): void {
+  cancelParked(call: WaitingCall): void {
     this.#parked = this.#parked.filter((parked) => parked !== call);
+    this.#refund(call);
   }
 
   #grantParked(): void {
@@ -105,7 +106,7 @@
     this.#parked = [];
     for (const call of parked) {
       const isPast = call.request.deadlineAt <= this.#options.now();
-      if (isPast) call.refuse(this.#lateError(call));
+      if (isPast) this.#refuse(call, this.#lateError(call));
       else if (!this.#tryGrant(call)) this.#parked.push(call);
     }
   }
@@ -116,7 +117,7 @@
     const chosen = this.#options.choose(call.request);
     if (chosen === "all_full") return false;
     if (chosen === "no_endpoint") {
-      call.refuse(this.#noEndpointError(call));
+      this.#refuse(call, this.#noEndpointError(call));
       return true;
     }
     this.#running++;
@@ -124,6 +125,18 @@
     return true;
   }
 
+  /** A call that left the queue was charged; one that never runs is not. */
+  #refuse(call: WaitingCall, error: KelpsparError): void {
+    this.#refund(call);
+    call.refuse(error);
+  }
+
+  #refund(call: WaitingCall): void {
+    const { queue } = this.#options;
+    queue.charge(call.request.accountId, -call.chargedCost);
+    call.chargedCost = 0;
+  }
+
   #refuseExpired(): void {
     for (const { item } of this.#options.queue.expired(this.#options.now())) {
       item.refuse(this.#lateError(item));
--- a/packages/kelpspar-decisions/src/__tests__/unit/routing_herd_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/routing_herd_test.ts
@@ -156,7 +156,7 @@
 }
 
 for (const callMilliseconds of [100, 1_000]) {
-  for (const daemons of [1, 3, 8]) {
+  for (const daemons of [1, 3, 8, 34]) {
     // Symptom: queues at the endpoints swing with the period of the reports.
     // Sequence: a report shows one endpoint idle; every daemon sends to it
     // until the next report, which shows its queue and another one idle.
--- /dev/null
+++ b/packages/kelpspar-standins/src/demo/read_example.ts
@@ -0,0 +1,23 @@
+import type { Configuration } from "kelpspar-configuration";
+import { readFileSync } from "node:fs";
+import { layOverlay, parseConfiguration } from "kelpspar-configuration";
+
+const EXAMPLES = new URL("../../../../examples/", import.meta.url);
+
+/** An example's configuration, as written and as checked. */
+export interface ExampleConfiguration {
+  readonly written: unknown;
+  readonly checked: Configuration;
+}
+
+/** Reads the base and an overlay of examples/. Throws when they are wrong. */
+export function readExample(overlay: string): ExampleConfiguration {
+  const written = layOverlay(readJson("base.json"), readJson(overlay));
+  const parsed = parseConfiguration(written);
+  if (parsed.ok) return { written, checked: parsed.configuration };
+  throw new Error(`Example "${overlay}" is wrong: ${JSON.stringify(parsed)}`);
+}
+
+function readJson(name: string): unknown {
+  return JSON.parse(readFileSync(new URL(name, EXAMPLES), "utf8"));
+}
--- a/packages/kelpspar-standins/src/programs/read_settings.ts
+++ b/packages/kelpspar-standins/src/programs/read_settings.ts
@@ -32,3 +32,8 @@
 export function printLine(line: Readonly<Record<string, unknown>>): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
+
+/** Prints a line for people. */
+export function printText(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- a/packages/kelpspar-standins/src/site/site.ts
+++ b/packages/kelpspar-standins/src/site/site.ts
@@ -12,6 +12,7 @@
 import { PROGRAMS } from "./programs.ts";
 
 const ADDRESS = "127.0.0.1";
+const STOP_LIMIT_MILLISECONDS = 20_000;
 const PEER_SECRET = "sample-peer-secret-of-a-site";
 /** The key that applies a site's first configuration. */
 export const BOOTSTRAP_KEY = "sample-bootstrap-operator-key";
@@ -89,7 +90,7 @@
     writeFileSync(file, JSON.stringify(this.#daemonSettings(id, index)));
     const process = await this.#group.start({
       name: id,
-      program: PROGRAMS.daemon,
+      program: this.#plan.daemonProgram ?? PROGRAMS.daemon,
       arguments: ["--settings", file],
     });
     const listening = process.listening;
@@ -159,8 +160,21 @@
     return await this.#exchange(endpoint.port, exchange);
   }
 
-  /** Stops everything gracefully; returns what had to be killed. */
-  stop(): Promise<readonly string[]> {
+  /**
+   * Stops everything gracefully, daemons first, since they finish their work
+   * at the endpoints and the platform. Returns what had to be killed.
+   */
+  async stop(): Promise<readonly string[]> {
+    const daemons = this.daemons.map((daemon) => daemon.process.stop());
+    let stopTimer = (): void => {};
+    const limit = new Promise<void>((resolve) => {
+      stopTimer = this.#timer.registerTimeout(
+        resolve,
+        STOP_LIMIT_MILLISECONDS,
+      );
+    });
+    await Promise.race([Promise.all(daemons), limit]);
+    stopTimer();
     return this.#group.stopAll();
   }
 
--- a/packages/kelpspar-standins/src/site/site_plan.ts
+++ b/packages/kelpspar-standins/src/site/site_plan.ts
@@ -18,6 +18,8 @@
   /** The whole configuration, as an operator would apply it. */
   readonly configuration: unknown;
   readonly platform?: PlatformSettings;
+  /** The program of each daemon; default the built daemon. */
+  readonly daemonProgram?: string;
   /** Laid over each daemon's settings. */
   readonly daemonSettings?: Readonly<Record<string, unknown>>;
   /** Seeds the endpoints' chance. */
