--- /dev/null
+++ b/packages/kelpspar-daemon/src/__tests__/support/core_bench.ts
@@ -0,0 +1,68 @@
+import type { SubmitRequest } from "kelpspar-shared";
+import type { DaemonCore } from "../../create_core.ts";
+import type { TestPorts } from "./test_ports.ts";
+import type { RequestContext } from "../../requests/request_context.ts";
+import { invariant, ManualTimer, submitRequestSchema } from "kelpspar-shared";
+import { offerConfiguration } from "../../configuration/offer_configuration.ts";
+import { createCore } from "../../create_core.ts";
+import { createTestPorts } from "./test_ports.ts";
+import {
+  createConfiguration,
+  createRow,
+  createSettings,
+  ENDPOINT_VMS,
+} from "./test_site.ts";
+
+/** A daemon's parts on a manual timer, without sockets. */
+export interface CoreBench {
+  readonly timer: ManualTimer;
+  readonly ports: TestPorts;
+  readonly core: DaemonCore;
+  /** Submits for a client account; fields left out have small defaults. */
+  submit(
+    request: Partial<SubmitRequest>,
+    accountId?: string,
+  ): RequestContext;
+  stop(): Promise<void>;
+}
+
+/** Creates the parts with a configuration in force and endpoints listed. */
+export function createCoreBench(
+  options: {
+    readonly configuration?: Readonly<Record<string, unknown>>;
+    readonly settings?: Readonly<Record<string, unknown>>;
+  } = {},
+): CoreBench {
+  const timer = new ManualTimer();
+  const ports = createTestPorts(timer);
+  const settings = createSettings(options.settings);
+  const core = createCore({ settings, ports, port: () => 1 });
+  const stop = core.start();
+  const configuration = createConfiguration(options.configuration);
+  offerConfiguration(core.state, createRow(1, configuration));
+  core.state.update(() => ({ vms: ENDPOINT_VMS }));
+  core.watch.replaceList();
+  return {
+    timer,
+    ports,
+    core,
+    submit: (request, accountId = "small") => {
+      const account = core.configuration.accounts().get(accountId);
+      invariant(account !== undefined, 9008);
+      return core.requests.submit(account, createRequest(request));
+    },
+    stop: async () => {
+      stop();
+      await core.metrics.close();
+    },
+  };
+}
+
+function createRequest(request: Partial<SubmitRequest>): SubmitRequest {
+  return submitRequestSchema.parse({
+    pipeline: "echo",
+    input: "lime",
+    deadlineMilliseconds: 1_000,
+    ...request,
+  });
+}
--- /dev/null
+++ b/packages/kelpspar-daemon/src/__tests__/unit/bad_connection_test.ts
@@ -0,0 +1,210 @@
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { EndRecord } from "kelpspar-shared";
+import type { FakeCall } from "../support/fake_endpoints.ts";
+import type { TestDaemon } from "../support/test_daemon.ts";
+import { expect } from "earl";
+import { once } from "node:events";
+import { test } from "node:test";
+import { extendChecksum, formatChecksum } from "kelpspar-shared";
+import {
+  exchange,
+  openExchange,
+  openSocket,
+  readAnswer,
+} from "../support/http_exchange.ts";
+import {
+  expectFailure,
+  expectServed,
+  readRecords,
+  startTestDaemon,
+  until,
+} from "../support/test_daemon.ts";
+import { KEYS } from "../support/test_site.ts";
+
+/** A test that would wait for ever fails after this time instead. */
+const LIMIT = { timeout: 20_000 };
+/** More than the sockets of both ends hold, so that the daemon must wait. */
+const LARGE_PIECES = 64;
+const PIECE_LENGTH = 256 * 1024;
+const SUBMISSION = {
+  pipeline: "echo",
+  input: "lime",
+  deadlineMilliseconds: 60_000,
+};
+
+async function withDaemon(
+  limits: Readonly<Record<string, number>>,
+  run: (site: TestDaemon) => Promise<void>,
+): Promise<void> {
+  const site = await startTestDaemon({ settings: { limits } });
+  await run(site);
+  await expectServed(site.port);
+  await site.daemon.stop();
+}
+
+test(
+  "headers and bodies that arrive too slowly are refused",
+  LIMIT,
+  () =>
+    withDaemon(
+      { headersTimeoutMilliseconds: 500, bodyTimeoutMilliseconds: 500 },
+      async ({ port }) => {
+        const start = "POST /v1/requests HTTP/1.1\r\nhost: x\r\n";
+        const body = `${start}authorization: Bearer ${KEYS.small}\r\n` +
+          'content-length: 100\r\n\r\n{"pipeline"';
+        for (const text of ["P", start, body]) {
+          const socket = await openSocket(port, text);
+          expectFailure(await readAnswer(socket), "request_too_slow");
+          socket.destroy();
+          await expectServed(port);
+        }
+      },
+    ),
+);
+
+test(
+  "a caller that closes in the middle of its body harms nobody",
+  LIMIT,
+  () =>
+    withDaemon({}, async ({ port, ports }) => {
+      const text = "POST /v1/requests HTTP/1.1\r\nhost: x\r\n" +
+        `authorization: Bearer ${KEYS.small}\r\ncontent-length: 9\r\n\r\n{`;
+      const socket = await openSocket(port, text);
+      socket.resetAndDestroy();
+      await expectServed(port);
+      expect(ports.endpoints.calls.length).toEqual(1);
+    }),
+);
+
+test(
+  "a call whose caller closed in the middle of its answer is aborted",
+  LIMIT,
+  () =>
+    // Symptom: endpoints work for callers that are gone.
+    // Sequence: a caller reads a part of its answer and closes its connection.
+    // Cause: nobody tells the call that its result is not wanted any more.
+    withDaemon({ abandonedGraceMilliseconds: 0 }, async ({ port, ports }) => {
+      const called = nextCall(ports.endpoints);
+      const answer = await submit(port);
+      const call = await called;
+      const aborted = once(call.options.signal, "abort");
+      answer.destroy();
+      await aborted;
+      await until(async () => await stateOf(port, call) === "cancelled");
+    }),
+);
+
+test(
+  "a caller that reads slowly gets its whole answer and delays none",
+  LIMIT,
+  () =>
+    withDaemon({}, async ({ port, ports }) => {
+      const { answer, text } = await startLargeAnswer(port, ports.endpoints);
+      await expectServed(port);
+      let received = "";
+      for await (const piece of answer.setEncoding("utf8")) {
+        received += String(piece);
+      }
+      const records = readRecords(received);
+      const chunks = records.flatMap((record) =>
+        record.type === "chunk" ? [record.text] : []
+      );
+      expect(chunks.join("") === text).toEqual(true);
+      const end = records.at(-1) as EndRecord;
+      expect(end.length).toEqual(text.length);
+      expect(end.checksum).toEqual(formatChecksum(extendChecksum(0, text)));
+    }),
+);
+
+test(
+  "a planned stop ends although a caller has stopped reading",
+  LIMIT,
+  async () => {
+    // Symptom: a daemon that was told to stop never ends.
+    // Sequence: a caller reads a part of a long answer and no more; the daemon
+    // is stopped; its longest time to stop passes.
+    // Cause: the front waits without a limit for answers that nobody reads.
+    const { daemon, port, ports } = await startTestDaemon({
+      settings: { limits: { drainLimitMilliseconds: 1_000 } },
+    });
+    const { answer } = await startLargeAnswer(port, ports.endpoints);
+    const stopped = daemon.stop();
+    await stopped;
+    answer.destroy();
+  },
+);
+
+test(
+  "a connection that was refused is closed whether its caller closes or not",
+  LIMIT,
+  async () => {
+    // Symptom: the daemon's connections run out, and a stop never ends.
+    // Sequence: a caller sends what is not HTTP, reads the refusal and neither
+    // closes its side nor sends any more.
+    // Cause: the daemon ends its own side only, and no timeout watches a
+    // connection whose parser has given up.
+    const { daemon, port } = await startTestDaemon();
+    const socket = await openSocket(port, "hello\r\n\r\n");
+    expectFailure(await readAnswer(socket), "malformed_request");
+    await daemon.stop();
+    await closed(socket);
+  },
+);
+
+interface LargeAnswer {
+  /** Paused after its headers. */
+  readonly answer: IncomingMessage;
+  readonly text: string;
+}
+
+/** An answer that is whole at the daemon while its caller reads nothing. */
+async function startLargeAnswer(
+  port: number,
+  endpoints: TestDaemon["ports"]["endpoints"],
+): Promise<LargeAnswer> {
+  const piece = "x".repeat(PIECE_LENGTH);
+  const called = nextCall(endpoints);
+  const answer = await submit(port);
+  const call = await called;
+  for (let index = 0; index < LARGE_PIECES; index++) {
+    call.chunk(index * PIECE_LENGTH, piece);
+  }
+  const text = piece.repeat(LARGE_PIECES);
+  call.end(text.length);
+  call.close();
+  await until(async () => await stateOf(port, call) === "completed");
+  return { answer, text };
+}
+
+/** The next call waits for the test; those after it are answered at once. */
+function nextCall(
+  endpoints: TestDaemon["ports"]["endpoints"],
+): Promise<FakeCall> {
+  const { onCall } = endpoints;
+  return new Promise((resolve) => {
+    endpoints.onCall = (call) => {
+      endpoints.onCall = onCall;
+      resolve(call);
+    };
+  });
+}
+
+function submit(port: number): Promise<IncomingMessage> {
+  const path = "/v1/requests";
+  return openExchange({ port, path, key: KEYS.small, body: SUBMISSION });
+}
+
+async function stateOf(port: number, call: FakeCall): Promise<string> {
+  const path = `/v1/operator/requests/${call.call.requestId}`;
+  const answer = await exchange({ port, path, key: KEYS.viewer });
+  return (JSON.parse(answer.text) as { readonly state: string }).state;
+}
+
+async function closed(socket: Socket): Promise<void> {
+  // Only a write shows that the other side is gone for good.
+  while (!socket.destroyed) {
+    socket.write("x");
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
--- a/packages/kelpspar-daemon/src/actors/fleet_role.ts
+++ b/packages/kelpspar-daemon/src/actors/fleet_role.ts
@@ -37,7 +37,7 @@
   const { fleet, peers } = options;
   const exchangeWith = async (peer: PeerAddress): Promise<void> => {
     try {
-      const answer = await peers.exchange(peer, fleet.createDigest());
+      const answer = await peers.exchange(peer, fleet.digest);
       fleet.heard(answer);
       if (answer.member.revision > options.revision()) {
         send({ type: "fetch", peer });
@@ -48,6 +48,7 @@
   };
   const exchangeWithAll = async (): Promise<void> => {
     fleet.sweep();
+    fleet.renewDigest();
     const targets = fleet.targets();
     const known = targets.length > 0 ? targets : options.seeds;
     await Promise.all(known.map(exchangeWith));
--- a/packages/kelpspar-daemon/src/create_core.ts
+++ b/packages/kelpspar-daemon/src/create_core.ts
@@ -74,6 +74,7 @@
     assumedConcurrency: (service) =>
       configuration.services().get(service)?.concurrency ??
         ASSUMED_CONCURRENCY,
+    limits: () => configuration.current()?.limits,
   });
   const scheduler = new FairScheduler({
     parts,
@@ -145,7 +146,7 @@
     start: () =>
       mergeTeardowns(
         scheduler.start(),
-        followLimits({ state, ledger, now: () => timer.now() }),
+        followLimits({ state, ledger, parts, now: () => timer.now() }),
       ),
   };
 }
@@ -154,11 +155,14 @@
 function followLimits(options: {
   readonly state: StateStore<DaemonState>;
   readonly ledger: KeyLedger;
+  readonly parts: DecisionParts;
   readonly now: () => number;
 }): () => void {
   return options.state.registerListener((state, before) => {
     if (state.configuration === before.configuration) return;
     if (state.configuration === undefined) return;
-    options.ledger.configure(state.configuration.limits, options.now());
+    const { limits } = state.configuration;
+    options.ledger.configure(limits, options.now());
+    options.parts.registry.configure(limits);
   });
 }
--- a/packages/kelpspar-daemon/src/create_peer_handlers.ts
+++ b/packages/kelpspar-daemon/src/create_peer_handlers.ts
@@ -11,7 +11,7 @@
   return {
     exchange: (digest) => {
       core.fleet.heard(digest);
-      return core.fleet.createDigest();
+      return core.fleet.digest;
     },
     configuration: () => core.state.read().configurationRow ?? null,
     askClaim: (inquiry) =>
--- a/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
+++ b/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
@@ -14,6 +14,9 @@
 import { assignWatches } from "kelpspar-decisions/routing";
 import { KelpsparError } from "kelpspar-shared";
 
+const NEWS_MILLISECONDS = 2_000;
+const NEWS_AGAIN_MILLISECONDS = 20_000;
+
 /** What the watch of endpoints works on. */
 export interface EndpointWatchOptions {
   readonly daemonId: string;
@@ -27,6 +30,11 @@
   readonly members: () => readonly Member[];
 }
 
+interface PublishedShape {
+  readonly shape: string;
+  readonly since: number;
+}
+
 interface KnownReport {
   readonly report: LoadReport;
   readonly at: number;
@@ -47,7 +55,8 @@
 export class EndpointWatch {
   readonly #options: EndpointWatchOptions;
   readonly #reports = new Map<string, KnownReport>();
-  readonly #published = new Map<string, string>();
+  readonly #published = new Map<string, PublishedShape>();
+  #assignedTo = "";
   readonly #busy = new Set<string>();
   #watches: readonly Watch[] = [];
 
@@ -77,6 +86,7 @@
 
   /** Asks every endpoint that this daemon watches. */
   poll(): void {
+    if (this.#liveMembers() !== this.#assignedTo) this.#assign();
     for (const { endpointId } of this.#watches) {
       const entry = this.#options.parts.registry.entryOf(endpointId);
       if (entry !== undefined) void this.#ask(entry.address);
@@ -134,9 +144,7 @@
       if (!publishes || known === undefined) continue;
       const { report, at } = known;
       const ageMilliseconds = Math.round(now - at);
-      const shape = shapeOf(report);
-      if (this.#published.get(endpointId) !== shape) {
-        this.#published.set(endpointId, shape);
+      if (this.#isNews(endpointId, report)) {
         changedReports.push({
           endpointId,
           report: copyReport(report),
@@ -154,6 +162,21 @@
     return { loads, changedReports, suspectEndpoints: [] };
   }
 
+  /**
+   * True while a report must travel whole: for a while after it changed, since
+   * a digest may be lost, and now and then for peers that came later.
+   */
+  #isNews(endpointId: string, report: LoadReport): boolean {
+    const now = this.#options.timer.now();
+    const shape = shapeOf(report);
+    const known = this.#published.get(endpointId);
+    if (known?.shape !== shape || now - known.since > NEWS_AGAIN_MILLISECONDS) {
+      this.#published.set(endpointId, { shape, since: now });
+      return true;
+    }
+    return now - known.since < NEWS_MILLISECONDS;
+  }
+
   #takeRelayed(endpointId: string, known: KnownReport): void {
     const { parts, timer } = this.#options;
     this.#reports.set(endpointId, known);
@@ -166,7 +189,13 @@
     });
   }
 
+  #liveMembers(): string {
+    return this.#options.members().filter((one) => one.state === "live")
+      .map((one) => one.daemonId).join();
+  }
+
   #assign(): void {
+    this.#assignedTo = this.#liveMembers();
     const { daemonId, availabilityZone, state, members } = this.#options;
     this.#watches = assignWatches({
       self: { id: daemonId, availabilityZone },
--- a/packages/kelpspar-daemon/src/fleet/fleet.ts
+++ b/packages/kelpspar-daemon/src/fleet/fleet.ts
@@ -11,6 +11,7 @@
   readonly #options: FleetOptions;
   readonly #membership: DaemonMembership;
   #sequence = 0;
+  #digest: PeerDigest | undefined;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -67,8 +68,18 @@
     watch.heardLoads(digest.member);
   }
 
-  /** Creates the next digest of this daemon. */
-  createDigest(): PeerDigest {
+  /** The digest of this interval; every peer gets the same one. */
+  get digest(): PeerDigest {
+    this.#digest ??= this.#createDigest();
+    return this.#digest;
+  }
+
+  /** Begins another interval: the next digest is made anew. */
+  renewDigest(): void {
+    this.#digest = undefined;
+  }
+
+  #createDigest(): PeerDigest {
     const options = this.#options;
     const { daemonId, incarnation, address, availabilityZone } = options;
     const sequence = ++this.#sequence;
@@ -135,8 +146,8 @@
 
   /** False once the daemon is stopping, or while operators drain it. */
   isServing(): boolean {
-    const { isLeaving, drains } = this.#options.state.read();
-    return !isLeaving && !(this.#options.daemonId in drains.daemons);
+    if (this.#options.state.read().isLeaving) return false;
+    return !this.#isDrained(this.#options.daemonId);
   }
 
   /** Where the daemon of an incarnation is; undefined when it is gone. */
@@ -148,7 +159,15 @@
   }
 
   #servingMembers(): readonly Member[] {
-    const { daemons } = this.#options.state.read().drains;
-    return this.members.filter((one) => !(one.daemonId in daemons));
+    return this.members.filter((one) => !this.#isDrained(one.daemonId));
+  }
+
+  /** A drain is meant for one VM; the one that takes its place serves. */
+  #isDrained(daemonId: string): boolean {
+    const { drains, vms } = this.#options.state.read();
+    const drained = drains.daemons[daemonId];
+    if (drained === undefined) return false;
+    const vm = vms.find((row) => row.kind === "daemon" && row.id === daemonId);
+    return vm === undefined || vm.incarnation === drained;
   }
 }
--- a/packages/kelpspar-daemon/src/front/http_front.ts
+++ b/packages/kelpspar-daemon/src/front/http_front.ts
@@ -128,7 +128,7 @@
     const { mounted, isClosing } = this.#options;
     if (isClosing()) response.setHeader("connection", "close");
     try {
-      const url = new URL(request.url ?? "/", "http://localhost");
+      const url = parseUrl(request.url ?? "/");
       if (mounted !== undefined && url.pathname.startsWith(mounted.prefix)) {
         return mounted.listener(request, response);
       }
@@ -160,6 +160,13 @@
   }
 }
 
+/** Throws `malformed_request` for what only looks like a path. */
+function parseUrl(path: string): URL {
+  const text = `http://localhost${path}`;
+  if (path.startsWith("/") && URL.canParse(text)) return new URL(text);
+  throw new KelpsparError("malformed_request", "The request names no path");
+}
+
 function needsElsewhere(error: KelpsparError): boolean {
   return error.result === "draining" || error.result === "no_configuration" ||
     error.result === "wrong_daemon";
--- a/packages/kelpspar-daemon/src/metrics/daemon_metrics.ts
+++ b/packages/kelpspar-daemon/src/metrics/daemon_metrics.ts
@@ -31,16 +31,16 @@
  * they come, and kept here so that operators can ask for them.
  */
 export class DaemonMetrics {
-  readonly #client: StatsD;
+  readonly #client: StatsD | undefined;
   readonly #histograms = new Map<string, KeptHistogram>();
   readonly #counts = new Map<string, number>();
 
   constructor(settings: Settings["metrics"]) {
+    if (settings.statsdAddress === undefined) return;
     this.#client = new StatsD({
-      host: settings.statsdAddress ?? "127.0.0.1",
+      host: settings.statsdAddress,
       port: settings.statsdPort,
       prefix: settings.prefix,
-      mock: settings.statsdAddress === undefined,
       maxBufferSize: 1_400,
       // A metric that cannot be sent is lost; it never stops a request.
       errorHandler: () => {},
@@ -50,12 +50,12 @@
   count(name: string, tags: MetricTags): void {
     const key = keyOf(name, tags);
     this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
-    this.#client.increment(name, 1, { ...tags });
+    this.#client?.increment(name, 1, { ...tags });
   }
 
   /** Adds an amount to a histogram. */
   record(name: string, value: number, tags: MetricTags): void {
-    this.#client.distribution(name, value, { ...tags });
+    this.#client?.distribution(name, value, { ...tags });
     const key = keyOf(name, tags);
     let kept = this.#histograms.get(key);
     if (kept === undefined) {
@@ -99,7 +99,9 @@
 
   /** Sends what is left and closes the socket. */
   async close(): Promise<void> {
-    await new Promise<void>((resolve) => this.#client.close(() => resolve()));
+    const client = this.#client;
+    if (client === undefined) return;
+    await new Promise<void>((resolve) => client.close(() => resolve()));
   }
 }
 
--- a/packages/kelpspar-daemon/src/operators/operator_reports.ts
+++ b/packages/kelpspar-daemon/src/operators/operator_reports.ts
@@ -6,6 +6,7 @@
 import type { FairScheduler } from "../scheduling/fair_scheduler.ts";
 import type { StateConfigurationReader } from "../state/state_configuration_reader.ts";
 import type { TimerService } from "kelpspar-shared";
+import process from "node:process";
 
 /** What operators' reports are made from. */
 export interface OperatorReportsOptions {
@@ -52,6 +53,7 @@
     revision: configuration.revision(),
     inFlight: registry.running,
     uptimeMilliseconds: Math.round(timer.now() - options.startedAt),
+    ...reportProcess(),
   };
   const others = fleet.members.map((member) => ({
     daemonId: member.daemonId,
@@ -71,6 +73,18 @@
   };
 }
 
+/** What the process itself takes, so that its cost can be followed. */
+function reportProcess(): {
+  readonly processorMilliseconds: number;
+  readonly memoryBytes: number;
+} {
+  const { user, system } = process.cpuUsage();
+  return {
+    processorMilliseconds: Math.round((user + system) / 1_000),
+    memoryBytes: process.memoryUsage().rss,
+  };
+}
+
 function reportAccounts(options: OperatorReportsOptions): unknown {
   const { configuration, registry, requestMetrics, scheduler } = options;
   const running = registry.runningByAccount();
--- a/packages/kelpspar-daemon/src/requests/answer_log.ts
+++ b/packages/kelpspar-daemon/src/requests/answer_log.ts
@@ -1,6 +1,8 @@
 import type { ChunkRecord, EndRecord, FailureRecord } from "kelpspar-shared";
 import { extendChecksum, formatChecksum } from "kelpspar-shared";
 
+const HIGH_SURROGATE_AT_END = /[\ud800-\udbff]$/;
+
 /** The record that ends an answer. */
 export type FinalRecord = EndRecord | FailureRecord;
 
@@ -13,6 +15,7 @@
   readonly #chunks: ChunkRecord[] = [];
   readonly #listeners = new Set<() => void>();
   #length = 0;
+  #heldBack = "";
   #checksum = 0;
   #final: FinalRecord | undefined;
 
@@ -35,8 +38,27 @@
     return this.#listeners.size;
   }
 
+  /**
+   * Adds text. What goes wrong otherwise: an endpoint splits a character that
+   * takes two units between two pieces; half of it has no UTF-8 form, so the
+   * checksum differs from the caller's. The first half waits for the second.
+   */
   append(text: string): void {
-    if (text === "" || this.#final !== undefined) return;
+    if (this.#final !== undefined) return;
+    const whole = this.#heldBack + text;
+    this.#heldBack = HIGH_SURROGATE_AT_END.test(whole) ? whole.slice(-1) : "";
+    this.#add(whole.slice(0, whole.length - this.#heldBack.length));
+  }
+
+  /** Says that no more text comes. */
+  complete(): void {
+    const rest = this.#heldBack;
+    this.#heldBack = "";
+    this.#add(rest);
+  }
+
+  #add(text: string): void {
+    if (text === "") return;
     this.#chunks.push({ type: "chunk", offset: this.#length, text });
     this.#length += text.length;
     this.#checksum = extendChecksum(this.#checksum, text);
--- a/packages/kelpspar-daemon/src/requests/arrival_check.ts
+++ b/packages/kelpspar-daemon/src/requests/arrival_check.ts
@@ -2,6 +2,7 @@
 import type { KelpsparError, RandomSource } from "kelpspar-shared";
 import type { Scheduler } from "../scheduling/scheduler.ts";
 import type { CheckedRequest } from "./check_request.ts";
+import type { RequestContext } from "./request_context.ts";
 import type { RequestRegistry } from "./request_registry.ts";
 import type { TimerService } from "kelpspar-shared";
 import { comebackMilliseconds } from "kelpspar-decisions/retries";
@@ -50,6 +51,19 @@
     this.#admit(checked, options.repeatable);
   }
 
+  /** Counts the calls that an admitted request is going to make. */
+  expectCalls(context: RequestContext): void {
+    for (const stage of context.pipeline.stages) {
+      const takeBack = this.#options.scheduler.expect({
+        service: stage.service,
+        accountId: context.account.id,
+        pipelineId: context.pipeline.id,
+        stageId: stage.id,
+      });
+      context.expected.set(stage.id, takeBack);
+    }
+  }
+
   /** When a refused caller may come back, jittered, milliseconds. */
   comeback(): number {
     return comebackMilliseconds(COMEBACK_MILLISECONDS, this.#options);
--- a/packages/kelpspar-daemon/src/requests/attempt_caller.ts
+++ b/packages/kelpspar-daemon/src/requests/attempt_caller.ts
@@ -39,8 +39,13 @@
 export async function callAttempt(
   services: StageServices,
   task: StageTask,
-  plan: AttemptPlan,
+  options: {
+    readonly plan: AttemptPlan;
+    /** Aborting it cancels this attempt alone. */
+    readonly abort: AbortController;
+  },
 ): Promise<AttemptEnd> {
+  const { plan, abort } = options;
   const { timer } = services;
   const { trace } = task;
   const call = createCall(services, task, plan);
@@ -68,6 +73,7 @@
       timer,
       progressTimeoutMilliseconds: task.service.progressTimeoutMilliseconds,
       signal: plan.signal,
+      abort,
       onForeignRecord: services.onForeignRecord,
       onRecord: () => {
         firstRecordAt ??= timer.now();
--- a/packages/kelpspar-daemon/src/requests/create_context.ts
+++ b/packages/kelpspar-daemon/src/requests/create_context.ts
@@ -22,6 +22,7 @@
     ),
     log: new AnswerLog(),
     abort: new AbortController(),
+    expected: new Map(),
     traces: new Map(),
   };
 }
--- a/packages/kelpspar-daemon/src/requests/final_records.ts
+++ b/packages/kelpspar-daemon/src/requests/final_records.ts
@@ -13,6 +13,7 @@
   context: RequestContext,
   now: number,
 ): EndRecord {
+  context.log.complete();
   return {
     type: "end",
     requestId: context.requestId,
--- a/packages/kelpspar-daemon/src/requests/hedged_call.ts
+++ b/packages/kelpspar-daemon/src/requests/hedged_call.ts
@@ -18,6 +18,14 @@
   readonly permitRequest: PermitRequest;
 }
 
+interface HedgeStart {
+  /** The hedge once it began; undefined when the race ended without one. */
+  readonly started: Promise<Racer | undefined>;
+  /** The hedge if it has begun by now. */
+  readonly current: () => Racer | undefined;
+  readonly stop: () => void;
+}
+
 interface Racer {
   readonly plan: AttemptPlan;
   readonly abort: AbortController;
@@ -52,14 +60,14 @@
     parts.hedges.recordCall(serviceId, startedAt);
     const first = this.#start(this.#options.plan);
     const hedge = this.#startHedgeWhenLate(startedAt);
-    const winner = await this.#race(first, hedge.started);
+    const winner = await this.#race(first, hedge);
     hedge.stop();
     const isFirst = winner.plan === first.plan;
     parts.hedges.recordTime(serviceId, {
       milliseconds: timer.now() - startedAt,
       now: timer.now(),
     });
-    const second = await hedge.settled;
+    const second = await hedge.started;
     if (second === undefined) return winner;
     this.#cancel(isFirst ? second : first, isFirst);
     return winner;
@@ -67,18 +75,12 @@
 
   #start(plan: AttemptPlan): Racer {
     const abort = new AbortController();
-    const signal = AbortSignal.any([plan.signal, abort.signal]);
-    const done = callAttempt(this.#services, this.#task, { ...plan, signal })
+    const done = callAttempt(this.#services, this.#task, { plan, abort })
       .then((attempt) => ({ plan, attempt }));
     return { plan, abort, done };
   }
 
-  #startHedgeWhenLate(startedAt: number): {
-    readonly started: Promise<Racer | undefined>;
-    /** What was started by the time the race was over. */
-    readonly settled: Promise<Racer | undefined>;
-    readonly stop: () => void;
-  } {
+  #startHedgeWhenLate(startedAt: number): HedgeStart {
     const { parts, timer } = this.#services;
     const { trace, service } = this.#task;
     const after = trace.once || service.kind === "engine"
@@ -86,22 +88,26 @@
       : parts.hedges.hedgeAfter(service.id, startedAt);
     if (after === undefined) {
       const none = Promise.resolve(undefined);
-      return { started: none, settled: none, stop: () => {} };
+      return { started: none, current: () => undefined, stop: () => {} };
     }
     let resolveStarted = (_racer: Racer | undefined): void => {};
     const started = new Promise<Racer | undefined>((resolve) => {
       resolveStarted = resolve;
     });
     let isOver = false;
+    let racer: Racer | undefined;
     const stopTimer = timer.registerTimeout(() => {
-      void this.#tryHedge(startedAt, () => isOver).then(resolveStarted);
+      void this.#tryHedge(startedAt, () => isOver).then((begun) => {
+        racer = begun;
+        resolveStarted(begun);
+      });
     }, after);
     const stop = (): void => {
       isOver = true;
       stopTimer();
       resolveStarted(undefined);
     };
-    return { started, settled: started, stop };
+    return { started, current: () => racer, stop };
   }
 
   async #tryHedge(
@@ -147,23 +153,22 @@
   }
 
   /** The first whole attempt; when none is, the first one's failure. */
-  async #race(
-    first: Racer,
-    started: Promise<Racer | undefined>,
-  ): Promise<PlannedAttempt> {
+  async #race(first: Racer, hedge: HedgeStart): Promise<PlannedAttempt> {
     const whole = (planned: PlannedAttempt): PlannedAttempt => {
       if (planned.attempt.end === undefined) throw planned;
       return planned;
     };
-    const second = started.then((racer) => {
+    const second = hedge.started.then((racer) => {
       if (racer === undefined) throw undefined;
       return racer.done.then(whole);
     });
     second.catch(() => {});
     const firstWhole = first.done.then(whole);
     const firstFailure = first.done.then((planned) => {
-      // A first call that fails before it is late does not wait for a hedge.
-      if (planned.attempt.end === undefined) return planned;
+      // A first call that fails before its hedge began waits for none; once
+      // the hedge is under way, that may still be whole.
+      const isAlone = hedge.current() === undefined;
+      if (planned.attempt.end === undefined && isAlone) return planned;
       throw undefined;
     });
     try {
--- a/packages/kelpspar-daemon/src/requests/pipeline_runner.ts
+++ b/packages/kelpspar-daemon/src/requests/pipeline_runner.ts
@@ -67,6 +67,7 @@
         `Stage "${run.stage.id}" names service "${run.stage.service}", which the configuration in force lacks`,
       );
     }
+    run.context.expected.get(run.stage.id)?.();
     const trace = createTrace(run.stage.id, run.once);
     run.context.traces.set(run.stage.id, trace);
     return await this.#stages.run({
--- a/packages/kelpspar-daemon/src/requests/request_context.ts
+++ b/packages/kelpspar-daemon/src/requests/request_context.ts
@@ -23,6 +23,8 @@
   readonly log: AnswerLog;
   /** Aborted at the deadline, by the caller's cancel, or when abandoned. */
   readonly abort: AbortController;
+  /** What takes back each stage's expected call, by the stage's id. */
+  readonly expected: Map<string, () => void>;
   /** What each stage did so far, for operators and for the cost. */
   readonly traces: Map<string, StageTrace>;
 }
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -195,8 +195,9 @@
   }
 
   async #run(context: RequestContext, run: Run): Promise<void> {
-    const { timer, registry, pipelines } = this.#options;
+    const { timer, registry, pipelines, arrivals } = this.#options;
     const unregister = registry.register(context);
+    arrivals.expectCalls(context);
     const stopDeadline = timer.registerTimeout(
       () => context.abort.abort(deadlineError(context)),
       context.deadlineAt - timer.now(),
@@ -214,6 +215,7 @@
       this.#end(context, run, text);
     } finally {
       stopDeadline();
+      for (const takeBack of context.expected.values()) takeBack();
       unregister();
     }
   }
--- a/packages/kelpspar-daemon/src/requests/stage_attempt.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_attempt.ts
@@ -25,7 +25,10 @@
   readonly timer: TimerService;
   /** How long the call may go without a record, milliseconds. */
   readonly progressTimeoutMilliseconds: number;
+  /** The request's own signal. */
   readonly signal: AbortSignal;
+  /** Aborting it ends this attempt alone. */
+  readonly abort: AbortController;
   /** Told of each record that answers another call and was dropped. */
   readonly onForeignRecord: (record: StageRecord) => void;
   /** Told of each record that answers this call. */
@@ -53,7 +56,7 @@
 export async function runStageAttempt(
   options: StageAttemptOptions,
 ): Promise<StageEndRecord> {
-  const abort = new AbortController();
+  const { abort } = options;
   const forwardAbort = (): void => abort.abort(options.signal.reason);
   if (options.signal.aborted) forwardAbort();
   options.signal.addEventListener("abort", forwardAbort);
--- a/packages/kelpspar-daemon/src/requests/stage_run.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_run.ts
@@ -50,6 +50,7 @@
       if (call.result !== undefined) return call.result;
       const { attempt, error } = call;
       this.#noteFailure(plan, error);
+      this.#throwIfAborted(plan, attempt);
       const decision = this.#decide(error);
       if (decision.action === "resume") {
         this.#resumes++;
@@ -183,7 +184,6 @@
   #decide(error: KelpsparError): RetryDecision {
     const { context, service, stage, trace } = this.#task;
     const { parts, timer, scheduler } = this.#services;
-    if (context.abort.signal.aborted) throw context.abort.signal.reason;
     const now = timer.now();
     const isFirst = trace.dispatches.length <= 1;
     const received = this.#isEngine ? this.#progress.length : 0;
@@ -218,6 +218,18 @@
     });
   }
 
+  /** A request that was given up lets go of its endpoint, and says so there. */
+  #throwIfAborted(plan: AttemptPlan, attempt: AttemptEnd): void {
+    const { signal } = this.#task.context.abort;
+    if (!signal.aborted) return;
+    settleAttempt(this.#services, this.#task, {
+      plan,
+      attempt,
+      isCancelled: !this.#task.trace.once,
+    });
+    throw signal.reason;
+  }
+
   #isLastStage(stageId: string): boolean {
     return this.#task.context.pipeline.stages.at(-1)?.id === stageId;
   }
--- a/packages/kelpspar-daemon/src/scheduling/create_permit.ts
+++ b/packages/kelpspar-daemon/src/scheduling/create_permit.ts
@@ -13,8 +13,10 @@
   /** What the account was charged beforehand, runner-milliseconds. */
   readonly chargedCost: number;
   readonly charge: (difference: number) => void;
-  /** Told the call's cost, once. */
-  readonly onEnd: (cost: number) => void;
+  /** Told once what the call cost, and how long it held its slot. */
+  readonly onEnd: (
+    call: { readonly cost: number; readonly heldMilliseconds: number },
+  ) => void;
 }
 
 /** Counts a call as started and gives the permit that ends it. */
@@ -47,7 +49,7 @@
         outcome: end.outcome,
         ...(request.model === undefined ? {} : { model: request.model }),
       });
-      options.onEnd(charge.cost);
+      options.onEnd({ cost: charge.cost, heldMilliseconds: now - startedAt });
       return charge.cost;
     },
   };
--- a/packages/kelpspar-daemon/src/scheduling/decision_parts.ts
+++ b/packages/kelpspar-daemon/src/scheduling/decision_parts.ts
@@ -1,16 +1,26 @@
+import type { LimitsConfiguration } from "kelpspar-configuration";
 import type { RandomSource } from "kelpspar-shared";
-import { Admission, StageTimeEstimator } from "kelpspar-decisions/admission";
+import {
+  Admission,
+  ExpectedCalls,
+  StageTimeEstimator,
+} from "kelpspar-decisions/admission";
 import { CostEstimator, FleetView } from "kelpspar-decisions/fairness";
 import { HedgePolicy } from "kelpspar-decisions/hedging";
 import { RetryBudget } from "kelpspar-decisions/retries";
 import { EndpointRegistry, PrefixIndex } from "kelpspar-decisions/routing";
 
+const DEFAULT_RETRY_SHARE = 0.1;
+const DEFAULT_HEDGE_SHARE = 0.03;
+
 /** Who the daemon is, and the limits in force. */
 export interface DecisionPartsOptions {
   readonly incarnation: string;
   readonly availabilityZone: string;
   readonly random: RandomSource;
   readonly assumedConcurrency: (service: string) => number;
+  /** Limits of the configuration in force; read anew at each decision. */
+  readonly limits: () => LimitsConfiguration | undefined;
 }
 
 /** The decision logic of one daemon, shared by the parts that ask it. */
@@ -19,6 +29,7 @@
   readonly prefixes: PrefixIndex;
   readonly costs: CostEstimator;
   readonly stageTimes: StageTimeEstimator;
+  readonly expected: ExpectedCalls;
   readonly admission: Admission;
   readonly retries: RetryBudget;
   readonly hedges: HedgePolicy;
@@ -37,12 +48,21 @@
     prefixes: new PrefixIndex(),
     costs: new CostEstimator(),
     stageTimes,
+    expected: new ExpectedCalls(),
     admission: new Admission({
       estimator: stageTimes,
       random: options.random,
     }),
-    retries: new RetryBudget(),
-    hedges: new HedgePolicy(),
+    retries: new RetryBudget({
+      get share(): number {
+        return options.limits()?.retryShare ?? DEFAULT_RETRY_SHARE;
+      },
+    }),
+    hedges: new HedgePolicy({
+      get share(): number {
+        return options.limits()?.hedgeShare ?? DEFAULT_HEDGE_SHARE;
+      },
+    }),
     fleet: new FleetView({
       incarnation: options.incarnation,
       availabilityZone: options.availabilityZone,
--- a/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
+++ b/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
@@ -9,7 +9,7 @@
 import type { DecisionParts } from "./decision_parts.ts";
 import type { Permit } from "./permit.ts";
 import type { PermitRequest } from "./permit_request.ts";
-import type { Scheduler, ServiceLoad } from "./scheduler.ts";
+import type { ExpectedCallName, Scheduler, ServiceLoad } from "./scheduler.ts";
 import type { NoEndpointReason, WaitingCall } from "./service_gate.ts";
 import {
   computeFleetShares,
@@ -27,6 +27,7 @@
 /** The shares' arithmetic grows with accounts times services. */
 const SHARES_EVERY_TICKS = 10;
 const COMEBACK_MILLISECONDS = 500;
+const SMALLEST_PART = 1e-3;
 
 type Pool = NonNullable<ReturnType<EndpointRegistry["candidates"]>>;
 type Tier = ReturnType<Pool["tiersFrom"]>[number];
@@ -70,6 +71,8 @@
     return new Promise((resolve, reject) => {
       if (request.signal.aborted) return reject(request.signal.reason);
       const gate = this.#gateOf(request.service);
+      // A call may be refused before there is anything to cancel.
+      let cancel = (): void => {};
       const stopListening = (): void =>
         request.signal.removeEventListener("abort", cancel);
       const call: WaitingCall = {
@@ -87,7 +90,7 @@
       };
       const ticket = this.#enqueue(gate, call);
       if (ticket === undefined) return;
-      const cancel = (): void => {
+      cancel = (): void => {
         if (!gate.queue.remove(ticket)) gate.cancelParked(call);
         reject(request.signal.reason);
       };
@@ -101,8 +104,19 @@
     call: { readonly accountId: string; readonly priority: number },
   ): number {
     const gate = this.#gateOf(service);
-    if (gate.waiting === 0 && gate.running < gate.limit) return 0;
-    return gate.queue.estimateWait(call.accountId, call.priority);
+    const queued = gate.isContended
+      ? gate.queue.estimateWait(call.accountId, call.priority)
+      : 0;
+    return queued +
+      this.#expectedWait(gate, { service, accountId: call.accountId });
+  }
+
+  expect(call: ExpectedCallName): () => void {
+    return this.#options.parts.expected.add({
+      serviceId: call.service,
+      accountId: call.accountId,
+      cost: this.#estimateCost(call),
+    });
   }
 
   loadOf(
@@ -139,7 +153,11 @@
       accountId: request.accountId,
       priority: request.priority,
       deadlineAt: request.deadlineAt,
-      minimumRemainingMilliseconds: times.minimum,
+      // With others waiting, a slot that is given to a call which will most
+      // likely be late is denied to one that would be in time.
+      minimumRemainingMilliseconds: gate.isContended
+        ? times.likely
+        : times.minimum,
       estimatedCost: this.#estimateCost(request),
       bytes: request.bytes,
       item: call,
@@ -171,12 +189,12 @@
       endpoint,
       chargedCost: call.chargedCost,
       charge: (difference) => gate.queue.charge(request.accountId, difference),
-      onEnd: (cost) => {
+      onEnd: (ended) => {
         this.#demand.ended(request.service, {
           accountId: request.accountId,
-          cost,
+          cost: ended.cost,
         });
-        gate.callEnded();
+        gate.callEnded(ended);
       },
     });
   }
@@ -231,7 +249,32 @@
     return "none" in chosen ? chosen.none : chosen;
   }
 
-  #estimateCost(request: PermitRequest): number {
+  /** What the calls of admitted requests, still to come, add to a wait. */
+  #expectedWait(
+    gate: ServiceGate,
+    call: { readonly service: string; readonly accountId: string },
+  ): number {
+    const { service: serviceId, accountId } = call;
+    const { parts, configuration } = this.#options;
+    const contenders = new Set(parts.expected.accountsOf(serviceId));
+    for (const backlog of gate.queue.backlogs()) {
+      contenders.add(backlog.accountId);
+    }
+    contenders.add(accountId);
+    const accounts = configuration.accounts();
+    const shareOf = (id: string): number => accounts.get(id)?.share ?? 0;
+    let total = 0;
+    for (const id of contenders) total += shareOf(id);
+    return parts.expected.waitOf({
+      serviceId,
+      accountId,
+      concurrency: gate.concurrency,
+      freeSlots: Math.max(0, gate.limit - gate.running - gate.waiting),
+      part: Math.max(SMALLEST_PART, shareOf(accountId) / (total || 1)),
+    });
+  }
+
+  #estimateCost(request: ExpectedCallName): number {
     return this.#options.parts.costs.estimate({
       serviceId: request.service,
       accountId: request.accountId,
--- a/packages/kelpspar-daemon/src/scheduling/scheduler.ts
+++ b/packages/kelpspar-daemon/src/scheduling/scheduler.ts
@@ -11,6 +11,12 @@
   readonly otherEndpoints: number;
 }
 
+/** A call that an admitted request is going to make. */
+export type ExpectedCallName = Pick<
+  PermitRequest,
+  "service" | "accountId" | "pipelineId" | "stageId"
+>;
+
 /**
  * Decides when a stage may be called and at which endpoint. Rejects with
  * `overloaded`, `no_endpoint` or `cannot_finish_in_time`, at once.
@@ -22,6 +28,11 @@
     service: string,
     call: { readonly accountId: string; readonly priority: number },
   ): number;
+  /**
+   * Counts a call that is going to be made; returns what takes it back, once
+   * the call asks for its permit or never will.
+   */
+  expect(call: ExpectedCallName): () => void;
   loadOf(
     request: Pick<PermitRequest, "service" | "model" | "exclude">,
   ): ServiceLoad;
--- a/packages/kelpspar-daemon/src/scheduling/service_gate.ts
+++ b/packages/kelpspar-daemon/src/scheduling/service_gate.ts
@@ -1,6 +1,7 @@
 import type { FairQueue } from "kelpspar-decisions/fairness";
 import type { EndpointAddress } from "kelpspar-shared";
 import type { PermitRequest } from "./permit_request.ts";
+import { SlotPace } from "kelpspar-decisions/fairness";
 import { KelpsparError } from "kelpspar-shared";
 
 /** Calls that left the queue but wait for an endpoint of their model. */
@@ -41,6 +42,7 @@
 export class ServiceGate {
   readonly #options: ServiceGateOptions;
   #parked: WaitingCall[] = [];
+  readonly #pace = new SlotPace();
   #running = 0;
   #limit = 1;
 
@@ -69,15 +71,29 @@
     return this.#parked;
   }
 
+  /** Cost that this daemon's slice works off in a millisecond. */
+  get concurrency(): number {
+    return this.#pace.concurrencyOf(this.#limit);
+  }
+
+  /** True when a new call would not start at once. */
+  get isContended(): boolean {
+    return this.waiting > 0 || this.#running >= this.#limit;
+  }
+
   /** Sets how many calls this daemon may run at a time. */
   setLimit(limit: number): void {
     this.#limit = Math.max(1, limit);
-    this.#options.queue.setConcurrency(this.#limit);
+    this.#options.queue.setConcurrency(this.concurrency);
   }
 
   /** Counts a call as ended and lets others pass. */
-  callEnded(): void {
+  callEnded(call: {
+    readonly heldMilliseconds: number;
+    readonly cost: number;
+  }): void {
     this.#running--;
+    this.#pace.observe(call);
     this.pump();
   }
 
--- a/packages/kelpspar-decisions/src/__tests__/unit/claims_ledger_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_ledger_test.ts
@@ -7,6 +7,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import {
+  decideOwnerAnswer,
   formatEpochKey,
   judgeRefusal,
   KeyLedger,
@@ -216,3 +217,20 @@
     { seed: 13 },
   );
 });
+
+test("an owner's answer about another operation counts as silence", () => {
+  const held = {
+    type: "held_elsewhere",
+    daemon: "a",
+    requestId: "r",
+    operationId: "one",
+  } as const;
+  const result = toResult("text");
+  const running = { type: "running", operationId: "two" } as const;
+  const completed = { type: "completed", operationId: "two", result } as const;
+  for (const answer of [running, completed]) {
+    expect(decideOwnerAnswer(held, answer).type).toEqual("outcome_unknown");
+  }
+  expect(decideOwnerAnswer(held, { ...completed, operationId: "one" }))
+    .toEqual({ type: "completed", result });
+});
--- a/packages/kelpspar-decisions/src/__tests__/unit/claims_simulation_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_simulation_test.ts
@@ -276,6 +276,16 @@
     }
   }
 
+  /** Says which live daemon left a key locked when all work was done. */
+  checkRows(): void {
+    for (const [key, { content }] of this.rows) {
+      const owner = this.daemons.find(({ name }) => name === content?.daemon);
+      if (owner === undefined || content?.state !== "claimed") continue;
+      if (owner.runs.has(content.operationId)) continue;
+      throw new Error(`"${key}" is locked by "${content.operationId}"`);
+    }
+  }
+
   hasWork(): boolean {
     return this.network.length > 0 ||
       this.daemons.some((daemon) =>
@@ -310,6 +320,7 @@
       for (let step = 0; world.hasWork() && step < 9_000; step++) world.step();
       world.check();
       expect(world.hasWork()).toEqual(false);
+      world.checkRows();
       transactions += world.rows.size;
       for (const { answer } of world.submissions) {
         const name = answer.includes(":") ? "completed" : answer;
--- a/packages/kelpspar-decisions/src/__tests__/unit/membership_daemon_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/membership_daemon_test.ts
@@ -3,13 +3,16 @@
 import { expect } from "earl";
 import * as fc from "fast-check";
 import {
+  chooseZoneAggregates,
   DaemonMembership,
   digestInterval,
   estimateDigestBytes,
   mergeNewest,
   newestOf,
   NO_ENDPOINT_LOADS,
+  sumModelLoads,
 } from "../../membership/mod.ts";
+import { EndpointRegistry } from "../../routing/mod.ts";
 
 function digestOf(
   daemonId: string,
@@ -132,6 +135,14 @@
   return membership;
 }
 
+// Symptom: whole zones look dead. Cause: their daemons do not send here.
+test("silence counts only where digests are due", () => {
+  const membership = membershipOf(339);
+  sweepUntil(membership, 0, 10_000);
+  const { d0, d1 } = states(membership);
+  expect([d0, d1]).toEqual(["suspect", "live"]);
+});
+
 test("digests go to the own zone and two daemons of each other one", (t) => {
   expect(membershipOf(10).digestTargets().length).toEqual(10);
   const targets = membershipOf(339).digestTargets();
@@ -193,3 +204,36 @@
     { seed: 2, numRuns: 1_000 },
   );
 });
+
+test("a zone's loads are summed once, and alternatives not added up", () => {
+  const registry = new EndpointRegistry();
+  const place = { address: "10.0.0.1", port: 1, checksFencing: false };
+  const rows = ["a", "a", "a", "b"].map((availabilityZone, index) => ({
+    state: index === 2 ? "leaving" as const : "live" as const,
+    address: {
+      endpointId: `e${index}`,
+      incarnation: "v1",
+      service: "s",
+      availabilityZone,
+      ...place,
+    },
+  }));
+  registry.replaceList(rows, 0);
+  const counts = { running: 3, waiting: 1, concurrency: 8, accepted: 9 };
+  const kind = { queuedTokens: 0, adapters: [], role: "any" as const };
+  for (const { address: { endpointId } } of rows) {
+    const about = { incarnation: "p", sequence: 1, models: { m: "1" } };
+    const report = { ...about, ...counts, ...kind, state: "ready" as const };
+    registry.report({ endpointId, report, now: 0 });
+  }
+  const loads = sumModelLoads(registry.status(0), "a");
+  const one = { service: "s", model: "m", endpoints: 2 };
+  const sums = { running: 6, waiting: 2, concurrency: 16 };
+  expect(loads).toEqual([{ ...one, model: "", ...sums }, { ...one, ...sums }]);
+  const stated = { incarnation: "p", sequence: 1, availabilityZone: "a" };
+  const aggregates = newestOf([
+    { daemonId: "d1", ...stated, loads: loads.slice(1) },
+    { daemonId: "d2", ...stated, loads },
+  ]);
+  expect(chooseZoneAggregates(aggregates).get("a")?.daemonId).toEqual("d2");
+});
--- a/packages/kelpspar-decisions/src/fairness/fair_queue.ts
+++ b/packages/kelpspar-decisions/src/fairness/fair_queue.ts
@@ -15,6 +15,7 @@
  * would never move their account's virtual time, and so shut out the others.
  */
 const SMALLEST_COST = 1;
+const SMALLEST_CONCURRENCY = 1e-3;
 const DEFAULT_TOTAL_BYTES = 32 * 1024 * 1024;
 /** Memory a waiting call holds beside its input, bytes. */
 const BYTES_PER_ENTRY = 1_024;
@@ -85,9 +86,12 @@
     }));
   }
 
-  /** Says how many calls run at a time; only estimates of waits use it. */
+  /**
+   * Says how much cost is worked off in a millisecond: the calls that run at a
+   * time, by `SlotPace`. Only estimates of waits use it.
+   */
   setConcurrency(concurrency: number): void {
-    this.#concurrency = Math.max(1, concurrency);
+    this.#concurrency = Math.max(SMALLEST_CONCURRENCY, concurrency);
   }
 
   /**
--- a/packages/kelpspar-decisions/src/fairness/mod.ts
+++ b/packages/kelpspar-decisions/src/fairness/mod.ts
@@ -28,4 +28,5 @@
   findServiceDemand,
   mergeDemand,
 } from "./merge_demand.ts";
+export { SlotPace } from "./slot_pace.ts";
 export { DEFAULT_QUEUE_BOUNDS } from "./queue_bounds.ts";
--- a/packages/kelpspar-decisions/src/routing/endpoint_health.ts
+++ b/packages/kelpspar-decisions/src/routing/endpoint_health.ts
@@ -89,21 +89,15 @@
     this.#suspectedAt = now;
   }
 
-  /** Ejects it; each ejection that follows soon takes twice as long. */
+  /**
+   * Ejects it. Each ejection for how it worked takes twice as long as the one
+   * before. One that answers no probe is judged anew by each probe, so it needs
+   * no sentence: when a switch comes back, its endpoints do at once.
+   */
   eject(reason: EjectionReason, now: number): void {
-    const options = this.#options;
-    const healthyFor = now - this.#returnedAt;
-    if (
-      this.#state !== "ejected" && healthyFor >= options.forgiveMilliseconds
-    ) this.#ejections = 0;
-    const length = Math.min(
-      options.maximumEjectionMilliseconds,
-      options.ejectionMilliseconds * 2 ** this.#ejections,
-    );
-    this.#ejections++;
+    this.#ejectedUntil = now + this.#ejectionTime(reason, now);
     this.#state = "ejected";
     this.#reason = reason;
-    this.#ejectedUntil = now + length;
     this.#probesAnswered = 0;
   }
 
@@ -130,6 +124,17 @@
     return this.#state === "ejected" && now >= this.#ejectedUntil;
   }
 
+  #ejectionTime(reason: EjectionReason, now: number): number {
+    const options = this.#options;
+    if (reason === "probe_failed") return options.ejectionMilliseconds;
+    const healthyFor = now - this.#returnedAt;
+    if (healthyFor >= options.forgiveMilliseconds) this.#ejections = 0;
+    return Math.min(
+      options.maximumEjectionMilliseconds,
+      options.ejectionMilliseconds * 2 ** this.#ejections++,
+    );
+  }
+
   #clearSuspicion(now: number): void {
     this.#state = this.#isRampingAt(now) ? "ramping" : "healthy";
   }
--- a/packages/kelpspar-decisions/src/routing/endpoint_registry.ts
+++ b/packages/kelpspar-decisions/src/routing/endpoint_registry.ts
@@ -8,6 +8,7 @@
   ReportArrival,
 } from "./endpoint_events.ts";
 import type { EndpointRegistryOptions } from "./endpoint_registry_options.ts";
+import type { OutlierOptions } from "./outlier_options.ts";
 import type { EndpointStatus } from "./endpoint_status.ts";
 import type { EndpointAddress } from "kelpspar-shared";
 import { CandidatePools, poolKeyOf } from "./candidate_pools.ts";
@@ -42,6 +43,11 @@
     this.#pools = new CandidatePools(options.regionOf ?? (() => ""));
   }
 
+  /** Takes limits of a newly accepted configuration. */
+  configure(limits: Pick<OutlierOptions, "ejectedShare">): void {
+    this.#detector.configure(limits);
+  }
+
   /** Takes in a whole VM list; endpoints not in it are forgotten. */
   replaceList(endpoints: readonly ListedEndpoint[], now: number): void {
     const listed = new Set<string>();
@@ -222,7 +228,7 @@
   }
 
   #probeAnswered(entry: EndpointEntry, at: number): void {
-    entry.probes.answered();
+    entry.probes.answered(at);
     this.#detector.probed(entry.health, { answered: true, at });
   }
 
--- a/packages/kelpspar-decisions/src/routing/outlier_detector.ts
+++ b/packages/kelpspar-decisions/src/routing/outlier_detector.ts
@@ -35,7 +35,7 @@
  * whole loses none, since its members are not the cause.
  */
 export class OutlierDetector {
-  readonly #options: OutlierOptions;
+  #options: OutlierOptions;
   readonly #pools = new Map<string, HealthPool>();
   readonly #poolsOf = new Map<EndpointHealth, readonly HealthPool[]>();
 
@@ -43,6 +43,11 @@
     this.#options = { ...DEFAULT_OUTLIER_OPTIONS, ...options };
   }
 
+  /** Takes options of a newly accepted configuration. */
+  configure(options: Partial<OutlierOptions>): void {
+    this.#options = { ...this.#options, ...options };
+  }
+
   /** Health for an endpoint that is in no pool yet. */
   createHealth(endpointId: string): EndpointHealth {
     return new EndpointHealth(endpointId, this.#options);
--- a/packages/kelpspar-decisions/src/routing/probe_schedule.ts
+++ b/packages/kelpspar-decisions/src/routing/probe_schedule.ts
@@ -19,8 +19,10 @@
     this.#nextAt = now + INTERVAL_MILLISECONDS * 2 ** this.#unanswered;
   }
 
-  answered(): void {
+  answered(now: number): void {
+    if (this.#unanswered === 0) return;
     this.#unanswered = 0;
+    this.#nextAt = now + INTERVAL_MILLISECONDS;
   }
 
   failed(): void {
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/both_arms.ts
@@ -0,0 +1,9 @@
+import type { ExperimentRun } from "./experiment.ts";
+import { ARMS } from "./arm.ts";
+
+/** The same run for each arm. */
+export function bothArms(
+  run: Omit<ExperimentRun, "arm">,
+): readonly ExperimentRun[] {
+  return ARMS.map((arm) => ({ ...run, arm }));
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/definitions/others_burst.ts
@@ -0,0 +1,26 @@
+import type { Experiment } from "../experiment.ts";
+import { bothArms } from "../both_arms.ts";
+import { LARGE_ACCOUNT } from "../load/load_plan.ts";
+
+const FACTOR = 8;
+/** Few, so that the machine is not what limits a run. */
+const ENGINES = 4;
+const BURST_BEGINS_SECONDS = 2;
+const BURST_ENDS_SECONDS = 7;
+
+/** All small accounts burst at once. */
+export const OTHERS_BURST: Experiment = {
+  name: "others-burst",
+  question: "Does the large account keep its share while the others burst?",
+  runs: bothArms({
+    site: { engines: ENGINES },
+    load: {
+      requestsPerSecond: 50,
+      factor: (account, seconds) => {
+        const isBurst = seconds >= BURST_BEGINS_SECONDS &&
+          seconds < BURST_ENDS_SECONDS;
+        return account !== LARGE_ACCOUNT && isBurst ? FACTOR : 1;
+      },
+    },
+  }),
+};
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/measure/measured_run.ts
@@ -0,0 +1,16 @@
+import type { CallResult } from "../caller/call_result.ts";
+import type { LoadRun } from "../load/run_load.ts";
+import type { ExecutionBook } from "./execution_book.ts";
+import type { RunnerTimeBook } from "./runner_time_book.ts";
+
+/** What a run left behind for the figures. */
+export interface MeasuredRun extends LoadRun {
+  readonly executions: ExecutionBook;
+  readonly runnerTime: RunnerTimeBook;
+  /** Ports of daemons that died without warning. */
+  readonly deadDaemonPorts: ReadonlySet<number>;
+  /** How long the measured load lasted, seconds. */
+  readonly seconds: number;
+  /** Results of the measured part, without the warm-up. */
+  readonly measured: readonly CallResult[];
+}
--- a/packages/kelpspar-standins/src/site/site.ts
+++ b/packages/kelpspar-standins/src/site/site.ts
@@ -92,6 +92,7 @@
       name: id,
       program: this.#plan.daemonProgram ?? PROGRAMS.daemon,
       arguments: ["--settings", file],
+      nodeArguments: this.#plan.daemonNodeArguments ?? [],
     });
     const listening = process.listening;
     const daemon: SiteDaemon = {
--- a/packages/kelpspar-standins/src/site/site_plan.ts
+++ b/packages/kelpspar-standins/src/site/site_plan.ts
@@ -22,6 +22,8 @@
   readonly daemonProgram?: string;
   /** Laid over each daemon's settings. */
   readonly daemonSettings?: Readonly<Record<string, unknown>>;
+  /** Arguments for Node.js itself when it runs a daemon, for profiles. */
+  readonly daemonNodeArguments?: readonly string[];
   /** Seeds the endpoints' chance. */
   readonly seed: number;
 }
