Answer bad input by number, probe silent calls, give claims up early

Change: those paths answer by number; a stalled reader is given up on after 30 s and a stop has one limit; a claim that is not confirmed within 0.8 s ends its request at once as not_run, and the daemon probes a failing store by reads of its own; a silent call is judged by a probe over a new connection, early where the service's gaps between records are known; relayed reports never replace newer ones.

--- a/packages/kelpspar-daemon/src/__tests__/unit/bad_connection_test.ts
+++ b/packages/kelpspar-daemon/src/__tests__/unit/bad_connection_test.ts
@@ -6,7 +6,7 @@
 import { expect } from "earl";
 import { once } from "node:events";
 import { test } from "node:test";
-import { extendChecksum, formatChecksum } from "kelpspar-shared";
+import { extendChecksum, formatChecksum, SystemTimer } from "kelpspar-shared";
 import {
   exchange,
   openExchange,
@@ -129,9 +129,11 @@
       settings: { limits: { drainLimitMilliseconds: 1_000 } },
     });
     const { answer } = await startLargeAnswer(port, ports.endpoints);
-    const stopped = daemon.stop();
-    await stopped;
+    const stopping = daemon.stop();
+    const isOver = await isOverWithin(6_000, stopping);
     answer.destroy();
+    await stopping;
+    expect(isOver).toEqual(true);
   },
 );
 
@@ -147,11 +149,28 @@
     const { daemon, port } = await startTestDaemon();
     const socket = await openSocket(port, "hello\r\n\r\n");
     expectFailure(await readAnswer(socket), "malformed_request");
-    await daemon.stop();
     await closed(socket);
+    await daemon.stop();
   },
 );
 
+/** False when `work` still goes on long after it should be over. */
+function isOverWithin(
+  milliseconds: number,
+  work: Promise<unknown>,
+): Promise<boolean> {
+  return new Promise((resolve) => {
+    const stop = new SystemTimer().registerTimeout(
+      () => resolve(false),
+      milliseconds,
+    );
+    void work.then(() => {
+      stop();
+      resolve(true);
+    });
+  });
+}
+
 interface LargeAnswer {
   /** Paused after its headers. */
   readonly answer: IncomingMessage;
--- a/packages/kelpspar-daemon/src/claims/claim_service.ts
+++ b/packages/kelpspar-daemon/src/claims/claim_service.ts
@@ -18,6 +18,7 @@
   beginClaim,
   ClaimBatcher,
   claimKey,
+  CLAIMS_TABLE,
 } from "kelpspar-decisions/claims";
 import { toKelpsparError } from "kelpspar-shared";
 import { errorDetails } from "../log/daemon_log.ts";
@@ -25,6 +26,7 @@
 
 const RESEND_MILLISECONDS = 60;
 const RESEND_LIMIT_MILLISECONDS = 2_000;
+const PROBE_MILLISECONDS = 400;
 
 /** What claims are kept in and how. */
 export interface ClaimServiceOptions {
@@ -58,8 +60,10 @@
 export class ClaimService {
   readonly #options: ClaimServiceOptions;
   readonly #batcher: ClaimBatcher;
-  readonly #health: StoreHealth;
+  readonly #health = new StoreHealth();
   readonly #entries = new Map<string, ClaimEntry>();
+  #isClosed = false;
+  #isProbing = false;
   #stopFlushTimer = (): void => {};
 
   constructor(options: ClaimServiceOptions) {
@@ -67,7 +71,6 @@
     this.#batcher = new ClaimBatcher({
       lingerMilliseconds: options.lingerMilliseconds,
     });
-    this.#health = new StoreHealth(options.timer);
   }
 
   /** Claims whose last write is not settled yet. */
@@ -75,9 +78,15 @@
     return this.#entries.size;
   }
 
+  /** Writes no more; what is not written yet never is. */
+  close(): void {
+    this.#isClosed = true;
+    this.#stopFlushTimer();
+  }
+
   /** False while the table fails; a claim made now would most likely fail. */
   isStoreUsable(): boolean {
-    return this.#health.isUsable();
+    return this.#health.isUsable;
   }
 
   /** Starts a claim. Its listener is told what becomes of it. */
@@ -151,6 +160,7 @@
   };
 
   #resendLater(entry: ClaimEntry): void {
+    if (this.#isClosed) return;
     const { timer, random } = this.#options;
     const ceiling = Math.min(
       RESEND_LIMIT_MILLISECONDS,
@@ -167,6 +177,7 @@
 
   #scheduleFlush(): void {
     this.#stopFlushTimer();
+    if (this.#isClosed) return;
     const dueAt = this.#batcher.dueAt();
     if (dueAt === undefined) return;
     const { timer } = this.#options;
@@ -200,6 +211,26 @@
     this.#scheduleFlush();
   }
 
+  /**
+   * Asks the table by reads of the daemon's own while it is down. Were the
+   * next caller's request the probe, that caller would pay for it.
+   */
+  #probeWhileDown(): void {
+    if (this.#isClosed || this.#isProbing || this.#health.isUsable) return;
+    this.#isProbing = true;
+    const { table, timer, random } = this.#options;
+    const wait = PROBE_MILLISECONDS * (0.5 + random.next());
+    timer.registerTimeout(() => {
+      table.read([{ table: CLAIMS_TABLE, key: "probe" }]).then(
+        () => this.#health.succeed(),
+        () => {},
+      ).finally(() => {
+        this.#isProbing = false;
+        this.#probeWhileDown();
+      });
+    }, wait);
+  }
+
   async #write(batch: ClaimBatch): Promise<ClaimTransactionOutcome> {
     try {
       const answer = await this.#options.table.commit(batch.transaction);
@@ -207,6 +238,7 @@
       return answer;
     } catch (thrown) {
       this.#health.fail();
+      this.#probeWhileDown();
       const error = toKelpsparError(thrown, "write_unknown");
       this.#options.log.warn("Claims not written", errorDetails(error));
       // Only the table's own word proves that nothing was written.
--- a/packages/kelpspar-daemon/src/claims/store_health.ts
+++ b/packages/kelpspar-daemon/src/claims/store_health.ts
@@ -1,21 +1,16 @@
-import type { TimerService } from "kelpspar-shared";
-
 const FAILURES_UNTIL_DOWN = 3;
-const PROBE_MILLISECONDS = 250;
 
 /**
  * Tells whether the table is worth asking. What goes wrong otherwise: during
  * an outage every request that needs a claim waits for its own timeout before
  * it is refused. After a few failures in a row requests are refused at once,
- * but for a probe now and then.
+ * until a read of the daemon's own is answered.
  */
 export class StoreHealth {
-  readonly #timer: TimerService;
   #failures = 0;
-  #nextProbeAt = 0;
 
-  constructor(timer: TimerService) {
-    this.#timer = timer;
+  get isUsable(): boolean {
+    return this.#failures < FAILURES_UNTIL_DOWN;
   }
 
   succeed(): void {
@@ -25,13 +20,4 @@
   fail(): void {
     this.#failures++;
   }
-
-  /** True also for the probe, which the asker is then expected to make. */
-  isUsable(): boolean {
-    if (this.#failures < FAILURES_UNTIL_DOWN) return true;
-    const now = this.#timer.now();
-    if (now < this.#nextProbeAt) return false;
-    this.#nextProbeAt = now + PROBE_MILLISECONDS;
-    return true;
-  }
 }
--- a/packages/kelpspar-daemon/src/create_core.ts
+++ b/packages/kelpspar-daemon/src/create_core.ts
@@ -145,6 +145,7 @@
     requestMetrics,
     start: () =>
       mergeTeardowns(
+        () => requestParts.claims.close(),
         scheduler.start(),
         followLimits({ state, ledger, parts, now: () => timer.now() }),
       ),
--- a/packages/kelpspar-daemon/src/create_request_parts.ts
+++ b/packages/kelpspar-daemon/src/create_request_parts.ts
@@ -12,6 +12,7 @@
 import { ArrivalCheck } from "./requests/arrival_check.ts";
 import { KeyLookup } from "./requests/key_lookup.ts";
 import { PipelineRunner } from "./requests/pipeline_runner.ts";
+import { RecordGaps } from "./requests/record_gaps.ts";
 import { RequestKeys } from "./requests/request_keys.ts";
 import { RequestRegistry } from "./requests/request_registry.ts";
 import { RequestService } from "./requests/request_service.ts";
@@ -53,6 +54,7 @@
     endpoints: ports.endpoints,
     scheduler: options.scheduler,
     parts: options.parts,
+    gaps: new RecordGaps(),
     timer,
     random,
     observer: metrics,
--- a/packages/kelpspar-daemon/src/daemon.ts
+++ b/packages/kelpspar-daemon/src/daemon.ts
@@ -26,31 +26,32 @@
   settings: Settings,
   ports: DaemonPorts,
 ): Promise<Daemon> {
+  const { limits } = settings;
   let port = settings.port;
   const core = createCore({ settings, ports, port: () => port });
-  let roles: DaemonRoles | undefined;
   const front = createFront({
     settings,
     ports,
     core,
-    offer: (row) => roles?.offer(row),
+    offer: (row) => roles.offer(row),
   });
   // Peers learn the port from the first digest, so it must be known by then.
+  // No request is answered before this function goes on.
   port = await front.listen();
-  const started = startRoles({ settings, ports, core });
-  roles = started;
+  const roles = startRoles({ settings, ports, core });
   return {
     port,
     incarnation: core.incarnation,
     stop: async () => {
+      const stopBy = ports.timer.now() + limits.drainLimitMilliseconds;
       await drainDaemon({
         core,
         timer: ports.timer,
-        announce: started.announce,
-        limitMilliseconds: settings.limits.drainLimitMilliseconds,
+        announce: roles.announce,
+        limitMilliseconds: limits.drainLimitMilliseconds,
       });
-      started.stop();
-      await front.close();
+      roles.stop();
+      await front.close(Math.max(0, stopBy - ports.timer.now()));
       await core.metrics.close();
     },
   };
--- a/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
+++ b/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
@@ -179,6 +179,10 @@
 
   #takeRelayed(endpointId: string, known: KnownReport): void {
     const { parts, timer } = this.#options;
+    const before = this.#reports.get(endpointId)?.report;
+    const isOld = before?.incarnation === known.report.incarnation &&
+      before.sequence >= known.report.sequence;
+    if (isOld) return;
     this.#reports.set(endpointId, known);
     const now = timer.now();
     parts.registry.report({
--- a/packages/kelpspar-daemon/src/front/caller_routes.ts
+++ b/packages/kelpspar-daemon/src/front/caller_routes.ts
@@ -140,6 +140,7 @@
       daemon: options.incarnation,
     },
     offset: 0,
+    timer: options.timer,
   });
 }
 
@@ -157,6 +158,7 @@
       daemon: options.incarnation,
     },
     offset,
+    timer: options.timer,
   });
   response.on("close", () => options.requests.readerLeft(context));
 }
--- a/packages/kelpspar-daemon/src/front/client_error_answer.ts
+++ b/packages/kelpspar-daemon/src/front/client_error_answer.ts
@@ -42,5 +42,8 @@
   socket.end(
     `HTTP/1.1 ${httpStatus} Refused\r\ncontent-type: application/json\r\n` +
       `content-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`,
+    // Nothing watches a connection whose parser has given up; one that its
+    // caller never closes would stay open for good.
+    () => socket.destroy(),
   );
 }
--- a/packages/kelpspar-daemon/src/front/http_front.ts
+++ b/packages/kelpspar-daemon/src/front/http_front.ts
@@ -10,6 +10,7 @@
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import { KelpsparError, toKelpsparError } from "kelpspar-shared";
+import { mergeTeardowns } from "../state/merge_teardowns.ts";
 import { answerClientError } from "./client_error_answer.ts";
 import { Router } from "./router.ts";
 import { sendFailure } from "./send_json.ts";
@@ -74,9 +75,10 @@
   /**
    * Stops taking connections and waits for the answers under way. What goes
    * wrong without the check: a connection that carries no request, or that
-   * became idle a moment later, keeps the process from ending.
+   * became idle a moment later, keeps the process from ending; and so does a
+   * caller that stopped reading, for whom the limit is.
    */
-  async close(): Promise<void> {
+  async close(limitMilliseconds: number): Promise<void> {
     const closed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
     });
@@ -85,9 +87,13 @@
       else this.#server.closeIdleConnections();
     };
     closeUnused();
-    const stop = this.#options.timer.registerInterval(
-      closeUnused,
-      CLOSE_CHECK_MILLISECONDS,
+    const { timer } = this.#options;
+    const stop = mergeTeardowns(
+      timer.registerInterval(closeUnused, CLOSE_CHECK_MILLISECONDS),
+      timer.registerTimeout(
+        () => this.#server.closeAllConnections(),
+        limitMilliseconds,
+      ),
     );
     await closed;
     stop();
@@ -103,6 +109,8 @@
       requestTimeout: options.requestTimeoutMilliseconds,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       connectionsCheckingInterval: 1_000,
+      // Node.js would refuse a request without a host by an empty body.
+      requireHostHeader: false,
     };
     const server: Server = options.tls === undefined
       ? createServer(limits, listener)
@@ -115,6 +123,16 @@
       "clientError",
       (error, socket) => answerClientError(error, socket as Socket),
     );
+    server.on(
+      "checkExpectation",
+      (_request, response: ServerResponse) =>
+        this.#fail(response, unmetExpectation()),
+    );
+    server.on(
+      "connect",
+      (_request, socket) =>
+        answerClientError(new Error("CONNECT"), socket as Socket),
+    );
     return server;
   }
 
@@ -128,8 +146,11 @@
     const { mounted, isClosing } = this.#options;
     if (isClosing()) response.setHeader("connection", "close");
     try {
+      requireHost(request);
       const url = parseUrl(request.url ?? "/");
-      if (mounted !== undefined && url.pathname.startsWith(mounted.prefix)) {
+      if (
+        mounted !== undefined && url.pathname.startsWith(`${mounted.prefix}/`)
+      ) {
         return mounted.listener(request, response);
       }
       const method = request.method ?? "";
@@ -160,6 +181,20 @@
   }
 }
 
+/** Throws `malformed_request` where HTTP/1.1 demands a host. */
+function requireHost(request: IncomingMessage): void {
+  if (request.httpVersion !== "1.1") return;
+  if (request.headers.host !== undefined) return;
+  throw new KelpsparError("malformed_request", "The request names no host");
+}
+
+function unmetExpectation(): KelpsparError {
+  return new KelpsparError(
+    "malformed_request",
+    "The request expects what cannot be met",
+  );
+}
+
 /** Throws `malformed_request` for what only looks like a path. */
 function parseUrl(path: string): URL {
   const text = `http://localhost${path}`;
--- a/packages/kelpspar-daemon/src/front/stream_answer.ts
+++ b/packages/kelpspar-daemon/src/front/stream_answer.ts
@@ -1,13 +1,16 @@
-import type { AcceptedRecord } from "kelpspar-shared";
+import type { AcceptedRecord, TimerService } from "kelpspar-shared";
 import type { ServerResponse } from "node:http";
 import type { AnswerLog } from "../requests/answer_log.ts";
 
 const STATUS_OK = 200;
+/** A caller that takes nothing for so long is given up on. */
+const STALLED_READER_MILLISECONDS = 30_000;
 
 /** Which part of an answer to stream. */
 export interface StreamAnswerOptions {
   readonly accepted: AcceptedRecord;
   readonly offset: number;
+  readonly timer: TimerService;
 }
 
 /**
@@ -43,7 +46,14 @@
     pending = "";
     if (response.write(text)) return;
     isWaiting = true;
+    const stopWatch = options.timer.registerTimeout(
+      () => response.destroy(),
+      STALLED_READER_MILLISECONDS,
+    );
+    response.once("close", stopWatch);
     response.once("drain", () => {
+      stopWatch();
+      response.off("close", stopWatch);
       isWaiting = false;
       flush();
     });
--- a/packages/kelpspar-daemon/src/peers/peer_router.ts
+++ b/packages/kelpspar-daemon/src/peers/peer_router.ts
@@ -22,7 +22,8 @@
   readonly handlers: PeerHandlers;
 }
 
-const trpc = initTRPC.context<PeerCallContext>().create();
+// Otherwise refusals carry the stack trace to anyone who reaches the port.
+const trpc = initTRPC.context<PeerCallContext>().create({ isDev: false });
 
 // Without the secret any process that reaches the port could hand out a
 // configuration or read another account's claims.
--- a/packages/kelpspar-daemon/src/requests/attempt_caller.ts
+++ b/packages/kelpspar-daemon/src/requests/attempt_caller.ts
@@ -9,7 +9,9 @@
 import type { StageServices } from "./stage_services.ts";
 import type { StageTask } from "./stage_task.ts";
 import { toKelpsparError } from "kelpspar-shared";
+import { ConnectionWatch } from "kelpspar-decisions/routing";
 import { proofOf } from "./call_proof.ts";
+import { probeSilence } from "./probe_silence.ts";
 import { runStageAttempt } from "./stage_attempt.ts";
 
 const OUTCOME_BY_RESULT: Readonly<Partial<Record<ResultName, CallOutcome>>> = {
@@ -28,6 +30,8 @@
   /** The first record came after so many milliseconds; absent without one. */
   readonly firstRecordMilliseconds?: number;
   readonly milliseconds: number;
+  /** False when a probe said that the endpoint is not to be used. */
+  readonly mayResume: boolean;
 }
 
 /**
@@ -56,8 +60,17 @@
   trace.callStartedAt ??= startedAt;
   trace.endpointId = plan.permit.endpoint.endpointId;
   let firstRecordAt: number | undefined;
+  let lastRecordAt: number | undefined;
+  let mayResume = true;
+  const watch = new ConnectionWatch({
+    effect: trace.once ? "once" : "none",
+    isResumable: task.service.kind === "engine",
+    progressTimeoutMilliseconds: task.service.progressTimeoutMilliseconds,
+    startedAt,
+  });
   const describe = (): Omit<AttemptEnd, "end" | "error"> => ({
     attemptId,
+    mayResume,
     milliseconds: timer.now() - startedAt,
     ...(firstRecordAt === undefined
       ? {}
@@ -71,12 +84,24 @@
       newConnection: trace.once || plan.resumeAttemptId !== undefined,
       progress: plan.progress,
       timer,
-      progressTimeoutMilliseconds: task.service.progressTimeoutMilliseconds,
+      watch,
+      gapMilliseconds: () => services.gaps.p99(task.service.id, timer.now()),
+      judgeSilence: () =>
+        probeSilence(services, { watch, endpoint: plan.permit.endpoint }),
+      onSilent: (verdict) => {
+        mayResume = verdict?.call === "resume_here";
+      },
       signal: plan.signal,
       abort,
       onForeignRecord: services.onForeignRecord,
       onRecord: () => {
-        firstRecordAt ??= timer.now();
+        const now = timer.now();
+        firstRecordAt ??= now;
+        if (lastRecordAt !== undefined) {
+          const milliseconds = now - lastRecordAt;
+          services.gaps.observe(task.service.id, { milliseconds, now });
+        }
+        lastRecordAt = now;
         plan.permit.progress();
       },
     });
--- a/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
+++ b/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
@@ -2,8 +2,11 @@
 import type { ClaimSettlement } from "../claims/claim_listener.ts";
 import type { ClaimService } from "../claims/claim_service.ts";
 import type { OnceGuard } from "./once_guard.ts";
+import type { KelpsparError, TimerService } from "kelpspar-shared";
 import type { RequestContext } from "./request_context.ts";
 
+const CONFIRM_LIMIT_MILLISECONDS = 800;
+
 /** A guard that rests on a claim in the table. */
 export interface ClaimedOnceGuard extends OnceGuard {
   readonly handle: ClaimHandle;
@@ -15,6 +18,9 @@
   readonly context: RequestContext;
   readonly idempotencyKey: string;
   readonly daemon: string;
+  readonly timer: TimerService;
+  /** The refusal of a request whose claim is not confirmed in time. */
+  readonly createStoreError: () => KelpsparError;
   /** Told when another operation holds the key. */
   readonly onSettled: (settlement: ClaimSettlement) => void;
 }
@@ -26,14 +32,19 @@
 export function createClaimedOnceGuard(
   options: ClaimedOnceGuardOptions,
 ): ClaimedOnceGuard {
-  const { context } = options;
+  const { context, timer } = options;
+  const { signal } = context.abort;
+  // A store that does not answer would otherwise hold the request back until
+  // its deadline; it is told at once that it was not run, and when to return.
+  const stopWaiting = timer.registerTimeout(
+    () => context.abort.abort(options.createStoreError()),
+    CONFIRM_LIMIT_MILLISECONDS,
+  );
+  signal.addEventListener("abort", stopWaiting);
   let confirm = (): void => {};
   const confirmed = new Promise<void>((resolve, reject) => {
     confirm = resolve;
-    context.abort.signal.addEventListener(
-      "abort",
-      () => reject(context.abort.signal.reason),
-    );
+    signal.addEventListener("abort", () => reject(signal.reason));
   });
   // A request that fails before its first such stage never waits for it.
   confirmed.catch(() => {});
@@ -46,7 +57,16 @@
       requestId: context.requestId,
       bodyHash: context.bodyHash,
     },
-    listener: { onRun: () => confirm(), onSettled: options.onSettled },
+    listener: {
+      onRun: () => {
+        stopWaiting();
+        confirm();
+      },
+      onSettled: (settlement) => {
+        stopWaiting();
+        options.onSettled(settlement);
+      },
+    },
   });
   return {
     handle,
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -189,6 +189,8 @@
       context,
       idempotencyKey: context.request.idempotencyKey ?? "",
       daemon: this.#options.incarnation,
+      timer: this.#options.timer,
+      createStoreError: () => this.#options.arrivals.storeError(),
       onSettled: (settlement) => void this.#settle(context, settlement),
     });
     void this.#run(context, { guard: claim, claim, hasOnceStage });
--- a/packages/kelpspar-daemon/src/requests/stage_attempt.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_attempt.ts
@@ -10,6 +10,10 @@
   TimerService,
 } from "kelpspar-shared";
 import type { ResultName } from "kelpspar-shared";
+import type {
+  ConnectionWatch,
+  SilenceVerdict,
+} from "kelpspar-decisions/routing";
 import type { EndpointClient } from "kelpspar-platform";
 import type { StageProgress } from "./stage_progress.ts";
 import { KelpsparError as ResultError, toKelpsparError } from "kelpspar-shared";
@@ -23,14 +27,20 @@
   readonly newConnection: boolean;
   readonly progress: StageProgress;
   readonly timer: TimerService;
-  /** How long the call may go without a record, milliseconds. */
-  readonly progressTimeoutMilliseconds: number;
+  /** Says when the call is suspect, and what becomes of it then. */
+  readonly watch: ConnectionWatch;
+  /** The p99 between records of the service; undefined when not known. */
+  readonly gapMilliseconds: () => number | undefined;
+  /** Asks the endpoint; undefined when the call may go on. */
+  readonly judgeSilence: () => Promise<SilenceVerdict | undefined>;
   /** The request's own signal. */
   readonly signal: AbortSignal;
   /** Aborting it ends this attempt alone. */
   readonly abort: AbortController;
   /** Told of each record that answers another call and was dropped. */
   readonly onForeignRecord: (record: StageRecord) => void;
+  /** Told what was decided on a call that made no progress. */
+  readonly onSilent?: (verdict: SilenceVerdict | undefined) => void;
   /** Told of each record that answers this call. */
   readonly onRecord?: () => void;
 }
@@ -62,8 +72,8 @@
   options.signal.addEventListener("abort", forwardAbort);
   const follow: RecordFollower = {
     signal: abort.signal,
-    lastProgressAt: options.timer.now(),
     end: undefined,
+    endedAt: undefined,
     isSilent: false,
   };
   const stopWatch = watchProgress(options, follow, () => abort.abort());
@@ -71,7 +81,10 @@
     await followRecords(options, follow);
   } catch (error) {
     if (isWhole(options.progress, follow.end)) return follow.end;
-    if (follow.isSilent) throw silentError(options);
+    if (follow.isSilent) {
+      options.onSilent?.(follow.verdict);
+      throw silentError(options);
+    }
     throw toKelpsparError(error, "endpoint_failed");
   } finally {
     stopWatch();
@@ -87,9 +100,11 @@
 /** How far the records of a call were followed. */
 interface RecordFollower {
   readonly signal: AbortSignal;
-  lastProgressAt: number;
   end: StageEndRecord | undefined;
+  /** When the result was whole, monotonic milliseconds. */
+  endedAt: number | undefined;
   isSilent: boolean;
+  verdict?: SilenceVerdict;
 }
 
 /**
@@ -105,15 +120,18 @@
     newConnection: options.newConnection,
   });
   for await (const record of records) {
-    follow.lastProgressAt = options.timer.now();
     if (!answersCall(record, options.call)) {
       options.onForeignRecord(record);
       continue;
     }
+    options.watch.progressed(options.timer.now());
     options.onRecord?.();
     if (record.type === "failure") throw failureError(options, record);
     if (record.type === "end") follow.end = record;
     else options.progress.push(toPiece(record));
+    if (isWhole(options.progress, follow.end)) {
+      follow.endedAt ??= options.timer.now();
+    }
   }
 }
 
@@ -148,28 +166,41 @@
   onSilent: () => void,
 ): () => void {
   const { timer } = options;
-  const limit = (): number =>
-    isWhole(options.progress, follow.end)
-      ? CLOSE_WAIT_MILLISECONDS
-      : options.progressTimeoutMilliseconds;
   let stop = (): void => {};
+  let isStopped = false;
+  const giveUp = (): void => {
+    follow.isSilent = true;
+    onSilent();
+  };
+  const schedule = (wait: number): void => {
+    if (isStopped) return;
+    stop = timer.registerTimeout(check, Math.min(wait, CHECK_MILLISECONDS));
+  };
   const check = (): void => {
-    const quiet = timer.now() - follow.lastProgressAt;
-    if (quiet >= limit()) {
-      follow.isSilent = true;
-      return onSilent();
-    }
-    const wait = Math.min(limit() - quiet, CHECK_MILLISECONDS);
-    stop = timer.registerTimeout(check, wait);
+    const now = timer.now();
+    const dueAt = follow.endedAt === undefined
+      ? options.watch.suspectAt(options.gapMilliseconds())
+      : follow.endedAt + CLOSE_WAIT_MILLISECONDS;
+    if (now < dueAt) return schedule(dueAt - now);
+    if (follow.endedAt !== undefined) return giveUp();
+    void options.judgeSilence().then((verdict) => {
+      if (isStopped) return;
+      if (verdict === undefined) return schedule(CHECK_MILLISECONDS);
+      follow.verdict = verdict;
+      giveUp();
+    });
+  };
+  schedule(CHECK_MILLISECONDS);
+  return () => {
+    isStopped = true;
+    stop();
   };
-  stop = timer.registerTimeout(check, CHECK_MILLISECONDS);
-  return () => stop();
 }
 
 function silentError(options: StageAttemptOptions): KelpsparError {
   return new ResultError(
     "endpoint_silent",
-    `Endpoint "${options.endpoint.endpointId}" made no progress on stage "${options.call.stageId}" for ${options.progressTimeoutMilliseconds} ms`,
+    `Endpoint "${options.endpoint.endpointId}" made no progress on stage "${options.call.stageId}"`,
   );
 }
 
--- a/packages/kelpspar-daemon/src/requests/stage_run.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_run.ts
@@ -49,9 +49,9 @@
       const call = await this.#call(plan);
       if (call.result !== undefined) return call.result;
       const { attempt, error } = call;
-      this.#noteFailure(plan, error);
+      this.#noteFailure(error);
       this.#throwIfAborted(plan, attempt);
-      const decision = this.#decide(error);
+      const decision = this.#decide(error, attempt.mayResume);
       if (decision.action === "resume") {
         this.#resumes++;
         resumeAttemptId = attempt.attemptId;
@@ -165,23 +165,12 @@
     return { result: { text, end } };
   }
 
-  #noteFailure(plan: AttemptPlan, error: KelpsparError): void {
-    if (error.outcome === "not_run") {
-      this.#task.guard.notStarted();
-    } else {
-      this.#mayHaveRun = true;
-    }
-    if (error.result === "endpoint_silent") {
-      const { endpoint } = plan.permit;
-      this.#services.endpoints.renewConnections(endpoint);
-      this.#services.parts.registry.suspect(
-        endpoint.endpointId,
-        this.#services.timer.now(),
-      );
-    }
+  #noteFailure(error: KelpsparError): void {
+    if (error.outcome === "not_run") this.#task.guard.notStarted();
+    else this.#mayHaveRun = true;
   }
 
-  #decide(error: KelpsparError): RetryDecision {
+  #decide(error: KelpsparError, mayResume: boolean): RetryDecision {
     const { context, service, stage, trace } = this.#task;
     const { parts, timer, scheduler } = this.#services;
     const now = timer.now();
@@ -212,7 +201,7 @@
         model: stage.model,
         exclude: new Set([...this.#tried, trace.endpointId ?? ""]),
       }).otherEndpoints,
-      canResume: this.#isEngine,
+      canResume: this.#isEngine && mayResume,
       canContinue: this.#isEngine,
       outcomeBefore: "not_run",
     });
--- a/packages/kelpspar-daemon/src/requests/stage_services.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_services.ts
@@ -2,6 +2,7 @@
 import type { RandomSource, StageRecord, TimerService } from "kelpspar-shared";
 import type { DecisionParts } from "../scheduling/decision_parts.ts";
 import type { Scheduler } from "../scheduling/scheduler.ts";
+import type { RecordGaps } from "./record_gaps.ts";
 import type { StageObserver } from "./stage_observer.ts";
 
 /** What stages run on. */
@@ -9,6 +10,7 @@
   readonly endpoints: EndpointClient;
   readonly scheduler: Scheduler;
   readonly parts: DecisionParts;
+  readonly gaps: RecordGaps;
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly observer: StageObserver;
--- a/packages/kelpspar-decisions/src/__tests__/unit/revisions_apply_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/revisions_apply_test.ts
@@ -69,8 +69,9 @@
     const current = toFoundRevision(
       this.rows.get(CURRENT_REVISION_KEY) ?? null,
     );
-    const history = isRetry ? [...this.accepted] : [];
-    const step = beginApply({ changeId, fields: {} }, { current, history });
+    const history = isRetry ? { history: [...this.accepted] } : {};
+    const base = { current, ...history };
+    const step = beginApply({ changeId, fields: {} }, base);
     const operator = { changeId, step, due: undefined };
     this.operators.push(operator);
     this.#follow(operator, step);
@@ -123,7 +124,7 @@
   deliver(): void {
     const sent = this.network[this.random.nextInteger(this.network.length)];
     if (sent === undefined) return;
-    const fate = this.faults ? this.random.nextInteger(8) : 7;
+    const fate = this.faults ? this.random.nextInteger(6) : 5;
     if (fate > 1) this.network = this.network.filter((one) => one !== sent);
     const isKept = fate === 0;
     const isRefused = fate === 2 && sent.isAwaited;
@@ -142,7 +143,7 @@
     const operator = this.operators[index];
     if (operator === undefined) return;
     const { due } = operator;
-    if (this.faults && this.random.nextInteger(8) === 0) {
+    if (this.faults && this.random.nextInteger(3) === 0) {
       this.#tell(operator, { type: "give_up" });
     } else if (due?.type === "history" && this.random.nextInteger(3) === 0) {
       this.#tell(operator, { type: "unavailable" });
@@ -172,12 +173,10 @@
       }
       settled.set(changeId, outcome);
     }
-    // Only the last word on a change rules it out: an earlier try of it may
-    // have been left unconfirmed.
+    // The last word on a change counts: an earlier try of it may have been
+    // left unconfirmed.
     for (const [changeId, { type }] of settled) {
       if (type !== "conflict" && type !== "not_written") continue;
-      const tries = this.outcomes.filter((one) => one.changeId === changeId);
-      if (type === "not_written" && tries.length > 1) continue;
       expect(findAcceptedChange(this.accepted, changeId)).toEqual(undefined);
     }
   }
--- a/packages/kelpspar-decisions/src/revisions/apply_confirmation.ts
+++ b/packages/kelpspar-decisions/src/revisions/apply_confirmation.ts
@@ -19,8 +19,9 @@
   /** The row `current`; null when nothing was ever accepted. */
   readonly current: FoundRevision | null;
   /**
-   * The history rows from the revision that an earlier try of the same change
-   * was built on. Needed only when there was one; default none.
+   * Given when the same change was tried before: the history rows from the
+   * revision that its first try was built on. Its writes may still arrive, so
+   * that `not_written` can't be proved any more.
    */
   readonly history?: readonly RevisionRow[];
 }
@@ -30,15 +31,15 @@
   change: ConfigurationChange,
   base: ApplyBase,
 ): ApplyStep {
-  const { current, history = [] } = base;
+  const { current, history } = base;
   const attempt: ApplyAttempt = {
     change,
     baseRevision: current?.row.revision ?? 0,
     baseVersion: current?.version ?? ABSENT,
-    mayHaveWritten: false,
+    mayHaveWritten: history !== undefined,
     phase: "writing",
   };
-  const known = current === null ? history : [current.row, ...history];
+  const known = [...(history ?? []), ...(current ? [current.row] : [])];
   const revision = findAcceptedChange(known, change.changeId);
   if (revision !== undefined) {
     return finish(attempt, { type: "accepted", revision });
@@ -134,13 +135,9 @@
   return finish(attempt, { type: "conflict", revision });
 }
 
-/**
- * A write still on its way may yet be accepted, and a row in conflict that was
- * not read may be an earlier try of ours.
- */
+/** A write still on its way may yet be accepted. */
 function mayBeAccepted(attempt: ApplyAttempt): boolean {
-  return attempt.mayHaveWritten || attempt.phase === "writing" ||
-    attempt.rivalRevision !== undefined;
+  return attempt.mayHaveWritten || attempt.phase === "writing";
 }
 
 function ownRevision(attempt: ApplyAttempt): number {
--- a/packages/kelpspar-decisions/src/revisions/apply_state.ts
+++ b/packages/kelpspar-decisions/src/revisions/apply_state.ts
@@ -27,7 +27,7 @@
   /** What the change builds on; revision and version 0 for the very first. */
   readonly baseRevision: number;
   readonly baseVersion: number;
-  /** True once a write's answer was lost. */
+  /** True once a write's answer was lost, in this try or an earlier one. */
   readonly mayHaveWritten: boolean;
   /** What the attempt waits for. */
   readonly phase: "writing" | "reading" | "waiting" | "finished";
--- a/packages/kelpspar-shared/src/random/system_random.ts
+++ b/packages/kelpspar-shared/src/random/system_random.ts
@@ -1,19 +1,36 @@
 import type { RandomSource } from "./random_source.ts";
-import { randomBytes, randomInt } from "node:crypto";
+import type { Buffer } from "node:buffer";
+import { randomBytes } from "node:crypto";
+import { SeededRandom } from "./seeded_random.ts";
 
-const TWO_TO_48 = 2 ** 48;
+const POOL_BYTES = 4_096;
 
-/** Unpredictable chance for identifiers, from the operating system. */
+/**
+ * Chance of a running process. Identifiers are made of unpredictable bytes,
+ * taken from the operating system in pools; jitter and choices among endpoints
+ * come from a generator that is seeded once, since they are drawn thousands of
+ * times a second and need not be secret.
+ */
 export class SystemRandom implements RandomSource {
+  readonly #generator = new SeededRandom(randomBytes(4).readInt32BE());
+  #pool: Buffer = randomBytes(POOL_BYTES);
+  #used = 0;
+
   next(): number {
-    return randomBytes(6).readUIntBE(0, 6) / TWO_TO_48;
+    return this.#generator.next();
   }
 
   nextInteger(bound: number): number {
-    return randomInt(bound);
+    return this.#generator.nextInteger(bound);
   }
 
   nextHexadecimal(bytes: number): string {
-    return randomBytes(bytes).toString("hex");
+    if (this.#used + bytes > POOL_BYTES) {
+      this.#pool = randomBytes(POOL_BYTES);
+      this.#used = 0;
+    }
+    const start = this.#used;
+    this.#used += bytes;
+    return this.#pool.toString("hex", start, this.#used);
   }
 }
--- a/packages/kelpspar-standins/src/demo/run_demo.ts
+++ b/packages/kelpspar-standins/src/demo/run_demo.ts
@@ -48,10 +48,12 @@
     });
     print(`Revision ${revision} is in force at every daemon`);
     for (const request of demo.requests) await show(site, request, options);
-  } finally {
-    const killed = await site.stop();
-    if (killed.length > 0) throw new Error(`Had to kill ${killed.join(", ")}`);
+  } catch (thrown) {
+    await site.stop();
+    throw thrown;
   }
+  const killed = await site.stop();
+  if (killed.length > 0) throw new Error(`Had to kill ${killed.join(", ")}`);
   print("Every process ended gracefully");
 }
 
--- a/packages/kelpspar-standins/src/overhead/overhead_site.ts
+++ b/packages/kelpspar-standins/src/overhead/overhead_site.ts
@@ -1,5 +1,4 @@
 import type { TimerService } from "kelpspar-shared";
-import type { SitePlan } from "../site/site_plan.ts";
 import { sha256 } from "kelpspar-shared";
 import { applyFirstConfiguration } from "../site/apply_first_configuration.ts";
 import { Site } from "../site/site.ts";
