Order engines under a lease; keep revisions by proof; settle lost applies

Cause: model changes were accepted and never carried out; an apply whose answer was lost was reported as failed; a daemon could take requests by a revision that it had proof was out of date. Applies resend and read back by change id. Daemons move only to higher revisions and refuse new requests while a newer one is proved and not there.

--- a/packages/kelpspar-daemon/src/actors/configuration_role.ts
+++ b/packages/kelpspar-daemon/src/actors/configuration_role.ts
@@ -1,9 +1,10 @@
 import type { TableRow, TableService } from "kelpspar-platform";
+import type { Drains } from "../operators/drains.ts";
 import type { DrainStore } from "../operators/drain_store.ts";
+import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { ConfigurationStore } from "../configuration/configuration_store.ts";
 import type { ConfigurationRow } from "../configuration/configuration_row.ts";
 import type { RoleOptions } from "./role_options.ts";
-import { offerConfiguration } from "../configuration/offer_configuration.ts";
 import { errorDetails } from "../log/daemon_log.ts";
 import { registerJitteredInterval } from "./register_jittered_interval.ts";
 import { spawnRole } from "./spawn_role.ts";
@@ -13,6 +14,8 @@
   readonly table: TableService;
   readonly store: ConfigurationStore;
   readonly drains: DrainStore;
+  readonly takenOut: DrainStore;
+  readonly keeper: ConfigurationKeeper;
   readonly pollMilliseconds: number;
 }
 
@@ -34,27 +37,22 @@
 export function startConfigurationRole(
   options: ConfigurationRoleOptions,
 ): ConfigurationRole {
-  const offer = (row: ConfigurationRow): void => {
-    if (!offerConfiguration(options.state, row)) return;
-    options.log.info("Configuration in force", { revision: row.revision });
-  };
+  const { keeper } = options;
   const send = spawnRole<null, ConfigurationCommand>(options.system, {
     name: "configuration",
     initialState: null,
     handlers: {
       poll: async () => {
-        const { store, drains } = options;
-        const [current = null, drained = null] = await options.table.read([
-          store.key,
-          drains.key,
-        ]);
-        takeDrains(options, drained);
+        const { store, drains, takenOut } = options;
+        const [current = null, drained = null, out = null] = await options
+          .table.read([store.key, drains.key, takenOut.key]);
+        takeDrains(options, { drained, out });
         const stored = store.parse(current);
-        if (stored.row !== undefined) offer(stored.row);
+        if (stored.row !== undefined) keeper.offer(stored.row, "table");
         return null;
       },
       offer: (_state, command) => {
-        offer(command.row);
+        keeper.offer(command.row, "peer");
         return null;
       },
     },
@@ -72,10 +70,17 @@
 
 function takeDrains(
   options: ConfigurationRoleOptions,
-  row: TableRow | null,
+  rows: { readonly drained: TableRow | null; readonly out: TableRow | null },
 ): void {
-  const drains = options.drains.parse(row);
-  const known = options.state.read().drains;
-  if (JSON.stringify(drains) === JSON.stringify(known)) return;
-  options.state.update(() => ({ drains }));
+  const { state } = options;
+  const drains = options.drains.parse(rows.drained);
+  const takenOut = options.takenOut.parse(rows.out);
+  const known = state.read();
+  // An update that changes nothing would make its listeners work.
+  if (!isSame(drains, known.drains)) state.update(() => ({ drains }));
+  if (!isSame(takenOut, known.takenOut)) state.update(() => ({ takenOut }));
+}
+
+function isSame(left: Drains, right: Drains): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
 }
--- a/packages/kelpspar-daemon/src/actors/endpoints_role.ts
+++ b/packages/kelpspar-daemon/src/actors/endpoints_role.ts
@@ -44,7 +44,9 @@
   });
   return mergeTeardowns(
     state.registerListener((now, before) => {
-      if (now.vms !== before.vms || now.drains !== before.drains) {
+      const isChanged = now.vms !== before.vms ||
+        now.drains !== before.drains || now.takenOut !== before.takenOut;
+      if (isChanged) {
         send({ type: "list" });
       }
     }),
--- a/packages/kelpspar-daemon/src/actors/fleet_role.ts
+++ b/packages/kelpspar-daemon/src/actors/fleet_role.ts
@@ -15,6 +15,8 @@
   /** Takes a configuration that a peer has. */
   readonly offer: (row: ConfigurationRow) => void;
   readonly revision: () => number;
+  /** Takes proof that a revision is in force somewhere. */
+  readonly noteProof: (revision: number, prover: string) => void;
 }
 
 /** A running role. */
@@ -39,7 +41,9 @@
     try {
       const answer = await peers.exchange(peer, fleet.digest);
       fleet.heard(answer);
-      if (answer.member.revision > options.revision()) {
+      const { revision, daemonId } = answer.member;
+      if (revision > options.revision()) {
+        options.noteProof(revision, daemonId);
         send({ type: "fetch", peer });
       }
     } catch {
--- a/packages/kelpspar-daemon/src/create_core.ts
+++ b/packages/kelpspar-daemon/src/create_core.ts
@@ -4,6 +4,7 @@
 import type { Settings } from "./settings/settings_schema.ts";
 import type { DaemonState } from "./state/daemon_state.ts";
 import { KeyLedger } from "kelpspar-decisions/claims";
+import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { ConfigurationStore } from "./configuration/configuration_store.ts";
 import { createRequestParts } from "./create_request_parts.ts";
 import { EndpointWatch } from "./endpoints/endpoint_watch.ts";
@@ -25,8 +26,10 @@
   readonly startedAt: number;
   readonly state: StateStore<DaemonState>;
   readonly configuration: StateConfigurationReader;
+  readonly keeper: ConfigurationKeeper;
   readonly store: ConfigurationStore;
   readonly drains: DrainStore;
+  readonly takenOut: DrainStore;
   readonly parts: DecisionParts;
   readonly scheduler: FairScheduler;
   readonly registry: RequestRegistry;
@@ -59,6 +62,14 @@
   const startedAt = timer.now();
   const state = new StateStore(createDaemonState());
   const configuration = new StateConfigurationReader(state);
+  const keeper = new ConfigurationKeeper({
+    state,
+    timer,
+    onInForce: (revision) =>
+      ports.log.info("Configuration in force", { revision }),
+    onNotUnderstood: (revision) =>
+      ports.log.error("Configuration not understood", { revision }),
+  });
   const metrics = new DaemonMetrics(settings.metrics);
   const requestMetrics = new RequestMetrics({ metrics, timer });
   const registry = new RequestRegistry({ timer });
@@ -126,6 +137,7 @@
     ledger,
     metrics: requestMetrics,
     fleet,
+    keeper,
   });
   return {
     ...requestParts,
@@ -133,8 +145,10 @@
     startedAt,
     state,
     configuration,
+    keeper,
     store: new ConfigurationStore({ table: ports.table }),
-    drains: new DrainStore({ table: ports.table }),
+    drains: new DrainStore({ table: ports.table, key: "all" }),
+    takenOut: new DrainStore({ table: ports.table, key: "orders" }),
     parts,
     scheduler,
     registry,
--- a/packages/kelpspar-daemon/src/create_request_parts.ts
+++ b/packages/kelpspar-daemon/src/create_request_parts.ts
@@ -1,4 +1,5 @@
 import type { DaemonPorts } from "./daemon_ports.ts";
+import type { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import type { Fleet } from "./fleet/fleet.ts";
 import type { RequestMetrics } from "./metrics/request_metrics.ts";
 import type { AskHolder } from "./requests/settlement_outcome.ts";
@@ -30,6 +31,7 @@
   readonly ledger: KeyLedger;
   readonly metrics: RequestMetrics;
   readonly fleet: Fleet;
+  readonly keeper: ConfigurationKeeper;
 }
 
 /** The parts that run requests. */
@@ -76,6 +78,7 @@
       registry,
       maximumRequests: settings.limits.maximumRequests,
       isLeaving: () => !fleet.isServing(),
+      configurationRefusal: () => options.keeper.refusal(),
       timer,
       random,
     }),
--- a/packages/kelpspar-daemon/src/create_routes.ts
+++ b/packages/kelpspar-daemon/src/create_routes.ts
@@ -26,8 +26,9 @@
     ...createHealthRoutes({
       notReadyReason: () => {
         if (!core.fleet.isServing()) return "draining";
-        if (core.configuration.revision() === 0) return "no_configuration";
-        return undefined;
+        return core.keeper.refusal() === undefined
+          ? undefined
+          : "no_configuration";
       },
     }),
     ...createCallers(options),
@@ -40,6 +41,7 @@
   return createCallerRoutes({
     configuration: core.configuration,
     requests: core.requests,
+    whenSettled: () => core.keeper.whenSettled(),
     registry: core.registry,
     lookup: core.lookup,
     incarnation: core.incarnation,
@@ -58,7 +60,7 @@
       configuration,
       bootstrapOperatorKeyHash: settings.bootstrapOperatorKeyHash,
     }),
-    applier: new ConfigurationApplier({ store, timer: ports.timer }),
+    applier: new ConfigurationApplier(ports),
     store,
     drains,
     registry,
--- a/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
+++ b/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
@@ -13,6 +13,7 @@
 import type { StateStore } from "../state/state_store.ts";
 import { assignWatches } from "kelpspar-decisions/routing";
 import { KelpsparError } from "kelpspar-shared";
+import { toEndpointAddress } from "./to_endpoint_address.ts";
 
 const NEWS_MILLISECONDS = 2_000;
 const NEWS_AGAIN_MILLISECONDS = 20_000;
@@ -35,8 +36,10 @@
   readonly since: number;
 }
 
-interface KnownReport {
+/** A report and when it was made. */
+export interface KnownReport {
   readonly report: LoadReport;
+  /** Monotonic milliseconds. */
   readonly at: number;
 }
 
@@ -64,20 +67,25 @@
     this.#options = options;
   }
 
+  /** An endpoint's last report and when it was made, if there is one. */
+  reportOf(endpointId: string): KnownReport | undefined {
+    return this.#reports.get(endpointId);
+  }
+
   /** Takes in the VM list and the operators' drains. */
   replaceList(): void {
     const { state, parts, timer } = this.#options;
-    const { vms, drains } = state.read();
+    const { vms, drains, takenOut } = state.read();
     const listed = vms.filter((vm) => vm.kind === "endpoint");
     parts.registry.replaceList(
       listed.map((vm) => ({
-        address: toAddress(vm),
+        address: toEndpointAddress(vm),
         state: vm.state,
       })),
       timer.now(),
     );
     for (const { id } of listed) {
-      const incarnation = drains.endpoints[id];
+      const incarnation = drains.endpoints[id] ?? takenOut.endpoints[id];
       if (incarnation === undefined) parts.registry.undrain(id);
       else parts.registry.drain(id, incarnation);
     }
@@ -253,20 +261,6 @@
   }
 }
 
-function toAddress(
-  vm: DaemonState["vms"][number],
-): EndpointAddress {
-  return {
-    endpointId: vm.id,
-    incarnation: vm.incarnation,
-    address: vm.address,
-    port: vm.port,
-    availabilityZone: vm.availabilityZone,
-    service: vm.service,
-    checksFencing: vm.checksFencing,
-  };
-}
-
 /** What must travel whole when it changes. */
 function shapeOf(report: LoadReport): string {
   const { incarnation, state, concurrency, models, adapters, role } = report;
--- a/packages/kelpspar-daemon/src/fleet/fleet.ts
+++ b/packages/kelpspar-daemon/src/fleet/fleet.ts
@@ -35,6 +35,13 @@
     return 1 + this.members.filter((one) => one.state === "live").length;
   }
 
+  /** The ids of the daemons that work, this one included if it does. */
+  liveDaemonIds(): readonly string[] {
+    const others = this.#servingMembers().filter((one) => one.state === "live");
+    const ids = others.map((one) => one.daemonId);
+    return this.isServing() ? [this.#options.daemonId, ...ids] : ids;
+  }
+
   /** Whom to send digests to. */
   targets(): readonly Member[] {
     return this.#membership.digestTargets();
--- a/packages/kelpspar-daemon/src/front/caller_routes.ts
+++ b/packages/kelpspar-daemon/src/front/caller_routes.ts
@@ -18,6 +18,8 @@
 export interface CallerRoutesOptions {
   readonly configuration: StateConfigurationReader;
   readonly requests: RequestService;
+  /** Waits, for a moment at most, for a newer configuration on its way. */
+  readonly whenSettled: () => Promise<void>;
   readonly registry: RequestRegistry;
   readonly incarnation: string;
   readonly lookup: KeyLookup;
@@ -90,6 +92,7 @@
       `Cannot take the request: ${problems.join("; ")}`,
     );
   }
+  await options.whenSettled();
   const context = options.requests.submit(account, parsed.data);
   follow(exchange, options, {
     context,
--- a/packages/kelpspar-daemon/src/mod.ts
+++ b/packages/kelpspar-daemon/src/mod.ts
@@ -17,5 +17,6 @@
 export { drainDaemon } from "./drain_daemon.ts";
 export { ConfigurationApplier } from "./operators/configuration_applier.ts";
 export { parseSettings } from "./settings/parse_settings.ts";
+export { peerDigestSchema } from "./peers/peer_digest.ts";
 export { settingsSchema } from "./settings/settings_schema.ts";
 export { startRoles } from "./start_roles.ts";
--- a/packages/kelpspar-daemon/src/operators/configuration_applier.ts
+++ b/packages/kelpspar-daemon/src/operators/configuration_applier.ts
@@ -1,7 +1,25 @@
-import type { TimerService } from "kelpspar-shared";
+import type {
+  ApplyAction,
+  ApplyAttempt,
+  ApplyEvent,
+  ApplyOutcome,
+  ApplyStep,
+} from "kelpspar-decisions/revisions";
+import type { TableService } from "kelpspar-platform";
+import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationRow } from "../configuration/configuration_row.ts";
-import type { ConfigurationStore } from "../configuration/configuration_store.ts";
-import { KelpsparError } from "kelpspar-shared";
+import {
+  advanceApply,
+  beginApply,
+  CONFIGURATION_TABLE,
+  CURRENT_REVISION_KEY,
+  toApplyEvent,
+  toFoundRevision,
+} from "kelpspar-decisions/revisions";
+import { KelpsparError, toKelpsparError } from "kelpspar-shared";
+
+const PATIENCE_MILLISECONDS = 5_000;
+const RESEND_MILLISECONDS = 100;
 
 /** A change of the configuration as an operator asks for it. */
 export interface ConfigurationChangeRequest {
@@ -12,46 +30,119 @@
   readonly operator: string;
 }
 
-/** Accepts changes of the configuration, one at a time over the fleet. */
+/** What changes are applied with. */
+export interface ConfigurationApplierOptions {
+  readonly table: TableService;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+}
+
+/**
+ * Accepts changes of the configuration by compare-and-set on one row, so that
+ * of operators who race one wins and the others learn of it. All decisions are
+ * those of kelpspar-decisions; here they meet the table.
+ */
 export class ConfigurationApplier {
-  readonly #store: ConfigurationStore;
-  readonly #timer: TimerService;
+  readonly #options: ConfigurationApplierOptions;
 
-  constructor(options: {
-    readonly store: ConfigurationStore;
-    readonly timer: TimerService;
-  }) {
-    this.#store = options.store;
-    this.#timer = options.timer;
+  constructor(options: ConfigurationApplierOptions) {
+    this.#options = options;
   }
 
   /** Throws `revision_conflict`, `store_unavailable` or `apply_unconfirmed`. */
   async apply(change: ConfigurationChangeRequest): Promise<ConfigurationRow> {
-    const before = await this.#store.read();
-    const revision = before.row?.revision ?? 0;
-    if (before.row?.changeId === change.changeId) return before.row;
-    if (revision !== change.expectedRevision) {
-      throw conflictError(change, revision);
-    }
-    const row: ConfigurationRow = {
-      revision: revision + 1,
-      changeId: change.changeId,
+    const fields = {
       operator: change.operator,
-      acceptedAt: this.#timer.wallClock(),
+      acceptedAt: this.#options.timer.wallClock(),
       configuration: change.configuration,
     };
-    const conflict = await this.#store.write(row, before);
-    if (conflict === undefined) return row;
-    throw conflictError(change, conflict.row?.revision ?? 0);
+    const outcome = await this.#run(await this.#begin(change, fields));
+    if (outcome.type === "accepted") {
+      const { revision } = outcome;
+      return { ...fields, revision, changeId: change.changeId };
+    }
+    throw toError(change, outcome);
+  }
+
+  async #begin(
+    change: ConfigurationChangeRequest,
+    fields: Readonly<Record<string, unknown>>,
+  ): Promise<ApplyStep> {
+    const { changeId, expectedRevision } = change;
+    const [row = null] = await this.#options.table.read([
+      { table: CONFIGURATION_TABLE, key: CURRENT_REVISION_KEY },
+    ]);
+    return beginApply({ changeId, fields, expectedRevision }, {
+      current: toFoundRevision(row),
+    });
+  }
+
+  async #run(first: ApplyStep): Promise<ApplyOutcome> {
+    const giveUpAt = this.#options.timer.now() + PATIENCE_MILLISECONDS;
+    let step = first;
+    for (;;) {
+      const [action] = step.actions;
+      if (action === undefined) return { type: "unconfirmed" };
+      if (action.type === "finish") return action.outcome;
+      const isOver = this.#options.timer.now() >= giveUpAt;
+      const event = isOver
+        ? { type: "give_up" } as const
+        : await this.#act(step.attempt, action);
+      step = advanceApply(step.attempt, event);
+    }
+  }
+
+  async #act(
+    attempt: ApplyAttempt,
+    action: Exclude<ApplyAction, { readonly type: "finish" }>,
+  ): Promise<ApplyEvent> {
+    const { table } = this.#options;
+    if (action.type === "resend_later") return await this.#waitToResend();
+    try {
+      if (action.type === "commit") {
+        return toApplyEvent(attempt, await table.commit(action));
+      }
+      const [row = null] = await table.read([action]);
+      return { type: "history", found: toFoundRevision(row) };
+    } catch (thrown) {
+      const error = toKelpsparError(thrown, "write_unknown");
+      // Only the table's own word proves that nothing was written.
+      const isProved = error.result === "table_unavailable";
+      return { type: isProved ? "unavailable" : "unknown" };
+    }
+  }
+
+  async #waitToResend(): Promise<ApplyEvent> {
+    const { timer, random } = this.#options;
+    await new Promise<void>((resolve) => {
+      timer.registerTimeout(
+        resolve,
+        RESEND_MILLISECONDS * (0.5 + random.next()),
+      );
+    });
+    return { type: "resend" };
   }
 }
 
-function conflictError(
+function toError(
   change: ConfigurationChangeRequest,
-  revision: number,
+  outcome: Exclude<ApplyOutcome, { readonly type: "accepted" }>,
 ): KelpsparError {
+  const name = `change "${change.changeId}"`;
+  if (outcome.type === "conflict") {
+    return new KelpsparError(
+      "revision_conflict",
+      `Cannot apply ${name} on revision ${change.expectedRevision}: revision ${outcome.revision} is in force`,
+    );
+  }
+  if (outcome.type === "not_written") {
+    return new KelpsparError(
+      "store_unavailable",
+      `Cannot apply ${name}: the table service never took it`,
+    );
+  }
   return new KelpsparError(
-    "revision_conflict",
-    `Cannot apply change "${change.changeId}" on revision ${change.expectedRevision}: revision ${revision} is in force`,
+    "apply_unconfirmed",
+    `Whether ${name} was accepted is not known yet: look it up by its id`,
   );
 }
--- a/packages/kelpspar-daemon/src/operators/drain_store.ts
+++ b/packages/kelpspar-daemon/src/operators/drain_store.ts
@@ -1,9 +1,9 @@
-import type { TableRow, TableService } from "kelpspar-platform";
+import type { TableKey, TableRow, TableService } from "kelpspar-platform";
 import type { DrainKind, Drains } from "./drains.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { DRAIN_FIELDS, drainsSchema, NO_DRAINS } from "./drains.ts";
 
-const ROW = { table: "drains", key: "all" } as const;
+const TABLE = "drains";
 const MOST_TRIES = 5;
 
 /** What to drain, or to drain no more. */
@@ -14,17 +14,19 @@
   readonly incarnation: string;
 }
 
-/** Operators' drains in the platform's table service. */
+/** Drains in the platform's table service: operators', or those of orders. */
 export class DrainStore {
   readonly #table: TableService;
+  /** The row's name, to be read along with others. */
+  readonly key: TableKey;
 
-  constructor(options: { readonly table: TableService }) {
+  constructor(options: {
+    readonly table: TableService;
+    /** The row's key in the table `drains`. */
+    readonly key: "all" | "orders";
+  }) {
     this.#table = options.table;
-  }
-
-  /** The row's name, to be read along with others. */
-  get key(): typeof ROW {
-    return ROW;
+    this.key = { table: TABLE, key: options.key };
   }
 
   /** Reads a row; a row that cannot be understood drains nothing. */
@@ -56,10 +58,10 @@
    */
   async #change(change: (drains: Drains) => Drains): Promise<Drains> {
     for (let tries = 0; tries < MOST_TRIES; tries++) {
-      const [row = null] = await this.#table.read([ROW]);
+      const [row = null] = await this.#table.read([this.key]);
       const drains = change(this.parse(row));
       const expectedVersion = row?.version ?? 0;
-      const write = { ...ROW, value: drains, expectedVersion };
+      const write = { ...this.key, value: drains, expectedVersion };
       try {
         const result = await this.#table.commit({ writes: [write] });
         if (result.committed) return drains;
--- a/packages/kelpspar-daemon/src/requests/arrival_check.ts
+++ b/packages/kelpspar-daemon/src/requests/arrival_check.ts
@@ -17,6 +17,8 @@
   readonly registry: RequestRegistry;
   readonly maximumRequests: number;
   readonly isLeaving: () => boolean;
+  /** Why no request is taken by the configuration known here. */
+  readonly configurationRefusal: () => KelpsparError | undefined;
   readonly timer: TimerService;
   readonly random: RandomSource;
 }
@@ -41,6 +43,8 @@
     if (isLeaving()) {
       throw new ResultError("draining", "The daemon is stopping");
     }
+    const refusal = this.#options.configurationRefusal();
+    if (refusal !== undefined) throw refusal;
     if (registry.running >= maximumRequests) {
       throw new ResultError(
         "overloaded",
--- a/packages/kelpspar-daemon/src/start_roles.ts
+++ b/packages/kelpspar-daemon/src/start_roles.ts
@@ -8,6 +8,7 @@
 import { startFleetRole } from "./actors/fleet_role.ts";
 import { startVmListRole } from "./actors/vm_list_role.ts";
 import { parsePeerAddress } from "./peers/parse_peer_address.ts";
+import { startOrdersRole } from "./orders/orders_role.ts";
 import { mergeTeardowns } from "./state/merge_teardowns.ts";
 
 /** What a daemon does by itself, beside answering. */
@@ -36,6 +37,8 @@
     table: ports.table,
     store: core.store,
     drains: core.drains,
+    takenOut: core.takenOut,
+    keeper: core.keeper,
     pollMilliseconds: intervals.configurationPollMilliseconds,
   });
   const stopList = state.registerListener((now, before) => {
@@ -59,6 +62,20 @@
     digestMilliseconds: intervals.digestMilliseconds,
     offer: configurationRole.offer,
     revision: () => configuration.revision(),
+    noteProof: (revision, prover) => core.keeper.noteProof(revision, prover),
+  });
+  const stopOrders = startOrdersRole({
+    ...ports,
+    daemonId: settings.daemonId,
+    incarnation: core.incarnation,
+    state,
+    configuration,
+    parts: core.parts,
+    watch: core.watch,
+    takenOut: core.takenOut,
+    onTakenOut: (takenOut) => state.update(() => ({ takenOut })),
+    liveDaemonIds: () => fleet.liveDaemonIds(),
+    planMilliseconds: intervals.ordersMilliseconds,
   });
   return {
     offer: configurationRole.offer,
@@ -71,6 +88,7 @@
       stopEndpoints,
       stopVmList,
       fleetRole.stop,
+      stopOrders,
     ),
   };
 }
--- a/packages/kelpspar-daemon/src/state/daemon_state.ts
+++ b/packages/kelpspar-daemon/src/state/daemon_state.ts
@@ -14,6 +14,8 @@
   readonly vms: readonly ListedVm[];
   /** What operators drain. */
   readonly drains: Drains;
+  /** Engines that are out of routing because an order is due. */
+  readonly takenOut: Drains;
   /** True once the daemon is to stop: it takes no new requests. */
   readonly isLeaving: boolean;
 }
@@ -25,6 +27,7 @@
     configuration: undefined,
     vms: [],
     drains: NO_DRAINS,
+    takenOut: NO_DRAINS,
     isLeaving: false,
   };
 }
