--- a/packages/kelpspar-client/src/transport/read_records.ts
+++ b/packages/kelpspar-client/src/transport/read_records.ts
@@ -13,7 +13,7 @@
   exchange: OpenExchange,
   watch: ProgressWatch,
 ): AsyncGenerator<AnswerRecord, void, void> {
-  const lines = readJsonLines(exchange.body);
+  const lines = readJsonLines(exchange.body)[Symbol.asyncIterator]();
   try {
     for (;;) {
       const line = await watch.step(lines.next());
--- a/packages/kelpspar-daemon/src/requests/attempt_caller.ts
+++ b/packages/kelpspar-daemon/src/requests/attempt_caller.ts
@@ -81,6 +81,7 @@
       endpoints: services.endpoints,
       endpoint: plan.permit.endpoint,
       call,
+      isStream: task.service.kind === "engine",
       newConnection: trace.once || plan.resumeAttemptId !== undefined,
       progress: plan.progress,
       timer,
--- a/packages/kelpspar-daemon/src/requests/stage_attempt.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_attempt.ts
@@ -25,6 +25,7 @@
   readonly call: StageCall;
   /** See StageCallOptions. */
   readonly newConnection: boolean;
+  readonly isStream?: boolean;
   readonly progress: StageProgress;
   readonly timer: TimerService;
   /** Says when the call is suspect, and what becomes of it then. */
@@ -118,6 +119,7 @@
   const records = options.endpoints.call(options.endpoint, options.call, {
     signal: follow.signal,
     newConnection: options.newConnection,
+    isStream: options.isStream ?? true,
   });
   for await (const record of records) {
     if (!answersCall(record, options.call)) {
--- a/packages/kelpspar-platform/src/endpoint/endpoint_client.ts
+++ b/packages/kelpspar-platform/src/endpoint/endpoint_client.ts
@@ -19,6 +19,11 @@
    * connection went silent.
    */
   readonly newConnection: boolean;
+  /**
+   * False for a call whose records come all at once; they are then read
+   * together, which costs less. Default true.
+   */
+  readonly isStream?: boolean;
 }
 
 /**
--- a/packages/kelpspar-platform/src/endpoint/http_endpoint_client.ts
+++ b/packages/kelpspar-platform/src/endpoint/http_endpoint_client.ts
@@ -10,7 +10,7 @@
 } from "kelpspar-shared";
 import type { EndpointClient, StageCallOptions } from "./endpoint_client.ts";
 import type { Dispatcher } from "undici";
-import { KelpsparError, readJsonLines } from "kelpspar-shared";
+import { KelpsparError, parseJsonLines, readJsonLines } from "kelpspar-shared";
 import { Client, Pool } from "undici";
 import { isRefusal } from "../http/json_http_client.ts";
 
@@ -74,7 +74,10 @@
       if (answer.statusCode !== STATUS_OK) {
         throw await unexpectedStatus(endpoint, answer);
       }
-      yield* readJsonLines(answer.body) as AsyncGenerator<StageRecord>;
+      const records = options.isStream === false
+        ? parseJsonLines(await answer.body.text())
+        : readJsonLines(answer.body);
+      for await (const record of records) yield record as StageRecord;
     } catch (cause) {
       throw toEndpointError(endpoint, cause);
     } finally {
--- a/packages/kelpspar-shared/src/mod.ts
+++ b/packages/kelpspar-shared/src/mod.ts
@@ -53,7 +53,7 @@
 export { toKelpsparError } from "./results/to_kelpspar_error.ts";
 export { extendChecksum, formatChecksum } from "./text/checksum.ts";
 export { equalInConstantTime, sha256 } from "./text/hash.ts";
-export { readJsonLines } from "./text/json_lines.ts";
+export { parseJsonLines, readJsonLines } from "./text/json_lines.ts";
 export { OffsetAssembler } from "./text/offset_assembler.ts";
 export { ManualTimer } from "./timer/manual_timer.ts";
 export { SystemTimer } from "./timer/system_timer.ts";
