Claim a key beside the stage before it is needed, and hold no slot for it

Cause: with daemons killed under load, 26 of 32 requests that ended as outcome_unknown had not run their once-stage: the claim, written at arrival, outlived its daemon for the whole pipeline. In a store outage claims that were not confirmed held booking slots (29 requests refused as overloaded). Ruled out: taking a dead holder's claim over, since a paused holder may wake. Change: the claim begins beside the stage before the first once-stage; a read at arrival notices keys that are claimed or done; the claim is awaited before a slot is asked for. Conclusion: a smaller window for unknown outcomes at no further write.

--- a/packages/kelpspar-daemon/src/claims/claim_service.ts
+++ b/packages/kelpspar-daemon/src/claims/claim_service.ts
@@ -4,6 +4,7 @@
   ClaimAttemptEvent,
   ClaimAttemptStep,
   ClaimBatch,
+  ClaimDecision,
   ClaimIdentity,
   ClaimTransactionOutcome,
   OwnerAnswer,
@@ -12,13 +13,15 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonLog } from "../log/daemon_log.ts";
 import type { ClaimHandle } from "./claim_handle.ts";
-import type { ClaimListener } from "./claim_listener.ts";
+import type { ClaimListener, ClaimSettlement } from "./claim_listener.ts";
 import {
   advanceClaim,
   beginClaim,
   ClaimBatcher,
   claimKey,
   CLAIMS_TABLE,
+  decideClaim,
+  parseClaimContent,
 } from "kelpspar-decisions/claims";
 import { toKelpsparError } from "kelpspar-shared";
 import { errorDetails } from "../log/daemon_log.ts";
@@ -46,6 +49,11 @@
   readonly listener: ClaimListener;
 }
 
+function isSettlement(decision: ClaimDecision): decision is ClaimSettlement {
+  return decision.type !== "claim" && decision.type !== "owned" &&
+    decision.type !== "abandoned";
+}
+
 interface ClaimEntry {
   readonly key: string;
   readonly listener: ClaimListener;
@@ -109,6 +117,36 @@
     };
   }
 
+  /**
+   * Reads whether another operation holds a key or has completed it, before a
+   * claim is made; undefined when not, or when the store does not say.
+   */
+  async lookAhead(asked: {
+    readonly accountId: string;
+    readonly idempotencyKey: string;
+    readonly bodyHash: string;
+  }): Promise<ClaimSettlement | undefined> {
+    const key = claimKey(asked.accountId, asked.idempotencyKey);
+    try {
+      const rows = await this.#options.table.read([{
+        table: CLAIMS_TABLE,
+        key,
+      }]);
+      const [row = null] = rows;
+      if (row === null) return undefined;
+      const content = parseClaimContent(row.value);
+      const decision = decideClaim({ content, version: row.version }, {
+        operationId: "",
+        daemon: "",
+        requestId: "",
+        bodyHash: asked.bodyHash,
+      });
+      return isSettlement(decision) ? decision : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
   /** What this daemon says of an operation when another one asks. */
   describe(operationId: string): OwnerAnswer {
     const phase = this.#entries.get(operationId)?.attempt.phase;
--- a/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
+++ b/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
@@ -2,16 +2,12 @@
 import type { ClaimSettlement } from "../claims/claim_listener.ts";
 import type { ClaimService } from "../claims/claim_service.ts";
 import type { OnceGuard } from "./once_guard.ts";
-import type { KelpsparError, TimerService } from "kelpspar-shared";
 import type { RequestContext } from "./request_context.ts";
+import type { StoredResult } from "kelpspar-decisions/claims";
+import type { KelpsparError, TimerService } from "kelpspar-shared";
 
 const CONFIRM_LIMIT_MILLISECONDS = 800;
 
-/** A guard that rests on a claim in the table. */
-export interface ClaimedOnceGuard extends OnceGuard {
-  readonly handle: ClaimHandle;
-}
-
 /** What a claim is made for. */
 export interface ClaimedOnceGuardOptions {
   readonly claims: ClaimService;
@@ -26,52 +22,112 @@
 }
 
 /**
- * Starts the claim at once, beside the stages that only read, so that its
- * round trip costs the request no time unless the store is slower than they.
+ * Guards a request by a claim in the table.
+ *
+ * The claim is begun beside the stage before the first one that must run once:
+ * late, because a daemon that dies holding a claim leaves its caller with
+ * `outcome_unknown` although nothing ran; not later, because its round trip
+ * then costs the request no time. A key that is claimed or done already is
+ * noticed at the request's arrival by a read.
  */
-export function createClaimedOnceGuard(
-  options: ClaimedOnceGuardOptions,
-): ClaimedOnceGuard {
-  const { context, timer } = options;
-  const { signal } = context.abort;
-  // A store that does not answer would otherwise hold the request back until
-  // its deadline; it is told at once that it was not run, and when to return.
-  const stopWaiting = timer.registerTimeout(
-    () => context.abort.abort(options.createStoreError()),
-    CONFIRM_LIMIT_MILLISECONDS,
-  );
-  signal.addEventListener("abort", stopWaiting);
-  let confirm = (): void => {};
-  const confirmed = new Promise<void>((resolve, reject) => {
-    confirm = resolve;
-    signal.addEventListener("abort", () => reject(signal.reason));
-  });
-  // A request that fails before its first such stage never waits for it.
-  confirmed.catch(() => {});
-  const handle = options.claims.begin({
-    accountId: context.account.id,
-    idempotencyKey: options.idempotencyKey,
-    identity: {
-      operationId: context.requestId,
-      daemon: options.daemon,
-      requestId: context.requestId,
-      bodyHash: context.bodyHash,
-    },
-    listener: {
-      onRun: () => {
-        stopWaiting();
-        confirm();
+export class ClaimedOnceGuard implements OnceGuard {
+  readonly #options: ClaimedOnceGuardOptions;
+  readonly #confirmed: Promise<void>;
+  #confirm = (): void => {};
+  #handle: ClaimHandle | undefined;
+  #isOver = false;
+
+  constructor(options: ClaimedOnceGuardOptions) {
+    this.#options = options;
+    const { signal } = options.context.abort;
+    this.#confirmed = new Promise<void>((resolve, reject) => {
+      this.#confirm = resolve;
+      signal.addEventListener("abort", () => reject(signal.reason));
+    });
+    // A request that fails before its first such stage never waits for it.
+    this.#confirmed.catch(() => {});
+    void this.#lookAhead();
+  }
+
+  prepare(): void {
+    if (this.#handle !== undefined || this.#isOver) return;
+    const { claims, context, idempotencyKey, daemon } = this.#options;
+    const stopWaiting = this.#limitWaiting();
+    this.#handle = claims.begin({
+      accountId: context.account.id,
+      idempotencyKey,
+      identity: {
+        operationId: context.requestId,
+        daemon,
+        requestId: context.requestId,
+        bodyHash: context.bodyHash,
       },
-      onSettled: (settlement) => {
-        stopWaiting();
-        options.onSettled(settlement);
+      listener: {
+        onRun: () => {
+          stopWaiting();
+          this.#confirm();
+        },
+        onSettled: (settlement) => {
+          stopWaiting();
+          this.#settle(settlement);
+        },
       },
-    },
-  });
-  return {
-    handle,
-    confirmed: () => confirmed,
-    dispatch: () => handle.dispatch(),
-    notStarted: () => handle.notStarted(),
-  };
+    });
+  }
+
+  confirmed(): Promise<void> {
+    this.prepare();
+    return this.#confirmed;
+  }
+
+  dispatch(): boolean {
+    return this.#handle?.dispatch() ?? false;
+  }
+
+  notStarted(): void {
+    this.#handle?.notStarted();
+  }
+
+  /** Keeps the result for retries. */
+  complete(result: StoredResult): void {
+    this.#handle?.complete(result);
+  }
+
+  /** Ends the request without a result: from here on it never dispatches. */
+  giveUp(): void {
+    this.#isOver = true;
+    this.#handle?.giveUp();
+  }
+
+  async #lookAhead(): Promise<void> {
+    const { claims, context, idempotencyKey } = this.#options;
+    const settlement = await claims.lookAhead({
+      accountId: context.account.id,
+      idempotencyKey,
+      bodyHash: context.bodyHash,
+    });
+    if (settlement === undefined || this.#handle !== undefined) return;
+    this.#settle(settlement);
+  }
+
+  #settle(settlement: ClaimSettlement): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#options.onSettled(settlement);
+  }
+
+  /**
+   * A store that does not answer would otherwise hold the request back until
+   * its deadline; it is told at once that it was not run, and when to return.
+   */
+  #limitWaiting(): () => void {
+    const { context, timer, createStoreError } = this.#options;
+    const { abort } = context;
+    const stop = timer.registerTimeout(
+      () => abort.abort(createStoreError()),
+      CONFIRM_LIMIT_MILLISECONDS,
+    );
+    abort.signal.addEventListener("abort", stop);
+    return stop;
+  }
 }
--- a/packages/kelpspar-daemon/src/requests/once_guard.ts
+++ b/packages/kelpspar-daemon/src/requests/once_guard.ts
@@ -3,6 +3,8 @@
  * without a claim use one that always allows.
  */
 export interface OnceGuard {
+  /** Called before the stage before the first one that must run once. */
+  prepare(): void;
   /** Resolves when the stage may be dispatched; rejects when it never may. */
   confirmed(): Promise<void>;
   /** Called right before each call; false forbids it. */
@@ -13,6 +15,7 @@
 
 /** The guard of a request that only this daemon can ever run. */
 export const FREE_ONCE_GUARD: OnceGuard = {
+  prepare: () => {},
   confirmed: () => Promise.resolve(),
   dispatch: () => true,
   notStarted: () => {},
--- a/packages/kelpspar-daemon/src/requests/pipeline_runner.ts
+++ b/packages/kelpspar-daemon/src/requests/pipeline_runner.ts
@@ -38,6 +38,9 @@
     let input = context.request.input;
     for (const [stageIndex, stage] of stages.entries()) {
       const isOnce = once.has(stage.id);
+      const next = stages[stageIndex + 1];
+      const isBeforeOnce = next !== undefined && once.has(next.id);
+      if (isOnce || isBeforeOnce) guard.prepare();
       input = await this.#runStage({
         context,
         stage,
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -5,7 +5,6 @@
 import type { FinalRecord } from "./answer_log.ts";
 import type { ArrivalCheck } from "./arrival_check.ts";
 import type { CheckedRequest } from "./check_request.ts";
-import type { ClaimedOnceGuard } from "./claimed_once_guard.ts";
 import type { OnceGuard } from "./once_guard.ts";
 import type { PipelineRunner } from "./pipeline_runner.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -21,7 +20,7 @@
 } from "kelpspar-shared";
 import { KelpsparError as ResultError, toKelpsparError } from "kelpspar-shared";
 import { checkRequest } from "./check_request.ts";
-import { createClaimedOnceGuard } from "./claimed_once_guard.ts";
+import { ClaimedOnceGuard } from "./claimed_once_guard.ts";
 import { createContext } from "./create_context.ts";
 import {
   createEndRecord,
@@ -184,7 +183,7 @@
       void this.#run(context, { guard: FREE_ONCE_GUARD, hasOnceStage });
       return;
     }
-    const claim = createClaimedOnceGuard({
+    const claim = new ClaimedOnceGuard({
       claims: this.#options.claims,
       context,
       idempotencyKey: context.request.idempotencyKey ?? "",
@@ -228,7 +227,7 @@
   ): void {
     if (context.log.final !== undefined) return;
     const error = toKelpsparError(failure.thrown);
-    if (outcomeOf(context) === "not_run") failure.run.claim?.handle.giveUp();
+    if (outcomeOf(context) === "not_run") failure.run.claim?.giveUp();
     const proved = KEEPS_OUTCOME.has(error.result)
       ? error
       : withProvedOutcome(error, context);
@@ -246,11 +245,11 @@
     if (text !== undefined) {
       const limit = configuration.current()?.limits.resultKeepBytes ?? 0;
       const result = createStoredResult(context, { text, limit });
-      run.claim?.handle.complete(result);
+      run.claim?.complete(result);
       keys.end(context, { type: "completed", result });
       return;
     }
-    run.claim?.handle.giveUp();
+    run.claim?.giveUp();
     const mayRepeat = !run.hasOnceStage || outcomeOf(context) === "not_run";
     keys.end(context, { type: mayRepeat ? "repeatable" : "outcome_unknown" });
   }
--- a/packages/kelpspar-daemon/src/requests/stage_run.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_run.ts
@@ -41,10 +41,12 @@
 
   /** Throws KelpsparError when the stage cannot be brought to its result. */
   async execute(): Promise<StageResult> {
+    // A call that waits for its claim must not hold a slot meanwhile.
+    await this.#task.guard.confirmed();
     let permit = await this.#acquire();
     let resumeAttemptId: string | undefined;
     for (;;) {
-      await this.#allowDispatch(permit);
+      this.#allowDispatch(permit);
       const plan = this.#createPlan(permit, resumeAttemptId);
       const call = await this.#call(plan);
       if (call.result !== undefined) return call.result;
@@ -98,17 +100,13 @@
     };
   }
 
-  async #allowDispatch(permit: Permit): Promise<void> {
+  /** Asked right before each call; nothing may come between. */
+  #allowDispatch(permit: Permit): void {
     const { guard, context } = this.#task;
-    try {
-      await guard.confirmed();
-      context.abort.signal.throwIfAborted();
-      if (guard.dispatch()) return;
-    } catch (thrown) {
-      permit.release({ outcome: "cancelled", latencyMilliseconds: 0 });
-      throw thrown;
-    }
+    const { signal } = context.abort;
+    if (!signal.aborted && guard.dispatch()) return;
     permit.release({ outcome: "cancelled", latencyMilliseconds: 0 });
+    signal.throwIfAborted();
     throw new ResultError(
       "store_unavailable",
       `Stage "${this.#task.stage.id}" may not run: its claim was given up`,
--- /dev/null
+++ b/packages/kelpspar-decisions/src/__tests__/unit/leases_planner_test.ts
@@ -0,0 +1,235 @@
+import type { DesiredEngineState, LoadReport } from "kelpspar-shared";
+import type { PlannedEngine, PlannerStep } from "../../leases/mod.ts";
+import { test } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { SeededRandom } from "kelpspar-shared";
+import {
+  grantKey,
+  isAsDesired,
+  listMissingLoads,
+  planEngineTargets,
+  planOrders,
+} from "../../leases/mod.ts";
+
+// Symptom: a change of models cuts requests off, leaves a model without ready
+//   engines, overruns the weight store or never ends.
+// Sequence: random fleets, lagging reports, other daemons that go on sending
+//   for a while, a new holder without memory, orders of a stale holder at
+//   engines that do not check fencing numbers.
+// Cause looked for: an order before the drain, a floor or zone not counted.
+
+const TIMES = {
+  routingMilliseconds: 2,
+  reportMilliseconds: 3,
+  loadMilliseconds: 50,
+};
+const FLOOR = 1;
+const CALM_STEPS = 400;
+
+interface Engine {
+  readonly endpointId: string;
+  readonly availabilityZone: string;
+  real: LoadReport;
+  loadedAt: number;
+  next: DesiredEngineState;
+  takenOutAt: number | undefined;
+  ordered: PlannedEngine["ordered"];
+  report: LoadReport;
+  reportAt: number;
+}
+
+const OLD: DesiredEngineState = {
+  models: { m: "1" },
+  adapters: [],
+  role: "any",
+};
+
+function createReport(state: DesiredEngineState): LoadReport {
+  const counts = { running: 0, waiting: 0, concurrency: 4, accepted: 0 };
+  const ids = { incarnation: "i", sequence: 1, queuedTokens: 0 };
+  return { ...ids, ...counts, ...state, state: "ready" };
+}
+
+class Fleet {
+  readonly random: SeededRandom;
+  readonly engines: Engine[] = [];
+  readonly grants = new Map<string, number>();
+  readonly targets: ReadonlyMap<string, DesiredEngineState>;
+  now = 0;
+  #asked: string[] = [];
+
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+    const count = 3 + this.random.nextInteger(4);
+    for (let index = 0; index < count; index++) {
+      const isEmpty = this.random.nextInteger(4) === 0;
+      const state = isEmpty ? { ...OLD, models: {} } : OLD;
+      const report = createReport(state);
+      this.engines.push({
+        endpointId: `e${index}`,
+        availabilityZone: `z${index % 3}`,
+        real: report,
+        loadedAt: 0,
+        next: state,
+        takenOutAt: undefined,
+        ordered: undefined,
+        report,
+        reportAt: 0,
+      });
+    }
+    const models = [{ id: "m", version: "2", adapters: ["x"] }];
+    const roles = { prefill: 1 };
+    this.targets = planEngineTargets(
+      this.engines.map(({ endpointId }) => ({ endpointId, role: "any" })),
+      { models, roles },
+    );
+  }
+
+  order(engine: Engine, desired: DesiredEngineState): void {
+    const loads = listMissingLoads(engine.real, desired).length;
+    const { real } = engine;
+    engine.next = desired;
+    engine.loadedAt = this.now + loads * (1 + this.random.nextInteger(4));
+    const models = loads > 0 ? {} : real.models;
+    engine.real = { ...real, models, state: "loading" };
+  }
+
+  /** Engines work, load and report; callers come. */
+  live(): void {
+    this.now += 1;
+    for (const engine of this.engines) {
+      const { takenOutAt, loadedAt, next } = engine;
+      if (engine.real.state === "loading" && this.now >= loadedAt) {
+        engine.real = { ...engine.real, ...next, state: "ready" };
+      }
+      const isUsed = takenOutAt === undefined ||
+        this.now < takenOutAt + TIMES.routingMilliseconds;
+      const hasModel = engine.real.models["m"] !== undefined;
+      const arrives = isUsed && hasModel && this.random.nextInteger(2) === 0;
+      const leaves = this.random.nextInteger(2);
+      const running = Math.max(0, engine.real.running - leaves);
+      engine.real = { ...engine.real, running: running + (arrives ? 1 : 0) };
+      if (this.random.nextInteger(2) === 0) {
+        engine.report = engine.real;
+        engine.reportAt = this.now;
+      }
+    }
+    const granted = this.#asked.splice(0, this.random.nextInteger(2));
+    for (const key of granted) {
+      this.grants.set(key, (this.grants.get(key) ?? 0) + 1);
+    }
+  }
+
+  plan(): void {
+    const planned = this.engines.map((engine): PlannedEngine => {
+      const { endpointId, takenOutAt, ordered } = engine;
+      const desired = this.targets.get(endpointId) ?? OLD;
+      return {
+        endpointId,
+        availabilityZone: engine.availabilityZone,
+        desired,
+        report: engine.report,
+        reportAt: engine.reportAt,
+        inFlight: 0,
+        ...(takenOutAt === undefined ? {} : { takenOutAt }),
+        ...(ordered === undefined ? {} : { ordered }),
+      };
+    });
+    const minimumReady = new Map([["m", FLOOR]]);
+    const { grants, now } = this;
+    const input = { now, engines: planned, minimumReady, grants };
+    for (const step of planOrders(input, TIMES)) this.#apply(step);
+  }
+
+  #apply(step: PlannerStep): void {
+    if (step.type === "wait") return;
+    if (step.type === "request_grant") {
+      const key = grantKey(step.model, step.version);
+      if (!this.#asked.includes(key)) this.#asked.push(key);
+      return;
+    }
+    const engine = this.engines.find((one) =>
+      one.endpointId === step.endpointId
+    );
+    if (engine === undefined) throw new Error("no such engine");
+    if (step.type === "put_back") engine.takenOutAt = undefined;
+    if (step.type === "take_out") {
+      this.#checkZone(engine);
+      engine.takenOutAt = this.now;
+      const left = this.engines.filter((one) =>
+        one.takenOutAt === undefined && one.report.state === "ready" &&
+        one.report.models["m"] !== undefined
+      );
+      const wasServing = engine.report.models["m"] !== undefined;
+      expect(left.length >= FLOOR || !wasServing).toEqual(true);
+    }
+    if (step.type !== "order") return;
+    expect(engine.takenOutAt === undefined).toEqual(false);
+    expect(engine.real.running).toEqual(0);
+    for (const key of step.grants) {
+      const left = (this.grants.get(key) ?? 0) - 1;
+      expect(left >= 0).toEqual(true);
+      this.grants.set(key, left);
+    }
+    expect(step.grants.length).toEqual(
+      listMissingLoads(engine.report, step.desired).length,
+    );
+    engine.ordered = { desired: step.desired, at: this.now };
+    this.order(engine, step.desired);
+  }
+
+  #checkZone(engine: Engine): void {
+    const others = this.engines.filter((one) =>
+      one !== engine && one.availabilityZone === engine.availabilityZone
+    );
+    for (const other of others) {
+      expect(other.takenOutAt).toEqual(undefined);
+    }
+  }
+
+  /** A stale holder's order, or a new holder that remembers nothing. */
+  disturb(): void {
+    const index = this.random.nextInteger(this.engines.length * 6);
+    const engine = this.engines[index];
+    if (engine !== undefined) {
+      const models = { m: this.random.nextInteger(2) === 0 ? "1" : "0" };
+      engine.real = { ...engine.real, running: 0 };
+      this.order(engine, { models, adapters: [], role: "any" });
+    } else if (index % 23 === 0) {
+      for (const one of this.engines) {
+        one.takenOutAt = undefined;
+        one.ordered = undefined;
+      }
+    }
+  }
+
+  isSettled(): boolean {
+    return this.engines.every((engine) =>
+      engine.takenOutAt === undefined &&
+      isAsDesired(engine.real, this.targets.get(engine.endpointId) ?? OLD)
+    );
+  }
+}
+
+test("any disturbed fleet becomes as desired, without harm on the way", () => {
+  fc.assert(
+    fc.property(fc.integer(), (seed) => {
+      const fleet = new Fleet(seed);
+      for (let step = 0; step < 60; step++) {
+        fleet.live();
+        fleet.disturb();
+        fleet.plan();
+      }
+      for (let step = 0; step < CALM_STEPS; step++) {
+        if (fleet.isSettled()) break;
+        fleet.live();
+        fleet.plan();
+      }
+      expect(fleet.isSettled()).toEqual(true);
+      const roles = fleet.engines.map(({ real }) => real.role);
+      expect(roles.filter((role) => role === "prefill").length).toEqual(1);
+    }),
+    { numRuns: 1_000, seed: 41 },
+  );
+});
--- a/packages/kelpspar-decisions/src/leases/order_planner.ts
+++ b/packages/kelpspar-decisions/src/leases/order_planner.ts
@@ -21,9 +21,9 @@
 /**
  * Compares what engines report with what is desired and gives the next steps.
  *
- * An engine that serves is first taken out of routing, and ordered once every
- * daemon has stopped using it and its work has drained, so that no request is
- * cut. Per availability zone one engine changes at a time; an engine that
+ * An engine is first taken out of routing, and ordered once every daemon has
+ * stopped using it and its work has drained, so that no request is cut. That
+ * holds for engines that seem to serve nothing as well, since reports lag. Per availability zone one engine changes at a time; an engine that
  * loads for too long is ordered again and goes on to hold its zone up, so that
  * a version that cannot load stops after one engine a zone. A model never
  * falls below its floor of ready engines by a change; an engine that waits to
@@ -72,8 +72,11 @@
     for (const engine of changing) this.#watch(engine);
     for (const engine of takenOut) this.#goOn(engine);
     const others = open.filter((engine) => !isTakenOut(engine));
-    for (const engine of others.filter(isIdle)) this.#startIdle(engine);
-    for (const engine of others) if (!isIdle(engine)) this.#start(engine);
+    // Those that serve nothing go first: they add to the floor of the others.
+    for (const engine of others) if (servesNothing(engine)) this.#start(engine);
+    for (const engine of others) {
+      if (!servesNothing(engine)) this.#start(engine);
+    }
     return this.#steps;
   }
 
@@ -92,9 +95,7 @@
   /** True while our order for the desired state is not settled. */
   #isChanging(engine: PlannedEngine): boolean {
     const { ordered, desired, report } = engine;
-    if (ordered === undefined || !isSameState(ordered.desired, desired)) {
-      return false;
-    }
+    if (ordered === undefined || !isOrdered(engine)) return false;
     if (isAsDesired(report, desired)) return false;
     const isFresh =
       this.#input.now - ordered.at < this.#times.reportMilliseconds;
@@ -119,16 +120,6 @@
     }
   }
 
-  /** Engines that serve nothing need neither draining nor a floor. */
-  #startIdle(engine: PlannedEngine): void {
-    if (isAsDesired(engine.report, engine.desired)) return;
-    if (this.#busyZones.has(engine.availabilityZone)) {
-      this.#wait(engine, "zone");
-    } else if (this.#order(engine)) {
-      this.#busyZones.add(engine.availabilityZone);
-    }
-  }
-
   #start(engine: PlannedEngine): void {
     const { endpointId, availabilityZone, report, desired } = engine;
     if (report === undefined) return this.#wait(engine, "no_report");
@@ -147,12 +138,11 @@
     this.#steps.push({ type: "take_out", endpointId });
   }
 
-  #order(engine: PlannedEngine): boolean {
+  #order(engine: PlannedEngine): void {
     const { endpointId, desired } = engine;
     const grants = this.#takeGrants(engine);
     if (grants === undefined) this.#wait(engine, "grant");
     else this.#steps.push({ type: "order", endpointId, desired, grants });
-    return grants !== undefined;
   }
 
   #wait({ endpointId }: PlannedEngine, reason: WaitReason): void {
@@ -184,10 +174,9 @@
   }
 
   /** True when the floor of a model that it still serves is not met. */
-  #isNeeded({ report, ordered, desired }: PlannedEngine): boolean {
-    const isOrdered = ordered !== undefined &&
-      isSameState(ordered.desired, desired);
-    if (report?.state !== "ready" || isOrdered) return false;
+  #isNeeded(engine: PlannedEngine): boolean {
+    const { report } = engine;
+    if (report?.state !== "ready" || isOrdered(engine)) return false;
     return Object.keys(report.models).some((model) =>
       this.#countReady(model) < this.#floorOf(model)
     );
@@ -218,9 +207,16 @@
   return engine.takenOutAt !== undefined;
 }
 
-/** True for an engine that serves no model and has no work. */
-function isIdle({ report, inFlight }: PlannedEngine): boolean {
-  if (report === undefined || inFlight > 0) return false;
-  if (report.running > 0 || report.waiting > 0) return false;
-  return report.state === "loading" || Object.keys(report.models).length === 0;
+/**
+ * True when it was ordered into the desired state since it was taken out. An
+ * order from before it was put back says nothing of what it does now.
+ */
+function isOrdered(engine: PlannedEngine): boolean {
+  const { ordered, desired, takenOutAt = Infinity } = engine;
+  return ordered !== undefined && ordered.at >= takenOutAt &&
+    isSameState(ordered.desired, desired);
+}
+
+function servesNothing({ report }: PlannedEngine): boolean {
+  return report?.state !== "ready" || Object.keys(report.models).length === 0;
 }
--- a/packages/kelpspar-standins/src/naive/naive_daemon.ts
+++ b/packages/kelpspar-standins/src/naive/naive_daemon.ts
@@ -50,6 +50,8 @@
         concurrency: 1,
       })),
     }),
+  "GET /v1/operator/configuration": async (_request, { view }) =>
+    reply(view.row),
   "POST /v1/operator/configuration": async (request, { view }) => {
     const { changeId, configuration } = await readJsonBody(request) as {
       readonly changeId: string;
--- a/packages/kelpspar-standins/src/naive/naive_view.ts
+++ b/packages/kelpspar-standins/src/naive/naive_view.ts
@@ -51,6 +51,11 @@
     return this.#configuration;
   }
 
+  /** The row as last read. */
+  get row(): NaiveRow | undefined {
+    return this.#row;
+  }
+
   get revision(): number {
     return this.#row?.revision ?? 0;
   }
