--- a/packages/kelpspar-daemon/src/__tests__/support/core_bench.ts
+++ b/packages/kelpspar-daemon/src/__tests__/support/core_bench.ts
@@ -3,7 +3,6 @@
 import type { TestPorts } from "./test_ports.ts";
 import type { RequestContext } from "../../requests/request_context.ts";
 import { invariant, ManualTimer, submitRequestSchema } from "kelpspar-shared";
-import { offerConfiguration } from "../../configuration/offer_configuration.ts";
 import { createCore } from "../../create_core.ts";
 import { createTestPorts } from "./test_ports.ts";
 import {
@@ -39,7 +38,7 @@
   const core = createCore({ settings, ports, port: () => 1 });
   const stop = core.start();
   const configuration = createConfiguration(options.configuration);
-  offerConfiguration(core.state, createRow(1, configuration));
+  core.keeper.offer(createRow(1, configuration), "table");
   core.state.update(() => ({ vms: ENDPOINT_VMS }));
   core.watch.replaceList();
   return {
--- /dev/null
+++ b/packages/kelpspar-daemon/src/__tests__/unit/request_service_test.ts
@@ -0,0 +1,216 @@
+import type { KelpsparError, SubmitRequest } from "kelpspar-shared";
+import type { RequestContext } from "../../requests/request_context.ts";
+import type { CoreBench } from "../support/core_bench.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { toKelpsparError } from "kelpspar-shared";
+import { createCoreBench } from "../support/core_bench.ts";
+import { createAccount } from "../support/test_site.ts";
+
+const DEADLINE_MILLISECONDS = 1_000;
+const ENCODE = {
+  service: "encode",
+  model: undefined,
+  exclude: new Set<string>(),
+};
+const BOOKING = { pipeline: "booking", idempotencyKey: "k" };
+
+async function withBench(
+  options: Parameters<typeof createCoreBench>[0],
+  run: (bench: CoreBench) => Promise<void>,
+): Promise<void> {
+  const bench = createCoreBench(options);
+  await run(bench);
+  await bench.stop();
+}
+
+const ENDINGS: Readonly<
+  Record<string, (bench: CoreBench, context: RequestContext) => void>
+> = {
+  deadline_exceeded: () => {},
+  cancelled: ({ core }, context) => core.requests.cancel(context, "a test"),
+  abandoned: ({ core }, context) => core.requests.readerLeft(context),
+};
+
+for (const [name, end] of Object.entries(ENDINGS)) {
+  test(`a call whose request is ${name} lets go of its endpoint`, () => {
+    // Symptom: after some deadlines a service answers nobody any more.
+    // Sequence: a call is in flight as its request's deadline passes, its
+    // caller cancels it, or its caller goes away.
+    // Cause: the stage threw before it released its permit, and told the
+    // endpoint nothing.
+    const settings = { limits: { abandonedGraceMilliseconds: 0 } };
+    return withBench({ settings }, async (bench) => {
+      const { core, ports, timer } = bench;
+      ports.endpoints.onCall = () => {};
+      const context = bench.submit({});
+      await timer.settle();
+      end(bench, context);
+      await timer.advance(1);
+      const { final } = context.log;
+      expect(final === undefined).toEqual(name === "deadline_exceeded");
+      await timer.advance(DEADLINE_MILLISECONDS);
+      expect({ ...context.log.final }).toLooseEqual(expect.subset({
+        result: name === "abandoned" ? "cancelled" : name,
+      }));
+      const [call] = ports.endpoints.calls;
+      expect(call?.options.signal.aborted).toEqual(true);
+      expect(ports.endpoints.cancelled).toEqual([call?.call.attemptId ?? ""]);
+      expect(inFlight(bench)).toEqual(0);
+      expect(core.scheduler.loadOf(ENCODE).utilization).toEqual(0);
+    });
+  });
+}
+
+test("a full queue refuses as overloaded, not run, with a time to return", () => {
+  const accounts = [
+    createAccount("large", 0.6),
+    { ...createAccount("small", 0.4), maximumQueuedRequests: 1 },
+  ];
+  return withBench({ configuration: { accounts } }, async (bench) => {
+    bench.ports.endpoints.onCall = () => {};
+    const finals = Array.from(
+      { length: 40 },
+      () => bench.submit({ deadlineMilliseconds: 60_000 }).log,
+    );
+    await bench.timer.advance(1);
+    const failures = finals.flatMap(({ final }) =>
+      final?.type === "failure" ? [final] : []
+    );
+    expect(failures.length > 0).toEqual(true);
+    for (const failure of failures) {
+      expect(failure.result).toEqual("overloaded");
+      expect(failure.outcome).toEqual("not_run");
+      expect(failure.retryAfterMilliseconds).toEqual(expect.a(Number));
+    }
+  });
+});
+
+test("a booking that outlives its deadline is found by its key, run once", () =>
+  // Symptom: a caller is told that the outcome is unknown and never learns
+  // that its booking was made, or books it a second time.
+  // Sequence: the booking's call is in flight at the deadline and answers
+  // after it; the caller looks its key up and then submits it again.
+  // Cause: a result that comes after the final record is dropped.
+  withBench({}, async (bench) => {
+    const { core, ports, timer } = bench;
+    ports.endpoints.onCall = (call) => {
+      if (call.call.stageId === "encode") call.answer("encoded");
+    };
+    const context = bench.submit(BOOKING);
+    await timer.advance(DEADLINE_MILLISECONDS);
+    expect({ ...context.log.final }).toLooseEqual(expect.subset({
+      result: "deadline_exceeded",
+      outcome: "outcome_unknown",
+    }));
+    const [call] = ports.endpoints.callsOf("book");
+    expect(call?.options.signal.aborted).toEqual(false);
+    call?.answer("booked");
+    await timer.advance(100);
+    const found = await core.lookup.find(
+      context.account,
+      BOOKING.idempotencyKey,
+    );
+    expect("result" in found && "text" in found.result && found.result.text)
+      .toEqual("booked");
+    const again = bench.submit({ ...BOOKING, resubmission: true });
+    expect([again.log.text(), again.log.final?.type]).toEqual([
+      "booked",
+      "end",
+    ]);
+    expect(ports.endpoints.callsOf("book").length).toEqual(1);
+    expect(core.claims.open).toEqual(0);
+  }));
+
+test("a refusal of a resubmission never says that nothing was run", () =>
+  // Symptom: a caller that was told "not run" books anew, and two trucks come.
+  // Sequence: a booking's first submission got no answer; the second one is
+  // refused, for whatever reason.
+  // Cause: the daemon that refuses knows only of its own submission.
+  withBench({ settings: { limits: { maximumRequests: 1 } } }, async (bench) => {
+    const { core } = bench;
+    const refusals: Partial<SubmitRequest>[] = [
+      { pipeline: "none" },
+      { pipeline: "large-only" },
+      { deadlineMilliseconds: 0 },
+      { idempotencyKey: "@other/0.k" },
+      { idempotencyKey: "@malformed/k" },
+    ];
+    const check = (request: Partial<SubmitRequest>): string => {
+      const first = refusalOf(bench, request);
+      const again = refusalOf(bench, { ...request, resubmission: true });
+      expect(again.result).toEqual(first.result);
+      expect(again.outcome).toEqual("outcome_unknown");
+      return first.result;
+    };
+    expect(refusals.map(check)).toEqual([
+      "unknown_pipeline",
+      "not_allowed",
+      "deadline_out_of_range",
+      "wrong_daemon",
+      "malformed_request",
+    ]);
+    bench.ports.endpoints.onCall = () => {};
+    bench.submit({ deadlineMilliseconds: 60_000 });
+    expect(check(BOOKING)).toEqual("overloaded");
+    core.state.update(() => ({ isLeaving: true }));
+    expect(check(BOOKING)).toEqual("draining");
+  }));
+
+test("a hedge that runs is not given up when the first call fails", () =>
+  // Symptom: a request fails, or takes three calls, although one is under way.
+  // Sequence: a call is late, a second one is made elsewhere, and then the
+  // endpoint of the first one dies.
+  // Cause: the first call's failure ended the race, and the hedge with it.
+  withBench({}, async (bench) => {
+    const { ports, timer } = bench;
+    await warmUp(bench);
+    const known = ports.endpoints.calls.length;
+    ports.endpoints.onCall = () => {};
+    const context = bench.submit({ deadlineMilliseconds: 10_000 });
+    await timer.advance(200);
+    const [first, hedge] = ports.endpoints.calls.slice(known);
+    expect(hedge?.endpoint.endpointId === first?.endpoint.endpointId)
+      .toEqual(false);
+    first?.fail(new Error("reset"));
+    await timer.advance(10);
+    hedge?.answer("hedged");
+    await timer.advance(10);
+    expect([context.log.text(), context.log.final?.type])
+      .toEqual(["hedged", "end"]);
+    expect(ports.endpoints.calls.length - known).toEqual(2);
+    expect(inFlight(bench)).toEqual(0);
+  }));
+
+/** Slow calls, so that later ones are in time; then enough to earn a hedge. */
+async function warmUp(bench: CoreBench): Promise<void> {
+  const { ports, timer } = bench;
+  for (let round = 0; round < 100; round++) {
+    const milliseconds = round < 49 ? 20 : 1;
+    ports.endpoints.onCall = (call) => {
+      timer.registerTimeout(() => call.answer("warm"), milliseconds);
+    };
+    const context = bench.submit({});
+    await timer.advance(20);
+    expect(context.log.text()).toEqual("warm");
+  }
+}
+
+function refusalOf(
+  bench: CoreBench,
+  request: Partial<SubmitRequest>,
+): KelpsparError {
+  try {
+    bench.submit(request);
+  } catch (thrown) {
+    return toKelpsparError(thrown);
+  }
+  throw new Error(`Not refused: ${JSON.stringify(request)}`);
+}
+
+function inFlight({ core, timer }: CoreBench): number {
+  return core.parts.registry.status(timer.now()).reduce(
+    (sum, status) => sum + status.inFlight,
+    0,
+  );
+}
--- a/packages/kelpspar-daemon/src/actors/configuration_role.ts
+++ b/packages/kelpspar-daemon/src/actors/configuration_role.ts
@@ -44,10 +44,12 @@
     handlers: {
       poll: async () => {
         const { store, drains, takenOut } = options;
-        const [current = null, drained = null, out = null] = await options
-          .table.read([store.key, drains.key, takenOut.key]);
+        const known = keeper.revision;
+        const [next = null, drained = null, out = null] = await options
+          .table.read([store.keyAfter(known), drains.key, takenOut.key]);
         takeDrains(options, { drained, out });
-        const stored = store.parse(current);
+        if (next === null) return null;
+        const stored = known === 0 ? store.parse(next) : await store.read();
         if (stored.row !== undefined) keeper.offer(stored.row, "table");
         return null;
       },
--- a/packages/kelpspar-daemon/src/actors/fleet_role.ts
+++ b/packages/kelpspar-daemon/src/actors/fleet_role.ts
@@ -28,7 +28,11 @@
 
 type FleetCommand =
   | { readonly type: "exchange" }
-  | { readonly type: "fetch"; readonly peer: PeerAddress };
+  | {
+    readonly type: "fetch";
+    readonly peer: PeerAddress;
+    readonly revision: number;
+  };
 
 /**
  * Exchanges digests with the peers, and fetches from them a configuration
@@ -44,7 +48,7 @@
       const { revision, daemonId } = answer.member;
       if (revision > options.revision()) {
         options.noteProof(revision, daemonId);
-        send({ type: "fetch", peer });
+        send({ type: "fetch", peer, revision });
       }
     } catch {
       // Silence is what the membership judges; it needs no line in the log.
@@ -65,7 +69,9 @@
         await exchangeWithAll();
         return null;
       },
-      fetch: async (_state, { peer }) => {
+      fetch: async (_state, { peer, revision }) => {
+        // Every peer proves a new revision; one of them is asked.
+        if (options.revision() >= revision) return null;
         const row = await peers.configuration(peer);
         if (row !== null) options.offer(row);
         return null;
--- a/packages/kelpspar-daemon/src/configuration/configuration_keeper.ts
+++ b/packages/kelpspar-daemon/src/configuration/configuration_keeper.ts
@@ -34,11 +34,15 @@
     this.#options = options;
   }
 
+  /** The revision in force here; 0 before the first. */
+  get revision(): number {
+    return this.#tracker.current?.revision ?? 0;
+  }
+
   /** Takes a revision with its content. */
   offer(row: ConfigurationRow, source: "table" | "peer"): void {
     const { state, timer, onInForce, onNotUnderstood } = this.#options;
-    const known = this.#tracker.current?.revision ?? 0;
-    if (row.revision <= known) return;
+    if (row.revision <= this.revision) return;
     const parsed = parseConfiguration(row.configuration);
     if (!parsed.ok) {
       onNotUnderstood(row.revision);
--- a/packages/kelpspar-daemon/src/configuration/configuration_store.ts
+++ b/packages/kelpspar-daemon/src/configuration/configuration_store.ts
@@ -1,4 +1,4 @@
-import type { TableRow, TableService } from "kelpspar-platform";
+import type { TableKey, TableRow, TableService } from "kelpspar-platform";
 import type { ConfigurationRow } from "./configuration_row.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { configurationRowSchema } from "./configuration_row.ts";
@@ -22,9 +22,14 @@
     this.#table = options.table;
   }
 
-  /** The name of the newest revision's row, to be read along with others. */
-  get key(): { readonly table: string; readonly key: string } {
-    return { table: TABLE, key: CURRENT_KEY };
+  /**
+   * Which row to poll, along with others: that of the next revision, which is
+   * absent until there is one. Were the newest revision's own row polled, every
+   * daemon would read the whole configuration again every few seconds.
+   */
+  keyAfter(revision: number): TableKey {
+    const key = revision === 0 ? CURRENT_KEY : revisionKey(revision + 1);
+    return { table: TABLE, key };
   }
 
   /** Understands a row. Throws `table_unavailable` when it cannot. */
@@ -34,42 +39,12 @@
 
   /** Reads the newest revision. Throws `table_unavailable`. */
   async read(): Promise<StoredConfiguration> {
-    const [row] = await this.#table.read([this.key]);
+    const [row] = await this.#table.read([
+      { table: TABLE, key: CURRENT_KEY },
+    ]);
     return toStored(row ?? null);
   }
 
-  /**
-   * Writes a revision on top of `before`, and its history row with it, in one
-   * transaction. Returns the conflicting newest row, or undefined when it was
-   * committed. Throws `table_unavailable` or `write_unknown`.
-   */
-  async write(
-    row: ConfigurationRow,
-    before: StoredConfiguration,
-  ): Promise<StoredConfiguration | undefined> {
-    const result = await this.#table.commit({
-      writes: [
-        {
-          table: TABLE,
-          key: CURRENT_KEY,
-          value: row,
-          expectedVersion: before.version,
-        },
-        {
-          table: TABLE,
-          key: revisionKey(row.revision),
-          value: row,
-          expectedVersion: 0,
-        },
-      ],
-    });
-    if (result.committed) return undefined;
-    const conflict = result.conflicts.find((found) =>
-      found.key === CURRENT_KEY
-    );
-    return conflict === undefined ? this.read() : toStored(conflict.row);
-  }
-
   /** Reads one accepted revision; undefined when there is none. */
   async readRevision(revision: number): Promise<ConfigurationRow | undefined> {
     const key = revisionKey(revision);
--- a/packages/kelpspar-daemon/src/create_core.ts
+++ b/packages/kelpspar-daemon/src/create_core.ts
@@ -113,6 +113,7 @@
     address: settings.address,
     port: options.port,
     availabilityZone,
+    digestMilliseconds: settings.intervals.digestMilliseconds,
     state,
     parts,
     scheduler,
--- a/packages/kelpspar-daemon/src/fleet/fleet.ts
+++ b/packages/kelpspar-daemon/src/fleet/fleet.ts
@@ -6,6 +6,9 @@
 import { answerAddresses, redirectCaller } from "kelpspar-decisions/directory";
 import { DaemonMembership } from "kelpspar-decisions/membership";
 
+/** So many digests missed in a row make a daemon suspect. */
+const DIGESTS_UNTIL_SUSPECT = 4;
+
 /** This daemon among the others: whom it knows, and what it tells them. */
 export class Fleet {
   readonly #options: FleetOptions;
@@ -18,6 +21,8 @@
     this.#membership = new DaemonMembership({
       daemonId: options.daemonId,
       availabilityZone: options.availabilityZone,
+      suspectAfterMilliseconds: DIGESTS_UNTIL_SUSPECT *
+        options.digestMilliseconds,
     });
   }
 
--- a/packages/kelpspar-daemon/src/fleet/fleet_options.ts
+++ b/packages/kelpspar-daemon/src/fleet/fleet_options.ts
@@ -13,6 +13,7 @@
   /** The port that callers and daemons connect to, once it is known. */
   readonly port: () => number;
   readonly availabilityZone: string;
+  readonly digestMilliseconds: number;
   readonly state: StateStore<DaemonState>;
   readonly parts: DecisionParts;
   readonly scheduler: FairScheduler;
--- a/packages/kelpspar-daemon/src/front/caller_routes.ts
+++ b/packages/kelpspar-daemon/src/front/caller_routes.ts
@@ -1,4 +1,8 @@
-import type { AddressAnswer, TimerService } from "kelpspar-shared";
+import type {
+  AddressAnswer,
+  SubmitRequest,
+  TimerService,
+} from "kelpspar-shared";
 import type { AccountConfiguration } from "kelpspar-configuration";
 import type { KeyLookup } from "../requests/key_lookup.ts";
 import type { RequestContext } from "../requests/request_context.ts";
@@ -8,6 +12,7 @@
 import type { HttpExchange } from "./http_exchange.ts";
 import type { Route } from "./route.ts";
 import { KelpsparError, submitRequestSchema } from "kelpspar-shared";
+import { withoutProof } from "../requests/request_outcome.ts";
 import { toStoredAnswer } from "../requests/stored_answer.ts";
 import { bearerKey } from "./bearer_key.ts";
 import { parseJsonBody, readBody } from "./read_json_body.ts";
@@ -76,28 +81,40 @@
   exchange: HttpExchange,
   options: CallerRoutesOptions,
 ): Promise<void> {
+  if (options.configuration.current() === undefined) {
+    // Whose key it is cannot be told, but whether the request may have run
+    // before can be, and the refusal must not deny it.
+    const { resubmission } = await readSubmission(exchange, options);
+    const error = noConfigurationError();
+    throw resubmission ? withoutProof(error) : error;
+  }
   const account = authenticate(exchange, options);
+  const request = await readSubmission(exchange, options);
+  await options.whenSettled();
+  // A caller that left meanwhile is served for nobody.
+  if (exchange.response.destroyed) return;
+  const context = options.requests.submit(account, request);
+  follow(exchange, options, { context, offset: request.resumeOffset });
+}
+
+async function readSubmission(
+  exchange: HttpExchange,
+  options: CallerRoutesOptions,
+): Promise<SubmitRequest> {
   const text = await readBody(exchange.request, {
     maximumBytes: options.maximumBodyBytes,
     timeoutMilliseconds: options.bodyTimeoutMilliseconds,
     timer: options.timer,
   });
   const parsed = submitRequestSchema.safeParse(parseJsonBody(text));
-  if (!parsed.success) {
-    const problems = parsed.error.issues.map((issue) =>
-      `${issue.path.join(".") || "(root)"}: ${issue.message}`
-    );
-    throw new KelpsparError(
-      "malformed_request",
-      `Cannot take the request: ${problems.join("; ")}`,
-    );
-  }
-  await options.whenSettled();
-  const context = options.requests.submit(account, parsed.data);
-  follow(exchange, options, {
-    context,
-    offset: parsed.data.resumeOffset,
-  });
+  if (parsed.success) return parsed.data;
+  const problems = parsed.error.issues.map((issue) =>
+    `${issue.path.join(".") || "(root)"}: ${issue.message}`
+  );
+  throw new KelpsparError(
+    "malformed_request",
+    `Cannot take the request: ${problems.join("; ")}`,
+  );
 }
 
 async function attach(
@@ -171,10 +188,7 @@
   options: CallerRoutesOptions,
 ): AccountConfiguration {
   if (options.configuration.current() === undefined) {
-    throw new KelpsparError(
-      "no_configuration",
-      "The daemon has no configuration yet",
-    );
+    throw noConfigurationError();
   }
   const key = bearerKey(exchange.request);
   const account = key === undefined
@@ -187,6 +201,13 @@
   );
 }
 
+function noConfigurationError(): KelpsparError {
+  return new KelpsparError(
+    "no_configuration",
+    "The daemon has no configuration yet",
+  );
+}
+
 function findRequest(
   exchange: HttpExchange,
   options: CallerRoutesOptions,
--- a/packages/kelpspar-daemon/src/operators/configuration_applier.ts
+++ b/packages/kelpspar-daemon/src/operators/configuration_applier.ts
@@ -16,6 +16,7 @@
   toApplyEvent,
   toFoundRevision,
 } from "kelpspar-decisions/revisions";
+import { ConfigurationStore } from "../configuration/configuration_store.ts";
 import { KelpsparError, toKelpsparError } from "kelpspar-shared";
 
 const PATIENCE_MILLISECONDS = 5_000;
@@ -44,9 +45,11 @@
  */
 export class ConfigurationApplier {
   readonly #options: ConfigurationApplierOptions;
+  readonly #store: ConfigurationStore;
 
   constructor(options: ConfigurationApplierOptions) {
     this.#options = options;
+    this.#store = new ConfigurationStore(options);
   }
 
   /** Throws `revision_conflict`, `store_unavailable` or `apply_unconfirmed`. */
@@ -57,11 +60,25 @@
       configuration: change.configuration,
     };
     const outcome = await this.#run(await this.#begin(change, fields));
-    if (outcome.type === "accepted") {
-      const { revision } = outcome;
-      return { ...fields, revision, changeId: change.changeId };
-    }
-    throw toError(change, outcome);
+    if (outcome.type !== "accepted") throw toError(change, outcome);
+    return await this.#readAccepted(change, outcome.revision);
+  }
+
+  /**
+   * Reads back what was accepted: a change id that was used before names what
+   * was accepted then, whatever stands in this one.
+   */
+  async #readAccepted(
+    change: ConfigurationChangeRequest,
+    revision: number,
+  ): Promise<ConfigurationRow> {
+    const row = await this.#store.readRevision(revision)
+      .catch(() => undefined);
+    if (row !== undefined) return row;
+    throw new KelpsparError(
+      "apply_unconfirmed",
+      `Change "${change.changeId}" was accepted as revision ${revision}, but could not be read back`,
+    );
   }
 
   async #begin(
--- a/packages/kelpspar-daemon/src/orders/engine_group.ts
+++ b/packages/kelpspar-daemon/src/orders/engine_group.ts
@@ -35,7 +35,6 @@
       holder: options.incarnation,
       table: options.table,
       timer: options.timer,
-      hasUncheckedEndpoints: this.#engines().some((vm) => !vm.checksFencing),
     });
   }
 
--- a/packages/kelpspar-daemon/src/orders/group_lease.ts
+++ b/packages/kelpspar-daemon/src/orders/group_lease.ts
@@ -21,7 +21,6 @@
   readonly holder: string;
   readonly table: TableService;
   readonly timer: TimerService;
-  readonly hasUncheckedEndpoints: boolean;
 }
 
 /**
@@ -34,10 +33,11 @@
 
   constructor(options: GroupLeaseOptions) {
     this.#options = options;
-    const { hasUncheckedEndpoints } = options;
+    // Engines that ignore fencing numbers may be listed at any time, so every
+    // taker waits as they need: one longest order more, when a holder dies.
     this.#state = watchLease(options.holder, {
       now: options.timer.now(),
-      terms: { hasUncheckedEndpoints },
+      terms: { hasUncheckedEndpoints: true },
     });
   }
 
--- a/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
+++ b/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
@@ -10,6 +10,7 @@
 import { KelpsparError } from "kelpspar-shared";
 import { configurationRowSchema } from "../configuration/configuration_row.ts";
 import { Agent, fetch as undiciFetch } from "undici";
+import { peerDigestSchema } from "./peer_digest.ts";
 import { PEER_PATH, PEER_SECRET_HEADER } from "./peer_protocol.ts";
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 400;
@@ -46,16 +47,21 @@
   exchange(peer: PeerAddress, digest: PeerDigest): Promise<PeerDigest> {
     return this.#call(
       peer,
-      (client, signal) => client.exchange.mutate(digest, { signal }),
+      async (client, signal) =>
+        peerDigestSchema.parse(
+          await client.exchange.mutate(digest, { signal }),
+        ),
     );
   }
 
-  async configuration(peer: PeerAddress): Promise<ConfigurationRow | null> {
-    const row = await this.#call(
+  configuration(peer: PeerAddress): Promise<ConfigurationRow | null> {
+    return this.#call(
       peer,
-      (client, signal) => client.configuration.query(undefined, { signal }),
+      async (client, signal) =>
+        configurationRowSchema.nullable().parse(
+          await client.configuration.query(undefined, { signal }),
+        ),
     );
-    return row === null ? null : configurationRowSchema.parse(row);
   }
 
   askClaim(peer: PeerAddress, inquiry: ClaimInquiry): Promise<OwnerAnswer> {
--- a/packages/kelpspar-daemon/src/requests/request_outcome.ts
+++ b/packages/kelpspar-daemon/src/requests/request_outcome.ts
@@ -23,11 +23,24 @@
   error: KelpsparError,
   context: RequestContext,
 ): KelpsparError {
+  return withOutcome(error, outcomeOf(context));
+}
+
+/**
+ * The same failure for a request of which an earlier submission got no answer:
+ * that nothing ran is then proved of this submission only.
+ */
+export function withoutProof(error: KelpsparError): KelpsparError {
+  return error.outcome === "not_run"
+    ? withOutcome(error, "outcome_unknown")
+    : error;
+}
+
+function withOutcome(error: KelpsparError, outcome: Outcome): KelpsparError {
+  const { retryAfterMilliseconds } = error;
   return new ResultError(error.result, error.message, {
-    outcome: outcomeOf(context),
+    outcome,
     cause: error,
-    ...(error.retryAfterMilliseconds === undefined
-      ? {}
-      : { retryAfterMilliseconds: error.retryAfterMilliseconds }),
+    ...(retryAfterMilliseconds === undefined ? {} : { retryAfterMilliseconds }),
   });
 }
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -29,7 +29,11 @@
 } from "./final_records.ts";
 import { FREE_ONCE_GUARD } from "./once_guard.ts";
 import { onceStages } from "./once_stages.ts";
-import { outcomeOf, withProvedOutcome } from "./request_outcome.ts";
+import {
+  outcomeOf,
+  withoutProof,
+  withProvedOutcome,
+} from "./request_outcome.ts";
 import { fillFromStored } from "./stored_answer.ts";
 import { answerSettlement } from "./settlement_outcome.ts";
 
@@ -286,17 +290,6 @@
   "idempotency_key_reused",
 ]);
 
-function withoutProof(error: KelpsparError): KelpsparError {
-  if (error.outcome !== "not_run") return error;
-  return new ResultError(error.result, error.message, {
-    outcome: "outcome_unknown",
-    cause: error,
-    ...(error.retryAfterMilliseconds === undefined
-      ? {}
-      : { retryAfterMilliseconds: error.retryAfterMilliseconds }),
-  });
-}
-
 function deadlineError(context: RequestContext): KelpsparError {
   return new ResultError(
     "deadline_exceeded",
--- a/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
+++ b/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
@@ -13,6 +13,7 @@
 import type { NoEndpointReason, WaitingCall } from "./service_gate.ts";
 import {
   computeFleetShares,
+  EMPTY_DEMAND,
   FairQueue,
   findServiceDemand,
 } from "kelpspar-decisions/fairness";
@@ -54,6 +55,8 @@
   readonly #gates = new Map<string, ServiceGate>();
   readonly #demand = new DemandMeter();
   #ticks = 0;
+  /** The peers' demand, merged once for all services. */
+  #peers = EMPTY_DEMAND;
 
   constructor(options: FairSchedulerOptions) {
     this.#options = options;
@@ -285,16 +288,17 @@
 
   #tick(): void {
     this.#ticks++;
-    const isTimeForShares = this.#ticks % SHARES_EVERY_TICKS === 0;
-    for (const [serviceId, gate] of this.#gates) {
-      if (isTimeForShares) this.#setShares(serviceId, gate);
-      gate.pump();
+    if (this.#ticks % SHARES_EVERY_TICKS === 0) {
+      const { parts, timer } = this.#options;
+      this.#peers = parts.fleet.peers(timer.now());
+      for (const [id, gate] of this.#gates) this.#setShares(id, gate);
     }
+    for (const gate of this.#gates.values()) gate.pump();
   }
 
   #setShares(serviceId: string, gate: ServiceGate): void {
-    const { parts, configuration, timer } = this.#options;
-    const peers = parts.fleet.peers(timer.now());
+    const { configuration } = this.#options;
+    const peers = this.#peers;
     const shares = new Map(
       [...configuration.accounts()].map(([id, account]) => [id, account.share]),
     );
--- a/packages/kelpspar-decisions/src/__tests__/unit/leases_model_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/leases_model_test.ts
@@ -46,8 +46,14 @@
   readonly row: LeaseRow;
   readonly expectedVersion: number;
   readonly isAwaited: boolean;
+  /** The answer that is on its way back, once the write arrived. */
+  readonly answer?: LeaseAnswer;
 }
 
+type LeaseAnswer =
+  | { readonly type: "committed"; readonly version: number }
+  | { readonly type: "conflict"; readonly found: FoundLease | null };
+
 interface Allowed {
   readonly at: number;
   readonly fencingNumber: number;
@@ -112,33 +118,39 @@
     : next.fencingNumber <= old.fencingNumber;
 }
 
+function deliver(model: Model, sent: Sent): readonly [Model, LeaseAnswer] {
+  const { row, expectedVersion } = sent;
+  const { found } = model;
+  if ((found?.version ?? 0) !== expectedVersion) {
+    return [model, { type: "conflict", found }];
+  }
+  const version = expectedVersion + 1;
+  const fault = isShared(found?.row, row) ? "shared number" : "";
+  const next = { ...model, found: { row, version }, fault };
+  return [next, { type: "committed", version }];
+}
+
 function* networkMoves(model: Model): Generator<Model> {
   for (const [index, sent] of model.network.entries()) {
-    const { from, row } = sent;
+    const { from, answer } = sent;
     const others = model.network.filter((_, at) => at !== index);
-    const version = model.found?.version ?? 0;
-    const isTaken = version === sent.expectedVersion;
-    const found = isTaken ? { row, version: version + 1 } : model.found;
-    const fault = isTaken && isShared(model.found?.row, row) ? "shared" : "";
-    const arrived = { ...model, network: others, found, fault };
-    if (!sent.isAwaited) {
-      yield arrived;
-      continue;
-    }
-    if (model.holders[from]?.isPaused) continue;
+    const gone = { ...model, network: others };
     const now = clockOf(from, model.time);
-    yield isTaken
-      ? advance(arrived, from, { type: "committed", now, version: version + 1 })
-      : advance(arrived, from, { type: "conflict", now, found: model.found });
-    if (model.lose === 0) continue;
-    const lose = model.lose - 1;
-    yield advance({ ...arrived, lose }, from, { type: "unknown", now });
-    const late = {
-      ...model,
-      lose,
-      network: [...others, { ...sent, isAwaited: false }],
-    };
-    yield advance(late, from, { type: "unknown", now });
+    const isReachable = model.holders[from]?.isPaused === false;
+    if (answer !== undefined) {
+      if (isReachable) yield advance(gone, from, { ...answer, now });
+    } else {
+      const [arrived, next] = deliver(gone, sent);
+      const network = sent.isAwaited
+        ? [...others, { ...sent, answer: next }]
+        : others;
+      yield { ...arrived, network };
+    }
+    if (model.lose === 0 || !sent.isAwaited || !isReachable) continue;
+    const late = { ...sent, isAwaited: false };
+    const network = answer === undefined ? [...others, late] : others;
+    const lost = { ...model, network, lose: model.lose - 1 };
+    yield advance(lost, from, { type: "unknown", now });
   }
 }
 
@@ -205,7 +217,7 @@
     one === null
       ? ""
       : "isAwaited" in one
-      ? `${one.from}${one.row.holder}${one.row.fencingNumber}.${one.expectedVersion}${one.isAwaited}`
+      ? `${one.from}${one.row.holder}${one.row.fencingNumber}.${one.expectedVersion}${one.isAwaited}${one.answer?.type}`
       : `${one.row.holder}${one.row.fencingNumber}.${one.version}`
   );
   const states = holders.map(({ state, isPaused }) => {
@@ -323,8 +335,13 @@
 // Sequence: a VM is suspended, and its monotonic clock with it, or a process
 //   wakes and sends before its first tick.
 // Cause: the monotonic clock alone says that no time has passed.
-test("a pause that only the wall clock shows drops the lease", () => {
-  const held = { fencingNumber: 1, version: 1, heldUntil: 900, renewAt: 800 };
+test("a pause drops the lease, also one that only the wall clock shows", () => {
+  const held = {
+    fencingNumber: 1,
+    version: 1,
+    heldUntil: 9_000,
+    renewAt: 8_000,
+  };
   const watched = watchLease("a", { now: 0 });
   const state = advanceLease({ ...watched, held }, {
     type: "tick",
@@ -334,6 +351,8 @@
   expect(fencingNumberForOrder(state, 200)).toEqual(1);
   expect(fencingNumberForOrder({ ...state, lastTickAt: -950 }, 200))
     .toEqual(undefined);
+  const gap = advanceLease(state, { type: "tick", now: 1_200 });
+  expect(gap.actions).toEqual([{ type: "lost" }]);
   const resumed = { type: "tick", now: 200, wallClock: 25_100 } as const;
   const { actions } = advanceLease(state, resumed);
   expect(actions).toEqual([{ type: "lost" }]);
--- a/packages/kelpspar-decisions/src/__tests__/unit/leases_planner_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/leases_planner_test.ts
@@ -6,7 +6,6 @@
 import { SeededRandom } from "kelpspar-shared";
 import {
   grantKey,
-  isAsDesired,
   listMissingLoads,
   planEngineTargets,
   planOrders,
@@ -166,6 +165,8 @@
     }
     if (step.type !== "order") return;
     expect(engine.takenOutAt === undefined).toEqual(false);
+    const orderedAt = engine.ordered?.at ?? -Infinity;
+    expect(this.now - orderedAt >= TIMES.reportMilliseconds).toEqual(true);
     expect(engine.real.running).toEqual(0);
     for (const key of step.grants) {
       const left = (this.grants.get(key) ?? 0) - 1;
@@ -193,7 +194,7 @@
     const index = this.random.nextInteger(this.engines.length * 6);
     const engine = this.engines[index];
     if (engine !== undefined) {
-      const models = { m: this.random.nextInteger(2) === 0 ? "1" : "0" };
+      const models = { m: String(this.random.nextInteger(3)) };
       engine.real = { ...engine.real, running: 0 };
       this.order(engine, { models, adapters: [], role: "any" });
     } else if (index % 23 === 0) {
@@ -205,10 +206,11 @@
   }
 
   isSettled(): boolean {
-    return this.engines.every((engine) =>
-      engine.takenOutAt === undefined &&
-      isAsDesired(engine.real, this.targets.get(engine.endpointId) ?? OLD)
-    );
+    return this.engines.every(({ endpointId, takenOutAt, real }) => {
+      const isRight = real.models["m"] === "2" && real.adapters[0] === "x" &&
+        real.role === this.targets.get(endpointId)?.role;
+      return isRight && real.state === "ready" && takenOutAt === undefined;
+    });
   }
 }
 
@@ -233,3 +235,56 @@
     { numRuns: 1_000, seed: 41 },
   );
 });
+
+const WANTED: DesiredEngineState = { ...OLD, models: { m: "2" } };
+
+function createEngine(changes: Partial<PlannedEngine>): PlannedEngine {
+  return {
+    endpointId: "e",
+    availabilityZone: "z",
+    desired: WANTED,
+    report: createReport(OLD),
+    reportAt: 0,
+    inFlight: 0,
+    ...changes,
+  };
+}
+
+function plan(
+  engines: readonly PlannedEngine[],
+  options: { readonly now: number; readonly floor: number },
+): readonly PlannerStep[] {
+  const minimumReady = new Map([["m", options.floor]]);
+  const grants = new Map([["m@2", 9]]);
+  const input = { now: options.now, engines, minimumReady, grants };
+  return planOrders(input, TIMES);
+}
+
+test("an engine that loads for too long is ordered again", () => {
+  const report: LoadReport = { ...createReport(OLD), state: "loading" };
+  const ordered = { desired: WANTED, at: 10 };
+  const stuck = createEngine({ report, ordered, takenOutAt: 5 });
+  const other = createEngine({ endpointId: "f" });
+  const before = plan([stuck, other], { now: 59, floor: 0 });
+  expect(before.map(({ type }) => type)).toEqual(["wait", "wait"]);
+  // Its zone stays closed, so that a version that cannot load goes no further.
+  const after = plan([stuck, other], { now: 60, floor: 0 });
+  expect(after.map(({ type }) => type)).toEqual(["order", "wait"]);
+});
+
+// Symptom: a model has fewer ready engines than its floor.
+// Sequence: one engine is taken out to drain, and another one fails.
+// Cause: the drained engine still serves, but nobody may send to it.
+test("a draining engine that the floor needs is put back", () => {
+  const draining = createEngine({ takenOutAt: 5 });
+  expect(plan([draining], { now: 6, floor: 1 }))
+    .toEqual([{ type: "put_back", endpointId: "e" }]);
+  const ordered = { desired: WANTED, at: 6 };
+  expect(plan([{ ...draining, ordered }], { now: 7, floor: 1 }))
+    .toEqual([{ type: "wait", endpointId: "e", reason: "loading" }]);
+});
+
+test("a leaving engine is left alone", () => {
+  const report: LoadReport = { ...createReport(OLD), state: "leaving" };
+  expect(plan([createEngine({ report })], { now: 6, floor: 0 })).toEqual([]);
+});
--- a/packages/kelpspar-decisions/src/fairness/fair_queue.ts
+++ b/packages/kelpspar-decisions/src/fairness/fair_queue.ts
@@ -15,7 +15,6 @@
  * would never move their account's virtual time, and so shut out the others.
  */
 const SMALLEST_COST = 1;
-const SMALLEST_CONCURRENCY = 1e-3;
 const DEFAULT_TOTAL_BYTES = 32 * 1024 * 1024;
 /** Memory a waiting call holds beside its input, bytes. */
 const BYTES_PER_ENTRY = 1_024;
@@ -91,7 +90,7 @@
    * time, by `SlotPace`. Only estimates of waits use it.
    */
   setConcurrency(concurrency: number): void {
-    this.#concurrency = Math.max(SMALLEST_CONCURRENCY, concurrency);
+    this.#concurrency = concurrency > 0 ? concurrency : 1;
   }
 
   /**
--- /dev/null
+++ b/packages/kelpspar-platform/src/__tests__/unit/http_table_service_test.ts
@@ -0,0 +1,81 @@
+import type { ScriptedAnswer } from "../support/scripted_server.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { ManualTimer, toKelpsparError } from "kelpspar-shared";
+import { HttpTableService } from "../../mod.ts";
+import {
+  findClosedPort,
+  json,
+  reset,
+  ScriptedServer,
+  silence,
+} from "../support/scripted_server.ts";
+
+const TIMEOUT_MILLISECONDS = 1_000;
+const KEY = { table: "t", key: "k" };
+const WRITE = { writes: [{ ...KEY, value: 1, expectedVersion: 0 }] };
+const CONFLICT = { committed: false, conflicts: [{ ...KEY, row: null }] };
+
+/** What becomes of a commit and of a read whose answer is this. */
+const CASES: readonly (readonly [string, ScriptedAnswer, string, string])[] = [
+  ["429", json({}, 429), "table_unavailable", "table_unavailable"],
+  ["503", json({}, 503), "table_unavailable", "table_unavailable"],
+  ["a reset", reset, "write_unknown", "table_unavailable"],
+  ["silence", silence, "write_unknown", "table_unavailable"],
+];
+
+for (const [name, answer, commit, read] of CASES) {
+  test(`a write answered by ${name} is ${commit}, a read ${read}`, async () => {
+    // Symptom: a write that took effect is taken for one that did not, and is
+    // made again.
+    // Sequence: the table commits, and its answer does not come.
+    // Cause: a lost answer is no refusal; only the table's own word is.
+    const server = await ScriptedServer.start();
+    const timer = new ManualTimer();
+    const table = new HttpTableService({ origin: server.origin, timer });
+    server.answer = answer;
+    const calls = [
+      () => table.commit(WRITE),
+      () => table.read([KEY]),
+      () => table.scan({ table: "t", prefix: "", limit: 1 }),
+    ];
+    const results: string[] = [];
+    for (const [index, call] of calls.entries()) {
+      const result = resultOf(call());
+      await server.untilSeen(index + 1);
+      if (answer === silence) await timer.advance(TIMEOUT_MILLISECONDS);
+      results.push(await result);
+    }
+    expect(results).toEqual([commit, read, read]);
+    await table.close();
+    await server.close();
+  });
+}
+
+test("committed, in conflict and never sent are told apart", async () => {
+  const server = await ScriptedServer.start();
+  const timer = new ManualTimer();
+  const table = new HttpTableService({ origin: server.origin, timer });
+  const committed = { committed: true, versions: [1] } as const;
+  server.answer = json(committed);
+  expect(await table.commit(WRITE)).toEqual(committed);
+  server.answer = json(CONFLICT, 409);
+  expect(await table.commit(WRITE)).toLooseEqual(CONFLICT);
+  expect(server.seen.map(({ path }) => path))
+    .toEqual(["/v1/transactions", "/v1/transactions"]);
+  await table.close();
+  await server.close();
+  const origin = `http://127.0.0.1:${await findClosedPort()}`;
+  const nobody = new HttpTableService({ origin, timer });
+  expect(await resultOf(nobody.commit(WRITE))).toEqual("table_unavailable");
+  await nobody.close();
+});
+
+async function resultOf(call: Promise<unknown>): Promise<string> {
+  try {
+    await call;
+  } catch (thrown) {
+    return toKelpsparError(thrown).result;
+  }
+  return "ok";
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/checks/find_false_refusals.ts
@@ -0,0 +1,45 @@
+import type { Attempt } from "../world/callers/attempt.ts";
+import type { Submission } from "../world/callers/submission.ts";
+import type { World } from "../world/world.ts";
+import { executionsWithEffect } from "./executions_with_effect.ts";
+
+/**
+ * Refusals that said `not_run` of a request that ran, before or after. A
+ * refusal speaks of its own submission to a daemon and of the earlier ones of
+ * the same key that its caller told the daemon of (`resubmission`); what the
+ * caller sends later is not spoken of.
+ */
+export function findFalseRefusals(world: World): readonly string[] {
+  return world.callers.submissions.flatMap((submission) =>
+    submission.attempts.flatMap((attempt) => {
+      if (!saysNotRun(attempt)) return [];
+      const spokenOf = requestIdsUpTo(submission, attempt);
+      const execution = executionsWithEffect(world, submission).find(
+        ({ call }) => spokenOf.has(call.requestId),
+      );
+      if (execution === undefined) return [];
+      return [
+        `${submission.token} was refused by ${attempt.daemon.daemonId} at ${
+          Math.round(attempt.endedAt ?? 0)
+        } ms and ran at ${execution.endpointId} at ${
+          Math.round(execution.startedAt)
+        } ms`,
+      ];
+    })
+  );
+}
+
+function saysNotRun({ ending }: Attempt): boolean {
+  if (ending?.type !== "answered" && ending?.type !== "refused") return false;
+  const { record } = ending;
+  return record.type === "failure" && record.outcome === "not_run";
+}
+
+function requestIdsUpTo(
+  submission: Submission,
+  attempt: Attempt,
+): ReadonlySet<string | undefined> {
+  const { attempts } = submission;
+  const upTo = attempts.slice(0, attempts.indexOf(attempt) + 1);
+  return new Set(upTo.map(({ context }) => context?.requestId));
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/checks/find_late_calls.ts
@@ -0,0 +1,19 @@
+import type { World } from "../world/world.ts";
+
+/** Calls that reached endpoints too long after those began to leave. */
+export function findLateCalls(
+  world: World,
+  milliseconds: number,
+): readonly string[] {
+  return world.endpoints.flatMap(({ id, leavingSince, arrivals }) => {
+    if (leavingSince === undefined) return [];
+    const late = arrivals.filter((at) => at > leavingSince + milliseconds);
+    const first = late[0];
+    if (first === undefined) return [];
+    return [
+      `${id} received ${late.length} calls, the first ${
+        Math.round(first - leavingSince)
+      } ms after it began to leave`,
+    ];
+  });
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/checks/find_late_refusals.ts
@@ -0,0 +1,18 @@
+import type { World } from "../world/world.ts";
+
+/** Failures that came later than so many milliseconds after the attempt. */
+export function findLateRefusals(
+  world: World,
+  milliseconds: number,
+): readonly string[] {
+  return world.callers.submissions.flatMap(({ token, attempts }) =>
+    attempts.flatMap(({ ending, endedAt, sentAt }) => {
+      if (ending?.type !== "answered" && ending?.type !== "refused") return [];
+      const { record } = ending;
+      if (record.type === "end" || endedAt === undefined) return [];
+      const elapsed = Math.round(endedAt - sentAt);
+      if (elapsed <= milliseconds) return [];
+      return [`${token} was told "${record.result}" after ${elapsed} ms`];
+    })
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/checks/find_slow_changes.ts
@@ -0,0 +1,32 @@
+import type { WorldDaemon } from "../world/daemon/world_daemon.ts";
+import type { World } from "../world/world.ts";
+
+/**
+ * Accepted changes that were not in force everywhere so many milliseconds
+ * after their operator was told: at every daemon that ran all that time.
+ */
+export function findSlowChanges(
+  world: World,
+  milliseconds: number,
+): readonly string[] {
+  const now = world.timer.now();
+  return world.operators.changes.flatMap(({ revision, toldAt }) => {
+    if (revision === undefined || toldAt === undefined) return [];
+    const dueAt = Math.min(now, toldAt + milliseconds);
+    return world.incarnations
+      .filter((daemon) => daemon.isRunning && daemon.startedAt <= toldAt)
+      .filter((daemon) => !isInForce(daemon, { revision, dueAt }))
+      .map(({ daemonId }) =>
+        `Revision ${revision} was not in force at ${daemonId} in time`
+      );
+  });
+}
+
+function isInForce(
+  daemon: WorldDaemon,
+  wanted: { readonly revision: number; readonly dueAt: number },
+): boolean {
+  return daemon.revisions.some(({ revision, at }) =>
+    revision >= wanted.revision && at <= wanted.dueAt
+  );
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/checks/find_wrong_endings.ts
@@ -0,0 +1,40 @@
+import type { Attempt } from "../world/callers/attempt.ts";
+import type { Submission } from "../world/callers/submission.ts";
+import type { World } from "../world/world.ts";
+
+/**
+ * Submissions without a final record although their daemon lives, and requests
+ * that were answered twice in different words.
+ */
+export function findWrongEndings(world: World): readonly string[] {
+  return world.callers.submissions.flatMap((submission) => [
+    ...submission.attempts.flatMap((attempt) =>
+      isOpen(attempt)
+        ? [`${submission.token} has no final answer of ${nameOf(attempt)}`]
+        : []
+    ),
+    ...findTwoAnswers(submission),
+  ]);
+}
+
+/** A caller that left is owed an end too: nothing runs for ever. */
+function isOpen({ ending, context, daemon }: Attempt): boolean {
+  if (ending === undefined) return true;
+  if (ending.type !== "left" || !daemon.isRunning) return false;
+  return context !== undefined && context.log.final === undefined;
+}
+
+function findTwoAnswers(submission: Submission): readonly string[] {
+  if (!submission.kind.nonIdempotent) return [];
+  const texts = submission.attempts
+    .filter(({ ending }) =>
+      ending?.type === "answered" && ending.record.type === "end"
+    )
+    .map(({ text }) => text);
+  if (new Set(texts).size <= 1) return [];
+  return [`${submission.token} was answered in different words`];
+}
+
+function nameOf({ daemon }: Attempt): string {
+  return daemon.daemonId;
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/language/parse_scenarios.ts
@@ -0,0 +1,59 @@
+import type { Scenario } from "./scenario.ts";
+import {
+  AstBuilder,
+  compile,
+  GherkinClassicTokenMatcher,
+  Parser,
+} from "@cucumber/gherkin";
+import { IdGenerator } from "@cucumber/messages";
+
+const DEFAULT_SEED = 1;
+const SEED_TAG = /^@seed-(\d+)$/;
+
+/** Where a feature text comes from. */
+export interface FeatureSource {
+  readonly promise: string;
+  readonly file: string;
+}
+
+/**
+ * Reads the scenarios of a feature. Scenario outlines become one scenario for
+ * each row of their examples. Throws the parser's error with its line.
+ */
+export function parseScenarios(
+  text: string,
+  source: FeatureSource,
+): readonly Scenario[] {
+  const newId = IdGenerator.incrementing();
+  const parser = new Parser(
+    new AstBuilder(newId),
+    new GherkinClassicTokenMatcher(),
+  );
+  const document = parser.parse(text);
+  const lines = new Map<string, number>();
+  for (const child of document.feature?.children ?? []) {
+    const steps = [
+      ...(child.background?.steps ?? []),
+      ...(child.scenario?.steps ?? []),
+    ];
+    for (const step of steps) lines.set(step.id, step.location.line);
+  }
+  return compile(document, source.file, newId).map((pickle) => ({
+    ...source,
+    feature: document.feature?.name ?? "",
+    name: pickle.name,
+    seed: readSeed(pickle.tags.map((tag) => tag.name)),
+    steps: pickle.steps.map((step) => ({
+      text: step.text,
+      line: lines.get(step.astNodeIds[0] ?? "") ?? 0,
+    })),
+  }));
+}
+
+function readSeed(tags: readonly string[]): number {
+  for (const tag of tags) {
+    const digits = SEED_TAG.exec(tag)?.[1];
+    if (digits !== undefined) return Number(digits);
+  }
+  return DEFAULT_SEED;
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/language/step_pattern.ts
@@ -0,0 +1,43 @@
+import { StepArguments } from "./step_arguments.ts";
+
+const PLACEHOLDER = /\{(\w+):(\w+)\}/g;
+const SPECIAL = /[.*+?^$()|[\]\\]/g;
+
+const SHAPES: Readonly<Record<string, string>> = {
+  number: "\\d+",
+  ordinal: "\\d+(?:st|nd|rd|th)",
+  duration: "\\d+(?:\\.\\d+)? (?:ms|s|min)",
+  percent: "\\d+(?:\\.\\d+)?%",
+  endpoints: "every [a-z]+|[a-z]+-\\d+",
+  name: "[\\w-]+",
+  words: "[a-z][\\w -]+?",
+};
+
+/**
+ * Matches the text of a step against a pattern such as
+ * `{count:number} requests arrive over {time:duration}`.
+ */
+export class StepPattern {
+  readonly #expression: RegExp;
+
+  /** Throws an Error for a placeholder whose shape is not known. */
+  constructor(pattern: string) {
+    const source = pattern
+      .replace(SPECIAL, "\\$&")
+      .replace(PLACEHOLDER, (_all, name: string, shape: string) => {
+        const expression = SHAPES[shape];
+        if (expression === undefined) {
+          throw new Error(`Pattern "${pattern}" has an unknown shape`);
+        }
+        return `(?<${name}>${expression})`;
+      });
+    this.#expression = new RegExp(`^${source}$`);
+  }
+
+  /** Undefined when the text does not match. */
+  match(text: string): StepArguments | undefined {
+    const found = this.#expression.exec(text);
+    if (found === null) return undefined;
+    return new StepArguments({ ...found.groups });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/claim_mutants.ts
@@ -0,0 +1,97 @@
+import type { TableTransaction, TableWrite } from "kelpspar-platform";
+import type { Mutant } from "./mutant.ts";
+import { KelpsparError } from "kelpspar-shared";
+import { withEndpoints } from "./with_endpoints.ts";
+import { withCommit } from "./with_table.ts";
+
+const CLAIMS_TABLE = "claims";
+
+/** Guards of "runs at most once". */
+export const CLAIM_MUTANTS: readonly Mutant[] = [
+  {
+    name: "claims_without_condition",
+    removes: "A claim is written whatever row is there",
+    mutation: withCommit((table, transaction) =>
+      table.commit(withoutConditions(transaction))
+    ),
+    noticedBy: "at_most_once: the same booking reaches two daemons at once",
+  },
+  {
+    name: "lost_claim_counts_as_made",
+    removes: "A claim whose answer was lost is settled before its request runs",
+    mutation: withCommit(async (table, transaction) => {
+      try {
+        return await table.commit(transaction);
+      } catch (thrown) {
+        if (!isUnknown(thrown)) throw thrown;
+        return { committed: true, versions: transaction.writes.map(() => 1) };
+      }
+    }),
+    noticedBy:
+      "at_most_once: the claim's write takes effect late and the caller retries elsewhere",
+  },
+  {
+    name: "dispatch_before_claim",
+    removes: "A request waits for its claim before it runs",
+    mutation: {
+      core: ({ claims }) => {
+        const begin = claims.begin.bind(claims);
+        claims.begin = (beginning) => {
+          const handle = begin(beginning);
+          beginning.listener.onRun();
+          return { ...handle, dispatch: () => true };
+        };
+      },
+    },
+    noticedBy:
+      "at_most_once: the same booking reaches two daemons at once and the store is slow",
+  },
+  {
+    name: "ledger_forgets",
+    removes: "A daemon remembers the keys that it runs",
+    mutation: {
+      core: ({ ledger }) => {
+        ledger.lookUp = () => undefined;
+        ledger.begin = () => ({ type: "run", bound: true });
+      },
+    },
+    noticedBy: "at_most_once: the same booking reaches one daemon twice",
+  },
+  {
+    name: "once_calls_on_kept_connections",
+    removes: "A call that may not be repeated travels on a new connection",
+    mutation: withEndpoints({
+      call: (client, { address, call, options }) =>
+        client.call(address, call, { ...options, newConnection: false }),
+      renews: false,
+    }),
+    noticedBy:
+      "at_most_once: open connections to the booking service go silent",
+  },
+  {
+    name: "resumed_stream_runs_again",
+    removes: "A broken stream is taken up where it runs, not run again",
+    mutation: withEndpoints({
+      call: (client, { address, call, options }) => {
+        const { resumeAttemptId: _left, ...anew } = call;
+        return client.call(address, anew, options);
+      },
+    }),
+    noticedBy:
+      "at_most_once: open connections to engines go silent while amendments are written",
+  },
+];
+
+function withoutConditions(transaction: TableTransaction): TableTransaction {
+  return {
+    writes: transaction.writes.map((write): TableWrite => {
+      if (write.table !== CLAIMS_TABLE) return write;
+      const { expectedVersion: _left, ...rest } = write;
+      return rest;
+    }),
+  };
+}
+
+function isUnknown(thrown: unknown): boolean {
+  return thrown instanceof KelpsparError && thrown.result === "write_unknown";
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/mutants.ts
@@ -0,0 +1,17 @@
+import type { Mutant } from "./mutant.ts";
+import { CLAIM_MUTANTS } from "./claim_mutants.ts";
+import { CONFIGURATION_MUTANTS } from "./configuration_mutants.ts";
+import { LEAVING_MUTANTS } from "./leaving_mutants.ts";
+import { RECORD_MUTANTS } from "./record_mutants.ts";
+import { REFUSAL_MUTANTS } from "./refusal_mutants.ts";
+import { STOP_MUTANTS } from "./stop_mutants.ts";
+
+/** Every guard that can be taken away at the world's seams. */
+export const MUTANTS: readonly Mutant[] = [
+  ...RECORD_MUTANTS,
+  ...REFUSAL_MUTANTS,
+  ...CLAIM_MUTANTS,
+  ...LEAVING_MUTANTS,
+  ...STOP_MUTANTS,
+  ...CONFIGURATION_MUTANTS,
+];
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/record_mutants.ts
@@ -0,0 +1,94 @@
+import type { Mutant } from "./mutant.ts";
+import { withEndpoints, withRecords } from "./with_endpoints.ts";
+
+/** Guards of "no stage result is lost, doubled or foreign" and of whole answers. */
+export const RECORD_MUTANTS: readonly Mutant[] = [
+  {
+    name: "foreign_records_pass",
+    removes: "A record is used only by the call that it answers",
+    mutation: withRecords((record, { requestId, stageId, attemptId }) => ({
+      ...record,
+      requestId,
+      stageId,
+      attemptId,
+    })),
+    noticedBy: "own_results: every engine mixes in records of other calls",
+  },
+  {
+    name: "late_attempt_passes",
+    removes: "A record of an earlier attempt of the same stage is dropped",
+    mutation: withRecords((record, { requestId, attemptId }) =>
+      record.requestId === requestId ? { ...record, attemptId } : record
+    ),
+    noticedBy: "own_results: every reranker mixes in records of other calls",
+  },
+  {
+    name: "pieces_as_they_come",
+    removes: "Pieces are put together by their offset",
+    mutation: withEndpoints({
+      async *call(client, { address, call, options }) {
+        let offset = call.resumeOffset ?? 0;
+        for await (const record of client.call(address, call, options)) {
+          if (record.type !== "chunk") {
+            yield record;
+            continue;
+          }
+          yield { ...record, offset };
+          offset += record.text.length;
+        }
+      },
+    }),
+    noticedBy: "whole_answers: every engine sends records out of order",
+  },
+  {
+    name: "cut_stream_passes",
+    removes: "A result is whole only with its end record",
+    mutation: withEndpoints({
+      async *call(client, { address, call, options }) {
+        let length = call.resumeOffset ?? 0;
+        let hasEnd = false;
+        for await (const record of client.call(address, call, options)) {
+          if (record.type === "chunk") {
+            length = Math.max(length, record.offset + record.text.length);
+          } else {
+            hasEnd = true;
+          }
+          yield record;
+        }
+        if (hasEnd) return;
+        const { requestId, stageId, attemptId } = call;
+        yield {
+          type: "end",
+          requestId,
+          stageId,
+          attemptId,
+          length,
+          runnerMilliseconds: 0,
+          tokensIn: 0,
+          tokensOut: 0,
+        };
+      },
+    }),
+    noticedBy: "own_results: engine-1 cuts every 2nd answer short",
+  },
+  {
+    name: "length_not_compared",
+    removes: "A result is whole only at the length its end record says",
+    mutation: withEndpoints({
+      async *call(client, { address, call, options }) {
+        let offset = call.resumeOffset ?? 0;
+        for await (const record of client.call(address, call, options)) {
+          if (record.type === "chunk") {
+            yield { ...record, offset };
+            offset += record.text.length;
+          } else if (record.type === "end") {
+            yield { ...record, length: offset };
+          } else {
+            yield record;
+          }
+        }
+      },
+    }),
+    noticedBy: "own_results: reranker-1 leaves a piece out of every 2nd answer",
+  },
+];
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/refusal_mutants.ts
@@ -0,0 +1,38 @@
+import type { Mutant } from "./mutant.ts";
+import { KelpsparError } from "kelpspar-shared";
+import { withEndpoints, withRecords } from "./with_endpoints.ts";
+
+/** Guards of "when a refusal says a request was not run, it was not run". */
+export const REFUSAL_MUTANTS: readonly Mutant[] = [
+  {
+    name: "broken_connection_counts_as_refused",
+    removes: "Only a connection that was never made proves that nothing ran",
+    mutation: withEndpoints({
+      async *call(client, { address, call, options }) {
+        try {
+          yield* client.call(address, call, options);
+        } catch (thrown) {
+          if (!(thrown instanceof KelpsparError)) throw thrown;
+          throw new KelpsparError("endpoint_refused", thrown.message);
+        }
+      },
+    }),
+    noticedBy:
+      "truthful_refusals: the booking service loses the answer of every 2nd call",
+  },
+  {
+    name: "every_failure_counts_as_not_started",
+    removes: "Only the endpoint's word proves that a call was not started",
+    mutation: withRecords((record) =>
+      record.type === "failure" ? { ...record, started: false } : record
+    ),
+    noticedBy: "truthful_refusals: the booking service fails every 2nd call",
+  },
+  {
+    name: "resubmissions_not_told",
+    removes: "A caller says that it sent the same key before",
+    mutation: { dropsResubmission: true },
+    noticedBy:
+      "truthful_refusals: a caller that got no answer is refused elsewhere while its daemon is paused",
+  },
+];
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/with_endpoints.ts
@@ -0,0 +1,71 @@
+import type { EndpointClient, StageCallOptions } from "kelpspar-platform";
+import type {
+  EndpointAddress,
+  LoadReport,
+  StageCall,
+  StageRecord,
+} from "kelpspar-shared";
+import type { WorldMutation } from "../world/world_mutation.ts";
+
+/** A call as the daemon makes it. */
+export interface MutatedCall {
+  readonly address: EndpointAddress;
+  readonly call: StageCall;
+  readonly options: StageCallOptions;
+}
+
+/** What is changed of the endpoint client; the rest is passed on. */
+export interface EndpointChanges {
+  readonly call?: (
+    client: EndpointClient,
+    made: MutatedCall,
+  ) => AsyncIterable<StageRecord>;
+  readonly load?: (report: LoadReport) => LoadReport;
+  readonly renews?: boolean;
+}
+
+/** Changes every daemon's endpoint client. */
+export function withEndpoints(changes: EndpointChanges): WorldMutation {
+  return {
+    ports: (ports) => ({
+      ...ports,
+      endpoints: changeClient(ports.endpoints, changes),
+    }),
+  };
+}
+
+/** Changes each record of every call. */
+export function withRecords(
+  change: (record: StageRecord, call: StageCall) => StageRecord,
+): WorldMutation {
+  return withEndpoints({
+    async *call(client, { address, call, options }) {
+      for await (const record of client.call(address, call, options)) {
+        yield change(record, call);
+      }
+    },
+  });
+}
+
+function changeClient(
+  client: EndpointClient,
+  changes: EndpointChanges,
+): EndpointClient {
+  return {
+    call: (address, call, options) =>
+      changes.call?.(client, { address, call, options }) ??
+        client.call(address, call, options),
+    load: async (address) => {
+      const report = await client.load(address);
+      return changes.load?.(report) ?? report;
+    },
+    renewConnections: (address) => {
+      if (changes.renews !== false) client.renewConnections(address);
+    },
+    cancel: (address, attemptId) => client.cancel(address, attemptId),
+    cacheEvents: (address, after) => client.cacheEvents(address, after),
+    cacheSnapshot: (address) => client.cacheSnapshot(address),
+    order: (address, order) => client.order(address, order),
+    copyCache: (prefixHash, options) => client.copyCache(prefixHash, options),
+  };
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/mutants/with_table.ts
@@ -0,0 +1,21 @@
+import type { TableService } from "kelpspar-platform";
+import type { WorldMutation } from "../world/world_mutation.ts";
+
+/** Changes how every daemon's table commits. */
+export function withCommit(
+  commit: (
+    table: TableService,
+    transaction: Parameters<TableService["commit"]>[0],
+  ) => ReturnType<TableService["commit"]>,
+): WorldMutation {
+  return {
+    ports: (ports) => ({
+      ...ports,
+      table: {
+        commit: (transaction) => commit(ports.table, transaction),
+        read: (keys) => ports.table.read(keys),
+        scan: (scan) => ports.table.scan(scan),
+      },
+    }),
+  };
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/steps/assertion_steps.ts
@@ -0,0 +1,56 @@
+import type { StepDefinition, StepTable } from "../language/step_definition.ts";
+import type { World } from "../world/world.ts";
+import { findCutRequests } from "../checks/find_cut_requests.ts";
+import { findFalseRefusals } from "../checks/find_false_refusals.ts";
+import { findLateCalls } from "../checks/find_late_calls.ts";
+import { findLateRefusals } from "../checks/find_late_refusals.ts";
+import { findRepeatedRuns } from "../checks/find_repeated_runs.ts";
+import { findWrongAnswers } from "../checks/find_wrong_answers.ts";
+import { findWrongEndings } from "../checks/find_wrong_endings.ts";
+import { findErrors } from "../checks/find_errors.ts";
+import { none } from "./none.ts";
+
+/** Assertions of the brief's "What must always hold". */
+export const ASSERTION_STEPS: StepTable = {
+  "no request ran twice": holds(
+    "No request marked non-idempotent ran its acting stage more than once, at any endpoint",
+    findRepeatedRuns,
+  ),
+  "no refusal said not_run of a request that ran": holds(
+    "No endpoint ran what was refused as not run, before or after",
+    findFalseRefusals,
+  ),
+  "no answer was foreign, cut or doubled": holds(
+    "Every whole answer is what the request's own stages made, from its input on, and its records fit",
+    findWrongAnswers,
+  ),
+  "every caller has exactly one final answer for each submission": holds(
+    "Each submission to a daemon that lives has a final record, and a non-idempotent request no two different answers",
+    findWrongEndings,
+  ),
+  "every refusal came within {time:duration}": {
+    meaning: "Whoever gets no whole answer is told so early",
+    handler: (world, values) =>
+      none(findLateRefusals(world, values.milliseconds("time"))),
+  },
+  "no leaving endpoint received a call later than {time:duration}": {
+    meaning: "Counted from when its source said so, the VM list's lag included",
+    handler: (world, values) =>
+      none(findLateCalls(world, values.milliseconds("time"))),
+  },
+  "the planned stops cut off nothing": holds(
+    "Each ended, and after every request that its daemon had taken",
+    findCutRequests,
+  ),
+  "no daemon reported an internal error": holds(
+    "Nothing was logged as an error",
+    findErrors,
+  ),
+};
+
+function holds(
+  meaning: string,
+  find: (world: World) => readonly string[],
+): StepDefinition {
+  return { meaning, handler: (world) => none(find(world)) };
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/steps/load_steps.ts
@@ -0,0 +1,148 @@
+import type { StepArguments } from "../language/step_arguments.ts";
+import type { StepTable } from "../language/step_definition.ts";
+import type { RetryPlan } from "../world/callers/retry_plan.ts";
+import type { World } from "../world/world.ts";
+import { plannedSteps } from "../language/planned_steps.ts";
+import { LOAD_KINDS } from "../world/callers/load_kind.ts";
+import { NO_RETRIES, PATIENT_RETRIES } from "../world/callers/retry_plan.ts";
+
+interface CallerManner {
+  readonly meaning: string;
+  readonly plan: (values: StepArguments) => RetryPlan;
+}
+
+/** What may stand behind "arrive over 2 s". */
+const MANNERS: Readonly<Record<string, CallerManner>> = {
+  "": {
+    meaning: "each caller sends once",
+    plan: () => NO_RETRIES,
+  },
+  " from patient callers": {
+    meaning: "each caller comes back as its records advise, up to 5 attempts",
+    plan: () => PATIENT_RETRIES,
+  },
+  ", each retried at another daemon after {silence:duration} without an answer":
+    {
+      meaning:
+        "a caller leaves a silent daemon and asks another, up to 4 times",
+      plan: (values) => ({
+        ...PATIENT_RETRIES,
+        silenceMilliseconds: values.milliseconds("silence"),
+      }),
+    },
+  ", each retried at the same daemon after {silence:duration} without an answer":
+    {
+      meaning: "a caller leaves and asks the same daemon again, up to 4 times",
+      plan: (values) => ({
+        ...PATIENT_RETRIES,
+        atSameDaemon: true,
+        silenceMilliseconds: values.milliseconds("silence"),
+      }),
+    },
+  ", each also asked of another daemon after {silence:duration} without an answer":
+    {
+      meaning: "a caller asks a second daemon and goes on reading the first",
+      plan: (values) => ({
+        ...NO_RETRIES,
+        mostAttempts: 2,
+        keepsFirst: true,
+        silenceMilliseconds: values.milliseconds("silence"),
+      }),
+    },
+  ", each sent to two daemons at once": {
+    meaning: "a caller sends the same request to two daemons at one moment",
+    plan: () => ({ ...NO_RETRIES, mostAttempts: 2, atOnce: true }),
+  },
+  ", each sent twice at once to one daemon": {
+    meaning: "a caller sends the same request twice to one daemon",
+    plan: () => ({
+      ...NO_RETRIES,
+      mostAttempts: 2,
+      atOnce: true,
+      atSameDaemon: true,
+    }),
+  },
+};
+
+const ACCOUNTS: readonly string[] = [
+  "cooperative",
+  "spreaders",
+  "agronomists",
+  "growers",
+  "dispatchers",
+];
+
+/** Steps that plan requests. */
+export const LOAD_STEPS: StepTable = {
+  "callers have a deadline of {deadline:duration}": {
+    meaning: "Sets the deadline of requests planned from here on; at first 3 s",
+    handler: (world, values) => {
+      world.loads.deadlineMilliseconds = values.milliseconds("deadline");
+    },
+  },
+  "callers use daemon {daemon:number} first": {
+    meaning: "Requests planned from here on go to this daemon first",
+    handler: (world, values) => {
+      world.loads.daemon = values.number("daemon");
+    },
+  },
+  "callers use all daemons": {
+    meaning:
+      "Requests planned from here on go to the daemons in turn, as at first",
+    handler: (world) => {
+      world.loads.daemon = undefined;
+    },
+  },
+  "callers are of {account:name}": {
+    meaning: "Requests planned from here on are of this client account",
+    handler: (world, values) => {
+      world.loads.accountId = values.text("account");
+    },
+  },
+  "callers are of all accounts": {
+    meaning:
+      "Requests planned from here on are of the client accounts in turn, as at first",
+    handler: (world) => {
+      world.loads.accountId = undefined;
+    },
+  },
+  ...plannedSteps(createArrivals()),
+};
+
+function createArrivals(): StepTable {
+  const rows = Object.entries(MANNERS).map(([suffix, manner]) => [
+    "{count:number} {load:words} arrive over {time:duration}" + suffix,
+    {
+      meaning:
+        `Callers send so many requests, evenly over the time; ${manner.meaning}`,
+      handler: (world: World, values: StepArguments) =>
+        arrive(world, values, manner.plan(values)),
+    },
+  ]);
+  return Object.fromEntries(rows);
+}
+
+function arrive(
+  world: World,
+  values: StepArguments,
+  retries: RetryPlan,
+): void {
+  const kind = LOAD_KINDS[values.text("load")];
+  if (kind === undefined) {
+    throw new Error(`There is no load "${values.text("load")}"`);
+  }
+  const { deadlineMilliseconds, daemon, accountId } = world.loads;
+  const count = values.number("count");
+  const step = values.milliseconds("time") / count;
+  for (let index = 0; index < count; index++) {
+    world.agenda.schedule(step * index, () => {
+      world.callers.submit({
+        kind,
+        accountId: accountId ?? ACCOUNTS[index % ACCOUNTS.length] ?? "",
+        retries,
+        deadlineMilliseconds,
+        ...(daemon === undefined ? {} : { daemon: world.daemon(daemon) }),
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/steps/site_steps.ts
@@ -0,0 +1,24 @@
+import type { StepTable } from "../language/step_definition.ts";
+
+/** Steps that build the site and let time pass. */
+export const SITE_STEPS: StepTable = {
+  "a site with {daemons:number} daemons, {engines:number} engines and {plain:number} endpoints of each other service":
+    {
+      meaning:
+        "Builds the site, puts its configuration in force as revision 1 and lets 3 s pass",
+      handler: (world, values) =>
+        world.build({
+          daemons: values.number("daemons"),
+          engines: values.number("engines"),
+          plain: values.number("plain"),
+        }),
+    },
+  "{time:duration} pass": {
+    meaning: "Lets time pass and carries out what was planned for it",
+    handler: (world, values) => world.pass(values.milliseconds("time")),
+  },
+  "{time:duration} passes": {
+    meaning: "The same, of one second or minute",
+    handler: (world, values) => world.pass(values.milliseconds("time")),
+  },
+};
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/callers/callers.ts
@@ -0,0 +1,261 @@
+import type { AccountConfiguration } from "kelpspar-configuration";
+import type {
+  FailureRecord,
+  ManualTimer,
+  SubmitRequest,
+} from "kelpspar-shared";
+import type { WorldDaemon } from "../daemon/world_daemon.ts";
+import type { Attempt, AttemptEnding } from "./attempt.ts";
+import type { LoadKind } from "./load_kind.ts";
+import type { RetryPlan } from "./retry_plan.ts";
+import type { Submission } from "./submission.ts";
+import {
+  submitRequestSchema,
+  toFailureRecord,
+  toKelpsparError,
+} from "kelpspar-shared";
+import { formatEpochKey } from "kelpspar-decisions/claims";
+import { followAnswer } from "./follow_answer.ts";
+
+const DEFAULT_COMEBACK_MILLISECONDS = 100;
+
+/** What callers use of the world. */
+export interface CallersOptions {
+  readonly timer: ManualTimer;
+  /** Daemons that callers know of, the newest incarnation of each. */
+  readonly daemons: () => readonly WorldDaemon[];
+  /** Runs an action of the world's agenda. */
+  readonly schedule: (
+    milliseconds: number,
+    action: () => void | Promise<void>,
+  ) => void;
+  readonly accounts: readonly AccountConfiguration[];
+  readonly dropsResubmission: boolean;
+}
+
+/** What a caller asks for. */
+export interface Wish {
+  readonly kind: LoadKind;
+  readonly accountId: string;
+  readonly deadlineMilliseconds: number;
+  readonly retries: RetryPlan;
+  /** The daemon it goes to first; default: one after the other. */
+  readonly daemon?: WorldDaemon;
+}
+
+/** The callers of a world and what they were told. */
+export class Callers {
+  readonly submissions: Submission[] = [];
+  readonly #options: CallersOptions;
+
+  constructor(options: CallersOptions) {
+    this.#options = options;
+  }
+
+  /** Sends a request now. */
+  submit(wish: Wish): Submission {
+    const number = this.submissions.length + 1;
+    const daemon = wish.daemon ?? this.#nextDaemon(number);
+    const token = `T${number}`;
+    const key = keyOf(wish.kind, { token, daemon });
+    const submission: Submission = {
+      token,
+      accountId: wish.accountId,
+      kind: wish.kind,
+      retries: wish.retries,
+      sentAt: this.#options.timer.now(),
+      attempts: [],
+      request: submitRequestSchema.parse({
+        pipeline: wish.kind.pipeline,
+        input: `quarter section ${number} token=${token}`,
+        deadlineMilliseconds: wish.deadlineMilliseconds,
+        nonIdempotent: wish.kind.nonIdempotent,
+        ...(key === undefined ? {} : { idempotencyKey: key }),
+      }),
+    };
+    this.submissions.push(submission);
+    this.#attempt(submission, daemon);
+    if (wish.retries.atOnce) this.#retry(submission, daemon);
+    return submission;
+  }
+
+  #nextDaemon(number: number): WorldDaemon {
+    const daemons = this.#options.daemons();
+    const daemon = daemons[number % daemons.length];
+    if (daemon === undefined) throw new Error("The site has no daemons");
+    return daemon;
+  }
+
+  #attempt(submission: Submission, daemon: WorldDaemon): void {
+    const { timer } = this.#options;
+    const isFirst = submission.attempts.length === 0;
+    const isResubmission = !isFirst && mayHaveBeenTaken(submission);
+    const attempt: Attempt = {
+      daemon,
+      sentAt: timer.now(),
+      isResubmission,
+      text: "",
+      faults: [],
+    };
+    submission.attempts.push(attempt);
+    this.#watchSilence(submission, attempt);
+    void this.#send(submission, attempt);
+  }
+
+  async #send(submission: Submission, attempt: Attempt): Promise<void> {
+    const { daemon } = attempt;
+    if (!daemon.isAlive) {
+      return this.#end(submission, { attempt, ending: { type: "broken" } });
+    }
+    const stopWatch = daemon.process.registerDeathListener(() =>
+      this.#end(submission, { attempt, ending: { type: "broken" } })
+    );
+    await daemon.process.awake();
+    const ended = (ending: AttemptEnding): void => {
+      stopWatch();
+      this.#end(submission, { attempt, ending });
+    };
+    try {
+      const request = this.#requestOf(submission, attempt);
+      const context = daemon.core.requests.submit(
+        this.#accountOf(submission, daemon),
+        request,
+      );
+      attempt.context = context;
+      const stopReading = followAnswer(
+        attempt,
+        (record) => ended({ type: "answered", record }),
+      );
+      attempt.leave = () => {
+        stopReading();
+        void daemon.process.awake().then(() =>
+          daemon.core.requests.readerLeft(context)
+        );
+      };
+      if (attempt.ending?.type === "left") attempt.leave();
+    } catch (thrown) {
+      const record = toFailureRecord(toKelpsparError(thrown), {
+        elsewhere: daemon.core.fleet.elsewhere(),
+      });
+      ended({ type: "refused", record });
+    }
+  }
+
+  /** A daemon without a configuration is left to refuse by itself. */
+  #accountOf(
+    submission: Submission,
+    daemon: WorldDaemon,
+  ): AccountConfiguration {
+    const { accountId } = submission;
+    const account = daemon.core.configuration.accounts().get(accountId) ??
+      this.#options.accounts.find(({ id }) => id === accountId);
+    if (account === undefined) throw new Error(`No account "${accountId}"`);
+    return account;
+  }
+
+  #requestOf(submission: Submission, attempt: Attempt): SubmitRequest {
+    const { request, sentAt } = submission;
+    const left = request.deadlineMilliseconds -
+      (this.#options.timer.now() - sentAt);
+    return {
+      ...request,
+      deadlineMilliseconds: Math.max(1, Math.floor(left)),
+      resubmission: attempt.isResubmission && !this.#options.dropsResubmission,
+    };
+  }
+
+  #watchSilence(submission: Submission, attempt: Attempt): void {
+    const { silenceMilliseconds, keepsFirst } = submission.retries;
+    if (silenceMilliseconds === undefined) return;
+    this.#options.schedule(silenceMilliseconds, () => {
+      if (attempt.ending !== undefined) return;
+      if (keepsFirst) return this.#retry(submission, attempt.daemon);
+      this.#end(submission, { attempt, ending: { type: "left" } });
+    });
+  }
+
+  #end(
+    submission: Submission,
+    end: { readonly attempt: Attempt; readonly ending: AttemptEnding },
+  ): void {
+    const { attempt, ending } = end;
+    if (attempt.ending !== undefined) return;
+    attempt.ending = ending;
+    attempt.endedAt = this.#options.timer.now();
+    if (ending.type === "left") attempt.leave?.();
+    this.#AFTER[ending.type](submission, attempt);
+  }
+
+  readonly #AFTER: Readonly<
+    Record<
+      AttemptEnding["type"],
+      (submission: Submission, attempt: Attempt) => void
+    >
+  > = {
+    answered: (submission, { daemon, ending }) => {
+      if (ending?.type !== "answered" || ending.record.type === "end") return;
+      this.#afterFailure(submission, { record: ending.record, daemon });
+    },
+    refused: (submission, { daemon, ending }) => {
+      if (ending?.type !== "refused") return;
+      this.#afterFailure(submission, { record: ending.record, daemon });
+    },
+    broken: (submission, { daemon }) => {
+      if (submission.retries.onBrokenConnection) {
+        this.#retry(submission, daemon);
+      }
+    },
+    left: (submission, { daemon }) => this.#retry(submission, daemon),
+  };
+
+  #afterFailure(submission: Submission, failure: {
+    readonly record: FailureRecord;
+    readonly daemon: WorldDaemon;
+  }): void {
+    const { record, daemon } = failure;
+    if (!submission.retries.onRefusal || record.retry === "never") return;
+    const wait = record.retryAfterMilliseconds ?? DEFAULT_COMEBACK_MILLISECONDS;
+    this.#options.schedule(wait, () => this.#retry(submission, daemon));
+  }
+
+  #retry(submission: Submission, before: WorldDaemon): void {
+    const { retries, attempts, request, sentAt } = submission;
+    if (attempts.length >= retries.mostAttempts) return;
+    const elapsed = this.#options.timer.now() - sentAt;
+    if (elapsed >= request.deadlineMilliseconds) return;
+    const daemon = retries.atSameDaemon ? before : this.#another(before);
+    this.#attempt(submission, daemon);
+  }
+
+  #another(before: WorldDaemon): WorldDaemon {
+    const daemons = this.#options.daemons();
+    const place = daemons.findIndex(({ daemonId }) =>
+      daemonId === before.daemonId
+    );
+    const after = [...daemons.slice(place + 1), ...daemons.slice(0, place + 1)];
+    return after.find((daemon) => daemon.isAlive) ?? before;
+  }
+}
+
+/** False once every earlier attempt was refused as not run. */
+function mayHaveBeenTaken(submission: Submission): boolean {
+  return submission.attempts.some(({ ending }) => {
+    if (ending?.type === "refused" || ending?.type === "answered") {
+      return ending.record.type === "failure" &&
+        ending.record.outcome !== "not_run";
+    }
+    return true;
+  });
+}
+
+function keyOf(
+  kind: LoadKind,
+  options: { readonly token: string; readonly daemon: WorldDaemon },
+): string | undefined {
+  const { token, daemon } = options;
+  if (kind.key === "none") return undefined;
+  if (kind.key === "free") return `key-${token}`;
+  const { incarnation, ledger } = daemon.core;
+  const epoch = ledger.advanceEpoch(daemon.process.timer.now());
+  return formatEpochKey({ incarnation, epoch, rest: `key-${token}` });
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/callers/submission.ts
@@ -0,0 +1,32 @@
+import type { SubmitRequest } from "kelpspar-shared";
+import type { Attempt } from "./attempt.ts";
+import type { LoadKind } from "./load_kind.ts";
+import type { RetryPlan } from "./retry_plan.ts";
+
+/** What one caller wants, and every attempt at it. */
+export interface Submission {
+  readonly token: string;
+  readonly accountId: string;
+  readonly kind: LoadKind;
+  readonly request: SubmitRequest;
+  readonly retries: RetryPlan;
+  readonly sentAt: number;
+  readonly attempts: Attempt[];
+}
+
+/** The first attempt that gave a whole answer. */
+export function completedAttempt(
+  submission: Submission,
+): Attempt | undefined {
+  return submission.attempts.find(({ ending }) =>
+    ending?.type === "answered" && ending.record.type === "end"
+  );
+}
+
+/** True when the caller got a whole answer within its deadline. */
+export function isAttained(submission: Submission): boolean {
+  const attempt = completedAttempt(submission);
+  if (attempt?.endedAt === undefined) return false;
+  const { deadlineMilliseconds } = submission.request;
+  return attempt.endedAt - submission.sentAt <= deadlineMilliseconds + 5;
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/daemon/daemon_process.ts
@@ -0,0 +1,74 @@
+import type { ManualTimer } from "kelpspar-shared";
+import { DaemonTimer } from "./daemon_timer.ts";
+
+/** What can be told of a process from outside. */
+export type ProcessState = "running" | "paused" | "dead";
+
+/**
+ * A daemon's process as the world sees it: what arrives waits while it is
+ * paused, and never arrives once it is dead.
+ */
+export class DaemonProcess {
+  readonly timer: DaemonTimer;
+  readonly #deathListeners = new Set<() => void>();
+  #state: ProcessState = "running";
+  #waiting: (() => void)[] = [];
+
+  constructor(base: ManualTimer) {
+    this.timer = new DaemonTimer(base);
+  }
+
+  get state(): ProcessState {
+    return this.#state;
+  }
+
+  /** Resolves when the process can take something in; never once it is dead. */
+  awake(): Promise<void> {
+    if (this.#state === "running") return Promise.resolve();
+    return new Promise((resolve) => {
+      if (this.#state === "paused") this.#waiting.push(resolve);
+    });
+  }
+
+  /** Hands an answer from outside to the process. */
+  async receive<Value>(pending: Promise<Value>): Promise<Value> {
+    try {
+      const value = await pending;
+      await this.awake();
+      return value;
+    } catch (thrown) {
+      await this.awake();
+      throw thrown;
+    }
+  }
+
+  pause(): void {
+    if (this.#state !== "running") return;
+    this.#state = "paused";
+    this.timer.pause();
+  }
+
+  /** Fires overdue alarms, then lets in what arrived meanwhile. */
+  async resume(): Promise<void> {
+    if (this.#state !== "paused") return;
+    await this.timer.resume();
+    this.#state = "running";
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const resolve of waiting) resolve();
+  }
+
+  die(): void {
+    this.#state = "dead";
+    this.#waiting = [];
+    this.timer.stop();
+    for (const listener of this.#deathListeners) listener();
+    this.#deathListeners.clear();
+  }
+
+  /** Tells `listener` of the process's death; returns the teardown. */
+  registerDeathListener(listener: () => void): () => void {
+    this.#deathListeners.add(listener);
+    return () => this.#deathListeners.delete(listener);
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/daemon/world_peer_client.ts
@@ -0,0 +1,81 @@
+import type {
+  ClaimInquiry,
+  PeerAddress,
+  PeerClient,
+  PeerDigest,
+  PeerHandlers,
+} from "kelpspar-daemon";
+import type { Network } from "../network/network.ts";
+import type { DaemonProcess } from "./daemon_process.ts";
+import { KelpsparError } from "kelpspar-shared";
+import { exchange } from "../network/exchange.ts";
+
+const TIMEOUT_MILLISECONDS = 400;
+
+/** A daemon that others can reach. */
+export interface ReachablePeer {
+  readonly daemonId: string;
+  readonly process: DaemonProcess;
+  readonly handlers: PeerHandlers;
+}
+
+/** How a daemon reaches the others. */
+export interface WorldPeerClientOptions {
+  readonly network: Network;
+  readonly process: DaemonProcess;
+  readonly daemonId: string;
+  /** Who listens at an address now; undefined when nobody does. */
+  readonly find: (peer: PeerAddress) => ReachablePeer | undefined;
+}
+
+/** Calls other daemons' handlers over the world's network. */
+export class WorldPeerClient implements PeerClient {
+  readonly #options: WorldPeerClientOptions;
+
+  constructor(options: WorldPeerClientOptions) {
+    this.#options = options;
+  }
+
+  exchange(peer: PeerAddress, digest: PeerDigest): Promise<PeerDigest> {
+    return this.#call(peer, ({ exchange }) => exchange(digest));
+  }
+
+  configuration(
+    peer: PeerAddress,
+  ): ReturnType<PeerClient["configuration"]> {
+    return this.#call(peer, ({ configuration }) => configuration());
+  }
+
+  askClaim(
+    peer: PeerAddress,
+    inquiry: ClaimInquiry,
+  ): ReturnType<PeerClient["askClaim"]> {
+    return this.#call(peer, ({ askClaim }) => askClaim(inquiry));
+  }
+
+  #call<Answer>(
+    peer: PeerAddress,
+    ask: (handlers: PeerHandlers) => Answer,
+  ): Promise<Answer> {
+    const { network, process, daemonId } = this.#options;
+    const lost = (): Error =>
+      new KelpsparError(
+        "peer_unavailable",
+        `Daemon ${peer.address}:${peer.port} did not answer`,
+      );
+    const target = this.#options.find(peer);
+    if (target === undefined) return Promise.reject(lost());
+    return exchange({
+      network,
+      process,
+      from: daemonId,
+      to: target.daemonId,
+      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+      lost,
+      work: async () => {
+        await target.process.awake();
+        return structuredClone(ask(target.handlers));
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/endpoint/execution_log.ts
@@ -0,0 +1,22 @@
+import type { Execution } from "./execution.ts";
+
+/** Everything that any endpoint of the world ran. */
+export class ExecutionLog {
+  readonly #executions: Execution[] = [];
+  readonly #byToken = new Map<string, Execution[]>();
+
+  get all(): readonly Execution[] {
+    return this.#executions;
+  }
+
+  add(execution: Execution): void {
+    this.#executions.push(execution);
+    const known = this.#byToken.get(execution.token);
+    if (known === undefined) this.#byToken.set(execution.token, [execution]);
+    else known.push(execution);
+  }
+
+  ofToken(token: string): readonly Execution[] {
+    return this.#byToken.get(token) ?? [];
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/endpoint/record_writer.ts
@@ -0,0 +1,105 @@
+import type { StageCall, StageRecord } from "kelpspar-shared";
+import type { CallChannel } from "./call_channel.ts";
+import type { EndpointFaults } from "./endpoint_faults.ts";
+
+/** A piece of a result, and the offset it starts at. */
+export interface ResultPiece {
+  readonly offset: number;
+  readonly text: string;
+}
+
+/** Writes a call's records, as the endpoint's faults will have them. */
+export class RecordWriter {
+  readonly #call: StageCall;
+  readonly #channel: CallChannel;
+  readonly #faults: EndpointFaults;
+  readonly #stranger: () => StageCall | undefined;
+  #heldBack: StageRecord | undefined;
+
+  constructor(options: {
+    readonly call: StageCall;
+    readonly channel: CallChannel;
+    readonly faults: EndpointFaults;
+    /** Another call, whose records are mixed in. */
+    readonly stranger: () => StageCall | undefined;
+  }) {
+    this.#call = options.call;
+    this.#channel = options.channel;
+    this.#faults = options.faults;
+    this.#stranger = options.stranger;
+  }
+
+  piece(piece: ResultPiece): void {
+    this.#write({ type: "chunk", ...this.#ids(), ...piece });
+  }
+
+  end(length: number, runnerMilliseconds: number): void {
+    this.#write({
+      type: "end",
+      ...this.#ids(),
+      length,
+      runnerMilliseconds,
+      tokensIn: 0,
+      tokensOut: 0,
+    });
+    this.close();
+  }
+
+  failure(
+    started: boolean,
+    reason: "failed" | "overloaded" | "leaving" | "unknown_attempt",
+  ): void {
+    this.#write({ type: "failure", ...this.#ids(), started, reason });
+    this.close();
+  }
+
+  close(): void {
+    this.#flush();
+    this.#channel.close();
+  }
+
+  break(): void {
+    this.#channel.break();
+  }
+
+  #write(record: StageRecord): void {
+    if (this.#faults.mixesRecords) this.#writeForeign(record);
+    if (this.#faults.reordersRecords && this.#heldBack === undefined) {
+      this.#heldBack = record;
+      return;
+    }
+    this.#send(record);
+    this.#flush();
+  }
+
+  #flush(): void {
+    const record = this.#heldBack;
+    this.#heldBack = undefined;
+    if (record !== undefined) this.#send(record);
+  }
+
+  #send(record: StageRecord): void {
+    const times = this.#faults.duplicatesRecords ? 2 : 1;
+    for (let index = 0; index < times; index++) this.#channel.write([record]);
+  }
+
+  /**
+   * The same record as another call and as an earlier attempt of this one
+   * would get it, with other text.
+   */
+  #writeForeign(record: StageRecord): void {
+    const { requestId, stageId, attemptId } = this.#stranger() ?? this.#call;
+    const text = record.type === "chunk"
+      ? { text: record.text.replace(/\w/g, "x") }
+      : {};
+    this.#channel.write([
+      { ...record, ...text, requestId, stageId, attemptId: `${attemptId}-x` },
+      { ...record, ...text, attemptId: `${this.#call.attemptId}-earlier` },
+    ]);
+  }
+
+  #ids(): Pick<StageCall, "requestId" | "stageId" | "attemptId"> {
+    const { requestId, stageId, attemptId } = this.#call;
+    return { requestId, stageId, attemptId };
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/network/network.ts
@@ -0,0 +1,58 @@
+import type { ManualTimer, RandomSource } from "kelpspar-shared";
+import { NetworkLink } from "./network_link.ts";
+
+const LEAST_DELAY_MILLISECONDS = 0.3;
+const SPREAD_MILLISECONDS = 1.2;
+/** Arrivals are rounded up to these steps, so that many share an instant. */
+const STEP_MILLISECONDS = 0.25;
+
+/** Carries what daemons, endpoints and the platform send to one another. */
+export class Network {
+  readonly #timer: ManualTimer;
+  readonly #random: RandomSource;
+  readonly #links = new Map<string, NetworkLink>();
+  readonly #extraDelays = new Map<string, number>();
+
+  constructor(options: {
+    readonly timer: ManualTimer;
+    readonly random: RandomSource;
+  }) {
+    this.#timer = options.timer;
+    this.#random = options.random;
+  }
+
+  /** The connections between two parties, whichever of them asks. */
+  link(one: string, other: string): NetworkLink {
+    const name = [one, other].sort().join(" ");
+    const known = this.#links.get(name);
+    if (known !== undefined) return known;
+    const link = new NetworkLink();
+    this.#links.set(name, link);
+    return link;
+  }
+
+  /** Every link that ends at a party. */
+  linksOf(party: string): readonly NetworkLink[] {
+    return [...this.#links]
+      .filter(([name]) => name.split(" ").includes(party))
+      .map(([, link]) => link);
+  }
+
+  /** Adds to the one-way delay of all that a party sends or receives. */
+  slowDown(party: string, milliseconds: number): void {
+    this.#extraDelays.set(party, milliseconds);
+  }
+
+  /** Waits as long as one way between two parties takes. */
+  travel(from: string, to: string): Promise<void> {
+    const delay = LEAST_DELAY_MILLISECONDS +
+      this.#random.next() * SPREAD_MILLISECONDS +
+      (this.#extraDelays.get(from) ?? 0) + (this.#extraDelays.get(to) ?? 0);
+    const now = this.#timer.now();
+    const arrivesAt = Math.ceil((now + delay) / STEP_MILLISECONDS) *
+      STEP_MILLISECONDS;
+    return new Promise((resolve) => {
+      this.#timer.registerTimeout(resolve, arrivesAt - now);
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/network/network_link.ts
@@ -0,0 +1,49 @@
+/**
+ * The connections between two parties. A cut loses everything, on old and new
+ * connections. A silent connection loses everything too, but a new one works.
+ */
+export class NetworkLink {
+  #isCut = false;
+  #generation = 0;
+  #silentUpTo = -1;
+  #pooled = 0;
+
+  /** The generation of a connection opened now. */
+  get newest(): number {
+    return this.#generation;
+  }
+
+  /** The generation of the connection kept for reuse. */
+  get pooled(): number {
+    return this.#pooled;
+  }
+
+  /** Drops the kept connection: the next one is new. */
+  renew(): void {
+    this.#pooled = this.#generation;
+  }
+
+  /** Open connections go silent for good; new ones work. */
+  goSilent(): void {
+    this.#silentUpTo = this.#generation;
+    this.#generation++;
+  }
+
+  cut(): void {
+    this.#isCut = true;
+  }
+
+  heal(): void {
+    this.#isCut = false;
+  }
+
+  /** True when a connection of this generation carries what is sent. */
+  carries(generation: number): boolean {
+    return !this.#isCut && generation > this.#silentUpTo;
+  }
+
+  /** False while no new connection can be made. */
+  get canConnect(): boolean {
+    return !this.#isCut;
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/platform/world_table.ts
@@ -0,0 +1,57 @@
+import type {
+  TableKey,
+  TableRow,
+  TableScan,
+  TableService,
+  TableTransaction,
+  TransactionResult,
+} from "kelpspar-platform";
+import type { Exchange } from "../network/exchange.ts";
+import type { ResultName } from "kelpspar-shared";
+import { KelpsparError } from "kelpspar-shared";
+import { exchange } from "../network/exchange.ts";
+
+/** How a daemon reaches the table service. */
+export type WorldTableOptions =
+  & Pick<
+    Exchange<unknown>,
+    "network" | "process" | "from" | "timeoutMilliseconds"
+  >
+  & { readonly table: TableService };
+
+/** One daemon's way to the table service. */
+export class WorldTable implements TableService {
+  readonly #options: WorldTableOptions;
+
+  constructor(options: WorldTableOptions) {
+    this.#options = options;
+  }
+
+  commit(transaction: TableTransaction): Promise<TransactionResult> {
+    return this.#exchange(
+      (table) => table.commit(transaction),
+      "write_unknown",
+    );
+  }
+
+  read(keys: readonly TableKey[]): Promise<readonly (TableRow | null)[]> {
+    return this.#exchange((table) => table.read(keys), "table_unavailable");
+  }
+
+  scan(scan: TableScan): Promise<readonly TableRow[]> {
+    return this.#exchange((table) => table.scan(scan), "table_unavailable");
+  }
+
+  #exchange<Answer>(
+    work: (table: TableService) => Promise<Answer>,
+    lost: ResultName,
+  ): Promise<Answer> {
+    const { table, ...way } = this.#options;
+    return exchange({
+      ...way,
+      to: "table",
+      work: async () => structuredClone(await work(table)),
+      lost: () => new KelpsparError(lost, "The table gave no answer in time"),
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/definitions/claim_batching.ts
@@ -0,0 +1,40 @@
+import type { Experiment } from "../experiment.ts";
+
+const LINGERS_MILLISECONDS = [0, 4, 25] as const;
+const TRANSACTIONS_PER_SECOND = 300;
+
+/**
+ * 250 once-requests a second of one stage each, before a table that takes 300
+ * transactions a second. A write each for the claim and for its result would
+ * take as many transactions as `rowsWritten` says.
+ */
+export const CLAIM_BATCHING: Experiment = {
+  name: "claim-batching",
+  question: "How many transactions do claims take, by the time they wait?",
+  runs: LINGERS_MILLISECONDS.map((linger) => ({
+    arm: "kelpspar",
+    variant: `linger-${linger}`,
+    site: {
+      engines: 1,
+      table: { transactionsPerSecond: TRANSACTIONS_PER_SECOND },
+      daemonSettings: { intervals: { claimBatchMilliseconds: linger } },
+    },
+    load: {
+      requestsPerSecond: 250,
+      onceShare: 1,
+      oncePipeline: "order",
+      seconds: 8,
+    },
+    inspect: async (_run, site) => {
+      const { transactions, rowsWritten, refused, conflicts } = await site
+        .tableCounters();
+      return {
+        transactions,
+        rowsWritten,
+        refusedTransactions: refused,
+        conflicts,
+        rowsPerTransaction: Math.round(100 * rowsWritten / transactions) / 100,
+      };
+    },
+  })),
+};
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/definitions/configuration_race.ts
@@ -0,0 +1,46 @@
+import type { Experiment } from "../experiment.ts";
+import { bothArms } from "../both_arms.ts";
+import { OperatorRace } from "../configuration/operator_race.ts";
+import { RevisionWatch } from "../configuration/revision_watch.ts";
+
+const OPERATORS = 4;
+const RACE_ENDS_SECONDS = 5;
+const LAST_CHANGE_SECONDS = 6;
+const OUTAGE_ENDS_SECONDS = 16;
+
+/**
+ * Four operators apply changes at once, each at another daemon. Then one more
+ * change is accepted, and the table goes down for ten seconds right after.
+ */
+export const CONFIGURATION_RACE: Experiment = {
+  name: "configuration-race",
+  question: "Are accepted changes in force everywhere, and do they stay?",
+  runs: bothArms({
+    load: { requestsPerSecond: 30, seconds: 18 },
+    script: async ({ site, at, timer, note }) => {
+      const watch = new RevisionWatch({ site, timer });
+      const race = new OperatorRace({ site, timer, watch });
+      const stopWatch = watch.start();
+      await at(0);
+      const operators = Array.from(
+        { length: OPERATORS },
+        (_, index) => race.operate(index),
+      );
+      await at(RACE_ENDS_SECONDS);
+      race.stop();
+      await Promise.all(operators);
+      await at(LAST_CHANGE_SECONDS);
+      const last = await race.applyOnce(0);
+      await site.setTableFaults({ outage: "hang" });
+      await at(OUTAGE_ENDS_SECONDS);
+      await site.setTableFaults({ outage: "none" });
+      await at(OUTAGE_ENDS_SECONDS + 1);
+      stopWatch();
+      note({
+        ...race.figures(),
+        ...watch.figures(),
+        secondsInOutage: watch.secondsToEverywhere(last) ?? null,
+      });
+    },
+  }),
+};
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/definitions/everything.ts
@@ -0,0 +1,41 @@
+import type { Experiment } from "../experiment.ts";
+import { bothArms } from "../both_arms.ts";
+
+const SLOW_FACTOR = 10;
+
+/**
+ * Five faults together: a slow engine, lost write answers, the death of an
+ * engine and a retriever, silent connections with an outage of the table, and
+ * the death of a daemon. Callers whose answer broke send the request again.
+ */
+export const EVERYTHING: Experiment = {
+  name: "everything",
+  question: "What holds when five faults come together?",
+  runs: bothArms({
+    site: { onceMilliseconds: 120 },
+    load: { requestsPerSecond: 80, seconds: 14, onceShare: 0.4 },
+    callers: { resubmitsBroken: true, followsElsewhere: true },
+    script: async ({ site, at }) => {
+      await at(1);
+      for (const slow of site.endpointsOf("engine").slice(0, 1)) {
+        await site.setEndpointFaults(slow, { slowFactor: SLOW_FACTOR });
+      }
+      await site.setTableFaults({ loseAnswerShare: 0.1, lostAnswer: "hang" });
+      await at(3);
+      await site.killEndpoints([
+        ...site.endpointsOf("engine").slice(1, 2),
+        ...site.endpointsOf("retriever").slice(0, 1),
+      ]);
+      await at(5);
+      await site.silence(site.endpoints);
+      await site.setTableFaults({ outage: "hang" });
+      await at(7);
+      await site.setTableFaults({ outage: "none" });
+      await at(8);
+      await site.killDaemons(site.daemons.slice(0, 1));
+      await site.addDaemon();
+      await site.addEndpoint("engine");
+      await site.addEndpoint("retriever");
+    },
+  }),
+};
--- a/packages/kelpspar-standins/src/experiments/load/load_plan.ts
+++ b/packages/kelpspar-standins/src/experiments/load/load_plan.ts
@@ -20,7 +20,7 @@
 };
 
 /** A pipeline of the experiments' configuration. */
-export type ExperimentPipeline = "plan" | "booking" | "chat";
+export type ExperimentPipeline = "plan" | "booking" | "chat" | "order";
 
 /** What is sent, and when. */
 export interface LoadPlan {
@@ -34,8 +34,10 @@
   readonly warmUpSeconds: number;
   /** Share of requests that go through the pipeline with a once-stage. */
   readonly onceShare: number;
+  /** That pipeline; default `booking`. */
+  readonly oncePipeline?: Extract<ExperimentPipeline, "booking" | "order">;
   /** The pipeline of all others; default `plan`. */
-  readonly pipeline?: Exclude<ExperimentPipeline, "booking">;
+  readonly pipeline?: Extract<ExperimentPipeline, "plan" | "chat">;
   /** Tokens a generation makes, uniform between the two. */
   readonly tokens: readonly [least: number, most: number];
   /** Prefixes that inputs share, and how long each is, characters. */
--- a/packages/kelpspar-standins/src/experiments/load/plan_requests.ts
+++ b/packages/kelpspar-standins/src/experiments/load/plan_requests.ts
@@ -85,7 +85,7 @@
   const tokens = least + random.nextInteger(most - least + 1);
   const hasOnceStage = random.next() < plan.onceShare;
   const pipeline: ExperimentPipeline = hasOnceStage
-    ? "booking"
+    ? plan.oncePipeline ?? "booking"
     : plan.pipeline ?? "plan";
   const prefix = drawPrefix(plan, random);
   const input = `${prefix}When may lime be spread? token=${token} ` +
--- a/packages/kelpspar-standins/src/experiments/run_experiment.ts
+++ b/packages/kelpspar-standins/src/experiments/run_experiment.ts
@@ -10,6 +10,7 @@
 import { LARGE_ACCOUNT } from "./load/load_plan.ts";
 import { planRequests } from "./load/plan_requests.ts";
 import { runLoad } from "./load/run_load.ts";
+import { checkKept } from "./measure/check_kept.ts";
 import { readProcessorTimes } from "./measure/processor_time.ts";
 import { round } from "./measure/round.ts";
 import { summarize } from "./measure/summarize.ts";
@@ -128,6 +129,7 @@
     offeredPerSecond: round(measured.measured.length / plan.seconds, 1),
     ...summarize(measured),
     busiestDaemonCores: daemonCores,
+    ...await checkKept(measured, { site, pools: options.pools, timer }),
     ...notes,
     ...await run.inspect?.(measured, site),
     daemonLogs: site.logs.messages,
--- a/packages/kelpspar-standins/src/experiments/site/experiment_configuration.ts
+++ b/packages/kelpspar-standins/src/experiments/site/experiment_configuration.ts
@@ -57,7 +57,7 @@
         progressTimeoutMilliseconds: ENGINE_PROGRESS_MILLISECONDS,
       },
     ],
-    pipelines: (["plan", "booking", "chat"] as const).map((id) =>
+    pipelines: (["plan", "booking", "chat", "order"] as const).map((id) =>
       createPipeline(id, changes.sharedPrefixCharacters ?? 0)
     ),
     limits: { addressKeepMilliseconds: 2_000, ...changes.limits },
--- a/packages/kelpspar-standins/src/experiments/site/experiment_services.ts
+++ b/packages/kelpspar-standins/src/experiments/site/experiment_services.ts
@@ -20,6 +20,7 @@
   plan: ["encoder", "retriever", "reranker", "engine"],
   booking: ["encoder", "retriever", "reranker", "engine", "booking"],
   chat: ["engine"],
+  order: ["booking"],
 };
 
 /** The one service whose calls may not be repeated. */
--- a/packages/kelpspar-standins/src/experiments/site/experiment_site.ts
+++ b/packages/kelpspar-standins/src/experiments/site/experiment_site.ts
@@ -172,6 +172,7 @@
   /** Lets endpoints finish what they have and exit. */
   async leave(endpoints: readonly SiteEndpoint[]): Promise<void> {
     for (const { id } of endpoints) this.#leaving.add(id);
+    await Promise.all(endpoints.map((one) => this.runnerTime.read(one)));
     await Promise.all(
       endpoints.map((endpoint) =>
         this.#site.controlEndpoint(endpoint, {
--- /dev/null
+++ b/scenarios/leaving_endpoints/leaving.feature
@@ -0,0 +1,93 @@
+Feature: An endpoint that is leaving receives no new work after a few seconds
+
+  Scenario Outline: <source>
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s
+    And <source> after 2 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+    And every caller has exactly one final answer for each submission
+    And attainment is at least 99%
+
+    Examples:
+      | source                                       |
+      | the VM list shows that engine-1 is leaving   |
+      | the VM list shows that reranker-1 is leaving |
+      | engine-1 reports that it is leaving          |
+      | encoder-1 reports that it is leaving         |
+      | engine-1 answers calls that it is leaving    |
+      | an operator drains engine-1 at daemon 2      |
+      | an operator drains encoder-1 at daemon 3     |
+
+  Scenario: the list goes back on what it said
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s
+    And the VM list shows that engine-1 is leaving after 1 s
+    And the VM list shows that engine-1 is live again after 3 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: the store is down while an endpoint leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s
+    And the table hangs for 8 s after 1 s
+    And engine-1 reports that it is leaving after 2 s
+    And the VM list shows that engine-2 is leaving after 2 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: the store goes down once an operator has drained an endpoint
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s
+    And an operator drains engine-1 at daemon 1 after 2 s
+    And the table hangs for 8 s after 2100 ms
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: the drain's answer is lost
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And the table loses the answer of every 1st write
+    When 200 spread plans arrive over 8 s
+    And an operator drains engine-1 at daemon 1 after 2 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: two operators drain different endpoints at the same moment
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s
+    And an operator drains engine-1 at daemon 1 after 2 s
+    And an operator drains engine-2 at daemon 2 after 2 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: a daemon pauses while an endpoint leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s, each retried at another daemon after 1 s without an answer
+    And daemon 1 pauses for 4 s after 1 s
+    And engine-1 reports that it is leaving after 1500 ms
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: a daemon starts while an endpoint leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s from patient callers
+    And an operator drains engine-1 at daemon 1 after 1 s
+    And daemon 2 starts anew after 5 s
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: a burst arrives while an endpoint leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 400 spread plans arrive over 2 s
+    And engine-1 reports that it is leaving after 500 ms
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: open connections go silent while an endpoint leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s from patient callers
+    And the VM list shows that engine-1 is leaving after 2 s
+    And open connections of daemon 1 go silent after 2 s
+    And open connections of daemon 2 go silent after 2500 ms
+    And 12 s pass
+    Then no leaving endpoint received a call later than 3 s
--- /dev/null
+++ b/scenarios/planned_stops/stops.feature
@@ -0,0 +1,106 @@
+Feature: Every planned stop is a graceful shutdown
+
+  Scenario: a daemon is stopped under load
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And 30 booking confirmations arrive over 3 s from patient callers
+    And daemon 1 is stopped after 1 s
+    And 10 s pass
+    Then the planned stops cut off nothing
+    And no answer was foreign, cut or doubled
+    And no request ran twice
+    And no refusal said not_run of a request that ran
+    And attainment is at least 100%
+
+  Scenario: every daemon is stopped and started, one after the other
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 10 s from patient callers
+    And 100 booking confirmations arrive over 10 s from patient callers
+    And daemon 1 is stopped after 1 s
+    And daemon 1 starts anew after 4 s
+    And daemon 2 is stopped after 5 s
+    And daemon 2 starts anew after 8 s
+    And daemon 3 is stopped after 9 s
+    And daemon 3 starts anew after 12 s
+    And 18 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And no answer was foreign, cut or doubled
+    And no refusal said not_run of a request that ran
+    And attainment is at least 99%
+
+  Scenario: a daemon is stopped while stages are slow
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And every engine is slower by a factor of 8
+    And callers have a deadline of 10 s
+    When 30 spread plans arrive over 1 s from patient callers
+    And daemon 1 is stopped after 500 ms
+    And 14 s pass
+    Then the planned stops cut off nothing
+    And every caller has exactly one final answer for each submission
+    And no answer was foreign, cut or doubled
+
+  Scenario: a daemon is stopped while the store hangs
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s from patient callers
+    And the table hangs for 3 s after 900 ms
+    And daemon 1 is stopped after 1 s
+    And 14 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon is stopped while the store loses answers
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And the table loses the answer of every 2nd write
+    When 60 booking confirmations arrive over 3 s, each retried at another daemon after 600 ms without an answer
+    And daemon 1 is stopped after 1 s
+    And 12 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon is stopped while an endpoint dies
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And 30 booking confirmations arrive over 3 s from patient callers
+    And daemon 1 is stopped after 1 s
+    And engine-1 dies after 1050 ms
+    And booking-1 dies after 1050 ms
+    And 10 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon is stopped while its peers are silent
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And daemon 1 is cut off from the other daemons for 4 s after 500 ms
+    And daemon 1 is stopped after 1 s
+    And 10 s pass
+    Then the planned stops cut off nothing
+    And attainment is at least 100%
+
+  Scenario: a daemon is stopped and pauses on the way
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 8 s
+    When 60 spread plans arrive over 3 s
+    And daemon 1 is stopped after 1 s
+    And daemon 1 pauses for 2 s after 1100 ms
+    And 12 s pass
+    Then the planned stops cut off nothing
+    And every caller has exactly one final answer for each submission
+
+  Scenario: an operator drains a daemon
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And 30 booking confirmations arrive over 3 s from patient callers
+    And an operator drains daemon 1 after 1 s
+    And daemon 1 is stopped after 4 s
+    And 10 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And no answer was foreign, cut or doubled
+    And attainment is at least 100%
--- /dev/null
+++ b/scenarios/truthful_refusals/refusals.feature
@@ -0,0 +1,92 @@
+Feature: When a refusal says a request was not run, it was not run
+
+  Scenario Outline: the booking service <fault>
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And every booking <fault>
+    When 40 booking confirmations arrive over 3 s
+    And 20 bound booking confirmations arrive over 3 s
+    And 8 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+
+    Examples:
+      | fault                                  |
+      | fails every 2nd call                   |
+      | loses the answer of every 2nd call     |
+      | never answers every 2nd call           |
+      | cuts every 2nd answer short            |
+      | leaves a piece out of every 2nd answer |
+      | is slower by a factor of 100           |
+
+  Scenario: every endpoint of the booking service dies
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 40 booking confirmations arrive over 3 s
+    And booking-1 dies after 1 s
+    And booking-2 dies after 1100 ms
+    And 8 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+    And every refusal came within 2 s
+
+  Scenario: the store hangs and refusals come early
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 40 booking confirmations arrive over 4 s
+    And the table hangs for 10 s after 500 ms
+    And 8 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+    And every refusal came within 2 s
+
+  Scenario: the store is down and refusals come at once
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 40 booking confirmations arrive over 4 s
+    And 40 bound booking confirmations arrive over 4 s
+    And the table is down for 10 s after 500 ms
+    And 8 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+    And every refusal came within 1 s
+    And attainment is at least 50%
+
+  Scenario: a late write takes effect after its request was refused
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 400 ms
+    And the table delays every 2nd write by 600 ms
+    When 40 booking confirmations arrive over 3 s, each retried at another daemon after 300 ms without an answer
+    And 8 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a caller that got no answer is refused elsewhere while its daemon is paused
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 6 s
+    When 60 booking confirmations arrive over 3 s, each retried at another daemon after 300 ms without an answer
+    And daemon 1 pauses for 3 s after 1 s
+    And the table is down for 2 s after 1200 ms
+    And 12 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon dies and callers ask the one that starts in its place
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s, each retried at another daemon after 500 ms without an answer
+    And 30 keyed spread plans arrive over 3 s, each retried at another daemon after 500 ms without an answer
+    And daemon 1 dies after 1 s
+    And daemon 1 starts anew after 1100 ms
+    And the table loses the answer of every 3rd write after 900 ms
+    And 10 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a burst beyond what the site can do is refused early
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 30 spread plans arrive over 3 s
+    And 600 spread plans arrive over 1 s after 3 s
+    And 10 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+    And no answer was foreign, cut or doubled
+    And every refusal came within 3100 ms
