Split the scheduler; check keys by the revision on its way; bound queues together

Change: choice of endpoints and estimates of waits stand apart; the front waits for the revision first; the stalled-reader watch covers an answer's end; 64 MiB of waiting calls are divided among the services. Conclusion: behaviour but for the four points is as before.

--- a/packages/kelpspar-daemon/src/front/caller_routes.ts
+++ b/packages/kelpspar-daemon/src/front/caller_routes.ts
@@ -88,9 +88,10 @@
     const error = noConfigurationError();
     throw resubmission ? withoutProof(error) : error;
   }
+  // Keys are checked by the revision that is on its way, not by the one before.
+  await options.whenSettled();
   const account = authenticate(exchange, options);
   const request = await readSubmission(exchange, options);
-  await options.whenSettled();
   // A caller that left meanwhile is served for nobody.
   if (exchange.response.destroyed) return;
   const context = options.requests.submit(account, request);
--- a/packages/kelpspar-daemon/src/front/stream_answer.ts
+++ b/packages/kelpspar-daemon/src/front/stream_answer.ts
@@ -29,6 +29,17 @@
   response.writeHead(STATUS_OK, { "content-type": "application/x-ndjson" });
   let pending = JSON.stringify(options.accepted) + "\n";
 
+  const watchStalled = (): () => void => {
+    const stopTimer = options.timer.registerTimeout(
+      () => response.destroy(),
+      STALLED_READER_MILLISECONDS,
+    );
+    response.once("close", stopTimer);
+    return () => {
+      stopTimer();
+      response.off("close", stopTimer);
+    };
+  };
   const flush = (): void => {
     if (isWaiting || response.writableEnded) return;
     for (const chunk of log.readFrom(offset)) {
@@ -38,6 +49,7 @@
     if (log.final !== undefined) {
       pending += JSON.stringify(log.final) + "\n";
       stop();
+      watchStalled();
       response.end(pending);
       return;
     }
@@ -46,14 +58,9 @@
     pending = "";
     if (response.write(text)) return;
     isWaiting = true;
-    const stopWatch = options.timer.registerTimeout(
-      () => response.destroy(),
-      STALLED_READER_MILLISECONDS,
-    );
-    response.once("close", stopWatch);
+    const stopWatch = watchStalled();
     response.once("drain", () => {
       stopWatch();
-      response.off("close", stopWatch);
       isWaiting = false;
       flush();
     });
--- a/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
+++ b/packages/kelpspar-daemon/src/scheduling/fair_scheduler.ts
@@ -1,5 +1,4 @@
 import type { AccountDemand, ServiceDemand } from "kelpspar-decisions/fairness";
-import type { EndpointRegistry } from "kelpspar-decisions/routing";
 import type {
   EndpointAddress,
   RandomSource,
@@ -10,7 +9,7 @@
 import type { Permit } from "./permit.ts";
 import type { PermitRequest } from "./permit_request.ts";
 import type { ExpectedCallName, Scheduler, ServiceLoad } from "./scheduler.ts";
-import type { NoEndpointReason, WaitingCall } from "./service_gate.ts";
+import type { WaitingCall } from "./service_gate.ts";
 import {
   computeFleetShares,
   EMPTY_DEMAND,
@@ -18,20 +17,19 @@
   findServiceDemand,
 } from "kelpspar-decisions/fairness";
 import { comebackMilliseconds } from "kelpspar-decisions/retries";
-import { chooseEndpoint } from "kelpspar-decisions/routing";
 import { KelpsparError } from "kelpspar-shared";
 import { createPermit } from "./create_permit.ts";
 import { DemandMeter } from "./demand_meter.ts";
+import { ReadyEndpoints } from "./ready_endpoints.ts";
+import { WaitEstimator } from "./wait_estimator.ts";
 import { ServiceGate } from "./service_gate.ts";
 
 const TICK_MILLISECONDS = 20;
 /** The shares' arithmetic grows with accounts times services. */
 const SHARES_EVERY_TICKS = 10;
 const COMEBACK_MILLISECONDS = 500;
-const SMALLEST_PART = 1e-3;
-
-type Pool = NonNullable<ReturnType<EndpointRegistry["candidates"]>>;
-type Tier = ReturnType<Pool["tiersFrom"]>[number];
+/** Memory for the calls that wait before all services together. */
+const QUEUED_BYTES = 64 * 1024 * 1024;
 
 /** What the scheduler works on. */
 export interface FairSchedulerOptions {
@@ -54,12 +52,17 @@
   readonly #options: FairSchedulerOptions;
   readonly #gates = new Map<string, ServiceGate>();
   readonly #demand = new DemandMeter();
+  readonly #endpoints: ReadyEndpoints;
+  readonly #waits: WaitEstimator;
   #ticks = 0;
   /** The peers' demand, merged once for all services. */
   #peers = EMPTY_DEMAND;
 
   constructor(options: FairSchedulerOptions) {
     this.#options = options;
+    const { parts, configuration } = options;
+    this.#endpoints = new ReadyEndpoints({ ...options, ...parts });
+    this.#waits = new WaitEstimator({ ...parts, configuration });
   }
 
   /** Starts the clockwork; returns the teardown. */
@@ -106,27 +109,21 @@
     service: string,
     call: { readonly accountId: string; readonly priority: number },
   ): number {
-    const gate = this.#gateOf(service);
-    const queued = gate.isContended
-      ? gate.queue.estimateWait(call.accountId, call.priority)
-      : 0;
-    return queued +
-      this.#expectedWait(gate, { service, accountId: call.accountId });
+    return this.#waits.estimate(this.#gateOf(service), { service, ...call });
   }
 
   expect(call: ExpectedCallName): () => void {
-    return this.#options.parts.expected.add({
-      serviceId: call.service,
-      accountId: call.accountId,
-      cost: this.#estimateCost(call),
-    });
+    return this.#waits.expect(call);
   }
 
   loadOf(
     request: Pick<PermitRequest, "service" | "model" | "exclude">,
   ): ServiceLoad {
     const gate = this.#gateOf(request.service);
-    const endpoints = this.#countReady(request.service, request.model);
+    const endpoints = this.#endpoints.count(
+      request.service,
+      request.model,
+    );
     return {
       waiting: gate.waiting,
       utilization: gate.running / gate.limit,
@@ -138,7 +135,7 @@
   demands(): readonly ServiceDemand[] {
     return [...this.#gates.keys()].sort().map((serviceId) => ({
       serviceId,
-      capacitySeen: this.#capacityOf(serviceId),
+      capacitySeen: this.#endpoints.capacityOf(serviceId),
       accounts: this.#demandOf(serviceId),
     }));
   }
@@ -161,7 +158,7 @@
       minimumRemainingMilliseconds: gate.isContended
         ? times.likely
         : times.minimum,
-      estimatedCost: this.#estimateCost(request),
+      estimatedCost: this.#waits.costOf(request),
       bytes: request.bytes,
       item: call,
     }, now);
@@ -205,14 +202,17 @@
   #gateOf(serviceId: string): ServiceGate {
     const known = this.#gates.get(serviceId);
     if (known !== undefined) return known;
-    const { timer, random } = this.#options;
+    const { timer, random, configuration } = this.#options;
     const gate = new ServiceGate({
       serviceId,
       queue: new FairQueue<WaitingCall>({
         random,
         boundsOf: (accountId) => this.#boundsOf(accountId),
+        maximumTotalBytes: Math.floor(
+          QUEUED_BYTES / Math.max(1, configuration.services().size),
+        ),
       }),
-      choose: (request) => this.#choose(request),
+      choose: (request) => this.#endpoints.choose(request),
       now: () => timer.now(),
       comeback: () => comebackMilliseconds(COMEBACK_MILLISECONDS, { random }),
     });
@@ -234,58 +234,6 @@
     };
   }
 
-  #choose(request: PermitRequest): EndpointAddress | NoEndpointReason {
-    const { parts, timer, random, availabilityZone } = this.#options;
-    const chosen = chooseEndpoint(parts.registry, {
-      service: request.service,
-      ...(request.model === undefined ? {} : { model: request.model }),
-      ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
-      ...(request.prefixHash === undefined
-        ? {}
-        : { prefixHash: request.prefixHash }),
-      zone: availabilityZone,
-      now: timer.now(),
-      random,
-      exclude: request.exclude,
-      prefixes: parts.prefixes,
-    });
-    return "none" in chosen ? chosen.none : chosen;
-  }
-
-  /** What the calls of admitted requests, still to come, add to a wait. */
-  #expectedWait(
-    gate: ServiceGate,
-    call: { readonly service: string; readonly accountId: string },
-  ): number {
-    const { service: serviceId, accountId } = call;
-    const { parts, configuration } = this.#options;
-    const contenders = new Set(parts.expected.accountsOf(serviceId));
-    for (const backlog of gate.queue.backlogs()) {
-      contenders.add(backlog.accountId);
-    }
-    contenders.add(accountId);
-    const accounts = configuration.accounts();
-    const shareOf = (id: string): number => accounts.get(id)?.share ?? 0;
-    let total = 0;
-    for (const id of contenders) total += shareOf(id);
-    return parts.expected.waitOf({
-      serviceId,
-      accountId,
-      concurrency: gate.concurrency,
-      freeSlots: Math.max(0, gate.limit - gate.running - gate.waiting),
-      part: Math.max(SMALLEST_PART, shareOf(accountId) / (total || 1)),
-    });
-  }
-
-  #estimateCost(request: ExpectedCallName): number {
-    return this.#options.parts.costs.estimate({
-      serviceId: request.service,
-      accountId: request.accountId,
-      pipelineId: request.pipelineId,
-      stageId: request.stageId,
-    }).runnerMilliseconds;
-  }
-
   #tick(): void {
     this.#ticks++;
     if (this.#ticks % SHARES_EVERY_TICKS === 0) {
@@ -303,7 +251,7 @@
       [...configuration.accounts()].map(([id, account]) => [id, account.share]),
     );
     const fleet = computeFleetShares({
-      totalConcurrency: this.#capacityOf(serviceId),
+      totalConcurrency: this.#endpoints.capacityOf(serviceId),
       liveDaemons: this.#options.liveDaemons(),
       own: this.#demandOf(serviceId),
       peers: {
@@ -324,30 +272,4 @@
       now: this.#options.timer.now(),
     });
   }
-
-  /** Calls the ready endpoints of a service run at a time, all together. */
-  #capacityOf(serviceId: string): number {
-    const now = this.#options.timer.now();
-    let capacity = 0;
-    for (const tier of this.#tiersOf(serviceId, undefined)) {
-      for (const entry of tier) capacity += entry.capacityAt(now);
-    }
-    return capacity;
-  }
-
-  #countReady(serviceId: string, model: string | undefined): number {
-    return this.#tiersOf(serviceId, model).reduce(
-      (sum, tier) => sum + tier.length,
-      0,
-    );
-  }
-
-  #tiersOf(
-    serviceId: string,
-    model: string | undefined,
-  ): readonly Tier[] {
-    const { parts, availabilityZone } = this.#options;
-    const pool = parts.registry.candidates(serviceId, model ?? "");
-    return pool?.tiersFrom(availabilityZone) ?? [];
-  }
 }
--- a/packages/kelpspar-decisions/src/__tests__/unit/leases_model_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/leases_model_test.ts
@@ -351,8 +351,20 @@
   expect(fencingNumberForOrder(state, 200)).toEqual(1);
   expect(fencingNumberForOrder({ ...state, lastTickAt: -950 }, 200))
     .toEqual(undefined);
+  expect(fencingNumberForOrder({ ...state, isStopping: true }, 200))
+    .toEqual(undefined);
   const gap = advanceLease(state, { type: "tick", now: 1_200 });
   expect(gap.actions).toEqual([{ type: "lost" }]);
+  const renewing = advanceLease({ ...state, held: { ...held, renewAt: 0 } }, {
+    type: "tick",
+    now: 150,
+  });
+  expect(renewing.actions[0]?.type).toEqual("write");
+  const woken = advanceLease(renewing.state, { type: "tick", now: 1_200 });
+  const answer = { type: "committed", version: 2, now: 1_201 } as const;
+  const answered = advanceLease(woken.state, answer);
+  expect(answered.actions).toEqual([]);
+  expect(fencingNumberForOrder(answered.state, 1_202)).toEqual(undefined);
   const resumed = { type: "tick", now: 200, wallClock: 25_100 } as const;
   const { actions } = advanceLease(state, resumed);
   expect(actions).toEqual([{ type: "lost" }]);
