Say outcome_unknown to a caller that attaches after asking elsewhere

Change: a run remembers that a caller which follows it may have asked elsewhere; what is proved of this daemon's own run still frees its key. Conclusion: the proof of not_run now covers attached callers.

--- a/packages/kelpspar-cli/src/commands/command_table.ts
+++ b/packages/kelpspar-cli/src/commands/command_table.ts
@@ -11,6 +11,7 @@
 import { createStatusCommand } from "./status_command.ts";
 import { createUndrainCommand } from "./undrain_command.ts";
 import { createValidateCommand } from "./validate_command.ts";
+import { createSiteReportCommand } from "../report/report_command.ts";
 
 /** Every command, by name, in the order of the help. */
 export const COMMANDS: Readonly<Record<string, CreateCommand>> = {
@@ -22,6 +23,7 @@
   status: createStatusCommand,
   accounts: createAccountsCommand,
   endpoints: createEndpointsCommand,
+  report: createSiteReportCommand,
   drain: createDrainCommand,
   undrain: createUndrainCommand,
   request: createRequestCommand,
--- /dev/null
+++ b/packages/kelpspar-daemon/src/__tests__/unit/stream_answer_test.ts
@@ -0,0 +1,95 @@
+import type { ServerResponse } from "node:http";
+import { expect } from "earl";
+import { EventEmitter } from "node:events";
+import { test } from "node:test";
+import { ManualTimer } from "kelpspar-shared";
+import { streamAnswer } from "../../front/stream_answer.ts";
+import { AnswerLog } from "../../requests/answer_log.ts";
+import { readRecords } from "../support/test_daemon.ts";
+
+const LONG_MILLISECONDS = 600_000;
+
+/** A response whose reader takes one write and then as the test says. */
+class FakeResponse extends EventEmitter {
+  readonly written: string[] = [];
+  writableEnded = false;
+  destroyed = false;
+
+  writeHead(): void {}
+
+  write(text: string): boolean {
+    this.written.push(text);
+    return false;
+  }
+
+  end(text: string): void {
+    this.written.push(text);
+    this.writableEnded = true;
+  }
+
+  destroy(): void {
+    if (this.destroyed) return;
+    this.destroyed = true;
+    this.emit("close");
+  }
+
+  drain(): void {
+    this.emit("drain");
+  }
+}
+
+function startStream(offset = 0): {
+  readonly log: AnswerLog;
+  readonly response: FakeResponse;
+  readonly timer: ManualTimer;
+} {
+  const log = new AnswerLog();
+  const response = new FakeResponse();
+  const timer = new ManualTimer();
+  log.append("spread ");
+  streamAnswer(log, response as unknown as ServerResponse, {
+    accepted: { type: "accepted", requestId: "r", daemon: "d" },
+    offset,
+    timer,
+  });
+  return { log, response, timer };
+}
+
+test("a reader that is slow gets what waits in one write, once it has room", () => {
+  // Symptom: a daemon's memory grows with each caller that reads slowly.
+  // Sequence: an answer grows while its reader takes nothing.
+  // Cause: each piece is written into the buffer of a socket that is full.
+  const { log, response } = startStream(4);
+  for (const text of ["lime ", "at ", "dawn"]) log.append(text);
+  log.finish({
+    type: "failure",
+    code: 3001,
+    result: "deadline_exceeded",
+    outcome: "outcome_unknown",
+    retry: "never",
+    message: "Late",
+  });
+  expect(response.written.length).toEqual(1);
+  response.drain();
+  expect([response.written.length, response.writableEnded])
+    .toEqual([2, true]);
+  const records = readRecords(response.written.join(""));
+  expect(records.map(({ type }) => type)).toEqual(
+    ["accepted", "chunk", "chunk", "chunk", "chunk", "failure"],
+  );
+  const chunks = records.flatMap((record) =>
+    record.type === "chunk" ? [record] : []
+  );
+  expect(chunks.map(({ text }) => text).join("")).toEqual("ad lime at dawn");
+  expect(chunks[0]?.offset).toEqual(4);
+});
+
+test("a reader that stopped reading is given up, and forgotten by the log", async () => {
+  const stalled = startStream();
+  await stalled.timer.advance(LONG_MILLISECONDS);
+  expect([stalled.response.destroyed, stalled.log.readers]).toEqual([true, 0]);
+  const patient = startStream();
+  patient.response.drain();
+  await patient.timer.advance(LONG_MILLISECONDS);
+  expect([patient.response.destroyed, patient.log.readers]).toEqual([false, 1]);
+});
--- a/packages/kelpspar-daemon/src/requests/create_context.ts
+++ b/packages/kelpspar-daemon/src/requests/create_context.ts
@@ -21,6 +21,7 @@
       JSON.stringify([request.pipeline, request.input, request.nonIdempotent]),
     ),
     log: new AnswerLog(),
+    mayRunElsewhere: request.resubmission,
     abort: new AbortController(),
     expected: new Map(),
     traces: new Map(),
--- a/packages/kelpspar-daemon/src/requests/key_lookup.ts
+++ b/packages/kelpspar-daemon/src/requests/key_lookup.ts
@@ -62,7 +62,11 @@
     if (finding.state === "running") {
       const { registry } = this.#options;
       const context = registry.find(finding.requestId, accountId);
-      if (context !== undefined) return { context };
+      if (context !== undefined) {
+        // Who looks a key up has lost an answer, and may have asked elsewhere.
+        context.mayRunElsewhere = true;
+        return { context };
+      }
     }
     const result = finding.state === "running"
       ? "outcome_unknown"
--- a/packages/kelpspar-daemon/src/requests/request_context.ts
+++ b/packages/kelpspar-daemon/src/requests/request_context.ts
@@ -21,6 +21,11 @@
   /** SHA-256 of the body, to tell a reused idempotency key. */
   readonly bodyHash: string;
   readonly log: AnswerLog;
+  /**
+   * True once any caller that follows this run said that it had sent the key
+   * before without an answer: another daemon may then run it too.
+   */
+  mayRunElsewhere: boolean;
   /** Aborted at the deadline, by the caller's cancel, or when abandoned. */
   readonly abort: AbortController;
   /** What takes back each stage's expected call, by the stage's id. */
--- a/packages/kelpspar-daemon/src/requests/request_outcome.ts
+++ b/packages/kelpspar-daemon/src/requests/request_outcome.ts
@@ -4,18 +4,22 @@
 import { judgeRefusal } from "kelpspar-decisions/claims";
 import { KelpsparError as ResultError } from "kelpspar-shared";
 
-/** What is proved of a request that got no answer. */
+/** What a caller may be told of a request that got no answer. */
 export function outcomeOf(
   context: RequestContext,
+): Exclude<Outcome, "completed"> {
+  return context.mayRunElsewhere ? "outcome_unknown" : outcomeHere(context);
+}
+
+/** What is proved of this daemon's own run, whatever others may do. */
+export function outcomeHere(
+  context: RequestContext,
 ): Exclude<Outcome, "completed"> {
   const stages: StageFacts[] = [...context.traces.values()].map((trace) => ({
     effect: trace.once ? "once" : "none",
     calls: trace.dispatches,
   }));
-  return judgeRefusal({
-    stages,
-    earlierSubmissionUnanswered: context.request.resubmission,
-  });
+  return judgeRefusal({ stages });
 }
 
 /** The same failure with the outcome that the request's calls prove. */
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -155,7 +155,10 @@
     if (decision.type === "attach") {
       const { registry } = this.#options;
       const running = registry.find(decision.requestId, context.account.id);
-      if (running !== undefined) return running;
+      if (running !== undefined) {
+        running.mayRunElsewhere ||= context.request.resubmission;
+        return running;
+      }
       throw new ResultError(
         "outcome_unknown",
         "The request's run is not found",
@@ -231,7 +234,7 @@
   ): void {
     if (context.log.final !== undefined) return;
     const error = toKelpsparError(failure.thrown);
-    if (outcomeOf(context) === "not_run") failure.run.claim?.giveUp();
+    if (outcomeHere(context) === "not_run") failure.run.claim?.giveUp();
     const proved = KEEPS_OUTCOME.has(error.result)
       ? error
       : withProvedOutcome(error, context);
@@ -254,7 +257,7 @@
       return;
     }
     run.claim?.giveUp();
-    const mayRepeat = !run.hasOnceStage || outcomeOf(context) === "not_run";
+    const mayRepeat = !run.hasOnceStage || outcomeHere(context) === "not_run";
     keys.end(context, { type: mayRepeat ? "repeatable" : "outcome_unknown" });
   }
 
--- /dev/null
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_model_keys.ts
@@ -0,0 +1,68 @@
+import type { Daemon, Model, Sent, Submission } from "./claims_model.ts";
+
+/** Every field that can differ; a request and its operation share an id. */
+function describeDaemon({ name, begun, held }: Daemon): string {
+  const attempts = held.map(({ attempt, isWaiting }) => {
+    const { phase, basis, version, writing, identity } = attempt;
+    const { operationId, bodyHash, abandonedOperations } = identity;
+    const rest = [attempt.unprovedCalls, attempt.mayHaveWritten, isWaiting];
+    return `${operationId} ${bodyHash} ${abandonedOperations} ${phase} ${basis} ${version} ${writing} ${rest}`;
+  });
+  return `${name} ${begun} ${attempts}`;
+}
+
+function describeSent(sent: Sent): string {
+  const { state, operationId, bodyHash } = sent.content;
+  const { answer } = sent;
+  const found = answer?.type === "conflict" ? answer.found : null;
+  const told = [answer?.type, found?.content?.state, found?.version];
+  return `${state} ${operationId} ${bodyHash} ${sent.expectedVersion} ${sent.isAwaited} ${told} ${found?.content?.operationId}`;
+}
+
+function describeSubmissions(submissions: readonly Submission[]): string {
+  return submissions.map((one) => `${one.body} ${one.requestId} ${one.answer}`)
+    .join();
+}
+
+/** Numbers equal parts alike; parts are shared by many models. */
+function createNumbering<T extends object>(
+  describePart: (part: T) => string,
+): (part: T) => number {
+  const known = new WeakMap<T, number>();
+  const numbers = new Map<string, number>();
+  return (part: T): number => {
+    const before = known.get(part);
+    if (before !== undefined) return before;
+    const text = describePart(part);
+    const number = numbers.get(text) ?? numbers.size;
+    numbers.set(text, number);
+    known.set(part, number);
+    return number;
+  };
+}
+
+const numberOfDaemon = createNumbering(describeDaemon);
+const numberOfSent = createNumbering(describeSent);
+const numberOfSubmissions = createNumbering(describeSubmissions);
+
+/** The same text for the same state. */
+export function describe(model: Model): string {
+  const { row, network, daemons, executions } = model;
+  return [
+    `${row?.content?.state} ${row?.content?.operationId} ${row?.version}`,
+    network.map(numberOfSent).sort(),
+    daemons.map(numberOfDaemon),
+    numberOfSubmissions(model.submissions),
+    executions,
+    `${model.submit}${model.lose}${model.crash}${model.refuse}`,
+  ].join("|");
+}
+
+/** Drops late writes that can never take effect, since versions only grow. */
+export function tidy(model: Model): Model {
+  const version = model.row?.version ?? 0;
+  const network = model.network.filter((sent) =>
+    sent.isAwaited || sent.expectedVersion >= version
+  );
+  return network.length < model.network.length ? { ...model, network } : model;
+}
--- a/packages/kelpspar-scenarios/src/mutants/with_endpoints.ts
+++ b/packages/kelpspar-scenarios/src/mutants/with_endpoints.ts
@@ -39,14 +39,21 @@
   change: (record: StageRecord, call: StageCall) => StageRecord,
 ): WorldMutation {
   return withEndpoints({
-    async *call(client, { address, call, options }) {
-      for await (const record of client.call(address, call, options)) {
-        yield change(record, call);
-      }
-    },
+    call: (client, { address, call, options }) =>
+      mapRecords(
+        client.call(address, call, options),
+        (record) => change(record, call),
+      ),
   });
 }
 
+async function* mapRecords(
+  records: AsyncIterable<StageRecord>,
+  change: (record: StageRecord) => StageRecord,
+): AsyncGenerator<StageRecord> {
+  for await (const record of records) yield change(record);
+}
+
 function changeClient(
   client: EndpointClient,
   changes: EndpointChanges,
--- a/packages/kelpspar-scenarios/src/runner/scenario_answer.ts
+++ b/packages/kelpspar-scenarios/src/runner/scenario_answer.ts
@@ -2,4 +2,6 @@
 export interface ScenarioAnswer {
   /** Why it failed; absent when it held. */
   readonly failure?: string;
+  /** True when the worker's process ends with this answer. */
+  readonly isLast?: boolean;
 }
--- a/packages/kelpspar-scenarios/src/runner/worker_main.ts
+++ b/packages/kelpspar-scenarios/src/runner/worker_main.ts
@@ -7,8 +7,25 @@
 
 const SCENARIOS = loadScenarios();
 
+let onUnhandled = (_reason: unknown): void => {};
+
+// What nobody handles would end a daemon's process, so that it fails the
+// scenario that runs.
+process.on("unhandledRejection", (reason) => onUnhandled(reason));
+
 process.on("message", (order: ScenarioOrder) => {
-  void answer(order).then((found) => process.send?.(found));
+  const crashed = new Promise<ScenarioAnswer>((resolve) => {
+    onUnhandled = (reason) =>
+      resolve({
+        failure: `A daemon would have crashed: ${reasonOf(reason)}`,
+        isLast: true,
+      });
+  });
+  void Promise.race([answer(order), crashed]).then((found) =>
+    process.send?.(found, () => {
+      if (found.isLast === true) process.exit(1);
+    })
+  );
 });
 
 async function answer(order: ScenarioOrder): Promise<ScenarioAnswer> {
@@ -22,6 +39,10 @@
     });
     return {};
   } catch (thrown) {
-    return { failure: thrown instanceof Error ? thrown.message : `${thrown}` };
+    return { failure: reasonOf(thrown) };
   }
 }
+
+function reasonOf(thrown: unknown): string {
+  return thrown instanceof Error ? thrown.message : String(thrown);
+}
--- a/packages/kelpspar-scenarios/src/steps/answer_assertions.ts
+++ b/packages/kelpspar-scenarios/src/steps/answer_assertions.ts
@@ -1,5 +1,7 @@
 import type { StepTable } from "../language/step_definition.ts";
 import { isAttained } from "../world/callers/submission.ts";
+import { findMissingRepeats } from "../checks/find_missing_repeats.ts";
+import { none } from "./none.ts";
 import { formatPercent } from "./format_percent.ts";
 
 /** Assertions about what callers received. */
@@ -19,4 +21,8 @@
       );
     },
   },
+  "every answer that was asked for again was given again": {
+    meaning: "The second daemon gave the first one's answer, word for word",
+    handler: (world) => none(findMissingRepeats(world)),
+  },
 };
--- a/packages/kelpspar-scenarios/src/steps/assertion_steps.ts
+++ b/packages/kelpspar-scenarios/src/steps/assertion_steps.ts
@@ -38,6 +38,15 @@
     handler: (world, values) =>
       none(findLateCalls(world, values.milliseconds("time"))),
   },
+  "{endpoint:name} received calls in the last {time:duration}": {
+    meaning: "A new incarnation is used again",
+    handler: (world, values) => {
+      const { arrivals } = world.endpoint(values.text("endpoint"));
+      const from = world.timer.now() - values.milliseconds("time");
+      if (arrivals.some((at) => at >= from)) return;
+      throw new Error("It received none");
+    },
+  },
   "the planned stops cut off nothing": holds(
     "Each ended, and after every request that its daemon had taken",
     findCutRequests,
--- a/packages/kelpspar-scenarios/src/steps/leaving_steps.ts
+++ b/packages/kelpspar-scenarios/src/steps/leaving_steps.ts
@@ -8,14 +8,14 @@
     handler: (world, values) => {
       const endpoint = world.endpoint(values.text("endpoint"));
       endpoint.faults = { ...endpoint.faults, hidesLeaving: true };
-      endpoint.leavingSince = world.timer.now() + world.vmListLag;
-      world.changeVm(endpoint.id, { state: "leaving" });
+      endpoint.leavingSince = world.timer.now() + world.vms.lagMilliseconds;
+      world.vms.change(endpoint.id, { state: "leaving" });
     },
   },
   "the VM list shows that {endpoint:name} is live again": {
     meaning: "After its lag, of the same VM",
     handler: (world, values) =>
-      world.changeVm(values.text("endpoint"), { state: "live" }),
+      world.vms.change(values.text("endpoint"), { state: "live" }),
   },
   "{endpoint:name} reports that it is leaving": {
     meaning: "The VM list goes on showing it as live",
@@ -45,20 +45,31 @@
       await world.operators.drain(world.daemon(values.number("daemon")), {
         kind: "endpoint",
         id: endpoint.id,
-        incarnation: world.vm(endpoint.id).incarnation,
+        incarnation: world.vms.row(endpoint.id).incarnation,
         onAccepted: () => {
           endpoint.leavingSince ??= world.timer.now();
         },
       });
     },
   },
+  "{endpoint:name} starts a new process and stays drained": {
+    meaning: "On the same VM, so that the operator's drain goes on",
+    handler: (world, values) => {
+      const endpoint = world.endpoint(values.text("endpoint"));
+      const { leavingSince } = endpoint;
+      endpoint.die();
+      endpoint.restart();
+      endpoint.faults = { ...endpoint.faults, hidesLeaving: true };
+      endpoint.leavingSince = leavingSince;
+    },
+  },
   "{endpoint:name} is replaced under its address": {
     meaning: "A new VM with a new process; the list shows it after its lag",
     handler: (world, values) => {
       const endpoint = world.endpoint(values.text("endpoint"));
       endpoint.die();
       endpoint.restart();
-      world.replaceVm(endpoint.id);
+      world.vms.replaceVm(endpoint.id);
     },
   },
 });
--- a/packages/kelpspar-scenarios/src/steps/load_steps.ts
+++ b/packages/kelpspar-scenarios/src/steps/load_steps.ts
@@ -49,6 +49,14 @@
         silenceMilliseconds: values.milliseconds("silence"),
       }),
     },
+  ", each asked of another daemon again {again:duration} after its answer": {
+    meaning: "a caller that was answered asks a second daemon for the same",
+    plan: (values) => ({
+      ...NO_RETRIES,
+      mostAttempts: 2,
+      askAgainMilliseconds: values.milliseconds("again"),
+    }),
+  },
   ", each sent to two daemons at once": {
     meaning: "a caller sends the same request to two daemons at one moment",
     plan: () => ({ ...NO_RETRIES, mostAttempts: 2, atOnce: true }),
--- a/packages/kelpspar-scenarios/src/steps/operator_steps.ts
+++ b/packages/kelpspar-scenarios/src/steps/operator_steps.ts
@@ -18,7 +18,7 @@
       return world.operators.drain(daemon, {
         kind: "daemon",
         id: daemon.daemonId,
-        incarnation: world.vm(daemon.daemonId).incarnation,
+        incarnation: world.vms.row(daemon.daemonId).incarnation,
         onAccepted: () => {},
       });
     },
--- a/packages/kelpspar-scenarios/src/steps/platform_fault_steps.ts
+++ b/packages/kelpspar-scenarios/src/steps/platform_fault_steps.ts
@@ -61,7 +61,7 @@
     meaning:
       "Changes of the list from here on show so much later; at first 1 s",
     handler: (world, values) => {
-      world.setVmListLag(values.milliseconds("time"));
+      world.vms.setLag(values.milliseconds("time"));
     },
   },
 });
--- a/packages/kelpspar-scenarios/src/world/callers/retry_plan.ts
+++ b/packages/kelpspar-scenarios/src/world/callers/retry_plan.ts
@@ -12,6 +12,8 @@
   readonly atOnce: boolean;
   /** Keeps reading the first answer while it asks elsewhere. */
   readonly keepsFirst: boolean;
+  /** Asks another daemon for the same, so long after a whole answer. */
+  readonly askAgainMilliseconds?: number;
   readonly mostAttempts: number;
 }
 
--- a/packages/kelpspar-standins/src/experiments/definitions/claim_batching.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/claim_batching.ts
@@ -27,7 +27,7 @@
     },
     inspect: async (_run, site) => {
       const { transactions, rowsWritten, refused, conflicts } = await site
-        .tableCounters();
+        .faults.tableCounters();
       return {
         transactions,
         rowsWritten,
--- a/packages/kelpspar-standins/src/experiments/definitions/configuration_race.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/configuration_race.ts
@@ -31,9 +31,9 @@
       await Promise.all(operators);
       await at(LAST_CHANGE_SECONDS);
       const last = await race.applyOnce(0);
-      await site.setTableFaults({ outage: "hang" });
+      await site.faults.setTable({ outage: "hang" });
       await at(OUTAGE_ENDS_SECONDS);
-      await site.setTableFaults({ outage: "none" });
+      await site.faults.setTable({ outage: "none" });
       await at(OUTAGE_ENDS_SECONDS + 1);
       stopWatch();
       note({
--- a/packages/kelpspar-standins/src/experiments/definitions/everything.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/everything.ts
@@ -18,19 +18,19 @@
     script: async ({ site, at }) => {
       await at(1);
       for (const slow of site.endpointsOf("engine").slice(0, 1)) {
-        await site.setEndpointFaults(slow, { slowFactor: SLOW_FACTOR });
+        await site.faults.setEndpoint(slow, { slowFactor: SLOW_FACTOR });
       }
-      await site.setTableFaults({ loseAnswerShare: 0.1, lostAnswer: "hang" });
+      await site.faults.setTable({ loseAnswerShare: 0.1, lostAnswer: "hang" });
       await at(3);
       await site.killEndpoints([
         ...site.endpointsOf("engine").slice(1, 2),
         ...site.endpointsOf("retriever").slice(0, 1),
       ]);
       await at(5);
-      await site.silence(site.endpoints);
-      await site.setTableFaults({ outage: "hang" });
+      await site.faults.silence(site.endpoints);
+      await site.faults.setTable({ outage: "hang" });
       await at(7);
-      await site.setTableFaults({ outage: "none" });
+      await site.faults.setTable({ outage: "none" });
       await at(8);
       await site.killDaemons(site.daemons.slice(0, 1));
       await site.addDaemon();
--- a/packages/kelpspar-standins/src/experiments/definitions/lost_write_answers.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/lost_write_answers.ts
@@ -12,15 +12,15 @@
     load: { seconds: 10, onceShare: 0.5 },
     script: async ({ site, at }) => {
       await at(1);
-      await site.setTableFaults({
+      await site.faults.setTable({
         loseAnswerShare: 0.2,
         delayWriteShare: 0.05,
         lostAnswer: "reset",
       });
       await at(5);
-      await site.setTableFaults({ lostAnswer: "hang" });
+      await site.faults.setTable({ lostAnswer: "hang" });
       await at(9);
-      await site.setTableFaults({ loseAnswerShare: 0, delayWriteShare: 0 });
+      await site.faults.setTable({ loseAnswerShare: 0, delayWriteShare: 0 });
     },
   }),
 };
--- a/packages/kelpspar-standins/src/experiments/definitions/silent_connections.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/silent_connections.ts
@@ -16,13 +16,13 @@
       const isFirst = (_: unknown, index: number): boolean =>
         index % SILENT_EVERY === 0;
       await at(2);
-      await site.silence(site.endpoints.filter(isFirst));
+      await site.faults.silence(site.endpoints.filter(isFirst));
       await at(5);
-      await site.silence(
+      await site.faults.silence(
         site.endpoints.filter((one, index) => !isFirst(one, index)),
       );
       await at(8);
-      await site.silencePlatform();
+      await site.faults.silencePlatform();
     },
   }),
 };
--- a/packages/kelpspar-standins/src/experiments/definitions/slow_endpoint.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/slow_endpoint.ts
@@ -16,11 +16,11 @@
       ];
       await at(2);
       for (const endpoint of slow) {
-        await site.setEndpointFaults(endpoint, { slowFactor: SLOW_FACTOR });
+        await site.faults.setEndpoint(endpoint, { slowFactor: SLOW_FACTOR });
       }
       await at(10);
       for (const endpoint of slow) {
-        await site.setEndpointFaults(endpoint, { slowFactor: 1 });
+        await site.faults.setEndpoint(endpoint, { slowFactor: 1 });
       }
     },
   }),
--- a/packages/kelpspar-standins/src/experiments/definitions/store_outage.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/store_outage.ts
@@ -33,9 +33,9 @@
     callers: { bindsKeys },
     script: async ({ site, at }) => {
       await at(BEGINS_SECONDS);
-      await site.setTableFaults({ outage: "hang" });
+      await site.faults.setTable({ outage: "hang" });
       await at(ENDS_SECONDS);
-      await site.setTableFaults({ outage: "none" });
+      await site.faults.setTable({ outage: "none" });
     },
     inspect: ({ measured }) => {
       const warmUp = measured[0]?.request.at ?? 0;
--- a/packages/kelpspar-standins/src/experiments/definitions/zone_loss.ts
+++ b/packages/kelpspar-standins/src/experiments/definitions/zone_loss.ts
@@ -1,6 +1,6 @@
 import type { Experiment } from "../experiment.ts";
 import { bothArms } from "../both_arms.ts";
-import { ZONES } from "../site/experiment_site.ts";
+import { ZONES } from "../site/create_site_plan.ts";
 
 const VM_LIST_LAG_MILLISECONDS = 2_000;
 
--- a/packages/kelpspar-standins/src/experiments/run_experiment.ts
+++ b/packages/kelpspar-standins/src/experiments/run_experiment.ts
@@ -2,6 +2,7 @@
 import type { Experiment, ExperimentRun, Figures } from "./experiment.ts";
 import type { LoadPlan } from "./load/load_plan.ts";
 import type { PlannedRequest } from "./load/planned_request.ts";
+import type { SiteStop } from "./site/experiment_site.ts";
 import { loadavg } from "node:os";
 import { SeededRandom } from "kelpspar-shared";
 import { AddressBook } from "./caller/address_book.ts";
@@ -15,7 +16,8 @@
 import { round } from "./measure/round.ts";
 import { summarize } from "./measure/summarize.ts";
 import { callerKey } from "./site/experiment_configuration.ts";
-import { ExperimentSite, ZONES } from "./site/experiment_site.ts";
+import { ZONES } from "./site/create_site_plan.ts";
+import { ExperimentSite } from "./site/experiment_site.ts";
 
 const MILLISECONDS_A_SECOND = 1_000;
 /** Between the last answer and the counting, for work that still goes on. */
@@ -55,13 +57,13 @@
   });
   const pools = new DaemonPools();
   let figures: Figures = {};
-  let killed: readonly string[] = [];
+  let stop: SiteStop = { killed: [], milliseconds: 0 };
   try {
     await site.start();
     figures = await measure(run, { ...options, site, pools });
   } finally {
     await pools.close();
-    killed = await site.stop();
+    stop = await site.stop();
   }
   return {
     experiment: experiment.name,
@@ -69,7 +71,8 @@
     ...(run.variant === undefined ? {} : { variant: run.variant }),
     seed,
     ...figures,
-    ...(killed.length === 0 ? {} : { killedAtStop: killed }),
+    daemonStopSeconds: round(stop.milliseconds / MILLISECONDS_A_SECOND, 1),
+    killedAtStop: stop.killed,
     machineLoad: [round(loadBefore, 1), round(loadavg()[0] ?? 0, 1)],
   };
 }
--- /dev/null
+++ b/packages/kelpspar-standins/src/experiments/site/create_site_plan.ts
@@ -0,0 +1,43 @@
+import type { SitePlan } from "../../site/site_plan.ts";
+import type { ArmName } from "../arm.ts";
+import type { SiteChanges } from "./site_changes.ts";
+import { PROGRAMS } from "../../site/programs.ts";
+import { createConfiguration } from "./experiment_configuration.ts";
+import { createPools } from "./experiment_pools.ts";
+
+/** The availability zones of every experiment's site. */
+export const ZONES: readonly string[] = ["zone-a", "zone-b", "zone-c"];
+
+const DAEMONS = 3;
+const TABLE_LATENCY_MILLISECONDS = 3;
+const VM_LIST_LAG_MILLISECONDS = 500;
+
+/** The plan of an experiment's site. */
+export function createSitePlan(options: {
+  readonly arm: ArmName;
+  readonly changes: SiteChanges;
+  readonly seed: number;
+}): SitePlan {
+  const { arm, changes, seed } = options;
+  const { daemonSettings, vmListLagMilliseconds } = changes;
+  return {
+    daemons: changes.daemons ?? DAEMONS,
+    availabilityZones: ZONES,
+    pools: createPools(changes),
+    configuration: createConfiguration(changes.configuration),
+    platform: {
+      table: {
+        faults: {
+          latencyMilliseconds: TABLE_LATENCY_MILLISECONDS,
+          ...changes.table,
+        },
+      },
+      vms: {
+        lagMilliseconds: vmListLagMilliseconds ?? VM_LIST_LAG_MILLISECONDS,
+      },
+    },
+    ...(daemonSettings === undefined ? {} : { daemonSettings }),
+    ...(arm === "naive" ? { daemonProgram: PROGRAMS.naive } : {}),
+    seed,
+  };
+}
--- a/scenarios/leaving_endpoints/leaving.feature
+++ b/scenarios/leaving_endpoints/leaving.feature
@@ -91,3 +91,42 @@
     And open connections of daemon 2 go silent after 2500 ms
     And 12 s pass
     Then no leaving endpoint received a call later than 3 s
+
+  Scenario: a service is slow while one of its endpoints leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And every reranker is slower by a factor of 8
+    When 200 spread plans arrive over 8 s
+    And reranker-1 reports that it is leaving after 2 s
+    And the VM list shows that engine-1 is leaving after 2 s
+    And 14 s pass
+    Then no leaving endpoint received a call later than 3 s
+    And every caller has exactly one final answer for each submission
+
+  Scenario: an endpoint dies while another one of its service leaves
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s from patient callers
+    And engine-2 dies after 2 s
+    And engine-1 reports that it is leaving after 2100 ms
+    And engine-2 starts anew after 5 s
+    And 14 s pass
+    Then no leaving endpoint received a call later than 3 s
+    And every caller has exactly one final answer for each submission
+    And attainment is at least 95%
+
+  Scenario: a process starts anew on a VM that an operator drained
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s from patient callers
+    And an operator drains engine-1 at daemon 1 after 1 s
+    And engine-1 starts a new process and stays drained after 3 s
+    And 14 s pass
+    Then no leaving endpoint received a call later than 3 s
+
+  Scenario: a new VM takes the place of one that left
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 200 spread plans arrive over 8 s from patient callers
+    And the VM list shows that engine-1 is leaving after 1 s
+    And engine-1 is replaced under its address after 4 s
+    And 14 s pass
+    Then no leaving endpoint received a call later than 3 s
+    And engine-1 received calls in the last 6 s
+    And attainment is at least 95%
--- a/scenarios/own_results/failing_daemons.feature
+++ b/scenarios/own_results/failing_daemons.feature
@@ -47,3 +47,31 @@
     Then no answer was foreign, cut or doubled
     And every caller has exactly one final answer for each submission
     And attainment is at least 100%
+
+  Scenario: writes lose their answers while bookings are answered
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And the table loses the answer of every 2nd write
+    When 40 booking confirmations arrive over 3 s from patient callers
+    And 40 keyed spread plans arrive over 3 s from patient callers
+    And 10 s pass
+    Then no answer was foreign, cut or doubled
+    And every caller has exactly one final answer for each submission
+    And attainment is at least 95%
+
+  Scenario: a burst of all kinds
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 30 spread plans arrive over 3 s
+    And 150 spread plans arrive over 500 ms after 3 s
+    And 100 booking confirmations arrive over 500 ms after 3 s
+    And 12 s pass
+    Then no answer was foreign, cut or doubled
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a burst meets an engine that cuts answers short
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And engine-1 cuts every 3rd answer short
+    When 200 spread plans arrive over 1 s from patient callers
+    And 12 s pass
+    Then no answer was foreign, cut or doubled
+    And every caller has exactly one final answer for each submission
--- a/scenarios/planned_stops/stops.feature
+++ b/scenarios/planned_stops/stops.feature
@@ -104,3 +104,48 @@
     And no request ran twice
     And no answer was foreign, cut or doubled
     And attainment is at least 100%
+
+  Scenario: two daemons are stopped in a burst
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 30 spread plans arrive over 3 s
+    And 150 spread plans arrive over 1 s from patient callers after 3 s
+    And 60 booking confirmations arrive over 1 s from patient callers after 3 s
+    And daemon 1 is stopped after 3500 ms
+    And daemon 2 is stopped after 3700 ms
+    And 14 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+
+  Scenario: another daemon dies while one is stopped
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And 40 booking confirmations arrive over 3 s from patient callers
+    And daemon 1 is stopped after 1 s
+    And daemon 2 dies after 1050 ms
+    And 12 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: open connections go silent while a daemon is stopped
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 spread plans arrive over 3 s from patient callers
+    And 40 booking confirmations arrive over 3 s from patient callers
+    And daemon 1 is stopped after 1 s
+    And open connections of daemon 1 go silent after 1020 ms
+    And 12 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon is stopped with claims open and the store down for longer
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s, each asked of another daemon again 9 s after its answer
+    And the table is down for 4 s after 1 s
+    And daemon 1 is stopped after 1050 ms
+    And 20 s pass
+    Then the planned stops cut off nothing
+    And no request ran twice
+    And every answer that was asked for again was given again
--- a/scenarios/truthful_refusals/refusals.feature
+++ b/scenarios/truthful_refusals/refusals.feature
@@ -90,3 +90,58 @@
     And every caller has exactly one final answer for each submission
     And no answer was foreign, cut or doubled
     And every refusal came within 3100 ms
+
+  Scenario: a caller comes back to the daemon that it left for another
+    Given a site with 2 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 6 s
+    And the table takes 320 ms for each call
+    When 60 booking confirmations arrive over 4 s, each retried at another daemon after 300 ms without an answer
+    And 60 amendment requests arrive over 4 s, each retried at another daemon after 300 ms without an answer
+    And 14 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a caller comes back to a daemon that starts anew and knows nothing
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 6 s
+    When 60 booking confirmations arrive over 4 s, each retried at another daemon after 100 ms without an answer
+    And the table hangs for 4 s after 2 s
+    And daemon 2 starts anew after 2 s
+    And 14 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon that is stopped refuses new bookings
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s
+    And operators apply different changes at daemon 2 and daemon 3 after 900 ms
+    And an operator drains daemon 2 after 1 s
+    And daemon 1 is stopped after 1 s
+    And 10 s pass
+    Then no refusal said not_run of a request that ran
+    And every caller has exactly one final answer for each submission
+    And every refusal came within 100 ms
+
+  Scenario: open connections to the booking service go silent
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s from patient callers
+    And 30 bound booking confirmations arrive over 3 s from patient callers
+    And open connections to booking-1 go silent after 1 s
+    And open connections to booking-2 go silent after 1500 ms
+    And open connections of daemon 1 go silent after 2 s
+    And 10 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
+
+  Scenario: a daemon that is cut off from the booking service
+    Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    When 60 booking confirmations arrive over 3 s from patient callers
+    And daemon 1 is cut off from booking-1 for 2 s after 1 s
+    And daemon 1 is cut off from booking-2 for 2 s after 1 s
+    And 10 s pass
+    Then no refusal said not_run of a request that ran
+    And no request ran twice
+    And every caller has exactly one final answer for each submission
