--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -30,7 +30,7 @@
 import { FREE_ONCE_GUARD } from "./once_guard.ts";
 import { onceStages } from "./once_stages.ts";
 import {
-  outcomeOf,
+  outcomeHere,
   withoutProof,
   withProvedOutcome,
 } from "./request_outcome.ts";
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/__tests__/unit/scenario_language_test.ts
@@ -0,0 +1,88 @@
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { FAILURES, UNTOUCHED } from "../../language/failures.ts";
+import { loadScenarios } from "../../language/load_scenarios.ts";
+import { parseScenarios } from "../../language/parse_scenarios.ts";
+import { PROMISES } from "../../language/promises.ts";
+import { countOf, renderCoverage } from "../../language/render_coverage.ts";
+import { renderSteps } from "../../language/render_steps.ts";
+import { scenarioTitle } from "../../language/scenario_title.ts";
+import { StepPattern } from "../../language/step_pattern.ts";
+import { MUTANTS } from "../../mutants/mutants.ts";
+import { STEP_GROUPS } from "../../steps/step_table.ts";
+
+const PAGE = new URL("../../../../../docs/SCENARIOS.md", import.meta.url);
+const SCENARIOS = loadScenarios();
+
+function withoutLayout(text: string): string {
+  return text.replace(/[\s-]+/g, " ");
+}
+
+test("every promise has a scenario for each failure that can touch it, and for two at once", () => {
+  const missing = Object.keys(PROMISES).flatMap((promise) => [
+    ...Object.keys(FAILURES).filter((failure) =>
+      failure !== "network-cut" && !(`${promise} ${failure}` in UNTOUCHED) &&
+      countOf(SCENARIOS, { promise, failure }) === 0
+    ).map((failure) => `${promise} ${failure}`),
+    ...SCENARIOS.some((scenario) =>
+        scenario.promise === promise && scenario.failures.length > 1
+      )
+      ? []
+      : [`${promise} two at once`],
+  ]);
+  expect(missing).toEqual([]);
+});
+
+test("every scenario stands under a known promise, with known tags and a title of its own", () => {
+  const unknown = SCENARIOS.flatMap(({ promise, failures }) => [
+    ...promise in PROMISES ? [] : [promise],
+    ...failures.filter((failure) => !(failure in FAILURES)),
+  ]);
+  expect(unknown).toEqual([]);
+  const titles = SCENARIOS.map(scenarioTitle);
+  expect(new Set(titles).size).toEqual(titles.length);
+});
+
+test("every mutant names a scenario that there is", () => {
+  const titles = SCENARIOS.map(scenarioTitle);
+  const lost = MUTANTS.filter(({ noticedBy }) => !titles.includes(noticedBy));
+  expect(lost).toEqual([]);
+});
+
+test("docs/SCENARIOS.md lists every step and the coverage as they are", () => {
+  const page = withoutLayout(readFileSync(PAGE, "utf8"));
+  for (const [name, table] of Object.entries(STEP_GROUPS)) {
+    const rendered = withoutLayout(renderSteps({ [name]: table })).trim();
+    expect(page.includes(rendered)).toEqual(true);
+  }
+  const coverage = withoutLayout(renderCoverage(SCENARIOS)).trim();
+  expect(page.includes(coverage)).toEqual(true);
+});
+
+test("a pattern matches whole texts and reads its values", () => {
+  const pattern = new StepPattern("{who:endpoints} waits {time:duration}");
+  const values = pattern.match("every engine waits 1.5 s");
+  expect(values?.text("who")).toEqual("every engine");
+  expect(values?.milliseconds("time")).toEqual(1_500);
+  expect(pattern.match("engine-1 waits 5 s more")).toEqual(undefined);
+  expect(pattern.match("daemon 1 waits 5 s")).toEqual(undefined);
+});
+
+test("an outline becomes one scenario a row, with its tags and seed", () => {
+  const text = `Feature: F
+  @seed-7 @burst
+  Scenario Outline: it <verb>
+    Given it <verb> well
+
+    Examples:
+      | verb |
+      | runs |
+      | ends |`;
+  const source = { promise: "own_results", file: "f.feature" };
+  const found = parseScenarios(text, source);
+  expect(found.map(({ name }) => name)).toEqual(["it runs", "it ends"]);
+  expect(found.map(({ seed }) => seed)).toEqual([7, 7]);
+  expect(found[0]?.failures).toEqual(["burst"]);
+  expect(found[1]?.steps).toEqual([{ text: "it ends well", line: 4 }]);
+});
--- a/packages/kelpspar-scenarios/src/language/scenario.ts
+++ b/packages/kelpspar-scenarios/src/language/scenario.ts
@@ -15,5 +15,7 @@
   readonly file: string;
   /** From a tag `@seed-7`; default 1. */
   readonly seed: number;
+  /** What fails in it, from its other tags, without their `@`. */
+  readonly failures: readonly string[];
   readonly steps: readonly ScenarioStep[];
 }
--- a/scenarios/accepted_configuration/changes.feature
+++ b/scenarios/accepted_configuration/changes.feature
@@ -20,6 +20,7 @@
     And no daemon went back to a lower revision
     And revision 5 is in force at every daemon
 
+  @operators-race
   Scenario: operators race one another
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When operators apply different changes at daemon 1 and daemon 2
@@ -30,6 +31,7 @@
     And no accepted change was lost
     And no daemon went back to a lower revision
 
+  @operators-race @answer-lost
   Scenario: operators race while writes lose their answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table loses the answer of every 1st write
@@ -40,6 +42,7 @@
     And no accepted change was lost
     And no daemon went back to a lower revision
 
+  @answer-lost @operators-race
   Scenario: a change takes effect late and another operator comes first
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table delays every 2nd write by 3 s
@@ -49,6 +52,7 @@
     And no accepted change was lost
     And no daemon went back to a lower revision
 
+  @store-down
   Scenario: the store goes down right after a change was accepted
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When an operator applies a change at daemon 1
@@ -58,6 +62,7 @@
     And every accepted change was in force everywhere within 10 s
     And revision 2 is in force at every daemon
 
+  @answer-lost @store-down
   Scenario: the answer is lost and the store goes down
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table loses the answer of every 1st write
@@ -68,6 +73,7 @@
     And every accepted change was in force everywhere within 10 s
     And no daemon went back to a lower revision
 
+  @process-dies
   Scenario: the accepting daemon dies at once
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When an operator applies a change at daemon 1
@@ -77,6 +83,7 @@
     And no accepted change was lost
     And revision 2 is in force at every daemon
 
+  @pause
   Scenario: a paused daemon wakes with an old revision
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When daemon 3 pauses for 6 s
@@ -88,6 +95,7 @@
     And no daemon went back to a lower revision
     And revision 3 is in force at every daemon
 
+  @network-cut
   Scenario: a daemon that was cut off comes back
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When daemon 3 is cut off from the other daemons for 6 s
@@ -97,6 +105,7 @@
     Then no daemon went back to a lower revision
     And revision 2 is in force at every daemon
 
+  @process-dies @store-down
   Scenario: a daemon starts during an outage of the store and hears a peer that lags
     Given a site with 4 daemons, 4 engines and 2 endpoints of each other service
     When daemon 3 is cut off from the other daemons for 30 s
@@ -108,6 +117,7 @@
     Then no daemon serves an older revision than one in force elsewhere for 10 s
     And no daemon went back to a lower revision
 
+  @silent-connections
   Scenario: connections go silent while a change spreads
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When an operator applies a change at daemon 1
@@ -118,6 +128,7 @@
     Then 1 changes were accepted
     And every accepted change was in force everywhere within 10 s
 
+  @burst
   Scenario: changes arrive in a burst of load
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 400 spread plans arrive over 4 s
@@ -128,6 +139,7 @@
     And every accepted change was in force everywhere within 10 s
     And no daemon went back to a lower revision
 
+  @store-down
   Scenario: changes follow one another while the way to the table is slow
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the way to table takes 200 ms longer
@@ -138,6 +150,7 @@
     And no daemon went back to a lower revision
     And revision 31 is in force at every daemon
 
+  @network-cut
   Scenario: changes follow one another while the way to one daemon is slow
     Given a site with 4 daemons, 4 engines and 2 endpoints of each other service
     And the way to daemon-1 takes 150 ms longer
--- a/scenarios/at_most_once/duplicated_deliveries.feature
+++ b/scenarios/at_most_once/duplicated_deliveries.feature
@@ -26,6 +26,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @store-down
   Scenario: the same booking reaches two daemons at once and the store is slow
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table takes 300 ms for each call
--- a/scenarios/at_most_once/dying_daemons.feature
+++ b/scenarios/at_most_once/dying_daemons.feature
@@ -1,5 +1,6 @@
 Feature: A non-idempotent request runs at most once, though daemons die
 
+  @process-dies
   Scenario: daemons die while bookings are under way
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s from patient callers
@@ -12,6 +13,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @process-dies @store-down
   Scenario: a daemon dies with the store
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s from patient callers
@@ -22,6 +24,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @process-dies
   Scenario: a daemon that minted keys dies and starts anew
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 bound booking confirmations arrive over 3 s from patient callers
@@ -32,6 +35,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @burst @process-dies
   Scenario: a burst of bookings and a daemon that dies in it
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 30 booking confirmations arrive over 3 s from patient callers
@@ -42,6 +46,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @store-down
   Scenario: the store is down for long and comes back
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 100 booking confirmations arrive over 10 s, each retried at another daemon after 500 ms without an answer
@@ -51,6 +56,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @operators-race
   Scenario: operators race and stop a daemon while bookings are retried
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s, each retried at another daemon after 200 ms without an answer
@@ -62,6 +68,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @network-cut @store-down
   Scenario: a daemon is cut off from the store and from its peers while it holds claims
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 8 s
--- a/scenarios/at_most_once/failing_endpoints.feature
+++ b/scenarios/at_most_once/failing_endpoints.feature
@@ -1,5 +1,6 @@
 Feature: A non-idempotent request runs at most once, though its endpoint fails
 
+  @stage-fails
   Scenario Outline: the booking service <fault>
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every booking <fault>
@@ -20,6 +21,7 @@
       | is slower by a factor of 10                 |
       | is overloaded                               |
 
+  @process-dies @stage-fails
   Scenario: an engine dies while it writes amendments
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 40 amendment requests arrive over 3 s from patient callers
@@ -32,6 +34,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @silent-connections
   Scenario: open connections to the booking service go silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 40 booking confirmations arrive over 3 s from patient callers
@@ -43,6 +46,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @silent-connections
   Scenario: open connections to engines go silent while amendments are written
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 6 s
--- a/scenarios/at_most_once/paused_daemons.feature
+++ b/scenarios/at_most_once/paused_daemons.feature
@@ -1,5 +1,6 @@
 Feature: A non-idempotent request runs at most once, though a paused daemon wakes with old beliefs
 
+  @pause
   Scenario: a daemon pauses between its claim and its call
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 10 s
@@ -10,6 +11,7 @@
     And every caller has exactly one final answer for each submission
     And no refusal said not_run of a request that ran
 
+  @pause @answer-lost
   Scenario: a daemon pauses while the store loses answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 10 s
--- a/scenarios/own_results/failing_daemons.feature
+++ b/scenarios/own_results/failing_daemons.feature
@@ -1,5 +1,6 @@
 Feature: No stage result is lost, doubled or foreign, though daemons and their connections fail
 
+  @pause
   Scenario: a daemon pauses in the middle of answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s, each retried at another daemon after 1 s without an answer
@@ -9,6 +10,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @silent-connections
   Scenario: open connections of a daemon go silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -19,6 +21,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @store-down
   Scenario: the store is down while spread plans arrive
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s
@@ -28,6 +31,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 100%
 
+  @process-dies @silent-connections
   Scenario: a daemon dies while open connections to an engine are silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -38,6 +42,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @operators-race
   Scenario: an operator's change arrives in the middle of answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s
@@ -48,6 +53,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 100%
 
+  @answer-lost
   Scenario: writes lose their answers while bookings are answered
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table loses the answer of every 2nd write
@@ -58,6 +64,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 95%
 
+  @burst
   Scenario: a burst of all kinds
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 30 spread plans arrive over 3 s
@@ -68,6 +75,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @burst @stage-fails
   Scenario: a burst meets an engine that cuts answers short
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And engine-1 cuts every 3rd answer short
--- a/scenarios/own_results/failing_stages.feature
+++ b/scenarios/own_results/failing_stages.feature
@@ -1,5 +1,6 @@
 Feature: No stage result is lost, doubled or foreign, though stages fail
 
+  @stage-fails
   Scenario Outline: <service> <fault>
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -22,6 +23,7 @@
       | retriever-1 | never answers every 2nd call          | 90%        |
       | encoder-1  | is slower by a factor of 30            | 90%        |
 
+  @process-dies @stage-fails
   Scenario: engines die and come back while daemons do
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 80 spread plans arrive over 4 s from patient callers
@@ -35,6 +37,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @process-dies
   Scenario: an engine is replaced under its address in the middle of answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
--- a/scenarios/own_results/mixed_up_records.feature
+++ b/scenarios/own_results/mixed_up_records.feature
@@ -1,5 +1,6 @@
 Feature: No stage result is lost, doubled or delivered to a request other than its own
 
+  @stage-fails
   Scenario Outline: every <service> <fault>
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every <service> <fault>
@@ -20,6 +21,7 @@
       | booking   | mixes in records of other calls   |
       | booking   | sends every record twice          |
 
+  @stage-fails @silent-connections
   Scenario: records of other calls come while connections go silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine mixes in records of other calls
--- a/scenarios/planned_stops/stops.feature
+++ b/scenarios/planned_stops/stops.feature
@@ -29,6 +29,7 @@
     And no refusal said not_run of a request that ran
     And attainment is at least 99%
 
+  @stage-fails
   Scenario: a daemon is stopped while stages are slow
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine is slower by a factor of 8
@@ -40,6 +41,7 @@
     And every caller has exactly one final answer for each submission
     And no answer was foreign, cut or doubled
 
+  @store-down
   Scenario: a daemon is stopped while the store hangs
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s from patient callers
@@ -51,6 +53,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @answer-lost
   Scenario: a daemon is stopped while the store loses answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table loses the answer of every 2nd write
@@ -62,6 +65,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @process-dies @stage-fails
   Scenario: a daemon is stopped while an endpoint dies
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -74,6 +78,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @network-cut
   Scenario: a daemon is stopped while its peers are silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -83,6 +88,7 @@
     Then the planned stops cut off nothing
     And attainment is at least 100%
 
+  @pause
   Scenario: a daemon is stopped and pauses on the way
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 8 s
@@ -93,6 +99,7 @@
     Then the planned stops cut off nothing
     And every caller has exactly one final answer for each submission
 
+  @operators-race
   Scenario: an operator drains a daemon
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -105,6 +112,7 @@
     And no answer was foreign, cut or doubled
     And attainment is at least 100%
 
+  @burst @operators-race
   Scenario: two daemons are stopped in a burst
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 30 spread plans arrive over 3 s
@@ -118,6 +126,7 @@
     And no refusal said not_run of a request that ran
     And every caller has exactly one final answer for each submission
 
+  @process-dies
   Scenario: another daemon dies while one is stopped
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -129,6 +138,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @silent-connections
   Scenario: open connections go silent while a daemon is stopped
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 spread plans arrive over 3 s from patient callers
@@ -140,6 +150,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @store-down
   Scenario: a daemon is stopped with claims open and the store down for longer
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s, each asked of another daemon again 9 s after its answer
--- a/scenarios/truthful_refusals/refusals.feature
+++ b/scenarios/truthful_refusals/refusals.feature
@@ -1,5 +1,6 @@
 Feature: When a refusal says a request was not run, it was not run
 
+  @stage-fails
   Scenario Outline: the booking service <fault>
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every booking <fault>
@@ -18,6 +19,7 @@
       | leaves a piece out of every 2nd answer |
       | is slower by a factor of 100           |
 
+  @process-dies @stage-fails
   Scenario: every endpoint of the booking service dies
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 40 booking confirmations arrive over 3 s
@@ -28,6 +30,7 @@
     And every caller has exactly one final answer for each submission
     And every refusal came within 2 s
 
+  @store-down
   Scenario: the store hangs and refusals come early
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 40 booking confirmations arrive over 4 s
@@ -37,6 +40,7 @@
     And every caller has exactly one final answer for each submission
     And every refusal came within 2 s
 
+  @store-down
   Scenario: the store is down and refusals come at once
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 40 booking confirmations arrive over 4 s
@@ -48,6 +52,7 @@
     And every refusal came within 1 s
     And attainment is at least 50%
 
+  @answer-lost
   Scenario: a late write takes effect after its request was refused
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 400 ms
@@ -58,6 +63,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @pause @store-down
   Scenario: a caller that got no answer is refused elsewhere while its daemon is paused
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 6 s
@@ -69,6 +75,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @process-dies @answer-lost
   Scenario: a daemon dies and callers ask the one that starts in its place
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s, each retried at another daemon after 500 ms without an answer
@@ -81,6 +88,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @burst
   Scenario: a burst beyond what the site can do is refused early
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 30 spread plans arrive over 3 s
@@ -91,6 +99,7 @@
     And no answer was foreign, cut or doubled
     And every refusal came within 3100 ms
 
+  @store-down
   Scenario: a caller comes back to the daemon that it left for another
     Given a site with 2 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 6 s
@@ -102,6 +111,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @process-dies @store-down
   Scenario: a caller comes back to a daemon that starts anew and knows nothing
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 6 s
@@ -113,6 +123,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @operators-race
   Scenario: a daemon that is stopped refuses new bookings
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s
@@ -124,6 +135,7 @@
     And every caller has exactly one final answer for each submission
     And every refusal came within 100 ms
 
+  @silent-connections
   Scenario: open connections to the booking service go silent
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s from patient callers
@@ -136,6 +148,7 @@
     And no request ran twice
     And every caller has exactly one final answer for each submission
 
+  @network-cut
   Scenario: a daemon that is cut off from the booking service
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 60 booking confirmations arrive over 3 s from patient callers
--- a/scenarios/whole_answers/asked_again.feature
+++ b/scenarios/whole_answers/asked_again.feature
@@ -8,6 +8,7 @@
     And no request ran twice
     And no answer was foreign, cut or doubled
 
+  @answer-lost
   Scenario: writes lose their answers and callers ask again
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And the table loses the answer of every 2nd write
@@ -16,6 +17,7 @@
     Then every answer that was asked for again was given again
     And no request ran twice
 
+  @store-down
   Scenario: the store hangs for a while and callers ask again once it is back
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And callers have a deadline of 8 s
@@ -26,6 +28,7 @@
     And no answer was foreign, cut or doubled
     And every caller has exactly one final answer for each submission
 
+  @process-dies
   Scenario: the daemon that answered has died when its caller asks again
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     When 20 booking confirmations arrive over 2 s, each asked of another daemon again 2 s after its answer
@@ -34,6 +37,7 @@
     Then no request ran twice
     And every answer that was asked for again was given again
 
+  @pause @stage-fails
   Scenario: a daemon pauses in the middle of answers that come out of order
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine sends records out of order
@@ -44,6 +48,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @operators-race
   Scenario: operators race and drain while answers come out of order
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine sends records out of order
@@ -55,6 +60,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 100%
 
+  @burst
   Scenario: a burst of answers that come out of order
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine sends records out of order
--- a/scenarios/whole_answers/out_of_order.feature
+++ b/scenarios/whole_answers/out_of_order.feature
@@ -1,5 +1,6 @@
 Feature: A caller receives the whole answer to its own request, though records come late or out of order
 
+  @stage-fails
   Scenario Outline: every <service> <fault>
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every <service> <fault>
@@ -17,6 +18,7 @@
       | booking   | sends records out of order       |
       | engine    | splits characters between pieces |
 
+  @process-dies @stage-fails
   Scenario: records come twice and out of order from an engine that dies
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine sends records out of order
@@ -29,6 +31,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 85%
 
+  @silent-connections @stage-fails
   Scenario: a slow network and silent connections
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine sends records out of order
@@ -42,6 +45,7 @@
     And every caller has exactly one final answer for each submission
     And attainment is at least 90%
 
+  @stage-fails
   Scenario: a caller leaves a silent daemon and another answers
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
     And every engine is slower by a factor of 5
