Forget claims whose outcome stays unknown; let a doubtful store answer a read

Scenario 'writes lose their answers and callers ask again': a completed booking was answered store_unavailable, since arrivals were refused after three lost answers though the table could be read. Change: a claim is forgotten once no result can come; while the store fails, a read at arrival decides within 150 ms.

--- a/packages/kelpspar-daemon/src/claims/claim_handle.ts
+++ b/packages/kelpspar-daemon/src/claims/claim_handle.ts
@@ -12,4 +12,9 @@
   complete(result: StoredResult): void;
   /** Ends the request without a result. */
   giveUp(): void;
+  /**
+   * Says that no result will come any more. Without it every request whose
+   * outcome stays unknown is remembered for the life of the daemon.
+   */
+  forget(): void;
 }
--- a/packages/kelpspar-daemon/src/claims/claim_service.ts
+++ b/packages/kelpspar-daemon/src/claims/claim_service.ts
@@ -114,18 +114,22 @@
       notStarted: () => this.#advance(entry, { type: "not_started" }),
       complete: (result) => this.#advance(entry, { type: "complete", result }),
       giveUp: () => this.#advance(entry, { type: "give_up" }),
+      forget: () => {
+        if (entry.attempt.phase !== "unresolved") return;
+        this.#entries.delete(operationId);
+      },
     };
   }
 
   /**
    * Reads whether another operation holds a key or has completed it, before a
-   * claim is made; undefined when not, or when the store does not say.
+   * claim is made; undefined when not.
    */
   async lookAhead(asked: {
     readonly accountId: string;
     readonly idempotencyKey: string;
     readonly bodyHash: string;
-  }): Promise<ClaimSettlement | undefined> {
+  }): Promise<ClaimSettlement | "unavailable" | undefined> {
     const key = claimKey(asked.accountId, asked.idempotencyKey);
     try {
       const rows = await this.#options.table.read([{
@@ -143,7 +147,7 @@
       });
       return isSettlement(decision) ? decision : undefined;
     } catch {
-      return undefined;
+      return "unavailable";
     }
   }
 
--- a/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
+++ b/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
@@ -7,6 +7,7 @@
 import type { KelpsparError, TimerService } from "kelpspar-shared";
 
 const CONFIRM_LIMIT_MILLISECONDS = 800;
+const DOUBTFUL_LIMIT_MILLISECONDS = 150;
 
 /** What a claim is made for. */
 export interface ClaimedOnceGuardOptions {
@@ -52,7 +53,7 @@
   prepare(): void {
     if (this.#handle !== undefined || this.#isOver) return;
     const { claims, context, idempotencyKey, daemon } = this.#options;
-    const stopWaiting = this.#limitWaiting();
+    const stopWaiting = this.#limitWaiting(CONFIRM_LIMIT_MILLISECONDS);
     this.#handle = claims.begin({
       accountId: context.account.id,
       idempotencyKey,
@@ -99,15 +100,32 @@
     this.#handle?.giveUp();
   }
 
+  /** Says that no result will come any more. */
+  forget(): void {
+    this.#handle?.forget();
+  }
+
+  /**
+   * While the store fails, the look ahead decides: a store that does not
+   * answer it at once refuses the request, one that does goes on.
+   */
   async #lookAhead(): Promise<void> {
-    const { claims, context, idempotencyKey } = this.#options;
-    const settlement = await claims.lookAhead({
+    const { claims, context, idempotencyKey, createStoreError } = this.#options;
+    const isDoubtful = !claims.isStoreUsable();
+    const stopWaiting = isDoubtful
+      ? this.#limitWaiting(DOUBTFUL_LIMIT_MILLISECONDS)
+      : () => {};
+    const found = await claims.lookAhead({
       accountId: context.account.id,
       idempotencyKey,
       bodyHash: context.bodyHash,
     });
-    if (settlement === undefined || this.#handle !== undefined) return;
-    this.#settle(settlement);
+    stopWaiting();
+    if (found === "unavailable") {
+      if (isDoubtful) context.abort.abort(createStoreError());
+      return;
+    }
+    if (found !== undefined && this.#handle === undefined) this.#settle(found);
   }
 
   #settle(settlement: ClaimSettlement): void {
@@ -120,12 +138,12 @@
    * A store that does not answer would otherwise hold the request back until
    * its deadline; it is told at once that it was not run, and when to return.
    */
-  #limitWaiting(): () => void {
+  #limitWaiting(milliseconds: number): () => void {
     const { context, timer, createStoreError } = this.#options;
     const { abort } = context;
     const stop = timer.registerTimeout(
       () => abort.abort(createStoreError()),
-      CONFIRM_LIMIT_MILLISECONDS,
+      milliseconds,
     );
     abort.signal.addEventListener("abort", stop);
     return stop;
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -128,7 +128,7 @@
     if (known !== undefined) return this.#follow(context, known);
     const services = this.#options.configuration.services();
     const hasOnceStage = onceStages(context, services).size > 0;
-    this.#checkArrival(checked, hasOnceStage);
+    this.#options.arrivals.check(checked, { repeatable: !hasOnceStage });
     const decision = this.#options.keys.begin(context);
     if (decision !== undefined && decision.type !== "run") {
       return this.#follow(context, decision);
@@ -138,16 +138,6 @@
     return context;
   }
 
-  #checkArrival(checked: CheckedRequest, hasOnceStage: boolean): void {
-    const { arrivals, claims } = this.#options;
-    const key = checked.request.idempotencyKey;
-    arrivals.check(checked, { repeatable: !hasOnceStage });
-    const isClaimed = hasOnceStage && key !== undefined && !key.startsWith("@");
-    if (isClaimed && !claims.isStoreUsable()) {
-      throw arrivals.storeError();
-    }
-  }
-
   #follow(
     context: RequestContext,
     decision: Exclude<LedgerDecision, { readonly type: "run" }>,
@@ -257,6 +247,7 @@
       return;
     }
     run.claim?.giveUp();
+    run.claim?.forget();
     const mayRepeat = !run.hasOnceStage || outcomeHere(context) === "not_run";
     keys.end(context, { type: mayRepeat ? "repeatable" : "outcome_unknown" });
   }
--- a/packages/kelpspar-scenarios/src/world/callers/callers.ts
+++ b/packages/kelpspar-scenarios/src/world/callers/callers.ts
@@ -214,6 +214,7 @@
   #afterAnswer(submission: Submission, daemon: WorldDaemon): void {
     const { askAgainMilliseconds } = submission.retries;
     if (askAgainMilliseconds === undefined) return;
+    if (submission.attempts.length > 1) return;
     this.#options.schedule(
       askAgainMilliseconds,
       () => this.#retry(submission, daemon),
--- a/scenarios/planned_stops/stops.feature
+++ b/scenarios/planned_stops/stops.feature
@@ -153,6 +153,7 @@
   @store-down
   Scenario: a daemon is stopped with claims open and the store down for longer
     Given a site with 3 daemons, 4 engines and 2 endpoints of each other service
+    And callers have a deadline of 25 s
     When 60 booking confirmations arrive over 3 s, each asked of another daemon again 9 s after its answer
     And the table is down for 4 s after 1 s
     And daemon 1 is stopped after 1050 ms
