Look for a cached prefix in the whole region, not in the own zone alone

Change: holders and the rendezvous place of a prefix are sought among all zones of the region; zones still decide for calls without a prefix.

--- a/packages/kelpspar-decisions/src/routing/candidate_pool.ts
+++ b/packages/kelpspar-decisions/src/routing/candidate_pool.ts
@@ -9,6 +9,7 @@
   readonly #regionOf: RegionOfZone;
   readonly #zones = new Map<string, EndpointEntry[]>();
   #tiers = new Map<string, readonly (readonly EndpointEntry[])[]>();
+  #regions = new Map<string, readonly EndpointEntry[]>();
 
   constructor(key: string, regionOf: RegionOfZone) {
     this.key = key;
@@ -25,6 +26,7 @@
     if (entries === undefined) this.#zones.set(zone, [entry]);
     else entries.push(entry);
     this.#tiers = new Map();
+    this.#regions = new Map();
   }
 
   remove(entry: EndpointEntry): void {
@@ -35,6 +37,23 @@
       if (entries.length === 0) this.#zones.delete(zone);
     }
     this.#tiers = new Map();
+    this.#regions = new Map();
+  }
+
+  /** True when two zones are in one region. */
+  isNear(zone: string, otherZone: string): boolean {
+    return this.#regionOf(zone) === this.#regionOf(otherZone);
+  }
+
+  /** The candidates of all zones in the region of `zone`. */
+  inRegionOf(zone: string): readonly EndpointEntry[] {
+    const known = this.#regions.get(zone);
+    if (known !== undefined) return known;
+    const entries = [...this.#zones].flatMap(([otherZone, candidates]) =>
+      this.isNear(zone, otherZone) ? candidates : []
+    );
+    this.#regions.set(zone, entries);
+    return entries;
   }
 
   /**
--- a/packages/kelpspar-decisions/src/routing/choose_endpoint.ts
+++ b/packages/kelpspar-decisions/src/routing/choose_endpoint.ts
@@ -1,10 +1,10 @@
+import type { CandidatePool } from "./candidate_pool.ts";
 import type { ChooseOptions, NoEndpoint } from "./choose_options.ts";
 import type { EndpointEntry } from "./endpoint_entry.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { EndpointAddress } from "kelpspar-shared";
 import { chooseByPrefix } from "./bounded_load_choice.ts";
 import { CandidateSearch } from "./candidate_search.ts";
-import { poolKeyOf } from "./candidate_pools.ts";
 import { DEFAULT_CHOICE_WEIGHTS } from "./choose_options.ts";
 
 const NO_ENDPOINT: NoEndpoint = { none: "no_endpoint" };
@@ -26,13 +26,15 @@
   const search = new CandidateSearch(call);
   const byLoad = chooseByLoad(tiers, { call, search });
   if (byLoad === undefined) return chooseAmongRest(tiers, search);
-  if (call.prefixHash === undefined) return byLoad.address;
+  if (call.prefixHash === undefined || pool === undefined) {
+    return byLoad.address;
+  }
   const preferred = chooseForPrefix(registry, {
     call,
     search,
     byLoad,
     prefixHash: call.prefixHash,
-    tiers,
+    pool,
   });
   return preferred.address;
 }
@@ -84,25 +86,30 @@
 interface PrefixSearchOptions extends SearchOptions {
   readonly byLoad: EndpointEntry;
   readonly prefixHash: string;
-  readonly tiers: Tiers;
+  readonly pool: CandidatePool;
 }
 
+/**
+ * A prefix is looked for in the whole region, not in the own zone alone: a way
+ * between zones takes milliseconds, reading a long prefix anew a hundred or
+ * more. Kept to its zone, each daemon would fill its zone's few caches with
+ * every prefix there is, and most calls would miss.
+ */
 function chooseForPrefix(
   registry: EndpointRegistry,
   options: PrefixSearchOptions,
 ): EndpointEntry {
-  const { call, search, byLoad, prefixHash, tiers } = options;
+  const { call, search, byLoad, prefixHash, pool } = options;
   const weights = call.weights ?? DEFAULT_CHOICE_WEIGHTS;
   const holders = call.prefixes?.holders(prefixHash) ?? [];
-  const holder = leastLoadedHolder(registry, { call, search, holders });
+  const holder = leastLoadedHolder(registry, { call, search, holders, pool });
   if (holder !== undefined) {
     const loadOfHolder = holder.utilizationAt(call.now);
     const isWorthIt = loadOfHolder <=
       byLoad.utilizationAt(call.now) + weights.affinityDifference;
     return isWorthIt ? holder : byLoad;
   }
-  const tier = tiers.find((candidates) => candidates.includes(byLoad)) ?? [];
-  return chooseByPrefix(tier, {
+  return chooseByPrefix(pool.inRegionOf(call.zone), {
     prefixHash,
     weights,
     now: call.now,
@@ -112,15 +119,17 @@
 
 function leastLoadedHolder(
   registry: EndpointRegistry,
-  options: SearchOptions & { readonly holders: readonly string[] },
+  options: SearchOptions & {
+    readonly holders: readonly string[];
+    readonly pool: CandidatePool;
+  },
 ): EndpointEntry | undefined {
-  const { call, search, holders } = options;
-  const key = poolKeyOf(call.service, call.model);
+  const { call, search, holders, pool } = options;
   let best: EndpointEntry | undefined;
   for (const endpointId of holders) {
     const entry = registry.entryOf(endpointId);
-    if (entry?.address.availabilityZone !== call.zone) continue;
-    if (!entry.pools.some((pool) => pool.key === key)) continue;
+    if (entry === undefined || !entry.pools.includes(pool)) continue;
+    if (!pool.isNear(call.zone, entry.address.availabilityZone)) continue;
     if (search.admit(entry) !== "open") continue;
     if (
       best === undefined || entry.scoreAt(call.now) < best.scoreAt(call.now)
