--- a/packages/kelpspar-decisions/src/__tests__/unit/claims_model.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_model.ts
@@ -92,9 +92,8 @@
       operationId,
       result: owner.result,
     });
-  return decision.type === "completed"
-    ? textOf(decision.result)
-    : decision.type;
+  const { type } = decision;
+  return type === "completed" ? textOf(decision.result) : type;
 }
 
 function settle(
@@ -104,9 +103,8 @@
   ],
 ): string {
   if (decision.type === "held_elsewhere") return askOwner(model, decision);
-  return decision.type === "completed"
-    ? textOf(decision.result)
-    : decision.type;
+  const { type } = decision;
+  return type === "completed" ? textOf(decision.result) : type;
 }
 
 function act(
@@ -263,10 +261,9 @@
 /** Every state that one step leads to. */
 export function* moves(model: Model): Generator<Model> {
   yield* networkMoves(model);
-  for (const [at, daemon] of model.daemons.entries()) {
-    for (const held of daemon.held) yield* attemptMoves(model, held);
-    const hasWork = daemon.held.length > 0;
-    if (hasWork && model.crash > 0) yield crash(model, at, daemon.name);
+  for (const [at, { held, name }] of model.daemons.entries()) {
+    for (const one of held) yield* attemptMoves(model, one);
+    if (held.length > 0 && model.crash > 0) yield crash(model, at, name);
     const isFirst = model.submissions.length === 0;
     if (model.submit === 0 || (isFirst && at > 0)) continue;
     yield submit(model, at, "x");
