--- a/packages/kelpspar-daemon/src/scheduling/wait_estimator.ts
+++ b/packages/kelpspar-daemon/src/scheduling/wait_estimator.ts
@@ -65,6 +65,7 @@
       concurrency: gate.concurrency,
       freeSlots: Math.max(0, gate.limit - gate.running - gate.waiting),
       part: this.#partOf(gate, call),
+      isContended: gate.waiting > 0,
     });
   }
 
--- a/packages/kelpspar-decisions/src/admission/expected_calls.ts
+++ b/packages/kelpspar-decisions/src/admission/expected_calls.ts
@@ -16,6 +16,8 @@
   readonly freeSlots: number;
   /** The account's part of the accounts that contend, above 0 to 1. */
   readonly part: number;
+  /** True when calls wait before the service already. */
+  readonly isContended: boolean;
 }
 
 interface ServiceTally {
@@ -60,14 +62,23 @@
   /**
    * How long the calls expected of an account add to the wait of a new one of
    * the same account, milliseconds. Those that find a free slot add nothing.
+   *
+   * While nothing waits, no account holds the others back: the wait is at most
+   * that for all expected calls together. What goes wrong without that bound:
+   * a small account's few calls are worked out at its share alone, and refused
+   * before a service that could take them all.
    */
   waitOf(options: ExpectedWaitOptions): number {
     const service = this.#services.get(options.serviceId);
     if (service === undefined || service.calls === 0) return 0;
     const own = service.costs.get(options.accountId) ?? 0;
     const beyond = Math.max(0, service.calls - options.freeSlots);
-    const waiting = own * beyond / service.calls;
-    return waiting / (options.concurrency * options.part);
+    const share = beyond / service.calls;
+    const atOwnPart = own * share / (options.concurrency * options.part);
+    if (options.isContended) return atOwnPart;
+    let all = 0;
+    for (const cost of service.costs.values()) all += cost;
+    return Math.min(atOwnPart, all * share / options.concurrency);
   }
 
   #change(service: ServiceTally, call: ExpectedCall, by: number): void {
