Leave dispatched requests to their claim; tell own keys from others'; IPv6

Cause: review: a late look-ahead could abort a request whose claim was confirmed; a look-up of a key bound to this daemon answered wrong_daemon; IPv6 numbers made broken URLs. Change: as said, each at its place. Conclusion: found by reading, mended without a failing run before.

--- a/packages/kelpspar-daemon/src/create_request_parts.ts
+++ b/packages/kelpspar-daemon/src/create_request_parts.ts
@@ -103,7 +103,13 @@
       log.debug("Request refused", errorDetails(error));
     },
   });
-  const lookup = new KeyLookup({ keys, registry, table, askHolder });
+  const lookup = new KeyLookup({
+    keys,
+    registry,
+    table,
+    askHolder,
+    incarnation: options.incarnation,
+  });
   return { claims, requests, lookup, arrivals };
 }
 
--- a/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
+++ b/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
@@ -7,7 +7,7 @@
 import type { PeerRouter } from "./peer_router.ts";
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { KelpsparError } from "kelpspar-shared";
+import { formatHost, KelpsparError } from "kelpspar-shared";
 import { configurationRowSchema } from "../configuration/configuration_row.ts";
 import { Agent, fetch as undiciFetch } from "undici";
 import { peerDigestSchema } from "./peer_digest.ts";
@@ -107,7 +107,7 @@
   }
 
   #connect(peer: PeerAddress): PeerConnection {
-    const name = `${peer.address}:${peer.port}`;
+    const name = formatHost(peer.address, peer.port);
     const known = this.#connections.get(name);
     if (known !== undefined) return known;
     if (this.#connections.size >= MOST_CLIENTS) this.#dropOldest();
@@ -133,7 +133,7 @@
   }
 
   #drop(peer: PeerAddress, connection: PeerConnection): void {
-    const name = `${peer.address}:${peer.port}`;
+    const name = formatHost(peer.address, peer.port);
     if (this.#connections.get(name) === connection) {
       this.#connections.delete(name);
     }
--- a/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
+++ b/packages/kelpspar-daemon/src/requests/claimed_once_guard.ts
@@ -37,6 +37,7 @@
   #confirm = (): void => {};
   #handle: ClaimHandle | undefined;
   #isOver = false;
+  #isConfirmed = false;
 
   constructor(options: ClaimedOnceGuardOptions) {
     this.#options = options;
@@ -66,6 +67,7 @@
       listener: {
         onRun: () => {
           stopWaiting();
+          this.#isConfirmed = true;
           this.#confirm();
         },
         onSettled: (settlement) => {
@@ -122,7 +124,8 @@
     });
     stopWaiting();
     if (found === "unavailable") {
-      if (isDoubtful) context.abort.abort(createStoreError());
+      const isRefused = isDoubtful && !this.#isConfirmed;
+      if (isRefused) context.abort.abort(createStoreError());
       return;
     }
     if (found !== undefined && this.#handle === undefined) this.#settle(found);
@@ -141,10 +144,10 @@
   #limitWaiting(milliseconds: number): () => void {
     const { context, timer, createStoreError } = this.#options;
     const { abort } = context;
-    const stop = timer.registerTimeout(
-      () => abort.abort(createStoreError()),
-      milliseconds,
-    );
+    const stop = timer.registerTimeout(() => {
+      // A claim that was confirmed meanwhile needs no answer any more.
+      if (!this.#isConfirmed) abort.abort(createStoreError());
+    }, milliseconds);
     abort.signal.addEventListener("abort", stop);
     return stop;
   }
--- a/packages/kelpspar-daemon/src/requests/key_lookup.ts
+++ b/packages/kelpspar-daemon/src/requests/key_lookup.ts
@@ -18,6 +18,8 @@
   readonly keys: RequestKeys;
   readonly registry: RequestRegistry;
   readonly table: TableService;
+  /** This daemon's incarnation. */
+  readonly incarnation: string;
   readonly askHolder: (accountId: string, idempotencyKey: string) => AskHolder;
 }
 
@@ -44,7 +46,14 @@
   ): Promise<FoundRequest> {
     const here = this.#findHere(account.id, idempotencyKey);
     if (here !== undefined) return here;
-    if (parseBoundKey(idempotencyKey) !== undefined) {
+    const bound = parseBoundKey(idempotencyKey);
+    if (bound?.incarnation === this.#options.incarnation) {
+      throw new KelpsparError(
+        "request_not_found",
+        "No request has this idempotency key, or it is no longer remembered",
+      );
+    }
+    if (bound !== undefined) {
       throw new KelpsparError(
         "wrong_daemon",
         "The idempotency key is bound to a daemon, and this one knows nothing of it",
--- a/packages/kelpspar-decisions/src/__tests__/unit/claims_model.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_model.ts
@@ -189,8 +189,11 @@
   const network = model.network
     .filter((sent) => sent.from !== name || sent.answer === undefined)
     .map((sent) => sent.from === name ? { ...sent, isAwaited: false } : sent);
-  const reborn = { name: `${name}'`, begun: 0, held: [] };
-  const daemons = put(model.daemons, at, reborn);
+  const daemons = put(model.daemons, at, {
+    name: `${name}'`,
+    begun: 0,
+    held: [],
+  });
   return { ...model, submissions, network, daemons, crash: model.crash - 1 };
 }
 
@@ -270,32 +273,3 @@
     if (model.submit === 1) yield submit(model, at, "y");
   }
 }
-
-/** Says which promise is broken. */
-export function faultOf(model: Model): string | undefined {
-  if (model.executions.length > 1) return "ran twice";
-  for (const { requestId, answer, body } of model.submissions) {
-    const ran = model.executions.includes(requestId);
-    if (answer === "not_run" && ran) return "false not_run";
-    if (!answer.includes(":")) continue;
-    if (answer !== `${model.executions[0]}:${body}`) return "foreign result";
-  }
-  return findLostClaim(model);
-}
-
-/** A daemon that lives must not leave a key locked or its result unstored. */
-function findLostClaim({ row, network, daemons }: Model): string | undefined {
-  const content = row?.content;
-  const isHeld = daemons.some(({ held }) =>
-    held.some(({ attempt }) =>
-      attempt.identity.operationId === content?.operationId
-    )
-  );
-  const isAlive = daemons.some(({ name }) => name === content?.daemon);
-  const isLocked = content?.state === "claimed" && isAlive && !isHeld;
-  if (isLocked && network.length === 0) return "locked key";
-  const isDone = daemons.some(({ held }) =>
-    held.some(({ attempt }) => attempt.phase === "done")
-  );
-  return isDone && content?.state !== "done" ? "result not stored" : undefined;
-}
--- a/packages/kelpspar-decisions/src/__tests__/unit/claims_model_keys.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/claims_model_checks.ts
@@ -1,5 +1,34 @@
 import type { Daemon, Model, Sent, Submission } from "./claims_model.ts";
 
+/** Says which promise is broken. */
+export function faultOf(model: Model): string | undefined {
+  if (model.executions.length > 1) return "ran twice";
+  for (const { requestId, answer, body } of model.submissions) {
+    const ran = model.executions.includes(requestId);
+    if (answer === "not_run" && ran) return "false not_run";
+    if (!answer.includes(":")) continue;
+    if (answer !== `${model.executions[0]}:${body}`) return "foreign result";
+  }
+  return findLostClaim(model);
+}
+
+/** A daemon that lives must not leave a key locked or its result unstored. */
+function findLostClaim({ row, network, daemons }: Model): string | undefined {
+  const content = row?.content;
+  const isHeld = daemons.some(({ held }) =>
+    held.some(({ attempt }) =>
+      attempt.identity.operationId === content?.operationId
+    )
+  );
+  const isAlive = daemons.some(({ name }) => name === content?.daemon);
+  const isLocked = content?.state === "claimed" && isAlive && !isHeld;
+  if (isLocked && network.length === 0) return "locked key";
+  const isDone = daemons.some(({ held }) =>
+    held.some(({ attempt }) => attempt.phase === "done")
+  );
+  return isDone && content?.state !== "done" ? "result not stored" : undefined;
+}
+
 /** Every field that can differ; a request and its operation share an id. */
 function describeDaemon({ name, begun, held }: Daemon): string {
   const attempts = held.map(({ attempt, isWaiting }) => {
--- a/packages/kelpspar-decisions/src/claims/claim_batcher.ts
+++ b/packages/kelpspar-decisions/src/claims/claim_batcher.ts
@@ -112,7 +112,10 @@
       this.#deferred.delete(operationId);
   }
 
-  /** When to call `take`; undefined until a write is added or settled. */
+  /**
+   * When to call `take`, maybe in the past; undefined while nothing can leave.
+   * Changes with every `add`, `take`, `withdraw` and `settle`.
+   */
   dueAt(): number | undefined {
     if (this.size === 0 || this.#inFlight.size >= this.#mostInFlight) {
       return undefined;
--- a/packages/kelpspar-platform/src/endpoint/http_endpoint_client.ts
+++ b/packages/kelpspar-platform/src/endpoint/http_endpoint_client.ts
@@ -10,7 +10,12 @@
 } from "kelpspar-shared";
 import type { EndpointClient, StageCallOptions } from "./endpoint_client.ts";
 import type { Dispatcher } from "undici";
-import { KelpsparError, parseJsonLines, readJsonLines } from "kelpspar-shared";
+import {
+  formatHost,
+  KelpsparError,
+  parseJsonLines,
+  readJsonLines,
+} from "kelpspar-shared";
 import { Client, Pool } from "undici";
 import { isRefusal } from "../http/json_http_client.ts";
 
@@ -202,7 +207,7 @@
 }
 
 function originOf(endpoint: EndpointAddress): string {
-  return `http://${endpoint.address}:${endpoint.port}`;
+  return `http://${formatHost(endpoint.address, endpoint.port)}`;
 }
 
 async function unexpectedStatus(
--- a/packages/kelpspar-shared/src/mod.ts
+++ b/packages/kelpspar-shared/src/mod.ts
@@ -52,6 +52,7 @@
 export { RESULT_CODES } from "./results/result_codes.ts";
 export { toKelpsparError } from "./results/to_kelpspar_error.ts";
 export { extendChecksum, formatChecksum } from "./text/checksum.ts";
+export { formatHost } from "./text/format_host.ts";
 export { equalInConstantTime, sha256 } from "./text/hash.ts";
 export { parseJsonLines, readJsonLines } from "./text/json_lines.ts";
 export { OffsetAssembler } from "./text/offset_assembler.ts";
