Let exchanges in flight end by themselves after one timed out

Cause: claim-batching logged 27 claims not written with 'The client is destroyed': one timeout destroyed the pool and every other exchange on it, which then counted as unknown writes. Change: the old pool is closed, not destroyed; each exchange has its own timeout. Conclusion: one slow answer is one unknown write.

--- a/packages/kelpspar-platform/src/http/json_http_client.ts
+++ b/packages/kelpspar-platform/src/http/json_http_client.ts
@@ -35,8 +35,8 @@
 /**
  * Exchanges JSON with one origin. What goes wrong: a connection goes silent
  * for good while new ones work. It shows as calls that time out one after the
- * other. So a timeout destroys every pooled connection, and the next call
- * opens a new one.
+ * other. So after a timeout later calls use new connections; those in flight
+ * end by themselves.
  */
 export class JsonHttpClient {
   readonly #origin: string;
@@ -98,7 +98,8 @@
   #replaceAgent(silent: Agent): void {
     if (this.#agent !== silent) return;
     this.#agent = this.#createAgent();
-    void silent.destroy();
+    // Exchanges in flight on it may be well; each has a timeout of its own.
+    void silent.close();
   }
 
   #toExchangeError(exchange: JsonExchange, cause: unknown): ExchangeError {
