Keep exchanges in flight when one times out, without one connection more

Ruled out: closing before the abort (the same). Change: an agent that was replaced is destroyed once its last exchange ended. Conclusion: as strict as before, and one slow answer is one unknown write.

--- a/packages/kelpspar-platform/src/http/json_http_client.ts
+++ b/packages/kelpspar-platform/src/http/json_http_client.ts
@@ -43,6 +43,8 @@
   readonly #timer: TimerService;
   readonly #timeoutMilliseconds: number;
   readonly #connections: number;
+  /** Exchanges under way on each agent that has some. */
+  readonly #inFlight = new Map<Agent, number>();
   #agent: Agent;
 
   constructor(options: PlatformClientOptions) {
@@ -57,6 +59,7 @@
   /** Throws ExchangeError when no whole answer came in time. */
   async exchange(exchange: JsonExchange): Promise<JsonAnswer> {
     const agent = this.#agent;
+    this.#inFlight.set(agent, (this.#inFlight.get(agent) ?? 0) + 1);
     const abort = new AbortController();
     const stopTimer = this.#timer.registerTimeout(
       () => abort.abort(new Error("timed out")),
@@ -76,16 +79,20 @@
       const body = await answer.body.json();
       return { status: answer.statusCode, body };
     } catch (cause) {
-      if (abort.signal.aborted) this.#replaceAgent(agent);
+      if (abort.signal.aborted && this.#agent === agent) {
+        this.#agent = this.#createAgent();
+      }
       throw this.#toExchangeError(exchange, cause);
     } finally {
       stopTimer();
+      this.#leave(agent);
     }
   }
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    const agents = [this.#agent, ...this.#inFlight.keys()];
+    await Promise.all(agents.map((agent) => agent.destroy()));
   }
 
   #createAgent(): Agent {
@@ -95,11 +102,18 @@
     });
   }
 
-  #replaceAgent(silent: Agent): void {
-    if (this.#agent !== silent) return;
-    this.#agent = this.#createAgent();
-    // Exchanges in flight on it may be well; each has a timeout of its own.
-    void silent.close();
+  /**
+   * Ends an agent that was replaced, once nothing is in flight on it: other
+   * exchanges may be well, and each has a timeout of its own.
+   */
+  #leave(agent: Agent): void {
+    const left = (this.#inFlight.get(agent) ?? 1) - 1;
+    if (left > 0) {
+      this.#inFlight.set(agent, left);
+      return;
+    }
+    this.#inFlight.delete(agent);
+    if (agent !== this.#agent) void agent.destroy();
   }
 
   #toExchangeError(exchange: JsonExchange, cause: unknown): ExchangeError {
