Take a refused connection to a peer as the end of its process

Change: a peer whose VM refuses the connection is listed no more and its slice is used at once, until it is heard again.

--- a/packages/kelpspar-daemon/src/actors/fleet_role.ts
+++ b/packages/kelpspar-daemon/src/actors/fleet_role.ts
@@ -7,6 +7,7 @@
 import { spawnRole } from "./spawn_role.ts";
 
 const HEARD_SHARE = 0.6;
+const MOST_CAUSES = 6;
 
 /** What the role that exchanges digests works on. */
 export interface FleetRoleOptions extends RoleOptions {
@@ -52,8 +53,9 @@
         options.noteProof(revision, daemonId);
         send({ type: "fetch", peer, revision });
       }
-    } catch {
+    } catch (thrown) {
       // Silence is what the membership judges; it needs no line in the log.
+      if (wasRefused(thrown)) fleet.refused(peer);
     }
   };
   const exchangeWithAll = async (): Promise<void> => {
@@ -103,3 +105,16 @@
   });
   return { announce: exchangeWithAll, stop };
 }
+
+/** True when the peer's VM answered that nothing listens there. */
+function wasRefused(thrown: unknown): boolean {
+  let cause = thrown;
+  for (let depth = 0; depth < MOST_CAUSES; depth++) {
+    if (!(cause instanceof Error)) return false;
+    if ((cause as { readonly code?: unknown }).code === "ECONNREFUSED") {
+      return true;
+    }
+    cause = cause.cause;
+  }
+  return false;
+}
--- a/packages/kelpspar-daemon/src/fleet/fleet.ts
+++ b/packages/kelpspar-daemon/src/fleet/fleet.ts
@@ -13,6 +13,8 @@
 export class Fleet {
   readonly #options: FleetOptions;
   readonly #membership: DaemonMembership;
+  /** Incarnations whose VM refused the last connection. */
+  readonly #refused = new Set<string>();
   #sequence = 0;
   #digest: PeerDigest | undefined;
 
@@ -37,7 +39,10 @@
 
   /** Daemons that may run requests, this one included. */
   get liveDaemons(): number {
-    return 1 + this.members.filter((one) => one.state === "live").length;
+    return 1 +
+      this.members.filter((one) =>
+        one.state === "live" && !this.#isRefused(one)
+      ).length;
   }
 
   /** The ids of the daemons that work, this one included if it does. */
@@ -67,10 +72,25 @@
     this.#membership.sweep(this.#options.timer.now());
   }
 
+  /**
+   * Notes that a daemon's VM refused the connection: its process is gone. What
+   * goes wrong without it: its part of every service stays unused, and callers
+   * are sent to it, until it was silent for long enough to be suspect.
+   */
+  refused(peer: PeerAddress): void {
+    const member = this.members.find((one) =>
+      one.address === peer.address && one.port === peer.port
+    );
+    if (member?.digest === undefined) return;
+    this.#refused.add(member.digest.incarnation);
+    this.#options.parts.fleet.forget(member.digest.incarnation);
+  }
+
   /** Takes in a digest. */
   heard(digest: PeerDigest): void {
     const { parts, watch, timer } = this.#options;
     const now = timer.now();
+    this.#refused.delete(digest.member.incarnation);
     if (!this.#membership.heard(digest.member, now)) return;
     if (digest.member.state === "leaving") {
       parts.fleet.forget(digest.member.incarnation);
@@ -172,10 +192,15 @@
 
   #servingMembers(): readonly Member[] {
     return this.members.filter((one) =>
-      !this.#isDrained(one.daemonId) && hasConfiguration(one)
+      !this.#isDrained(one.daemonId) && !this.#isRefused(one) &&
+      hasConfiguration(one)
     );
   }
 
+  #isRefused(member: Member): boolean {
+    return this.#refused.has(member.digest?.incarnation ?? "");
+  }
+
   /** A drain is meant for one VM; the one that takes its place serves. */
   #isDrained(daemonId: string): boolean {
     const { drains, vms } = this.#options.state.read();
--- a/packages/kelpspar-daemon/src/requests/request_service.ts
+++ b/packages/kelpspar-daemon/src/requests/request_service.ts
@@ -4,7 +4,6 @@
 import type { ConfigurationIndexReader } from "../state/configuration_reader.ts";
 import type { FinalRecord } from "./answer_log.ts";
 import type { ArrivalCheck } from "./arrival_check.ts";
-import type { CheckedRequest } from "./check_request.ts";
 import type { OnceGuard } from "./once_guard.ts";
 import type { PipelineRunner } from "./pipeline_runner.ts";
 import type { RequestContext } from "./request_context.ts";
