--- a/packages/kelpspar-scenarios/src/mutants/refusal_mutants.ts
+++ b/packages/kelpspar-scenarios/src/mutants/refusal_mutants.ts
@@ -27,7 +27,7 @@
     removes: "A caller says that it sent the same key before",
     mutation: { dropsResubmission: true },
     noticedBy:
-      "truthful_refusals: a caller comes back to a daemon that starts anew and knows nothing",
+      "truthful_refusals: a caller comes back to the daemon that it left for another",
   },
 ];
 
--- a/packages/kelpspar-scenarios/src/world/callers/attempt.ts
+++ b/packages/kelpspar-scenarios/src/world/callers/attempt.ts
@@ -17,6 +17,8 @@
   readonly daemon: WorldDaemon;
   readonly sentAt: number;
   readonly isResubmission: boolean;
+  /** True for a look-up by key, which starts nothing. */
+  readonly isLookUp: boolean;
   /** Set once the daemon took the request. */
   context?: RequestContext;
   /** Closes the connection that reads the answer. */
--- a/packages/kelpspar-scenarios/src/world/callers/callers.ts
+++ b/packages/kelpspar-scenarios/src/world/callers/callers.ts
@@ -11,10 +11,12 @@
   toFailureRecord,
   toKelpsparError,
 } from "kelpspar-shared";
+import { askDaemon } from "./ask_daemon.ts";
 import { CallerDirectory } from "./caller_directory.ts";
 import { createKey } from "./create_key.ts";
 import { followAnswer } from "./follow_answer.ts";
 import { mayHaveBeenTaken } from "./may_have_been_taken.ts";
+import { toEndRecord } from "./to_end_record.ts";
 
 const ZONES: readonly string[] = ["zone-a", "zone-b", "zone-c"];
 const DEFAULT_COMEBACK_MILLISECONDS = 100;
@@ -40,6 +42,12 @@
   readonly daemon?: WorldDaemon;
 }
 
+/** A daemon to ask, or that was asked, and how to ask. */
+interface NextAttempt {
+  readonly daemon: WorldDaemon;
+  readonly isLookUp?: boolean;
+}
+
 /** The callers of a world and what they were told. */
 export class Callers {
   readonly submissions: Submission[] = [];
@@ -76,12 +84,13 @@
       }),
     };
     this.submissions.push(submission);
-    this.#attempt(submission, daemon);
-    if (wish.retries.atOnce) this.#retry(submission, daemon);
+    this.#attempt(submission, { daemon });
+    if (wish.retries.atOnce) this.#retry(submission, { daemon });
     return submission;
   }
 
-  #attempt(submission: Submission, daemon: WorldDaemon): void {
+  #attempt(submission: Submission, next: NextAttempt): void {
+    const { daemon, isLookUp = false } = next;
     const { timer } = this.#options;
     const isFirst = submission.attempts.length === 0;
     const isResubmission = !isFirst && mayHaveBeenTaken(submission);
@@ -89,6 +98,7 @@
       daemon,
       sentAt: timer.now(),
       isResubmission,
+      isLookUp,
       text: "",
       faults: [],
     };
@@ -111,11 +121,17 @@
       this.#end(submission, { attempt, ending });
     };
     try {
-      const request = this.#requestOf(submission, attempt);
-      const context = daemon.core.requests.submit(
-        this.#accountOf(submission, daemon),
-        request,
-      );
+      const found = await askDaemon(daemon, {
+        account: this.#accountOf(submission, daemon),
+        request: this.#requestOf(submission, attempt.isResubmission),
+        isLookUp: attempt.isLookUp,
+      });
+      if ("result" in found) {
+        attempt.text = found.result.text;
+        ended({ type: "answered", record: toEndRecord(found.result) });
+        return;
+      }
+      const { context } = found;
       attempt.context = context;
       const stopReading = followAnswer(
         attempt,
@@ -148,14 +164,17 @@
     return account;
   }
 
-  #requestOf(submission: Submission, attempt: Attempt): SubmitRequest {
+  #requestOf(
+    submission: Submission,
+    isResubmission: boolean,
+  ): SubmitRequest {
     const { request, sentAt } = submission;
     const left = request.deadlineMilliseconds -
       (this.#options.timer.now() - sentAt);
     return {
       ...request,
       deadlineMilliseconds: Math.max(1, Math.floor(left)),
-      resubmission: attempt.isResubmission && !this.#options.dropsResubmission,
+      resubmission: isResubmission && !this.#options.dropsResubmission,
     };
   }
 
@@ -164,7 +183,7 @@
     if (silenceMilliseconds === undefined) return;
     this.#options.schedule(silenceMilliseconds, () => {
       if (attempt.ending !== undefined) return;
-      if (keepsFirst) return this.#retry(submission, attempt.daemon);
+      if (keepsFirst) return this.#retry(submission, attempt);
       this.#end(submission, { attempt, ending: { type: "left" } });
     });
   }
@@ -202,10 +221,10 @@
     },
     broken: (submission, { daemon }) => {
       if (submission.retries.onBrokenConnection) {
-        this.#retry(submission, daemon);
+        this.#retry(submission, { daemon });
       }
     },
-    left: (submission, { daemon }) => this.#retry(submission, daemon),
+    left: (submission, { daemon }) => this.#retry(submission, { daemon }),
   };
 
   #afterAnswer(submission: Submission, daemon: WorldDaemon): void {
@@ -214,7 +233,7 @@
     if (submission.attempts.length > 1) return;
     this.#options.schedule(
       askAgainMilliseconds,
-      () => this.#retry(submission, daemon),
+      () => this.#retry(submission, { daemon }),
     );
   }
 
@@ -225,10 +244,16 @@
     const { record, daemon } = failure;
     if (!submission.retries.onRefusal || record.retry === "never") return;
     const wait = record.retryAfterMilliseconds ?? DEFAULT_COMEBACK_MILLISECONDS;
-    this.#options.schedule(wait, () => this.#retry(submission, daemon));
+    const isLookUp = record.retry === "look_up" &&
+      submission.request.idempotencyKey !== undefined;
+    this.#options.schedule(
+      wait,
+      () => this.#retry(submission, { daemon, isLookUp }),
+    );
   }
 
-  #retry(submission: Submission, before: WorldDaemon): void {
+  #retry(submission: Submission, after: NextAttempt): void {
+    const { daemon: before, isLookUp = false } = after;
     const { retries, attempts, request, sentAt } = submission;
     if (attempts.length >= retries.mostAttempts) return;
     const elapsed = this.#options.timer.now() - sentAt;
@@ -236,6 +261,6 @@
     const daemon = retries.atSameDaemon
       ? before
       : this.#directory.choose(submission.zone, before);
-    this.#attempt(submission, daemon);
+    this.#attempt(submission, { daemon, isLookUp });
   }
 }
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/world/callers/to_end_record.ts
@@ -0,0 +1,15 @@
+import type { EndRecord } from "kelpspar-shared";
+import type { KeptAnswer } from "./ask_daemon.ts";
+
+/** The record that ends a kept answer. */
+export function toEndRecord(answer: KeptAnswer): EndRecord {
+  const { length, checksum, cost } = answer;
+  return {
+    type: "end",
+    requestId: "stored",
+    length,
+    checksum,
+    cost,
+    elapsedMilliseconds: 0,
+  };
+}
