Count answers that a later look-up misses among the lost

Cause: the kept-result look-up ran after the figures were summed, so an answer that was given and later gone was reported beside 'lost', not in it. Ruled out: the look-up itself; it finds what daemons keep. Change: look-ups run before the summary and their misses count as lost. Conclusion: 'lost' now holds both kinds.

--- a/packages/kelpspar-standins/src/__tests__/unit/experiment_judge_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/experiment_judge_test.ts
@@ -75,7 +75,11 @@
 
 function figuresOf(
   results: readonly CallResult[],
-  options: { readonly ran: readonly string[]; readonly dead?: number },
+  options: {
+    readonly ran: readonly string[];
+    readonly dead?: number;
+    readonly gone?: number;
+  },
 ): Readonly<Record<string, unknown>> {
   const executions = new ExecutionBook(new ManualTimer());
   const endpoint = new PrintingEndpoint();
@@ -86,6 +90,7 @@
     measured: results,
     executions,
     runnerTime: new RunnerTimeBook(async () => ({})),
+    resultsGone: options.gone ?? 0,
     deadDaemonPorts: new Set(options.dead === undefined ? [] : [options.dead]),
     seconds: 1,
     utilization: 0,
@@ -116,9 +121,9 @@
     createResult("large.4", failure("not_run")),
     createResult("large.5", failure("not_run")),
     createResult("large.6", failure("outcome_unknown")),
-  ], { ran: ["large.1", "large.1", "large.3", "large.4", "large.6"] });
+  ], { ran: ["large.1", "large.1", "large.3", "large.4", "large.6"], gone: 2 });
   expect(figures["doubled"]).toEqual(1);
-  expect(figures["lost"]).toEqual(1);
+  expect(figures["lost"]).toEqual(3);
   expect(figures["foreign"]).toEqual(1);
   expect(figures["falseNotRun"]).toEqual(1);
   expect(figures["refused"]).toEqual(2);
--- a/packages/kelpspar-standins/src/experiments/measure/check_kept.ts
+++ b/packages/kelpspar-standins/src/experiments/measure/check_kept.ts
@@ -2,9 +2,7 @@
 import type { CallResult } from "../caller/call_result.ts";
 import type { DaemonPools } from "../caller/daemon_pools.ts";
 import type { SubmissionEnd } from "../caller/submission.ts";
-import type { Figures } from "../experiment.ts";
 import type { ExperimentSite } from "../site/experiment_site.ts";
-import type { MeasuredRun } from "./measured_run.ts";
 import { toAddress } from "../caller/address_book.ts";
 import { submit } from "../caller/submit.ts";
 import { callerKey } from "../site/experiment_configuration.ts";
@@ -13,6 +11,15 @@
 const MOST_LOOK_UPS = 100;
 const LOOK_UP_MILLISECONDS = 2_000;
 
+/** What came of the look-ups. */
+export interface KeptFigures {
+  readonly kept: number;
+  readonly keptGone: number;
+  /** Found, but its outcome is not known any more. */
+  readonly keptUnknown: number;
+  readonly keptWrong: number;
+}
+
 /** What look-ups are made with. */
 export interface CheckKeptOptions {
   readonly site: ExperimentSite;
@@ -26,17 +33,17 @@
  * found there was promised and is gone.
  */
 export async function checkKept(
-  run: MeasuredRun,
+  results: readonly CallResult[],
   options: CheckKeptOptions,
-): Promise<Figures> {
-  if (options.site.arm === "naive") return {};
-  const answered = run.results.filter((result) =>
+): Promise<KeptFigures> {
+  const found = { kept: 0, keptGone: 0, keptUnknown: 0, keptWrong: 0 };
+  if (options.site.arm === "naive") return found;
+  const answered = results.filter((result) =>
     result.request.hasOnceStage && isAnswered(result) &&
     result.idempotencyKey?.startsWith("@") === false
   );
   const step = Math.max(1, Math.floor(answered.length / MOST_LOOK_UPS));
   const checked = answered.filter((_, index) => index % step === 0);
-  const found = { kept: 0, keptGone: 0, keptUnknown: 0, keptWrong: 0 };
   for (const result of checked) {
     found[judge(await lookUp(result, options), result)]++;
   }
--- a/packages/kelpspar-standins/src/experiments/measure/measured_run.ts
+++ b/packages/kelpspar-standins/src/experiments/measure/measured_run.ts
@@ -9,6 +9,8 @@
   readonly runnerTime: RunnerTimeBook;
   /** Ports of daemons that died without warning. */
   readonly deadDaemonPorts: ReadonlySet<number>;
+  /** Answered once-requests that a later look-up did not find. */
+  readonly resultsGone: number;
   /** How long the measured load lasted, seconds. */
   readonly seconds: number;
   /** Results of the measured part, without the warm-up. */
--- a/packages/kelpspar-standins/src/experiments/measure/summarize.ts
+++ b/packages/kelpspar-standins/src/experiments/measure/summarize.ts
@@ -53,7 +53,7 @@
     results.filter(condition).length;
   return {
     doubled: count((result) => isDoubled(result, executions)),
-    lost: count((result) => isLost(result, executions)),
+    lost: run.resultsGone + count((result) => isLost(result, executions)),
     foreign: count(isForeign),
     wrongText: count((result) =>
       result.end.type === "corrupt" ||
--- a/packages/kelpspar-standins/src/experiments/run_experiment.ts
+++ b/packages/kelpspar-standins/src/experiments/run_experiment.ts
@@ -119,8 +119,11 @@
   });
   await sleepUntil(timer, timer.now() + SETTLE_MILLISECONDS);
   await site.readRunnerTime();
+  const { pools } = options;
+  const kept = await checkKept(load.results, { site, pools, timer });
   const measured = {
     ...load,
+    resultsGone: kept.keptGone,
     executions: site.executions,
     runnerTime: site.runnerTime,
     deadDaemonPorts: site.deadDaemonPorts,
@@ -132,7 +135,7 @@
     offeredPerSecond: round(measured.measured.length / plan.seconds, 1),
     ...summarize(measured),
     busiestDaemonCores: daemonCores,
-    ...await checkKept(measured, { site, pools: options.pools, timer }),
+    ...kept,
     ...notes,
     ...await run.inspect?.(measured, site),
     daemonLogs: site.logs.messages,
--- a/packages/kelpspar-standins/src/programs/experiment_main.ts
+++ b/packages/kelpspar-standins/src/programs/experiment_main.ts
@@ -9,6 +9,7 @@
 import { printLine, printText } from "./read_settings.ts";
 
 const USAGE_EXIT_CODE = 64;
+const INTERRUPTED_EXIT_CODE = 130;
 
 const { values, positionals } = parseArgs({
   allowPositionals: true,
@@ -21,6 +22,13 @@
   },
 });
 
+// What goes wrong: an interrupted run leaves its site's processes behind. They
+// show as load of a machine where nothing runs. Only an exit that the process
+// makes itself calls the hook that ends them.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(INTERRUPTED_EXIT_CODE));
+}
+
 const experiment = EXPERIMENTS.get(positionals[0] ?? "");
 const arms = ARMS.filter((arm) => values.arm === "both" || values.arm === arm);
 if (experiment === undefined || arms.length === 0) printUsage();
