--- /dev/null
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -0,0 +1,117 @@
+import type { EndpointEntry } from "./endpoint_entry.ts";
+import { EndpointState } from "./endpoint_state.ts";
+
+/** Told when an endpoint takes no more new work. */
+export type EndpointGoneListener = (id: string) => void;
+
+/** How removals are judged. */
+export interface EndpointBookOptions {
+  /**
+   * How long an entry that is missing after an outage of the store may still
+   * come back, milliseconds. Below the time within which a leaving endpoint
+   * must get no more requests.
+   */
+  readonly lapseMilliseconds: number;
+}
+
+/**
+ * The endpoints that may get work, by service. Leaving is final for an id: a
+ * list read late, or one kept by a store that returns, must not bring an
+ * endpoint back that has said it is leaving, since it may exit any moment.
+ */
+export class EndpointBook {
+  readonly #options: EndpointBookOptions;
+  readonly #states = new Map<string, EndpointState>();
+  readonly #byService = new Map<string, Set<EndpointState>>();
+  readonly #left = new Set<string>();
+  readonly #listeners = new Set<EndpointGoneListener>();
+
+  constructor(options: EndpointBookOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#states.size;
+  }
+
+  get ids(): readonly string[] {
+    return [...this.#states.keys()];
+  }
+
+  find(id: string): EndpointState | undefined {
+    return this.#states.get(id);
+  }
+
+  /** Those of `service` that may get new work. */
+  ofService(service: string): readonly EndpointState[] {
+    return [...this.#byService.get(service) ?? []];
+  }
+
+  put(entry: EndpointEntry): void {
+    if (this.#left.has(entry.id)) return;
+    if (entry.isDraining) {
+      this.leave(entry.id);
+      return;
+    }
+    const known = this.#states.get(entry.id);
+    if (known === undefined) {
+      this.#add(entry);
+      return;
+    }
+    known.entry = entry;
+    known.lapsesAt = undefined;
+  }
+
+  /** Takes an endpoint out for good. */
+  leave(id: string): void {
+    this.#left.add(id);
+    this.#drop(id);
+  }
+
+  /**
+   * Takes in that an entry is missing. While the store was away entries lapse
+   * of endpoints that live; those are back soon after, so that an endpoint
+   * which vanished around an outage is given that long.
+   */
+  miss(
+    id: string,
+    options: { readonly isStoreUnsettled: boolean; readonly now: number },
+  ): void {
+    const state = this.#states.get(id);
+    if (state === undefined) return;
+    if (!options.isStoreUnsettled) {
+      this.leave(id);
+      return;
+    }
+    state.lapsesAt ??= options.now + this.#options.lapseMilliseconds;
+  }
+
+  /** Drops entries that were missing for too long. */
+  sweep(now: number): void {
+    for (const [id, state] of this.#states) {
+      if (state.lapsesAt !== undefined && state.lapsesAt <= now) this.#drop(id);
+    }
+  }
+
+  registerGone(listener: EndpointGoneListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #add(entry: EndpointEntry): void {
+    const state = new EndpointState(entry);
+    this.#states.set(entry.id, state);
+    const ofService = this.#byService.get(entry.service);
+    if (ofService === undefined) {
+      this.#byService.set(entry.service, new Set([state]));
+    } else ofService.add(state);
+  }
+
+  #drop(id: string): void {
+    const state = this.#states.get(id);
+    if (state === undefined) return;
+    this.#states.delete(id);
+    this.#byService.get(state.entry.service)?.delete(state);
+    for (const listener of this.#listeners) listener(id);
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -0,0 +1,69 @@
+import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
+import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
+import type { ChainRequest } from "../pieces/chain_request.ts";
+import type { FleetDigest } from "./fleet_digest.ts";
+import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+import { fleetDigestSchema } from "./fleet_digest.ts";
+
+/** Answers other daemons. */
+export interface PeerHandlers {
+  exchange(digest: FleetDigest): FleetDigest;
+  /** The configuration in force here. */
+  configuration(): ServingConfiguration | undefined;
+  /** Runs a chain of stages; `signal` ends it when the asker is gone. */
+  runChain(request: ChainRequest, signal: AbortSignal): Promise<ChainOutcome>;
+  release(results: readonly PieceResult[]): void;
+}
+
+/** What a call from another daemon carries besides its input. */
+export interface PeerCallContext {
+  readonly handlers: PeerHandlers;
+  /** Aborted when the asker closed its connection. */
+  readonly gone: AbortSignal;
+}
+
+const chainSchema = z.object({
+  attemptId: z.string(),
+  pieceKey: z.string(),
+  stages: z.array(z.object({
+    service: z.string(),
+    after: z.array(z.number().int()),
+    resultBytes: z.number(),
+    pieces: z.number().int().min(0),
+  })),
+  remainingMilliseconds: z.number(),
+  objectiveMilliseconds: z.number(),
+  tailMilliseconds: z.number(),
+  priority: z.number(),
+});
+
+const resultsSchema = z.array(z.object({
+  handle: z.string(),
+  makerId: z.string(),
+  makerAddress: z.string(),
+  makerZone: z.string(),
+}));
+
+// Otherwise failures carry the stack trace to whoever reaches the port.
+const trpc = initTRPC.context<PeerCallContext>().create({ isDev: false });
+
+/** The tRPC router that other daemons call. */
+export const peerRouter = trpc.router({
+  exchange: trpc.procedure.input(fleetDigestSchema).mutation(({ ctx, input }) =>
+    ctx.handlers.exchange(input)
+  ),
+  configuration: trpc.procedure.query(({ ctx }) =>
+    ctx.handlers.configuration() ?? null
+  ),
+  runChain: trpc.procedure.input(chainSchema).mutation(({ ctx, input }) =>
+    ctx.handlers.runChain(input, ctx.gone)
+  ),
+  release: trpc.procedure.input(resultsSchema).mutation(({ ctx, input }) => {
+    ctx.handlers.release(input);
+    return null;
+  }),
+});
+
+/** The type by which tRPC's client knows the router. */
+export type PeerRouter = typeof peerRouter;
--- /dev/null
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -0,0 +1,114 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { CallerLimits } from "../configuration/serving_configuration.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { RequestReply } from "../requests/request_reply.ts";
+import type { ServingRequest } from "../requests/serving_request.ts";
+import { createServer } from "node:http";
+import { HttpReply } from "./http_reply.ts";
+import { listen } from "./listen.ts";
+import { readRequestBody } from "./read_request_body.ts";
+
+/** Limits until a configuration says others. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMilliseconds: 5_000,
+  idleTimeoutMilliseconds: 60_000,
+};
+/** How often Node looks for callers that are slow with their head, ms. */
+const CHECK_INTERVAL_MILLISECONDS = 1_000;
+/**
+ * Node's own limit on the head of a request, bytes: above any limit of a
+ * configuration, which is judged by the daemon itself.
+ */
+const NODE_HEADER_BYTES = 128 * 1024;
+/** Kept connections are closed this much after callers stop using them. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
+
+/** Decodes a caller's request. */
+export type RequestDecoder = (
+  message: IncomingMessage,
+  body: Uint8Array,
+) => ServingRequest;
+
+/** What the front works with. */
+export interface FrontServerOptions {
+  readonly decode: RequestDecoder;
+  readonly serve: (
+    request: ServingRequest,
+    reply: RequestReply,
+  ) => Promise<void>;
+  readonly log: GatewayLog;
+}
+
+/** Takes callers' requests over HTTP. */
+export class FrontServer {
+  readonly #options: FrontServerOptions;
+  readonly #server: Server;
+  #limits = FIRST_LIMITS;
+  #isLeaving = false;
+
+  constructor(options: FrontServerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      maxHeaderSize: NODE_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
+      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMilliseconds +
+        IDLE_MARGIN_MILLISECONDS,
+      requestTimeout: 0,
+    });
+    this.#server.on("request", (message, response) => {
+      void this.#take(message, response);
+    });
+    // Without this the caller of `Expect: 100-continue` waits for ever.
+    this.#server.on("checkContinue", (message, response) => {
+      response.writeContinue();
+      void this.#take(message, response);
+    });
+  }
+
+  /** Takes callers at `address:port`. */
+  listen(address: string): Promise<void> {
+    return listen(this.#server, address);
+  }
+
+  set limits(limits: CallerLimits) {
+    this.#limits = limits;
+    this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
+      IDLE_MARGIN_MILLISECONDS;
+  }
+
+  /** From now on each connection is closed after its answer. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Takes no more connections and closes those that are idle. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async #take(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const reply = new HttpReply(response, () => this.#isLeaving);
+    const headBytes = message.rawHeaders.reduce(
+      (sum, text) => sum + text.length + 2,
+      0,
+    );
+    if (headBytes > this.#limits.headerBytes) {
+      reply.refuse({ status: 431, message: "request head too large" });
+      return;
+    }
+    const body = await readRequestBody(message, this.#limits.bodyBytes);
+    if (body === "too_large") {
+      reply.refuse({ status: 413, message: "request body too large" });
+      return;
+    }
+    if (body === "cut") return;
+    await this.#options.serve(this.#options.decode(message, body), reply);
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -0,0 +1,232 @@
+import type { Server } from "node:http";
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { DaemonAddress } from "./fleet/fleet_digest.ts";
+import type { RequestDecoder } from "./front/front_server.ts";
+import type { GatewayLog } from "./log/gateway_log.ts";
+import type { PieceClient } from "./pieces/piece_call.ts";
+import type { EndpointClient } from "./requests/endpoint_call.ts";
+import { createServer } from "node:http";
+import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
+import { EndpointBook } from "./endpoints/endpoint_book.ts";
+import { Fleet } from "./fleet/fleet.ts";
+import { FleetMembership } from "./fleet/fleet_membership.ts";
+import { PeerClient } from "./fleet/peer_client.ts";
+import { createPeerListener } from "./fleet/peer_listener.ts";
+import { FrontServer } from "./front/front_server.ts";
+import { listen } from "./front/listen.ts";
+import { GatewayMetrics } from "./metrics/gateway_metrics.ts";
+import { PieceCoordinator } from "./pieces/piece_coordinator.ts";
+import { CallerAge } from "./requests/caller_age.ts";
+import { ChainClient } from "./requests/chain_client.ts";
+import { ExpectedTimes } from "./requests/expected_times.ts";
+import { RequestService } from "./requests/request_service.ts";
+import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
+
+/**
+ * How long an endpoint's entry that went missing around an outage of the store
+ * may take to come back, milliseconds: two seconds and a poll.
+ */
+const LAPSE_MILLISECONDS = 2_300;
+/** How often missing entries are looked over, milliseconds. */
+const SWEEP_MILLISECONDS = 100;
+/** Most addresses that callers are given. */
+const MOST_ADDRESSES = 64;
+/** Share of the grace within which a stopping daemon still takes requests. */
+const TAKING_SHARE = 0.45;
+/** A stopping daemon is gone this long before it would be killed, ms. */
+const STOP_MARGIN_MILLISECONDS = 350;
+/** How often a stopping daemon looks whether it is done, milliseconds. */
+const STOP_CHECK_MILLISECONDS = 50;
+
+/** What a daemon is started with; the platform registers its ports here. */
+export interface GatewayDaemonOptions {
+  readonly self: DaemonAddress;
+  /** New with each start. */
+  readonly incarnation: string;
+  readonly seeds: readonly string[];
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: GatewayLog;
+  readonly decode: RequestDecoder;
+  readonly endpoints: EndpointClient;
+  readonly pieces: PieceClient;
+  readonly retryRatio: number;
+  readonly retrySlack: number;
+  readonly retryWindowMilliseconds: number;
+  /** Time from the order to stop until the process is killed. */
+  readonly graceMilliseconds: number;
+}
+
+/** One daemon: callers on one side, endpoints and other daemons on the other. */
+export class GatewayDaemon {
+  readonly configuration = new ConfigurationKeeper();
+  readonly book = new EndpointBook({ lapseMilliseconds: LAPSE_MILLISECONDS });
+  readonly metrics = new GatewayMetrics();
+  readonly #options: GatewayDaemonOptions;
+  readonly #membership: FleetMembership;
+  readonly #fleet: Fleet;
+  readonly #front: FrontServer;
+  readonly #service: RequestService;
+  readonly #peerServer: Server;
+  #storeHeardAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: GatewayDaemonOptions) {
+    this.#options = options;
+    const { self, timer, log } = options;
+    const { configuration, book } = this;
+    const storeAge = (): number =>
+      Math.min(timer.now() - this.#storeHeardAt, Number.MAX_SAFE_INTEGER);
+    const membership = new FleetMembership(options);
+    const peers = new PeerClient(timer);
+    const budget = new ServiceRetryBudget({
+      ratio: options.retryRatio,
+      slack: options.retrySlack,
+      windowMilliseconds: options.retryWindowMilliseconds,
+    });
+    const fleet = new Fleet({
+      daemonId: self.daemonId,
+      membership,
+      peers,
+      configuration,
+      timer,
+      log,
+      storeAge,
+    });
+    const coordinator = new PieceCoordinator({
+      configuration,
+      book,
+      client: options.pieces,
+      timer,
+      budget,
+      log,
+    });
+    const chains = new ChainClient({
+      daemonId: self.daemonId,
+      membership,
+      peers,
+      local: coordinator,
+      timer,
+      log,
+      storeAge,
+      isLeaving: () => fleet.isLeaving,
+    });
+    const service = new RequestService({
+      configuration,
+      book,
+      endpoints: options.endpoints,
+      chains,
+      budget,
+      times: new ExpectedTimes(),
+      ages: new CallerAge(),
+      timer,
+      random: options.random,
+      log,
+      metrics: this.metrics,
+      zone: self.zone,
+      sharers: () => 1 + membership.heardLately(timer.now()).length,
+    });
+    this.#membership = membership;
+    this.#fleet = fleet;
+    this.#service = service;
+    this.#front = new FrontServer({
+      decode: options.decode,
+      serve: (request, reply) => service.serve(request, reply),
+      log,
+    });
+    this.#peerServer = createServer(createPeerListener({
+      exchange: (digest) => fleet.exchange(digest),
+      configuration: () => configuration.table?.configuration,
+      runChain: (request, signal) => coordinator.run(request, signal),
+      release: (results) => coordinator.release(results),
+    }));
+    coordinator.register();
+  }
+
+  /** Listens for callers and other daemons, and greets those it knows of. */
+  async start(): Promise<void> {
+    const { self, timer, seeds } = this.#options;
+    this.configuration.registerListener((table) => {
+      this.#front.limits = table.configuration.limits;
+    });
+    timer.registerInterval(
+      () => this.book.sweep(timer.now()),
+      SWEEP_MILLISECONDS,
+    );
+    await listen(this.#peerServer, self.peer);
+    await this.#front.listen(self.front);
+    this.#fleet.register();
+    this.greet(seeds);
+  }
+
+  /** Takes in where other daemons may be. */
+  learnDaemons(addresses: readonly DaemonAddress[]): void {
+    const { timer, self } = this.#options;
+    const others = addresses.filter((one) => one.daemonId !== self.daemonId);
+    for (const address of others) this.#membership.learn(address, timer.now());
+    this.#fleet.greet(others.map(({ peer }) => peer));
+  }
+
+  /** Exchanges digests with daemons that may be at `peers`. */
+  greet(peers: readonly string[]): void {
+    const { self } = this.#options;
+    this.#fleet.greet(peers.filter((peer) => peer !== self.peer));
+  }
+
+  /** Says that the store's list of endpoints is as of now. */
+  storeHeard(): void {
+    this.#storeHeardAt = this.#options.timer.now();
+  }
+
+  /** True while callers may be sent here. */
+  get isReady(): boolean {
+    return this.configuration.table !== undefined && !this.#fleet.isLeaving;
+  }
+
+  /** Where callers may connect; never empty. */
+  callerAddresses(): readonly string[] {
+    const { self, timer } = this.#options;
+    const others = this.#membership.serving(timer.now())
+      .map(({ front }) => front);
+    const own = this.isReady || others.length === 0 ? [self.front] : [];
+    return [...own, ...others].slice(0, MOST_ADDRESSES);
+  }
+
+  /** State for the metrics page. */
+  recordState(): void {
+    const { timer } = this.#options;
+    const { metrics } = this;
+    const daemons = this.#membership.heardLately(timer.now()).length + 1;
+    metrics.setState("configuration_version", this.configuration.version);
+    metrics.setState("endpoints", this.book.size);
+    metrics.setState("daemons", daemons);
+    metrics.setState("open_requests", this.#service.open);
+  }
+
+  /**
+   * Stops without cutting anything: callers go elsewhere, those that come with
+   * an old answer are still served, and the process ends when nothing is left
+   * or just before it would be killed.
+   */
+  async stop(): Promise<void> {
+    const { timer, graceMilliseconds } = this.#options;
+    const startedAt = timer.now();
+    this.#fleet.leave();
+    this.#front.leave();
+    const takingUntil = startedAt + graceMilliseconds * TAKING_SHARE;
+    const endsAt = startedAt + graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+    let isListening = true;
+    await new Promise<void>((resolve) => {
+      const stopChecks = timer.registerInterval(() => {
+        const now = timer.now();
+        if (isListening && now >= takingUntil) {
+          isListening = false;
+          this.#front.stopListening();
+        }
+        const isDone = !isListening && this.#service.open === 0;
+        if (!isDone && now < endsAt) return;
+        stopChecks();
+        resolve();
+      }, STOP_CHECK_MILLISECONDS);
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -0,0 +1,44 @@
+export type {
+  CallerLimits,
+  ClientAccount,
+  ServingConfiguration,
+} from "./configuration/serving_configuration.ts";
+export type {
+  RequestKind,
+  RouteStage,
+  RouteTarget,
+  ServiceRoute,
+} from "./configuration/service_route.ts";
+export type {
+  PieceTerms,
+  ServiceDefinition,
+} from "./configuration/service_definition.ts";
+export type { EndpointEntry } from "./endpoints/endpoint_entry.ts";
+export type { DaemonAddress } from "./fleet/fleet_digest.ts";
+export type { RequestDecoder } from "./front/front_server.ts";
+export type { TextAnswer } from "./front/text_server.ts";
+export type { GatewayLog, LogFields } from "./log/gateway_log.ts";
+export type {
+  PieceAnswer,
+  PieceCall,
+  PieceCallAnswer,
+  PieceClient,
+  PieceFailure,
+  PieceOrder,
+} from "./pieces/piece_call.ts";
+export type {
+  EndpointAnswer,
+  EndpointCall,
+  EndpointClient,
+} from "./requests/endpoint_call.ts";
+export type { PromptPart, ServingRequest } from "./requests/serving_request.ts";
+export type { GatewayDaemonOptions } from "./gateway_daemon.ts";
+export { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
+export { EndpointBook } from "./endpoints/endpoint_book.ts";
+export { headerValue, passedHeaders } from "./exchange/connection_headers.ts";
+export { exchangeHttp } from "./exchange/http_exchange.ts";
+export { listen } from "./front/listen.ts";
+export { createTextServer } from "./front/text_server.ts";
+export { GatewayDaemon } from "./gateway_daemon.ts";
+export { LineLog } from "./log/line_log.ts";
+export { readBody } from "./requests/read_body.ts";
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/chain_outcome.ts
@@ -0,0 +1,29 @@
+/** What became of a chain of stages. */
+export type ChainOutcome =
+  | {
+    readonly type: "done";
+    /** Results that the request itself reads, in order of stage and piece. */
+    readonly results: readonly PieceResult[];
+  }
+  | {
+    /** Nothing will be done; the caller may come back. */
+    readonly type: "refused";
+    readonly reason: ChainRefusal;
+    readonly retryAfterMilliseconds: number;
+  };
+
+/** Why a chain wasn't run or not to its end. */
+export type ChainRefusal =
+  | "no_endpoint"
+  | "overloaded"
+  | "too_late"
+  | "failing";
+
+/** Where the result of a piece lies. */
+export interface PieceResult {
+  /** Names the result to the endpoints that read it. */
+  readonly handle: string;
+  readonly makerId: string;
+  readonly makerAddress: string;
+  readonly makerZone: string;
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -0,0 +1,26 @@
+/** One stage of a request as its chain is run; stages without pieces too. */
+export interface ChainStage {
+  readonly service: string;
+  readonly after: readonly number[];
+  /** About how large one result is, bytes. */
+  readonly resultBytes: number;
+  /** 0 when the request leaves this stage out. */
+  readonly pieces: number;
+}
+
+/** The stages that must be done before a request can run. */
+export interface ChainRequest {
+  /** Id of the caller's attempt. */
+  readonly attemptId: string;
+  /** What pieces without inputs are made from. */
+  readonly pieceKey: string;
+  readonly stages: readonly ChainStage[];
+  /** Time until the request's deadline. */
+  readonly remainingMilliseconds: number;
+  /** Time until its answer is late; below 0 when it is late already. */
+  readonly objectiveMilliseconds: number;
+  /** What the request itself will take until its first event. */
+  readonly tailMilliseconds: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -0,0 +1,214 @@
+import type { ChainOutcome, PieceResult } from "./chain_outcome.ts";
+import type { ChainRequest, ChainStage } from "./chain_request.ts";
+import type { PieceTask } from "./piece_task.ts";
+
+/** How a chain is started. */
+export interface ChainRunOptions {
+  readonly request: ChainRequest;
+  readonly now: number;
+  readonly settle: (outcome: ChainOutcome) => void;
+}
+
+/** One request's stages on their way: which pieces are made and where. */
+export class ChainRun {
+  readonly request: ChainRequest;
+  readonly startedAt: number;
+  readonly deadlineAt: number;
+  readonly objectiveAt: number;
+  /** False once it has its outcome; its pieces are then of no use. */
+  isOpen = true;
+  /** How often stages were started again because results were lost. */
+  restarts = 0;
+  readonly #settle: (outcome: ChainOutcome) => void;
+  readonly #results: (PieceResult | undefined)[][];
+  readonly #started = new Set<number>();
+  readonly #freed = new Set<number>();
+
+  constructor(options: ChainRunOptions) {
+    const { request, now } = options;
+    this.request = request;
+    this.startedAt = now;
+    this.deadlineAt = now + request.remainingMilliseconds;
+    this.objectiveAt = now + request.objectiveMilliseconds;
+    this.#settle = options.settle;
+    this.#results = request.stages.map(({ pieces }) =>
+      new Array<PieceResult | undefined>(pieces).fill(undefined)
+    );
+  }
+
+  stage(number: number): ChainStage {
+    return this.request.stages[number] as ChainStage;
+  }
+
+  /** Stages with pieces that `number` reads. */
+  inputsOf(number: number): readonly number[] {
+    return this.stage(number).after.filter((one) =>
+      this.stage(one).pieces > 0
+    );
+  }
+
+  /** True when every result that stage `number` reads is there. */
+  hasInputs(number: number): boolean {
+    return this.inputsOf(number).every((one) => this.isStageDone(one));
+  }
+
+  /** Results that pieces of stage `number` read. */
+  inputResults(number: number): readonly PieceResult[] {
+    return this.inputsOf(number).flatMap((one) => this.#made(one));
+  }
+
+  isMade(stage: number, piece: number): boolean {
+    return this.#results[stage]?.[piece] !== undefined;
+  }
+
+  isStageDone(stage: number): boolean {
+    return (this.#results[stage] ?? []).every((one) => one !== undefined);
+  }
+
+  /** Pieces of `service` that are still to be made. */
+  missingOf(service: string): number {
+    let missing = 0;
+    for (const [number, stage] of this.request.stages.entries()) {
+      if (stage.service !== service) continue;
+      for (const result of this.#results[number] ?? []) {
+        if (result === undefined) missing++;
+      }
+    }
+    return missing;
+  }
+
+  /** Puts a result down; false when the piece was made already. */
+  put(task: PieceTask, result: PieceResult): boolean {
+    const stage = this.#results[task.stage];
+    if (stage === undefined || stage[task.piece] !== undefined) return false;
+    stage[task.piece] = result;
+    return true;
+  }
+
+  /** Tasks of stages that can start now and weren't started yet. */
+  startReady(): readonly PieceTask[] {
+    return this.request.stages.flatMap((stage, number) => {
+      const isReady = stage.pieces > 0 && !this.#started.has(number) &&
+        this.hasInputs(number);
+      if (!isReady) return [];
+      this.#started.add(number);
+      return this.#missing(number);
+    });
+  }
+
+  /** Forgets results whose maker is gone; gives the tasks to start again. */
+  forgetMaker(makerId: string): readonly PieceTask[] {
+    const lost = this.#stagesWith((result) => result.makerId === makerId);
+    return this.#startAgain(lost, (result) => result.makerId === makerId);
+  }
+
+  /** Forgets all results that stage `number` reads: one of them is gone. */
+  forgetInputs(number: number): readonly PieceTask[] {
+    this.#started.delete(number);
+    return this.#startAgain(this.inputsOf(number), () => true);
+  }
+
+  /** Results that no stage still to be done reads, each only once. */
+  takeUnneeded(): readonly PieceResult[] {
+    return this.request.stages.flatMap((_, number) => {
+      const readers = this.#readersOf(number);
+      const isRead = readers.length > 0 &&
+        readers.every((one) => this.isStageDone(one));
+      if (!isRead || this.#freed.has(number)) return [];
+      this.#freed.add(number);
+      return this.#made(number);
+    });
+  }
+
+  /** Every result made so far that wasn't taken as unneeded. */
+  takeAll(): readonly PieceResult[] {
+    return this.request.stages.flatMap((_, number) => {
+      if (this.#freed.has(number)) return [];
+      this.#freed.add(number);
+      return this.#made(number);
+    });
+  }
+
+  /** True once every stage that nothing else reads is done. */
+  isDone(): boolean {
+    return this.#leaves().every((one) => this.isStageDone(one));
+  }
+
+  /** Results that the request itself reads. */
+  finalResults(): readonly PieceResult[] {
+    return this.#leaves().flatMap((one) => this.#made(one));
+  }
+
+  /** Gives the outcome; later ones are dropped. */
+  settle(outcome: ChainOutcome): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.#settle(outcome);
+  }
+
+  #leaves(): readonly number[] {
+    return this.request.stages.map((_, number) => number).filter((number) =>
+      this.stage(number).pieces > 0 && this.#readersOf(number).length === 0
+    );
+  }
+
+  #readersOf(number: number): readonly number[] {
+    return this.request.stages.map((_, reader) => reader).filter((reader) =>
+      this.stage(reader).pieces > 0 && this.inputsOf(reader).includes(number)
+    );
+  }
+
+  #made(stage: number): readonly PieceResult[] {
+    return (this.#results[stage] ?? []).filter((one) => one !== undefined);
+  }
+
+  #missing(stage: number): readonly PieceTask[] {
+    return (this.#results[stage] ?? []).flatMap((result, piece) =>
+      result === undefined
+        ? [{
+          chain: this,
+          stage,
+          piece,
+          calls: 0,
+          isQueued: false,
+          failures: this.restarts,
+        }]
+        : []
+    );
+  }
+
+  /** Stages not freed yet that hold a result for which `isLost` holds. */
+  #stagesWith(isLost: (result: PieceResult) => boolean): readonly number[] {
+    return this.request.stages.map((_, number) => number).filter((number) =>
+      !this.#freed.has(number) && this.#made(number).some(isLost)
+    );
+  }
+
+  #startAgain(
+    stages: readonly number[],
+    isLost: (result: PieceResult) => boolean,
+  ): readonly PieceTask[] {
+    if (stages.length === 0) return [];
+    this.restarts++;
+    for (const stage of stages) this.#forget(stage, isLost);
+    return this.startReady();
+  }
+
+  /**
+   * What a forgotten result was made from may be freed already; then that is
+   * forgotten too, or the piece would ask for inputs that are gone, for ever.
+   */
+  #forget(stage: number, isLost: (result: PieceResult) => boolean): void {
+    const results = this.#results[stage] ?? [];
+    for (const [piece, result] of results.entries()) {
+      if (result !== undefined && isLost(result)) results[piece] = undefined;
+    }
+    this.#started.delete(stage);
+    for (const reader of this.#readersOf(stage)) {
+      if (!this.isStageDone(reader)) this.#started.delete(reader);
+    }
+    for (const input of this.inputsOf(stage)) {
+      if (this.#freed.delete(input)) this.#forget(input, () => true);
+    }
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -0,0 +1,213 @@
+import type { TimerService } from "kelpspar-shared";
+import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
+import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { ChainOutcome, PieceResult } from "./chain_outcome.ts";
+import type { ChainRequest } from "./chain_request.ts";
+import type { PieceClient } from "./piece_call.ts";
+import type { PieceTask } from "./piece_task.ts";
+import { admitChain } from "./admit_chain.ts";
+import { ChainRun } from "./chain_run.ts";
+import { ResultFreer } from "./result_freer.ts";
+import { ServiceDesk } from "./service_desk.ts";
+
+/** A caller comes back this long after a stage failed, milliseconds. */
+const FAILED_RETRY_MILLISECONDS = 400;
+/** Time in which a daemon learns of the first endpoints, milliseconds. */
+const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
+/** A chain whose results were lost so often is given up. */
+const MOST_RESTARTS = 3;
+/** How often queues are looked through for what nothing else woke up. */
+const SWEEP_MILLISECONDS = 50;
+
+/** What a coordinator works with. */
+export interface PieceCoordinatorOptions {
+  readonly configuration: ConfigurationKeeper;
+  readonly book: EndpointBook;
+  readonly client: PieceClient;
+  readonly timer: TimerService;
+  readonly budget: ServiceRetryBudget;
+  readonly log: GatewayLog;
+}
+
+/**
+ * Runs the stages of requests. One daemon does so for all, so that pieces of
+ * requests that arrive at different daemons share calls. Which daemon that is
+ * needs no agreement for safety: two that both take themselves for it only
+ * share calls less well, since a piece may be made again.
+ */
+export class PieceCoordinator {
+  readonly #options: PieceCoordinatorOptions;
+  readonly #desks = new Map<string, ServiceDesk>();
+  readonly #chains = new Set<ChainRun>();
+  readonly #freer: ResultFreer;
+
+  constructor(options: PieceCoordinatorOptions) {
+    this.#options = options;
+    this.#freer = new ResultFreer(options);
+  }
+
+  get openChains(): number {
+    return this.#chains.size;
+  }
+
+  /** Subscribes to endpoints, configurations and time; returns the teardown. */
+  register(): () => void {
+    const { book, configuration, timer } = this.#options;
+    const teardowns = [
+      book.registerGone((id) => this.#endpointGone(id)),
+      configuration.registerListener(() => this.#takeTerms()),
+      timer.registerInterval(() => this.#pumpAll(), SWEEP_MILLISECONDS),
+    ];
+    return () => teardowns.forEach((teardown) => teardown());
+  }
+
+  /** Runs a chain; `signal` ends it when its caller is gone. */
+  run(request: ChainRequest, signal: AbortSignal): Promise<ChainOutcome> {
+    const refusal = this.#admit(request);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return new Promise((resolve) => {
+      const now = this.#options.timer.now();
+      const chain = new ChainRun({ request, now, settle: resolve });
+      this.#chains.add(chain);
+      signal.addEventListener(
+        "abort",
+        () => this.#close(chain, refuse("too_late", 0)),
+        { once: true },
+      );
+      this.#enqueue(chain.startReady());
+      if (signal.aborted) this.#close(chain, refuse("too_late", 0));
+    });
+  }
+
+  /** Frees results that a request has read or won't read. */
+  release(results: readonly PieceResult[]): void {
+    for (const result of results) {
+      for (const desk of this.#desks.values()) desk.freed(result);
+    }
+    this.#freer.free(results);
+    this.#pumpAll();
+  }
+
+  #admit(request: ChainRequest): ChainOutcome | undefined {
+    const used = request.stages.map((stage) =>
+      stage.pieces === 0 ? undefined : this.#deskOf(stage.service)
+    );
+    const isMissing = request.stages.some((stage, number) =>
+      stage.pieces > 0 && used[number]?.hasEndpoints !== true
+    );
+    if (isMissing) return refuse("no_endpoint", NO_ENDPOINT_RETRY_MILLISECONDS);
+    const admission = admitChain({
+      stages: request.stages.map((stage, number) => ({
+        backlog: this.#backlog(stage.service, used[number]),
+        work: used[number]?.workTime(stage.pieces) ?? 0,
+        after: stage.after,
+      })),
+      tail: request.tailMilliseconds,
+      objective: request.objectiveMilliseconds,
+      remaining: request.remainingMilliseconds,
+      priority: request.priority,
+    });
+    if (admission.type === "admitted") return undefined;
+    this.#options.log.info("chain refused", {
+      attempt: request.attemptId,
+      expectedMilliseconds: Math.round(admission.expected),
+      objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
+      openChains: this.#chains.size,
+    });
+    return refuse("overloaded", admission.retryAfterMilliseconds);
+  }
+
+  /** Time until all admitted pieces of a service are made, milliseconds. */
+  #backlog(service: string, desk: ServiceDesk | undefined): number {
+    if (desk === undefined) return 0;
+    let pieces = 0;
+    for (const chain of this.#chains) pieces += chain.missingOf(service);
+    return Math.max(desk.slotWait(), pieces / Math.max(desk.rate(), 1e-6));
+  }
+
+  #deskOf(service: string): ServiceDesk | undefined {
+    const known = this.#desks.get(service);
+    if (known !== undefined) return known;
+    const { configuration, ...parts } = this.#options;
+    const terms = configuration.table?.findService(service)?.pieces;
+    if (terms === undefined) return undefined;
+    const desk = new ServiceDesk({
+      ...parts,
+      service,
+      terms,
+      events: {
+        made: (task) => this.#made(task),
+        inputsGone: (task) =>
+          this.#restart(task.chain, task.chain.forgetInputs(task.stage)),
+        failed: (chain, reason) =>
+          this.#close(chain, refuse(reason, FAILED_RETRY_MILLISECONDS)),
+      },
+    });
+    this.#desks.set(service, desk);
+    return desk;
+  }
+
+  #enqueue(tasks: readonly PieceTask[]): void {
+    const touched = new Set<ServiceDesk>();
+    for (const task of tasks) {
+      const desk = this.#deskOf(task.chain.stage(task.stage).service);
+      if (desk === undefined) continue;
+      desk.enqueue([task]);
+      touched.add(desk);
+    }
+    for (const desk of touched) desk.pump();
+  }
+
+  #made(task: PieceTask): void {
+    const { chain } = task;
+    if (!chain.isStageDone(task.stage)) return;
+    this.release(chain.takeUnneeded());
+    if (chain.isDone()) {
+      this.#chains.delete(chain);
+      chain.settle({ type: "done", results: chain.finalResults() });
+      return;
+    }
+    this.#enqueue(chain.startReady());
+  }
+
+  #close(chain: ChainRun, outcome: ChainOutcome): void {
+    if (!chain.isOpen) return;
+    this.#chains.delete(chain);
+    chain.settle(outcome);
+    for (const desk of this.#desks.values()) desk.chainClosed(chain);
+    this.release(chain.takeAll());
+  }
+
+  #endpointGone(id: string): void {
+    for (const desk of this.#desks.values()) desk.endpointGone(id);
+    for (const chain of [...this.#chains]) {
+      this.#restart(chain, chain.forgetMaker(id));
+    }
+  }
+
+  #restart(chain: ChainRun, tasks: readonly PieceTask[]): void {
+    if (chain.restarts <= MOST_RESTARTS) this.#enqueue(tasks);
+    else this.#close(chain, refuse("failing", FAILED_RETRY_MILLISECONDS));
+  }
+
+  #takeTerms(): void {
+    const { table } = this.#options.configuration;
+    for (const [service, desk] of this.#desks) {
+      const terms = table?.findService(service)?.pieces;
+      if (terms !== undefined) desk.terms = terms;
+    }
+  }
+
+  #pumpAll(): void {
+    for (const desk of this.#desks.values()) desk.pump();
+  }
+}
+
+function refuse(
+  reason: "no_endpoint" | "overloaded" | "too_late" | "failing",
+  retryAfterMilliseconds: number,
+): ChainOutcome {
+  return { type: "refused", reason, retryAfterMilliseconds };
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -0,0 +1,489 @@
+import type { TimerService } from "kelpspar-shared";
+import type { PieceTerms } from "../configuration/service_definition.ts";
+import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { PieceResult } from "./chain_outcome.ts";
+import type { ChainRun } from "./chain_run.ts";
+import type {
+  PieceAnswer,
+  PieceCallAnswer,
+  PieceClient,
+  PieceFailure,
+} from "./piece_call.ts";
+import type { PieceTask } from "./piece_task.ts";
+import type { RunningCall } from "./running_call.ts";
+import { EndpointLane } from "./endpoint_lane.ts";
+import { fillCall } from "./fill_call.ts";
+import { rankPiece } from "./rank_piece.ts";
+import { callTime, piecesPerMillisecond } from "./service_capacity.ts";
+
+/** A call is doubled once it took so many times what it should take, */
+const DOUBLED_AFTER_FACTOR = 1.7;
+/** and this much more, for the way and for pieces larger than the average. */
+const DOUBLED_AFTER_MILLISECONDS = 80;
+/**
+ * A call is given up after so many times what it should take: slow endpoints
+ * were seen at five times, and one that hangs must not keep its lane.
+ */
+const GIVEN_UP_AFTER_FACTOR = 9;
+/** Slowness from which an endpoint gets work only when that is sooner. */
+const SLOW_ENDPOINT = 1.5;
+/** Wait before a full endpoint is asked again, milliseconds. */
+const FULL_PAUSE_MILLISECONDS = 60;
+/** A piece that failed so often ends its chain. */
+const MOST_FAILURES = 4;
+/** A piece is due this long before its chain's deadline, milliseconds. */
+const DEADLINE_MARGIN_MILLISECONDS = 50;
+
+/** Told what became of pieces. */
+export interface ServiceDeskEvents {
+  made(task: PieceTask): void;
+  inputsGone(task: PieceTask): void;
+  failed(chain: ChainRun, reason: "too_late" | "failing"): void;
+}
+
+/** What a desk works with. */
+export interface ServiceDeskOptions {
+  readonly service: string;
+  readonly terms: PieceTerms;
+  readonly book: EndpointBook;
+  readonly client: PieceClient;
+  readonly timer: TimerService;
+  readonly budget: ServiceRetryBudget;
+  readonly log: GatewayLog;
+  readonly events: ServiceDeskEvents;
+}
+
+/**
+ * Gathers the pieces of all requests for one stage service. A piece waits here
+ * until an endpoint is free, never at an endpoint: whatever arrives meanwhile
+ * joins the next call, which costs the same whatever it carries.
+ */
+export class ServiceDesk {
+  readonly #options: ServiceDeskOptions;
+  #terms: PieceTerms;
+  #queue: PieceTask[] = [];
+  readonly #lanes = new Map<string, EndpointLane>();
+  #stopPause: (() => void) | undefined;
+
+  constructor(options: ServiceDeskOptions) {
+    this.#options = options;
+    this.#terms = options.terms;
+  }
+
+  set terms(terms: PieceTerms) {
+    this.#terms = terms;
+  }
+
+  enqueue(tasks: readonly PieceTask[]): void {
+    for (const task of tasks) {
+      task.isQueued = true;
+      this.#queue.push(task);
+    }
+  }
+
+  /** Starts as many calls as there are free endpoints and pieces. */
+  pump(): void {
+    const now = this.#options.timer.now();
+    this.#tidyQueue(now);
+    while (this.#queue.length > 0) {
+      const lane = this.#chooseLane(now);
+      if (lane === undefined) break;
+      const tasks = fillCall(this.#queue, {
+        batch: this.#terms.batch,
+        room: lane.room(this.#terms, now),
+        isEmpty: lane.room(this.#terms, now) >= this.#terms.resultBytes,
+      });
+      if (tasks.length === 0) break;
+      this.#start(lane, tasks);
+    }
+  }
+
+  /** Ends calls that only carry pieces nobody needs any more. */
+  chainClosed(chain: ChainRun): void {
+    this.#queue = this.#queue.filter((task) => task.chain !== chain);
+    for (const lane of this.#lanes.values()) {
+      for (const call of lane.calls) {
+        if (call.tasks.every((task) => !task.chain.isOpen)) call.abort.abort();
+      }
+    }
+  }
+
+  /** Gives up the calls at an endpoint that is gone. */
+  endpointGone(id: string): void {
+    const lane = this.#lanes.get(id);
+    if (lane === undefined) return;
+    this.#lanes.delete(id);
+    for (const call of lane.calls) call.abort.abort();
+  }
+
+  freed(result: PieceResult): void {
+    this.#lanes.get(result.makerId)?.free(result.handle);
+  }
+
+  /** Pieces a millisecond that sound endpoints make now. */
+  rate(): number {
+    const now = this.#options.timer.now();
+    return piecesPerMillisecond(
+      this.#terms,
+      this.#lanesNow(now).map((lane) =>
+        Math.max(1, lane.endpoint.slowness(now))
+      ),
+    );
+  }
+
+  /** Time that calls for `pieces` pieces take, milliseconds. */
+  workTime(pieces: number): number {
+    return callTime(this.#terms, Math.min(pieces, this.#terms.batch));
+  }
+
+  /** Time until one more call could start if nothing waited, milliseconds. */
+  slotWait(): number {
+    const now = this.#options.timer.now();
+    let least = Number.POSITIVE_INFINITY;
+    for (const lane of this.#lanesNow(now)) {
+      if (lane.calls.size < this.#terms.slots) return 0;
+      for (const call of lane.calls) {
+        const due = call.startedAt + call.soundTime;
+        least = Math.min(least, Math.max(0, due - now));
+      }
+    }
+    return Number.isFinite(least) ? least : 0;
+  }
+
+  get hasEndpoints(): boolean {
+    return this.#options.book.ofService(this.#options.service).length > 0;
+  }
+
+  /** For the log: what waits and what is under way. */
+  get load(): { readonly queued: number; readonly calls: number } {
+    let calls = 0;
+    for (const lane of this.#lanes.values()) calls += lane.calls.size;
+    return { queued: this.#queue.length, calls };
+  }
+
+  #tidyQueue(now: number): void {
+    const expired = new Set<ChainRun>();
+    for (const { chain } of this.#queue) {
+      const due = chain.deadlineAt - DEADLINE_MARGIN_MILLISECONDS;
+      if (chain.isOpen && due <= now) expired.add(chain);
+    }
+    for (const chain of expired) this.#options.events.failed(chain, "too_late");
+    this.#queue = this.#queue.filter((task) => {
+      // A stage whose inputs were lost is queued anew once they are there; a
+      // piece left over from before would be sent with some inputs only.
+      const isNeeded = task.chain.isOpen &&
+        !task.chain.isMade(task.stage, task.piece) &&
+        task.chain.hasInputs(task.stage);
+      if (!isNeeded) task.isQueued = false;
+      return isNeeded;
+    });
+    const ranks = new Map(
+      this.#queue.map((task) => [task, this.#rank(task, now)]),
+    );
+    this.#queue.sort((left, right) =>
+      (ranks.get(left) ?? 0) - (ranks.get(right) ?? 0)
+    );
+  }
+
+  #rank(task: PieceTask, now: number): number {
+    const { chain } = task;
+    return rankPiece({
+      objectiveAt: chain.objectiveAt,
+      remainingWork: this.workTime(1) + chain.request.tailMilliseconds,
+      priority: chain.request.priority,
+      now,
+    });
+  }
+
+  #lanesNow(now: number): readonly EndpointLane[] {
+    const { book, service } = this.#options;
+    const lanes = book.ofService(service).map((endpoint) => {
+      const known = this.#lanes.get(endpoint.entry.id);
+      if (known !== undefined) return known;
+      const lane = new EndpointLane(endpoint);
+      this.#lanes.set(endpoint.entry.id, lane);
+      return lane;
+    });
+    const sound = lanes.filter((lane) => !lane.endpoint.isSetAside(now));
+    return sound.length > 0 ? sound : lanes;
+  }
+
+  #chooseLane(now: number): EndpointLane | undefined {
+    const lanes = this.#lanesNow(now);
+    const smallest = Math.min(
+      ...this.#queue.map((task) => task.chain.stage(task.stage).resultBytes),
+    );
+    let best: EndpointLane | undefined;
+    for (const lane of lanes) {
+      if (lane.calls.size >= this.#terms.slots) continue;
+      const room = lane.room(this.#terms, now);
+      if (room < smallest && room < this.#terms.resultBytes) continue;
+      const isBetter = best === undefined ||
+        lane.endpoint.slowness(now) < best.endpoint.slowness(now);
+      if (isBetter) best = lane;
+    }
+    if (best === undefined) return undefined;
+    return this.#isWorthUsing(best, { lanes, now }) ? best : undefined;
+  }
+
+  /**
+   * A slow endpoint gets work only when it ends sooner there than after
+   * waiting for the others: a chain waits for its last piece.
+   */
+  #isWorthUsing(
+    lane: EndpointLane,
+    options: { readonly lanes: readonly EndpointLane[]; readonly now: number },
+  ): boolean {
+    const slowness = lane.endpoint.slowness(options.now);
+    if (slowness < SLOW_ENDPOINT) return true;
+    const others = options.lanes.filter((one) =>
+      one !== lane && one.endpoint.slowness(options.now) < SLOW_ENDPOINT
+    );
+    if (others.length === 0) return true;
+    const pieces = Math.min(this.#queue.length, this.#terms.batch);
+    const work = callTime(this.#terms, pieces);
+    const rate = piecesPerMillisecond(this.#terms, others.map(() => 1));
+    const elsewhere = this.#queue.length / rate + work;
+    return work * slowness < elsewhere;
+  }
+
+  #start(lane: EndpointLane, tasks: readonly PieceTask[]): void {
+    const { timer, client } = this.#options;
+    const call: RunningCall = {
+      tasks,
+      startedAt: timer.now(),
+      soundTime: callTime(this.#terms, tasks.length),
+      resultBytes: tasks.reduce(
+        (sum, task) => sum + task.chain.stage(task.stage).resultBytes,
+        0,
+      ),
+      abort: new AbortController(),
+      isDoubled: false,
+    };
+    const taken = new Set(tasks);
+    this.#queue = this.#queue.filter((task) => !taken.has(task));
+    for (const task of tasks) {
+      task.isQueued = false;
+      task.calls++;
+    }
+    lane.calls.add(call);
+    lane.endpoint.inFlight++;
+    this.#recordFirst(tasks);
+    const stopWatch = this.#watch(lane, call);
+    const pieces = tasks.map((task) => this.#toOrder(task, call.startedAt));
+    void client.runPieces({
+      endpoint: lane.endpoint.entry,
+      pieces,
+      signal: call.abort.signal,
+    }).then((answer) => {
+      stopWatch();
+      this.#ended(lane, call, answer);
+    });
+  }
+
+  #recordFirst(tasks: readonly PieceTask[]): void {
+    const { budget, service, timer } = this.#options;
+    for (const task of tasks) {
+      const isFirst = task.failures === 0 && task.calls === 1;
+      if (isFirst) budget.recordRequest(service, timer.now());
+    }
+  }
+
+  #toOrder(task: PieceTask, now: number) {
+    const { chain, stage, piece } = task;
+    const inputs = chain.inputResults(stage).map(({ handle }) => handle);
+    return {
+      attemptId: chain.request.attemptId,
+      stage,
+      piece,
+      remainingMilliseconds: Math.floor(chain.deadlineAt - now),
+      pieceKey: inputs.length === 0 ? chain.request.pieceKey : undefined,
+      inputs,
+    };
+  }
+
+  /**
+   * Doubles a call that is overdue and gives it up when it hangs. An endpoint
+   * that turned slow or silent holds all chains of its call; one sees stages
+   * that take five times as long while the other endpoints are idle.
+   */
+  #watch(lane: EndpointLane, call: RunningCall): () => void {
+    const { timer } = this.#options;
+    const slowness = Math.max(1, lane.endpoint.slowness(call.startedAt));
+    const doubledAfter = call.soundTime * DOUBLED_AFTER_FACTOR * slowness +
+      DOUBLED_AFTER_MILLISECONDS;
+    const stopDoubling = timer.registerTimeout(
+      () => this.#double(lane, call),
+      doubledAfter,
+    );
+    const stopGivingUp = timer.registerTimeout(
+      () => call.abort.abort(),
+      Math.max(doubledAfter * 2, call.soundTime * GIVEN_UP_AFTER_FACTOR),
+    );
+    return () => {
+      stopDoubling();
+      stopGivingUp();
+    };
+  }
+
+  #double(lane: EndpointLane, call: RunningCall): void {
+    const now = this.#options.timer.now();
+    call.isDoubled = true;
+    lane.endpoint.overdue((now - call.startedAt) / call.soundTime, now);
+    const open = call.tasks.filter((task) => this.#isWanted(task));
+    this.#log("piece call overdue", lane, call);
+    if (open.length > 0 && this.#spend(open.length)) this.enqueue(open);
+    this.pump();
+  }
+
+  #ended(lane: EndpointLane, call: RunningCall, answer: PieceCallAnswer): void {
+    lane.calls.delete(call);
+    lane.endpoint.inFlight--;
+    for (const task of call.tasks) task.calls--;
+    const handlers: {
+      [Type in PieceCallAnswer["type"]]: (
+        answer: Extract<PieceCallAnswer, { type: Type }>,
+      ) => void;
+    } = {
+      answered: ({ pieces }) => this.#answered(lane, call, pieces),
+      full: () => this.#wasFull(call),
+      replaced: () => {
+        this.#log("endpoint replaced", lane, call);
+        this.#options.book.leave(lane.endpoint.entry.id);
+        this.#again(call.tasks, "failed");
+      },
+      failed: ({ isCertain, reason }) =>
+        this.#callFailed(lane, call, { isCertain, reason }),
+    };
+    (handlers[answer.type] as (answer: PieceCallAnswer) => void)(answer);
+    this.pump();
+  }
+
+  #answered(
+    lane: EndpointLane,
+    call: RunningCall,
+    answers: readonly PieceAnswer[],
+  ): void {
+    const now = this.#options.timer.now();
+    lane.endpoint.succeeded((now - call.startedAt) / call.soundTime, now);
+    for (const [index, task] of call.tasks.entries()) {
+      const answer = answers[index];
+      if (answer?.type === "made") this.#made(lane, task, answer.handle);
+      else this.#pieceFailed(lane, task, answer?.failure ?? "error");
+    }
+  }
+
+  #made(lane: EndpointLane, task: PieceTask, handle: string): void {
+    const { entry } = lane.endpoint;
+    const result: PieceResult = {
+      handle,
+      makerId: entry.id,
+      makerAddress: entry.address,
+      makerZone: entry.zone,
+    };
+    lane.keep(handle, {
+      bytes: task.chain.stage(task.stage).resultBytes,
+      expiresAt: this.#options.timer.now() + this.#terms.keptMilliseconds,
+    });
+    if (task.chain.isOpen && task.chain.put(task, result)) {
+      this.#options.events.made(task);
+      return;
+    }
+    lane.free(handle);
+    this.#options.client.freeResults(entry.address, [handle]);
+  }
+
+  #pieceFailed(
+    lane: EndpointLane,
+    task: PieceTask,
+    failure: PieceFailure,
+  ): void {
+    if (!this.#isWanted(task)) return;
+    this.#options.log.info("piece failed", {
+      attempt: task.chain.request.attemptId,
+      stage: task.stage,
+      piece: task.piece,
+      endpoint: lane.endpoint.entry.id,
+      failure,
+    });
+    const handlers: Readonly<Record<PieceFailure, () => void>> = {
+      late: () => this.#options.events.failed(task.chain, "too_late"),
+      input_gone: () => this.#options.events.inputsGone(task),
+      no_room: () => this.#again([task], "failed"),
+      error: () => this.#again([task], "failed"),
+    };
+    handlers[failure]();
+  }
+
+  #wasFull(call: RunningCall): void {
+    for (const task of call.tasks) this.#requeue(task);
+    this.#pauseLane();
+  }
+
+  /** Asks again a little later when an endpoint was full. */
+  #pauseLane(): void {
+    this.#stopPause?.();
+    this.#stopPause = this.#options.timer.registerTimeout(
+      () => this.pump(),
+      FULL_PAUSE_MILLISECONDS,
+    );
+  }
+
+  #callFailed(
+    lane: EndpointLane,
+    call: RunningCall,
+    options: { readonly isCertain: boolean; readonly reason: string },
+  ): void {
+    const wanted = call.tasks.filter((task) => this.#isWanted(task));
+    if (wanted.length === 0 && !options.isCertain && !call.isDoubled) return;
+    lane.endpoint.failed(options.isCertain, this.#options.timer.now());
+    this.#log(`piece call failed: ${options.reason}`, lane, call);
+    this.#again(wanted, options.isCertain ? "not_sent" : "failed");
+  }
+
+  /** Makes pieces again; what was sent before comes out of the budget. */
+  #again(
+    tasks: readonly PieceTask[],
+    cause: "failed" | "not_sent",
+  ): void {
+    for (const task of tasks) {
+      if (!this.#isWanted(task) || task.calls > 0) continue;
+      if (cause === "failed") task.failures++;
+      const isLost = task.failures >= MOST_FAILURES ||
+        (cause === "failed" && !this.#spend(1));
+      if (isLost) this.#options.events.failed(task.chain, "failing");
+      else this.#requeue(task);
+    }
+  }
+
+  #requeue(task: PieceTask): void {
+    if (this.#isWanted(task)) this.enqueue([task]);
+  }
+
+  #isWanted(task: PieceTask): boolean {
+    return task.chain.isOpen && !task.isQueued &&
+      !task.chain.isMade(task.stage, task.piece);
+  }
+
+  #spend(count: number): boolean {
+    const { budget, service, timer } = this.#options;
+    return budget.trySpend(service, { count, sharers: 1, now: timer.now() });
+  }
+
+  #log(message: string, lane: EndpointLane, call: RunningCall): void {
+    this.#options.log.warn(message, {
+      service: this.#options.service,
+      endpoint: lane.endpoint.entry.id,
+      pieces: call.tasks.length,
+      attempts: call.tasks.slice(0, 4).map((task) =>
+        task.chain.request.attemptId
+      ).join(","),
+      tookMilliseconds: Math.round(
+        this.#options.timer.now() - call.startedAt,
+      ),
+      soundMilliseconds: Math.round(call.soundTime),
+    });
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -0,0 +1,122 @@
+import type { TimerService } from "kelpspar-shared";
+import type { FleetMembership } from "../fleet/fleet_membership.ts";
+import type { PeerClient } from "../fleet/peer_client.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
+import type { ChainRequest } from "../pieces/chain_request.ts";
+import type { PieceCoordinator } from "../pieces/piece_coordinator.ts";
+
+/** The one key by which all daemons rank the coordinators of stages. */
+const COORDINATOR_KEY = "stages";
+/** Other daemons that are asked before this one runs a chain itself. */
+const MOST_REMOTE_TRIES = 2;
+/** How often a chain looks whether its coordinator fell silent. */
+const WATCH_MILLISECONDS = 150;
+
+/** What chains are sent with. */
+export interface ChainClientOptions {
+  readonly daemonId: string;
+  readonly membership: FleetMembership;
+  readonly peers: PeerClient;
+  readonly local: PieceCoordinator;
+  readonly timer: TimerService;
+  readonly log: GatewayLog;
+  readonly storeAge: () => number;
+  readonly isLeaving: () => boolean;
+}
+
+/**
+ * Gets chains run by the daemon that gathers pieces for all. A coordinator that
+ * dies, stands still or is cut off is noticed by its connection or its silence;
+ * the next in rank, and in the end this daemon, runs the chain again. Pieces
+ * may be made twice, so that this is safe.
+ */
+export class ChainClient {
+  readonly #options: ChainClientOptions;
+
+  constructor(options: ChainClientOptions) {
+    this.#options = options;
+  }
+
+  async run(request: ChainRequest, gone: AbortSignal): Promise<ChainOutcome> {
+    const { local, timer } = this.#options;
+    const startedAt = timer.now();
+    for (const daemonId of this.#candidates()) {
+      const spent = timer.now() - startedAt;
+      const rest = {
+        ...request,
+        remainingMilliseconds: request.remainingMilliseconds - spent,
+        objectiveMilliseconds: request.objectiveMilliseconds - spent,
+      };
+      if (daemonId === this.#options.daemonId) return local.run(rest, gone);
+      const outcome = await this.#runRemote(daemonId, rest, gone);
+      if (outcome !== undefined || gone.aborted) {
+        return outcome ??
+          { type: "refused", reason: "too_late", retryAfterMilliseconds: 0 };
+      }
+    }
+    return local.run(request, gone);
+  }
+
+  /** Frees results by the coordinator, which counts the room that they take. */
+  release(results: readonly PieceResult[]): void {
+    if (results.length === 0) return;
+    const { daemonId, local, membership, peers } = this.#options;
+    const first = this.#candidates()[0];
+    const address = first === undefined ? undefined : membership.find(first);
+    if (first === daemonId || address === undefined) {
+      local.release(results);
+      return;
+    }
+    peers.release(address.peer, results).catch((error: unknown) => {
+      this.#options.log.warn("release by coordinator failed", {
+        daemon: first,
+        reason: String(error),
+      });
+      local.release(results);
+    });
+  }
+
+  #candidates(): readonly string[] {
+    const { daemonId, membership, timer, storeAge, isLeaving } = this.#options;
+    const ranked = membership.ranked(COORDINATOR_KEY, {
+      now: timer.now(),
+      ownStoreAge: storeAge(),
+      isLeaving: isLeaving(),
+    });
+    const remote = ranked.filter((one) => one !== daemonId)
+      .slice(0, MOST_REMOTE_TRIES);
+    return ranked[0] === daemonId ? [daemonId] : [...remote, daemonId];
+  }
+
+  async #runRemote(
+    daemonId: string,
+    request: ChainRequest,
+    gone: AbortSignal,
+  ): Promise<ChainOutcome | undefined> {
+    const { membership, peers, timer, log } = this.#options;
+    const address = membership.find(daemonId);
+    if (address === undefined) return undefined;
+    const abort = new AbortController();
+    const stop = (): void => abort.abort();
+    gone.addEventListener("abort", stop, { once: true });
+    const stopWatch = timer.registerInterval(() => {
+      if (membership.isStalled(daemonId, timer.now())) stop();
+    }, WATCH_MILLISECONDS);
+    try {
+      return await peers.runChain(address.peer, request, abort.signal);
+    } catch (error) {
+      if (!gone.aborted) {
+        log.warn("coordinator lost", {
+          attempt: request.attemptId,
+          daemon: daemonId,
+          reason: error instanceof Error ? error.message : String(error),
+        });
+      }
+      return undefined;
+    } finally {
+      stopWatch();
+      gone.removeEventListener("abort", stop);
+    }
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/request_parts.ts
@@ -0,0 +1,29 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
+import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
+import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { CallerAge } from "./caller_age.ts";
+import type { ChainClient } from "./chain_client.ts";
+import type { EndpointClient } from "./endpoint_call.ts";
+import type { ExpectedTimes } from "./expected_times.ts";
+
+/** What requests are served with. */
+export interface RequestParts {
+  readonly configuration: ConfigurationKeeper;
+  readonly book: EndpointBook;
+  readonly endpoints: EndpointClient;
+  readonly chains: ChainClient;
+  readonly budget: ServiceRetryBudget;
+  readonly times: ExpectedTimes;
+  readonly ages: CallerAge;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+  /** Availability zone of this daemon. */
+  readonly zone: string;
+  /** Daemons that share the fleet's budget of repeats. */
+  readonly sharers: () => number;
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -0,0 +1,176 @@
+import type { ServiceRoute } from "../configuration/service_route.ts";
+import type { ClientAccount } from "../configuration/serving_configuration.ts";
+import type { PieceResult } from "../pieces/chain_outcome.ts";
+import type { OwnAnswer, RequestReply } from "./request_reply.ts";
+import type { RequestParts } from "./request_parts.ts";
+import type { ServingRequest } from "./serving_request.ts";
+
+/** How a request ended, for the log and metrics. */
+export type RequestEnd = "served" | "refused" | "failed" | "abandoned";
+
+/** What a run begins with. */
+export interface RequestRunOptions {
+  readonly parts: RequestParts;
+  readonly request: ServingRequest;
+  readonly reply: RequestReply;
+  readonly route: ServiceRoute;
+  readonly service: string;
+  readonly account: ClientAccount | undefined;
+  readonly arrivedAt: number;
+}
+
+/**
+ * One request from its acceptance to its end: what is known of whether it ran,
+ * and the one final answer.
+ */
+export class RequestRun {
+  readonly options: RequestRunOptions;
+  readonly deadlineAt: number;
+  /** Time since the caller's first attempt at arrival, milliseconds. */
+  readonly age: number;
+  /** Ends all work for the request: its caller is gone or it has its answer. */
+  readonly stop = new AbortController();
+  /** Endpoints that may have run it. */
+  runs = 0;
+  /** Times that it was sent, refusals included. */
+  sends = 0;
+  firstByteAt: number | undefined;
+  #end: RequestEnd | undefined;
+  #results: readonly PieceResult[] = [];
+  readonly #teardowns: (() => void)[] = [];
+
+  constructor(options: RequestRunOptions) {
+    this.options = options;
+    const { request, route, arrivedAt, parts, reply } = options;
+    const { timeoutMilliseconds: timeout } = route;
+    const wait = Math.min(request.deadlineMilliseconds ?? timeout, timeout);
+    this.deadlineAt = arrivedAt + wait;
+    this.age = parts.ages.of({
+      route: route.name,
+      deadline: request.deadlineMilliseconds,
+      timeout,
+    });
+    const left = this.remaining();
+    this.#teardowns.push(
+      parts.timer.registerTimeout(() => this.#timedOut(), left),
+    );
+    const onGone = (): void => this.finish("abandoned", {});
+    reply.gone.addEventListener("abort", onGone, { once: true });
+    this.#teardowns.push(() =>
+      reply.gone.removeEventListener("abort", onGone)
+    );
+  }
+
+  get isOpen(): boolean {
+    return this.#end === undefined;
+  }
+
+  get priority(): number {
+    return this.options.account?.priority ?? this.options.route.priority;
+  }
+
+  /** Milliseconds until the request's deadline or its route's timeout. */
+  remaining(): number {
+    return this.deadlineAt - this.options.parts.timer.now();
+  }
+
+  /** Milliseconds until the answer is late; below 0 when it is. */
+  objectiveLeft(): number {
+    const { route, arrivedAt, parts } = this.options;
+    const spent = parts.timer.now() - arrivedAt + this.age;
+    return route.objectiveMilliseconds - spent;
+  }
+
+  /** Results to be freed once the request has read them or ended. */
+  holdResults(results: readonly PieceResult[]): void {
+    this.releaseResults();
+    if (this.isOpen) this.#results = results;
+    else this.options.parts.chains.release(results);
+  }
+
+  /** Handles of the results that the request reads. */
+  get heldHandles(): readonly string[] {
+    return this.#results.map(({ handle }) => handle);
+  }
+
+  releaseResults(): void {
+    const results = this.#results;
+    this.#results = [];
+    this.options.parts.chains.release(results);
+  }
+
+  /**
+   * Gives a final answer of the daemon's own. Statuses that promise that the
+   * request didn't run are only given while that is certain.
+   */
+  giveUp(reason: string, retryAfterMilliseconds: number): void {
+    if (!this.isOpen) return;
+    const answer: OwnAnswer = this.runs === 0
+      ? { status: 503, retryAfterMilliseconds, message: reason }
+      : { status: this.remaining() <= 0 ? 504 : 502, message: reason };
+    this.options.reply.refuse(answer);
+    this.finish(this.runs === 0 ? "refused" : "failed", {
+      reason,
+      status: answer.status,
+      retryAfterMilliseconds: answer.retryAfterMilliseconds,
+    });
+  }
+
+  /** Ends the run; all work for it stops. Later ends are ignored. */
+  finish(
+    end: RequestEnd,
+    fields: Readonly<Record<string, string | number | undefined>>,
+  ): void {
+    if (!this.isOpen) return;
+    this.#end = end;
+    for (const teardown of this.#teardowns) teardown();
+    this.stop.abort();
+    this.releaseResults();
+    this.#record(end, fields);
+  }
+
+  #timedOut(): void {
+    if (this.firstByteAt !== undefined) {
+      this.options.reply.breakOff();
+      this.finish("failed", { reason: "timed out midway" });
+      return;
+    }
+    this.giveUp("timed out", TIMED_OUT_RETRY_MILLISECONDS);
+  }
+
+  #record(
+    end: RequestEnd,
+    fields: Readonly<Record<string, string | number | undefined>>,
+  ): void {
+    const { parts, request, route, service, account, arrivedAt } = this.options;
+    const now = parts.timer.now();
+    parts.log.info("request ended", {
+      attempt: request.attemptId,
+      outcome: end,
+      route: route.name,
+      service,
+      account: account?.name,
+      configuration: parts.configuration.version,
+      milliseconds: Math.round(now - arrivedAt),
+      firstByteMilliseconds: this.firstByteAt === undefined
+        ? undefined
+        : Math.round(this.firstByteAt - arrivedAt),
+      age: Math.round(this.age),
+      runs: this.runs,
+      sends: this.sends,
+      ...fields,
+    });
+    parts.metrics.countRequest({
+      account: account?.name ?? "",
+      route: route.name,
+      outcome: end,
+      seconds: (now - arrivedAt) / 1_000,
+      firstByteSeconds: this.firstByteAt === undefined
+        ? undefined
+        : (this.firstByteAt - arrivedAt) / 1_000,
+    });
+  }
+}
+
+/** A timed-out caller has no time left; any wait is as good. */
+const TIMED_OUT_RETRY_MILLISECONDS = 1_000;
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -0,0 +1,181 @@
+import type { ServiceRoute } from "../configuration/service_route.ts";
+import type { ClientAccount } from "../configuration/serving_configuration.ts";
+import type { ChainOutcome } from "../pieces/chain_outcome.ts";
+import type { ChainStage } from "../pieces/chain_request.ts";
+import type { RequestParts } from "./request_parts.ts";
+import type { OwnAnswer, RequestReply } from "./request_reply.ts";
+import type { ServingRequest } from "./serving_request.ts";
+import { chooseTarget } from "./choose_target.ts";
+import { RequestDispatch } from "./request_dispatch.ts";
+import { RequestRun } from "./request_run.ts";
+
+/** Time in which a daemon that just started learns its configuration, ms. */
+const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+/** Chains are run again at most so often when their results were lost. */
+const MOST_CHAIN_RUNS = 2;
+
+/** Serves requests: route, key, stages, then the request itself. */
+export class RequestService {
+  readonly #parts: RequestParts;
+  #open = 0;
+
+  constructor(parts: RequestParts) {
+    this.#parts = parts;
+  }
+
+  /** Requests that have no final answer yet. */
+  get open(): number {
+    return this.#open;
+  }
+
+  async serve(request: ServingRequest, reply: RequestReply): Promise<void> {
+    const run = this.#accept(request, reply);
+    if (run === undefined) return;
+    this.#open++;
+    try {
+      await this.#run(run);
+    } catch (error) {
+      this.#parts.log.warn("request broke", {
+        attempt: request.attemptId,
+        reason: error instanceof Error ? error.stack : String(error),
+      });
+      run.giveUp("internal error", NO_CONFIGURATION_RETRY_MILLISECONDS);
+    } finally {
+      this.#open--;
+    }
+  }
+
+  #accept(
+    request: ServingRequest,
+    reply: RequestReply,
+  ): RequestRun | undefined {
+    const { configuration, random, timer } = this.#parts;
+    const table = configuration.table;
+    if (table === undefined) {
+      return this.#refuse(request, reply, {
+        status: 503,
+        retryAfterMilliseconds: NO_CONFIGURATION_RETRY_MILLISECONDS,
+        message: "no configuration yet",
+      });
+    }
+    const path = request.target.split("?", 1)[0] ?? "";
+    const route = table.findRoute(request.host, path);
+    if (route === undefined) {
+      return this.#refuse(request, reply, {
+        status: 404,
+        message: "no such route",
+      });
+    }
+    const account = this.#findAccount(request, route);
+    if (account === "unknown") {
+      return this.#refuse(request, reply, {
+        status: 401,
+        message: "unknown key",
+      });
+    }
+    const service = chooseTarget(route.targets, random);
+    if (service === undefined || request.attemptId === undefined) {
+      return this.#refuse(request, reply, {
+        status: service === undefined ? 503 : 400,
+        retryAfterMilliseconds: NO_CONFIGURATION_RETRY_MILLISECONDS,
+        message: service === undefined ? "route without service" : "no id",
+      });
+    }
+    return new RequestRun({
+      parts: this.#parts,
+      request,
+      reply,
+      route,
+      service,
+      account,
+      arrivedAt: timer.now(),
+    });
+  }
+
+  #findAccount(
+    request: ServingRequest,
+    route: ServiceRoute,
+  ): ClientAccount | undefined | "unknown" {
+    const { table } = this.#parts.configuration;
+    if (route.isPublic || table?.configuration.accounts === undefined) {
+      return undefined;
+    }
+    const { apiKey } = request;
+    if (apiKey === undefined) return "unknown";
+    return table.findAccount(apiKey) ?? "unknown";
+  }
+
+  #refuse(
+    request: ServingRequest,
+    reply: RequestReply,
+    answer: OwnAnswer,
+  ): undefined {
+    reply.refuse(answer);
+    this.#parts.log.info("request refused", {
+      attempt: request.attemptId,
+      status: answer.status,
+      reason: answer.message,
+      configuration: this.#parts.configuration.version,
+    });
+    this.#parts.metrics.countRequest({
+      account: "",
+      route: "",
+      outcome: "refused",
+      seconds: 0,
+      firstByteSeconds: undefined,
+    });
+    return undefined;
+  }
+
+  async #run(run: RequestRun): Promise<void> {
+    const { route } = run.options;
+    const stages = toStages(run);
+    const hasPieces = stages.some(({ pieces }) => pieces > 0);
+    for (let chainRuns = 1; run.isOpen; chainRuns++) {
+      if (hasPieces && !await this.#runChain(run, stages)) return;
+      const dispatch = new RequestDispatch(run, route.stages.length > 0);
+      const end = await dispatch.run();
+      if (end !== "input_gone" || !run.isOpen) return;
+      if (!hasPieces || chainRuns >= MOST_CHAIN_RUNS) {
+        run.giveUp("stage results were lost", NO_CONFIGURATION_RETRY_MILLISECONDS);
+      }
+    }
+  }
+
+  async #runChain(
+    run: RequestRun,
+    stages: readonly ChainStage[],
+  ): Promise<boolean> {
+    const { request, route } = run.options;
+    const { times, chains } = this.#parts;
+    const outcome = await chains.run({
+      attemptId: request.attemptId ?? "",
+      pieceKey: request.pieceKey,
+      stages,
+      remainingMilliseconds: run.remaining(),
+      objectiveMilliseconds: run.objectiveLeft(),
+      tailMilliseconds: times.of(route.name, route.kind === "stream"),
+      priority: run.priority,
+    }, run.stop.signal);
+    return this.#takeOutcome(run, outcome);
+  }
+
+  #takeOutcome(run: RequestRun, outcome: ChainOutcome): boolean {
+    if (outcome.type === "refused") {
+      run.giveUp(`stages: ${outcome.reason}`, outcome.retryAfterMilliseconds);
+      return false;
+    }
+    run.holdResults(outcome.results);
+    return run.isOpen;
+  }
+}
+
+function toStages(run: RequestRun): readonly ChainStage[] {
+  const { request, route } = run.options;
+  return route.stages.map((stage, number) => ({
+    service: stage.service,
+    after: stage.after,
+    resultBytes: stage.resultBytes,
+    pieces: request.pieceCounts[number] ?? 0,
+  }));
+}
