Keep a stream's place when its stages are run again; make results near their readers

Ruled out: the endpoint's answer to Last-Event-Id; the relay's event ids. Change: one dispatch for all runs of the chain; a resumed stream whose results were freed runs the stages first; pieces are placed by the bytes that cross.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -0,0 +1,74 @@
+import type { EndpointEntry } from "../../endpoints/endpoint_entry.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+
+function createBook(): EndpointBook {
+  return new EndpointBook({ lapseMilliseconds: 2_000 });
+}
+
+function entry(id: string, isDraining = false): EndpointEntry {
+  return {
+    id,
+    service: "model",
+    address: "10.0.0.1:80",
+    zone: "a",
+    slots: 4,
+    isDraining,
+    coldMilliseconds: 0,
+  };
+}
+
+function idsOf(book: EndpointBook): readonly string[] {
+  return book.ofService("model").map((state) => state.entry.id);
+}
+
+test("an endpoint that said it is leaving never comes back", () => {
+  // Symptom: requests reached an endpoint seconds after it began to drain.
+  // Sequence: its entry said draining; the store's history was dropped; a
+  // stale reader gave the whole table as it was before.
+  // Cause: the last entry read was believed, however old it was.
+  const book = createBook();
+  book.put(entry("i1"));
+  book.put(entry("i1", true));
+  book.put(entry("i1"));
+  expect(idsOf(book)).toEqual([]);
+});
+
+test("an entry that is removed in quiet times is gone for good", () => {
+  const book = createBook();
+  book.put(entry("i1"));
+  book.miss("i1", { isStoreUnsettled: false, now: 0 });
+  book.put(entry("i1"));
+  expect(idsOf(book)).toEqual([]);
+});
+
+test("an entry that lapsed while the store was away may come back", () => {
+  // Symptom: after an outage of the store no endpoint was left.
+  // Sequence: heartbeats failed, entries lapsed, the store came back and told
+  // of the removals first and of the renewed entries a second later.
+  // Cause: a removal was taken for the endpoint's end.
+  const book = createBook();
+  book.put(entry("i1"));
+  book.put(entry("i2"));
+  book.miss("i1", { isStoreUnsettled: true, now: 0 });
+  book.miss("i2", { isStoreUnsettled: true, now: 0 });
+  book.sweep(1_500);
+  expect(idsOf(book)).toEqual(["i1", "i2"]);
+  book.put(entry("i1"));
+  book.sweep(2_001);
+  expect(idsOf(book)).toEqual(["i1"]);
+});
+
+test("listeners hear once that an endpoint is gone", () => {
+  const book = createBook();
+  const gone: string[] = [];
+  const teardown = book.registerGone((id) => gone.push(id));
+  book.put(entry("i1"));
+  book.leave("i1");
+  book.leave("i1");
+  teardown();
+  book.put(entry("i2"));
+  book.leave("i2");
+  expect(gone).toEqual(["i1"]);
+});
--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -0,0 +1,366 @@
+import type { ServiceRoute } from "../../configuration/service_route.ts";
+import type { LogFields } from "../../log/gateway_log.ts";
+import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
+import type {
+  EndpointAnswer,
+  EndpointCall,
+} from "../../requests/endpoint_call.ts";
+import type { OwnAnswer, RequestReply } from "../../requests/request_reply.ts";
+import type { ServingRequest } from "../../requests/serving_request.ts";
+import { expect } from "earl";
+import { ManualTimer, SeededRandom } from "kelpspar-shared";
+import { Readable } from "node:stream";
+import { test } from "node:test";
+import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { GatewayMetrics } from "../../metrics/gateway_metrics.ts";
+import { CallerAge } from "../../requests/caller_age.ts";
+import { ExpectedTimes } from "../../requests/expected_times.ts";
+import { RequestService } from "../../requests/request_service.ts";
+import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+
+type Script = (call: EndpointCall) => EndpointAnswer | Promise<EndpointAnswer>;
+
+const ROUTE: ServiceRoute = {
+  name: "r",
+  host: "a.example",
+  prefix: "/r/",
+  kind: "stream",
+  timeoutMilliseconds: 10_000,
+  objectiveMilliseconds: 1_000,
+  attempts: 2,
+  priority: 0,
+  targets: [{ service: "model", weight: 1 }],
+  isPublic: false,
+  isResumable: true,
+  stages: [{ service: "encode", after: [], resultBytes: 100 }],
+};
+
+class RecordedReply implements RequestReply {
+  readonly #gone = new AbortController();
+  status: number | undefined;
+  refusal: OwnAnswer | undefined;
+  text = "";
+  end_: "open" | "ended" | "broken" = "open";
+
+  get gone(): AbortSignal {
+    return this.#gone.signal;
+  }
+
+  leave(): void {
+    this.#gone.abort();
+  }
+
+  refuse(answer: OwnAnswer): void {
+    this.status = answer.status;
+    this.refusal = answer;
+    this.end_ = "ended";
+  }
+
+  answer(status: number, _: readonly string[], body: Uint8Array): void {
+    this.status = status;
+    this.text = Buffer.from(body).toString();
+    this.end_ = "ended";
+  }
+
+  begin(status: number): void {
+    this.status = status;
+  }
+
+  write(chunk: Uint8Array): Promise<void> {
+    this.text += Buffer.from(chunk).toString();
+    return Promise.resolve();
+  }
+
+  end(): void {
+    this.end_ = "ended";
+  }
+
+  breakOff(): void {
+    this.end_ = "broken";
+  }
+}
+
+interface World {
+  readonly timer: ManualTimer;
+  readonly service: RequestService;
+  readonly reply: RecordedReply;
+  readonly calls: EndpointCall[];
+  readonly released: string[];
+  readonly lines: { readonly message: string; readonly fields: LogFields }[];
+}
+
+function createWorld(
+  script: readonly Script[],
+  options: {
+    readonly route?: Partial<ServiceRoute>;
+    readonly chain?: ChainOutcome;
+  } = {},
+): World {
+  const timer = new ManualTimer();
+  const configuration = new ConfigurationKeeper();
+  configuration.offer({
+    version: 1,
+    routes: [{ ...ROUTE, ...options.route }],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    accounts: [{ name: "acme", apiKeys: ["key"], priority: undefined }],
+  });
+  const book = new EndpointBook({ lapseMilliseconds: 2_000 });
+  for (const id of ["i1", "i2", "i3"]) {
+    book.put({
+      id,
+      service: "model",
+      address: `10.0.0.${id.slice(1)}:80`,
+      zone: "a",
+      slots: 4,
+      isDraining: false,
+      coldMilliseconds: 0,
+    });
+  }
+  const calls: EndpointCall[] = [];
+  const released: string[] = [];
+  const lines: World["lines"] = [];
+  let chains = 0;
+  const note = (message: string, fields: LogFields = {}): void => {
+    lines.push({ message, fields });
+  };
+  const service = new RequestService({
+    configuration,
+    book,
+    endpoints: {
+      send: async (call) => {
+        calls.push(call);
+        const answer = script[calls.length - 1];
+        if (answer === undefined) throw new Error("No more answers scripted");
+        return await answer(call);
+      },
+    },
+    chains: {
+      run: () => {
+        chains++;
+        return Promise.resolve(
+          options.chain ?? {
+            type: "done",
+            results: [{
+              handle: `h${chains}`,
+              makerId: "m",
+              makerAddress: "10.0.1.1:80",
+              makerZone: "a",
+            }],
+          },
+        );
+      },
+      release: (results) => {
+        released.push(...results.map(({ handle }) => handle));
+      },
+    },
+    budget: new ServiceRetryBudget({
+      ratio: 0.2,
+      slack: 50,
+      windowMilliseconds: 10_000,
+    }),
+    times: new ExpectedTimes(),
+    ages: new CallerAge(),
+    timer,
+    random: new SeededRandom(1),
+    log: { info: note, warn: note },
+    metrics: new GatewayMetrics(),
+    zone: "a",
+    sharers: () => 1,
+  });
+  return { timer, service, reply: new RecordedReply(), calls, released, lines };
+}
+
+function request(options: Partial<ServingRequest> = {}): ServingRequest {
+  return {
+    attemptId: "a1",
+    method: "POST",
+    host: "a.example",
+    target: "/r/x",
+    headers: [],
+    apiKey: "key",
+    deadlineMilliseconds: 10_000,
+    promptParts: [],
+    pieceCounts: [1],
+    pieceKey: "k",
+    lastEventId: undefined,
+    body: Buffer.alloc(0),
+    ...options,
+  };
+}
+
+function answered(status: number, body: Readable): EndpointAnswer {
+  const close = (): void => void body.destroy();
+  return { type: "answered", status, headers: [], body, close };
+}
+
+function stream(...parts: readonly (string | Error)[]): EndpointAnswer {
+  async function* read(): AsyncGenerator<Buffer> {
+    for (const part of parts) {
+      await Promise.resolve();
+      if (part instanceof Error) throw part;
+      yield Buffer.from(part);
+    }
+  }
+  return answered(200, Readable.from(read()));
+}
+
+function whole(status: number, text: string): EndpointAnswer {
+  return answered(status, Readable.from([Buffer.from(text)]));
+}
+
+async function serve(world: World, one = request()): Promise<void> {
+  const served = world.service.serve(one, world.reply);
+  await world.timer.settle();
+  await served;
+}
+
+const CUT = new Error("connection reset");
+
+test("a stream goes on elsewhere although its stage results were lost", async () => {
+  // Symptom: a caller got events 1 to 9 of a stream twice, as one stream.
+  // Sequence: the endpoint crashed midway; the next one no longer had the
+  // stage results, since they are freed at the first event; the stages were
+  // run again and the request was sent again from its first event.
+  // Cause: how far the stream had come was forgotten with the second run of
+  // the stages.
+  const world = createWorld([
+    () => stream("id: 1\ndata: a\n\n", CUT),
+    () => stream("id: 2\ndata: b\n\n"),
+  ]);
+  await serve(world);
+  expect(world.calls.map((call) => call.lastEventId)).toEqual([undefined, "1"]);
+  expect(world.calls.map((call) => call.inputs)).toEqual([["h1"], ["h2"]]);
+  expect(world.reply.text).toEqual("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  expect(world.reply.end_).toEqual("ended");
+});
+
+test("stages are run again when an endpoint misses their results", async () => {
+  const world = createWorld([
+    () => ({ type: "not_run", refusal: "input_gone" }),
+    () => stream("id: 1\ndata: a\n\n"),
+  ]);
+  await serve(world);
+  expect(world.calls.map((call) => call.inputs)).toEqual([["h1"], ["h2"]]);
+  expect(world.reply.end_).toEqual("ended");
+});
+
+test("a stream that may not be repeated is broken off when it is cut", async () => {
+  const world = createWorld([
+    () => stream("id: 1\ndata: a\n\n", CUT),
+  ], { route: { isResumable: false } });
+  await serve(world);
+  expect(world.reply.end_).toEqual("broken");
+  expect(world.calls.length).toEqual(1);
+});
+
+test("what may have run is never said not to have run", async () => {
+  const world = createWorld([
+    () => ({ type: "unknown", reason: "reset" }),
+  ], { route: { kind: "non_idempotent", stages: [] } });
+  await serve(world);
+  expect(world.reply.status).toEqual(502);
+  expect(world.calls.length).toEqual(1);
+});
+
+test("a request that no endpoint took goes to the next one", async () => {
+  const world = createWorld([
+    () => ({ type: "unreachable", reason: "refused" }),
+    () => ({ type: "not_run", refusal: "full" }),
+    () => whole(200, "done"),
+  ], { route: { kind: "non_idempotent", stages: [], attempts: 1 } });
+  await serve(world);
+  expect([world.reply.status, world.reply.text]).toEqual([200, "done"]);
+  expect(new Set(world.calls.map((call) => call.endpoint.id)).size).toEqual(3);
+});
+
+test("when all are full the caller is told so at once, and when to come", async () => {
+  const full = (): EndpointAnswer => ({ type: "not_run", refusal: "full" });
+  const world = createWorld([full, full, full], {
+    route: { kind: "non_idempotent", stages: [] },
+  });
+  await serve(world);
+  expect(world.reply.status).toEqual(503);
+  expect((world.reply.refusal?.retryAfterMilliseconds ?? 0) > 0).toEqual(true);
+});
+
+test("a repeatable request's failure is mended elsewhere, else passed on", async () => {
+  const route = { kind: "idempotent", stages: [] } as const;
+  const mended = createWorld(
+    [() => whole(500, "no"), () => whole(200, "yes")],
+    { route },
+  );
+  await serve(mended);
+  expect(mended.reply.text).toEqual("yes");
+  const failed = createWorld(
+    [() => whole(500, "no"), () => whole(500, "still no")],
+    { route },
+  );
+  await serve(failed);
+  expect([failed.reply.status, failed.reply.text]).toEqual([500, "still no"]);
+});
+
+test("a request gets its final answer at its route's timeout", async () => {
+  const world = createWorld([
+    () => new Promise<EndpointAnswer>(() => {}),
+  ], {
+    route: { kind: "non_idempotent", stages: [], timeoutMilliseconds: 800 },
+  });
+  void world.service.serve(request(), world.reply);
+  await world.timer.advance(799);
+  expect(world.reply.status).toEqual(undefined);
+  await world.timer.advance(1);
+  expect(world.reply.status).toEqual(504);
+  expect(world.calls[0]?.signal.aborted).toEqual(true);
+});
+
+test("work ends at once when the caller is gone", async () => {
+  const world = createWorld([
+    () => new Promise<EndpointAnswer>(() => {}),
+  ]);
+  void world.service.serve(request(), world.reply);
+  await world.timer.settle();
+  world.reply.leave();
+  await world.timer.settle();
+  expect(world.calls[0]?.signal.aborted).toEqual(true);
+  expect(world.released).toEqual(["h1"]);
+});
+
+test("a refused chain is told with its time to come back, and runs nothing", async () => {
+  const world = createWorld([], {
+    chain: {
+      type: "refused",
+      reason: "overloaded",
+      retryAfterMilliseconds: 700,
+    },
+  });
+  await serve(world);
+  expect(world.reply.refusal?.retryAfterMilliseconds).toEqual(700);
+  expect([world.reply.status, world.calls.length]).toEqual([503, 0]);
+});
+
+test("keys and routes that don't exist are refused by the book", async () => {
+  const unknownKey = createWorld([]);
+  await serve(unknownKey, request({ apiKey: "other" }));
+  expect(unknownKey.reply.status).toEqual(401);
+  const unknownRoute = createWorld([]);
+  await serve(unknownRoute, request({ target: "/other/x" }));
+  expect(unknownRoute.reply.status).toEqual(404);
+});
+
+test("one line tells how each request ended", async () => {
+  const world = createWorld([() => stream("id: 1\ndata: a\n\n")]);
+  await serve(world);
+  const ended = world.lines.filter(({ message }) =>
+    message === "request ended"
+  );
+  expect(ended.length).toEqual(1);
+  expect(ended[0]?.fields["attempt"]).toEqual("a1");
+  expect(ended[0]?.fields["outcome"]).toEqual("served");
+});
--- a/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
+++ b/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
@@ -64,9 +64,10 @@
     AFFINITY_LOAD_BOUND * inFlight / candidates.length,
   );
   const home = ranked[0] as EndpointState;
-  const endpoint = ranked.find((one) =>
-    one.inFlight < bound && one.slowness(options.now) < AFFINITY_SLOWNESS
-  ) ?? chooseLeastLoaded(candidates, options);
+  const endpoint =
+    ranked.find((one) =>
+      one.inFlight < bound && one.slowness(options.now) < AFFINITY_SLOWNESS
+    ) ?? chooseLeastLoaded(candidates, options);
   return { endpoint, home: endpoint === home ? undefined : home };
 }
 
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -46,7 +46,9 @@
   /** Tells the others at once that this daemon takes no more callers. */
   leave(): void {
     this.#isLeaving = true;
-    this.#exchangeAll(this.#options.membership.contacts().map((one) => one.peer));
+    this.#exchangeAll(
+      this.#options.membership.contacts().map((one) => one.peer),
+    );
   }
 
   /** Begins to exchange digests; returns the teardown. */
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -34,6 +34,7 @@
   })),
   remainingMilliseconds: z.number(),
   objectiveMilliseconds: z.number(),
+  readerZone: z.string().optional(),
   tailMilliseconds: z.number(),
   priority: z.number(),
 });
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -19,6 +19,8 @@
   readonly remainingMilliseconds: number;
   /** Time until its answer is late; below 0 when it is late already. */
   readonly objectiveMilliseconds: number;
+  /** Zone of the endpoint that will most likely read the final results. */
+  readonly readerZone?: string | undefined;
   /** What the request itself will take until its first event. */
   readonly tailMilliseconds: number;
   /** 0 is the most urgent. */
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -42,9 +42,7 @@
 
   /** Stages with pieces that `number` reads. */
   inputsOf(number: number): readonly number[] {
-    return this.stage(number).after.filter((one) =>
-      this.stage(one).pieces > 0
-    );
+    return this.stage(number).after.filter((one) => this.stage(one).pieces > 0);
   }
 
   /** True when every result that stage `number` reads is there. */
@@ -108,6 +106,16 @@
     return this.#startAgain(this.inputsOf(number), () => true);
   }
 
+  /** Results made so far of a stage. */
+  resultsOf(number: number): readonly PieceResult[] {
+    return this.#made(number);
+  }
+
+  /** True when the request itself reads the results of a stage. */
+  isFinal(number: number): boolean {
+    return this.#readersOf(number).length === 0;
+  }
+
   /** Results that no stage still to be done reads, each only once. */
   takeUnneeded(): readonly PieceResult[] {
     return this.request.stages.flatMap((_, number) => {
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -10,11 +10,15 @@
   PieceCallAnswer,
   PieceClient,
   PieceFailure,
+  PieceOrder,
 } from "./piece_call.ts";
 import type { PieceTask } from "./piece_task.ts";
 import type { RunningCall } from "./running_call.ts";
+import type { PiecePlace } from "./place_piece.ts";
+import { crossingBytes } from "./crossing_bytes.ts";
 import { EndpointLane } from "./endpoint_lane.ts";
 import { fillCall } from "./fill_call.ts";
+import { FREE_CROSSING_BYTES, placePiece } from "./place_piece.ts";
 import { rankPiece } from "./rank_piece.ts";
 import { callTime, piecesPerMillisecond } from "./service_capacity.ts";
 
@@ -27,8 +31,6 @@
  * were seen at five times, and one that hangs must not keep its lane.
  */
 const GIVEN_UP_AFTER_FACTOR = 9;
-/** Slowness from which an endpoint gets work only when that is sooner. */
-const SLOW_ENDPOINT = 1.5;
 /** Wait before a full endpoint is asked again, milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 60;
 /** A piece that failed so often ends its chain. */
@@ -87,17 +89,95 @@
   pump(): void {
     const now = this.#options.timer.now();
     this.#tidyQueue(now);
-    while (this.#queue.length > 0) {
-      const lane = this.#chooseLane(now);
-      if (lane === undefined) break;
-      const tasks = fillCall(this.#queue, {
-        batch: this.#terms.batch,
-        room: lane.room(this.#terms, now),
-        isEmpty: lane.room(this.#terms, now) >= this.#terms.resultBytes,
+    while (this.#startNext(now)) continue;
+  }
+
+  /** Starts a call for the first piece that has a place; false if none has. */
+  #startNext(now: number): boolean {
+    const lanes = this.#lanesNow(now);
+    const isFree = (lane: EndpointLane): boolean =>
+      lane.calls.size < this.#terms.slots;
+    if (!lanes.some(isFree)) return false;
+    for (const task of this.#queue) {
+      const lane = placePiece({
+        places: lanes.map((lane) => this.#toPlace(lane, { task, now })),
+        callTime: this.workTime(this.#queue.length),
+        slack: this.#slack(task, now),
+        queueTime: this.#queueTime(),
       });
-      if (tasks.length === 0) break;
-      this.#start(lane, tasks);
+      if (lane === undefined) continue;
+      this.#start(lane, this.#fill(lane, { first: task, now }));
+      return true;
     }
+    return false;
+  }
+
+  #toPlace(
+    lane: EndpointLane,
+    options: { readonly task: PieceTask; readonly now: number },
+  ): PiecePlace<EndpointLane> {
+    const { task, now } = options;
+    const room = lane.room(this.#terms, now);
+    const { resultBytes } = task.chain.stage(task.stage);
+    const hasRoom = resultBytes <= room || room >= this.#terms.resultBytes;
+    const slowness = lane.endpoint.slowness(now);
+    return {
+      lane,
+      isFree: hasRoom && lane.calls.size < this.#terms.slots,
+      wait: this.#waitFor(lane, { slowness, now }),
+      slowness,
+      crossing: crossingBytes(task, lane.endpoint.entry.zone),
+    };
+  }
+
+  /** Time until a call ends at a busy endpoint, milliseconds. */
+  #waitFor(
+    lane: EndpointLane,
+    options: { readonly slowness: number; readonly now: number },
+  ): number {
+    if (lane.calls.size < this.#terms.slots) return 0;
+    const due = [...lane.calls].map((call) =>
+      call.startedAt + call.soundTime * Math.max(1, options.slowness)
+    );
+    return Math.max(0, Math.min(...due) - options.now);
+  }
+
+  #slack(task: PieceTask, now: number): number {
+    const { chain } = task;
+    const work = this.workTime(this.#queue.length) +
+      chain.request.tailMilliseconds;
+    return chain.objectiveAt - work - now;
+  }
+
+  /** Time of one endpoint for all that waits, milliseconds. */
+  #queueTime(): number {
+    const { batch } = this.#terms;
+    return this.#queue.length / batch * callTime(this.#terms, batch);
+  }
+
+  /** What goes along with `first`: pieces that belong near this endpoint. */
+  #fill(
+    lane: EndpointLane,
+    options: { readonly first: PieceTask; readonly now: number },
+  ): readonly PieceTask[] {
+    const { first, now } = options;
+    const { zone } = lane.endpoint.entry;
+    const lanes = this.#lanesNow(now);
+    const fitting = this.#queue.filter((task) => {
+      if (task === first) return true;
+      const crossing = crossingBytes(task, zone);
+      if (crossing <= FREE_CROSSING_BYTES) return true;
+      const hasNearer = lanes.some((one) =>
+        crossingBytes(task, one.endpoint.entry.zone) < crossing
+      );
+      return !hasNearer;
+    });
+    const room = lane.room(this.#terms, now);
+    return fillCall([first, ...fitting.filter((task) => task !== first)], {
+      batch: this.#terms.batch,
+      room,
+      isEmpty: room >= this.#terms.resultBytes,
+    });
   }
 
   /** Ends calls that only carry pieces nobody needs any more. */
@@ -210,45 +290,6 @@
     return sound.length > 0 ? sound : lanes;
   }
 
-  #chooseLane(now: number): EndpointLane | undefined {
-    const lanes = this.#lanesNow(now);
-    const smallest = Math.min(
-      ...this.#queue.map((task) => task.chain.stage(task.stage).resultBytes),
-    );
-    let best: EndpointLane | undefined;
-    for (const lane of lanes) {
-      if (lane.calls.size >= this.#terms.slots) continue;
-      const room = lane.room(this.#terms, now);
-      if (room < smallest && room < this.#terms.resultBytes) continue;
-      const isBetter = best === undefined ||
-        lane.endpoint.slowness(now) < best.endpoint.slowness(now);
-      if (isBetter) best = lane;
-    }
-    if (best === undefined) return undefined;
-    return this.#isWorthUsing(best, { lanes, now }) ? best : undefined;
-  }
-
-  /**
-   * A slow endpoint gets work only when it ends sooner there than after
-   * waiting for the others: a chain waits for its last piece.
-   */
-  #isWorthUsing(
-    lane: EndpointLane,
-    options: { readonly lanes: readonly EndpointLane[]; readonly now: number },
-  ): boolean {
-    const slowness = lane.endpoint.slowness(options.now);
-    if (slowness < SLOW_ENDPOINT) return true;
-    const others = options.lanes.filter((one) =>
-      one !== lane && one.endpoint.slowness(options.now) < SLOW_ENDPOINT
-    );
-    if (others.length === 0) return true;
-    const pieces = Math.min(this.#queue.length, this.#terms.batch);
-    const work = callTime(this.#terms, pieces);
-    const rate = piecesPerMillisecond(this.#terms, others.map(() => 1));
-    const elsewhere = this.#queue.length / rate + work;
-    return work * slowness < elsewhere;
-  }
-
   #start(lane: EndpointLane, tasks: readonly PieceTask[]): void {
     const { timer, client } = this.#options;
     const call: RunningCall = {
@@ -291,7 +332,7 @@
     }
   }
 
-  #toOrder(task: PieceTask, now: number) {
+  #toOrder(task: PieceTask, now: number): PieceOrder {
     const { chain, stage, piece } = task;
     const inputs = chain.inputResults(stage).map(({ handle }) => handle);
     return {
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from "kelpspar-shared";
+import type { ChainRunner } from "./chain_runner.ts";
 import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { PeerClient } from "../fleet/peer_client.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
@@ -31,7 +32,7 @@
  * the next in rank, and in the end this daemon, runs the chain again. Pieces
  * may be made twice, so that this is safe.
  */
-export class ChainClient {
+export class ChainClient implements ChainRunner {
   readonly #options: ChainClientOptions;
 
   constructor(options: ChainClientOptions) {
--- a/packages/kelpspar-gateway/src/requests/read_body.ts
+++ b/packages/kelpspar-gateway/src/requests/read_body.ts
@@ -11,7 +11,9 @@
     const bytes = chunk as Buffer;
     length += bytes.length;
     if (length > MAXIMUM_ANSWER_BYTES) {
-      throw new Error(`The answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`);
+      throw new Error(
+        `The answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`,
+      );
     }
     chunks.push(bytes);
   }
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -42,12 +42,16 @@
   readonly sentAt: number;
 }
 
-/** Sends a request to endpoints until it is answered or can't be. */
+/**
+ * Sends a request to endpoints until it is answered or can't be. It is run
+ * again when the results that the request reads were lost and made anew, and
+ * then goes on where a stream stopped.
+ */
 export class RequestDispatch {
   readonly #run: RequestRun;
   readonly #hasStages: boolean;
   readonly #tried = new Set<string>();
-  #relay: StreamRelay;
+  readonly #relay: StreamRelay;
   #inputs: readonly string[] | undefined;
   /** The last failure of an endpoint's own, if nothing better comes. */
   #fallback: WholeAnswer | undefined;
@@ -62,13 +66,16 @@
     const run = this.#run;
     if (this.#hasStages) this.#inputs = run.heldHandles;
     while (run.isOpen) {
+      // Results are freed at a stream's first event. An endpoint that goes on
+      // with it reads them too, so that sending it there would be in vain.
+      if (this.#areInputsFreed) return "input_gone";
       const choice = this.#choose();
       if (choice === undefined) {
         this.#noEndpoint();
         return "ended";
       }
       if (!this.#mayRepeat()) {
-        this.#giveUp("repeats used up", FULL_RETRY_MILLISECONDS);
+        this.giveUp("repeats used up", FULL_RETRY_MILLISECONDS);
         return "ended";
       }
       const sent = await this.#sendHedged(choice);
@@ -100,7 +107,7 @@
     const wait = this.#tried.size > 0
       ? FULL_RETRY_MILLISECONDS
       : NO_ENDPOINT_RETRY_MILLISECONDS;
-    this.#giveUp("no endpoint left", wait);
+    this.giveUp("no endpoint left", wait);
   }
 
   /** Takes a repeat from the budget of the fleet; first sends are free. */
@@ -116,6 +123,11 @@
     return parts.budget.trySpend(service, { count: 1, sharers, now });
   }
 
+  get #areInputsFreed(): boolean {
+    return (this.#inputs?.length ?? 0) > 0 &&
+      this.#run.heldHandles.length === 0;
+  }
+
   get #isRepeatable(): boolean {
     const { route } = this.#run.options;
     return route.kind === "idempotent" ||
@@ -251,7 +263,7 @@
       },
       input_gone: () => "input_gone",
       rejected: () => {
-        this.#giveUp("rejected by endpoint", FULL_RETRY_MILLISECONDS);
+        this.giveUp("rejected by endpoint", FULL_RETRY_MILLISECONDS);
         return "ended";
       },
     };
@@ -260,7 +272,7 @@
 
   #againOrFail(reason: string): DispatchEnd | "again" {
     if (this.#hasAttemptsLeft && this.#run.remaining() > 0) return "again";
-    this.#giveUp(reason, FULL_RETRY_MILLISECONDS);
+    this.giveUp(reason, FULL_RETRY_MILLISECONDS);
     return "ended";
   }
 
@@ -314,10 +326,12 @@
   }
 
   /** Ends the request with the best that there is. */
-  #giveUp(reason: string, retryAfterMilliseconds: number): void {
+  giveUp(
+    reason: string,
+    retryAfterMilliseconds = FULL_RETRY_MILLISECONDS,
+  ): void {
     if (this.#run.firstByteAt !== undefined) {
-      this.#run.options.reply.breakOff();
-      this.#run.finish("failed", { reason });
+      this.#run.breakOff(reason);
     } else if (this.#fallback !== undefined) this.#pass(this.#fallback);
     else this.#run.giveUp(reason, retryAfterMilliseconds);
   }
--- a/packages/kelpspar-gateway/src/requests/request_parts.ts
+++ b/packages/kelpspar-gateway/src/requests/request_parts.ts
@@ -5,7 +5,7 @@
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { CallerAge } from "./caller_age.ts";
-import type { ChainClient } from "./chain_client.ts";
+import type { ChainRunner } from "./chain_runner.ts";
 import type { EndpointClient } from "./endpoint_call.ts";
 import type { ExpectedTimes } from "./expected_times.ts";
 
@@ -14,7 +14,7 @@
   readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
   readonly endpoints: EndpointClient;
-  readonly chains: ChainClient;
+  readonly chains: ChainRunner;
   readonly budget: ServiceRetryBudget;
   readonly times: ExpectedTimes;
   readonly ages: CallerAge;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -56,9 +56,7 @@
     );
     const onGone = (): void => this.finish("abandoned", {});
     reply.gone.addEventListener("abort", onGone, { once: true });
-    this.#teardowns.push(() =>
-      reply.gone.removeEventListener("abort", onGone)
-    );
+    this.#teardowns.push(() => reply.gone.removeEventListener("abort", onGone));
   }
 
   get isOpen(): boolean {
@@ -116,6 +114,13 @@
     });
   }
 
+  /** Ends an answer that has begun and can't be completed. */
+  breakOff(reason: string): void {
+    if (!this.isOpen) return;
+    this.options.reply.breakOff();
+    this.finish("failed", { reason });
+  }
+
   /** Ends the run; all work for it stops. Later ends are ignored. */
   finish(
     end: RequestEnd,
@@ -131,8 +136,7 @@
 
   #timedOut(): void {
     if (this.firstByteAt !== undefined) {
-      this.options.reply.breakOff();
-      this.finish("failed", { reason: "timed out midway" });
+      this.breakOff("timed out midway");
       return;
     }
     this.giveUp("timed out", TIMED_OUT_RETRY_MILLISECONDS);
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -5,6 +5,8 @@
 import type { RequestParts } from "./request_parts.ts";
 import type { OwnAnswer, RequestReply } from "./request_reply.ts";
 import type { ServingRequest } from "./serving_request.ts";
+import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
+import { promptAffinity } from "./prompt_affinity.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { RequestDispatch } from "./request_dispatch.ts";
 import { RequestRun } from "./request_run.ts";
@@ -131,13 +133,14 @@
     const { route } = run.options;
     const stages = toStages(run);
     const hasPieces = stages.some(({ pieces }) => pieces > 0);
+    // One for all runs of the chain: it knows how far a stream has come.
+    const dispatch = new RequestDispatch(run, route.stages.length > 0);
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (hasPieces && !await this.#runChain(run, stages)) return;
-      const dispatch = new RequestDispatch(run, route.stages.length > 0);
       const end = await dispatch.run();
       if (end !== "input_gone" || !run.isOpen) return;
       if (!hasPieces || chainRuns >= MOST_CHAIN_RUNS) {
-        run.giveUp("stage results were lost", NO_CONFIGURATION_RETRY_MILLISECONDS);
+        dispatch.giveUp("stage results were lost");
       }
     }
   }
@@ -154,15 +157,36 @@
       stages,
       remainingMilliseconds: run.remaining(),
       objectiveMilliseconds: run.objectiveLeft(),
+      readerZone: this.#readerZone(run),
       tailMilliseconds: times.of(route.name, route.kind === "stream"),
       priority: run.priority,
     }, run.stop.signal);
     return this.#takeOutcome(run, outcome);
   }
 
+  /** Zone of the endpoint that has this prompt, most likely. */
+  #readerZone(run: RequestRun): string | undefined {
+    const { request, service } = run.options;
+    const affinity = promptAffinity(request.promptParts);
+    if (affinity === undefined) return undefined;
+    return chooseEndpoint({
+      endpoints: this.#parts.book.ofService(service),
+      tried: new Set(),
+      zone: this.#parts.zone,
+      affinity,
+      random: this.#parts.random,
+      now: this.#parts.timer.now(),
+    })?.endpoint.entry.zone;
+  }
+
   #takeOutcome(run: RequestRun, outcome: ChainOutcome): boolean {
     if (outcome.type === "refused") {
-      run.giveUp(`stages: ${outcome.reason}`, outcome.retryAfterMilliseconds);
+      // A stream that went on elsewhere has begun; it can only be broken off.
+      if (run.firstByteAt !== undefined) run.breakOff(outcome.reason);
+      else {run.giveUp(
+          `stages: ${outcome.reason}`,
+          outcome.retryAfterMilliseconds,
+        );}
       return false;
     }
     run.holdResults(outcome.results);
--- a/packages/kelpspar-gateway/src/retries/service_retry_budget.ts
+++ b/packages/kelpspar-gateway/src/retries/service_retry_budget.ts
@@ -65,7 +65,10 @@
     if (known !== undefined) return known;
     // One slice more than the window, so that nothing is forgotten early.
     const { windowMilliseconds } = this.#options;
-    const counter = { windowMilliseconds: windowMilliseconds * 1.1, slices: 11 };
+    const counter = {
+      windowMilliseconds: windowMilliseconds * 1.1,
+      slices: 11,
+    };
     const tally = {
       requests: new SlidingCounter({ ...counter, windowMilliseconds }),
       repeats: new SlidingCounter(counter),
