Count room once it is freed, begin a stage only with room for all its pieces

Ruled out: results larger than configured alone (64 still occur). Change: room counts once the maker answered; begun stages go first, others begin only when all their pieces fit; an endpoint without room is paused.

--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -23,6 +23,7 @@
   readonly #results: (PieceResult | undefined)[][];
   readonly #started = new Set<number>();
   readonly #freed = new Set<number>();
+  readonly #begun = new Set<number>();
 
   constructor(options: ChainRunOptions) {
     const { request, now } = options;
@@ -106,6 +107,16 @@
     return this.#startAgain(this.inputsOf(number), () => true);
   }
 
+  /** True once a piece of a stage was sent to an endpoint. */
+  hasBegun(number: number): boolean {
+    return this.#begun.has(number);
+  }
+
+  /** Says that a piece of a stage was sent to an endpoint. */
+  begin(number: number): void {
+    this.#begun.add(number);
+  }
+
   /** Results made so far of a stage. */
   resultsOf(number: number): readonly PieceResult[] {
     return this.#made(number);
@@ -212,6 +223,7 @@
       if (result !== undefined && isLost(result)) results[piece] = undefined;
     }
     this.#started.delete(stage);
+    this.#begun.delete(stage);
     for (const reader of this.#readersOf(stage)) {
       if (!this.isStageDone(reader)) this.#started.delete(reader);
     }
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -11,6 +11,8 @@
 export class EndpointLane {
   readonly endpoint: EndpointState;
   readonly calls = new Set<RunningCall>();
+  /** Until then it gets no calls: it had no room; monotonic milliseconds. */
+  pausedUntil = 0;
   readonly #kept = new Map<string, KeptResult>();
 
   constructor(endpoint: EndpointState) {
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -52,6 +52,9 @@
 export interface PieceClient {
   /** Never throws. */
   runPieces(call: PieceCall): Promise<PieceCallAnswer>;
-  /** Frees results at their maker; failures are logged, results expire. */
-  freeResults(makerAddress: string, handles: readonly string[]): void;
+  /** Frees results at their maker; false when it failed, and they expire. */
+  freeResults(
+    makerAddress: string,
+    handles: readonly string[],
+  ): Promise<boolean>;
 }
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -45,7 +45,11 @@
 
   constructor(options: PieceCoordinatorOptions) {
     this.#options = options;
-    this.#freer = new ResultFreer(options);
+    this.#freer = new ResultFreer({
+      client: options.client,
+      timer: options.timer,
+      onFreed: (results) => this.#freed(results),
+    });
   }
 
   get openChains(): number {
@@ -83,10 +87,17 @@
 
   /** Frees results that a request has read or won't read. */
   release(results: readonly PieceResult[]): void {
+    this.#freer.free(results);
+  }
+
+  /**
+   * The room is there once the maker said so. Counted when it was asked, the
+   * next call came before it and was turned away for want of room.
+   */
+  #freed(results: readonly PieceResult[]): void {
     for (const result of results) {
       for (const desk of this.#desks.values()) desk.freed(result);
     }
-    this.#freer.free(results);
     this.#pumpAll();
   }
 
@@ -137,6 +148,7 @@
       ...parts,
       service,
       terms,
+      free: (results) => this.release(results),
       events: {
         made: (task) => this.#made(task),
         inputsGone: (task) =>
--- a/packages/kelpspar-gateway/src/pieces/rank_piece.ts
+++ b/packages/kelpspar-gateway/src/pieces/rank_piece.ts
@@ -3,6 +3,8 @@
   readonly objectiveAt: number;
   /** Least time that the rest of the chain and the request itself take. */
   readonly remainingWork: number;
+  /** Another piece of the same stage of its request is made or under way. */
+  readonly hasBegun: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly now: number;
@@ -17,14 +19,22 @@
 /** Puts what is late in any case behind all that can still be on time. */
 const LATE_PENALTY_MILLISECONDS = 100_000;
 
+/**
+ * What a begun stage goes ahead by: its pieces that are made hold room until
+ * its last one is, so that finishing it frees room soonest.
+ */
+const BEGUN_BONUS_MILLISECONDS = 10_000;
+
 /**
  * The place of a piece in its queue; the lowest goes first. Answers bursts in
  * which not everything can be on time: least slack first, while work that has
  * no chance left doesn't make others late.
  */
 export function rankPiece(options: PieceRankOptions): number {
-  const { objectiveAt, remainingWork, priority, now } = options;
+  const { objectiveAt, remainingWork, hasBegun, priority, now } = options;
   const latestStart = objectiveAt - remainingWork;
-  const penalty = latestStart < now ? LATE_PENALTY_MILLISECONDS : 0;
-  return latestStart + penalty + priority * PRIORITY_STEP_MILLISECONDS;
+  const isLate = latestStart < now && !hasBegun;
+  const penalty = isLate ? LATE_PENALTY_MILLISECONDS : 0;
+  const bonus = hasBegun ? BEGUN_BONUS_MILLISECONDS : 0;
+  return latestStart + penalty - bonus + priority * PRIORITY_STEP_MILLISECONDS;
 }
--- a/packages/kelpspar-gateway/src/pieces/result_freer.ts
+++ b/packages/kelpspar-gateway/src/pieces/result_freer.ts
@@ -8,35 +8,52 @@
  */
 const GATHER_MILLISECONDS = 4;
 
+/** What results are freed with. */
+export interface ResultFreerOptions {
+  readonly client: PieceClient;
+  readonly timer: TimerService;
+  /** Told once the maker has freed results, and not before. */
+  readonly onFreed: (results: readonly PieceResult[]) => void;
+}
+
 /** Frees results at their makers, those of one maker together. */
 export class ResultFreer {
-  readonly #client: PieceClient;
-  readonly #timer: TimerService;
-  readonly #pending = new Map<string, string[]>();
+  readonly #options: ResultFreerOptions;
+  readonly #pending = new Map<string, PieceResult[]>();
 
-  constructor(
-    options: { readonly client: PieceClient; readonly timer: TimerService },
-  ) {
-    this.#client = options.client;
-    this.#timer = options.timer;
+  constructor(options: ResultFreerOptions) {
+    this.#options = options;
   }
 
   free(results: readonly PieceResult[]): void {
     if (results.length === 0) return;
     if (this.#pending.size === 0) {
-      this.#timer.registerTimeout(() => this.#flush(), GATHER_MILLISECONDS);
+      this.#options.timer.registerTimeout(
+        () => this.#flush(),
+        GATHER_MILLISECONDS,
+      );
     }
-    for (const { makerAddress, handle } of results) {
-      const handles = this.#pending.get(makerAddress);
-      if (handles === undefined) this.#pending.set(makerAddress, [handle]);
-      else handles.push(handle);
+    for (const result of results) {
+      const pending = this.#pending.get(result.makerAddress);
+      if (pending === undefined) {
+        this.#pending.set(result.makerAddress, [result]);
+      } else pending.push(result);
     }
   }
 
   #flush(): void {
-    for (const [address, handles] of this.#pending) {
-      this.#client.freeResults(address, handles);
+    for (const [address, results] of this.#pending) {
+      void this.#freeAt(address, results);
     }
     this.#pending.clear();
   }
+
+  async #freeAt(
+    address: string,
+    results: readonly PieceResult[],
+  ): Promise<void> {
+    const { client, onFreed } = this.#options;
+    const handles = results.map(({ handle }) => handle);
+    if (await client.freeResults(address, handles)) onFreed(results);
+  }
 }
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -20,6 +20,7 @@
 import { fillCall } from "./fill_call.ts";
 import { FREE_CROSSING_BYTES, placePiece } from "./place_piece.ts";
 import { rankPiece } from "./rank_piece.ts";
+import { startablePieces } from "./startable_pieces.ts";
 import { callTime, piecesPerMillisecond } from "./service_capacity.ts";
 
 /** A call is doubled once it took so many times what it should take, */
@@ -33,6 +34,8 @@
 const GIVEN_UP_AFTER_FACTOR = 9;
 /** Wait before a full endpoint is asked again, milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 60;
+/** Wait before an endpoint without room is asked again, milliseconds. */
+const NO_ROOM_PAUSE_MILLISECONDS = 120;
 /** A piece that failed so often ends its chain. */
 const MOST_FAILURES = 4;
 /** A piece is due this long before its chain's deadline, milliseconds. */
@@ -55,6 +58,8 @@
   readonly budget: ServiceRetryBudget;
   readonly log: GatewayLog;
   readonly events: ServiceDeskEvents;
+  /** Frees results that nobody needs. */
+  readonly free: (results: readonly PieceResult[]) => void;
 }
 
 /**
@@ -98,7 +103,7 @@
     const isFree = (lane: EndpointLane): boolean =>
       lane.calls.size < this.#terms.slots;
     if (!lanes.some(isFree)) return false;
-    for (const task of this.#queue) {
+    for (const task of this.#startable(lanes, now)) {
       const lane = placePiece({
         places: lanes.map((lane) => this.#toPlace(lane, { task, now })),
         callTime: this.workTime(this.#queue.length),
@@ -112,6 +117,18 @@
     return false;
   }
 
+  /** Pieces in order of rank that can't block others by the room they take. */
+  #startable(
+    lanes: readonly EndpointLane[],
+    now: number,
+  ): readonly PieceTask[] {
+    const room = lanes.reduce(
+      (sum, lane) => sum + Math.max(0, lane.room(this.#terms, now)),
+      0,
+    );
+    return startablePieces(this.#queue, room);
+  }
+
   #toPlace(
     lane: EndpointLane,
     options: { readonly task: PieceTask; readonly now: number },
@@ -123,7 +140,8 @@
     const slowness = lane.endpoint.slowness(now);
     return {
       lane,
-      isFree: hasRoom && lane.calls.size < this.#terms.slots,
+      isFree: hasRoom && lane.calls.size < this.#terms.slots &&
+        lane.pausedUntil <= now,
       wait: this.#waitFor(lane, { slowness, now }),
       slowness,
       crossing: crossingBytes(task, lane.endpoint.entry.zone),
@@ -163,7 +181,7 @@
     const { first, now } = options;
     const { zone } = lane.endpoint.entry;
     const lanes = this.#lanesNow(now);
-    const fitting = this.#queue.filter((task) => {
+    const fitting = this.#startable(lanes, now).filter((task) => {
       if (task === first) return true;
       const crossing = crossingBytes(task, zone);
       if (crossing <= FREE_CROSSING_BYTES) return true;
@@ -272,6 +290,7 @@
     return rankPiece({
       objectiveAt: chain.objectiveAt,
       remainingWork: this.workTime(1) + chain.request.tailMilliseconds,
+      hasBegun: chain.hasBegun(task.stage),
       priority: chain.request.priority,
       now,
     });
@@ -308,6 +327,7 @@
     for (const task of tasks) {
       task.isQueued = false;
       task.calls++;
+      task.chain.begin(task.stage);
     }
     lane.calls.add(call);
     lane.endpoint.inFlight++;
@@ -432,8 +452,7 @@
       this.#options.events.made(task);
       return;
     }
-    lane.free(handle);
-    this.#options.client.freeResults(entry.address, [handle]);
+    this.#options.free([result]);
   }
 
   #pieceFailed(
@@ -452,12 +471,24 @@
     const handlers: Readonly<Record<PieceFailure, () => void>> = {
       late: () => this.#options.events.failed(task.chain, "too_late"),
       input_gone: () => this.#options.events.inputsGone(task),
-      no_room: () => this.#again([task], "failed"),
+      no_room: () => this.#hadNoRoom(lane, task),
       error: () => this.#again([task], "failed"),
     };
     handlers[failure]();
   }
 
+  /**
+   * The maker has less room than was counted: results may be larger than the
+   * configuration says. It is asked again when something was freed or later;
+   * asked at once it would say the same.
+   */
+  #hadNoRoom(lane: EndpointLane, task: PieceTask): void {
+    const until = this.#options.timer.now() + NO_ROOM_PAUSE_MILLISECONDS;
+    lane.pausedUntil = until;
+    this.#spend(1);
+    this.#requeue(task);
+  }
+
   #wasFull(call: RunningCall): void {
     for (const task of call.tasks) this.#requeue(task);
     this.#pauseLane();
