Fill calls with pieces from far when much waits; never wait for near ones then

Ruled out: capacity (calls held 6 of 21 pieces), slow endpoints (1.0 to 1.1). Change: no wait for near endpoints beyond a call or the slack; calls are filled with far pieces when a third of a call's work waits per endpoint.

--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -18,6 +18,8 @@
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
 /** A chain whose results were lost so often is given up. */
 const MOST_RESTARTS = 3;
+/** How often the load of each service is written, milliseconds. */
+const LOAD_LOG_MILLISECONDS = 500;
 /** How often queues are looked through for what nothing else woke up. */
 const SWEEP_MILLISECONDS = 50;
 
@@ -63,6 +65,7 @@
       book.registerGone((id) => this.#endpointGone(id)),
       configuration.registerListener(() => this.#takeTerms()),
       timer.registerInterval(() => this.#pumpAll(), SWEEP_MILLISECONDS),
+      timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
     ];
     return () => teardowns.forEach((teardown) => teardown());
   }
@@ -212,6 +215,11 @@
     }
   }
 
+  #logLoad(): void {
+    if (this.#chains.size === 0) return;
+    for (const desk of this.#desks.values()) desk.logLoad();
+  }
+
   #pumpAll(): void {
     for (const desk of this.#desks.values()) desk.pump();
   }
--- a/packages/kelpspar-gateway/src/pieces/place_piece.ts
+++ b/packages/kelpspar-gateway/src/pieces/place_piece.ts
@@ -23,6 +23,8 @@
 
 /** Up to this a crossing isn't worth any wait, bytes. */
 export const FREE_CROSSING_BYTES = 200_000;
+/** Longest wait for an endpoint nearby, milliseconds: about a call. */
+const MOST_WAIT_MILLISECONDS = 250;
 /** Slowness from which an endpoint gets work only when that is sooner. */
 const SLOW_ENDPOINT = 1.5;
 
@@ -35,18 +37,19 @@
 export function placePiece<Lane>(
   options: PlacePieceOptions<Lane>,
 ): Lane | undefined {
+  const least = Math.min(...options.places.map(({ crossing }) => crossing));
+  const isNear = (place: PiecePlace<Lane>): boolean =>
+    place.crossing <= least + FREE_CROSSING_BYTES;
   const free = options.places.filter((place) => place.isFree);
   const near = free.filter(isNear).sort(bySlowness);
   const best = near[0] ?? free.sort(byCrossing)[0];
   if (best === undefined) return undefined;
-  if (!isNear(best) && mayWaitForNear(options)) return undefined;
+  const mayWait = !isNear(best) &&
+    options.places.some((place) => isNear(place) && isInTime(place, options));
+  if (mayWait) return undefined;
   return isSooner(best, options) ? best.lane : undefined;
 }
 
-function isNear(place: PiecePlace<unknown>): boolean {
-  return place.crossing <= FREE_CROSSING_BYTES;
-}
-
 function bySlowness(
   left: PiecePlace<unknown>,
   right: PiecePlace<unknown>,
@@ -61,13 +64,18 @@
   return left.crossing - right.crossing || left.slowness - right.slowness;
 }
 
-/** Late pieces wait too: nothing is lost by it, and the crossing is saved. */
-function mayWaitForNear(options: PlacePieceOptions<unknown>): boolean {
-  const { slack } = options;
-  return options.places.some((place) =>
-    isNear(place) && place.slowness < SLOW_ENDPOINT &&
-    (slack < 0 || place.wait < slack)
-  );
+/**
+ * Whether a piece may wait for a busy endpoint nearby. Not when much waits:
+ * then free endpoints stand idle beside a queue, and the results that waiting
+ * pieces read hold the room of the stage before.
+ */
+function isInTime(
+  place: PiecePlace<unknown>,
+  options: PlacePieceOptions<unknown>,
+): boolean {
+  const queue = options.queueTime / options.places.length;
+  return place.slowness < SLOW_ENDPOINT &&
+    place.wait + queue < Math.min(options.slack, MOST_WAIT_MILLISECONDS);
 }
 
 function isSooner(
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -36,6 +36,11 @@
 const FULL_PAUSE_MILLISECONDS = 60;
 /** Wait before an endpoint without room is asked again, milliseconds. */
 const NO_ROOM_PAUSE_MILLISECONDS = 120;
+/**
+ * Time of waiting work per endpoint from which calls are filled whatever
+ * crosses zones, milliseconds: a third of a call.
+ */
+const PRESSED_MILLISECONDS = 90;
 /** A piece that failed so often ends its chain. */
 const MOST_FAILURES = 4;
 /** A piece is due this long before its chain's deadline, milliseconds. */
@@ -173,31 +178,48 @@
     return this.#queue.length / batch * callTime(this.#terms, batch);
   }
 
-  /** What goes along with `first`: pieces that belong near this endpoint. */
+  /**
+   * What goes along with `first`: pieces that belong near this endpoint, then,
+   * where much waits, others: a place in a call that stays empty is lost.
+   */
   #fill(
     lane: EndpointLane,
     options: { readonly first: PieceTask; readonly now: number },
   ): readonly PieceTask[] {
     const { first, now } = options;
-    const { zone } = lane.endpoint.entry;
     const lanes = this.#lanesNow(now);
-    const fitting = this.#startable(lanes, now).filter((task) => {
-      if (task === first) return true;
-      const crossing = crossingBytes(task, zone);
-      if (crossing <= FREE_CROSSING_BYTES) return true;
-      const hasNearer = lanes.some((one) =>
-        crossingBytes(task, one.endpoint.entry.zone) < crossing
-      );
-      return !hasNearer;
-    });
+    const near: PieceTask[] = [];
+    const far: PieceTask[] = [];
+    for (const task of this.#startable(lanes, now)) {
+      if (task === first) continue;
+      if (this.#isNearest(lane, { task, lanes })) near.push(task);
+      else far.push(task);
+    }
+    const isPressed = this.#queueTime() / lanes.length > PRESSED_MILLISECONDS;
     const room = lane.room(this.#terms, now);
-    return fillCall([first, ...fitting.filter((task) => task !== first)], {
+    return fillCall([first, ...near, ...(isPressed ? far : [])], {
       batch: this.#terms.batch,
       room,
       isEmpty: room >= this.#terms.resultBytes,
     });
   }
 
+  #isNearest(
+    lane: EndpointLane,
+    options: {
+      readonly task: PieceTask;
+      readonly lanes: readonly EndpointLane[];
+    },
+  ): boolean {
+    const { task, lanes } = options;
+    const crossing = crossingBytes(task, lane.endpoint.entry.zone);
+    return crossing <= FREE_CROSSING_BYTES ||
+      !lanes.some((one) =>
+        crossingBytes(task, one.endpoint.entry.zone) + FREE_CROSSING_BYTES <
+          crossing
+      );
+  }
+
   /** Ends calls that only carry pieces nobody needs any more. */
   chainClosed(chain: ChainRun): void {
     this.#queue = this.#queue.filter((task) => task.chain !== chain);
@@ -254,11 +276,29 @@
     return this.#options.book.ofService(this.#options.service).length > 0;
   }
 
-  /** For the log: what waits and what is under way. */
-  get load(): { readonly queued: number; readonly calls: number } {
-    let calls = 0;
-    for (const lane of this.#lanes.values()) calls += lane.calls.size;
-    return { queued: this.#queue.length, calls };
+  /** Writes what waits and what is under way. */
+  logLoad(): void {
+    const { log, service, timer } = this.#options;
+    const now = timer.now();
+    const lanes = this.#lanesNow(now);
+    const sum = (of: (lane: EndpointLane) => number): number =>
+      lanes.reduce((total, lane) => total + of(lane), 0);
+    const room = sum((lane) => lane.room(this.#terms, now));
+    log.info("stage load", {
+      service,
+      queued: this.#queue.length,
+      startable: this.#startable(lanes, now).length,
+      endpoints: lanes.length,
+      calls: sum((lane) => lane.calls.size),
+      pieces: sum((lane) =>
+        [...lane.calls].reduce((count, one) => count + one.tasks.length, 0)
+      ),
+      freeRoomShare: Number(
+        (room / (this.#terms.resultBytes * lanes.length)).toFixed(2),
+      ),
+      slowness: lanes.map((lane) => lane.endpoint.slowness(now).toFixed(2))
+        .join(","),
+    });
   }
 
   #tidyQueue(now: number): void {
