--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -271,7 +271,7 @@
 
 test("a request that no endpoint took goes to the next one", async () => {
   const world = createWorld([
-    () => ({ type: "unreachable", reason: "refused" }),
+    () => ({ type: "unreachable", reason: "refused", isRefused: true }),
     () => ({ type: "not_run", refusal: "full" }),
     () => whole(200, "done"),
   ], { route: { kind: "non_idempotent", stages: [], attempts: 1 } });
--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -25,7 +25,12 @@
     readonly close: () => void;
   }
   /** No connection came about, so that nothing was sent. */
-  | { readonly type: "unreachable"; readonly reason: string }
+  | {
+    readonly type: "unreachable";
+    readonly reason: string;
+    /** Nothing listens there; else no connection came about in time. */
+    readonly isRefused: boolean;
+  }
   /** What was sent may have arrived. */
   | { readonly type: "unknown"; readonly reason: string };
 
@@ -45,10 +50,14 @@
   const colon = address.lastIndexOf(":");
   return new Promise((resolve) => {
     let isConnected = false;
-    const fail = (reason: string): void => {
+    const fail = (reason: string, isRefused = false): void => {
       stopConnecting();
       signal.removeEventListener("abort", onAbort);
-      resolve({ type: isConnected ? "unknown" : "unreachable", reason });
+      resolve(
+        isConnected
+          ? { type: "unknown", reason }
+          : { type: "unreachable", reason, isRefused },
+      );
     };
     const outgoing = sendRequest({
       host: address.slice(0, colon),
@@ -83,7 +92,9 @@
       const close = (): void => void outgoing.destroy();
       resolve({ type: "answered", message, close });
     });
-    outgoing.on("error", (error) => fail(error.message));
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      fail(error.message, error.code === "ECONNREFUSED");
+    });
     outgoing.on("close", () => fail("closed without an answer"));
     signal.addEventListener("abort", onAbort, { once: true });
     if (signal.aborted) onAbort();
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -12,6 +12,11 @@
  * picks so many in turn, so that its traffic doesn't grow with the fleet.
  */
 const MOST_EXCHANGES = 8;
+/**
+ * A configuration that a peer has had for so long is fetched from it, ms. The
+ * store tells all daemons within milliseconds as a rule.
+ */
+const BEHIND_MILLISECONDS = 350;
 /** How often beliefs are looked over, milliseconds. */
 const SWEEP_MILLISECONDS = 200;
 
@@ -34,6 +39,8 @@
   readonly #busy = new Set<string>();
   #isFetching = false;
   #heard = new Set<string>();
+  /** Since when another daemon has had a newer configuration. */
+  readonly #behindSince = new Map<string, number>();
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -85,8 +92,15 @@
   #take(digest: FleetDigest): void {
     const { membership, timer, configuration } = this.#options;
     membership.heard(digest, timer.now());
-    const isNewer = digest.configurationVersion > configuration.version;
-    if (isNewer) void this.#fetchConfiguration(digest.peer);
+    if (digest.configurationVersion <= configuration.version) {
+      this.#behindSince.delete(digest.daemonId);
+      return;
+    }
+    const since = this.#behindSince.get(digest.daemonId) ?? timer.now();
+    this.#behindSince.set(digest.daemonId, since);
+    const isLate = timer.now() - since >= BEHIND_MILLISECONDS ||
+      configuration.table === undefined;
+    if (isLate) void this.#fetchConfiguration(digest.peer);
   }
 
   /**
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -67,6 +67,7 @@
   readonly #fleet: Fleet;
   readonly #front: FrontServer;
   readonly #service: RequestService;
+  readonly #coordinator: PieceCoordinator;
   readonly #peerServer: Server;
   #storeHeardAt = Number.NEGATIVE_INFINITY;
 
@@ -128,6 +129,7 @@
     this.#membership = membership;
     this.#fleet = fleet;
     this.#service = service;
+    this.#coordinator = coordinator;
     this.#front = new FrontServer({
       decode: options.decode,
       serve: (request, reply) => service.serve(request, reply),
@@ -222,7 +224,8 @@
           isListening = false;
           this.#front.stopListening();
         }
-        const isDone = !isListening && this.#service.open === 0;
+        const isDone = !isListening && this.#service.open === 0 &&
+          this.#coordinator.openChains === 0;
         if (!isDone && now < endsAt) return;
         stopChecks();
         resolve();
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -25,6 +25,7 @@
   PieceClient,
   PieceFailure,
   PieceOrder,
+  ResultMaker,
 } from "./pieces/piece_call.ts";
 export type {
   EndpointAnswer,
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -48,13 +48,20 @@
     readonly reason: string;
   };
 
+/** Who holds a result. */
+export interface ResultMaker {
+  readonly id: string;
+  /** `address:port`. */
+  readonly address: string;
+}
+
 /** Calls to endpoints of stage services. */
 export interface PieceClient {
   /** Never throws. */
   runPieces(call: PieceCall): Promise<PieceCallAnswer>;
   /** Frees results at their maker; false when it failed, and they expire. */
   freeResults(
-    makerAddress: string,
+    maker: ResultMaker,
     handles: readonly string[],
   ): Promise<boolean>;
 }
--- a/packages/kelpspar-gateway/src/pieces/result_freer.ts
+++ b/packages/kelpspar-gateway/src/pieces/result_freer.ts
@@ -34,26 +34,26 @@
       );
     }
     for (const result of results) {
-      const pending = this.#pending.get(result.makerAddress);
-      if (pending === undefined) {
-        this.#pending.set(result.makerAddress, [result]);
-      } else pending.push(result);
+      const pending = this.#pending.get(result.makerId);
+      if (pending === undefined) this.#pending.set(result.makerId, [result]);
+      else pending.push(result);
     }
   }
 
   #flush(): void {
-    for (const [address, results] of this.#pending) {
-      void this.#freeAt(address, results);
+    for (const [id, results] of this.#pending) {
+      void this.#freeAt(id, results);
     }
     this.#pending.clear();
   }
 
   async #freeAt(
-    address: string,
+    id: string,
     results: readonly PieceResult[],
   ): Promise<void> {
     const { client, onFreed } = this.#options;
     const handles = results.map(({ handle }) => handle);
-    if (await client.freeResults(address, handles)) onFreed(results);
+    const maker = { id, address: results[0]?.makerAddress ?? "" };
+    if (await client.freeResults(maker, handles)) onFreed(results);
   }
 }
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -77,7 +77,6 @@
   #terms: PieceTerms;
   #queue: PieceTask[] = [];
   readonly #lanes = new Map<string, EndpointLane>();
-  #stopPause: (() => void) | undefined;
 
   constructor(options: ServiceDeskOptions) {
     this.#options = options;
@@ -449,7 +448,7 @@
       ) => void;
     } = {
       answered: ({ pieces }) => this.#answered(lane, call, pieces),
-      full: () => this.#wasFull(call),
+      full: () => this.#wasFull(lane, call),
       replaced: () => {
         this.#log("endpoint replaced", lane, call);
         this.#options.book.leave(lane.endpoint.entry.id);
@@ -529,18 +528,11 @@
     this.#requeue(task);
   }
 
-  #wasFull(call: RunningCall): void {
+  /** Another daemon's calls fill the endpoint: it is asked again later. */
+  #wasFull(lane: EndpointLane, call: RunningCall): void {
+    lane.pausedUntil = this.#options.timer.now() + FULL_PAUSE_MILLISECONDS;
+    this.#spend(call.tasks.length);
     for (const task of call.tasks) this.#requeue(task);
-    this.#pauseLane();
-  }
-
-  /** Asks again a little later when an endpoint was full. */
-  #pauseLane(): void {
-    this.#stopPause?.();
-    this.#stopPause = this.#options.timer.registerTimeout(
-      () => this.pump(),
-      FULL_PAUSE_MILLISECONDS,
-    );
   }
 
   #callFailed(
--- a/packages/kelpspar-gateway/src/requests/endpoint_call.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_call.ts
@@ -37,7 +37,12 @@
   /** The endpoint says that it didn't run the request. */
   | { readonly type: "not_run"; readonly refusal: EndpointRefusal }
   /** Nothing was sent: no connection came about. */
-  | { readonly type: "unreachable"; readonly reason: string }
+  | {
+    readonly type: "unreachable";
+    readonly reason: string;
+    /** Nothing listens there; else no connection came about in time. */
+    readonly isRefused: boolean;
+  }
   /** It was sent, and may have run or not. */
   | { readonly type: "unknown"; readonly reason: string };
 
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -19,6 +19,10 @@
  */
 const HEDGE_FACTOR = 2;
 const LEAST_HEDGE_MILLISECONDS = 40;
+/** An answer is overdue after so many times what it should take, */
+const OVERDUE_FACTOR = 3;
+/** and this much more, milliseconds. */
+const OVERDUE_MILLISECONDS = 250;
 /**
  * A stream that may go on elsewhere does after such a silence: some times the
  * longest pause of a sound endpoint, so that slow ones aren't given up.
@@ -114,11 +118,9 @@
   #mayRepeat(): boolean {
     const { parts, service } = this.#run.options;
     const now = parts.timer.now();
-    if (this.#run.sends === 0) {
-      parts.budget.recordRequest(service, now);
-      return true;
-    }
     if (this.#run.sends >= MOST_SENDS) return false;
+    if (this.#run.sends === 0) parts.budget.recordRequest(service, now);
+    if (this.#run.arrivals === 0) return true;
     const sharers = parts.sharers();
     return parts.budget.trySpend(service, { count: 1, sharers, now });
   }
@@ -194,12 +196,14 @@
     const sentAt = parts.timer.now();
     this.#tried.add(endpoint.entry.id);
     run.sends++;
+    run.arrivals++;
     run.runs++;
     endpoint.inFlight++;
     const stop = new AbortController();
     const onStop = (): void => stop.abort();
     run.stop.signal.addEventListener("abort", onStop, { once: true });
     const stopSilence = this.#watchFirstEvent(stop);
+    const stopOverdue = this.#watchOverdue(endpoint);
     const answer = await parts.endpoints.send({
       endpoint: endpoint.entry,
       request,
@@ -212,14 +216,36 @@
       signal: stop.signal,
     });
     stopSilence();
+    stopOverdue();
     endpoint.inFlight--;
     const didNotRun = answer.type === "not_run" ||
       answer.type === "unreachable";
     if (didNotRun) run.runs--;
+    if (answer.type === "unreachable") run.arrivals--;
     parts.metrics.countCall(service, answer.type);
     return { endpoint, answer, sentAt };
   }
 
+  /**
+   * Counts an answer that is long overdue as a failure while it is still
+   * waited for. An endpoint that takes requests and says nothing would
+   * otherwise get more of them until the first one's deadline.
+   */
+  #watchOverdue(endpoint: EndpointState): () => void {
+    const { parts, route } = this.#run.options;
+    const expected = parts.times.of(route.name, route.kind === "stream");
+    const after = expected * OVERDUE_FACTOR + OVERDUE_MILLISECONDS;
+    return parts.timer.registerTimeout(() => {
+      endpoint.failed(false, parts.timer.now());
+      parts.log.warn("endpoint answer overdue", {
+        attempt: this.#run.options.request.attemptId,
+        endpoint: endpoint.entry.id,
+        afterMilliseconds: Math.round(after),
+        isSetAside: endpoint.isSetAside(parts.timer.now()),
+      });
+    }, after);
+  }
+
   /** Ends a stream that may go on elsewhere when no answer begins. */
   #watchFirstEvent(stop: AbortController): () => void {
     const { parts, route } = this.#run.options;
@@ -238,7 +264,7 @@
       case "answered":
         return await this.#takeAnswer(sent, answer);
       case "unreachable":
-        endpoint.failed(true, now);
+        endpoint.failed(answer.isRefused, now);
         this.#logFailure(sent, answer.reason);
         return "again";
       case "not_run":
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -34,6 +34,8 @@
   runs = 0;
   /** Times that it was sent, refusals included. */
   sends = 0;
+  /** Sends that came to an endpoint, refusals included. */
+  arrivals = 0;
   firstByteAt: number | undefined;
   #end: RequestEnd | undefined;
   #results: readonly PieceResult[] = [];
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -99,12 +99,12 @@
     route: ServiceRoute,
   ): ClientAccount | undefined | "unknown" {
     const { table } = this.#parts.configuration;
-    if (route.isPublic || table?.configuration.accounts === undefined) {
-      return undefined;
-    }
+    if (table?.configuration.accounts === undefined) return undefined;
     const { apiKey } = request;
-    if (apiKey === undefined) return "unknown";
-    return table.findAccount(apiKey) ?? "unknown";
+    const account = apiKey === undefined
+      ? undefined
+      : table.findAccount(apiKey);
+    return account ?? (route.isPublic ? undefined : "unknown");
   }
 
   #refuse(
