--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/listen_on_loopback.ts
@@ -0,0 +1,13 @@
+import type { AddressInfo } from "node:net";
+import type { Server } from "node:http";
+
+/** Listens on a free port of loopback; gives `address:port`. */
+export function listenOnLoopback(server: Server): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      resolve(`127.0.0.1:${port}`);
+    });
+  });
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -0,0 +1,144 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { listenOnLoopback } from "./listen_on_loopback.ts";
+
+/** What a runner does to requests while a fault is set. */
+export type RunnerFault =
+  | "none"
+  /** Refuses as full. */
+  | "full"
+  /** Runs the request, then closes the connection without an answer. */
+  | "answer_lost"
+  /** Breaks the answer off midway. */
+  | "cut"
+  /** Takes requests and says nothing. */
+  | "mute"
+  /** Answers with another request's id. */
+  | "foreign"
+  /** Sends a second answer after the first. */
+  | "extra"
+  /** Answers with a failure of its own. */
+  | "failing";
+
+/** One request that a runner ran. */
+export interface RunnerRun {
+  readonly attemptId: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  readonly lastEventId: string | undefined;
+}
+
+/** How a runner answers. */
+export interface RunnerStandInOptions {
+  readonly id: string;
+  readonly isStream: boolean;
+  /** Events of a whole stream. */
+  readonly events?: number;
+  /** Time before the answer and between events, milliseconds. */
+  readonly paceMilliseconds?: number;
+}
+
+/** A runner of requests at its published protocol. */
+export class RunnerStandIn {
+  fault: RunnerFault = "none";
+  readonly runs: RunnerRun[] = [];
+  readonly #options: RunnerStandInOptions;
+  readonly #server: Server;
+
+  constructor(options: RunnerStandInOptions) {
+    this.#options = options;
+    this.#server = createServer((message, response) => {
+      const chunks: Buffer[] = [];
+      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      message.on("end", () => {
+        this.#take(message, Buffer.concat(chunks).toString(), response);
+      });
+    });
+  }
+
+  /** Listens on loopback; gives `address:port`. */
+  start(): Promise<string> {
+    return listenOnLoopback(this.#server);
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #take(message: IncomingMessage, body: string, response: ServerResponse) {
+    const attemptId = String(message.headers["x-attempt-id"]);
+    if (message.headers["x-expect-instance"] !== this.#options.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (this.fault === "full") {
+      response.writeHead(503, { "X-Not-Executed": "1" }).end();
+      return;
+    }
+    const lastEventId = message.headers["last-event-id"] as string | undefined;
+    this.runs.push({ attemptId, headers: message.headers, body, lastEventId });
+    const handlers: Readonly<Record<string, () => void>> = {
+      answer_lost: () => response.destroy(),
+      mute: () => {},
+      failing: () => {
+        response.writeHead(500, this.#head(attemptId)).end("failed");
+      },
+    };
+    const handler = handlers[this.fault];
+    if (handler !== undefined) handler();
+    else if (this.#options.isStream) {
+      void this.#stream(attemptId, lastEventId, response);
+    } else void this.#answer(attemptId, response);
+  }
+
+  #head(attemptId: string): Record<string, string> {
+    return {
+      "X-Attempt-Id": this.fault === "foreign" ? "of-another" : attemptId,
+      "X-Server-Seal": `seal-${this.#options.id}`,
+    };
+  }
+
+  async #answer(attemptId: string, response: ServerResponse): Promise<void> {
+    await this.#pace();
+    const text = `answer to ${attemptId}`;
+    const length = { "Content-Length": String(text.length) };
+    response.writeHead(200, { ...this.#head(attemptId), ...length });
+    if (this.fault === "cut") {
+      response.write(text.slice(0, 4), () => response.destroy());
+      return;
+    }
+    response.end(text);
+    if (this.fault === "extra") {
+      response.socket?.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
+  async #stream(
+    attemptId: string,
+    lastEventId: string | undefined,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { events = 5 } = this.#options;
+    response.writeHead(200, {
+      ...this.#head(attemptId),
+      "Content-Type": "text/event-stream",
+    });
+    for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
+      await this.#pace();
+      if (response.destroyed) return;
+      const event = `id: ${id}\ndata: ${attemptId} ${id}\n\n`;
+      if (this.fault === "cut" && id > events / 2) {
+        response.write(event.slice(0, 6), () => response.destroy());
+        return;
+      }
+      response.write(event);
+    }
+    response.end();
+  }
+
+  #pace(): Promise<void> {
+    const { paceMilliseconds = 5 } = this.#options;
+    return new Promise((resolve) => setTimeout(resolve, paceMilliseconds));
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -0,0 +1,105 @@
+import type { Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { listenOnLoopback } from "./listen_on_loopback.ts";
+
+/** What a stage runner does to calls while a fault is set. */
+export type StageFault = "none" | "mute" | "slow" | "no_room" | "gone";
+
+interface StageEntry {
+  readonly id: string;
+  readonly stage: number;
+  readonly piece: number;
+  readonly key?: string;
+  readonly inputs?: readonly string[];
+}
+
+/** How a stage runner works. */
+export interface StageRunnerStandInOptions {
+  readonly id: string;
+  readonly callMilliseconds: number;
+  readonly pieceMilliseconds: number;
+  /** Results that it has room for. */
+  readonly room: number;
+}
+
+/** How many times as long a slow runner takes. */
+const SLOW_FACTOR = 6;
+
+/** A runner of stage pieces at its published protocol, one call at a time. */
+export class StageRunnerStandIn {
+  fault: StageFault = "none";
+  /** Pieces of each call that was worked on. */
+  readonly calls: (readonly StageEntry[])[] = [];
+  /** Handles that are kept now. */
+  readonly kept = new Set<string>();
+  readonly #options: StageRunnerStandInOptions;
+  readonly #server: Server;
+  #address = "";
+  #turn: Promise<void> = Promise.resolve();
+  #made = 0;
+
+  constructor(options: StageRunnerStandInOptions) {
+    this.#options = options;
+    this.#server = createServer((message, response) => {
+      const chunks: Buffer[] = [];
+      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      message.on("end", () => {
+        if (message.headers["x-expect-instance"] !== options.id) {
+          response.writeHead(421).end();
+          return;
+        }
+        const body = JSON.parse(Buffer.concat(chunks).toString()) as object;
+        if (message.url === "/-/stage-free") this.#free(body, response);
+        else this.#run((body as { entries: StageEntry[] }).entries, response);
+      });
+    });
+  }
+
+  /** Listens on loopback; gives `address:port`. */
+  async start(): Promise<string> {
+    this.#address = await listenOnLoopback(this.#server);
+    return this.#address;
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #free(body: object, response: ServerResponse): void {
+    const { handles } = body as { readonly handles: readonly string[] };
+    for (const handle of handles) this.kept.delete(handle);
+    response.writeHead(200).end();
+  }
+
+  #run(entries: readonly StageEntry[], response: ServerResponse): void {
+    if (this.fault === "mute") return;
+    this.#turn = this.#turn.then(async () => {
+      if (response.destroyed) return;
+      this.calls.push(entries);
+      await this.#work(entries.length);
+      const answers = entries.map((entry) => this.#make(entry));
+      response.writeHead(200, { "Content-Type": "application/json" });
+      response.end(JSON.stringify({ entries: answers }));
+    });
+  }
+
+  #make(entry: StageEntry): object {
+    if (this.fault === "gone" && entry.inputs !== undefined) {
+      return { reason: "gone" };
+    }
+    const hasNoRoom = this.fault === "no_room" ||
+      this.kept.size >= this.#options.room;
+    if (hasNoRoom) return { reason: "room" };
+    const handle = `${this.#address}/${(++this.#made).toString(16)}`;
+    this.kept.add(handle);
+    return { handle };
+  }
+
+  #work(pieces: number): Promise<void> {
+    const { callMilliseconds, pieceMilliseconds } = this.#options;
+    const factor = this.fault === "slow" ? SLOW_FACTOR : 1;
+    const time = (callMilliseconds + pieces * pieceMilliseconds) * factor;
+    return new Promise((resolve) => setTimeout(resolve, time));
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -0,0 +1,205 @@
+import { findFreePorts } from "./free_ports.ts";
+import { RunnerStandIn } from "./runner_stand_in.ts";
+import { StageRunnerStandIn } from "./stage_runner_stand_in.ts";
+import { StoreStandIn } from "./store_stand_in.ts";
+
+/** How large a site is and how long its work takes. */
+export interface WireSiteOptions {
+  readonly plainRunners?: number;
+  readonly modelRunners?: number;
+  readonly stageRunners?: number;
+  /** What a stage call costs whatever it carries, milliseconds. */
+  readonly callMilliseconds?: number;
+  /** Pieces that a stage call takes. */
+  readonly batch?: number;
+  /** Results that a stage runner has room for. */
+  readonly room?: number;
+}
+
+const HOST = "site.example";
+const PIECE_MILLISECONDS = 1;
+const RESULT_BYTES = 1_000;
+const BYTES_PER_MEGABYTE = 1_000_000;
+
+/**
+ * A whole platform on loopback: store, runners of a plain service, of a model
+ * and of one stage service, and a manifest that routes to them.
+ */
+export class WireSite {
+  readonly host = HOST;
+  readonly store = new StoreStandIn();
+  readonly plain: readonly RunnerStandIn[];
+  readonly models: readonly RunnerStandIn[];
+  readonly stages: readonly StageRunnerStandIn[];
+  readonly #options: Required<WireSiteOptions>;
+  #storeAddress = "";
+  #version = 1;
+  /** Keys that are in force. */
+  keys: readonly string[] = ["key-1", "key-2"];
+
+  constructor(options: WireSiteOptions = {}) {
+    this.#options = {
+      plainRunners: 2,
+      modelRunners: 2,
+      stageRunners: 2,
+      callMilliseconds: 20,
+      batch: 6,
+      room: 40,
+      ...options,
+    };
+    const { plainRunners, modelRunners, stageRunners } = this.#options;
+    const create = (
+      count: number,
+      name: string,
+      isStream: boolean,
+    ): readonly RunnerStandIn[] =>
+      Array.from(
+        { length: count },
+        (_, index) => new RunnerStandIn({ id: `${name}-${index}`, isStream }),
+      );
+    this.plain = create(plainRunners, "plain", false);
+    this.models = create(modelRunners, "model", true);
+    this.stages = Array.from(
+      { length: stageRunners },
+      (_, index) =>
+        new StageRunnerStandIn({
+          id: `stage-${index}`,
+          callMilliseconds: this.#options.callMilliseconds,
+          pieceMilliseconds: PIECE_MILLISECONDS,
+          room: this.#options.room,
+        }),
+    );
+  }
+
+  async start(): Promise<void> {
+    this.#storeAddress = await this.store.start();
+    await this.#list("plain", this.plain);
+    await this.#list("model", this.models);
+    await this.#list("stage", this.stages);
+    this.publish();
+  }
+
+  stop(): void {
+    this.store.stop();
+    for (const one of [...this.plain, ...this.models, ...this.stages]) {
+      one.stop();
+    }
+  }
+
+  /** Writes the next version of the manifest. */
+  publish(): void {
+    this.store.put("op", "config", this.#manifest(this.#version++));
+  }
+
+  /** Settings of a daemon; addresses are free ones of loopback. */
+  async createSettings(
+    nodeName: string,
+    seeds: readonly string[] = [],
+  ): Promise<Readonly<Record<string, unknown>>> {
+    const ports = await findFreePorts(5);
+    const [front, ready, control, directory, metrics] = ports;
+    return {
+      nodeName,
+      ip: "127.0.0.1",
+      zone: "a",
+      seeds,
+      listen: {
+        front: `127.0.0.1:${front}`,
+        ready: `127.0.0.1:${ready}`,
+        control: `127.0.0.1:${control}`,
+        directory: `127.0.0.1:${directory}`,
+      },
+      bounds: {
+        graceS: 3,
+        retryBudgetRatio: 0.2,
+        budgetSlack: 50,
+        budgetWindowS: 10,
+        ttl_max_s: 5,
+      },
+      provider: { address: this.#storeAddress },
+      metricsPort: metrics,
+    };
+  }
+
+  async #list(
+    service: string,
+    runners: readonly { start(): Promise<string> }[],
+  ): Promise<void> {
+    for (const [index, runner] of runners.entries()) {
+      this.store.put("servers", `${service}-${index}`, {
+        service,
+        address: await runner.start(),
+        zone: "a",
+        version: "v1",
+        slots: 4,
+        state: "ready",
+        coldLeftMs: 0,
+        seq: 1,
+      });
+    }
+  }
+
+  #manifest(version: number): object {
+    const { batch, callMilliseconds, room } = this.#options;
+    const route = (name: string, kind: string, fields: object): object => ({
+      name,
+      hostname: HOST,
+      prefix: `/${name}/`,
+      kind,
+      timeoutMs: 3_000,
+      sloMs: 1_000,
+      priority: 1,
+      attempts: 1,
+      service: "plain",
+      ...fields,
+    });
+    const stages = [
+      { service: "stage", after: [], bytes: RESULT_BYTES },
+      { service: "stage", after: [0], bytes: RESULT_BYTES },
+    ];
+    return {
+      version,
+      routes: [
+        route("once", "non_idempotent", {}),
+        route("often", "idempotent", { attempts: 2 }),
+        route("stream", "streaming", { service: "model", stages }),
+        route("resumed", "streaming", {
+          service: "model",
+          attempts: 2,
+          resumable: true,
+          stages,
+        }),
+      ],
+      services: [
+        { name: "plain", healthPath: "/health", maxConns: 100 },
+        {
+          name: "model",
+          healthPath: "/health",
+          maxConns: 100,
+          engine: { slots: 8 },
+        },
+        {
+          name: "stage",
+          healthPath: "/health",
+          maxConns: 100,
+          pieces: {
+            slots: 1,
+            queue: 2,
+            batch,
+            callMs: callMilliseconds,
+            itemMs: PIECE_MILLISECONDS,
+            headroomMb: room * RESULT_BYTES / BYTES_PER_MEGABYTE,
+            handleS: 4,
+          },
+        },
+      ],
+      limits: {
+        headerBytes: 16_384,
+        bodyBytes: 1_000_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+      tenants: [{ name: "acme", apiKeys: this.keys, priority: 1 }],
+    };
+  }
+}
