--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -0,0 +1,141 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { PieceTerms } from "../../configuration/service_definition.ts";
+import type { EndpointEntry } from "../../endpoints/endpoint_entry.ts";
+import type {
+  PieceAnswer,
+  PieceCall,
+  PieceCallAnswer,
+  PieceClient,
+  ResultMaker,
+} from "../../pieces/piece_call.ts";
+
+/** A stage service of a load. */
+export interface SimulatedService {
+  readonly name: string;
+  /** Zone of each endpoint. */
+  readonly zones: readonly string[];
+  readonly terms: PieceTerms;
+}
+
+/** An endpoint that is slow or silent for a while, milliseconds. */
+export interface SimulatedFault {
+  readonly endpointId: string;
+  readonly from: number;
+  readonly until: number;
+  /** Times as long; infinite is silent. */
+  readonly slowness: number;
+}
+
+interface Maker {
+  readonly terms: PieceTerms;
+  readonly kept: Map<string, number>;
+  freeAt: number;
+}
+
+/** What the endpoints worked on. */
+export interface StageFigures {
+  calls: number;
+  pieces: number;
+  workMilliseconds: number;
+  turnedAway: number;
+}
+
+/** Endpoints of stage services in simulated time: one call after the other. */
+export class SimulatedStages implements PieceClient {
+  readonly figures: StageFigures = {
+    calls: 0,
+    pieces: 0,
+    workMilliseconds: 0,
+    turnedAway: 0,
+  };
+  readonly #makers = new Map<string, Maker>();
+  readonly #timer: TimerService;
+  readonly #random: RandomSource;
+  readonly #faults: readonly SimulatedFault[];
+  readonly #resultBytes: (pieces: number) => number;
+  #made = 0;
+
+  constructor(options: {
+    readonly services: readonly SimulatedService[];
+    readonly timer: TimerService;
+    readonly random: RandomSource;
+    readonly faults: readonly SimulatedFault[];
+    /** Bytes of one result by the id of its request and its stage. */
+    readonly resultBytes: (stage: number) => number;
+  }) {
+    this.#timer = options.timer;
+    this.#random = options.random;
+    this.#faults = options.faults;
+    this.#resultBytes = options.resultBytes;
+    for (const { name, zones, terms } of options.services) {
+      for (const index of zones.keys()) {
+        this.#makers.set(`${name}-${index}`, {
+          terms,
+          kept: new Map(),
+          freeAt: 0,
+        });
+      }
+    }
+  }
+
+  readRoom(endpoint: EndpointEntry): Promise<number | undefined> {
+    const maker = this.#makers.get(endpoint.id);
+    return Promise.resolve(maker && this.#roomOf(maker));
+  }
+
+  freeResults(
+    maker: ResultMaker,
+    handles: readonly string[],
+  ): Promise<boolean> {
+    const kept = this.#makers.get(maker.id)?.kept;
+    for (const handle of handles) kept?.delete(handle);
+    return Promise.resolve(true);
+  }
+
+  runPieces(call: PieceCall): Promise<PieceCallAnswer> {
+    const maker = this.#makers.get(call.endpoint.id) as Maker;
+    const now = this.#timer.now();
+    const slowness = this.#slownessOf(call.endpoint.id, now);
+    const work = (maker.terms.callMilliseconds +
+      call.pieces.length * maker.terms.pieceMilliseconds *
+        (0.8 + 0.4 * this.#random.next())) * slowness;
+    return new Promise((resolve) => {
+      call.signal.addEventListener(
+        "abort",
+        () => resolve({ type: "failed", isCertain: false, reason: "given up" }),
+      );
+      if (!Number.isFinite(work)) return;
+      const start = Math.max(now, maker.freeAt);
+      maker.freeAt = start + work;
+      this.figures.calls++;
+      this.figures.pieces += call.pieces.length;
+      this.figures.workMilliseconds += work;
+      const pieces = call.pieces.map(({ stage }): PieceAnswer => {
+        const bytes = this.#resultBytes(stage);
+        if (bytes > this.#roomOf(maker)) {
+          this.figures.turnedAway++;
+          return { type: "failed", failure: "no_room" };
+        }
+        const handle = `${call.endpoint.id}/${++this.#made}`;
+        maker.kept.set(handle, bytes);
+        return { type: "made", handle };
+      });
+      this.#timer.registerTimeout(
+        () => resolve({ type: "answered", pieces }),
+        start + work - now,
+      );
+    });
+  }
+
+  #roomOf(maker: Maker): number {
+    const used = [...maker.kept.values()].reduce((sum, one) => sum + one, 0);
+    return maker.terms.resultBytes - used;
+  }
+
+  #slownessOf(endpointId: string, now: number): number {
+    const fault = this.#faults.find((one) =>
+      one.endpointId === endpointId && one.from <= now && now < one.until
+    );
+    return fault?.slowness ?? 1;
+  }
+}
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
 import type { FleetDigest } from "./fleet_digest.ts";
 import type { FleetMembership } from "./fleet_membership.ts";
 import type { PeerClient } from "./peer_client.ts";
+import { isRefused } from "./is_refused.ts";
 
 /** How often digests are exchanged, milliseconds. */
 const EXCHANGE_MILLISECONDS = 400;
@@ -156,10 +157,12 @@
 
   async #exchangeWith(peer: string): Promise<void> {
     this.#busy.add(peer);
+    const { membership, timer } = this.#options;
     try {
       this.#take(await this.#options.peers.exchange(peer, this.#digest()));
-    } catch {
-      // Silence is judged by the membership, which logs whom it misses.
+    } catch (error) {
+      // The membership judges silence and the fleet's sweep logs it.
+      membership.doubt(peer, { isRefused: isRefused(error), now: timer.now() });
     } finally {
       this.#busy.delete(peer);
     }
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -11,6 +11,8 @@
   address: DaemonAddress;
   digest: FleetDigest | undefined;
   heardAt: number;
+  /** When a call to it last failed; what it said before doesn't count. */
+  doubtedAt: number;
   /** When this daemon first learned of it. */
   readonly knownSince: number;
 }
@@ -61,6 +63,7 @@
       address,
       digest: undefined,
       heardAt: Number.NEGATIVE_INFINITY,
+      doubtedAt: Number.NEGATIVE_INFINITY,
       knownSince: now,
     });
   }
@@ -82,6 +85,21 @@
     return true;
   }
 
+  /**
+   * Takes in that a call to a daemon failed: until it is heard again it runs
+   * no stages, and gets no callers if nothing listens there any more.
+   */
+  doubt(
+    peer: string,
+    options: { readonly isRefused: boolean; readonly now: number },
+  ): void {
+    for (const record of this.#records.values()) {
+      if (record.address.peer !== peer) continue;
+      record.doubtedAt = options.now;
+      if (options.isRefused) record.heardAt = Number.NEGATIVE_INFINITY;
+    }
+  }
+
   /** Forgets the long dead; call it a few times a second. */
   sweep(now: number): void {
     const gap = now - (this.#sweptAt ?? now);
@@ -111,9 +129,7 @@
   /** Whether a daemon may be waited for. */
   isStalled(daemonId: string, now: number): boolean {
     if (daemonId === this.#options.self.daemonId) return false;
-    return !this.#within(STALLED_AFTER_MILLISECONDS, now).some((one) =>
-      one.daemonId === daemonId
-    );
+    return !this.#trusted(now).some((one) => one.daemonId === daemonId);
   }
 
   /**
@@ -129,7 +145,7 @@
     },
   ): readonly string[] {
     const { now } = options;
-    const others = this.#within(STALLED_AFTER_MILLISECONDS, now).filter((one) =>
+    const others = this.#trusted(now).filter((one) =>
       one.isReady && !one.isLeaving
     );
     const fresh = others.filter((one) => isFresh(one.storeAgeMilliseconds));
@@ -178,9 +194,19 @@
     };
   }
 
+  /** Daemons that may be waited for. */
+  #trusted(now: number): readonly FleetDigest[] {
+    return this.#within(STALLED_AFTER_MILLISECONDS, now).filter((one) => {
+      const record = this.#records.get(one.daemonId);
+      return record !== undefined && record.doubtedAt <= record.heardAt;
+    });
+  }
+
   #within(milliseconds: number, now: number): readonly FleetDigest[] {
     return [...this.#records.values()].flatMap(({ digest, heardAt }) => {
-      if (digest === undefined) return [];
+      if (digest === undefined || heardAt === Number.NEGATIVE_INFINITY) {
+        return [];
+      }
       const since = Math.max(heardAt, this.#silenceCountsFrom);
       return now - since <= milliseconds ? [digest] : [];
     });
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -13,6 +13,8 @@
   readonly calls = new Set<RunningCall>();
   /** Until then it gets no calls: it had no room; monotonic milliseconds. */
   pausedUntil = 0;
+  /** Room taken by results that this daemon knows nothing of, bytes. */
+  foreignBytes = 0;
   readonly #kept = new Map<string, KeptResult>();
 
   constructor(endpoint: EndpointState) {
@@ -27,7 +29,7 @@
       else used += bytes;
     }
     for (const call of this.calls) used += call.resultBytes;
-    return terms.resultBytes - used;
+    return terms.resultBytes - used - this.foreignBytes;
   }
 
   keep(handle: string, result: KeptResult): void {
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -57,6 +57,8 @@
 
 /** Calls to endpoints of stage services. */
 export interface PieceClient {
+  /** Bytes free for results; undefined when it couldn't be learned. */
+  readRoom(endpoint: EndpointEntry): Promise<number | undefined>;
   /** Never throws. */
   runPieces(call: PieceCall): Promise<PieceCallAnswer>;
   /** Frees results at their maker; false when it failed, and they expire. */
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -34,6 +34,8 @@
 const GIVEN_UP_AFTER_FACTOR = 9;
 /** Wait before a full endpoint is asked again, milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 60;
+/** How often an endpoint is asked for its room while others use it, ms. */
+const ROOM_AGAIN_MILLISECONDS = 300;
 /** Wait before an endpoint without room is asked again, milliseconds. */
 const NO_ROOM_PAUSE_MILLISECONDS = 120;
 /**
@@ -517,15 +519,38 @@
   }
 
   /**
-   * The maker has less room than was counted: results may be larger than the
-   * configuration says. It is asked again when something was freed or later;
-   * asked at once it would say the same.
+   * The maker has less room than was counted: another daemon's results are
+   * there, or results are larger than the configuration says. Asked again at
+   * once it would say the same.
    */
   #hadNoRoom(lane: EndpointLane, task: PieceTask): void {
-    const until = this.#options.timer.now() + NO_ROOM_PAUSE_MILLISECONDS;
-    lane.pausedUntil = until;
+    const now = this.#options.timer.now();
+    const isAsked = lane.pausedUntil > now;
+    lane.pausedUntil = now + NO_ROOM_PAUSE_MILLISECONDS;
     this.#spend(1);
     this.#requeue(task);
+    if (!isAsked) void this.#learnRoom(lane);
+  }
+
+  /**
+   * Asks an endpoint how much room is left while others' results take some.
+   * After the daemon before was killed its results stay until they expire;
+   * without asking, every piece is sent and turned away some times a second.
+   */
+  async #learnRoom(lane: EndpointLane): Promise<void> {
+    const { client, timer } = this.#options;
+    const free = await client.readRoom(lane.endpoint.entry);
+    if (free === undefined) return;
+    const now = timer.now();
+    lane.foreignBytes = 0;
+    lane.foreignBytes = Math.max(0, lane.room(this.#terms, now) - free);
+    if (lane.foreignBytes === 0 || !this.#lanes.has(lane.endpoint.entry.id)) {
+      return;
+    }
+    timer.registerTimeout(
+      () => void this.#learnRoom(lane),
+      ROOM_AGAIN_MILLISECONDS,
+    );
   }
 
   /** Another daemon's calls fill the endpoint: it is asked again later. */
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -7,6 +7,8 @@
 import type { ChainRequest } from "../pieces/chain_request.ts";
 import type { PieceCoordinator } from "../pieces/piece_coordinator.ts";
 
+import { isRefused } from "../fleet/is_refused.ts";
+
 /** The one key by which all daemons rank the coordinators of stages. */
 const COORDINATOR_KEY = "stages";
 /** Other daemons that are asked before this one runs a chain itself. */
@@ -108,6 +110,10 @@
       return await peers.runChain(address.peer, request, abort.signal);
     } catch (error) {
       if (!gone.aborted) {
+        membership.doubt(address.peer, {
+          isRefused: isRefused(error),
+          now: timer.now(),
+        });
         log.warn("coordinator lost", {
           attempt: request.attemptId,
           daemon: daemonId,
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -66,7 +66,11 @@
     this.#server.close();
   }
 
-  #take(message: IncomingMessage, body: string, response: ServerResponse) {
+  #take(
+    message: IncomingMessage,
+    body: string,
+    response: ServerResponse,
+  ): void {
     const attemptId = String(message.headers["x-attempt-id"]);
     if (message.headers["x-expect-instance"] !== this.#options.id) {
       response.writeHead(421).end();
