--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -34,6 +34,13 @@
   /** What was sent may have arrived. */
   | { readonly type: "unknown"; readonly reason: string };
 
+/** True when the head says where the body ends. */
+function isFramed(message: IncomingMessage): boolean {
+  const { headers } = message;
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 /**
  * Sends a request on a new connection that is never used again.
  *
@@ -89,6 +96,12 @@
       signal.removeEventListener("abort", onAbort);
       // Read errors reach whoever reads; without a reader they mean nothing.
       message.on("error", () => {});
+      // Node's parser takes any end of the connection for the end of a body
+      // without a length. One that was reset is a part of a body, and a caller
+      // would get it as a whole one.
+      if (!isFramed(message)) {
+        outgoing.on("error", (error) => message.destroy(error));
+      }
       const close = (): void => void outgoing.destroy();
       resolve({ type: "answered", message, close });
     });
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -1,23 +1,28 @@
-import type { TimerService } from "kelpspar-shared";
+import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
-import type { FleetDigest } from "./fleet_digest.ts";
-import type { FleetMembership } from "./fleet_membership.ts";
+import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
+import type { FleetMembership, OwnState } from "./fleet_membership.ts";
 import type { PeerClient } from "./peer_client.ts";
 import { isRefused } from "./is_refused.ts";
 
 /** How often digests are exchanged, milliseconds. */
 const EXCHANGE_MILLISECONDS = 400;
+/** Up to so many others, each pair exchanges every time. */
+const MOST_DIRECT = 8;
 /**
- * Up to so many daemons each pair exchanges every time; beyond it each daemon
- * picks so many in turn, so that its traffic doesn't grow with the fleet.
+ * Beyond that each daemon begins so many exchanges every time, with others
+ * drawn by chance: heartbeats reach all in about log2 of the fleet's size
+ * rounds, while a daemon's traffic grows with their number only.
  */
-const MOST_EXCHANGES = 8;
+const DRAWN_EXCHANGES = 2;
 /**
  * A configuration that a peer has had for so long is fetched from it, ms. The
  * store tells all daemons within milliseconds as a rule.
  */
 const BEHIND_MILLISECONDS = 350;
+/** A store older than this makes a daemon's list of endpoints doubtful, ms. */
+const STORE_STALE_MILLISECONDS = 3_500;
 /** How often beliefs are looked over, milliseconds. */
 const SWEEP_MILLISECONDS = 200;
 
@@ -29,6 +34,7 @@
   readonly configuration: ConfigurationKeeper;
   readonly timer: TimerService;
   readonly log: GatewayLog;
+  readonly random: RandomSource;
   readonly storeAge: () => number;
 }
 
@@ -36,12 +42,12 @@
 export class Fleet {
   readonly #options: FleetOptions;
   #isLeaving = false;
-  #turn = 0;
   readonly #busy = new Set<string>();
   #isFetching = false;
+  #isFetchingAddresses = false;
   #heard = new Set<string>();
-  /** Since when another daemon has had a newer configuration. */
-  readonly #behindSince = new Map<string, number>();
+  /** Since when others have had a newer configuration. */
+  #behindSince: number | undefined;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -80,28 +86,43 @@
     return this.#digest();
   }
 
-  #digest(): FleetDigest {
-    const { membership, configuration, storeAge, timer } = this.#options;
-    return membership.createDigest({
+  /** What this daemon says of itself. */
+  get ownState(): OwnState {
+    const { configuration, storeAge } = this.#options;
+    return {
       isLeaving: this.#isLeaving,
       isReady: configuration.table !== undefined,
+      isStoreFresh: storeAge() < STORE_STALE_MILLISECONDS,
+    };
+  }
+
+  /** Exchanges with one daemon now, to see whether it answers. */
+  probe(peer: string): void {
+    this.#exchangeAll([peer]);
+  }
+
+  #digest(): FleetDigest {
+    const { membership, configuration, timer } = this.#options;
+    return membership.createDigest(this.ownState, {
       configurationVersion: configuration.version,
-      storeAgeMilliseconds: Math.round(storeAge()),
-    }, timer.now());
+      now: timer.now(),
+    });
   }
 
   #take(digest: FleetDigest): void {
     const { membership, timer, configuration } = this.#options;
     membership.heard(digest, timer.now());
+    if (membership.hasUnknownAddresses) {
+      void this.#fetchAddresses(digest.self.peer);
+    }
     if (digest.configurationVersion <= configuration.version) {
-      this.#behindSince.delete(digest.daemonId);
+      this.#behindSince = undefined;
       return;
     }
-    const since = this.#behindSince.get(digest.daemonId) ?? timer.now();
-    this.#behindSince.set(digest.daemonId, since);
-    const isLate = timer.now() - since >= BEHIND_MILLISECONDS ||
+    this.#behindSince ??= timer.now();
+    const isLate = timer.now() - this.#behindSince >= BEHIND_MILLISECONDS ||
       configuration.table === undefined;
-    if (isLate) void this.#fetchConfiguration(digest.peer);
+    if (isLate) void this.#fetchConfiguration(digest.self.peer);
   }
 
   /**
@@ -132,21 +153,45 @@
 
   #exchangeDue(): void {
     const { daemonId, membership, timer } = this.#options;
+    membership.beat();
+    const contacts = membership.contacts();
+    if (contacts.length > MOST_DIRECT) {
+      this.#exchangeAll(this.#draw(contacts).map((one) => one.peer));
+      return;
+    }
     const heard = new Set(
-      membership.heardLately(timer.now()).map((one) => one.daemonId),
+      membership.heardLately(timer.now()).map((one) => one.address.daemonId),
     );
     // One of a pair is enough while both hear each other; who hears nothing
     // asks by itself, since the other may not know of it.
-    const due = membership.contacts().filter((one) =>
+    const due = contacts.filter((one) =>
       one.daemonId > daemonId || !heard.has(one.daemonId)
     );
-    const count = Math.min(due.length, MOST_EXCHANGES);
-    const picked = Array.from(
-      { length: count },
-      (_, index) => due[(this.#turn + index) % due.length]?.peer ?? "",
+    this.#exchangeAll(due.map((one) => one.peer));
+  }
+
+  #draw(contacts: readonly DaemonAddress[]): readonly DaemonAddress[] {
+    const { random } = this.#options;
+    return Array.from(
+      { length: DRAWN_EXCHANGES },
+      () => contacts[random.nextInteger(contacts.length)] as DaemonAddress,
     );
-    this.#turn += count;
-    this.#exchangeAll(picked);
+  }
+
+  /** Asks a peer where the daemons are that are only heard of. */
+  async #fetchAddresses(peer: string): Promise<void> {
+    if (this.#isFetchingAddresses) return;
+    this.#isFetchingAddresses = true;
+    const { peers, membership, timer, log } = this.#options;
+    try {
+      for (const address of await peers.addresses(peer)) {
+        membership.learn(address, timer.now());
+      }
+    } catch (error) {
+      log.warn("addresses of peer not read", { peer, reason: String(error) });
+    } finally {
+      this.#isFetchingAddresses = false;
+    }
   }
 
   #exchangeAll(peers: readonly string[]): void {
@@ -173,7 +218,7 @@
     const now = timer.now();
     membership.sweep(now);
     const heard = new Set(
-      membership.heardLately(now).map((one) => one.daemonId),
+      membership.heardLately(now).map((one) => one.address.daemonId),
     );
     for (const daemonId of heard) {
       if (!this.#heard.has(daemonId)) log.info("daemon heard", { daemonId });
--- a/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 
-/** How to reach a daemon; the least that one tells of another. */
+/** How to reach a daemon; the same for all of its lives on a VM. */
 export const daemonAddressSchema = z.object({
   /** Name of the VM; a daemon restarted there replaces the one before. */
   daemonId: z.string(),
@@ -9,26 +9,36 @@
   /** `address:port` for other daemons. */
   peer: z.string(),
   zone: z.string(),
+  /** Processor share that it has, cores. */
+  cores: z.number(),
 });
 
 /** How to reach a daemon. */
 export type DaemonAddress = z.infer<typeof daemonAddressSchema>;
 
-/** What a daemon says of itself, and which others it hears. */
-export const fleetDigestSchema = z.object({
-  ...daemonAddressSchema.shape,
+/** A daemon's own word of itself, as it is passed on by others. */
+export const heartbeatSchema = z.object({
+  daemonId: z.string(),
   /** New with each start of the daemon. */
   incarnation: z.string(),
-  /** Grows with each digest of an incarnation. */
+  /** Grows by one each digest interval of an incarnation. */
   sequence: z.number(),
   isLeaving: z.boolean(),
   /** False while it knows no configuration and can't serve. */
   isReady: z.boolean(),
+  /** False when the store hasn't answered it lately. */
+  isStoreFresh: z.boolean(),
+});
+
+/** A daemon's own word of itself, as it is passed on by others. */
+export type Heartbeat = z.infer<typeof heartbeatSchema>;
+
+/** What daemons tell one another. */
+export const fleetDigestSchema = z.object({
+  self: daemonAddressSchema,
   configurationVersion: z.number(),
-  /** Since the store's feeds last answered, milliseconds. */
-  storeAgeMilliseconds: z.number(),
-  /** Daemons it heard from lately, with itself left out. */
-  known: z.array(daemonAddressSchema),
+  /** The newest heartbeats it knows, its own first. */
+  heartbeats: z.array(heartbeatSchema),
 });
 
 /** A digest as sent between daemons. */
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -1,5 +1,6 @@
-import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
+import type { DaemonAddress, FleetDigest, Heartbeat } from "./fleet_digest.ts";
 import { RendezvousNodes } from "kelpspar-decisions/routing";
+import { silenceLimits } from "./silence_limits.ts";
 
 /** Who this daemon is. */
 export interface FleetMembershipOptions {
@@ -7,38 +8,41 @@
   readonly incarnation: string;
 }
 
+/** What a daemon says of itself now. */
+export type OwnState = Pick<
+  Heartbeat,
+  "isLeaving" | "isReady" | "isStoreFresh"
+>;
+
+/** A daemon that is heard. */
+export interface Member {
+  readonly address: DaemonAddress;
+  readonly heartbeat: Heartbeat;
+}
+
 interface MemberRecord {
-  address: DaemonAddress;
-  digest: FleetDigest | undefined;
+  address: DaemonAddress | undefined;
+  heartbeat: Heartbeat | undefined;
+  /** When its heartbeat last moved on, as seen here. */
   heardAt: number;
   /** When a call to it last failed; what it said before doesn't count. */
   doubtedAt: number;
-  /** When this daemon first learned of it. */
+  /** Lives that were replaced by a later one. */
+  readonly retired: Set<string>;
   readonly knownSince: number;
 }
 
-/**
- * Silence after which a daemon gets no callers, milliseconds. Digests come
- * every 400 ms and a lost packet is sent again within a second.
- */
-const SILENT_AFTER_MILLISECONDS = 1_700;
-/**
- * Silence after which stages are run elsewhere, milliseconds: sooner than the
- * above, since that costs only calls that are less full.
- */
-const STALLED_AFTER_MILLISECONDS = 1_300;
 /** Silence after which a daemon is forgotten, milliseconds. */
 const FORGOTTEN_AFTER_MILLISECONDS = 60_000;
 /** A gap between sweeps of this length means that this daemon stood still. */
 const PAUSE_MILLISECONDS = 900;
-/** A store older than this makes a daemon's list of endpoints doubtful. */
-const STORE_STALE_MILLISECONDS = 3_500;
-/** A daemon that is this many digests old is heard of, but never seen. */
-const MOST_KNOWN_IN_DIGEST = 64;
+/** Daemons whose share of a processor is this near the largest are alike. */
+const ALIKE_CORES_SHARE = 0.9;
 
 /**
- * Which daemons live. They hear of one another from seeds, from the store and
- * from each other, and believe only digests that a daemon sent itself.
+ * Which daemons live. Addresses come from seeds, the store and other daemons;
+ * life comes from heartbeats alone, which daemons pass on to each other, so
+ * that each needs to speak to a few others only.
  *
  * What goes wrong: a daemon that stood still finds all others silent when it
  * wakes and names only itself to callers. A gap between sweeps shows that, and
@@ -55,34 +59,24 @@
     this.#options = options;
   }
 
-  /** Takes in that a daemon may be at an address. */
+  /** Takes in where a daemon may be. */
   learn(address: DaemonAddress, now: number): void {
     if (address.daemonId === this.#options.self.daemonId) return;
-    if (this.#records.has(address.daemonId)) return;
-    this.#records.set(address.daemonId, {
-      address,
-      digest: undefined,
-      heardAt: Number.NEGATIVE_INFINITY,
-      doubtedAt: Number.NEGATIVE_INFINITY,
-      knownSince: now,
-    });
+    this.#recordOf(address.daemonId, now).address = address;
   }
 
-  /** Takes in a digest; false when it says nothing new. */
-  heard(digest: FleetDigest, now: number): boolean {
-    if (digest.daemonId === this.#options.self.daemonId) return false;
-    for (const address of digest.known) this.learn(address, now);
-    this.learn(digest, now);
-    const record = this.#records.get(digest.daemonId) as MemberRecord;
-    const known = record.digest;
-    const isOld = known !== undefined &&
-      known.incarnation === digest.incarnation &&
-      known.sequence >= digest.sequence;
-    if (isOld) return false;
-    record.address = digest;
-    record.digest = digest;
-    record.heardAt = now;
-    return true;
+  /** Takes in a digest that a daemon sent itself. */
+  heard(digest: FleetDigest, now: number): void {
+    this.learn(digest.self, now);
+    for (const heartbeat of digest.heartbeats) {
+      const isOwn = heartbeat.daemonId === digest.self.daemonId;
+      this.#takeHeartbeat(heartbeat, { isOwn, now });
+    }
+  }
+
+  /** Daemons that are heard of, but not where they are. */
+  get hasUnknownAddresses(): boolean {
+    return [...this.#records.values()].some((one) => one.address === undefined);
   }
 
   /**
@@ -94,7 +88,7 @@
     options: { readonly isRefused: boolean; readonly now: number },
   ): void {
     for (const record of this.#records.values()) {
-      if (record.address.peer !== peer) continue;
+      if (record.address?.peer !== peer) continue;
       record.doubtedAt = options.now;
       if (options.isRefused) record.heardAt = Number.NEGATIVE_INFINITY;
     }
@@ -113,52 +107,65 @@
 
   /** Every daemon there may be, for digests. */
   contacts(): readonly DaemonAddress[] {
-    return [...this.#records.values()].map(({ address }) => address);
+    return [...this.#records.values()].flatMap(({ address }) =>
+      address === undefined ? [] : [address]
+    );
   }
 
   /** Daemons heard from lately, leaving ones too. */
-  heardLately(now: number): readonly FleetDigest[] {
-    return this.#within(SILENT_AFTER_MILLISECONDS, now);
+  heardLately(now: number): readonly Member[] {
+    return this.#within(this.#limits().silent, now);
   }
 
   /** Daemons that callers may use, this one left out. */
-  serving(now: number): readonly FleetDigest[] {
-    return this.heardLately(now).filter((one) => !one.isLeaving && one.isReady);
+  serving(now: number): readonly DaemonAddress[] {
+    return this.heardLately(now)
+      .filter(({ heartbeat }) => !heartbeat.isLeaving && heartbeat.isReady)
+      .map(({ address }) => address);
   }
 
-  /** Whether a daemon may be waited for. */
+  /** Whether a daemon may not be waited for any more. */
   isStalled(daemonId: string, now: number): boolean {
     if (daemonId === this.#options.self.daemonId) return false;
-    return !this.#trusted(now).some((one) => one.daemonId === daemonId);
+    return !this.#trusted(now).some((one) => one.address.daemonId === daemonId);
+  }
+
+  /** Since a daemon's heartbeat last moved on, milliseconds. */
+  silenceOf(daemonId: string, now: number): number {
+    const record = this.#records.get(daemonId);
+    return record === undefined ? Number.POSITIVE_INFINITY : now -
+      Math.max(record.heardAt, this.#silenceCountsFrom);
   }
 
   /**
-   * Daemons that may run a key's stages, best first, this one among them. Those
-   * that the store turned away come last: their list of endpoints is old.
+   * Daemons that may run a key's stages, best first, this one among them.
+   * Those that the store turned away come last: their list of endpoints is
+   * old. Among the others those with most processor share come first, since
+   * one of them does this work for all.
    */
   ranked(
     key: string,
-    options: {
-      readonly now: number;
-      readonly ownStoreAge: number;
-      readonly isLeaving: boolean;
-    },
+    options: { readonly own: OwnState; readonly now: number },
   ): readonly string[] {
-    const { now } = options;
-    const others = this.#trusted(now).filter((one) =>
-      one.isReady && !one.isLeaving
+    const { self } = this.#options;
+    const others = this.#trusted(options.now).filter(({ heartbeat }) =>
+      heartbeat.isReady && !heartbeat.isLeaving
     );
-    const fresh = others.filter((one) => isFresh(one.storeAgeMilliseconds));
-    const stale = others.filter((one) => !isFresh(one.storeAgeMilliseconds));
-    const groups = [
-      fresh.map((one) => one.daemonId),
-      stale.map((one) => one.daemonId),
+    const own = {
+      address: self,
+      isStoreFresh: options.own.isStoreFresh && !options.own.isLeaving,
+    };
+    const all = [
+      own,
+      ...others.map(({ address, heartbeat }) => ({
+        address,
+        isStoreFresh: heartbeat.isStoreFresh,
+      })),
     ];
-    const { daemonId } = this.#options.self;
-    if (options.isLeaving) groups.push([daemonId]);
-    else groups[isFresh(options.ownStoreAge) ? 0 : 1]?.push(daemonId);
-    return groups.flatMap((ids) =>
-      new RendezvousNodes(ids).best(key, ids.length)
+    const fresh = all.filter((one) => one.isStoreFresh);
+    const stale = all.filter((one) => !one.isStoreFresh);
+    return [fresh, stale].flatMap((group) =>
+      rankByCores(key, group.map((one) => one.address))
     );
   }
 
@@ -166,53 +173,110 @@
     return this.#records.get(daemonId)?.address;
   }
 
-  /** This daemon's next digest. */
+  /** Moves this daemon's own heartbeat on. */
+  beat(): void {
+    this.#sequence++;
+  }
+
+  /** This daemon's digest now. */
   createDigest(
-    state: Pick<
-      FleetDigest,
-      | "isLeaving"
-      | "isReady"
-      | "configurationVersion"
-      | "storeAgeMilliseconds"
-    >,
-    now: number,
+    own: OwnState,
+    options: { readonly configurationVersion: number; readonly now: number },
   ): FleetDigest {
     const { self, incarnation } = this.#options;
-    const known = this.heardLately(now).slice(0, MOST_KNOWN_IN_DIGEST)
-      .map(({ daemonId, front, peer, zone }) => ({
-        daemonId,
-        front,
-        peer,
-        zone,
-      }));
-    return {
-      ...self,
+    const heartbeat = {
+      daemonId: self.daemonId,
       incarnation,
-      sequence: ++this.#sequence,
-      ...state,
-      known,
+      sequence: this.#sequence,
+      ...own,
     };
+    return {
+      self,
+      configurationVersion: options.configurationVersion,
+      heartbeats: [
+        heartbeat,
+        ...this.heardLately(options.now).map((one) => one.heartbeat),
+      ],
+    };
+  }
+
+  #takeHeartbeat(
+    heartbeat: Heartbeat,
+    options: { readonly isOwn: boolean; readonly now: number },
+  ): void {
+    const { daemonId, incarnation, sequence } = heartbeat;
+    if (daemonId === this.#options.self.daemonId) return;
+    const record = this.#recordOf(daemonId, options.now);
+    if (record.retired.has(incarnation)) return;
+    const known = record.heartbeat;
+    const isSameLife = known?.incarnation === incarnation;
+    if (isSameLife && known.sequence >= sequence) {
+      // What a daemon says itself proves its life whatever was heard before.
+      if (options.isOwn && known.sequence === sequence) {
+        record.heardAt = options.now;
+      }
+      return;
+    }
+    // Others may pass on a life that has ended; it is never taken up again.
+    if (known !== undefined && !isSameLife) {
+      record.retired.add(known.incarnation);
+    }
+    record.heartbeat = heartbeat;
+    record.heardAt = options.now;
+  }
+
+  #recordOf(daemonId: string, now: number): MemberRecord {
+    const known = this.#records.get(daemonId);
+    if (known !== undefined) return known;
+    const record = {
+      address: undefined,
+      heartbeat: undefined,
+      heardAt: Number.NEGATIVE_INFINITY,
+      doubtedAt: Number.NEGATIVE_INFINITY,
+      retired: new Set<string>(),
+      knownSince: now,
+    };
+    this.#records.set(daemonId, record);
+    return record;
+  }
+
+  #limits(): ReturnType<typeof silenceLimits> {
+    return silenceLimits(this.#records.size + 1);
   }
 
   /** Daemons that may be waited for. */
-  #trusted(now: number): readonly FleetDigest[] {
-    return this.#within(STALLED_AFTER_MILLISECONDS, now).filter((one) => {
-      const record = this.#records.get(one.daemonId);
+  #trusted(now: number): readonly Member[] {
+    return this.#within(this.#limits().stalled, now).filter((one) => {
+      const record = this.#records.get(one.address.daemonId);
       return record !== undefined && record.doubtedAt <= record.heardAt;
     });
   }
 
-  #within(milliseconds: number, now: number): readonly FleetDigest[] {
-    return [...this.#records.values()].flatMap(({ digest, heardAt }) => {
-      if (digest === undefined || heardAt === Number.NEGATIVE_INFINITY) {
-        return [];
-      }
+  #within(milliseconds: number, now: number): readonly Member[] {
+    return [...this.#records.values()].flatMap((record) => {
+      const { address, heartbeat, heardAt } = record;
+      const isUnknown = address === undefined || heartbeat === undefined ||
+        heardAt === Number.NEGATIVE_INFINITY;
+      if (isUnknown) return [];
       const since = Math.max(heardAt, this.#silenceCountsFrom);
-      return now - since <= milliseconds ? [digest] : [];
+      return now - since <= milliseconds ? [{ address, heartbeat }] : [];
     });
   }
 }
 
-function isFresh(storeAge: number): boolean {
-  return storeAge < STORE_STALE_MILLISECONDS;
+function rankByCores(
+  key: string,
+  addresses: readonly DaemonAddress[],
+): readonly string[] {
+  const most = Math.max(...addresses.map((one) => one.cores));
+  const isLarge = (one: DaemonAddress): boolean =>
+    one.cores >= most * ALIKE_CORES_SHARE;
+  const groups = [
+    addresses.filter(isLarge),
+    addresses.filter((one) => !isLarge(one)),
+  ];
+  return groups.flatMap((group) => {
+    const ids = group.map((one) => one.daemonId);
+    return new RendezvousNodes(ids).best(key, ids.length);
+  });
 }
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -3,7 +3,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ChainRequest } from "../pieces/chain_request.ts";
-import type { FleetDigest } from "./fleet_digest.ts";
+import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import type { PeerRouter } from "./peer_router.ts";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent, fetch as undiciFetch } from "undici";
@@ -37,6 +37,13 @@
     );
   }
 
+  addresses(peer: string): Promise<readonly DaemonAddress[]> {
+    return this.#short(
+      peer,
+      (client, signal) => client.addresses.query(undefined, { signal }),
+    );
+  }
+
   configuration(peer: string): Promise<ServingConfiguration | null> {
     return this.#short(
       peer,
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -1,7 +1,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ChainRequest } from "../pieces/chain_request.ts";
-import type { FleetDigest } from "./fleet_digest.ts";
+import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import { fleetDigestSchema } from "./fleet_digest.ts";
@@ -9,6 +9,8 @@
 /** Answers other daemons. */
 export interface PeerHandlers {
   exchange(digest: FleetDigest): FleetDigest;
+  /** Where the daemons are that are known here. */
+  addresses(): readonly DaemonAddress[];
   /** The configuration in force here. */
   configuration(): ServingConfiguration | undefined;
   /** Runs a chain of stages; `signal` ends it when the asker is gone. */
@@ -54,6 +56,7 @@
   exchange: trpc.procedure.input(fleetDigestSchema).mutation(({ ctx, input }) =>
     ctx.handlers.exchange(input)
   ),
+  addresses: trpc.procedure.query(({ ctx }) => ctx.handlers.addresses()),
   configuration: trpc.procedure.query(({ ctx }) =>
     ctx.handlers.configuration() ?? null
   ),
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -29,6 +29,8 @@
 const LAPSE_MILLISECONDS = 2_300;
 /** How often missing entries are looked over, milliseconds. */
 const SWEEP_MILLISECONDS = 100;
+/** Daemons from which on the coordinator of stages takes no callers. */
+const MANY_DAEMONS = 12;
 /** Most addresses that callers are given. */
 const MOST_ADDRESSES = 64;
 /** Share of the grace within which a stopping daemon still takes requests. */
@@ -68,6 +70,7 @@
   readonly #front: FrontServer;
   readonly #service: RequestService;
   readonly #coordinator: PieceCoordinator;
+  readonly #chains: ChainClient;
   readonly #peerServer: Server;
   #storeHeardAt = Number.NEGATIVE_INFINITY;
 
@@ -91,6 +94,7 @@
       configuration,
       timer,
       log,
+      random: options.random,
       storeAge,
     });
     const coordinator = new PieceCoordinator({
@@ -108,8 +112,8 @@
       local: coordinator,
       timer,
       log,
-      storeAge,
-      isLeaving: () => fleet.isLeaving,
+      ownState: () => fleet.ownState,
+      probe: (peer) => fleet.probe(peer),
     });
     const service = new RequestService({
       configuration,
@@ -130,6 +134,7 @@
     this.#fleet = fleet;
     this.#service = service;
     this.#coordinator = coordinator;
+    this.#chains = chains;
     this.#front = new FrontServer({
       decode: options.decode,
       serve: (request, reply) => service.serve(request, reply),
@@ -137,6 +142,7 @@
     });
     this.#peerServer = createServer(createPeerListener({
       exchange: (digest) => fleet.exchange(digest),
+      addresses: () => [self, ...membership.contacts()],
       configuration: () => configuration.table?.configuration,
       runChain: (request, signal) => coordinator.run(request, signal),
       release: (results) => coordinator.release(results),
@@ -186,11 +192,21 @@
 
   /** Where callers may connect; never empty. */
   callerAddresses(): readonly string[] {
-    const { self, timer } = this.#options;
-    const others = this.#membership.serving(timer.now())
+    const { self, timer, random } = this.#options;
+    const others = this.#membership.serving(timer.now());
+    const own = this.isReady || others.length === 0 ? [self] : [];
+    const all = [...own, ...others];
+    // Among many the one that runs the stages for all takes no callers: their
+    // streams would wait behind its calls.
+    const busy = all.length >= MANY_DAEMONS
+      ? this.#chains.coordinator
+      : undefined;
+    const free = all.filter((one) => one.daemonId !== busy);
+    // Turned by chance, so that beyond the most of an answer each has a part.
+    const first = random.nextInteger(Math.max(1, free.length));
+    return [...free.slice(first), ...free.slice(0, first)]
+      .slice(0, MOST_ADDRESSES)
       .map(({ front }) => front);
-    const own = this.isReady || others.length === 0 ? [self.front] : [];
-    return [...own, ...others].slice(0, MOST_ADDRESSES);
   }
 
   /** State for the metrics page. */
--- a/packages/kelpspar-gateway/src/log/line_log.ts
+++ b/packages/kelpspar-gateway/src/log/line_log.ts
@@ -72,7 +72,7 @@
     const { timer } = this.#options;
     const head = {
       time: new Date(timer.wallClock()).toISOString(),
-      milliseconds: Math.round(timer.now()),
+      at: Math.round(timer.now()),
       level,
       message,
       ...(this.#dropped > 0 ? { linesDropped: this.#dropped } : {}),
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -1,6 +1,6 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ChainRunner } from "./chain_runner.ts";
-import type { FleetMembership } from "../fleet/fleet_membership.ts";
+import type { FleetMembership, OwnState } from "../fleet/fleet_membership.ts";
 import type { PeerClient } from "../fleet/peer_client.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
@@ -13,6 +13,11 @@
 const COORDINATOR_KEY = "stages";
 /** Other daemons that are asked before this one runs a chain itself. */
 const MOST_REMOTE_TRIES = 2;
+/**
+ * Silence after which a coordinator is asked for a sign of life, milliseconds.
+ * In a large fleet word of it arrives later than that when nobody asks.
+ */
+const PROBE_MILLISECONDS = 1_000;
 /** How often a chain looks whether its coordinator fell silent. */
 const WATCH_MILLISECONDS = 150;
 
@@ -24,8 +29,9 @@
   readonly local: PieceCoordinator;
   readonly timer: TimerService;
   readonly log: GatewayLog;
-  readonly storeAge: () => number;
-  readonly isLeaving: () => boolean;
+  readonly ownState: () => OwnState;
+  /** Asks a daemon for a sign of life. */
+  readonly probe: (peer: string) => void;
 }
 
 /**
@@ -80,12 +86,16 @@
     });
   }
 
+  /** The daemon that runs the stages of all, as this one sees it. */
+  get coordinator(): string | undefined {
+    return this.#candidates()[0];
+  }
+
   #candidates(): readonly string[] {
-    const { daemonId, membership, timer, storeAge, isLeaving } = this.#options;
+    const { daemonId, membership, timer, ownState } = this.#options;
     const ranked = membership.ranked(COORDINATOR_KEY, {
       now: timer.now(),
-      ownStoreAge: storeAge(),
-      isLeaving: isLeaving(),
+      own: ownState(),
     });
     const remote = ranked.filter((one) => one !== daemonId)
       .slice(0, MOST_REMOTE_TRIES);
@@ -104,7 +114,10 @@
     const stop = (): void => abort.abort();
     gone.addEventListener("abort", stop, { once: true });
     const stopWatch = timer.registerInterval(() => {
-      if (membership.isStalled(daemonId, timer.now())) stop();
+      const now = timer.now();
+      const silence = membership.silenceOf(daemonId, now);
+      if (membership.isStalled(daemonId, now)) stop();
+      else if (silence > PROBE_MILLISECONDS) this.#options.probe(address.peer);
     }, WATCH_MILLISECONDS);
     try {
       return await peers.runChain(address.peer, request, abort.signal);
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -17,6 +17,8 @@
   | "foreign"
   /** Sends a second answer after the first. */
   | "extra"
+  /** Answers without a length and resets the connection midway. */
+  | "unframed_reset"
   /** Answers with a failure of its own. */
   | "failing";
 
@@ -85,6 +87,7 @@
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
       mute: () => {},
+      unframed_reset: () => this.#resetMidway(attemptId, response),
       failing: () => {
         response.writeHead(500, this.#head(attemptId)).end("failed");
       },
@@ -96,6 +99,15 @@
     } else void this.#answer(attemptId, response);
   }
 
+  #resetMidway(attemptId: string, response: ServerResponse): void {
+    const { socket } = response;
+    const head = Object.entries(this.#head(attemptId))
+      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\npart of`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  }
+
   #head(attemptId: string): Record<string, string> {
     return {
       "X-Attempt-Id": this.fault === "foreign" ? "of-another" : attemptId,
