Plan calls once a turn, with what pieces of a stage share worked out once

Cause: on 73 machines the coordinator's endpoints all seemed 1.3 times slower from the tenth second: with 400 pieces waiting, each answer planned all queues anew, asking for each piece and endpoint what would cross zones. Ruled out: slow endpoints (all alike), lost coordinators (none in the log).

--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -15,11 +15,11 @@
 import type { PieceTask } from "./piece_task.ts";
 import type { RunningCall } from "./running_call.ts";
 import type { PiecePlace } from "./place_piece.ts";
-import { crossingBytes } from "./crossing_bytes.ts";
 import { EndpointLane } from "./endpoint_lane.ts";
 import { fillCall } from "./fill_call.ts";
 import { FREE_CROSSING_BYTES, placePiece } from "./place_piece.ts";
 import { rankPiece } from "./rank_piece.ts";
+import { StageFacts } from "./stage_facts.ts";
 import { startablePieces } from "./startable_pieces.ts";
 import { callTime, piecesPerMillisecond } from "./service_capacity.ts";
 
@@ -78,6 +78,8 @@
   readonly #options: ServiceDeskOptions;
   #terms: PieceTerms;
   #queue: PieceTask[] = [];
+  #facts = new StageFacts(() => 0);
+  #isPumpDue = false;
   readonly #lanes = new Map<string, EndpointLane>();
 
   constructor(options: ServiceDeskOptions) {
@@ -96,9 +98,22 @@
     }
   }
 
-  /** Starts as many calls as there are free endpoints and pieces. */
+  /**
+   * Starts as many calls as there are free endpoints and pieces, once all that
+   * has come together is taken in: the answer of one call may end many stages.
+   */
   pump(): void {
+    if (this.#isPumpDue || this.#queue.length === 0) return;
+    this.#isPumpDue = true;
+    setImmediate(() => {
+      this.#isPumpDue = false;
+      this.#pumpNow();
+    });
+  }
+
+  #pumpNow(): void {
     const now = this.#options.timer.now();
+    this.#facts = new StageFacts((task) => this.#rank(task, now));
     this.#tidyQueue(now);
     while (this.#startNext(now)) continue;
   }
@@ -107,9 +122,15 @@
   #startNext(now: number): boolean {
     const lanes = this.#lanesNow(now);
     const isFree = (lane: EndpointLane): boolean =>
-      lane.calls.size < this.#terms.slots;
+      lane.calls.size < this.#terms.slots && lane.pausedUntil <= now;
     if (!lanes.some(isFree)) return false;
+    let previous: PieceTask | undefined;
     for (const task of this.#startable(lanes, now)) {
+      // Pieces of one stage stand together and have the same places.
+      const isAlike = previous?.chain === task.chain &&
+        previous.stage === task.stage;
+      previous = task;
+      if (isAlike) continue;
       const lane = placePiece({
         places: lanes.map((lane) => this.#toPlace(lane, { task, now })),
         callTime: this.workTime(this.#queue.length),
@@ -150,7 +171,7 @@
         lane.pausedUntil <= now,
       wait: this.#waitFor(lane, { slowness, now }),
       slowness,
-      crossing: crossingBytes(task, lane.endpoint.entry.zone),
+      crossing: this.#facts.crossing(task, lane.endpoint.entry.zone),
     };
   }
 
@@ -213,11 +234,11 @@
     },
   ): boolean {
     const { task, lanes } = options;
-    const crossing = crossingBytes(task, lane.endpoint.entry.zone);
+    const crossing = this.#facts.crossing(task, lane.endpoint.entry.zone);
     return crossing <= FREE_CROSSING_BYTES ||
       !lanes.some((one) =>
-        crossingBytes(task, one.endpoint.entry.zone) + FREE_CROSSING_BYTES <
-          crossing
+        this.#facts.crossing(task, one.endpoint.entry.zone) +
+            FREE_CROSSING_BYTES < crossing
       );
   }
 
@@ -314,15 +335,12 @@
       // piece left over from before would be sent with some inputs only.
       const isNeeded = task.chain.isOpen &&
         !task.chain.isMade(task.stage, task.piece) &&
-        task.chain.hasInputs(task.stage);
+        this.#facts.hasInputs(task);
       if (!isNeeded) task.isQueued = false;
       return isNeeded;
     });
-    const ranks = new Map(
-      this.#queue.map((task) => [task, this.#rank(task, now)]),
-    );
     this.#queue.sort((left, right) =>
-      (ranks.get(left) ?? 0) - (ranks.get(right) ?? 0)
+      this.#facts.rank(left) - this.#facts.rank(right)
     );
   }
 
