Count an endpoint's word of others' results for a moment only

Ruled out: the plan once a turn (the load on simulated stages is unchanged by it), lost coordinators (none), endpoints full (0). Change: the word counts for 250 ms after a piece was turned away. A load with a late report fails before and passes after.

--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -1,5 +1,6 @@
 import type { ChainStage } from "../../pieces/chain_request.ts";
 import type {
+  ForeignResults,
   SimulatedFault,
   SimulatedService,
   StageFigures,
@@ -41,6 +42,9 @@
   readonly kinds: readonly LoadKind[];
   readonly bursts: readonly LoadBurst[];
   readonly faults?: readonly SimulatedFault[];
+  /** How old an endpoint's word of its room is. */
+  readonly roomLagMilliseconds?: number;
+  readonly foreignResults?: ForeignResults;
 }
 
 /** What became of a kind's requests. */
@@ -79,6 +83,8 @@
     timer,
     random,
     faults: load.faults ?? [],
+    roomLagMilliseconds: load.roomLagMilliseconds ?? 0,
+    foreign: load.foreignResults ?? { from: 0, until: 0, share: 0 },
     resultBytes: (stage) => stageBytes[stage]?.resultBytes ?? 0,
   });
   const log = { info: () => {}, warn: () => {} };
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -26,9 +26,19 @@
   readonly slowness: number;
 }
 
+/** Room that another daemon's results take at every endpoint for a while. */
+export interface ForeignResults {
+  readonly from: number;
+  readonly until: number;
+  /** Share of the room. */
+  readonly share: number;
+}
+
 interface Maker {
   readonly terms: PieceTerms;
   readonly kept: Map<string, number>;
+  /** Times and the room from then on. */
+  readonly history: [number, number][];
   freeAt: number;
 }
 
@@ -53,6 +63,8 @@
   readonly #random: RandomSource;
   readonly #faults: readonly SimulatedFault[];
   readonly #resultBytes: (pieces: number) => number;
+  readonly #roomLagMilliseconds: number;
+  readonly #foreign: ForeignResults;
   #made = 0;
 
   constructor(options: {
@@ -62,25 +74,34 @@
     readonly faults: readonly SimulatedFault[];
     /** Bytes of one result by the id of its request and its stage. */
     readonly resultBytes: (stage: number) => number;
+    readonly roomLagMilliseconds: number;
+    readonly foreign: ForeignResults;
   }) {
     this.#timer = options.timer;
     this.#random = options.random;
     this.#faults = options.faults;
     this.#resultBytes = options.resultBytes;
+    this.#roomLagMilliseconds = options.roomLagMilliseconds;
+    this.#foreign = options.foreign;
     for (const { name, zones, terms } of options.services) {
       for (const index of zones.keys()) {
         this.#makers.set(`${name}-${index}`, {
           terms,
           kept: new Map(),
+          history: [],
           freeAt: 0,
         });
       }
     }
   }
 
+  /** The room as it was some time ago. */
   readRoom(endpoint: EndpointEntry): Promise<number | undefined> {
     const maker = this.#makers.get(endpoint.id);
-    return Promise.resolve(maker && this.#roomOf(maker));
+    if (maker === undefined) return Promise.resolve(undefined);
+    const seenAt = this.#timer.now() - this.#roomLagMilliseconds;
+    const seen = maker.history.findLast(([at]) => at <= seenAt);
+    return Promise.resolve(seen?.[1] ?? maker.terms.resultBytes);
   }
 
   freeResults(
@@ -89,6 +110,7 @@
   ): Promise<boolean> {
     const kept = this.#makers.get(maker.id)?.kept;
     for (const handle of handles) kept?.delete(handle);
+    this.#noteRoom(maker.id);
     return Promise.resolve(true);
   }
 
@@ -118,6 +140,7 @@
         }
         const handle = `${call.endpoint.id}/${++this.#made}`;
         maker.kept.set(handle, bytes);
+        this.#noteRoom(call.endpoint.id);
         return { type: "made", handle };
       });
       this.#timer.registerTimeout(
@@ -127,9 +150,19 @@
     });
   }
 
+  #noteRoom(endpointId: string): void {
+    const maker = this.#makers.get(endpointId);
+    maker?.history.push([this.#timer.now(), this.#roomOf(maker)]);
+  }
+
   #roomOf(maker: Maker): number {
     const used = [...maker.kept.values()].reduce((sum, one) => sum + one, 0);
-    return maker.terms.resultBytes - used;
+    const now = this.#timer.now();
+    const { from, until, share } = this.#foreign;
+    const foreign = from <= now && now < until
+      ? share * maker.terms.resultBytes
+      : 0;
+    return maker.terms.resultBytes - used - foreign;
   }
 
   #slownessOf(endpointId: string, now: number): number {
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -34,8 +34,8 @@
 const GIVEN_UP_AFTER_FACTOR = 9;
 /** Wait before a full endpoint is asked again, milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 60;
-/** How often an endpoint is asked for its room while others use it, ms. */
-const ROOM_AGAIN_MILLISECONDS = 300;
+/** How long what an endpoint says of others' results counts, milliseconds. */
+const FOREIGN_ROOM_MILLISECONDS = 250;
 /** Wait before an endpoint without room is asked again, milliseconds. */
 const NO_ROOM_PAUSE_MILLISECONDS = 120;
 /**
@@ -551,24 +551,24 @@
   }
 
   /**
-   * Asks an endpoint how much room is left while others' results take some.
+   * Asks an endpoint how much room is left when others' results take some.
    * After the daemon before was killed its results stay until they expire;
    * without asking, every piece is sent and turned away some times a second.
+   * The answer is some hundred milliseconds old, as old as a call is long, so
+   * that it counts for a moment only: kept longer, it took this daemon's own
+   * results for others' and left a tenth of the room in use.
    */
   async #learnRoom(lane: EndpointLane): Promise<void> {
     const { client, timer } = this.#options;
     const free = await client.readRoom(lane.endpoint.entry);
     if (free === undefined) return;
-    const now = timer.now();
     lane.foreignBytes = 0;
-    lane.foreignBytes = Math.max(0, lane.room(this.#terms, now) - free);
-    if (lane.foreignBytes === 0 || !this.#lanes.has(lane.endpoint.entry.id)) {
-      return;
-    }
-    timer.registerTimeout(
-      () => void this.#learnRoom(lane),
-      ROOM_AGAIN_MILLISECONDS,
-    );
+    const counted = lane.room(this.#terms, timer.now());
+    lane.foreignBytes = Math.max(0, counted - free);
+    timer.registerTimeout(() => {
+      lane.foreignBytes = 0;
+      this.pump();
+    }, FOREIGN_ROOM_MILLISECONDS);
   }
 
   /** Another daemon's calls fill the endpoint: it is asked again later. */
