Name the older ports for what they hold; keep the platform's names in its folder by a test

Cause: packages/kelpspar-platform would be mistaken for platform/, and nothing kept the platform's names out of the product. Conclusion: no behaviour is changed.

--- a/packages/kelpspar-cli/src/configuration/offer_configuration.ts
+++ b/packages/kelpspar-cli/src/configuration/offer_configuration.ts
@@ -1,7 +1,7 @@
-import type { JsonAnswer } from "kelpspar-platform";
+import type { JsonAnswer } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import type { OperatorClient } from "../operator/operator_client.ts";
-import { ExchangeError } from "kelpspar-platform";
+import { ExchangeError } from "kelpspar-backends";
 import { KelpsparError, RESULT_CODES } from "kelpspar-shared";
 import { appliedSchema, changeSchema } from "../operator/answers.ts";
 import { readFailure, toAnswerError } from "../operator/failure_answer.ts";
--- a/packages/kelpspar-cli/src/operator/exchange_json.ts
+++ b/packages/kelpspar-cli/src/operator/exchange_json.ts
@@ -1,6 +1,6 @@
-import type { JsonAnswer, JsonExchange } from "kelpspar-platform";
+import type { JsonAnswer, JsonExchange } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
-import { ExchangeError, isRefusal } from "kelpspar-platform";
+import { ExchangeError, isRefusal } from "kelpspar-backends";
 import { Client } from "undici";
 
 /** How one exchange with one daemon is made. */
--- a/packages/kelpspar-cli/src/operator/operator_client.ts
+++ b/packages/kelpspar-cli/src/operator/operator_client.ts
@@ -1,6 +1,6 @@
-import type { JsonAnswer, JsonExchange } from "kelpspar-platform";
+import type { JsonAnswer, JsonExchange } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
-import { ExchangeError } from "kelpspar-platform";
+import { ExchangeError } from "kelpspar-backends";
 import { KelpsparError, RESULT_CODES } from "kelpspar-shared";
 import { exchangeJson } from "./exchange_json.ts";
 import { toAnswerError } from "./failure_answer.ts";
--- a/packages/kelpspar-daemon/src/__tests__/support/test_daemon.ts
+++ b/packages/kelpspar-daemon/src/__tests__/support/test_daemon.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { AnswerRecord, FailureRecord, ResultName } from "kelpspar-shared";
 import type { Daemon } from "../../daemon.ts";
 import type { TestPorts } from "./test_ports.ts";
--- a/packages/kelpspar-daemon/src/__tests__/support/test_ports.ts
+++ b/packages/kelpspar-daemon/src/__tests__/support/test_ports.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import type { DaemonPorts } from "../../daemon_ports.ts";
 import type { PeerClient } from "../../peers/peer_client.ts";
--- a/packages/kelpspar-daemon/src/__tests__/support/test_site.ts
+++ b/packages/kelpspar-daemon/src/__tests__/support/test_site.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { ConfigurationRow } from "../../configuration/configuration_row.ts";
 import type { Settings } from "../../settings/settings_schema.ts";
 import { sha256 } from "kelpspar-shared";
--- a/packages/kelpspar-daemon/src/actors/configuration_role.ts
+++ b/packages/kelpspar-daemon/src/actors/configuration_role.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "kelpspar-platform";
+import type { TableService } from "kelpspar-backends";
 import type { DrainStore } from "../operators/drain_store.ts";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { ConfigurationStore } from "../configuration/configuration_store.ts";
--- a/packages/kelpspar-daemon/src/actors/vm_list_role.ts
+++ b/packages/kelpspar-daemon/src/actors/vm_list_role.ts
@@ -1,4 +1,4 @@
-import type { VmList } from "kelpspar-platform";
+import type { VmList } from "kelpspar-backends";
 import type { RoleOptions } from "./role_options.ts";
 import { errorDetails } from "../log/daemon_log.ts";
 import { registerJitteredInterval } from "./register_jittered_interval.ts";
--- a/packages/kelpspar-daemon/src/claims/claim_service.ts
+++ b/packages/kelpspar-daemon/src/claims/claim_service.ts
@@ -9,7 +9,7 @@
   ClaimTransactionOutcome,
   OwnerAnswer,
 } from "kelpspar-decisions/claims";
-import type { TableService } from "kelpspar-platform";
+import type { TableService } from "kelpspar-backends";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonLog } from "../log/daemon_log.ts";
 import type { ClaimHandle } from "./claim_handle.ts";
--- a/packages/kelpspar-daemon/src/configuration/configuration_store.ts
+++ b/packages/kelpspar-daemon/src/configuration/configuration_store.ts
@@ -1,4 +1,4 @@
-import type { TableKey, TableRow, TableService } from "kelpspar-platform";
+import type { TableKey, TableRow, TableService } from "kelpspar-backends";
 import type { ConfigurationRow } from "./configuration_row.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { configurationRowSchema } from "./configuration_row.ts";
--- a/packages/kelpspar-daemon/src/create_ports.ts
+++ b/packages/kelpspar-daemon/src/create_ports.ts
@@ -5,7 +5,7 @@
   HttpTableService,
   HttpVmList,
   HttpWeightStore,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import { SystemRandom, SystemTimer } from "kelpspar-shared";
 import { createDaemonLog } from "./log/daemon_log.ts";
 import { TrpcPeerClient } from "./peers/trpc_peer_client.ts";
--- a/packages/kelpspar-daemon/src/daemon_ports.ts
+++ b/packages/kelpspar-daemon/src/daemon_ports.ts
@@ -3,7 +3,7 @@
   TableService,
   VmList,
   WeightStore,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonLog } from "./log/daemon_log.ts";
 import type { PeerClient } from "./peers/peer_client.ts";
--- a/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
+++ b/packages/kelpspar-daemon/src/endpoints/endpoint_watch.ts
@@ -1,4 +1,4 @@
-import type { EndpointClient } from "kelpspar-platform";
+import type { EndpointClient } from "kelpspar-backends";
 import type {
   EndpointAddress,
   LoadReport,
--- a/packages/kelpspar-daemon/src/endpoints/to_endpoint_address.ts
+++ b/packages/kelpspar-daemon/src/endpoints/to_endpoint_address.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { EndpointAddress } from "kelpspar-shared";
 
 /** An endpoint's address as calls need it. */
--- a/packages/kelpspar-daemon/src/operators/configuration_applier.ts
+++ b/packages/kelpspar-daemon/src/operators/configuration_applier.ts
@@ -5,7 +5,7 @@
   ApplyOutcome,
   ApplyStep,
 } from "kelpspar-decisions/revisions";
-import type { TableService } from "kelpspar-platform";
+import type { TableService } from "kelpspar-backends";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationRow } from "../configuration/configuration_row.ts";
 import {
--- a/packages/kelpspar-daemon/src/operators/drain_store.ts
+++ b/packages/kelpspar-daemon/src/operators/drain_store.ts
@@ -1,4 +1,4 @@
-import type { TableKey, TableRow, TableService } from "kelpspar-platform";
+import type { TableKey, TableRow, TableService } from "kelpspar-backends";
 import type { DrainKind, Drains, DrainsContent } from "./drains.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { DRAIN_FIELDS, drainsSchema, NO_DRAINS } from "./drains.ts";
--- a/packages/kelpspar-daemon/src/orders/engine_group.ts
+++ b/packages/kelpspar-daemon/src/orders/engine_group.ts
@@ -1,5 +1,5 @@
 import type { PlannedEngine, PlannerStep } from "kelpspar-decisions/leases";
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { DesiredEngineState } from "kelpspar-shared";
 import type { EngineGroupOptions } from "./engine_group_options.ts";
 import {
--- a/packages/kelpspar-daemon/src/orders/engine_group_options.ts
+++ b/packages/kelpspar-daemon/src/orders/engine_group_options.ts
@@ -2,7 +2,7 @@
   EndpointClient,
   TableService,
   WeightStore,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import type { EndpointWatch } from "../endpoints/endpoint_watch.ts";
 import type { DaemonLog } from "../log/daemon_log.ts";
--- a/packages/kelpspar-daemon/src/orders/group_lease.ts
+++ b/packages/kelpspar-daemon/src/orders/group_lease.ts
@@ -4,7 +4,7 @@
   LeaseEvent,
   LeaseState,
 } from "kelpspar-decisions/leases";
-import type { TableRow, TableService } from "kelpspar-platform";
+import type { TableRow, TableService } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import {
   advanceLease,
--- a/packages/kelpspar-daemon/src/requests/key_lookup.ts
+++ b/packages/kelpspar-daemon/src/requests/key_lookup.ts
@@ -1,6 +1,6 @@
 import type { AccountConfiguration } from "kelpspar-configuration";
 import type { HeldElsewhere, StoredResult } from "kelpspar-decisions/claims";
-import type { TableService } from "kelpspar-platform";
+import type { TableService } from "kelpspar-backends";
 import type { RequestContext } from "./request_context.ts";
 import type { RequestKeys } from "./request_keys.ts";
 import type { RequestRegistry } from "./request_registry.ts";
--- a/packages/kelpspar-daemon/src/requests/stage_attempt.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_attempt.ts
@@ -14,7 +14,7 @@
   ConnectionWatch,
   SilenceVerdict,
 } from "kelpspar-decisions/routing";
-import type { EndpointClient } from "kelpspar-platform";
+import type { EndpointClient } from "kelpspar-backends";
 import type { StageProgress } from "./stage_progress.ts";
 import { KelpsparError as ResultError, toKelpsparError } from "kelpspar-shared";
 
--- a/packages/kelpspar-daemon/src/requests/stage_services.ts
+++ b/packages/kelpspar-daemon/src/requests/stage_services.ts
@@ -1,4 +1,4 @@
-import type { EndpointClient } from "kelpspar-platform";
+import type { EndpointClient } from "kelpspar-backends";
 import type { RandomSource, StageRecord, TimerService } from "kelpspar-shared";
 import type { DecisionParts } from "../scheduling/decision_parts.ts";
 import type { Scheduler } from "../scheduling/scheduler.ts";
--- a/packages/kelpspar-daemon/src/state/daemon_state.ts
+++ b/packages/kelpspar-daemon/src/state/daemon_state.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from "kelpspar-configuration";
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { ConfigurationRow } from "../configuration/configuration_row.ts";
 import type { Drains } from "../operators/drains.ts";
 import { NO_DRAINS } from "../operators/drains.ts";
--- a/packages/kelpspar-scenarios/src/mutants/claim_mutants.ts
+++ b/packages/kelpspar-scenarios/src/mutants/claim_mutants.ts
@@ -1,4 +1,4 @@
-import type { TableRow, TableTransaction, TableWrite } from "kelpspar-platform";
+import type { TableRow, TableTransaction, TableWrite } from "kelpspar-backends";
 import type { Mutant } from "./mutant.ts";
 import { formatEpochKey, parseEpochKey } from "kelpspar-decisions/claims";
 import { KelpsparError } from "kelpspar-shared";
--- a/packages/kelpspar-scenarios/src/mutants/configuration_mutants.ts
+++ b/packages/kelpspar-scenarios/src/mutants/configuration_mutants.ts
@@ -1,4 +1,4 @@
-import type { TableTransaction, TableWrite } from "kelpspar-platform";
+import type { TableTransaction, TableWrite } from "kelpspar-backends";
 import type { Mutant } from "./mutant.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { withCommit } from "./with_table.ts";
--- a/packages/kelpspar-scenarios/src/mutants/record_mutants.ts
+++ b/packages/kelpspar-scenarios/src/mutants/record_mutants.ts
@@ -1,4 +1,4 @@
-import type { EndpointClient } from "kelpspar-platform";
+import type { EndpointClient } from "kelpspar-backends";
 import type { StageRecord } from "kelpspar-shared";
 import type { MutatedCall } from "./with_endpoints.ts";
 import type { Mutant } from "./mutant.ts";
--- a/packages/kelpspar-scenarios/src/mutants/with_endpoints.ts
+++ b/packages/kelpspar-scenarios/src/mutants/with_endpoints.ts
@@ -1,4 +1,4 @@
-import type { EndpointClient, StageCallOptions } from "kelpspar-platform";
+import type { EndpointClient, StageCallOptions } from "kelpspar-backends";
 import type {
   EndpointAddress,
   LoadReport,
--- a/packages/kelpspar-scenarios/src/mutants/with_table.ts
+++ b/packages/kelpspar-scenarios/src/mutants/with_table.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "kelpspar-platform";
+import type { TableService } from "kelpspar-backends";
 import type { WorldMutation } from "../world/world_mutation.ts";
 
 /** Changes how every daemon's table commits. */
--- a/packages/kelpspar-scenarios/src/world/platform/granting_weight_store.ts
+++ b/packages/kelpspar-scenarios/src/world/platform/granting_weight_store.ts
@@ -1,4 +1,4 @@
-import type { WeightGrant, WeightStore } from "kelpspar-platform";
+import type { WeightGrant, WeightStore } from "kelpspar-backends";
 
 /** A weight store that always grants. */
 export class GrantingWeightStore implements WeightStore {
--- a/packages/kelpspar-scenarios/src/world/platform/world_table.ts
+++ b/packages/kelpspar-scenarios/src/world/platform/world_table.ts
@@ -5,7 +5,7 @@
   TableService,
   TableTransaction,
   TransactionResult,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { Exchange } from "../network/exchange.ts";
 import type { ResultName } from "kelpspar-shared";
 import { KelpsparError } from "kelpspar-shared";
--- a/packages/kelpspar-scenarios/src/world/platform/world_vm_list.ts
+++ b/packages/kelpspar-scenarios/src/world/platform/world_vm_list.ts
@@ -1,4 +1,4 @@
-import type { VmList, VmListAnswer } from "kelpspar-platform";
+import type { VmList, VmListAnswer } from "kelpspar-backends";
 import type { Exchange } from "../network/exchange.ts";
 import { KelpsparError } from "kelpspar-shared";
 import { exchange } from "../network/exchange.ts";
--- a/packages/kelpspar-scenarios/src/world/site/create_daemon_settings.ts
+++ b/packages/kelpspar-scenarios/src/world/site/create_daemon_settings.ts
@@ -1,5 +1,5 @@
 import type { Settings } from "kelpspar-daemon";
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import { settingsSchema } from "kelpspar-daemon";
 
 const PLATFORM_ORIGIN = "http://10.0.0.1:80";
--- a/packages/kelpspar-scenarios/src/world/site/create_endpoint.ts
+++ b/packages/kelpspar-scenarios/src/world/site/create_endpoint.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { WorldEndpointOptions } from "../endpoint/world_endpoint.ts";
 import { WorldEndpoint } from "../endpoint/world_endpoint.ts";
 
--- a/packages/kelpspar-scenarios/src/world/site/create_vms.ts
+++ b/packages/kelpspar-scenarios/src/world/site/create_vms.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 
 const ZONES: readonly string[] = ["zone-a", "zone-b", "zone-c"];
 const DAEMON_PORT = 7_000;
--- a/packages/kelpspar-scenarios/src/world/site/vm_rows.ts
+++ b/packages/kelpspar-scenarios/src/world/site/vm_rows.ts
@@ -1,4 +1,4 @@
-import type { ListedVm, VmList } from "kelpspar-platform";
+import type { ListedVm, VmList } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import { LaggingVmList } from "kelpspar-standins";
 
--- a/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
+++ b/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
@@ -10,15 +10,16 @@
   shared: [],
   decisions: ["shared"],
   configuration: ["shared"],
-  platform: ["shared"],
-  daemon: ["shared", "decisions", "configuration", "platform"],
+  backends: ["shared"],
+  gateway: ["shared", "decisions"],
+  daemon: ["shared", "decisions", "configuration", "backends"],
   client: ["shared"],
-  cli: ["shared", "configuration", "platform"],
+  cli: ["shared", "configuration", "backends"],
   standins: [
     "shared",
     "decisions",
     "configuration",
-    "platform",
+    "backends",
     "daemon",
     "client",
   ],
@@ -26,7 +27,7 @@
     "shared",
     "decisions",
     "configuration",
-    "platform",
+    "backends",
     "daemon",
     "standins",
   ],
@@ -37,7 +38,8 @@
   "shared",
   "decisions",
   "configuration",
-  "platform",
+  "backends",
+  "gateway",
   "daemon",
   "client",
   "cli",
@@ -53,6 +55,27 @@
   readonly text: string;
 }
 
+/**
+ * Names of the users' platform that may stand in `platform/`, `deploy/` and
+ * the stand-in of the platform alone.
+ */
+const PLATFORM_HEADERS = new RegExp(
+  [
+    "x-(attempt-id|deadline-ms|expect-instance|tenant|urgency|server-seal)",
+    "x-(not-executed|api-key|piece-key|pieces|inputs|prompt-prefix)",
+    "kv-(fetch|from|move|handle|pin|events|list)",
+    "(stage-run|stage-free|rows-tx|rows-get|rows-feed|rows-parts|blob-put)",
+  ].join("|"),
+  "i",
+);
+const PLATFORM_FIELDS = new RegExp(
+  "\\b(headroomMb|handleS|callMs|itemMs|coldLeftMs|sloMs|targetGapMs|" +
+    "trafficSplit|KELPSPAR_BOOT|morePages|tombstone|heartbeatMs)\\b",
+);
+
+/** The stand-in of the platform speaks its names. */
+const STAND_IN = "kelpspar-standins/src/wire/";
+
 function readSources(names: readonly string[]): readonly SourceFile[] {
   return names.flatMap((name) => {
     const folder = `${PACKAGES}kelpspar-${name}/src`;
@@ -94,3 +117,25 @@
 test("the product starts no process and shares no memory", () => {
   expect(findProduct(PROCESSES)).toEqual([]);
 });
+
+test("the platform's names stand in its folder alone", () => {
+  const wrong = readSources(Object.keys(ALLOWED))
+    .filter(({ path, text }) =>
+      !path.startsWith(STAND_IN) &&
+      (PLATFORM_HEADERS.test(text) || PLATFORM_FIELDS.test(text))
+    ).map(({ path }) => path);
+  expect(wrong).toEqual([]);
+});
+
+test("the platform's folder takes time from the timer service alone", () => {
+  const folder = fileURLToPath(
+    new URL("../platform/src", `file://${PACKAGES}`),
+  );
+  const wrong = readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((path) => path.endsWith(".ts") && !path.includes("__tests__"))
+    .filter((path) => {
+      const text = readFileSync(`${folder}/${path}`, "utf8");
+      return CLOCKS.test(text) || PROCESSES.test(text);
+    });
+  expect(wrong).toEqual([]);
+});
--- a/packages/kelpspar-standins/src/__tests__/unit/endpoint_http_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/endpoint_http_test.ts
@@ -3,7 +3,7 @@
 import type { RunningEndpoint } from "../../endpoint/running_endpoint.ts";
 import { test } from "node:test";
 import { expect } from "earl";
-import { HttpEndpointClient } from "kelpspar-platform";
+import { HttpEndpointClient } from "kelpspar-backends";
 import { ManualTimer, SystemTimer } from "kelpspar-shared";
 import { engineAnswer } from "../../endpoint/engine/engine_answer.ts";
 import { plainAnswer } from "../../endpoint/plain/plain_answer.ts";
--- a/packages/kelpspar-standins/src/__tests__/unit/naive_pipeline_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/naive_pipeline_test.ts
@@ -1,4 +1,4 @@
-import type { EndpointClient, TableService, VmList } from "kelpspar-platform";
+import type { EndpointClient, TableService, VmList } from "kelpspar-backends";
 import type { StageCall, StageRecord } from "kelpspar-shared";
 import { expect } from "earl";
 import { ManualTimer } from "kelpspar-shared";
--- a/packages/kelpspar-standins/src/__tests__/unit/platform_http_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/platform_http_test.ts
@@ -1,4 +1,4 @@
-import type { ListedVm, TableService } from "kelpspar-platform";
+import type { ListedVm, TableService } from "kelpspar-backends";
 import { test } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
@@ -7,7 +7,7 @@
   HttpVmList,
   HttpWeightStore,
   JsonHttpClient,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import {
   KelpsparError,
   ManualTimer,
--- a/packages/kelpspar-standins/src/__tests__/unit/process_group_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/process_group_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { expect } from "earl";
-import { HttpEndpointClient } from "kelpspar-platform";
+import { HttpEndpointClient } from "kelpspar-backends";
 import { KelpsparError, SystemTimer } from "kelpspar-shared";
 import { plainAnswer } from "../../endpoint/plain/plain_answer.ts";
 import { ProcessGroup } from "../../process/process_group.ts";
--- a/packages/kelpspar-standins/src/__tests__/unit/table_model_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/table_model_test.ts
@@ -1,4 +1,4 @@
-import type { TableRow, TableScan, TableWrite } from "kelpspar-platform";
+import type { TableRow, TableScan, TableWrite } from "kelpspar-backends";
 import { test } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
--- a/packages/kelpspar-standins/src/experiments/caller/submit.ts
+++ b/packages/kelpspar-standins/src/experiments/caller/submit.ts
@@ -2,7 +2,7 @@
 import type { AnswerRecord, FailureRecord } from "kelpspar-shared";
 import type { Dispatcher } from "undici";
 import { AnswerAssembler } from "kelpspar-client";
-import { isRefusal } from "kelpspar-platform";
+import { isRefusal } from "kelpspar-backends";
 
 const STATUS_OK = 200;
 
--- a/packages/kelpspar-standins/src/naive/naive_daemon.ts
+++ b/packages/kelpspar-standins/src/naive/naive_daemon.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { FailureRecord, SubmitRequest } from "kelpspar-shared";
 import type { Settings } from "kelpspar-daemon";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
--- a/packages/kelpspar-standins/src/naive/naive_pipeline.ts
+++ b/packages/kelpspar-standins/src/naive/naive_pipeline.ts
@@ -1,5 +1,5 @@
 import type { StageConfiguration } from "kelpspar-configuration";
-import type { EndpointClient, ListedVm } from "kelpspar-platform";
+import type { EndpointClient, ListedVm } from "kelpspar-backends";
 import type { StageCost, StageEndRecord, TimerService } from "kelpspar-shared";
 import type { NaiveView } from "./naive_view.ts";
 import { OffsetAssembler, sha256, SystemRandom } from "kelpspar-shared";
--- a/packages/kelpspar-standins/src/naive/naive_view.ts
+++ b/packages/kelpspar-standins/src/naive/naive_view.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from "kelpspar-configuration";
-import type { ListedVm, TableService, VmList } from "kelpspar-platform";
+import type { ListedVm, TableService, VmList } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import { parseConfiguration } from "kelpspar-configuration";
 
--- a/packages/kelpspar-standins/src/programs/naive_main.ts
+++ b/packages/kelpspar-standins/src/programs/naive_main.ts
@@ -5,7 +5,7 @@
   HttpEndpointClient,
   HttpTableService,
   HttpVmList,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import { SystemRandom, SystemTimer } from "kelpspar-shared";
 import { startNaiveDaemon } from "../naive/naive_daemon.ts";
 import { NaivePipeline } from "../naive/naive_pipeline.ts";
--- a/packages/kelpspar-standins/src/site/site.ts
+++ b/packages/kelpspar-standins/src/site/site.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import type { SiteDaemon } from "./site_daemon.ts";
 import type { SiteEndpoint } from "./site_endpoint.ts";
@@ -6,7 +6,7 @@
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { JsonHttpClient } from "kelpspar-platform";
+import { JsonHttpClient } from "kelpspar-backends";
 import { sha256 } from "kelpspar-shared";
 import { ProcessGroup } from "../process/process_group.ts";
 import { PROGRAMS } from "./programs.ts";
--- a/packages/kelpspar-standins/src/table/in_memory_table.ts
+++ b/packages/kelpspar-standins/src/table/in_memory_table.ts
@@ -5,7 +5,7 @@
   TableService,
   TableTransaction,
   TransactionResult,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { RandomSource, ResultName, TimerService } from "kelpspar-shared";
 import type { TableAnswer } from "./table_answer.ts";
 import type { TableCounters } from "./table_counters.ts";
--- a/packages/kelpspar-standins/src/table/scripted_table.ts
+++ b/packages/kelpspar-standins/src/table/scripted_table.ts
@@ -4,7 +4,7 @@
   TableScan,
   TableTransaction,
   TransactionResult,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { TableAnswer, TableRefusal } from "./table_answer.ts";
 import type { TableCounters } from "./table_counters.ts";
--- a/packages/kelpspar-standins/src/table/table_routes.ts
+++ b/packages/kelpspar-standins/src/table/table_routes.ts
@@ -3,7 +3,7 @@
   TableScan,
   TableTransaction,
   TransactionResult,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import type { JsonReply } from "../http/json_reply.ts";
 import type { JsonRoute } from "../http/json_route.ts";
 import type { ScriptedTable } from "./scripted_table.ts";
--- a/packages/kelpspar-standins/src/table/table_rows.ts
+++ b/packages/kelpspar-standins/src/table/table_rows.ts
@@ -5,7 +5,7 @@
   TableTransaction,
   TableWrite,
   TransactionResult,
-} from "kelpspar-platform";
+} from "kelpspar-backends";
 import { SortedKeys } from "./sorted_keys.ts";
 
 interface StoredRow {
--- a/packages/kelpspar-standins/src/vm/lagging_vm_list.ts
+++ b/packages/kelpspar-standins/src/vm/lagging_vm_list.ts
@@ -1,4 +1,4 @@
-import type { ListedVm, VmList, VmListAnswer } from "kelpspar-platform";
+import type { ListedVm, VmList, VmListAnswer } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 
 /** How far a VM list lags and what it begins with. */
--- a/packages/kelpspar-standins/src/vm/vm_routes.ts
+++ b/packages/kelpspar-standins/src/vm/vm_routes.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "kelpspar-platform";
+import type { ListedVm } from "kelpspar-backends";
 import type { JsonRoute } from "../http/json_route.ts";
 import type { LaggingVmList } from "./lagging_vm_list.ts";
 import { answer } from "../http/json_reply.ts";
--- a/packages/kelpspar-standins/src/weight/weight_routes.ts
+++ b/packages/kelpspar-standins/src/weight/weight_routes.ts
@@ -1,4 +1,4 @@
-import type { WeightGrant } from "kelpspar-platform";
+import type { WeightGrant } from "kelpspar-backends";
 import type { RateLimit } from "../faults/rate_limit.ts";
 import type { JsonRoute } from "../http/json_route.ts";
 import { answer } from "../http/json_reply.ts";
