Tell each send and each run of stages in the log; kelpspar explain tells a request's story

Cause: a request that timed out had one line, which didn't say where it was. Change: one line a send with what decided it, one when stages end; the command 'explain' puts the lines of a request in order with what its daemons learned around it; a timeout is 504 even when the timer fires a fraction early.

--- /dev/null
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -0,0 +1,40 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { explainRequest } from "../../explain/explain_request.ts";
+import { formatStory } from "../../explain/format_story.ts";
+import { parseLogLine } from "../../explain/log_line.ts";
+
+function line(second: number, message: string, fields: object): string {
+  const time = `2026-01-01T00:00:${String(second).padStart(2, "0")}.000Z`;
+  return `edge-1 ${
+    JSON.stringify({ time, level: "info", message, daemon: "d1", ...fields })
+  }`;
+}
+
+const LOG = [
+  line(1, "store lost", { table: "servers" }),
+  line(5, "store lost", { table: "op" }),
+  line(6, "daemon silent", { daemon: "d2", daemonId: "d1" }),
+  line(7, "request ended", { attempt: "a1", outcome: "failed" }),
+  line(6, "endpoint call failed", { attempt: "a1", endpoint: "i1" }),
+  line(6, "piece call overdue", { attempts: "a0,a1" }),
+  line(6, "request ended", { attempt: "a2" }),
+  "not a line of ours {",
+];
+
+test("a story holds a request's lines in order and its daemons' beliefs", () => {
+  const lines = LOG.flatMap((text) => parseLogLine(text) ?? []);
+  const story = explainRequest("a1", lines);
+  expect(story.own.map(({ message }) => message)).toEqual([
+    "endpoint call failed",
+    "piece call overdue",
+    "request ended",
+  ]);
+  expect(story.around.map(({ time }) => time.slice(17, 19))).toEqual(["05"]);
+  expect(formatStory(story).includes("outcome=failed")).toEqual(true);
+});
+
+test("a request that no line names is said to be so", () => {
+  expect(formatStory(explainRequest("zz", [])))
+    .toEqual('No line names request "zz"');
+});
--- a/packages/kelpspar-cli/src/commands/command_table.ts
+++ b/packages/kelpspar-cli/src/commands/command_table.ts
@@ -5,6 +5,7 @@
 import { createDiffCommand } from "./diff_command.ts";
 import { createDrainCommand } from "./drain_command.ts";
 import { createEndpointsCommand } from "./endpoints_command.ts";
+import { createExplainCommand } from "./explain_command.ts";
 import { createHistoryCommand } from "./history_command.ts";
 import { createRequestCommand } from "./request_command.ts";
 import { createSchemaCommand } from "./schema_command.ts";
@@ -28,4 +29,5 @@
   undrain: createUndrainCommand,
   request: createRequestCommand,
   schema: createSchemaCommand,
+  explain: createExplainCommand,
 };
--- /dev/null
+++ b/packages/kelpspar-cli/src/commands/explain_command.ts
@@ -0,0 +1,32 @@
+import type { CliContext } from "../cli_context.ts";
+import type { CliCommand } from "./cli_command.ts";
+import { command, positional, restPositionals, string } from "cmd-ts";
+import { jsonFlag } from "../arguments/json_flag.ts";
+import { explainRequest } from "../explain/explain_request.ts";
+import { formatStory } from "../explain/format_story.ts";
+import { parseLogLine } from "../explain/log_line.ts";
+import { answerWith } from "./answer_with.ts";
+
+const STANDARD_INPUT = "/dev/stdin";
+
+/** `kelpspar explain REQUEST_ID [LOG...]`. */
+export function createExplainCommand(context: CliContext): CliCommand {
+  return command({
+    name: "explain",
+    description: "Tell a request's story from daemons' logs",
+    args: {
+      attempt: positional({ type: string, displayName: "REQUEST_ID" }),
+      files: restPositionals({ type: string, displayName: "LOG" }),
+      json: jsonFlag,
+    },
+    handler: ({ attempt, files, json }) =>
+      answerWith({ context, json }, async () => {
+        const paths = files.length === 0 ? [STANDARD_INPUT] : files;
+        const texts = await Promise.all(paths.map(context.readFile));
+        const lines = texts.flatMap((text) => text.split("\n"))
+          .flatMap((text) => parseLogLine(text) ?? []);
+        const story = explainRequest(attempt, lines);
+        return { data: story, text: formatStory(story) };
+      }),
+  });
+}
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -48,6 +48,24 @@
   }
 
   async run(request: ChainRequest, gone: AbortSignal): Promise<ChainOutcome> {
+    const { timer, log } = this.#options;
+    const startedAt = timer.now();
+    const outcome = await this.#runSomewhere(request, gone);
+    log.info("stages ended", {
+      attempt: request.attemptId,
+      outcome: outcome.type === "done" ? "done" : outcome.reason,
+      coordinator: this.coordinator,
+      tookMilliseconds: Math.round(timer.now() - startedAt),
+      objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
+      priority: request.priority,
+    });
+    return outcome;
+  }
+
+  async #runSomewhere(
+    request: ChainRequest,
+    gone: AbortSignal,
+  ): Promise<ChainOutcome> {
     const { local, timer } = this.#options;
     const startedAt = timer.now();
     for (const daemonId of this.#candidates()) {
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -195,6 +195,7 @@
     const { endpoint, home } = choice;
     const sentAt = parts.timer.now();
     this.#tried.add(endpoint.entry.id);
+    this.#logSend(choice);
     run.sends++;
     run.arrivals++;
     run.runs++;
@@ -456,6 +457,23 @@
     parts.times.record(route.name, took, isStream);
   }
 
+  #logSend({ endpoint, home }: EndpointChoice): void {
+    const { parts, request, service } = this.#run.options;
+    const now = parts.timer.now();
+    parts.log.info("request sent", {
+      attempt: request.attemptId,
+      service,
+      endpoint: endpoint.entry.id,
+      home: home?.entry.id,
+      inFlight: endpoint.inFlight,
+      slowness: Number(endpoint.slowness(now).toFixed(2)),
+      isSetAside: endpoint.isSetAside(now),
+      tried: this.#tried.size,
+      remainingMilliseconds: Math.round(this.#run.remaining()),
+      lastEventId: this.#relay.lastEventId,
+    });
+  }
+
   #logFailure(sent: Sent, reason: string): void {
     const { parts, request, service } = this.#run.options;
     const now = parts.timer.now();
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -107,7 +107,7 @@
     if (!this.isOpen) return;
     const answer: OwnAnswer = this.runs === 0
       ? { status: 503, retryAfterMilliseconds, message: reason }
-      : { status: this.remaining() <= 0 ? 504 : 502, message: reason };
+      : { status: reason === TIMED_OUT ? 504 : 502, message: reason };
     this.options.reply.refuse(answer);
     this.finish(this.runs === 0 ? "refused" : "failed", {
       reason,
@@ -141,7 +141,7 @@
       this.breakOff("timed out midway");
       return;
     }
-    this.giveUp("timed out", TIMED_OUT_RETRY_MILLISECONDS);
+    this.giveUp(TIMED_OUT, TIMED_OUT_RETRY_MILLISECONDS);
   }
 
   #record(
@@ -157,7 +157,7 @@
       service,
       account: account?.name,
       configuration: parts.configuration.version,
-      milliseconds: Math.round(now - arrivedAt),
+      tookMilliseconds: Math.round(now - arrivedAt),
       firstByteMilliseconds: this.firstByteAt === undefined
         ? undefined
         : Math.round(this.firstByteAt - arrivedAt),
@@ -178,5 +178,6 @@
   }
 }
 
+const TIMED_OUT = "timed out";
 /** A timed-out caller has no time left; any wait is as good. */
 const TIMED_OUT_RETRY_MILLISECONDS = 1_000;
