Make large final results as late as the longest path allows

A result of 3 MB that the request reads itself was made first and held room of its endpoint while the three stages beside it were run; the room filled, and results expired. Ruled out: results freed twice (the handles were never freed before). Change: a final result of 1 MB or more starts beside the last stage of the longest path.

--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
@@ -62,6 +62,45 @@
   expect(chain.isFinal(1)).toEqual(true);
 });
 
+test("a large result that the request reads is made beside the last stage", () => {
+  // Symptom: requests were answered that inputs were gone, five seconds after
+  // their arrival, and ran all their stages again.
+  // Sequence: a result of three megabytes was made first; the three stages
+  // beside it waited for room, which such results took, until it expired.
+  // Cause: every stage started as early as it could.
+  const chain = new ChainRun({
+    request: {
+      ...createChain().request,
+      stages: [
+        { service: "s0", after: [], resultBytes: 3_000_000, pieces: 1 },
+        { service: "s1", after: [], resultBytes: 100, pieces: 1 },
+        { service: "s2", after: [1], resultBytes: 100, pieces: 1 },
+      ],
+    },
+    now: 0,
+    settle: () => {},
+  });
+  const first = chain.startReady();
+  expect(numbers(first)).toEqual(["1.0"]);
+  make(chain, first);
+  expect(numbers(chain.startReady())).toEqual(["0.0", "2.0"]);
+});
+
+test("a large result alone is made at once", () => {
+  const chain = new ChainRun({
+    request: {
+      ...createChain().request,
+      stages: [
+        { service: "s0", after: [], resultBytes: 3_000_000, pieces: 2 },
+        { service: "s1", after: [], resultBytes: 100, pieces: 0 },
+      ],
+    },
+    now: 0,
+    settle: () => {},
+  });
+  expect(numbers(chain.startReady())).toEqual(["0.0", "0.1"]);
+});
+
 test("results are freed once when no stage reads them any more", () => {
   const chain = createChain();
   const zero = make(chain, chain.startReady());
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -2,6 +2,12 @@
 import type { ChainRequest, ChainStage } from "./chain_request.ts";
 import type { PieceTask } from "./piece_task.ts";
 
+/**
+ * Results from this size on are made as late as possible: a few of them fill
+ * an endpoint's room, bytes.
+ */
+const LARGE_RESULT_BYTES = 1_000_000;
+
 /** How a chain is started. */
 export interface ChainRunOptions {
   readonly request: ChainRequest;
@@ -88,7 +94,7 @@
   startReady(): readonly PieceTask[] {
     return this.request.stages.flatMap((stage, number) => {
       const isReady = stage.pieces > 0 && !this.#started.has(number) &&
-        this.hasInputs(number);
+        this.hasInputs(number) && this.#isDue(number);
       if (!isReady) return [];
       this.#started.add(number);
       return this.#missing(number);
@@ -165,6 +171,30 @@
     this.#settle(outcome);
   }
 
+  /**
+   * Whether a stage need start by now. A large final result that is made early
+   * only takes room until the longest path is done, and may expire by then;
+   * it is made beside the last stages of that path.
+   */
+  #isDue(number: number): boolean {
+    const isLarge = this.stage(number).resultBytes >= LARGE_RESULT_BYTES;
+    if (!isLarge || !this.isFinal(number)) return true;
+    const longest = Math.max(
+      ...this.request.stages.map((_, other) =>
+        other === number || this.isStageDone(other) ? 0 : this.#height(other)
+      ),
+    );
+    return longest <= this.#height(number);
+  }
+
+  /** Stages on the longest path from a stage to the request, itself too. */
+  #height(number: number): number {
+    return 1 + Math.max(
+      0,
+      ...this.#readersOf(number).map((reader) => this.#height(reader)),
+    );
+  }
+
   #leaves(): readonly number[] {
     return this.request.stages.map((_, number) => number).filter((number) =>
       this.stage(number).pieces > 0 && this.#readersOf(number).length === 0
