--- /dev/null
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -0,0 +1,41 @@
+import { expect } from "earl";
+import { execFileSync } from "node:child_process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { checkSoak } from "../../soak/check_soak.ts";
+import { runSoak } from "../../soak/run_soak.ts";
+
+const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
+const PROGRAM = `${ROOT}target/daemon.mjs`;
+const RUN = { headers: {}, body: "", lastEventId: undefined };
+
+test("a short soak with faults breaks no promise", async () => {
+  execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: ROOT });
+  const verdict = await runSoak({
+    seed: 1,
+    seconds: 8,
+    program: PROGRAM,
+    hasFaults: true,
+    print: () => {},
+  });
+  expect([...verdict.broken]).toEqual([]);
+  expect(verdict.served > verdict.asked / 2).toEqual(true);
+});
+
+test("the soak notices each kind of broken promise", () => {
+  const answer = { attemptId: "a", route: "once", text: undefined } as const;
+  const run = { ...RUN, attemptId: "a" };
+  const broken = (
+    one: { readonly status: number; readonly text?: string },
+    runs: number,
+  ): number =>
+    checkSoak([{ ...answer, text: one.text, status: one.status }], [
+      ...Array.from({ length: runs }, () => run),
+    ]).broken.length;
+  expect(broken({ status: 200, text: "answer to a" }, 1)).toEqual(0);
+  expect(broken({ status: 200, text: "answer to a" }, 2)).toEqual(1);
+  expect(broken({ status: 200, text: "answer" }, 1)).toEqual(1);
+  expect(broken({ status: 503 }, 0)).toEqual(0);
+  expect(broken({ status: 503 }, 1)).toEqual(1);
+  expect(checkSoak([], [run]).broken.length).toEqual(1);
+});
--- /dev/null
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -0,0 +1,67 @@
+import type { RunnerRun } from "../wire/runner_stand_in.ts";
+import type { SoakAnswer } from "./soak_caller.ts";
+
+/** What a soak came to. */
+export interface SoakVerdict {
+  readonly asked: number;
+  readonly served: number;
+  readonly refused: number;
+  /** One line for each broken promise. */
+  readonly broken: readonly string[];
+}
+
+const SERVED = 200;
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const ONCE: ReadonlySet<string> = new Set(["once", "stream"]);
+const EVENTS = 5;
+
+/** Checks promises by what callers and runners saw. */
+export function checkSoak(
+  answers: readonly SoakAnswer[],
+  runs: readonly RunnerRun[],
+): SoakVerdict {
+  const runsOf = new Map<string, number>();
+  for (const { attemptId } of runs) {
+    runsOf.set(attemptId, (runsOf.get(attemptId) ?? 0) + 1);
+  }
+  const sent = new Set(answers.map(({ attemptId }) => attemptId));
+  const broken = [
+    ...answers.flatMap((answer) => checkAnswer(answer, runsOf)),
+    ...[...runsOf.keys()].filter((id) => !sent.has(id))
+      .map((id) => `${id}: run, but no caller sent it`),
+  ];
+  return {
+    asked: answers.length,
+    served: answers.filter((one) => one.status === SERVED).length,
+    refused: answers.filter((one) => PROMISES.has(one.status ?? 0)).length,
+    broken,
+  };
+}
+
+function checkAnswer(
+  answer: SoakAnswer,
+  runsOf: ReadonlyMap<string, number>,
+): readonly string[] {
+  const { attemptId, route, status, text } = answer;
+  const runs = runsOf.get(attemptId) ?? 0;
+  const broken: string[] = [];
+  if (ONCE.has(route) && runs > 1) {
+    broken.push(`${attemptId}: ${route} ran ${runs} times`);
+  }
+  if (ONCE.has(route) && PROMISES.has(status ?? 0) && runs > 0) {
+    broken.push(`${attemptId}: said not to have run, and ran`);
+  }
+  const isWhole = status === SERVED && text !== undefined;
+  if (isWhole && text !== expectedText(answer)) {
+    broken.push(`${attemptId}: another body: ${JSON.stringify(text)}`);
+  }
+  return broken;
+}
+
+function expectedText({ attemptId, route }: SoakAnswer): string {
+  if (route === "once" || route === "often") return `answer to ${attemptId}`;
+  return Array.from(
+    { length: EVENTS },
+    (_, index) => `id: ${index + 1}\ndata: ${attemptId} ${index + 1}\n\n`,
+  ).join("");
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/loopback_proxy.ts
@@ -0,0 +1,99 @@
+import type { AddressInfo, Server, Socket } from "node:net";
+import { connect, createServer } from "node:net";
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+  isSilent: boolean;
+}
+
+/** A loopback proxy that harms connections from outside the processes. */
+export class LoopbackProxy {
+  /** Time that each new connection waits before it is passed on, ms. */
+  delayMilliseconds = 0;
+  readonly #target: string;
+  readonly #server: Server;
+  readonly #pairs = new Set<Pair>();
+
+  /** `target` is `address:port`. */
+  constructor(target: string) {
+    this.#target = target;
+    this.#server = createServer((near) => this.#take(near));
+  }
+
+  /** Listens on loopback; gives `address:port`. */
+  start(): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(0, "127.0.0.1", () => {
+        const { port } = this.#server.address() as AddressInfo;
+        resolve(`127.0.0.1:${port}`);
+      });
+    });
+  }
+
+  stop(): void {
+    this.reset();
+    this.#server.close();
+  }
+
+  /** Resets every open connection. */
+  reset(): void {
+    for (const { near, far } of this.#pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  /** Lets open connections stand and passes nothing on; new ones work. */
+  silence(): void {
+    for (const pair of this.#pairs) pair.isSilent = true;
+  }
+
+  /** Passes nothing on towards the caller from open connections. */
+  cutAnswers(): void {
+    for (const { far } of this.#pairs) far.pause();
+  }
+
+  #take(near: Socket): void {
+    const colon = this.#target.lastIndexOf(":");
+    const far = connect({
+      host: this.#target.slice(0, colon),
+      port: Number(this.#target.slice(colon + 1)),
+    });
+    const pair: Pair = { near, far, isSilent: false };
+    this.#pairs.add(pair);
+    this.#pass(pair, { from: far, to: near });
+    if (this.delayMilliseconds === 0) this.#pass(pair, { from: near, to: far });
+    else {
+      near.pause();
+      setTimeout(() => {
+        this.#pass(pair, { from: near, to: far });
+        near.resume();
+      }, this.delayMilliseconds);
+    }
+    // A reset must stay one: it tells a cut body from a whole one.
+    near.on("error", () => far.resetAndDestroy());
+    far.on("error", () => near.resetAndDestroy());
+    near.on("close", () => this.#end(pair, far));
+    far.on("close", () => this.#end(pair, near));
+  }
+
+  #pass(
+    pair: Pair,
+    way: { readonly from: Socket; readonly to: Socket },
+  ): void {
+    way.from.on("data", (chunk) => {
+      if (!pair.isSilent) way.to.write(chunk);
+    });
+    way.from.on("end", () => {
+      if (!pair.isSilent) way.to.end();
+    });
+  }
+
+  #end(pair: Pair, other: Socket): void {
+    if (pair.isSilent) return;
+    this.#pairs.delete(pair);
+    other.destroy();
+  }
+}
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -20,8 +20,11 @@
   readonly pieceMilliseconds: number;
   /** Results that it has room for. */
   readonly room: number;
+  readonly resultBytes: number;
 }
 
+const BYTES_PER_MEGABYTE = 1_000_000;
+
 /** How many times as long a slow runner takes. */
 const SLOW_FACTOR = 6;
 
@@ -48,9 +51,11 @@
           response.writeHead(421).end();
           return;
         }
-        const body = JSON.parse(Buffer.concat(chunks).toString()) as object;
-        if (message.url === "/-/stage-free") this.#free(body, response);
-        else this.#run((body as { entries: StageEntry[] }).entries, response);
+        this.#take(
+          message.url ?? "",
+          Buffer.concat(chunks).toString(),
+          response,
+        );
       });
     });
   }
@@ -66,6 +71,29 @@
     this.#server.close();
   }
 
+  #take(path: string, text: string, response: ServerResponse): void {
+    const handlers: Readonly<Record<string, () => void>> = {
+      "/-/report": () => this.#report(response),
+      "/-/stage-free": () => this.#free(JSON.parse(text) as object, response),
+      "/-/stage-run": () => {
+        const { entries } = JSON.parse(text) as {
+          readonly entries: readonly StageEntry[];
+        };
+        this.#run(entries, response);
+      },
+    };
+    const handler = handlers[path];
+    if (handler === undefined) response.writeHead(404).end();
+    else handler();
+  }
+
+  #report(response: ServerResponse): void {
+    const free = this.#options.room - this.kept.size;
+    const freeMb = free * this.#options.resultBytes / BYTES_PER_MEGABYTE;
+    response.writeHead(200, { "Content-Type": "application/json" });
+    response.end(JSON.stringify({ waiting: 0, busy: false, freeMb }));
+  }
+
   #free(body: object, response: ServerResponse): void {
     const { handles } = body as { readonly handles: readonly string[] };
     for (const handle of handles) this.kept.delete(handle);
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -1,4 +1,5 @@
 import { findFreePorts } from "./free_ports.ts";
+import { LoopbackProxy } from "./loopback_proxy.ts";
 import { RunnerStandIn } from "./runner_stand_in.ts";
 import { StageRunnerStandIn } from "./stage_runner_stand_in.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
@@ -14,6 +15,8 @@
   readonly batch?: number;
   /** Results that a stage runner has room for. */
   readonly room?: number;
+  /** Puts a proxy that harms connections before runners and store. */
+  readonly proxied?: boolean;
 }
 
 const HOST = "site.example";
@@ -31,6 +34,8 @@
   readonly plain: readonly RunnerStandIn[];
   readonly models: readonly RunnerStandIn[];
   readonly stages: readonly StageRunnerStandIn[];
+  /** Empty unless the site is proxied. */
+  readonly proxies: LoopbackProxy[] = [];
   readonly #options: Required<WireSiteOptions>;
   #storeAddress = "";
   #version = 1;
@@ -45,6 +50,7 @@
       callMilliseconds: 20,
       batch: 6,
       room: 40,
+      proxied: false,
       ...options,
     };
     const { plainRunners, modelRunners, stageRunners } = this.#options;
@@ -67,12 +73,13 @@
           callMilliseconds: this.#options.callMilliseconds,
           pieceMilliseconds: PIECE_MILLISECONDS,
           room: this.#options.room,
+          resultBytes: RESULT_BYTES,
         }),
     );
   }
 
   async start(): Promise<void> {
-    this.#storeAddress = await this.store.start();
+    this.#storeAddress = await this.#reach(await this.store.start());
     await this.#list("plain", this.plain);
     await this.#list("model", this.models);
     await this.#list("stage", this.stages);
@@ -80,6 +87,7 @@
   }
 
   stop(): void {
+    for (const proxy of this.proxies) proxy.stop();
     this.store.stop();
     for (const one of [...this.plain, ...this.models, ...this.stages]) {
       one.stop();
@@ -121,6 +129,14 @@
     };
   }
 
+  /** The address by which daemons reach what listens at `address`. */
+  async #reach(address: string): Promise<string> {
+    if (!this.#options.proxied) return address;
+    const proxy = new LoopbackProxy(address);
+    this.proxies.push(proxy);
+    return await proxy.start();
+  }
+
   async #list(
     service: string,
     runners: readonly { start(): Promise<string> }[],
@@ -128,7 +144,7 @@
     for (const [index, runner] of runners.entries()) {
       this.store.put("servers", `${service}-${index}`, {
         service,
-        address: await runner.start(),
+        address: await this.#reach(await runner.start()),
         zone: "a",
         version: "v1",
         slots: 4,
