Take a hang-up right behind the bytes of a body for a cut

An endpoint answered without a length and reset its connection while the daemon was paused; bytes and reset were found together, and libuv ends a stream that was hung up behind a partial read without its error. Change: an end in the same turn as bytes makes a body without a length a cut one.

--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type { TimerService } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
+import { watchHangUp } from "./watch_hang_up.ts";
 
 /** One request on a connection of its own. */
 export interface HttpExchangeOptions {
@@ -85,8 +86,10 @@
       outgoing.destroy();
       fail("no connection in time");
     }, options.connectMilliseconds);
+    let endAsCut = (): unknown => undefined;
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
+      watchHangUp(socket, () => endAsCut());
       socket.once("connect", () => {
         isConnected = true;
         stopConnecting();
@@ -101,6 +104,7 @@
       // would get it as a whole one.
       if (!isFramed(message)) {
         outgoing.on("error", (error) => message.destroy(error));
+        endAsCut = () => message.destroy(new Error("connection reset"));
       }
       const close = (): void => void outgoing.destroy();
       resolve({ type: "answered", message, close });
