--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -1,5 +1,5 @@
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
-import type { SoakAnswer } from "./soak_caller.ts";
+import type { WireAnswer } from "../wire/wire_caller.ts";
 
 /** What a soak came to. */
 export interface SoakVerdict {
@@ -17,7 +17,7 @@
 
 /** Checks promises by what callers and runners saw. */
 export function checkSoak(
-  answers: readonly SoakAnswer[],
+  answers: readonly WireAnswer[],
   runs: readonly RunnerRun[],
 ): SoakVerdict {
   const runsOf = new Map<string, number>();
@@ -39,7 +39,7 @@
 }
 
 function checkAnswer(
-  answer: SoakAnswer,
+  answer: WireAnswer,
   runsOf: ReadonlyMap<string, number>,
 ): readonly string[] {
   const { attemptId, route, status, text } = answer;
@@ -58,7 +58,7 @@
   return broken;
 }
 
-function expectedText({ attemptId, route }: SoakAnswer): string {
+function expectedText({ attemptId, route }: WireAnswer): string {
   if (route === "once" || route === "often") return `answer to ${attemptId}`;
   return Array.from(
     { length: EVENTS },
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -5,8 +5,8 @@
 import { join } from "node:path";
 import { WireSite } from "../wire/wire_site.ts";
 import { checkSoak } from "./check_soak.ts";
-import { SoakCaller } from "./soak_caller.ts";
-import { SoakDaemon } from "./soak_daemon.ts";
+import { WireCaller } from "../wire/wire_caller.ts";
+import { DaemonProcess } from "../wire/daemon_process.ts";
 import { SOAK_FAULTS } from "./soak_faults.ts";
 
 /** What a soak is run with. */
@@ -54,7 +54,7 @@
     const callers = Array.from(
       { length: CALLERS },
       (_, index) =>
-        new SoakCaller({
+        new WireCaller({
           name: `${random.nextHexadecimal(SECRET_KEY_BYTES)}-${index}`,
           daemons,
           random: new SeededRandom(options.seed * CALLERS + index),
@@ -85,15 +85,15 @@
 async function startDaemons(
   site: WireSite,
   options: { readonly folder: string; readonly program: string },
-): Promise<readonly SoakDaemon[]> {
-  const daemons: SoakDaemon[] = [];
+): Promise<readonly DaemonProcess[]> {
+  const daemons: DaemonProcess[] = [];
   for (let index = 0; index < DAEMONS; index++) {
     const name = `daemon-${index}`;
     const seeds = daemons.map((one) =>
       (one.options.settings["listen"] as Record<string, string>)["control"] ??
         ""
     );
-    const daemon = new SoakDaemon({
+    const daemon = new DaemonProcess({
       name,
       program: options.program,
       settingsPath: join(options.folder, `${name}.json`),
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -1,12 +1,12 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { LoopbackProxy } from "../wire/loopback_proxy.ts";
 import type { WireSite } from "../wire/wire_site.ts";
-import type { SoakDaemon } from "./soak_daemon.ts";
+import type { DaemonProcess } from "../wire/daemon_process.ts";
 
 /** What faults strike. */
 export interface SoakTargets {
   readonly site: WireSite;
-  readonly daemons: readonly SoakDaemon[];
+  readonly daemons: readonly DaemonProcess[];
   readonly proxies: readonly LoopbackProxy[];
   readonly random: RandomSource;
   readonly timer: TimerService;
--- a/packages/kelpspar-standins/src/soak/soak_daemon.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -2,8 +2,8 @@
 import { spawn } from "node:child_process";
 import { writeFileSync } from "node:fs";
 
-/** How a daemon of the soak is started. */
-export interface SoakDaemonOptions {
+/** How a daemon process is started. */
+export interface DaemonProcessOptions {
   readonly name: string;
   /** The bundle that the platform runs. */
   readonly program: string;
@@ -13,13 +13,13 @@
 }
 
 /** A daemon as a process of its own that signals are sent to. */
-export class SoakDaemon {
-  readonly options: SoakDaemonOptions;
+export class DaemonProcess {
+  readonly options: DaemonProcessOptions;
   readonly log: string[] = [];
   #child: ChildProcess | undefined;
   #exited: Promise<void> = Promise.resolve();
 
-  constructor(options: SoakDaemonOptions) {
+  constructor(options: DaemonProcessOptions) {
     this.options = options;
     writeFileSync(options.settingsPath, JSON.stringify(options.settings));
   }
--- a/packages/kelpspar-standins/src/soak/soak_caller.ts
+++ b/packages/kelpspar-standins/src/wire/wire_caller.ts
@@ -1,17 +1,17 @@
 import type { RandomSource } from "kelpspar-shared";
-import type { SoakDaemon } from "./soak_daemon.ts";
+import type { DaemonProcess } from "./daemon_process.ts";
 import { Agent, request as sendRequest } from "undici";
 
 /** Routes of the site that callers use. */
-export const SOAK_ROUTES = ["once", "often", "stream", "resumed"] as const;
+export const WIRE_ROUTES = ["once", "often", "stream", "resumed"] as const;
 
 /** A route of the site. */
-export type SoakRoute = typeof SOAK_ROUTES[number];
+export type WireRoute = typeof WIRE_ROUTES[number];
 
 /** What a caller got for one attempt. */
-export interface SoakAnswer {
+export interface WireAnswer {
   readonly attemptId: string;
-  readonly route: SoakRoute;
+  readonly route: WireRoute;
   /** Undefined when the connection ended without an answer. */
   readonly status: number | undefined;
   /** Undefined when the body was cut. */
@@ -22,9 +22,9 @@
 const DIRECTORY_MILLISECONDS = 1_000;
 
 /** One caller: asks the directory, keeps connections, sends requests. */
-export class SoakCaller {
-  readonly answers: SoakAnswer[] = [];
-  readonly #daemons: readonly SoakDaemon[];
+export class WireCaller {
+  readonly answers: WireAnswer[] = [];
+  readonly #daemons: readonly DaemonProcess[];
   readonly #random: RandomSource;
   readonly #name: string;
   readonly #agent = new Agent({ pipelining: 1 });
@@ -32,7 +32,7 @@
 
   constructor(options: {
     readonly name: string;
-    readonly daemons: readonly SoakDaemon[];
+    readonly daemons: readonly DaemonProcess[];
     readonly random: RandomSource;
   }) {
     this.#name = options.name;
@@ -46,7 +46,7 @@
       const addresses = await this.#resolve();
       const address = this.#draw(addresses);
       if (address === undefined) continue;
-      const route = this.#draw(SOAK_ROUTES) ?? "once";
+      const route = this.#draw(WIRE_ROUTES) ?? "once";
       this.answers.push(await this.#ask(address, route));
     }
     await this.#agent.destroy();
@@ -67,7 +67,7 @@
     }
   }
 
-  async #ask(address: string, route: SoakRoute): Promise<SoakAnswer> {
+  async #ask(address: string, route: WireRoute): Promise<WireAnswer> {
     const attemptId = `${this.#name}-${this.#count++}`;
     const answer = { attemptId, route };
     try {
