Test what three guards of the coordinator keep

Change: tests of each, with simulated endpoints that answer when told to. Conclusion: no code is changed.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -0,0 +1,211 @@
+import type { PieceTerms } from "../../configuration/service_definition.ts";
+import type {
+  PieceCall,
+  PieceCallAnswer,
+  PieceClient,
+} from "../../pieces/piece_call.ts";
+import { expect } from "earl";
+import { ManualTimer } from "kelpspar-shared";
+import { test } from "node:test";
+import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
+import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+
+interface OpenCall {
+  readonly call: PieceCall;
+  readonly answer: (answer: PieceCallAnswer) => void;
+}
+
+/** Keeps calls open until the test answers them. */
+class HeldPieceClient implements PieceClient {
+  readonly open: OpenCall[] = [];
+  readonly freed: string[] = [];
+  /** What `freeResults` waits for. */
+  freeing: Promise<boolean> = Promise.resolve(true);
+
+  runPieces(call: PieceCall): Promise<PieceCallAnswer> {
+    return new Promise((answer) => {
+      this.open.push({ call, answer });
+      call.signal.addEventListener(
+        "abort",
+        () => answer({ type: "failed", isCertain: false, reason: "given up" }),
+      );
+    });
+  }
+
+  freeResults(_: unknown, handles: readonly string[]): Promise<boolean> {
+    this.freed.push(...handles);
+    return this.freeing;
+  }
+
+  readRoom(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  /** Answers the oldest open call at an endpoint: every piece is made. */
+  make(endpointId: string): void {
+    const index = this.open.findIndex(({ call }) =>
+      call.endpoint.id === endpointId
+    );
+    const [found] = this.open.splice(index, 1);
+    if (index < 0 || found === undefined) throw new Error("No such call");
+    found.answer({
+      type: "answered",
+      pieces: found.call.pieces.map((piece) => ({
+        type: "made",
+        handle:
+          `${endpointId}/${piece.attemptId}.${piece.stage}.${piece.piece}`,
+      })),
+    });
+  }
+}
+
+function terms(batch: number, resultBytes: number): PieceTerms {
+  return {
+    batch,
+    slots: 1,
+    callMilliseconds: 100,
+    pieceMilliseconds: 10,
+    resultBytes,
+    keptMilliseconds: 4_000,
+  };
+}
+
+interface World {
+  readonly timer: ManualTimer;
+  readonly client: HeldPieceClient;
+  readonly book: EndpointBook;
+  readonly run: (attemptId: string, pieces: readonly number[]) => void;
+}
+
+function createWorld(room = 10_000): World {
+  const timer = new ManualTimer();
+  const client = new HeldPieceClient();
+  const book = new EndpointBook({ lapseMilliseconds: 2_000 });
+  const configuration = new ConfigurationKeeper();
+  const services = { encode: terms(1, room), rerank: terms(6, room) };
+  configuration.offer({
+    version: 1,
+    routes: [],
+    services: Object.entries(services).map(([name, pieces]) => ({
+      name,
+      healthPath: "/",
+      maximumConnections: 10,
+      engineSlots: undefined,
+      pieces,
+    })),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    accounts: undefined,
+  });
+  for (const id of ["encode-0", "encode-1", "rerank-0"]) {
+    book.put({
+      id,
+      service: id.slice(0, -2),
+      address: id,
+      zone: "a",
+      slots: 1,
+      isDraining: false,
+      coldMilliseconds: 0,
+    });
+  }
+  const log = { info: () => {}, warn: () => {} };
+  const budget = new ServiceRetryBudget({
+    ratio: 0.2,
+    slack: 50,
+    windowMilliseconds: 10_000,
+  });
+  const coordinator = new PieceCoordinator({
+    configuration,
+    book,
+    client,
+    timer,
+    budget,
+    log,
+  });
+  coordinator.register();
+  const run = (attemptId: string, pieces: readonly number[]): void => {
+    void coordinator.run({
+      attemptId,
+      pieceKey: "k",
+      stages: [
+        {
+          service: "encode",
+          after: [],
+          resultBytes: 100,
+          pieces: pieces[0] ?? 0,
+        },
+        {
+          service: "rerank",
+          after: [0],
+          resultBytes: 100,
+          pieces: pieces[1] ?? 0,
+        },
+      ],
+      remainingMilliseconds: 60_000,
+      objectiveMilliseconds: 30_000,
+      tailMilliseconds: 100,
+      priority: 0,
+    }, new AbortController().signal);
+  };
+  return { timer, client, book, run };
+}
+
+test("a piece is never sent with some of its inputs only", async () => {
+  // Symptom: a result made from half of a request's inputs.
+  // Sequence: both inputs were made and the piece waited for its endpoint,
+  // which worked for another request; the maker of one input crashed; the
+  // endpoint became free while that input was being made again.
+  // Cause: a piece in the queue was taken to have its inputs for ever.
+  const { timer, client, book, run } = createWorld();
+  run("other", [0, 1]);
+  run("a", [2, 1]);
+  await timer.settle();
+  client.make("encode-0");
+  client.make("encode-1");
+  await timer.settle();
+  book.leave("encode-1");
+  await timer.settle();
+  client.make("rerank-0");
+  await timer.advance(100);
+  const sent = client.open.filter(({ call }) =>
+    call.endpoint.id === "rerank-0"
+  );
+  expect(sent.length).toEqual(0);
+  client.make("encode-0");
+  await timer.advance(100);
+  const again = client.open.find(({ call }) => call.endpoint.id === "rerank-0");
+  expect(again?.call.pieces[0]?.inputs.length).toEqual(2);
+});
+
+test("room counts as free once its maker has freed it, not when asked", async () => {
+  // Symptom: 551 pieces of a quiet day were turned away for want of room.
+  // Sequence: results were freed and the next call started at once; it came to
+  // the endpoint before the order to free did.
+  // Cause: the room was counted free when it was asked for.
+  const { timer, client, run } = createWorld(100);
+  let free = (_: boolean): void => {};
+  client.freeing = new Promise((resolve) => {
+    free = resolve;
+  });
+  run("a", [1, 1]);
+  await timer.settle();
+  client.make("encode-0");
+  await timer.settle();
+  client.make("rerank-0");
+  await timer.advance(20);
+  expect(client.freed).toEqual(["encode-0/a.0.0"]);
+  run("b", [1, 0]);
+  run("c", [1, 0]);
+  await timer.advance(20);
+  expect(client.open.map(({ call }) => call.endpoint.id)).toEqual(["encode-1"]);
+  free(true);
+  await timer.advance(60);
+  expect(client.open.map(({ call }) => call.endpoint.id))
+    .toEqual(["encode-1", "encode-0"]);
+});
--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
@@ -0,0 +1,62 @@
+import type { PieceTask } from "../../pieces/piece_task.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { ChainRun } from "../../pieces/chain_run.ts";
+import { fillCall } from "../../pieces/fill_call.ts";
+import { startablePieces } from "../../pieces/startable_pieces.ts";
+
+function pieces(
+  attemptId: string,
+  count: number,
+  resultBytes = 100,
+): readonly PieceTask[] {
+  const chain = new ChainRun({
+    request: {
+      attemptId,
+      pieceKey: "k",
+      stages: [{ service: "s", after: [], resultBytes, pieces: count }],
+      remainingMilliseconds: 10_000,
+      objectiveMilliseconds: 1_000,
+      tailMilliseconds: 100,
+      priority: 0,
+    },
+    now: 0,
+    settle: () => {},
+  });
+  return chain.startReady();
+}
+
+function names(tasks: readonly PieceTask[]): readonly string[] {
+  return tasks.map(({ chain, piece }) => `${chain.request.attemptId}.${piece}`);
+}
+
+test("a stage begins only with room for all its pieces beside begun ones", () => {
+  // Symptom: chains took as long as results are kept, four seconds.
+  // Sequence: three requests had some of their pieces made; together those
+  // filled the room; each waited for room for its last piece.
+  // Cause: pieces were started one by one, whatever the others still needed.
+  const begun = pieces("a", 3);
+  begun[0]?.chain.begin(0);
+  const rest = begun.slice(1);
+  const other = pieces("b", 3);
+  expect(names(startablePieces([...rest, ...other], 400)))
+    .toEqual(["a.1", "a.2"]);
+  expect(names(startablePieces([...rest, ...other], 500)))
+    .toEqual(["a.1", "a.2", "b.0", "b.1", "b.2"]);
+});
+
+test("a stage larger than all room starts when nothing else holds any", () => {
+  expect(names(startablePieces(pieces("a", 9), 400)).length).toEqual(9);
+});
+
+test("a call passes over what the room has no place for", () => {
+  const queue = [...pieces("a", 1, 300), ...pieces("b", 3, 100)];
+  const filled = fillCall(queue, { batch: 2, room: 250, isEmpty: false });
+  expect(names(filled)).toEqual(["b.0", "b.1"]);
+});
+
+test("a result larger than the room goes alone to an empty endpoint", () => {
+  const queue = [...pieces("a", 2, 900), ...pieces("b", 1, 100)];
+  const filled = fillCall(queue, { batch: 6, room: 500, isEmpty: true });
+  expect(names(filled)).toEqual(["a.0"]);
+});
