--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -1,8 +1,12 @@
 import { expect } from "earl";
 import { execFileSync } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { checkSoak } from "../../soak/check_soak.ts";
+import { DaemonProcess } from "../../wire/daemon_process.ts";
 import { runSoak } from "../../soak/run_soak.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
@@ -22,6 +26,31 @@
   expect(verdict.served > verdict.asked / 2).toEqual(true);
 });
 
+test("a daemon that is to start again doesn't outlive the soak", async () => {
+  // Symptom: the soak didn't end after its last seed, and daemons ran on.
+  // Sequence: a daemon was told to stop and to start again; the soak ended and
+  // killed it; that end was the one that its start waited for.
+  // Cause: nothing told the last end from the others.
+  const folder = mkdtempSync(join(tmpdir(), "kelpspar-daemon-"));
+  const program = join(folder, "idle.mjs");
+  writeFileSync(program, "setInterval(() => {}, 1000);");
+  const daemon = new DaemonProcess({
+    name: "idle",
+    program,
+    settingsPath: join(folder, "settings.json"),
+    settings: {},
+  });
+  daemon.start();
+  const first = daemon.processId;
+  const again = daemon.startAgain();
+  await daemon.end();
+  await again;
+  const last = daemon.processId;
+  if (last !== first) daemon.signal("SIGKILL");
+  rmSync(folder, { recursive: true });
+  expect(last).toEqual(first);
+});
+
 test("the soak notices each kind of broken promise", () => {
   const answer = { attemptId: "a", route: "once", text: undefined } as const;
   const run = { ...RUN, attemptId: "a" };
--- a/packages/kelpspar-standins/src/process/process_group.ts
+++ b/packages/kelpspar-standins/src/process/process_group.ts
@@ -17,6 +17,8 @@
   readonly arguments?: readonly string[];
   /** Arguments for Node.js itself. */
   readonly nodeArguments?: readonly string[];
+  /** Variables beside those of this process. */
+  readonly environment?: Readonly<Record<string, string>>;
   /** A name for messages; default the program's path. */
   readonly name?: string;
 }
--- a/packages/kelpspar-standins/src/process/started_process.ts
+++ b/packages/kelpspar-standins/src/process/started_process.ts
@@ -19,6 +19,7 @@
     this.name = start.name ?? start.program;
     this.#child = spawn(process.execPath, toArguments(start), {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...start.environment },
     });
     this.exited = new Promise((resolve) => {
       this.#child.once("close", (code, signal) => resolve({ code, signal }));
--- a/packages/kelpspar-standins/src/wire/daemon_process.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -1,6 +1,6 @@
-import type { ChildProcess } from "node:child_process";
-import { spawn } from "node:child_process";
+import type { ProgramStart } from "../process/process_group.ts";
 import { writeFileSync } from "node:fs";
+import { StartedProcess } from "../process/started_process.ts";
 
 /** How a daemon process is started. */
 export interface DaemonProcessOptions {
@@ -12,16 +12,19 @@
   readonly settings: Readonly<Record<string, unknown>>;
 }
 
-/** A daemon as a process of its own that signals are sent to. */
+/** A daemon as a process of its own that is started again after its end. */
 export class DaemonProcess {
   readonly options: DaemonProcessOptions;
-  readonly log: string[] = [];
-  #child: ChildProcess | undefined;
-  #exited: Promise<void> = Promise.resolve();
+  readonly #start: ProgramStart;
+  #process: StartedProcess | undefined;
+  #isOver = false;
 
   constructor(options: DaemonProcessOptions) {
     this.options = options;
-    writeFileSync(options.settingsPath, JSON.stringify(options.settings));
+    const { name, program, settingsPath, settings } = options;
+    const environment = { KELPSPAR_BOOT: settingsPath };
+    this.#start = { name, program, environment };
+    writeFileSync(settingsPath, JSON.stringify(settings));
   }
 
   /** Address that callers connect to. */
@@ -33,34 +36,32 @@
     return this.#listen("directory");
   }
 
+  /** Of the process that runs now. */
+  get processId(): number | undefined {
+    return this.#process?.processId;
+  }
+
   start(): void {
-    const { program, settingsPath } = this.options;
-    const child = spawn(process.execPath, [program], {
-      stdio: ["ignore", "pipe", "pipe"],
-      env: { ...process.env, KELPSPAR_BOOT: settingsPath },
-    });
-    for (const stream of [child.stdout, child.stderr]) {
-      stream.on("data", (chunk: Buffer) => this.log.push(chunk.toString()));
-    }
-    this.#exited = new Promise((resolve) => {
-      child.once("close", () => resolve());
-    });
-    this.#child = child;
+    this.#process = new StartedProcess(this.#start);
   }
 
   signal(signal: NodeJS.Signals): void {
-    this.#child?.kill(signal);
+    this.#process?.signal(signal);
   }
 
-  /** Waits for the end of the process and starts it again. */
+  /**
+   * Waits for the end of the process and starts it again, unless that end is
+   * the last one: a daemon started then would outlive whoever started it.
+   */
   async startAgain(): Promise<void> {
-    await this.#exited;
-    this.start();
+    await this.#process?.exited;
+    if (!this.#isOver) this.start();
   }
 
+  /** Ends the process for good. */
   async end(): Promise<void> {
-    this.signal("SIGKILL");
-    await this.#exited;
+    this.#isOver = true;
+    await this.#process?.kill();
   }
 
   #listen(name: string): string {
