Call what the project has instead of writing it again

Found by reading the change once more: - 'address:port' was read in five places, two of them older: one parseHost in kelpspar-shared serves them; the daemon's copy is gone. - two ways to end a body that its connection ended: one hook now. - the fleet's two fetches from a peer, greet and probe: one each. - the stand-ins' reading of bodies and listening: the project's reader and one listener. - dead: ChainRun.startedAt, PeerClient.close, the front's log, a status code. Conclusion: behaviour is as it was.

--- a/packages/kelpspar-client/src/addresses/daemon_place.ts
+++ b/packages/kelpspar-client/src/addresses/daemon_place.ts
@@ -1,4 +1,5 @@
 import type { DaemonAddress } from "kelpspar-shared";
+import { parseHost } from "kelpspar-shared";
 
 /** Where a daemon is, as `address:port`. */
 export function daemonPlace(
@@ -12,10 +13,8 @@
  * daemon named. No key can be bound to it.
  */
 export function daemonAtPlace(place: string): DaemonAddress {
-  const colon = place.lastIndexOf(":");
   return {
-    address: place.slice(0, colon),
-    port: Number(place.slice(colon + 1)),
+    ...parseHost(place),
     availabilityZone: "",
     incarnation: "",
     keyEpoch: 0,
--- a/packages/kelpspar-daemon/src/peers/peer_client.ts
+++ b/packages/kelpspar-daemon/src/peers/peer_client.ts
@@ -1,13 +1,11 @@
+import type { HostAddress } from "kelpspar-shared";
 import type { ConfigurationRow } from "../configuration/configuration_row.ts";
 import type { OwnerAnswer } from "kelpspar-decisions/claims";
 import type { ClaimInquiry } from "./claim_inquiry.ts";
 import type { PeerDigest } from "./peer_digest.ts";
 
 /** Where another daemon is. */
-export interface PeerAddress {
-  readonly address: string;
-  readonly port: number;
-}
+export type PeerAddress = HostAddress;
 
 /** Calls to other daemons. Each throws `peer_unavailable`. */
 export interface PeerClient {
--- a/packages/kelpspar-daemon/src/start_roles.ts
+++ b/packages/kelpspar-daemon/src/start_roles.ts
@@ -2,12 +2,12 @@
 import type { DaemonPorts } from "./daemon_ports.ts";
 import type { Settings } from "./settings/settings_schema.ts";
 import type { ConfigurationRow } from "./configuration/configuration_row.ts";
+import { parseHost } from "kelpspar-shared";
 import { start, stop } from "nact";
 import { startConfigurationRole } from "./actors/configuration_role.ts";
 import { startEndpointsRole } from "./actors/endpoints_role.ts";
 import { startFleetRole } from "./actors/fleet_role.ts";
 import { startVmListRole } from "./actors/vm_list_role.ts";
-import { parsePeerAddress } from "./peers/parse_peer_address.ts";
 import { startOrdersRole } from "./orders/orders_role.ts";
 import { takeDrains } from "./operators/take_drains.ts";
 import { mergeTeardowns } from "./state/merge_teardowns.ts";
@@ -59,7 +59,7 @@
     ...roleOptions,
     fleet,
     peers: ports.peers,
-    seeds: settings.seeds.map(parsePeerAddress),
+    seeds: settings.seeds.map(parseHost),
     digestMilliseconds: intervals.digestMilliseconds,
     offer: configurationRole.offer,
     revision: () => configuration.revision(),
--- a/packages/kelpspar-gateway/src/exchange/connection_headers.ts
+++ b/packages/kelpspar-gateway/src/exchange/connection_headers.ts
@@ -12,13 +12,15 @@
   "expect",
 ]);
 
+const NONE: ReadonlySet<string> = new Set();
+
 /**
  * Names and values in turn, without those of one connection: the listed ones,
  * those that `Connection` names, and the names in `dropped` (lower case).
  */
 export function passedHeaders(
   raw: readonly string[],
-  dropped: ReadonlySet<string>,
+  dropped: ReadonlySet<string> = NONE,
 ): readonly string[] {
   const named = namedByConnection(raw);
   const passed: string[] = [];
--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { TimerService } from "kelpspar-shared";
+import { parseHost } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
 import { watchHangUp } from "./watch_hang_up.ts";
 
@@ -54,8 +55,8 @@
 export function exchangeHttp(
   options: HttpExchangeOptions,
 ): Promise<HttpExchangeResult> {
-  const { address, timer, signal } = options;
-  const colon = address.lastIndexOf(":");
+  const { timer, signal } = options;
+  const { address: host, port } = parseHost(options.address);
   return new Promise((resolve) => {
     let isConnected = false;
     const fail = (reason: string, isRefused = false): void => {
@@ -68,8 +69,8 @@
       );
     };
     const outgoing = sendRequest({
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
+      host,
+      port,
       method: options.method,
       path: options.target,
       // Node's types know no list of headers in turn; its code does.
@@ -86,10 +87,11 @@
       outgoing.destroy();
       fail("no connection in time");
     }, options.connectMilliseconds);
-    let endAsCut = (): unknown => undefined;
+    // Does nothing until a body is under way that its connection ends.
+    let cutBody = (_: Error): void => {};
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
-      watchHangUp(socket, () => endAsCut());
+      watchHangUp(socket, () => cutBody(new Error("connection reset")));
       socket.once("connect", () => {
         isConnected = true;
         stopConnecting();
@@ -102,14 +104,12 @@
       // Node's parser takes any end of the connection for the end of a body
       // without a length. One that was reset is a part of a body, and a caller
       // would get it as a whole one.
-      if (!isFramed(message)) {
-        outgoing.on("error", (error) => message.destroy(error));
-        endAsCut = () => message.destroy(new Error("connection reset"));
-      }
+      if (!isFramed(message)) cutBody = (error) => void message.destroy(error);
       const close = (): void => void outgoing.destroy();
       resolve({ type: "answered", message, close });
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      cutBody(error);
       fail(error.message, error.code === "ECONNREFUSED");
     });
     outgoing.on("close", () => fail("closed without an answer"));
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -43,8 +43,8 @@
   readonly #options: FleetOptions;
   #isLeaving = false;
   readonly #busy = new Set<string>();
-  #isFetching = false;
-  #isFetchingAddresses = false;
+  /** What is being fetched from a peer. */
+  readonly #fetching = new Set<string>();
   #heard = new Set<string>();
   /** Since when others have had a newer configuration. */
   #behindSince: number | undefined;
@@ -60,7 +60,7 @@
   /** Tells the others at once that this daemon takes no more callers. */
   leave(): void {
     this.#isLeaving = true;
-    this.#exchangeAll(
+    this.greet(
       this.#options.membership.contacts().map((one) => one.peer),
     );
   }
@@ -75,9 +75,11 @@
     return () => teardowns.forEach((teardown) => teardown());
   }
 
-  /** Exchanges with addresses of which nothing is known yet. */
+  /** Exchanges with daemons now: they are new, or must show that they live. */
   greet(peers: readonly string[]): void {
-    this.#exchangeAll(peers);
+    for (const peer of new Set(peers)) {
+      if (!this.#busy.has(peer)) void this.#exchangeWith(peer);
+    }
   }
 
   /** Answers another daemon's digest with this one's. */
@@ -96,11 +98,6 @@
     };
   }
 
-  /** Exchanges with one daemon now, to see whether it answers. */
-  probe(peer: string): void {
-    this.#exchangeAll([peer]);
-  }
-
   #digest(): FleetDigest {
     const { membership, configuration, timer } = this.#options;
     return membership.createDigest(this.ownState, {
@@ -129,26 +126,16 @@
    * A daemon that the store turns away gets configurations from its peers; it
    * would go on with revoked keys and old routes otherwise.
    */
-  async #fetchConfiguration(peer: string): Promise<void> {
-    if (this.#isFetching) return;
-    this.#isFetching = true;
+  #fetchConfiguration(peer: string): Promise<void> {
     const { peers, configuration, log } = this.#options;
-    try {
+    return this.#fetch("configuration", peer, async () => {
       const found = await peers.configuration(peer);
-      if (found !== null && configuration.offer(found)) {
-        log.info("configuration in force", {
-          version: found.version,
-          source: `daemon ${peer}`,
-        });
-      }
-    } catch (error) {
-      log.warn("configuration of peer not read", {
-        peer,
-        reason: String(error),
+      if (found === null || !configuration.offer(found)) return;
+      log.info("configuration in force", {
+        version: found.version,
+        source: `daemon ${peer}`,
       });
-    } finally {
-      this.#isFetching = false;
-    }
+    });
   }
 
   #exchangeDue(): void {
@@ -156,7 +143,7 @@
     membership.beat();
     const contacts = membership.contacts();
     if (contacts.length > MOST_DIRECT) {
-      this.#exchangeAll(this.#draw(contacts).map((one) => one.peer));
+      this.greet(this.#draw(contacts).map((one) => one.peer));
       return;
     }
     const heard = new Set(
@@ -167,7 +154,7 @@
     const due = contacts.filter((one) =>
       one.daemonId > daemonId || !heard.has(one.daemonId)
     );
-    this.#exchangeAll(due.map((one) => one.peer));
+    this.greet(due.map((one) => one.peer));
   }
 
   #draw(contacts: readonly DaemonAddress[]): readonly DaemonAddress[] {
@@ -179,24 +166,30 @@
   }
 
   /** Asks a peer where the daemons are that are only heard of. */
-  async #fetchAddresses(peer: string): Promise<void> {
-    if (this.#isFetchingAddresses) return;
-    this.#isFetchingAddresses = true;
-    const { peers, membership, timer, log } = this.#options;
-    try {
+  #fetchAddresses(peer: string): Promise<void> {
+    const { peers, membership, timer } = this.#options;
+    return this.#fetch("addresses", peer, async () => {
       for (const address of await peers.addresses(peer)) {
         membership.learn(address, timer.now());
       }
-    } catch (error) {
-      log.warn("addresses of peer not read", { peer, reason: String(error) });
-    } finally {
-      this.#isFetchingAddresses = false;
-    }
+    });
   }
 
-  #exchangeAll(peers: readonly string[]): void {
-    for (const peer of new Set(peers)) {
-      if (!this.#busy.has(peer)) void this.#exchangeWith(peer);
+  /** Fetches one thing from one peer at a time. */
+  async #fetch(
+    what: "addresses" | "configuration",
+    peer: string,
+    load: () => Promise<void>,
+  ): Promise<void> {
+    if (this.#fetching.has(what)) return;
+    this.#fetching.add(what);
+    try {
+      await load();
+    } catch (error) {
+      const reason = String(error);
+      this.#options.log.warn(`${what} of peer not read`, { peer, reason });
+    } finally {
+      this.#fetching.delete(what);
     }
   }
 
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -1,4 +1,5 @@
 import type { DaemonAddress, FleetDigest, Heartbeat } from "./fleet_digest.ts";
+import type { SilenceLimits } from "./silence_limits.ts";
 import { RendezvousNodes } from "kelpspar-decisions/routing";
 import { silenceLimits } from "./silence_limits.ts";
 
@@ -240,7 +241,7 @@
     return record;
   }
 
-  #limits(): ReturnType<typeof silenceLimits> {
+  #limits(): SilenceLimits {
     return silenceLimits(this.#records.size + 1);
   }
 
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -75,11 +75,6 @@
     return await client.runChain.mutate({ ...request, stages }, { signal });
   }
 
-  close(): void {
-    for (const { agent } of this.#connections.values()) void agent.destroy();
-    this.#connections.clear();
-  }
-
   /**
    * A call that times out destroys the connections to that peer: one that went
    * silent for good would fail every later call while the peer is well.
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
-import type { GatewayLog } from "../log/gateway_log.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { ServingRequest } from "../requests/serving_request.ts";
 import { createServer } from "node:http";
@@ -38,7 +37,6 @@
     request: ServingRequest,
     reply: RequestReply,
   ) => Promise<void>;
-  readonly log: GatewayLog;
 }
 
 /** Takes callers' requests over HTTP. */
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -113,7 +113,7 @@
       timer,
       log,
       ownState: () => fleet.ownState,
-      probe: (peer) => fleet.probe(peer),
+      probe: (peer) => fleet.greet([peer]),
     });
     const service = new RequestService({
       configuration,
@@ -138,7 +138,6 @@
     this.#front = new FrontServer({
       decode: options.decode,
       serve: (request, reply) => service.serve(request, reply),
-      log,
     });
     this.#peerServer = createServer(createPeerListener({
       exchange: (digest) => fleet.exchange(digest),
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -18,7 +18,6 @@
 /** One request's stages on their way: which pieces are made and where. */
 export class ChainRun {
   readonly request: ChainRequest;
-  readonly startedAt: number;
   readonly deadlineAt: number;
   readonly objectiveAt: number;
   /** False once it has its outcome; its pieces are then of no use. */
@@ -34,7 +33,6 @@
   constructor(options: ChainRunOptions) {
     const { request, now } = options;
     this.request = request;
-    this.startedAt = now;
     this.deadlineAt = now + request.remainingMilliseconds;
     this.objectiveAt = now + request.objectiveMilliseconds;
     this.#settle = options.settle;
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -6,7 +6,6 @@
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ChainRequest } from "../pieces/chain_request.ts";
 import type { PieceCoordinator } from "../pieces/piece_coordinator.ts";
-
 import { isRefused } from "../fleet/is_refused.ts";
 
 /** The one key by which all daemons rank the coordinators of stages. */
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -179,14 +179,21 @@
     })?.endpoint.entry.zone;
   }
 
+  #refuseStages(
+    run: RequestRun,
+    { reason, retryAfterMilliseconds }: Extract<
+      ChainOutcome,
+      { type: "refused" }
+    >,
+  ): void {
+    run.giveUp(`stages: ${reason}`, retryAfterMilliseconds);
+  }
+
   #takeOutcome(run: RequestRun, outcome: ChainOutcome): boolean {
     if (outcome.type === "refused") {
       // A stream that went on elsewhere has begun; it can only be broken off.
       if (run.firstByteAt !== undefined) run.breakOff(outcome.reason);
-      else {run.giveUp(
-          `stages: ${outcome.reason}`,
-          outcome.retryAfterMilliseconds,
-        );}
+      else this.#refuseStages(run, outcome);
       return false;
     }
     run.holdResults(outcome.results);
--- a/packages/kelpspar-daemon/src/peers/parse_peer_address.ts
+++ b/packages/kelpspar-shared/src/text/parse_host.ts
@@ -1,7 +1,11 @@
-import type { PeerAddress } from "./peer_client.ts";
+/** A host and a port. */
+export interface HostAddress {
+  readonly address: string;
+  readonly port: number;
+}
 
 /** Reads `address:port`; the address may itself hold colons. */
-export function parsePeerAddress(text: string): PeerAddress {
+export function parseHost(text: string): HostAddress {
   const colon = text.lastIndexOf(":");
   return { address: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
 }
--- a/packages/kelpspar-standins/src/http/read_json_body.ts
+++ b/packages/kelpspar-standins/src/http/read_json_body.ts
@@ -5,10 +5,8 @@
 /** A body that is too long, cut off or not JSON. */
 export class BodyError extends Error {}
 
-/**
- * Reads a request's body whole; undefined when it is empty. Throws BodyError.
- */
-export async function readJsonBody(request: IncomingMessage): Promise<unknown> {
+/** Reads a request's body whole as text. Throws BodyError. */
+export async function readTextBody(request: IncomingMessage): Promise<string> {
   const pieces: Buffer[] = [];
   let bytes = 0;
   try {
@@ -17,10 +15,25 @@
       if (bytes > LONGEST_BODY_BYTES) throw new Error("it is too long");
       pieces.push(piece as Buffer);
     }
-    const text = Buffer.concat(pieces).toString("utf8");
+    return Buffer.concat(pieces).toString("utf8");
+  } catch (cause) {
+    throw toBodyError(cause);
+  }
+}
+
+/**
+ * Reads a request's body whole; undefined when it is empty. Throws BodyError.
+ */
+export async function readJsonBody(request: IncomingMessage): Promise<unknown> {
+  const text = await readTextBody(request);
+  try {
     return text === "" ? undefined : JSON.parse(text);
   } catch (cause) {
-    const reason = cause instanceof Error ? cause.message : String(cause);
-    throw new BodyError(`Cannot read the body: ${reason}`, { cause });
+    throw toBodyError(cause);
   }
 }
+
+function toBodyError(cause: unknown): BodyError {
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  return new BodyError(`Cannot read the body: ${reason}`, { cause });
+}
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -29,7 +29,7 @@
 const FAULT_MILLISECONDS = 500;
 /** Time without faults at the end, in which what hangs is answered. */
 const CALM_MILLISECONDS = 3_000;
-const SECRET_KEY_BYTES = 4;
+const CALLER_NAME_BYTES = 4;
 
 /**
  * Runs real daemons as processes before stand-ins and harms them from outside.
@@ -55,7 +55,7 @@
       { length: CALLERS },
       (_, index) =>
         new WireCaller({
-          name: `${random.nextHexadecimal(SECRET_KEY_BYTES)}-${index}`,
+          name: `${random.nextHexadecimal(CALLER_NAME_BYTES)}-${index}`,
           daemons,
           random: new SeededRandom(options.seed * CALLERS + index),
         }),
--- a/packages/kelpspar-standins/src/wire/listen_on_loopback.ts
+++ b/packages/kelpspar-standins/src/wire/listen_on_loopback.ts
@@ -1,5 +1,4 @@
-import type { AddressInfo } from "node:net";
-import type { Server } from "node:http";
+import type { AddressInfo, Server } from "node:net";
 
 /** Listens on a free port of loopback; gives `address:port`. */
 export function listenOnLoopback(server: Server): Promise<string> {
--- a/packages/kelpspar-standins/src/wire/loopback_proxy.ts
+++ b/packages/kelpspar-standins/src/wire/loopback_proxy.ts
@@ -1,5 +1,7 @@
-import type { AddressInfo, Server, Socket } from "node:net";
+import type { Server, Socket } from "node:net";
+import { parseHost } from "kelpspar-shared";
 import { connect, createServer } from "node:net";
+import { listenOnLoopback } from "./listen_on_loopback.ts";
 
 interface Pair {
   readonly near: Socket;
@@ -23,13 +25,7 @@
 
   /** Listens on loopback; gives `address:port`. */
   start(): Promise<string> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(0, "127.0.0.1", () => {
-        const { port } = this.#server.address() as AddressInfo;
-        resolve(`127.0.0.1:${port}`);
-      });
-    });
+    return listenOnLoopback(this.#server);
   }
 
   stop(): void {
@@ -56,11 +52,8 @@
   }
 
   #take(near: Socket): void {
-    const colon = this.#target.lastIndexOf(":");
-    const far = connect({
-      host: this.#target.slice(0, colon),
-      port: Number(this.#target.slice(colon + 1)),
-    });
+    const { address: host, port } = parseHost(this.#target);
+    const far = connect({ host, port });
     const pair: Pair = { near, far, isSilent: false };
     this.#pairs.add(pair);
     this.#pass(pair, { from: far, to: near });
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
+import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
 
 /** What a runner does to requests while a fault is set. */
@@ -49,13 +49,9 @@
 
   constructor(options: RunnerStandInOptions) {
     this.#options = options;
-    this.#server = createServer((message, response) => {
-      const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
-      message.on("end", () => {
-        this.#take(message, Buffer.concat(chunks).toString(), response);
-      });
-    });
+    this.#server = createTextServer((message, text, response) =>
+      this.#take(message, text, response)
+    );
   }
 
   /** Listens on loopback; gives `address:port`. */
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -1,5 +1,5 @@
 import type { Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
+import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
 
 /** What a stage runner does to calls while a fault is set. */
@@ -43,20 +43,10 @@
 
   constructor(options: StageRunnerStandInOptions) {
     this.#options = options;
-    this.#server = createServer((message, response) => {
-      const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
-      message.on("end", () => {
-        if (message.headers["x-expect-instance"] !== options.id) {
-          response.writeHead(421).end();
-          return;
-        }
-        this.#take(
-          message.url ?? "",
-          Buffer.concat(chunks).toString(),
-          response,
-        );
-      });
+    this.#server = createTextServer((message, text, response) => {
+      if (message.headers["x-expect-instance"] === options.id) {
+        this.#take(message.url ?? "", text, response);
+      } else response.writeHead(421).end();
     });
   }
 
--- a/packages/kelpspar-standins/src/wire/store_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/store_stand_in.ts
@@ -1,5 +1,5 @@
 import type { Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
+import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
 
 /** How the store misbehaves: 503, a reset connection, or no answer. */
@@ -35,13 +35,9 @@
   readonly #server: Server;
 
   constructor() {
-    this.#server = createServer((message, response) => {
-      const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
-      message.on("end", () => {
-        const url = new URL(message.url ?? "/", "http://store");
-        this.#answer(url, Buffer.concat(chunks).toString(), response);
-      });
+    this.#server = createTextServer((message, text, response) => {
+      const url = new URL(message.url ?? "/", "http://store");
+      this.#answer(url, text, response);
     });
   }
 
