Start a daemon of the soak once for one end

Cause: told to stop and killed before it had stopped, a daemon was started twice and the first start was forgotten. Change: who waited for an end starts only if nobody did.

--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -1,9 +1,16 @@
 import { expect } from "earl";
 import { execFileSync } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  existsSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { checkSoak } from "../../soak/check_soak.ts";
 import { DaemonProcess } from "../../wire/daemon_process.ts";
@@ -51,6 +58,53 @@
   expect(last).toEqual(first);
 });
 
+test("a daemon that is told twice to start again is started once", async () => {
+  // Symptom: a daemon of the soak ran on that nobody knew of.
+  // Sequence: it was told to stop, and killed before it had; both times it was
+  // to start again, and both waited for the same end.
+  // Cause: each wait started a process, and the first one was forgotten.
+  const folder = mkdtempSync(join(tmpdir(), "kelpspar-daemon-"));
+  const starts = join(folder, "starts");
+  const program = join(folder, "idle.mjs");
+  writeFileSync(
+    program,
+    `import { appendFileSync } from "node:fs";
+    appendFileSync(${JSON.stringify(starts)}, process.pid + "\\n");
+    setInterval(() => {}, 1000);`,
+  );
+  const daemon = new DaemonProcess({
+    name: "idle",
+    program,
+    settingsPath: join(folder, "settings.json"),
+    settings: {},
+  });
+  const countStarts = (): number =>
+    existsSync(starts)
+      ? readFileSync(starts, "utf8").split("\n").length - 1
+      : 0;
+  const waitForStarts = async (count: number): Promise<void> => {
+    for (let tries = 0; tries < 200 && countStarts() < count; tries++) {
+      await setTimeoutPromise(20);
+    }
+  };
+  daemon.start();
+  await waitForStarts(1);
+  const again = [daemon.startAgain(), daemon.startAgain()];
+  daemon.signal("SIGKILL");
+  await Promise.all(again);
+  await waitForStarts(2);
+  await setTimeoutPromise(300);
+  const processes = readFileSync(starts, "utf8").trim().split("\n").map(Number);
+  const known = daemon.processId;
+  await daemon.end();
+  // One that was forgotten would outlive this test.
+  for (const one of processes.slice(1)) {
+    if (one !== known) process.kill(one, "SIGKILL");
+  }
+  rmSync(folder, { recursive: true });
+  expect(processes.length).toEqual(2);
+});
+
 test("the soak notices each kind of broken promise", () => {
   const answer = { attemptId: "a", route: "once", text: undefined } as const;
   const run = { ...RUN, attemptId: "a" };
--- a/packages/kelpspar-standins/src/wire/daemon_process.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -54,8 +54,10 @@
    * the last one: a daemon started then would outlive whoever started it.
    */
   async startAgain(): Promise<void> {
-    await this.#process?.exited;
-    if (!this.#isOver) this.start();
+    const ended = this.#process;
+    await ended?.exited;
+    // Another call may have waited for the same end.
+    if (!this.#isOver && this.#process === ended) this.start();
   }
 
   /** Ends the process for good. */
