Say configuration and caller key where the platform says manifest and API key

Cause: types of the gateway and the stand-in's code carried two of the platform's words; the check on names missed one. Change: renamed; the check knows apiKeys too.

--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -109,7 +109,7 @@
       headerTimeoutMilliseconds: 1,
       idleTimeoutMilliseconds: 1,
     },
-    accounts: [{ name: "acme", apiKeys: ["key"], priority: undefined }],
+    accounts: [{ name: "acme", callerKeys: ["key"], priority: undefined }],
   });
   const book = new EndpointBook({ lapseMilliseconds: 2_000 });
   for (const id of ["i1", "i2", "i3"]) {
@@ -184,7 +184,7 @@
     host: "a.example",
     target: "/r/x",
     headers: [],
-    apiKey: "key",
+    callerKey: "key",
     deadlineMilliseconds: 10_000,
     promptParts: [],
     pieceCounts: [1],
@@ -347,7 +347,7 @@
 
 test("keys and routes that don't exist are refused by the book", async () => {
   const unknownKey = createWorld([]);
-  await serve(unknownKey, request({ apiKey: "other" }));
+  await serve(unknownKey, request({ callerKey: "other" }));
   expect(unknownKey.reply.status).toEqual(401);
   const unknownRoute = createWorld([]);
   await serve(unknownRoute, request({ target: "/other/x" }));
--- a/packages/kelpspar-gateway/src/__tests__/unit/route_table_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/route_table_test.ts
@@ -36,7 +36,7 @@
       headerTimeoutMilliseconds: 1,
       idleTimeoutMilliseconds: 1,
     },
-    accounts: [{ name: "acme", apiKeys: ["k1", "k2"], priority: 1 }],
+    accounts: [{ name: "acme", callerKeys: ["k1", "k2"], priority: 1 }],
   };
 }
 
--- a/packages/kelpspar-gateway/src/configuration/route_table.ts
+++ b/packages/kelpspar-gateway/src/configuration/route_table.ts
@@ -19,7 +19,7 @@
       this.#services.set(service.name, service);
     }
     for (const account of configuration.accounts ?? []) {
-      for (const key of account.apiKeys) this.#accounts.set(key, account);
+      for (const key of account.callerKeys) this.#accounts.set(key, account);
     }
     for (const routes of this.#routesByHost.values()) {
       routes.sort((left, right) => right.prefix.length - left.prefix.length);
@@ -36,8 +36,8 @@
     return this.#services.get(name);
   }
 
-  findAccount(apiKey: string): ClientAccount | undefined {
-    return this.#accounts.get(apiKey);
+  findAccount(callerKey: string): ClientAccount | undefined {
+    return this.#accounts.get(callerKey);
   }
 
   #addRoute(route: ServiceRoute): void {
--- a/packages/kelpspar-gateway/src/configuration/serving_configuration.ts
+++ b/packages/kelpspar-gateway/src/configuration/serving_configuration.ts
@@ -4,7 +4,7 @@
 /** A client account and the keys that prove it. */
 export interface ClientAccount {
   readonly name: string;
-  readonly apiKeys: readonly string[];
+  readonly callerKeys: readonly string[];
   /** Goes before the route's priority; 0 is the most urgent. */
   readonly priority: number | undefined;
 }
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -100,10 +100,10 @@
   ): ClientAccount | undefined | "unknown" {
     const { table } = this.#parts.configuration;
     if (table?.configuration.accounts === undefined) return undefined;
-    const { apiKey } = request;
-    const account = apiKey === undefined
+    const { callerKey } = request;
+    const account = callerKey === undefined
       ? undefined
-      : table.findAccount(apiKey);
+      : table.findAccount(callerKey);
     return account ?? (route.isPublic ? undefined : "unknown");
   }
 
--- a/packages/kelpspar-gateway/src/requests/serving_request.ts
+++ b/packages/kelpspar-gateway/src/requests/serving_request.ts
@@ -15,7 +15,7 @@
   /** Names and values in turn, without those of this connection only, the
    * caller's key and what only daemons may set. */
   readonly headers: readonly string[];
-  readonly apiKey: string | undefined;
+  readonly callerKey: string | undefined;
   /** How long the caller will wait; undefined when it doesn't say. */
   readonly deadlineMilliseconds: number | undefined;
   readonly promptParts: readonly PromptPart[];
--- a/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
+++ b/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
@@ -70,7 +70,7 @@
 );
 const PLATFORM_FIELDS = new RegExp(
   "\\b(headroomMb|handleS|callMs|itemMs|coldLeftMs|sloMs|targetGapMs|" +
-    "trafficSplit|KELPSPAR_BOOT|morePages|tombstone|heartbeatMs)\\b",
+    "trafficSplit|apiKeys|KELPSPAR_BOOT|morePages|tombstone|heartbeatMs)\\b",
 );
 
 /** The stand-in of the platform speaks its names. */
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -82,7 +82,7 @@
   },
   publish: ({ site }) => {
     site.publish();
-    return "manifest";
+    return "configuration";
   },
   reset: (targets) => {
     draw(targets.proxies, targets.random).reset();
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -26,7 +26,7 @@
 
 /**
  * A whole platform on loopback: store, runners of a plain service, of a model
- * and of one stage service, and a manifest that routes to them.
+ * and of one stage service, and a configuration that routes to them.
  */
 export class WireSite {
   readonly host = HOST;
@@ -94,9 +94,9 @@
     }
   }
 
-  /** Writes the next version of the manifest. */
+  /** Writes the next version of the configuration. */
   publish(): void {
-    this.store.put("op", "config", this.#manifest(this.#version++));
+    this.store.put("op", "config", this.#configuration(this.#version++));
   }
 
   /** Settings of a daemon; addresses are free ones of loopback. */
@@ -155,7 +155,7 @@
     }
   }
 
-  #manifest(version: number): object {
+  #configuration(version: number): object {
     const { batch, callMilliseconds, room } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
