Share the connections between daemons

Change: kelpspar-peers has it once; both clients keep their routers, headers, timeouts and when a connection is destroyed.

--- a/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
+++ b/packages/kelpspar-daemon/src/peers/trpc_peer_client.ts
@@ -7,14 +7,13 @@
 import type { PeerRouter } from "./peer_router.ts";
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
+import { PeerConnections } from "kelpspar-peers";
 import { formatHost, KelpsparError } from "kelpspar-shared";
 import { configurationRowSchema } from "../configuration/configuration_row.ts";
-import { Agent, fetch as undiciFetch } from "undici";
 import { peerDigestSchema } from "./peer_digest.ts";
 import { PEER_PATH, PEER_SECRET_HEADER } from "./peer_protocol.ts";
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 400;
-const MOST_CLIENTS = 512;
 
 /** How other daemons are called. */
 export interface TrpcPeerClientOptions {
@@ -26,11 +25,6 @@
   readonly tls?: boolean;
 }
 
-interface PeerConnection {
-  readonly client: TRPCClient<PeerRouter>;
-  readonly agent: Agent;
-}
-
 /**
  * Calls other daemons by tRPC. A call that times out destroys the connections
  * to that peer, since one that went silent for good would fail every later
@@ -38,10 +32,22 @@
  */
 export class TrpcPeerClient implements PeerClient {
   readonly #options: TrpcPeerClientOptions;
-  readonly #connections = new Map<string, PeerConnection>();
+  readonly #connections: PeerConnections<TRPCClient<PeerRouter>>;
 
   constructor(options: TrpcPeerClientOptions) {
     this.#options = options;
+    const scheme = options.tls === true ? "https" : "http";
+    this.#connections = new PeerConnections({
+      createClient: (peer, fetch) =>
+        createTRPCClient<PeerRouter>({
+          links: [httpLink({
+            url: `${scheme}://${peer}${PEER_PATH}`,
+            headers: { [PEER_SECRET_HEADER]: options.secret },
+            fetch,
+          })],
+        }),
+      agent: { connections: 2, connect: { rejectUnauthorized: false } },
+    });
   }
 
   exchange(peer: PeerAddress, digest: PeerDigest): Promise<PeerDigest> {
@@ -72,10 +78,8 @@
   }
 
   /** Closes every connection. */
-  async close(): Promise<void> {
-    const connections = [...this.#connections.values()];
-    this.#connections.clear();
-    await Promise.all(connections.map(({ agent }) => agent.destroy()));
+  close(): Promise<void> {
+    return this.#connections.close();
   }
 
   async #call<Answer>(
@@ -90,11 +94,12 @@
       () => abort.abort(new Error("timed out")),
       this.#options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
     );
-    const connection = this.#connect(peer);
+    const name = formatHost(peer.address, peer.port);
+    const connection = this.#connections.open(name);
     try {
       return await call(connection.client, abort.signal);
     } catch (cause) {
-      this.#drop(peer, connection);
+      this.#connections.drop(name, connection);
       const reason = cause instanceof Error ? cause.message : String(cause);
       throw new KelpsparError(
         "peer_unavailable",
@@ -105,45 +110,4 @@
       stopTimer();
     }
   }
-
-  #connect(peer: PeerAddress): PeerConnection {
-    const name = formatHost(peer.address, peer.port);
-    const known = this.#connections.get(name);
-    if (known !== undefined) return known;
-    if (this.#connections.size >= MOST_CLIENTS) this.#dropOldest();
-    const agent = new Agent({
-      connections: 2,
-      connect: { rejectUnauthorized: false },
-    });
-    const scheme = this.#options.tls === true ? "https" : "http";
-    const client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `${scheme}://${name}${PEER_PATH}`,
-        headers: { [PEER_SECRET_HEADER]: this.#options.secret },
-        fetch: (url, init) =>
-          undiciFetch(url as string, {
-            ...init as Parameters<typeof undiciFetch>[1],
-            dispatcher: agent,
-          }) as unknown as Promise<Response>,
-      })],
-    });
-    const connection = { client, agent };
-    this.#connections.set(name, connection);
-    return connection;
-  }
-
-  #drop(peer: PeerAddress, connection: PeerConnection): void {
-    const name = formatHost(peer.address, peer.port);
-    if (this.#connections.get(name) === connection) {
-      this.#connections.delete(name);
-    }
-    void connection.agent.destroy();
-  }
-
-  #dropOldest(): void {
-    const oldest = this.#connections.entries().next().value;
-    if (oldest === undefined) return;
-    this.#connections.delete(oldest[0]);
-    void oldest[1].agent.destroy();
-  }
 }
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -6,25 +6,29 @@
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import type { PeerRouter } from "./peer_router.ts";
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { Agent, fetch as undiciFetch } from "undici";
+import { PeerConnections } from "kelpspar-peers";
 import { PEER_PATH } from "./peer_listener.ts";
 
 /** How long a short call to a peer may take, milliseconds. */
 const SHORT_CALL_MILLISECONDS = 600;
-/** Connections to peers that are kept at the most. */
-const MOST_PEERS = 512;
 /** A connection that isn't there after this is given up, milliseconds. */
 const CONNECT_MILLISECONDS = 500;
 
-interface Connection {
-  readonly client: TRPCClient<PeerRouter>;
-  readonly agent: Agent;
-}
-
 /** Calls other daemons by tRPC; each call throws when it fails. */
 export class PeerClient {
   readonly #timer: TimerService;
-  readonly #connections = new Map<string, Connection>();
+  readonly #connections = new PeerConnections({
+    createClient: (peer, fetch) =>
+      createTRPCClient<PeerRouter>({
+        links: [httpLink({ url: `http://${peer}${PEER_PATH}`, fetch })],
+      }),
+    agent: {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: CONNECT_MILLISECONDS },
+    },
+  });
 
   constructor(timer: TimerService) {
     this.#timer = timer;
@@ -67,7 +71,7 @@
     request: ChainRequest,
     signal: AbortSignal,
   ): Promise<ChainOutcome> {
-    const { client } = this.#connect(peer);
+    const { client } = this.#connections.open(peer);
     const stages = request.stages.map((one) => ({
       ...one,
       after: [...one.after],
@@ -91,55 +95,16 @@
       () => abort.abort(new Error("timed out")),
       SHORT_CALL_MILLISECONDS,
     );
-    const connection = this.#connect(peer);
+    const connection = this.#connections.open(peer);
     try {
       return await call(connection.client, abort.signal);
     } catch (error) {
-      if (abort.signal.aborted) this.#drop(peer, connection);
+      // Chains under way there fail and are asked for again: their connections
+      // may be just as silent, and pieces may be made twice.
+      if (abort.signal.aborted) this.#connections.drop(peer, connection);
       throw error;
     } finally {
       stopTimer();
     }
   }
-
-  #connect(peer: string): Connection {
-    const known = this.#connections.get(peer);
-    if (known !== undefined) return known;
-    if (this.#connections.size >= MOST_PEERS) this.#dropOldest();
-    const agent = new Agent({
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: { timeout: CONNECT_MILLISECONDS },
-    });
-    const client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `http://${peer}${PEER_PATH}`,
-        fetch: (url, init) =>
-          undiciFetch(url as string, {
-            ...init as Parameters<typeof undiciFetch>[1],
-            dispatcher: agent,
-          }) as unknown as Promise<Response>,
-      })],
-    });
-    const connection = { client, agent };
-    this.#connections.set(peer, connection);
-    return connection;
-  }
-
-  #drop(peer: string, connection: Connection): void {
-    if (this.#connections.get(peer) === connection) {
-      this.#connections.delete(peer);
-    }
-    // Chains under way there fail and are asked for again: their connections
-    // may be just as silent, and pieces may be made twice.
-    void connection.agent.destroy();
-  }
-
-  #dropOldest(): void {
-    const oldest = this.#connections.entries().next().value;
-    if (oldest === undefined) return;
-    this.#connections.delete(oldest[0]);
-    void oldest[1].agent.destroy();
-  }
 }
