Split the desk of a stage service by job

Change: queue, lanes, plan of a call, watch, room, repeats, options and log fields are files of their own; an endpoint's room, slowness and wait are worked out once a plan, not once a piece and endpoint.

--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -1,5 +1,6 @@
 import type { PieceTerms } from "../configuration/service_definition.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
+import type { PieceResult } from "./chain_outcome.ts";
 import type { RunningCall } from "./running_call.ts";
 
 interface KeptResult {
@@ -21,6 +22,23 @@
     this.endpoint = endpoint;
   }
 
+  /** True when one more call may start. */
+  isFree(terms: PieceTerms, now: number): boolean {
+    return this.calls.size < terms.slots && this.pausedUntil <= now;
+  }
+
+  /** Time until a call ends when all slots are taken, milliseconds. */
+  waitFor(
+    terms: PieceTerms,
+    options: { readonly slowness: number; readonly now: number },
+  ): number {
+    if (this.calls.size < terms.slots) return 0;
+    const due = [...this.calls].map((call) =>
+      call.startedAt + call.soundTime * Math.max(1, options.slowness)
+    );
+    return Math.max(0, Math.min(...due) - options.now);
+  }
+
   /** Bytes free for results, those of running calls taken off. */
   room(terms: PieceTerms, now: number): number {
     let used = 0;
@@ -32,6 +50,12 @@
     return terms.resultBytes - used - this.foreignBytes;
   }
 
+  /** A result that this endpoint made. */
+  resultOf(handle: string): PieceResult {
+    const { id, address, zone } = this.endpoint.entry;
+    return { handle, makerId: id, makerAddress: address, makerZone: zone };
+  }
+
   keep(handle: string, result: KeptResult): void {
     this.#kept.set(handle, result);
   }
--- a/packages/kelpspar-gateway/src/pieces/service_capacity.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_capacity.ts
@@ -5,6 +5,11 @@
   return terms.callMilliseconds + pieces * terms.pieceMilliseconds;
 }
 
+/** The same for what one call can carry of `pieces`. */
+export function oneCallTime(terms: PieceTerms, pieces: number): number {
+  return callTime(terms, Math.min(pieces, terms.batch));
+}
+
 /**
  * Pieces a millisecond that endpoints of a stage service make in full calls.
  * `slowness` holds one factor for each endpoint that takes work.
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/service_desk_options.ts
@@ -0,0 +1,30 @@
+import type { TimerService } from "kelpspar-shared";
+import type { PieceTerms } from "../configuration/service_definition.ts";
+import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { PieceResult } from "./chain_outcome.ts";
+import type { ChainRun } from "./chain_run.ts";
+import type { PieceClient } from "./piece_call.ts";
+import type { PieceTask } from "./piece_task.ts";
+
+/** Told what became of pieces. */
+export interface ServiceDeskEvents {
+  made(task: PieceTask): void;
+  inputsGone(task: PieceTask): void;
+  failed(chain: ChainRun, reason: "too_late" | "failing"): void;
+}
+
+/** What a desk works with. */
+export interface ServiceDeskOptions {
+  readonly service: string;
+  readonly terms: PieceTerms;
+  readonly book: EndpointBook;
+  readonly client: PieceClient;
+  readonly timer: TimerService;
+  readonly budget: ServiceRetryBudget;
+  readonly log: GatewayLog;
+  readonly events: ServiceDeskEvents;
+  /** Frees results that nobody needs. */
+  readonly free: (results: readonly PieceResult[]) => void;
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -0,0 +1,60 @@
+import type { PieceTerms } from "../configuration/service_definition.ts";
+import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { PieceResult } from "./chain_outcome.ts";
+import { EndpointLane } from "./endpoint_lane.ts";
+
+/** The endpoints of one stage service, as its desk uses them. */
+export class ServiceLanes {
+  readonly #book: EndpointBook;
+  readonly #service: string;
+  readonly #lanes = new Map<string, EndpointLane>();
+
+  constructor(
+    options: { readonly book: EndpointBook; readonly service: string },
+  ) {
+    this.#book = options.book;
+    this.#service = options.service;
+  }
+
+  /** Those that get work: the sound ones, or all when none is. */
+  usable(now: number): readonly EndpointLane[] {
+    const lanes = this.#book.ofService(this.#service).map((endpoint) => {
+      const known = this.#lanes.get(endpoint.entry.id);
+      if (known !== undefined) return known;
+      const lane = new EndpointLane(endpoint);
+      this.#lanes.set(endpoint.entry.id, lane);
+      return lane;
+    });
+    const sound = lanes.filter((lane) => !lane.endpoint.isSetAside(now));
+    return sound.length > 0 ? sound : lanes;
+  }
+
+  /** Time until one more call could start if nothing waited, milliseconds. */
+  slotWait(terms: PieceTerms, now: number): number {
+    const waits = this.usable(now).map((lane) =>
+      lane.waitFor(terms, { slowness: 1, now })
+    );
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  /** Ends calls that only carry pieces nobody needs any more. */
+  abortUnneeded(): void {
+    for (const lane of this.#lanes.values()) {
+      for (const call of lane.calls) {
+        if (call.tasks.every((task) => !task.chain.isOpen)) call.abort.abort();
+      }
+    }
+  }
+
+  /** Gives up the calls at an endpoint that is gone. */
+  drop(id: string): void {
+    const lane = this.#lanes.get(id);
+    if (lane === undefined) return;
+    this.#lanes.delete(id);
+    for (const call of lane.calls) call.abort.abort();
+  }
+
+  freed(result: PieceResult): void {
+    this.#lanes.get(result.makerId)?.free(result.handle);
+  }
+}
