Split the dispatch of a request by job

Change: sender, hedge, stream and choice are files of their own; what a request may still do is asked of its run; a timeout says its status. The zone of the reader is looked up only where endpoints keep prompts, as the choice does.

--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -5,6 +5,10 @@
 import type { RequestParts } from "./request_parts.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
+/** A timed-out caller has no time left; any wait is as good, milliseconds. */
+const TIMED_OUT_RETRY_MILLISECONDS = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** How a request ended, for the log and metrics. */
 export type RequestEnd = "served" | "refused" | "failed" | "abandoned";
 
@@ -69,15 +73,28 @@
     return this.options.account?.priority ?? this.options.route.priority;
   }
 
+  /** True while it may be sent to one more endpoint after this one ran it. */
+  get hasAttemptsLeft(): boolean {
+    const { kind, isResumable, attempts } = this.options.route;
+    const isRepeatable = kind === "idempotent" ||
+      (kind === "stream" && isResumable);
+    return isRepeatable && this.runs < attempts;
+  }
+
+  /** Monotonic milliseconds. */
+  now(): number {
+    return this.options.parts.timer.now();
+  }
+
   /** Milliseconds until the request's deadline or its route's timeout. */
   remaining(): number {
-    return this.deadlineAt - this.options.parts.timer.now();
+    return this.deadlineAt - this.now();
   }
 
   /** Milliseconds until the answer is late; below 0 when it is. */
   objectiveLeft(): number {
-    const { route, arrivedAt, parts } = this.options;
-    const spent = parts.timer.now() - arrivedAt + this.age;
+    const { route, arrivedAt } = this.options;
+    const spent = this.now() - arrivedAt + this.age;
     return route.objectiveMilliseconds - spent;
   }
 
@@ -103,11 +120,15 @@
    * Gives a final answer of the daemon's own. Statuses that promise that the
    * request didn't run are only given while that is certain.
    */
-  giveUp(reason: string, retryAfterMilliseconds: number): void {
+  giveUp(
+    reason: string,
+    retryAfterMilliseconds: number,
+    unknownStatus: 502 | 504 = 502,
+  ): void {
     if (!this.isOpen) return;
     const answer: OwnAnswer = this.runs === 0
       ? { status: 503, retryAfterMilliseconds, message: reason }
-      : { status: reason === TIMED_OUT ? 504 : 502, message: reason };
+      : { status: unknownStatus, message: reason };
     this.options.reply.refuse(answer);
     this.finish(this.runs === 0 ? "refused" : "failed", {
       reason,
@@ -141,7 +162,7 @@
       this.breakOff("timed out midway");
       return;
     }
-    this.giveUp(TIMED_OUT, TIMED_OUT_RETRY_MILLISECONDS);
+    this.giveUp("timed out", TIMED_OUT_RETRY_MILLISECONDS, 504);
   }
 
   #record(
@@ -149,7 +170,7 @@
     fields: Readonly<Record<string, string | number | undefined>>,
   ): void {
     const { parts, request, route, service, account, arrivedAt } = this.options;
-    const now = parts.timer.now();
+    const now = this.now();
     parts.log.info("request ended", {
       attempt: request.attemptId,
       outcome: end,
@@ -170,14 +191,10 @@
       account: account?.name ?? "",
       route: route.name,
       outcome: end,
-      seconds: (now - arrivedAt) / 1_000,
+      seconds: (now - arrivedAt) / MILLISECONDS_PER_SECOND,
       firstByteSeconds: this.firstByteAt === undefined
         ? undefined
-        : (this.firstByteAt - arrivedAt) / 1_000,
+        : (this.firstByteAt - arrivedAt) / MILLISECONDS_PER_SECOND,
     });
   }
 }
-
-const TIMED_OUT = "timed out";
-/** A timed-out caller has no time left; any wait is as good. */
-const TIMED_OUT_RETRY_MILLISECONDS = 1_000;
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -5,14 +5,14 @@
 import type { RequestParts } from "./request_parts.ts";
 import type { OwnAnswer, RequestReply } from "./request_reply.ts";
 import type { ServingRequest } from "./serving_request.ts";
-import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
-import { promptAffinity } from "./prompt_affinity.ts";
+import { affinityOf, chooseForRequest } from "./choose_for_request.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { RequestDispatch } from "./request_dispatch.ts";
 import { RequestRun } from "./request_run.ts";
 
 /** Time in which a daemon that just started learns its configuration, ms. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+const NONE_TRIED: ReadonlySet<string> = new Set();
 /** Chains are run again at most so often when their results were lost. */
 const MOST_CHAIN_RUNS = 2;
 
@@ -166,17 +166,8 @@
 
   /** Zone of the endpoint that has this prompt, most likely. */
   #readerZone(run: RequestRun): string | undefined {
-    const { request, service } = run.options;
-    const affinity = promptAffinity(request.promptParts);
-    if (affinity === undefined) return undefined;
-    return chooseEndpoint({
-      endpoints: this.#parts.book.ofService(service),
-      tried: new Set(),
-      zone: this.#parts.zone,
-      affinity,
-      random: this.#parts.random,
-      now: this.#parts.timer.now(),
-    })?.endpoint.entry.zone;
+    if (affinityOf(run) === undefined) return undefined;
+    return chooseForRequest(run, NONE_TRIED)?.endpoint.entry.zone;
   }
 
   #refuseStages(
