--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -105,8 +105,6 @@
     routes: [],
     services: load.services.map(({ name, terms }) => ({
       name,
-      healthPath: "/health",
-      maximumConnections: 100,
       engineSlots: undefined,
       pieces: terms,
     })),
@@ -127,7 +125,6 @@
         zone,
         slots: 1,
         isDraining: false,
-        coldMilliseconds: 0,
       });
     }
   }
--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -15,7 +15,6 @@
     zone: "a",
     slots: 4,
     isDraining,
-    coldMilliseconds: 0,
   };
 }
 
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -90,8 +90,6 @@
     routes: [],
     services: Object.entries(services).map(([name, pieces]) => ({
       name,
-      healthPath: "/",
-      maximumConnections: 10,
       engineSlots: undefined,
       pieces,
     })),
@@ -111,7 +109,6 @@
       zone: "a",
       slots: 1,
       isDraining: false,
-      coldMilliseconds: 0,
     });
   }
   const log = { info: () => {}, warn: () => {} };
--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -120,7 +120,6 @@
       zone: "a",
       slots: 4,
       isDraining: false,
-      coldMilliseconds: 0,
     });
   }
   const calls: EndpointCall[] = [];
--- a/packages/kelpspar-gateway/src/configuration/service_definition.ts
+++ b/packages/kelpspar-gateway/src/configuration/service_definition.ts
@@ -17,9 +17,6 @@
 /** A service whose endpoints run requests or pieces of stages. */
 export interface ServiceDefinition {
   readonly name: string;
-  readonly healthPath: string;
-  /** Open connections of all callers together that an endpoint takes. */
-  readonly maximumConnections: number;
   /** Set on services that run stages. */
   readonly pieces: PieceTerms | undefined;
   /** Requests that a model endpoint batches; undefined on plain services. */
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
@@ -8,6 +8,4 @@
   readonly zone: string;
   readonly slots: number;
   readonly isDraining: boolean;
-  /** How much longer it stays slow after its start, milliseconds. */
-  readonly coldMilliseconds: number;
 }
--- a/packages/kelpspar-gateway/src/pieces/rank_piece.ts
+++ b/packages/kelpspar-gateway/src/pieces/rank_piece.ts
@@ -1,3 +1,5 @@
+import type { PieceTask } from "./piece_task.ts";
+
 /** What the order of pieces is decided from; monotonic milliseconds. */
 export interface PieceRankOptions {
   readonly objectiveAt: number;
@@ -38,3 +40,18 @@
   const bonus = hasBegun ? BEGUN_BONUS_MILLISECONDS : 0;
   return latestStart + penalty - bonus + priority * PRIORITY_STEP_MILLISECONDS;
 }
+
+/** The rank of a waiting piece; `work` is the time of a call with one piece. */
+export function rankTask(
+  { chain, stage }: PieceTask,
+  options: { readonly work: number; readonly now: number },
+): number {
+  const { tailMilliseconds, priority } = chain.request;
+  return rankPiece({
+    objectiveAt: chain.objectiveAt,
+    remainingWork: options.work + tailMilliseconds,
+    hasBegun: chain.hasBegun(stage),
+    priority,
+    now: options.now,
+  });
+}
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -17,7 +17,7 @@
 import { PieceQueue } from "./piece_queue.ts";
 import { PieceRepeats } from "./piece_repeats.ts";
 import { planCall } from "./plan_call.ts";
-import { rankPiece } from "./rank_piece.ts";
+import { rankTask } from "./rank_piece.ts";
 import { oneCallTime, piecesPerMillisecond } from "./service_capacity.ts";
 import { ServiceLanes } from "./service_lanes.ts";
 import { toPieceOrder } from "./to_piece_order.ts";
@@ -27,6 +27,7 @@
 const FULL_PAUSE_MILLISECONDS = 60;
 /** Wait before an endpoint without room is asked again, milliseconds. */
 const NO_ROOM_PAUSE_MILLISECONDS = 120;
+
 /**
  * Gathers the pieces of all requests for one stage service. A piece waits here
  * until an endpoint is free, never at an endpoint: whatever arrives meanwhile
@@ -129,7 +130,8 @@
     for (const chain of this.#queue.expired(now)) {
       this.#options.events.failed(chain, "too_late");
     }
-    this.#queue.tidy((task) => this.#rank(task, now));
+    const work = this.workTime(1);
+    this.#queue.tidy((task) => rankTask(task, { work, now }));
     for (;;) {
       const plan = planCall(this.#outlook());
       if (plan === undefined) return;
@@ -137,17 +139,6 @@
     }
   }
 
-  #rank(task: PieceTask, now: number): number {
-    const { chain } = task;
-    return rankPiece({
-      objectiveAt: chain.objectiveAt,
-      remainingWork: this.workTime(1) + chain.request.tailMilliseconds,
-      hasBegun: chain.hasBegun(task.stage),
-      priority: chain.request.priority,
-      now,
-    });
-  }
-
   #start(lane: EndpointLane, tasks: readonly PieceTask[]): void {
     const { timer, client } = this.#options;
     const now = this.#now();
