--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { isRefused } from "./is_refused.ts";
 
 /** How often digests are exchanged, milliseconds. */
-const EXCHANGE_MILLISECONDS = 400;
+export const EXCHANGE_MILLISECONDS = 400;
 /** Up to so many others, each pair exchanges every time. */
 const MOST_DIRECT = 8;
 /**
@@ -15,7 +15,7 @@
  * drawn by chance: heartbeats reach all in about log2 of the fleet's size
  * rounds, while a daemon's traffic grows with their number only.
  */
-const DRAWN_EXCHANGES = 2;
+export const DRAWN_EXCHANGES = 1;
 /**
  * A configuration that a peer has had for so long is fetched from it, ms. The
  * store tells all daemons within milliseconds as a rule.
@@ -57,10 +57,10 @@
     return this.#isLeaving;
   }
 
-  /** Tells the others at once that this daemon takes no more callers. */
+  /** Tells others at once that this daemon takes no more callers. */
   leave(): void {
     this.#isLeaving = true;
-    this.greet(
+    this.greetSome(
       this.#options.membership.contacts().map((one) => one.peer),
     );
   }
@@ -82,6 +82,19 @@
     }
   }
 
+  /**
+   * Exchanges now with all of these in a small fleet and with about
+   * `MOST_DIRECT` of them in a large one; the others hear of it from those.
+   * What goes wrong otherwise: a daemon that starts among 72 others is greeted
+   * by all and greets all, which takes longer than its start, and in a rolling
+   * restart of all daemons most of their time.
+   */
+  greetSome(peers: readonly string[]): void {
+    const { membership, random } = this.#options;
+    const share = MOST_DIRECT / Math.max(1, membership.contacts().length);
+    this.greet(peers.filter(() => random.next() < share));
+  }
+
   /** Answers another daemon's digest with this one's. */
   exchange(digest: FleetDigest): FleetDigest {
     this.#take(digest);
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -170,7 +170,7 @@
     const { timer, self } = this.#options;
     const others = addresses.filter((one) => one.daemonId !== self.daemonId);
     for (const address of others) this.#membership.learn(address, timer.now());
-    this.#fleet.greet(others.map(({ peer }) => peer));
+    this.#fleet.greetSome(others.map(({ peer }) => peer));
   }
 
   /** Exchanges digests with daemons that may be at `peers`. */
--- a/packages/kelpspar-peers/src/mod.ts
+++ b/packages/kelpspar-peers/src/mod.ts
@@ -1,4 +1,4 @@
 export type { PeerConnection } from "./peer_connection.ts";
 export type { PeerConnectionsOptions } from "./peer_connections.ts";
-export type { PeerFetch } from "./peer_fetch.ts";
+export type { PeerAnswer, PeerFetch, PeerRequest } from "./peer_fetch.ts";
 export { PeerConnections } from "./peer_connections.ts";
--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -17,7 +17,7 @@
 import { runSoak } from "../../soak/run_soak.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
-const PROGRAM = `${ROOT}target/daemon.mjs`;
+const PROGRAM = `${ROOT}target/start_daemon.cjs`;
 const RUN = { headers: {}, body: "", lastEventId: undefined };
 
 test("a short soak with faults breaks no promise", async () => {
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -5,7 +5,7 @@
 
 const EXIT_BROKEN = 1;
 const PROGRAM = fileURLToPath(
-  new URL("../../../../target/daemon.mjs", import.meta.url),
+  new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
 
 const { values } = parseArgs({
