--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -150,6 +150,7 @@
         stages: kind.stages,
         remainingMilliseconds: left,
         objectiveMilliseconds: kind.objectiveMilliseconds - age,
+        hasReturned: attempt > 0,
         tailMilliseconds: kind.tailMilliseconds,
         priority: kind.priority,
       }, new AbortController().signal);
