--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -150,7 +150,6 @@
         stages: kind.stages,
         remainingMilliseconds: left,
         objectiveMilliseconds: kind.objectiveMilliseconds - age,
-        hasReturned: attempt > 0,
         tailMilliseconds: kind.tailMilliseconds,
         priority: kind.priority,
       }, new AbortController().signal);
--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
@@ -17,7 +17,6 @@
       })),
       remainingMilliseconds: 10_000,
       objectiveMilliseconds: 2_000,
-      hasReturned: false,
       tailMilliseconds: 300,
       priority: 0,
     },
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -146,7 +146,6 @@
       ],
       remainingMilliseconds: 60_000,
       objectiveMilliseconds: 30_000,
-      hasReturned: false,
       tailMilliseconds: 100,
       priority: 0,
     }, new AbortController().signal);
--- a/packages/kelpspar-gateway/src/__tests__/unit/stage_load_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stage_load_test.ts
@@ -54,16 +54,3 @@
   expect((figures.kinds["review"]?.worth ?? 0) > 0.45).toEqual(true);
   expect(figures.stages.turnedAway).toEqual(0);
 });
-
-test("who was refused in a burst is served late after it, at nobody's cost", async () => {
-  // Symptom: 82 of 301 requests were refused twice in a burst of 3.5 times
-  // the load, and calls went out half empty after it.
-  // Sequence: a caller is refused, comes back while the burst lasts, and is
-  // refused by what is left of its objective.
-  // Cause: nothing was served late that might have been on time.
-  const figures = await play([{ ...BURST, factor: 3.5 }]);
-  const { review, chat } = figures.kinds;
-  expect((review?.refused ?? 0) + (chat?.refused ?? 0)).toEqual(0);
-  expect((review?.worth ?? 0) > 0.97).toEqual(true);
-  expect((chat?.worth ?? 0) > 0.5).toEqual(true);
-});
--- a/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
@@ -17,7 +17,6 @@
       stages: [{ service: "s", after: [], resultBytes, pieces: count }],
       remainingMilliseconds: 10_000,
       objectiveMilliseconds: 1_000,
-      hasReturned: false,
       tailMilliseconds: 100,
       priority: 0,
     },
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -36,8 +36,6 @@
   })),
   remainingMilliseconds: z.number(),
   objectiveMilliseconds: z.number(),
-  // Absent from daemons of the version before, during an upgrade.
-  hasReturned: z.boolean().default(false),
   readerZone: z.string().optional(),
   tailMilliseconds: z.number(),
   priority: z.number(),
--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -2,8 +2,6 @@
 export interface StageOutlook {
   /** Time until all that was admitted before is made, milliseconds. */
   readonly backlog: number;
-  /** The same for what can still be on time; late work waits behind it. */
-  readonly onTimeBacklog: number;
   /** Time of the calls that the stage takes, milliseconds. */
   readonly work: number;
   readonly after: readonly number[];
@@ -18,23 +16,13 @@
   readonly objective: number;
   /** Time until the caller gives up. */
   readonly remaining: number;
-  /** The caller was refused before and comes back. */
-  readonly hasReturned: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
 }
 
-/** A chain that is served. */
-export interface AdmittedChain {
-  readonly type: "admitted";
-  readonly expected: number;
-  /** It takes only what work that can be on time leaves. */
-  readonly isServedLate: boolean;
-}
-
 /** Serve it, or send it away with the time at which there is room. */
 export type ChainAdmission =
-  | AdmittedChain
+  | { readonly type: "admitted"; readonly expected: number }
   | {
     readonly type: "refused";
     readonly expected: number;
@@ -61,44 +49,14 @@
  * Decides at arrival from the whole chain. Answers bursts of 1.7 to 2.6 times
  * the usual load with endpoints slow or dead: work that would be late anyway
  * fills queues and makes the work behind it late as well.
- *
- * A caller that comes back and can't be on time any more is served late, if
- * that is well before its deadline: it waits behind all that can be on time,
- * and takes only what those leave. Refused by its objective once more, it had
- * come back in vain while calls went out half empty after the burst.
  */
 export function admitChain(options: AdmitChainOptions): ChainAdmission {
-  const expected = expectedTime(toOnTimeOptions(options));
-  const limit = onTimeLimit(options);
-  const isLate = options.objective <= leastTime(options);
-  if (!isLate && expected <= limit) {
-    return { type: "admitted", expected, isServedLate: false };
-  }
-
-  const lateExpected = expectedTime(options);
-  const lateLimit = options.remaining * LATE_SHARE;
-  const mayBeLate = isLate || options.hasReturned;
-  if (mayBeLate && lateExpected <= lateLimit) {
-    return { type: "admitted", expected: lateExpected, isServedLate: true };
-  }
-  const wait = mayBeLate ? lateExpected - lateLimit : expected - limit;
-  return {
-    type: "refused",
-    expected: mayBeLate ? lateExpected : expected,
-    retryAfterMilliseconds: Math.min(
-      Math.max(wait, LEAST_RETRY_MILLISECONDS),
-      LONGEST_RETRY_MILLISECONDS,
-    ),
-  };
-}
-
-/** As it is for work that goes before all that is late. */
-function toOnTimeOptions(options: AdmitChainOptions): AdmitChainOptions {
-  const stages = options.stages.map((stage) => ({
-    ...stage,
-    backlog: stage.onTimeBacklog,
-  }));
-  return { ...options, stages };
+  const expected = expectedTime(options);
+  const limit = limitOf(options);
+  if (expected <= limit) return { type: "admitted", expected };
+  const wait = Math.max(expected - limit, LEAST_RETRY_MILLISECONDS);
+  const retryAfterMilliseconds = Math.min(wait, LONGEST_RETRY_MILLISECONDS);
+  return { type: "refused", expected, retryAfterMilliseconds };
 }
 
 /** Length of the longest path through the stages, and the request's own. */
@@ -113,9 +71,12 @@
   return Math.max(0, ...ends) + options.tail;
 }
 
-function onTimeLimit({ objective, priority }: AdmitChainOptions): number {
+function limitOf(options: AdmitChainOptions): number {
+  const { objective, remaining, priority } = options;
   const share = Math.max(0.4, OBJECTIVE_SLACK - PRIORITY_WAIT_SHARE * priority);
-  return Math.max(objective * share, 0);
+  const onTime = objective * share;
+  const isLate = objective <= leastTime(options);
+  return isLate ? remaining * LATE_SHARE : Math.max(onTime, 0);
 }
 
 /** What the chain takes when nothing waits anywhere. */
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -19,8 +19,6 @@
   readonly remainingMilliseconds: number;
   /** Time until its answer is late; below 0 when it is late already. */
   readonly objectiveMilliseconds: number;
-  /** The caller was refused before and comes back. */
-  readonly hasReturned: boolean;
   /** Zone of the endpoint that will most likely read the final results. */
   readonly readerZone?: string | undefined;
   /** What the request itself will take until its first event. */
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -12,8 +12,6 @@
 export interface ChainRunOptions {
   readonly request: ChainRequest;
   readonly now: number;
-  /** See `ChainAdmission`. */
-  readonly isServedLate?: boolean;
   readonly settle: (outcome: ChainOutcome) => void;
 }
 
@@ -22,8 +20,6 @@
   readonly request: ChainRequest;
   readonly deadlineAt: number;
   readonly objectiveAt: number;
-  /** See `ChainAdmission`. */
-  readonly isServedLate: boolean;
   /** False once it has its outcome; its pieces are then of no use. */
   isOpen = true;
   /** How often stages were started again because results were lost. */
@@ -39,7 +35,6 @@
     this.request = request;
     this.deadlineAt = now + request.remainingMilliseconds;
     this.objectiveAt = now + request.objectiveMilliseconds;
-    this.isServedLate = options.isServedLate ?? false;
     this.#settle = options.settle;
     this.#results = request.stages.map(({ pieces }) =>
       new Array<PieceResult | undefined>(pieces).fill(undefined)
@@ -73,12 +68,6 @@
     return (this.#results[stage] ?? []).every((one) => one !== undefined);
   }
 
-  /** False once not even the request itself would end by its objective. */
-  mayBeOnTime(now: number): boolean {
-    return !this.isServedLate &&
-      this.objectiveAt - this.request.tailMilliseconds > now;
-  }
-
   /** Pieces of `service` that are still to be made. */
   missingOf(service: string): number {
     let missing = 0;
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -3,7 +3,6 @@
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
-import type { AdmittedChain, StageOutlook } from "./admit_chain.ts";
 import type { ChainOutcome, PieceResult } from "./chain_outcome.ts";
 import type { ChainRequest } from "./chain_request.ts";
 import type { PieceClient } from "./piece_call.ts";
@@ -73,17 +72,11 @@
 
   /** Runs a chain; `signal` ends it when its caller is gone. */
   run(request: ChainRequest, signal: AbortSignal): Promise<ChainOutcome> {
-    const admission = this.#admit(request);
-    if (admission.type !== "admitted") return Promise.resolve(admission);
-    const { isServedLate } = admission;
+    const refusal = this.#admit(request);
+    if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const now = this.#options.timer.now();
-      const chain = new ChainRun({
-        request,
-        now,
-        isServedLate,
-        settle: resolve,
-      });
+      const chain = new ChainRun({ request, now, settle: resolve });
       this.#chains.add(chain);
       signal.addEventListener(
         "abort",
@@ -111,7 +104,7 @@
     this.#pumpAll();
   }
 
-  #admit(request: ChainRequest): ChainOutcome | AdmittedChain {
+  #admit(request: ChainRequest): ChainOutcome | undefined {
     const used = request.stages.map((stage) =>
       stage.pieces === 0 ? undefined : this.#deskOf(stage.service)
     );
@@ -121,17 +114,16 @@
     if (isMissing) return refuse("no_endpoint", NO_ENDPOINT_RETRY_MILLISECONDS);
     const admission = admitChain({
       stages: request.stages.map((stage, number) => ({
-        ...this.#backlogs(stage.service, used[number]),
+        backlog: this.#backlog(stage.service, used[number]),
         work: used[number]?.workTime(stage.pieces) ?? 0,
         after: stage.after,
       })),
       tail: request.tailMilliseconds,
       objective: request.objectiveMilliseconds,
       remaining: request.remainingMilliseconds,
-      hasReturned: request.hasReturned,
       priority: request.priority,
     });
-    if (admission.type === "admitted") return admission;
+    if (admission.type === "admitted") return undefined;
     this.#options.log.info("chain refused", {
       attempt: request.attemptId,
       expectedMilliseconds: Math.round(admission.expected),
@@ -141,23 +133,12 @@
     return refuse("overloaded", admission.retryAfterMilliseconds);
   }
 
-  /** Time until admitted pieces of a service are made, milliseconds. */
-  #backlogs(
-    service: string,
-    desk: ServiceDesk | undefined,
-  ): Pick<StageOutlook, "backlog" | "onTimeBacklog"> {
-    if (desk === undefined) return { backlog: 0, onTimeBacklog: 0 };
-    const now = this.#options.timer.now();
+  /** Time until all admitted pieces of a service are made, milliseconds. */
+  #backlog(service: string, desk: ServiceDesk | undefined): number {
+    if (desk === undefined) return 0;
     let pieces = 0;
-    let onTimePieces = 0;
-    for (const chain of this.#chains) {
-      const missing = chain.missingOf(service);
-      pieces += missing;
-      if (chain.mayBeOnTime(now)) onTimePieces += missing;
-    }
-    const timeOf = (count: number): number =>
-      Math.max(desk.slotWait(), count / Math.max(desk.rate(), 1e-6));
-    return { backlog: timeOf(pieces), onTimeBacklog: timeOf(onTimePieces) };
+    for (const chain of this.#chains) pieces += chain.missingOf(service);
+    return Math.max(desk.slotWait(), pieces / Math.max(desk.rate(), 1e-6));
   }
 
   #deskOf(service: string): ServiceDesk | undefined {
--- a/packages/kelpspar-gateway/src/pieces/rank_piece.ts
+++ b/packages/kelpspar-gateway/src/pieces/rank_piece.ts
@@ -7,8 +7,6 @@
   readonly remainingWork: number;
   /** Another piece of the same stage of its request is made or under way. */
   readonly hasBegun: boolean;
-  /** Its chain was admitted to be served late. */
-  readonly isServedLate: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly now: number;
@@ -37,7 +35,7 @@
 export function rankPiece(options: PieceRankOptions): number {
   const { objectiveAt, remainingWork, hasBegun, priority, now } = options;
   const latestStart = objectiveAt - remainingWork;
-  const isLate = (options.isServedLate || latestStart < now) && !hasBegun;
+  const isLate = latestStart < now && !hasBegun;
   const penalty = isLate ? LATE_PENALTY_MILLISECONDS : 0;
   const bonus = hasBegun ? BEGUN_BONUS_MILLISECONDS : 0;
   return latestStart + penalty - bonus + priority * PRIORITY_STEP_MILLISECONDS;
@@ -53,7 +51,6 @@
     objectiveAt: chain.objectiveAt,
     remainingWork: options.work + tailMilliseconds,
     hasBegun: chain.hasBegun(stage),
-    isServedLate: chain.isServedLate,
     priority,
     now: options.now,
   });
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -7,11 +7,6 @@
 
 /** A timed-out caller has no time left; any wait is as good, milliseconds. */
 const TIMED_OUT_RETRY_MILLISECONDS = 1_000;
-/**
- * A caller this much older than a fresh one was refused before, milliseconds:
- * far below the least time after which it may come back.
- */
-const RETURNED_AGE_MILLISECONDS = 100;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** How a request ended, for the log and metrics. */
@@ -103,11 +98,6 @@
     return route.objectiveMilliseconds - spent;
   }
 
-  /** The caller was refused before and comes back. */
-  get hasReturned(): boolean {
-    return this.age >= RETURNED_AGE_MILLISECONDS;
-  }
-
   /** Results to be freed once the request has read them or ended. */
   holdResults(results: readonly PieceResult[]): void {
     this.releaseResults();
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -157,7 +157,6 @@
       stages,
       remainingMilliseconds: run.remaining(),
       objectiveMilliseconds: run.objectiveLeft(),
-      hasReturned: run.hasReturned,
       readerZone: this.#readerZone(run),
       tailMilliseconds: times.of(route.name, route.kind === "stream"),
       priority: run.priority,
