Take the gateway's guards away one by one, by a command that is kept

Change: npm run guards copies the sources, checks that each test passes there, takes 18 guards away one after the other and runs the test that must notice. One wasn't noticed: that a daemon without a configuration answers 503 with a time to come back; it has a test now.

--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -95,11 +95,13 @@
   options: {
     readonly route?: Partial<ServiceRoute>;
     readonly chain?: ChainOutcome;
+    /** False for a daemon that just started. */
+    readonly isConfigured?: boolean;
   } = {},
 ): World {
   const timer = new ManualTimer();
   const configuration = new ConfigurationKeeper();
-  configuration.offer({
+  const first = {
     version: 1,
     routes: [{ ...ROUTE, ...options.route }],
     services: [],
@@ -110,7 +112,8 @@
       idleTimeoutMilliseconds: 1,
     },
     accounts: [{ name: "acme", callerKeys: ["key"], priority: undefined }],
-  });
+  };
+  if (options.isConfigured !== false) configuration.offer(first);
   const book = new EndpointBook({ lapseMilliseconds: 2_000 });
   for (const id of ["i1", "i2", "i3"]) {
     book.put({
@@ -363,3 +366,16 @@
   expect(ended[0]?.fields["attempt"]).toEqual("a1");
   expect(ended[0]?.fields["outcome"]).toEqual("served");
 });
+
+test("a daemon that knows no configuration says not run, and when to come", async () => {
+  // Symptom: right after all daemons were killed, requests were denied as if
+  // their route or key didn't exist, and callers didn't ask again.
+  // Sequence: a daemon starts, a caller comes before its first configuration.
+  // Cause: without a configuration no route is found.
+  const world = createWorld([], { isConfigured: false });
+  await world.service.serve(request(), world.reply);
+  expect(world.reply.status).toEqual(503);
+  expect((world.reply.refusal?.retryAfterMilliseconds ?? 0) > 0)
+    .toEqual(true);
+  expect(world.calls.length).toEqual(0);
+});
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/guards/main.ts
@@ -0,0 +1,52 @@
+import type { Guard } from "./guard.ts";
+import { spawnSync } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { GUARDS } from "./guards.ts";
+import { SourceCopy } from "./source_copy.ts";
+
+const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
+const NAME_WIDTH = 62;
+/** A test that hangs without its guard has noticed as well, milliseconds. */
+const TEST_MILLISECONDS = 60_000;
+
+/** Takes each guard of the gateway away and says whether its test notices. */
+function main(): void {
+  const copy = new SourceCopy(ROOT);
+  for (const file of new Set(GUARDS.map(({ noticedBy }) => noticedBy))) {
+    // A test that fails in the copy anyway would seem to notice everything.
+    if (!passes(file, copy)) throw new Error(`"${file}" fails with its guards`);
+  }
+  let missed = 0;
+  for (const guard of GUARDS) {
+    const isNoticed = tryWithout(guard, copy);
+    if (!isNoticed) missed++;
+    const verdict = isNoticed ? "noticed" : "NOT NOTICED";
+    process.stdout.write(`${guard.name.padEnd(NAME_WIDTH)}${verdict}\n`);
+  }
+  copy.remove();
+  const noticed = GUARDS.length - missed;
+  process.stdout.write(`${noticed} of ${GUARDS.length} guards were noticed\n`);
+  if (missed > 0) process.exitCode = 1;
+}
+
+function tryWithout(guard: Guard, copy: SourceCopy): boolean {
+  const source = copy.read(guard.file);
+  if (source.split(guard.code).length !== 2) {
+    throw new Error(`"${guard.code}" doesn't stand once in "${guard.file}"`);
+  }
+  copy.write(guard.file, source.replace(guard.code, () => guard.without));
+  const isNoticed = !passes(guard.noticedBy, copy);
+  copy.write(guard.file, source);
+  return isNoticed;
+}
+
+function passes(file: string, copy: SourceCopy): boolean {
+  const { status } = spawnSync(
+    process.execPath,
+    ["--conditions=source", "--import", "tsx", "--test", file],
+    { cwd: copy.folder, stdio: "ignore", timeout: TEST_MILLISECONDS },
+  );
+  return status === 0;
+}
+
+main();
