--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -50,8 +50,13 @@
 });
 copyFileSync("deploy/start_daemon.cjs", "target/start_daemon.cjs");
 rmSync(`${BUNDLE}.code`, { force: true });
-execFileSync(
-  process.execPath,
-  [...readNodeOptions(), "deploy/keep_code.cjs"],
-  { stdio: ["ignore", "ignore", "inherit"] },
-);
+try {
+  execFileSync(
+    process.execPath,
+    [...readNodeOptions(), "deploy/keep_code.cjs"],
+    { stdio: ["ignore", "ignore", "inherit"] },
+  );
+} catch (error) {
+  // The daemon starts without it, only later.
+  console.warn(`Compiled code was not kept: ${error.message}`);
+}
