--- a/packages/kelpspar-standins/src/wire/wire_caller.ts
+++ b/packages/kelpspar-standins/src/wire/wire_caller.ts
@@ -59,8 +59,8 @@
         `http://${daemon?.directory}/-/resolve?name=x&region=r&zone=a`,
         { signal: AbortSignal.timeout(DIRECTORY_MILLISECONDS) },
       );
-      const answer = await body.json() as { readonly addresses: string[] };
-      return answer.addresses;
+      const answer = await body.json() as { readonly addresses?: string[] };
+      return answer.addresses ?? [];
     } catch {
       // Another daemon is asked in the next round.
       return [];
