--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -120,6 +120,7 @@
     for (const [index, zone] of zones.entries()) {
       book.put({
         id: `${name}-${index}`,
+        bornAt: 0,
         service: name,
         address: `${name}-${index}`,
         zone,
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -7,6 +7,7 @@
   PieceCallAnswer,
   PieceClient,
   ResultMaker,
+  RoomReport,
 } from "../../pieces/piece_call.ts";
 
 /** A stage service of a load. */
@@ -96,12 +97,13 @@
   }
 
   /** The room as it was some time ago. */
-  readRoom(endpoint: EndpointEntry): Promise<number | undefined> {
+  readRoom(endpoint: EndpointEntry): Promise<RoomReport | undefined> {
     const maker = this.#makers.get(endpoint.id);
     if (maker === undefined) return Promise.resolve(undefined);
     const seenAt = this.#timer.now() - this.#roomLagMilliseconds;
     const seen = maker.history.findLast(([at]) => at <= seenAt);
-    return Promise.resolve(seen?.[1] ?? maker.terms.resultBytes);
+    const freeBytes = seen?.[1] ?? maker.terms.resultBytes;
+    return Promise.resolve({ freeBytes, bornAt: endpoint.bornAt });
   }
 
   freeResults(
--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -7,9 +7,10 @@
   return new EndpointBook({ lapseMilliseconds: 2_000 });
 }
 
-function entry(id: string, isDraining = false): EndpointEntry {
+function entry(id: string, isDraining = false, bornAt = 1): EndpointEntry {
   return {
     id,
+    bornAt,
     service: "model",
     address: "10.0.0.1:80",
     zone: "a",
@@ -64,10 +65,49 @@
   const gone: string[] = [];
   const teardown = book.registerGone((id) => gone.push(id));
   book.put(entry("i1"));
-  book.leave("i1");
-  book.leave("i1");
+  book.leave(entry("i1"));
+  book.leave(entry("i1"));
   teardown();
   book.put(entry("i2"));
-  book.leave("i2");
+  book.leave(entry("i2"));
   expect(gone).toEqual(["i1"]);
 });
+
+test("an endpoint that starts again under its id is a new one", () => {
+  // Symptom: requests were sent handles and prompts that the endpoint didn't
+  // have, and its old failures kept it from getting work.
+  // Sequence: it crashed and started again under its id; its entry changed.
+  // Cause: an entry under a known id was taken for the same endpoint.
+  const book = createBook();
+  const gone: string[] = [];
+  book.registerGone((id) => gone.push(id));
+  book.put(entry("i1"));
+  const first = book.find("i1");
+  first?.failed(true, 0);
+  book.put(entry("i1", false, 2));
+  expect(gone).toEqual(["i1"]);
+  expect(first?.ended.aborted).toEqual(true);
+  expect(book.find("i1") === first).toEqual(false);
+  expect(book.find("i1")?.isSetAside(1)).toEqual(false);
+  expect(idsOf(book)).toEqual(["i1"]);
+});
+
+test("word of an earlier life doesn't count, and a later life may follow a leaving", () => {
+  // Symptom: an endpoint that had just started again was taken out.
+  // Sequence: its life before had said it was leaving; a slow reader brought
+  // that entry after the new life's.
+  // Cause: leaving was judged by the id alone.
+  const book = createBook();
+  book.put(entry("i1"));
+  book.put(entry("i1", true));
+  book.put(entry("i1", false, 2));
+  book.put(entry("i1", true));
+  book.put(entry("i1"));
+  book.leave(entry("i1"));
+  expect(idsOf(book)).toEqual(["i1"]);
+  expect(book.find("i1")?.entry.bornAt).toEqual(2);
+  book.heardBirth("i1", 1);
+  expect(book.find("i1")?.entry.bornAt).toEqual(2);
+  book.heardBirth("i1", 3);
+  expect(book.find("i1")?.entry.bornAt).toEqual(3);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -104,6 +104,7 @@
   for (const id of ["encode-0", "encode-1", "rerank-0"]) {
     book.put({
       id,
+      bornAt: 0,
       service: id.slice(0, -2),
       address: id,
       zone: "a",
@@ -166,7 +167,7 @@
   client.make("encode-0");
   client.make("encode-1");
   await timer.settle();
-  book.leave("encode-1");
+  book.leave({ id: "encode-1", bornAt: 0 });
   await timer.settle();
   client.make("rerank-0");
   await timer.advance(100);
--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -118,6 +118,7 @@
   for (const id of ["i1", "i2", "i3"]) {
     book.put({
       id,
+      bornAt: 0,
       service: "model",
       address: `10.0.0.${id.slice(1)}:80`,
       zone: "a",
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -4,6 +4,9 @@
 /** Told when an endpoint takes no more new work. */
 export type EndpointGoneListener = (id: string) => void;
 
+/** One life of an endpoint, from a start to an end. */
+export type EndpointLife = Pick<EndpointEntry, "id" | "bornAt">;
+
 /** How removals are judged. */
 export interface EndpointBookOptions {
   /**
@@ -15,15 +18,19 @@
 }
 
 /**
- * The endpoints that may get work, by service. Leaving is final for an id: a
- * list read late, or one kept by a store that returns, must not bring an
- * endpoint back that has said it is leaving, since it may exit any moment.
+ * The endpoints that may get work, by service. Leaving is final for a life of
+ * an endpoint: a list read late, or one kept by a store that returns, must not
+ * bring an endpoint back that has said it is leaving, since it may exit any
+ * moment. One that starts again under its id is a new endpoint: it holds
+ * nothing of what it made or read before, so that whoever goes on with beliefs
+ * of the life before sends it inputs and prompts that are gone.
  */
 export class EndpointBook {
   readonly #options: EndpointBookOptions;
   readonly #states = new Map<string, EndpointState>();
   readonly #byService = new Map<string, Set<EndpointState>>();
-  readonly #left = new Set<string>();
+  /** Start of the last life that left or was replaced, by id. */
+  readonly #left = new Map<string, number>();
   readonly #listeners = new Set<EndpointGoneListener>();
 
   constructor(options: EndpointBookOptions) {
@@ -48,24 +55,33 @@
   }
 
   put(entry: EndpointEntry): void {
-    if (this.#left.has(entry.id)) return;
-    if (entry.isDraining) {
-      this.leave(entry.id);
-      return;
+    const { id, bornAt } = entry;
+    // Word of an earlier life, from whatever source, arrived late.
+    if (bornAt <= (this.#left.get(id) ?? Number.NEGATIVE_INFINITY)) return;
+    const known = this.#states.get(id);
+    if (known !== undefined && bornAt < known.entry.bornAt) return;
+    if (known !== undefined && bornAt > known.entry.bornAt) {
+      known.end();
+      this.leave(known.entry);
     }
-    const known = this.#states.get(entry.id);
-    if (known === undefined) {
-      this.#add(entry);
-      return;
-    }
-    known.entry = entry;
-    known.lapsesAt = undefined;
+    if (entry.isDraining) this.leave(entry);
+    else if (this.#states.has(id)) this.#renew(entry);
+    else this.#add(entry);
+  }
+
+  /** Takes in that a life of an endpoint began, told by itself. */
+  heardBirth(id: string, bornAt: number): void {
+    const known = this.#states.get(id);
+    if (known === undefined) return;
+    this.put({ ...known.entry, bornAt });
   }
 
-  /** Takes an endpoint out for good. */
-  leave(id: string): void {
-    this.#left.add(id);
-    this.#drop(id);
+  /** Takes a life of an endpoint out for good; a later one stays. */
+  leave({ id, bornAt }: EndpointLife): void {
+    const left = this.#left.get(id) ?? Number.NEGATIVE_INFINITY;
+    this.#left.set(id, Math.max(left, bornAt));
+    const known = this.#states.get(id);
+    if (known !== undefined && known.entry.bornAt <= bornAt) this.#drop(id);
   }
 
   /**
@@ -80,7 +96,7 @@
     const state = this.#states.get(id);
     if (state === undefined) return;
     if (!options.isStoreUnsettled) {
-      this.leave(id);
+      this.leave(state.entry);
       return;
     }
     state.lapsesAt ??= options.now + this.#options.lapseMilliseconds;
@@ -98,6 +114,18 @@
     return () => this.#listeners.delete(listener);
   }
 
+  #renew(entry: EndpointEntry): void {
+    const known = this.#states.get(entry.id);
+    if (known === undefined) return;
+    if (known.entry.service !== entry.service) {
+      this.#drop(entry.id);
+      this.#add(entry);
+      return;
+    }
+    known.entry = entry;
+    known.lapsesAt = undefined;
+  }
+
   #add(entry: EndpointEntry): void {
     const state = new EndpointState(entry);
     this.#states.set(entry.id, state);
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
@@ -1,7 +1,9 @@
 /** An endpoint's own entry in the list of endpoints. */
 export interface EndpointEntry {
-  /** New with each start of the endpoint. */
+  /** An endpoint may start again under the id that it had; see `bornAt`. */
   readonly id: string;
+  /** When this life of the endpoint began, Unix milliseconds, by its clock. */
+  readonly bornAt: number;
   readonly service: string;
   /** `address:port`. */
   readonly address: string;
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -24,6 +24,7 @@
   inFlight = 0;
   /** Set while the entry is gone but may come back; monotonic ms. */
   lapsesAt: number | undefined;
+  readonly #ended = new AbortController();
   #failingShare = 0;
   #setAsideUntil = 0;
   #pause = FIRST_PAUSE_MILLISECONDS;
@@ -41,6 +42,20 @@
     return 1 + (this.#slowness - 1) * 0.5 ** halves;
   }
 
+  /**
+   * Aborted when the endpoint was started again: what ran there is lost, and a
+   * connection to the life before may stay silent until the request's time is
+   * up.
+   */
+  get ended(): AbortSignal {
+    return this.#ended.signal;
+  }
+
+  /** Says that this life of the endpoint is over. */
+  end(): void {
+    this.#ended.abort();
+  }
+
   isSetAside(now: number): boolean {
     return now < this.#setAsideUntil;
   }
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -26,6 +26,7 @@
   PieceFailure,
   PieceOrder,
   ResultMaker,
+  RoomReport,
 } from "./pieces/piece_call.ts";
 export type {
   EndpointAnswer,
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -16,6 +16,8 @@
   pausedUntil = 0;
   /** Room taken by results that this daemon knows nothing of, bytes. */
   foreignBytes = 0;
+  /** Set once the endpoint is gone; what it still answers is lost with it. */
+  isGone = false;
   readonly #kept = new Map<string, KeptResult>();
 
   constructor(endpoint: EndpointState) {
--- a/packages/kelpspar-gateway/src/pieces/learn_room.ts
+++ b/packages/kelpspar-gateway/src/pieces/learn_room.ts
@@ -12,6 +12,8 @@
   readonly terms: PieceTerms;
   readonly client: PieceClient;
   readonly timer: TimerService;
+  /** Told that the endpoint was started again, and when. */
+  readonly onBirth: (bornAt: number) => void;
   /** Told when the answer doesn't count any more. */
   readonly onOver: () => void;
 }
@@ -26,11 +28,16 @@
  */
 export async function learnRoom(options: LearnRoomOptions): Promise<void> {
   const { lane, terms, client, timer, onOver } = options;
-  const free = await client.readRoom(lane.endpoint.entry);
-  if (free === undefined) return;
+  const { entry } = lane.endpoint;
+  const report = await client.readRoom(entry);
+  if (report === undefined || report.bornAt < entry.bornAt) return;
+  if (report.bornAt > entry.bornAt) {
+    options.onBirth(report.bornAt);
+    return;
+  }
   lane.foreignBytes = 0;
   const counted = lane.room(terms, timer.now());
-  lane.foreignBytes = Math.max(0, counted - free);
+  lane.foreignBytes = Math.max(0, counted - report.freeBytes);
   timer.registerTimeout(() => {
     lane.foreignBytes = 0;
     onOver();
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -48,6 +48,13 @@
     readonly reason: string;
   };
 
+/** What an endpoint says of its room, as of some hundred milliseconds ago. */
+export interface RoomReport {
+  readonly freeBytes: number;
+  /** Start of the life that says so, Unix milliseconds. */
+  readonly bornAt: number;
+}
+
 /** Who holds a result. */
 export interface ResultMaker {
   readonly id: string;
@@ -57,8 +64,8 @@
 
 /** Calls to endpoints of stage services. */
 export interface PieceClient {
-  /** Bytes free for results; undefined when it couldn't be learned. */
-  readRoom(endpoint: EndpointEntry): Promise<number | undefined>;
+  /** What is free for results; undefined when it couldn't be learned. */
+  readRoom(endpoint: EndpointEntry): Promise<RoomReport | undefined>;
   /** Never throws. */
   runPieces(call: PieceCall): Promise<PieceCallAnswer>;
   /** Frees results at their maker; false when it failed, and they expire. */
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -201,7 +201,7 @@
 
   #wasReplaced(lane: EndpointLane, call: RunningCall): void {
     this.#log("endpoint replaced", lane, call);
-    this.#options.book.leave(lane.endpoint.entry.id);
+    this.#options.book.leave(lane.endpoint.entry);
     this.#repeats.again(call.tasks, "failed");
   }
 
@@ -225,6 +225,10 @@
       bytes: task.chain.stage(task.stage).resultBytes,
       expiresAt: this.#now() + this.#terms.keptMilliseconds,
     });
+    if (lane.isGone) {
+      this.#repeats.again([task], "failed");
+      return;
+    }
     const isNew = task.chain.isOpen && task.chain.put(task, result);
     if (isNew) this.#options.events.made(task);
     else this.#options.free([result]);
@@ -263,9 +267,15 @@
     lane.pausedUntil = now + NO_ROOM_PAUSE_MILLISECONDS;
     this.#repeats.turnedAway([task]);
     if (isAsked) return;
-    const { client, timer } = this.#options;
-    const onOver = (): void => this.pump();
-    void learnRoom({ lane, terms: this.#terms, client, timer, onOver });
+    const { book, client, timer } = this.#options;
+    void learnRoom({
+      lane,
+      terms: this.#terms,
+      client,
+      timer,
+      onBirth: (bornAt) => book.heardBirth(lane.endpoint.entry.id, bornAt),
+      onOver: () => this.pump(),
+    });
   }
 
   /** Another daemon's calls fill the endpoint: it is asked again later. */
--- a/packages/kelpspar-gateway/src/pieces/service_lanes.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -51,6 +51,7 @@
     const lane = this.#lanes.get(id);
     if (lane === undefined) return;
     this.#lanes.delete(id);
+    lane.isGone = true;
     for (const call of lane.calls) call.abort.abort();
   }
 
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -111,6 +111,7 @@
     const stop = new AbortController();
     const onStop = (): void => stop.abort();
     run.stop.signal.addEventListener("abort", onStop, { once: true });
+    endpoint.ended.addEventListener("abort", onStop, { once: true });
     const stopSilence = this.#watchFirstEvent(stop);
     const stopOverdue = this.#watchOverdue(endpoint);
     const answer = await parts.endpoints.send({
@@ -126,6 +127,7 @@
     });
     stopSilence();
     stopOverdue();
+    endpoint.ended.removeEventListener("abort", onStop);
     endpoint.inFlight--;
     const didNotRun = answer.type === "not_run" ||
       answer.type === "unreachable";
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -116,7 +116,7 @@
     > = {
       full: () => "again",
       replaced: () => {
-        book.leave(sent.endpoint.entry.id);
+        book.leave(sent.endpoint.entry);
         return "again";
       },
       input_gone: () => "input_gone",
@@ -178,7 +178,7 @@
     const { endpoint } = sent;
     endpoint.inFlight++;
     try {
-      await this.#stream.forward(answer, () => {
+      await this.#stream.forward({ answer, endpoint }, () => {
         this.#sender.recordFirstByte(sent);
         // The endpoint has read its inputs once it writes.
         run.releaseResults();
--- a/packages/kelpspar-gateway/src/requests/stream_forward.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forward.ts
@@ -1,3 +1,4 @@
+import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { Answered } from "./sent.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -24,19 +25,21 @@
    * then open, and what was left of an event is dropped.
    */
   async forward(
-    answer: Answered,
+    { answer, endpoint }: { answer: Answered; endpoint: EndpointState },
     onFirstEvent: () => void,
   ): Promise<void> {
-    const { signal } = this.#run.stop;
+    const stops = [this.#run.stop.signal, endpoint.ended];
     const onStop = (): void => answer.close();
-    signal.addEventListener("abort", onStop, { once: true });
+    for (const one of stops) {
+      one.addEventListener("abort", onStop, { once: true });
+    }
     try {
       await this.#forwardEvents(answer, onFirstEvent);
     } catch (error) {
       this.#relay.dropRest();
       throw error;
     } finally {
-      signal.removeEventListener("abort", onStop);
+      for (const one of stops) one.removeEventListener("abort", onStop);
       answer.close();
     }
     if (this.#run.isOpen) await this.#end(answer);
