Let an endpoint that leaves end its calls, and small results pass one without room

Change: leaving is told apart from the end of a life; what had no room bounds the room believed until the endpoint said how much there is, for 250 ms. New test: an endpoint that is leaving ends its calls and its results are used (failed before).

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -181,6 +181,31 @@
   expect(again?.call.pieces[0]?.inputs.length).toEqual(2);
 });
 
+test("an endpoint that is leaving ends its calls and its results are used", async () => {
+  // Symptom: chains took a call longer while endpoints left one by one, and
+  // stage work was thrown away.
+  // Sequence: an endpoint said it was leaving while it made a piece; the call
+  // was given up, its results were made again elsewhere.
+  // Cause: leaving was taken for the end of what it had.
+  const { timer, client, book, run } = createWorld();
+  run("a", [2, 1]);
+  await timer.settle();
+  client.make("encode-0");
+  await timer.settle();
+  for (const id of ["encode-0", "encode-1"]) {
+    const entry = book.find(id)?.entry;
+    if (entry !== undefined) book.put({ ...entry, isDraining: true });
+  }
+  await timer.settle();
+  client.make("encode-1");
+  await timer.advance(100);
+  const reader = client.open.find(({ call }) =>
+    call.endpoint.id === "rerank-0"
+  );
+  expect([...reader?.call.pieces[0]?.inputs ?? []].sort())
+    .toEqual(["encode-0/a.0.0", "encode-1/a.0.1"]);
+});
+
 test("room counts as free once its maker has freed it, not when asked", async () => {
   // Symptom: 551 pieces of a quiet day were turned away for want of room.
   // Sequence: results were freed and the next call started at once; it came to
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -1,8 +1,17 @@
 import type { EndpointEntry } from "./endpoint_entry.ts";
 import { EndpointState } from "./endpoint_state.ts";
 
+/**
+ * Why an endpoint takes no more new work: it is leaving and goes on for a
+ * while with what it has, or its life is over.
+ */
+export type EndpointGoneCause = "leaving" | "over";
+
 /** Told when an endpoint takes no more new work. */
-export type EndpointGoneListener = (id: string) => void;
+export type EndpointGoneListener = (
+  id: string,
+  cause: EndpointGoneCause,
+) => void;
 
 /** One life of an endpoint, from a start to an end. */
 export type EndpointLife = Pick<EndpointEntry, "id" | "bornAt">;
@@ -64,7 +73,7 @@
       known.end();
       this.leave(known.entry);
     }
-    if (entry.isDraining) this.leave(entry);
+    if (entry.isDraining) this.leave(entry, "leaving");
     else if (this.#states.has(id)) this.#renew(entry);
     else this.#add(entry);
   }
@@ -77,11 +86,15 @@
   }
 
   /** Takes a life of an endpoint out for good; a later one stays. */
-  leave({ id, bornAt }: EndpointLife): void {
+  leave(
+    { id, bornAt }: EndpointLife,
+    cause: EndpointGoneCause = "over",
+  ): void {
     const left = this.#left.get(id) ?? Number.NEGATIVE_INFINITY;
     this.#left.set(id, Math.max(left, bornAt));
     const known = this.#states.get(id);
-    if (known !== undefined && known.entry.bornAt <= bornAt) this.#drop(id);
+    if (known === undefined || known.entry.bornAt > bornAt) return;
+    this.#drop(id, cause);
   }
 
   /**
@@ -96,7 +109,8 @@
     const state = this.#states.get(id);
     if (state === undefined) return;
     if (!options.isStoreUnsettled) {
-      this.leave(state.entry);
+      // One that crashed shows that itself, by calls that fail.
+      this.leave(state.entry, "leaving");
       return;
     }
     state.lapsesAt ??= options.now + this.#options.lapseMilliseconds;
@@ -135,11 +149,11 @@
     } else ofService.add(state);
   }
 
-  #drop(id: string): void {
+  #drop(id: string, cause: EndpointGoneCause = "over"): void {
     const state = this.#states.get(id);
     if (state === undefined) return;
     this.#states.delete(id);
     this.#byService.get(state.entry.service)?.delete(state);
-    for (const listener of this.#listeners) listener(id);
+    for (const listener of this.#listeners) listener(id, cause);
   }
 }
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -12,10 +12,12 @@
 export class EndpointLane {
   readonly endpoint: EndpointState;
   readonly calls = new Set<RunningCall>();
-  /** Until then it gets no calls: it had no room; monotonic milliseconds. */
+  /** Until then it gets no calls: it was full; monotonic milliseconds. */
   pausedUntil = 0;
   /** Room taken by results that this daemon knows nothing of, bytes. */
   foreignBytes = 0;
+  /** The endpoint is asked how much of its room is left. */
+  isRoomAsked = false;
   /** Set once the endpoint is gone; what it still answers is lost with it. */
   isGone = false;
   readonly #kept = new Map<string, KeptResult>();
@@ -52,6 +54,12 @@
     return terms.resultBytes - used - this.foreignBytes;
   }
 
+  /** Notes that the endpoint had no place for a result of `bytes`. */
+  hadNoRoom(bytes: number, options: { terms: PieceTerms; now: number }): void {
+    const excess = this.room(options.terms, options.now) - bytes + 1;
+    if (excess > 0) this.foreignBytes += excess;
+  }
+
   /** A result that this endpoint made. */
   resultOf(handle: string): PieceResult {
     const { id, address, zone } = this.endpoint.entry;
--- a/packages/kelpspar-gateway/src/pieces/learn_room.ts
+++ b/packages/kelpspar-gateway/src/pieces/learn_room.ts
@@ -27,7 +27,19 @@
  * results for others' and left a tenth of the room in use.
  */
 export async function learnRoom(options: LearnRoomOptions): Promise<void> {
-  const { lane, terms, client, timer, onOver } = options;
+  const { lane, timer, onOver } = options;
+  if (lane.isRoomAsked) return;
+  lane.isRoomAsked = true;
+  await ask(options);
+  timer.registerTimeout(() => {
+    lane.isRoomAsked = false;
+    lane.foreignBytes = 0;
+    onOver();
+  }, FOREIGN_ROOM_MILLISECONDS);
+}
+
+async function ask(options: LearnRoomOptions): Promise<void> {
+  const { lane, terms, client, timer } = options;
   const { entry } = lane.endpoint;
   const report = await client.readRoom(entry);
   if (report === undefined || report.bornAt < entry.bornAt) return;
@@ -38,8 +50,4 @@
   lane.foreignBytes = 0;
   const counted = lane.room(terms, timer.now());
   lane.foreignBytes = Math.max(0, counted - report.freeBytes);
-  timer.registerTimeout(() => {
-    lane.foreignBytes = 0;
-    onOver();
-  }, FOREIGN_ROOM_MILLISECONDS);
 }
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -25,8 +25,6 @@
 
 /** Wait before a full endpoint is asked again, milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 60;
-/** Wait before an endpoint without room is asked again, milliseconds. */
-const NO_ROOM_PAUSE_MILLISECONDS = 120;
 
 /**
  * Gathers the pieces of all requests for one stage service. A piece waits here
@@ -78,6 +76,10 @@
     this.#lanes.abortUnneeded();
   }
 
+  endpointLeaving(id: string): void {
+    this.#lanes.forget(id);
+  }
+
   endpointGone(id: string): void {
     this.#lanes.drop(id);
   }
@@ -262,15 +264,14 @@
    * once it would say the same.
    */
   #hadNoRoom(lane: EndpointLane, task: PieceTask): void {
-    const now = this.#now();
-    const isAsked = lane.pausedUntil > now;
-    lane.pausedUntil = now + NO_ROOM_PAUSE_MILLISECONDS;
-    this.#repeats.turnedAway([task]);
-    if (isAsked) return;
     const { book, client, timer } = this.#options;
+    const terms = this.#terms;
+    const { resultBytes } = task.chain.stage(task.stage);
+    lane.hadNoRoom(resultBytes, { terms, now: this.#now() });
+    this.#repeats.turnedAway([task]);
     void learnRoom({
       lane,
-      terms: this.#terms,
+      terms,
       client,
       timer,
       onBirth: (bornAt) => book.heardBirth(lane.endpoint.entry.id, bornAt),
--- a/packages/kelpspar-gateway/src/pieces/service_lanes.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -46,6 +46,11 @@
     }
   }
 
+  /** Takes an endpoint out that ends the calls it has. */
+  forget(id: string): void {
+    this.#lanes.delete(id);
+  }
+
   /** Gives up the calls at an endpoint that is gone. */
   drop(id: string): void {
     const lane = this.#lanes.get(id);
