--- a/packages/kelpspar-gateway/src/__tests__/unit/choose_reader_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/choose_reader_test.ts
@@ -11,6 +11,7 @@
     endpointId,
     waitingTokens: 0,
     heldTokens: 0,
+    freeTokens: 100_000,
     crossingBytes: 0,
     slowness: 1,
     ...fields,
@@ -70,6 +71,17 @@
   ])).toEqual(["sound", "slow"]);
 });
 
+test("a long prompt isn't copied into memory that is full of others", () => {
+  // Symptom: three times as many prompt tokens were read again.
+  // Sequence: prompts of 13,300 tokens were fetched into every zone, where
+  // memory had place for 40 of them; each pushed out another one.
+  // Cause: a copy was taken to cost its transfer only.
+  expect(choose([
+    candidate("keeper", { heldTokens: 6_300, crossingBytes: 4_500_000 }),
+    candidate("near", { freeTokens: 0 }),
+  ])).toEqual(["keeper", undefined]);
+});
+
 test("without endpoints there is no place", () => {
   expect(chooseReader({ candidates: [], promptTokens: 1 })).toEqual(undefined);
 });
--- a/packages/kelpspar-gateway/src/configuration/service_definition.ts
+++ b/packages/kelpspar-gateway/src/configuration/service_definition.ts
@@ -21,4 +21,6 @@
   readonly pieces: PieceTerms | undefined;
   /** Requests that a model endpoint batches; undefined on plain services. */
   readonly engineSlots: number | undefined;
+  /** Memory of a model endpoint for prompts and what it generates, tokens. */
+  readonly engineTokens?: number | undefined;
 }
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -1,6 +1,9 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
-import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type {
+  EndpointBook,
+  EndpointGoneCause,
+} from "../endpoints/endpoint_book.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { ReaderPlace } from "../placement/reader_place.ts";
@@ -70,7 +73,7 @@
     const { book, configuration, timer } = this.#options;
     const teardowns = [
       this.#readers.register(),
-      book.registerGone((id) => this.#endpointGone(id)),
+      book.registerGone((id, cause) => this.#endpointGone(id, cause)),
       configuration.registerListener(() => this.#takeTerms()),
       timer.registerInterval(() => this.#pumpAll(), SWEEP_MILLISECONDS),
       timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
@@ -237,7 +240,15 @@
     this.#freer.free(chain.takeAll());
   }
 
-  #endpointGone(id: string): void {
+  /**
+   * One that is leaving ends its calls and keeps its results for a while. Made
+   * again at once, they took the time of the chain and of another endpoint.
+   */
+  #endpointGone(id: string, cause: EndpointGoneCause): void {
+    if (cause === "leaving") {
+      for (const desk of this.#desks.values()) desk.endpointLeaving(id);
+      return;
+    }
     for (const desk of this.#desks.values()) desk.endpointGone(id);
     for (const chain of [...this.#chains]) {
       this.#restart(chain, chain.forgetMaker(id));
--- a/packages/kelpspar-gateway/src/placement/choose_reader.ts
+++ b/packages/kelpspar-gateway/src/placement/choose_reader.ts
@@ -7,6 +7,8 @@
   readonly waitingTokens: number;
   /** Tokens at the beginning of this prompt that it keeps. */
   readonly heldTokens: number;
+  /** Tokens that fit into its memory before something of use yields. */
+  readonly freeTokens: number;
   /** Bytes of the request's inputs that lie in other availability zones. */
   readonly crossingBytes: number;
   /** Observed time against the expected one. */
@@ -22,14 +24,22 @@
 /**
  * What a megabyte between zones weighs, in prompt tokens that are read. A
  * megabyte takes a millisecond and costs the operator money, a token takes a
- * fiftieth: two results of 1.5 MB are worth 3,000 tokens, so that an endpoint
- * nearby is taken unless it is about 70 ms of reading behind.
+ * fiftieth: two results of 1.5 MB are worth 1,800 tokens, so that an endpoint
+ * nearby is taken unless it is about 40 ms of reading behind.
  */
-const CROSSING_TOKENS_PER_MEGABYTE = 1_000;
+const CROSSING_TOKENS_PER_MEGABYTE = 600;
 /** What a fetch of kept tokens costs beside its length, tokens: a round trip. */
 const FETCH_TOKENS = 100;
 /** What fetching a token costs against reading it: the memory that moves. */
-const FETCH_SHARE = 0.15;
+const FETCH_SHARE = 0.2;
+/**
+ * What a token weighs that makes another yield which is of use: about half of
+ * those are asked for again and have to be read again. Without it, long prompts
+ * are kept in every zone and push each other out: tokens read again cost 0.02
+ * of worth in place of 0.009, prompts that move 0.025 in place of none, with
+ * prompts of 13,300 tokens and memory for 40 of them.
+ */
+const YIELD_SHARE = 0.5;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
@@ -77,6 +87,7 @@
 ): number {
   const { from, promptTokens } = options;
   const { waitingTokens, heldTokens, crossingBytes, slowness } = candidate;
+  const yielding = promptTokens - heldTokens - candidate.freeTokens;
   const fetched = (from?.heldTokens ?? 0) - heldTokens;
   const isFetch = from !== undefined;
   if (isFetch && fetched <= 0) return Number.POSITIVE_INFINITY;
@@ -85,5 +96,6 @@
   const reading = (waitingTokens + promptTokens - kept) * slowness;
   const crossing = crossingBytes / BYTES_PER_MEGABYTE *
     CROSSING_TOKENS_PER_MEGABYTE;
-  return reading + fetchCost + crossing;
+  const pressure = Math.max(0, yielding) * YIELD_SHARE;
+  return reading + fetchCost + crossing + pressure;
 }
--- a/packages/kelpspar-gateway/src/placement/reader_ledger.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_ledger.ts
@@ -1,17 +1,8 @@
 import type { PromptPart } from "../requests/serving_request.ts";
-import type { ReaderPlace } from "./reader_place.ts";
+import { EndpointMemory } from "./endpoint_memory.ts";
 
-/**
- * How long an endpoint is taken to keep a prompt after its last use,
- * milliseconds. Endpoints drop the least recently used; with 350,000 tokens of
- * memory and 6,000 new ones a second a part stays for most of a minute, in a
- * burst for half of one.
- */
-const KEPT_MILLISECONDS = 15_000;
 /** A request whose reading nobody reported counts so long, milliseconds. */
 const WAITING_MILLISECONDS = 3_000;
-/** Parts remembered; the one used longest ago is forgotten first. */
-const MOST_PARTS = 5_000;
 
 interface WaitingRead {
   readonly endpointId: string;
@@ -26,8 +17,7 @@
  */
 export class ReaderLedger {
   readonly #waiting = new Map<string, WaitingRead>();
-  /** When a part of a prompt was last used, by part and endpoint. */
-  readonly #usedAt = new Map<string, Map<string, number>>();
+  readonly #memories = new Map<string, EndpointMemory>();
 
   /** Prompt tokens that an endpoint has not read yet. */
   waitingTokens(endpointId: string, now: number): number {
@@ -40,36 +30,29 @@
     return tokens;
   }
 
-  /** Tokens at the beginning of a prompt that an endpoint keeps. */
-  heldTokens(
-    endpointId: string,
-    parts: readonly PromptPart[],
-    now: number,
-  ): number {
-    let tokens = 0;
-    for (const part of parts) {
-      const usedAt = this.#usedAt.get(part.id)?.get(endpointId);
-      if (usedAt === undefined || now - usedAt > KEPT_MILLISECONDS) break;
-      tokens += part.tokens;
-    }
-    return tokens;
+  /** What an endpoint keeps; `capacity` counts when it is new, tokens. */
+  memoryOf(endpointId: string, capacity: number): EndpointMemory {
+    const known = this.#memories.get(endpointId);
+    if (known !== undefined) return known;
+    const memory = new EndpointMemory(capacity);
+    this.#memories.set(endpointId, memory);
+    return memory;
   }
 
-  /** Notes that a request is read at a place from now on. */
+  /** Notes that a request is read at an endpoint from now on. */
   placed(
     attemptId: string,
     options: {
-      readonly place: ReaderPlace;
+      readonly endpointId: string;
       readonly parts: readonly PromptPart[];
       /** Tokens that the endpoint has to read itself. */
       readonly tokens: number;
       readonly now: number;
     },
   ): void {
-    const { place, parts, tokens, now } = options;
-    const { endpointId } = place;
+    const { endpointId, parts, tokens, now } = options;
     this.#waiting.set(attemptId, { endpointId, tokens, placedAt: now });
-    for (const { id } of parts) this.#use(id, endpointId, now);
+    this.#memories.get(endpointId)?.use(parts, now);
   }
 
   /** Notes that a request was read, or won't be. */
@@ -79,19 +62,9 @@
 
   /** Forgets an endpoint: one that starts again keeps nothing. */
   endpointGone(endpointId: string): void {
-    for (const usedAt of this.#usedAt.values()) usedAt.delete(endpointId);
+    this.#memories.delete(endpointId);
     for (const [attemptId, read] of this.#waiting) {
       if (read.endpointId === endpointId) this.#waiting.delete(attemptId);
     }
   }
-
-  #use(partId: string, endpointId: string, now: number): void {
-    const usedAt = this.#usedAt.get(partId) ?? new Map<string, number>();
-    // Taken out and put in again, so that the map stands in order of use.
-    this.#usedAt.delete(partId);
-    this.#usedAt.set(partId, usedAt.set(endpointId, now));
-    if (this.#usedAt.size <= MOST_PARTS) return;
-    const [oldest] = this.#usedAt.keys();
-    if (oldest !== undefined) this.#usedAt.delete(oldest);
-  }
 }
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -1,13 +1,19 @@
 import type { TimerService } from "kelpspar-shared";
+import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "../pieces/chain_outcome.ts";
+import type { ReaderCandidate } from "./choose_reader.ts";
 import type { ChainReader, ReaderPlace } from "./reader_place.ts";
 import { chooseReader } from "./choose_reader.ts";
 import { ReaderLedger } from "./reader_ledger.ts";
 
+/** Memory that prompts may take; the rest is taken by what is generated. */
+const PROMPT_MEMORY_SHARE = 0.85;
+
 /** What readers are placed with. */
 export interface ReaderPlacementOptions {
+  readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
   readonly timer: TimerService;
 }
@@ -47,23 +53,43 @@
       (sum, { tokens }) => sum + tokens,
       0,
     );
+    const capacity = this.#capacityOf(reader.service);
     const candidates = soundOnes(book.ofService(reader.service), now)
-      .map((endpoint) => ({
-        endpointId: endpoint.entry.id,
-        waitingTokens: this.#ledger.waitingTokens(endpoint.entry.id, now),
-        heldTokens: this.#ledger.heldTokens(endpoint.entry.id, shared, now),
-        crossingBytes: crossingBytes(inputs, endpoint.entry.zone),
-        slowness: Math.max(1, endpoint.slowness(now)),
-      }));
+      .map((endpoint): ReaderCandidate => {
+        const { id, zone } = endpoint.entry;
+        const memory = this.#ledger.memoryOf(id, capacity);
+        return {
+          endpointId: id,
+          waitingTokens: this.#ledger.waitingTokens(id, now),
+          heldTokens: memory.heldTokens(shared, now),
+          freeTokens: memory.freeTokens,
+          crossingBytes: crossingBytes(inputs, zone),
+          slowness: Math.max(1, endpoint.slowness(now)),
+        };
+      });
     const place = chooseReader({ candidates, promptTokens });
     if (place === undefined) return undefined;
     const holderId = place.promptSourceId ?? place.endpointId;
-    const kept = this.#ledger.heldTokens(holderId, shared, now);
-    const tokens = promptTokens - kept;
-    this.#ledger.placed(attemptId, { place, parts: shared, tokens, now });
+    const kept = candidates.find((one) => one.endpointId === holderId)
+      ?.heldTokens ?? 0;
+    this.#ledger.placed(attemptId, {
+      endpointId: place.endpointId,
+      parts: reader.promptParts,
+      tokens: promptTokens - kept,
+      now,
+    });
     return place;
   }
 
+  /** Memory of one endpoint of a service for prompts, tokens. */
+  #capacityOf(service: string): number {
+    const { table } = this.#options.configuration;
+    const tokens = table?.findService(service)?.engineTokens;
+    return tokens === undefined
+      ? Number.POSITIVE_INFINITY
+      : tokens * PROMPT_MEMORY_SHARE;
+  }
+
   /** Says that a request was read, or won't be. */
   ended(attemptId: string): void {
     this.#ledger.ended(attemptId);
--- a/packages/kelpspar-gateway/src/requests/choose_for_request.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_for_request.ts
@@ -1,3 +1,4 @@
+import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { ChainReader } from "../placement/reader_place.ts";
 import type { RequestRun } from "./request_run.ts";
@@ -20,14 +21,14 @@
   const { place, options } = run;
   if (place === undefined || tried.has(place.endpointId)) return undefined;
   const { book, timer } = options.parts;
-  const endpoint = book.find(place.endpointId);
-  if (endpoint === undefined || endpoint.isSetAside(timer.now())) {
-    return undefined;
-  }
-  const home = place.promptSourceId === undefined
-    ? undefined
-    : book.find(place.promptSourceId);
-  return { endpoint, home };
+  const find = (id: string | undefined): EndpointState | undefined => {
+    const found = id === undefined ? undefined : book.find(id);
+    return found?.isSetAside(timer.now()) === false ? found : undefined;
+  };
+  const endpoint = find(place.endpointId);
+  if (endpoint === undefined) return undefined;
+  // A source that fails here would hold the request until the fetch gives up.
+  return { endpoint, home: find(place.promptSourceId) };
 }
 
 /** What requests with the same prompt share, where endpoints keep prompts. */
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
@@ -0,0 +1,115 @@
+import type { Mechanism } from "./mechanism.ts";
+
+const GATEWAY = "packages/kelpspar-gateway/src";
+
+/** What the gateway decides by, each to be switched off alone. */
+export const MECHANISMS: readonly Mechanism[] = [
+  {
+    name: "placement-by-coordinator",
+    file: `${GATEWAY}/requests/choose_for_request.ts`,
+    code: "return placedEndpoint(run, tried) ?? chooseEndpoint({",
+    without: "return chooseEndpoint({",
+  },
+  {
+    name: "prompt-fetch",
+    file: `${GATEWAY}/placement/choose_reader.ts`,
+    code: "for (const from of [undefined, source]) {",
+    without: "for (const from of [undefined]) {",
+  },
+  {
+    name: "memory-in-placement",
+    file: `${GATEWAY}/placement/choose_reader.ts`,
+    code: "const pressure = Math.max(0, yielding) * YIELD_SHARE;",
+    without: "const pressure = 0 * yielding * YIELD_SHARE;",
+  },
+  {
+    name: "bytes-in-placement",
+    file: `${GATEWAY}/placement/choose_reader.ts`,
+    code: "return reading + fetchCost + crossing + pressure;",
+    without: "return reading + fetchCost + 0 * crossing + pressure;",
+  },
+  {
+    name: "route-priority-within-accounts",
+    file: `${GATEWAY}/requests/request_priority.ts`,
+    code: "return level + route / ROUTE_LEVELS;",
+    without: "return level + 0 * route;",
+  },
+  {
+    name: "admission",
+    file: `${GATEWAY}/pieces/admit_chain.ts`,
+    code: "if (expected <= limit) return",
+    without: "if (limit < Number.POSITIVE_INFINITY) return",
+  },
+  {
+    name: "admission-by-what-goes-before",
+    file: `${GATEWAY}/pieces/piece_coordinator.ts`,
+    code: "chain.request.priority <= priority ? 1 : BEHIND_SHARE",
+    without: "chain.request.priority <= priority ? 1 : 0 * BEHIND_SHARE + 1",
+  },
+  {
+    name: "returning-callers-known",
+    file: `${GATEWAY}/pieces/refused_callers.ts`,
+    code: "return now - (this.#firstAskedAt.get(key) ?? now);",
+    without: "return 0 * (now - (this.#firstAskedAt.get(key) ?? now));",
+  },
+  {
+    name: "one-zone-a-stage",
+    file: `${GATEWAY}/pieces/crossing_bytes.ts`,
+    code: "return isApart ? bytes + own : bytes;",
+    without: "return isApart ? bytes + 0 * own : bytes;",
+  },
+  {
+    name: "far-pieces-wait",
+    file: `${GATEWAY}/pieces/plan_call.ts`,
+    code: "if (!isQueueLong) return false;",
+    without: "return isQueueLong;",
+  },
+  {
+    name: "begun-stages-first",
+    file: `${GATEWAY}/pieces/rank_piece.ts`,
+    code: "const bonus = hasBegun ?",
+    without: "const bonus = hasBegun && now < 0 ?",
+  },
+  {
+    name: "late-work-last",
+    file: `${GATEWAY}/pieces/rank_piece.ts`,
+    code: "const penalty = isLate ?",
+    without: "const penalty = isLate && now < 0 ?",
+  },
+  {
+    name: "room-for-whole-stages",
+    file: `${GATEWAY}/pieces/startable_pieces.ts`,
+    code: "const mayStart = need <= left || left >= room;",
+    without: "const mayStart = need < Number.POSITIVE_INFINITY;",
+  },
+  {
+    name: "doubling-of-overdue-calls",
+    file: `${GATEWAY}/pieces/service_desk.ts`,
+    code: "this.#repeats.double(call.tasks);",
+    without: "",
+  },
+  {
+    name: "learned-room",
+    file: `${GATEWAY}/pieces/learn_room.ts`,
+    code: "if (lane.isRoomAsked) return;",
+    without: "if (!lane.isRoomAsked) lane.foreignBytes = 0;\n  return;",
+  },
+  {
+    name: "leaving-endpoints-keep-work",
+    file: `${GATEWAY}/pieces/piece_coordinator.ts`,
+    code: 'if (cause === "leaving") {',
+    without: 'if (cause === "leaving" && id === "") {',
+  },
+  {
+    name: "starting-daemons-hear-first",
+    file: `${GATEWAY}/requests/chain_client.ts`,
+    code: "while (!isSettled()) {",
+    without: "while (!isSettled() && false) {",
+  },
+  {
+    name: "hedges",
+    file: `${GATEWAY}/requests/endpoint_sender.ts`,
+    code: 'if (route.kind !== "idempotent") return await first;',
+    without: "if (route.kind !== undefined) return await first;",
+  },
+];
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -23,7 +23,8 @@
   {
     name: "leaving is final",
     file: `${GATEWAY}/endpoints/endpoint_book.ts`,
-    code: "if (this.#left.has(entry.id)) return;",
+    code:
+      "if (bornAt <= (this.#left.get(id) ?? Number.NEGATIVE_INFINITY)) return;",
     without: "",
     noticedBy: `${GATEWAY_TESTS}/endpoint_book_test.ts`,
   },
