--- a/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
@@ -52,6 +52,14 @@
     .toEqual(["admitted", "refused", "refused"]);
 });
 
+test("a long chain of little urgency is served while nothing waits", () => {
+  // Symptom: a kind whose stages take most of its objective was always refused.
+  // Sequence: its route had a low priority, which left two fifths of the
+  // objective; its calls alone took more than that.
+  // Cause: what may not be waited was taken from the work as well.
+  expect(admit({ objective: 1_300, priority: 1.9 }).type).toEqual("admitted");
+});
+
 test("what is late already is served while the queue is short", () => {
   expect(admit({ objective: -200 }).type).toEqual("admitted");
   expect(admit({ objective: -200, backlog: 6_000 }).type).toEqual("refused");
--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -32,14 +32,15 @@
 /** A whole step of priority, an account's, leaves so much less for waiting. */
 const ACCOUNT_WAIT_SHARE = 0.05;
 /**
- * Each step of a route's priority, a tenth, leaves so much less of the
- * objective for waiting. Work that may wait is sent away before the queue is
+ * Each step of a route's priority, a tenth, leaves so much less of the time
+ * that a chain may wait. Work that may wait is sent away before the queue is
  * full, so that the urgent finds places; what waits in a queue up to its
  * objective ends late as often as not (0.56 of 140 on time, from the log of a
- * day with bursts).
+ * day with bursts). Taken from the waiting and not from the whole objective,
+ * since a long chain would have nothing left and never be admitted.
  */
-const ROUTE_WAIT_SHARE = 0.15;
-/** Share of the objective that the least urgent has for waiting and work. */
+const ROUTE_WAIT_SHARE = 0.25;
+/** Share of the waiting that the least urgent has. */
 const LEAST_SHARE = 0.4;
 /**
  * Share of the remaining time within which a late chain must be expected to
@@ -84,9 +85,9 @@
     LEAST_SHARE,
     1 - ACCOUNT_WAIT_SHARE * level - ROUTE_WAIT_SHARE * routeSteps,
   );
-  const onTime = objective * share;
-  const isLate = objective <= leastTime(options);
-  return isLate ? remaining * LATE_SHARE : Math.max(onTime, 0);
+  const least = leastTime(options);
+  if (objective <= least) return remaining * LATE_SHARE;
+  return least + (objective - least) * share;
 }
 
 /** What the chain takes when nothing waits anywhere. */
--- a/packages/kelpspar-gateway/src/pieces/plan_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/plan_call.ts
@@ -12,12 +12,6 @@
  */
 const PRESSED_MILLISECONDS = 90;
 
-/**
- * A piece joins a call in another zone once it has time for so many calls only:
- * its own and one more. Before that it waits for an endpoint near its inputs.
- */
-const CALLS_FOR_FAR_PIECES = 2;
-
 /** What a call is planned from. */
 export interface PlanCallOptions {
   readonly queue: PieceQueue;
@@ -119,33 +113,23 @@
     readonly startable: readonly PieceTask[];
   },
 ): readonly PieceTask[] {
-  const { first, terms, startable } = options;
+  const { first, lanes, terms, startable } = options;
   const near: PieceTask[] = [];
   const far: PieceTask[] = [];
   for (const task of startable) {
     if (task === first) continue;
     if (isNearest(outlook.zone, task, options)) near.push(task);
-    else if (isPressed(task, options)) far.push(task);
+    else far.push(task);
   }
-  return fillCall([first, ...near, ...far], {
+  const isPressed =
+    oneEndpointTime(options) / lanes.length > PRESSED_MILLISECONDS;
+  return fillCall([first, ...near, ...(isPressed ? far : [])], {
     batch: terms.batch,
     room: outlook.room,
     isEmpty: outlook.room >= terms.resultBytes,
   });
 }
 
-/** Whether a piece would be late if it waited for one more call. */
-function isPressed(task: PieceTask, options: PlanCallOptions): boolean {
-  const { queue, lanes, terms, now } = options;
-  const isQueueLong = oneEndpointTime(options) / lanes.length >
-    PRESSED_MILLISECONDS;
-  if (!isQueueLong) return false;
-  const { objectiveAt, request } = task.chain;
-  const work = oneCallTime(terms, queue.length);
-  return objectiveAt - now - request.tailMilliseconds <
-    work * CALLS_FOR_FAR_PIECES;
-}
-
 function isNearest(
   zone: string,
   task: PieceTask,
--- a/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
+++ b/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
@@ -59,10 +59,10 @@
     without: "return isApart ? bytes + 0 * own : bytes;",
   },
   {
-    name: "far-pieces-wait",
+    name: "far-pieces-fill-calls",
     file: `${GATEWAY}/pieces/plan_call.ts`,
-    code: "if (!isQueueLong) return false;",
-    without: "return isQueueLong;",
+    code: "...(isPressed ? far : [])",
+    without: "...(isPressed ? [] : [])",
   },
   {
     name: "begun-stages-first",
