Let prompts leave the endpoint that keeps them less

Change: a fetched token weighs 0.28, a megabyte 500 tokens, what must yield its whole length, and 0.7 of an endpoint's memory is taken for prompts.

--- a/packages/kelpspar-gateway/src/__tests__/support/survey_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/survey_load.ts
@@ -2,20 +2,22 @@
 import type { PieceTerms } from "../../configuration/service_definition.ts";
 import type { LoadKind } from "./play_stage_load.ts";
 import type { SimulatedService } from "./simulated_stages.ts";
+import { createPieceTerms } from "./piece_terms.ts";
+
+const CALL_MILLISECONDS = 200;
 
 function terms(
   batch: number,
   pieceMilliseconds: number,
-  megabytes: number,
+  roomMegabytes: number,
 ): PieceTerms {
-  return {
+  const callMilliseconds = CALL_MILLISECONDS;
+  return createPieceTerms({
     batch,
-    slots: 1,
-    callMilliseconds: 200,
+    callMilliseconds,
     pieceMilliseconds,
-    resultBytes: megabytes * 1_000_000,
-    keptMilliseconds: 4_000,
-  };
+    roomMegabytes,
+  });
 }
 
 /**
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -22,6 +22,12 @@
 const FAILED_RETRY_MILLISECONDS = 400;
 /** Time in which a daemon learns of the first endpoints, milliseconds. */
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
+/**
+ * What a piece of less urgent work counts for in the wait of more urgent work:
+ * it goes behind unless it was begun or is pressed. Counted whole, a sixth of
+ * the urgent is refused in a replayed burst of 2.5 while work that may wait
+ * twice as long is on time.
+ */
 const BEHIND_SHARE = 0.3;
 /** A chain whose results were lost so often is given up. */
 const MOST_RESTARTS = 3;
--- a/packages/kelpspar-gateway/src/placement/choose_reader.ts
+++ b/packages/kelpspar-gateway/src/placement/choose_reader.ts
@@ -24,22 +24,24 @@
 /**
  * What a megabyte between zones weighs, in prompt tokens that are read. A
  * megabyte takes a millisecond and costs the operator money, a token takes a
- * fiftieth: two results of 1.5 MB are worth 1,800 tokens, so that an endpoint
- * nearby is taken unless it is about 40 ms of reading behind.
+ * fiftieth: two results of 1.5 MB are worth 1,500 tokens, so that an endpoint
+ * nearby is taken unless it is about 35 ms of reading behind.
  */
-const CROSSING_TOKENS_PER_MEGABYTE = 600;
+const CROSSING_TOKENS_PER_MEGABYTE = 500;
 /** What a fetch of kept tokens costs beside its length, tokens: a round trip. */
 const FETCH_TOKENS = 100;
-/** What fetching a token costs against reading it: the memory that moves. */
-const FETCH_SHARE = 0.2;
 /**
- * What a token weighs that makes another yield which is of use: about half of
- * those are asked for again and have to be read again. Without it, long prompts
- * are kept in every zone and push each other out: tokens read again cost 0.02
- * of worth in place of 0.009, prompts that move 0.025 in place of none, with
- * prompts of 13,300 tokens and memory for 40 of them.
+ * What fetching a token costs against reading it: the memory that moves. At
+ * 0.2 long prompts left their holder for a few megabytes and were read again
+ * elsewhere.
  */
-const YIELD_SHARE = 0.5;
+const FETCH_SHARE = 0.28;
+/**
+ * What a token weighs that makes another yield which is of use: that one has
+ * to be read again. Without it, long prompts are kept in every zone and push
+ * each other out, with prompts of 13,300 tokens and memory for 40 of them.
+ */
+const YIELD_SHARE = 1;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -8,8 +8,11 @@
 import { chooseReader } from "./choose_reader.ts";
 import { ReaderLedger } from "./reader_ledger.ts";
 
-/** Memory that prompts may take; the rest is taken by what is generated. */
-const PROMPT_MEMORY_SHARE = 0.85;
+/**
+ * Memory that prompts keep beside requests that run: some ten of them with
+ * 17,000 tokens each are three tenths of 550,000.
+ */
+const PROMPT_MEMORY_SHARE = 0.7;
 
 /** What readers are placed with. */
 export interface ReaderPlacementOptions {
