Make final results near who keeps the prompt

Change: a chain begins with the zone of the endpoint that keeps most of its prompt; large final results go there when an endpoint is free in time.

--- a/packages/kelpspar-gateway/src/__tests__/unit/crossing_bytes_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/crossing_bytes_test.ts
@@ -44,6 +44,35 @@
   expect(crossingBytes(second as PieceTask, "b")).toEqual(600_000);
 });
 
+test("large final results are best made where the prompt is kept", () => {
+  // Symptom: prompts of 13,300 tokens left their endpoint and were read again,
+  // and the kind that has them was late.
+  // Sequence: its results were made wherever an endpoint was free; they or the
+  // prompt had to move to the other's zone.
+  // Cause: where the prompt lies counted only once the results were made.
+  const run = new ChainRun({
+    request: {
+      attemptId: "a",
+      pieceKey: "k",
+      stages: [
+        { service: "encode", after: [], resultBytes: 3_000_000, pieces: 2 },
+      ],
+      remainingMilliseconds: 5_000,
+      objectiveMilliseconds: 2_000,
+      tailMilliseconds: 100,
+      priority: 0,
+    },
+    now: 0,
+    readerZone: "a",
+    settle: () => {},
+  });
+  const [first, second] = start(run);
+  expect(crossingBytes(first as PieceTask, "a")).toEqual(0);
+  expect(crossingBytes(first as PieceTask, "b")).toEqual(3_000_000);
+  run.begin((first as PieceTask).stage, "b");
+  expect(crossingBytes(second as PieceTask, "b")).toEqual(0);
+});
+
 test("inputs that lie elsewhere cross", () => {
   const run = chain();
   for (const [index, task] of start(run).entries()) {
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -13,6 +13,8 @@
 export interface ChainRunOptions {
   readonly request: ChainRequest;
   readonly now: number;
+  /** Zone of the endpoint that keeps most of the request's prompt. */
+  readonly readerZone?: string | undefined;
   readonly settle: (outcome: ChainOutcome) => void;
 }
 
@@ -21,6 +23,8 @@
   readonly request: ChainRequest;
   readonly deadlineAt: number;
   readonly objectiveAt: number;
+  /** Zone in which its final results will most likely be read. */
+  readonly readerZone: string | undefined;
   /** False once it has its outcome; its pieces are then of no use. */
   isOpen = true;
   /** How often stages were started again because results were lost. */
@@ -38,6 +42,7 @@
     this.request = request;
     this.deadlineAt = now + request.remainingMilliseconds;
     this.objectiveAt = now + request.objectiveMilliseconds;
+    this.readerZone = options.readerZone;
     this.#settle = options.settle;
     this.#results = request.stages.map(({ pieces }) =>
       new Array<PieceResult | undefined>(pieces).fill(undefined)
--- a/packages/kelpspar-gateway/src/pieces/crossing_bytes.ts
+++ b/packages/kelpspar-gateway/src/pieces/crossing_bytes.ts
@@ -16,7 +16,8 @@
       if (result.makerZone !== zone) bytes += resultBytes;
     }
   }
-  const others = chain.zoneOf(stage);
+  const others = chain.zoneOf(stage) ??
+    (chain.isFinal(stage) ? chain.readerZone : undefined);
   const isApart = others !== undefined && others !== zone;
   const own = chain.stage(stage).resultBytes * chain.readsOf(stage);
   return isApart ? bytes + own : bytes;
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -94,7 +94,8 @@
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const now = this.#options.timer.now();
-      const chain = new ChainRun({ request, now, settle: resolve });
+      const readerZone = this.#readers.zoneOfHolder(request.reader);
+      const chain = new ChainRun({ request, now, readerZone, settle: resolve });
       this.#chains.add(chain);
       signal.addEventListener(
         "abort",
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -49,15 +49,14 @@
     reader: ChainReader,
     inputs: readonly ReaderInput[],
   ): ReaderPlace | undefined {
-    const { book, timer } = this.#options;
-    const now = timer.now();
+    const now = this.#options.timer.now();
     const shared = reader.promptParts.slice(0, -1);
     const promptTokens = reader.promptParts.reduce(
       (sum, { tokens }) => sum + tokens,
       0,
     );
     const capacity = this.#capacityOf(reader.service);
-    const candidates = soundOnes(book.ofService(reader.service), now)
+    const candidates = this.#soundOnes(reader.service, now)
       .map((endpoint): ReaderCandidate => {
         const { id, zone } = endpoint.entry;
         const memory = this.#ledger.memoryOf(id, capacity);
@@ -84,6 +83,32 @@
     return place;
   }
 
+  /**
+   * Zone of the endpoint that keeps most of a request's prompt. Its results are
+   * best made there, so that neither they nor the prompt have to move.
+   */
+  zoneOfHolder(reader: ChainReader | undefined): string | undefined {
+    if (reader === undefined) return undefined;
+    const now = this.#options.timer.now();
+    const shared = reader.promptParts.slice(0, -1);
+    const capacity = this.#capacityOf(reader.service);
+    let zone: string | undefined;
+    let most = 0;
+    for (const { entry } of this.#soundOnes(reader.service, now)) {
+      const held = this.#ledger.memoryOf(entry.id, capacity)
+        .heldTokens(shared, now);
+      if (held > most) [zone, most] = [entry.zone, held];
+    }
+    return zone;
+  }
+
+  /** Those that may read; all of them when each has failed lately. */
+  #soundOnes(service: string, now: number): readonly EndpointState[] {
+    const endpoints = this.#options.book.ofService(service);
+    const sound = endpoints.filter((one) => !one.isSetAside(now));
+    return sound.length > 0 ? sound : endpoints;
+  }
+
   /** Memory of one endpoint of a service for prompts, tokens. */
   #capacityOf(service: string): number {
     const { table } = this.#options.configuration;
@@ -99,14 +124,6 @@
   }
 }
 
-function soundOnes(
-  endpoints: readonly EndpointState[],
-  now: number,
-): readonly EndpointState[] {
-  const sound = endpoints.filter((one) => !one.isSetAside(now));
-  return sound.length > 0 ? sound : endpoints;
-}
-
 function crossingBytes(inputs: readonly ReaderInput[], zone: string): number {
   return inputs.reduce(
     (sum, { result, bytes }) => result.makerZone === zone ? sum : sum + bytes,
