--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -111,3 +111,14 @@
   book.heardBirth("i1", 3);
   expect(book.find("i1")?.entry.bornAt).toEqual(3);
 });
+
+test("an old entry of a life that was never known doesn't replace a newer one", () => {
+  // Symptom: an endpoint was called at the address of its life before.
+  // Sequence: a daemon that had just started read the newest entry, then a
+  // stale page with the one before.
+  // Cause: only lives that were seen to end were known to be over.
+  const book = createBook();
+  book.put({ ...entry("i1", false, 2), address: "10.0.0.2:80" });
+  book.put(entry("i1", false, 1));
+  expect(book.find("i1")?.entry.address).toEqual("10.0.0.2:80");
+});
