Take code away in a copy, and create simulated terms, by one piece of code

Cause: the ablation wrote again how the guards' command replaces code that must stand once and puts it back; two loads had the same wrapper for terms. Change: SourceCopy.runWithout serves both commands; createTermsFactory both loads. Tests' support and tools only, no product code.

--- a/packages/kelpspar-gateway/src/__tests__/support/booking_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/booking_load.ts
@@ -1,24 +1,10 @@
-import type { PieceTerms } from "../../configuration/service_definition.ts";
 import type { ChainStage } from "../../pieces/chain_request.ts";
 import type { LoadKind } from "./play_stage_load.ts";
 import type { SimulatedService } from "./simulated_stages.ts";
-import { createPieceTerms } from "./piece_terms.ts";
+import { createTermsFactory } from "./piece_terms.ts";
 
 const CALL_MILLISECONDS = 150;
-
-function terms(
-  batch: number,
-  pieceMilliseconds: number,
-  roomMegabytes: number,
-): PieceTerms {
-  const callMilliseconds = CALL_MILLISECONDS;
-  return createPieceTerms({
-    batch,
-    callMilliseconds,
-    pieceMilliseconds,
-    roomMegabytes,
-  });
-}
+const terms = createTermsFactory(CALL_MILLISECONDS);
 
 /** Three stage services of the size that a booking site has. */
 export const BOOKING_SERVICES: readonly SimulatedService[] = [
--- a/packages/kelpspar-gateway/src/__tests__/support/piece_terms.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/piece_terms.ts
@@ -1,19 +1,19 @@
 import type { PieceTerms } from "../../configuration/service_definition.ts";
 
-/** Creates the terms of a simulated stage service. */
-export function createPieceTerms(
-  options:
-    & Pick<
-      PieceTerms,
-      "batch" | "callMilliseconds" | "pieceMilliseconds"
-    >
-    & { readonly roomMegabytes: number },
-): PieceTerms {
-  const { roomMegabytes, ...rest } = options;
-  return {
-    ...rest,
+/** Creates the terms of simulated stage services whose calls cost the same. */
+export function createTermsFactory(
+  callMilliseconds: number,
+): (
+  batch: number,
+  pieceMilliseconds: number,
+  roomMegabytes: number,
+) => PieceTerms {
+  return (batch, pieceMilliseconds, roomMegabytes) => ({
+    batch,
     slots: 1,
+    callMilliseconds,
+    pieceMilliseconds,
     resultBytes: roomMegabytes * 1_000_000,
     keptMilliseconds: 4_000,
-  };
+  });
 }
--- a/packages/kelpspar-gateway/src/__tests__/support/survey_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/survey_load.ts
@@ -1,24 +1,10 @@
 import type { RandomSource } from "kelpspar-shared";
-import type { PieceTerms } from "../../configuration/service_definition.ts";
 import type { LoadKind } from "./play_stage_load.ts";
 import type { SimulatedService } from "./simulated_stages.ts";
-import { createPieceTerms } from "./piece_terms.ts";
+import { createTermsFactory } from "./piece_terms.ts";
 
 const CALL_MILLISECONDS = 200;
-
-function terms(
-  batch: number,
-  pieceMilliseconds: number,
-  roomMegabytes: number,
-): PieceTerms {
-  const callMilliseconds = CALL_MILLISECONDS;
-  return createPieceTerms({
-    batch,
-    callMilliseconds,
-    pieceMilliseconds,
-    roomMegabytes,
-  });
-}
+const terms = createTermsFactory(CALL_MILLISECONDS);
 
 /**
  * Stage services of a site whose first one makes large results, nine of which
--- a/packages/kelpspar-scenarios/src/ablation/main.ts
+++ b/packages/kelpspar-scenarios/src/ablation/main.ts
@@ -30,7 +30,7 @@
   print("worth with all", all.map(({ worth }) => worth.toFixed(3)));
   print("95% interval, +-", all.map(({ interval }) => interval.toFixed(3)));
   for (const mechanism of chosen) {
-    const rest = playWithout(mechanism, copy);
+    const rest = copy.runWithout(mechanism, () => play(copy));
     const losses = rest.map(({ worth }, index) =>
       (worth - (all[index]?.worth ?? 0)).toFixed(3)
     );
@@ -56,21 +56,6 @@
     : MECHANISMS.filter(({ name }) => names.includes(name));
 }
 
-function playWithout(
-  mechanism: Mechanism,
-  copy: SourceCopy,
-): readonly LoadResult[] {
-  const { file, code, without } = mechanism;
-  const source = copy.read(file);
-  if (source.split(code).length !== 2) {
-    throw new Error(`"${code}" doesn't stand once in "${file}"`);
-  }
-  copy.write(file, source.replace(code, () => without));
-  const results = play(copy);
-  copy.write(file, source);
-  return results;
-}
-
 function play(copy: SourceCopy): readonly LoadResult[] {
   const { status, stdout, stderr } = spawnSync(
     process.execPath,
--- a/packages/kelpspar-scenarios/src/guards/main.ts
+++ b/packages/kelpspar-scenarios/src/guards/main.ts
@@ -30,14 +30,7 @@
 }
 
 function tryWithout(guard: Guard, copy: SourceCopy): boolean {
-  const source = copy.read(guard.file);
-  if (source.split(guard.code).length !== 2) {
-    throw new Error(`"${guard.code}" doesn't stand once in "${guard.file}"`);
-  }
-  copy.write(guard.file, source.replace(guard.code, () => guard.without));
-  const isNoticed = !passes(guard.noticedBy, copy);
-  copy.write(guard.file, source);
-  return isNoticed;
+  return copy.runWithout(guard, () => !passes(guard.noticedBy, copy));
 }
 
 function passes(file: string, copy: SourceCopy): boolean {
--- a/packages/kelpspar-scenarios/src/guards/source_copy.ts
+++ b/packages/kelpspar-scenarios/src/guards/source_copy.ts
@@ -15,6 +15,15 @@
 const OWN_NAME = /^(kelpspar|@kelpspar)/;
 const FILES = ["package.json", "tsconfig.base.json", "tsconfig.json"];
 
+/** Code and what stands in its place for a while. */
+export interface Replacement {
+  /** Source file, from the root of the repository. */
+  readonly file: string;
+  /** What stands there once. */
+  readonly code: string;
+  readonly without: string;
+}
+
 /**
  * A copy of the sources in a temporary folder, so that guards are taken away
  * there and never in the work tree. Libraries are those of the repository.
@@ -37,12 +46,23 @@
     this.#linkLibraries(root);
   }
 
-  read(file: string): string {
-    return readFileSync(join(this.folder, file), "utf8");
-  }
-
-  write(file: string, text: string): void {
-    writeFileSync(join(this.folder, file), text);
+  /** Runs `act` while `code`, which must stand once in a file, is replaced. */
+  runWithout<Result>(
+    replacement: Replacement,
+    act: () => Result,
+  ): Result {
+    const { file, code, without } = replacement;
+    const path = join(this.folder, file);
+    const source = readFileSync(path, "utf8");
+    if (source.split(code).length !== 2) {
+      throw new Error(`"${code}" doesn't stand once in "${file}"`);
+    }
+    writeFileSync(path, source.replace(code, () => without));
+    try {
+      return act();
+    } finally {
+      writeFileSync(path, source);
+    }
   }
 
   remove(): void {
