--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -13,6 +13,15 @@
   cause: EndpointGoneCause,
 ) => void;
 
+/** What an entry that was put came to. */
+export type EndpointPutOutcome =
+  | "listed"
+  | "renewed"
+  | "leaving"
+  /** This life of the endpoint was taken out before. */
+  | "has_left"
+  | "earlier_life";
+
 /** One life of an endpoint, from a start to an end. */
 export type EndpointLife = Pick<EndpointEntry, "id" | "bornAt">;
 
@@ -63,19 +72,28 @@
     return [...this.#byService.get(service) ?? []];
   }
 
-  put(entry: EndpointEntry): void {
+  put(entry: EndpointEntry): EndpointPutOutcome {
     const { id, bornAt } = entry;
-    // Word of an earlier life, from whatever source, arrived late.
-    if (bornAt <= (this.#left.get(id) ?? Number.NEGATIVE_INFINITY)) return;
+    const left = this.#left.get(id) ?? Number.NEGATIVE_INFINITY;
+    if (bornAt === left) return "has_left";
     const known = this.#states.get(id);
-    if (known !== undefined && bornAt < known.entry.bornAt) return;
+    // Word of an earlier life, from whatever source, arrived late.
+    const lastBorn = Math.max(left, known?.entry.bornAt ?? left);
+    if (bornAt < lastBorn) return "earlier_life";
     if (known !== undefined && bornAt > known.entry.bornAt) {
       known.end();
       this.leave(known.entry);
     }
-    if (entry.isDraining) this.leave(entry, "leaving");
-    else if (this.#states.has(id)) this.#renew(entry);
-    else this.#add(entry);
+    if (entry.isDraining) {
+      this.leave(entry, "leaving");
+      return "leaving";
+    }
+    if (this.#states.has(id)) {
+      this.#renew(entry);
+      return "renewed";
+    }
+    this.#add(entry);
+    return "listed";
   }
 
   /** Takes in that a life of an endpoint began, told by itself. */
@@ -100,27 +118,31 @@
   /**
    * Takes in that an entry is missing. While the store was away entries lapse
    * of endpoints that live; those are back soon after, so that an endpoint
-   * which vanished around an outage is given that long.
+   * which vanished around an outage is given that long. Returns until when it
+   * is believed, undefined when it is out.
    */
   miss(
     id: string,
     options: { readonly isStoreUnsettled: boolean; readonly now: number },
-  ): void {
+  ): number | undefined {
     const state = this.#states.get(id);
-    if (state === undefined) return;
+    if (state === undefined) return undefined;
     if (!options.isStoreUnsettled) {
       // One that crashed shows that itself, by calls that fail.
       this.leave(state.entry, "leaving");
-      return;
+      return undefined;
     }
     state.lapsesAt ??= options.now + this.#options.lapseMilliseconds;
+    return state.lapsesAt;
   }
 
-  /** Drops entries that were missing for too long. */
-  sweep(now: number): void {
-    for (const [id, state] of this.#states) {
-      if (state.lapsesAt !== undefined && state.lapsesAt <= now) this.#drop(id);
-    }
+  /** Drops entries that were missing for too long; returns their ids. */
+  sweep(now: number): readonly string[] {
+    const lapsed = [...this.#states.values()]
+      .filter(({ lapsesAt }) => lapsesAt !== undefined && lapsesAt <= now)
+      .map(({ entry }) => entry.id);
+    for (const id of lapsed) this.#drop(id);
+    return lapsed;
   }
 
   registerGone(listener: EndpointGoneListener): () => void {
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -153,16 +153,20 @@
     this.configuration.registerListener((table) => {
       this.#front.limits = table.configuration.limits;
     });
-    timer.registerInterval(
-      () => this.book.sweep(timer.now()),
-      SWEEP_MILLISECONDS,
-    );
+    timer.registerInterval(() => this.#sweepBook(), SWEEP_MILLISECONDS);
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
     this.#fleet.register();
     this.greet(seeds);
   }
 
+  #sweepBook(): void {
+    const { timer, log } = this.#options;
+    for (const endpoint of this.book.sweep(timer.now())) {
+      log.info("endpoint given up", { endpoint });
+    }
+  }
+
   /** Takes in where other daemons may be. */
   learnDaemons(addresses: readonly DaemonAddress[]): void {
     const { timer, self } = this.#options;
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -23,16 +23,15 @@
   {
     name: "leaving is final",
     file: `${GATEWAY}/endpoints/endpoint_book.ts`,
-    code:
-      "if (bornAt <= (this.#left.get(id) ?? Number.NEGATIVE_INFINITY)) return;",
+    code: 'if (bornAt === left) return "has_left";',
     without: "",
     noticedBy: `${GATEWAY_TESTS}/endpoint_book_test.ts`,
   },
   {
     name: "an entry that stays missing is gone",
     file: `${GATEWAY}/endpoints/endpoint_book.ts`,
-    code: "state.lapsesAt !== undefined && state.lapsesAt <= now",
-    without: "state.lapsesAt !== undefined && state.lapsesAt < 0",
+    code: "lapsesAt !== undefined && lapsesAt <= now",
+    without: "lapsesAt !== undefined && lapsesAt < 0",
     noticedBy: `${GATEWAY_TESTS}/endpoint_book_test.ts`,
   },
   {
@@ -136,7 +135,7 @@
   {
     name: "word of an earlier life doesn't count",
     file: `${GATEWAY}/endpoints/endpoint_book.ts`,
-    code: "if (known !== undefined && bornAt < known.entry.bornAt) return;",
+    code: 'if (bornAt < lastBorn) return "earlier_life";',
     without: "",
     noticedBy: `${GATEWAY_TESTS}/endpoint_book_test.ts`,
   },
