Work out how long a missing endpoint is believed from the bound of leaving

Cause: three constants, each chosen alone, decided whether a removed entry had lapsed in an outage: a failed call within 3,500 ms made it a lapse, a lapse was believed for 2,300 ms from its removal, and the list was read up to 3.4 s after the return, since a call sent into the silence kept the next one waiting. Nothing added them up against the configured time, 2,000 ms on three sites. In the other direction a removal in quiet times ended that life of the endpoint for good, whatever it wrote later. ReturnWatch uses endpoints again whose entries, listed anew, stay longer than one that nobody writes. An entry that can't be read names no endpoint until it can.

--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -81,7 +81,7 @@
   const timer = new ManualTimer();
   const random = new SeededRandom(load.seed);
   const configuration = new ConfigurationKeeper();
-  const book = new EndpointBook({ lapseMilliseconds: 2_000 });
+  const book = new EndpointBook();
   const stagesOf = new Map<string, readonly ChainStage[]>();
   const client = new SimulatedStages({
     services: load.services,
@@ -132,7 +132,7 @@
         zone,
         slots: 1,
         isDraining: false,
-      });
+      }, 0);
     }
   }
   const teardown = coordinator.register();
--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -4,7 +4,7 @@
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 
 function createBook(): EndpointBook {
-  return new EndpointBook({ lapseMilliseconds: 2_000 });
+  return new EndpointBook();
 }
 
 function entry(id: string, isDraining = false, bornAt = 1): EndpointEntry {
@@ -29,17 +29,17 @@
   // stale reader gave the whole table as it was before.
   // Cause: the last entry read was believed, however old it was.
   const book = createBook();
-  book.put(entry("i1"));
-  book.put(entry("i1", true));
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
+  book.put(entry("i1", true), 0);
+  book.put(entry("i1"), 0);
   expect(idsOf(book)).toEqual([]);
 });
 
 test("an entry that is removed in quiet times is gone for good", () => {
   const book = createBook();
-  book.put(entry("i1"));
-  book.miss("i1", { isStoreUnsettled: false, now: 0 });
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
+  book.miss("i1", undefined);
+  book.put(entry("i1"), 0);
   expect(idsOf(book)).toEqual([]);
 });
 
@@ -49,13 +49,13 @@
   // of the removals first and of the renewed entries a second later.
   // Cause: a removal was taken for the endpoint's end.
   const book = createBook();
-  book.put(entry("i1"));
-  book.put(entry("i2"));
-  book.miss("i1", { isStoreUnsettled: true, now: 0 });
-  book.miss("i2", { isStoreUnsettled: true, now: 0 });
+  book.put(entry("i1"), 0);
+  book.put(entry("i2"), 0);
+  book.miss("i1", 2_000);
+  book.miss("i2", 2_000);
   book.sweep(1_500);
   expect(idsOf(book)).toEqual(["i1", "i2"]);
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
   book.sweep(2_001);
   expect(idsOf(book)).toEqual(["i1"]);
 });
@@ -64,11 +64,11 @@
   const book = createBook();
   const gone: string[] = [];
   const teardown = book.registerGone((id) => gone.push(id));
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
   book.leave(entry("i1"));
   book.leave(entry("i1"));
   teardown();
-  book.put(entry("i2"));
+  book.put(entry("i2"), 0);
   book.leave(entry("i2"));
   expect(gone).toEqual(["i1"]);
 });
@@ -81,10 +81,10 @@
   const book = createBook();
   const gone: string[] = [];
   book.registerGone((id) => gone.push(id));
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
   const first = book.find("i1");
   first?.failed(true, 0);
-  book.put(entry("i1", false, 2));
+  book.put(entry("i1", false, 2), 0);
   expect(gone).toEqual(["i1"]);
   expect(first?.ended.aborted).toEqual(true);
   expect(book.find("i1") === first).toEqual(false);
@@ -98,17 +98,17 @@
   // that entry after the new life's.
   // Cause: leaving was judged by the id alone.
   const book = createBook();
-  book.put(entry("i1"));
-  book.put(entry("i1", true));
-  book.put(entry("i1", false, 2));
-  book.put(entry("i1", true));
-  book.put(entry("i1"));
+  book.put(entry("i1"), 0);
+  book.put(entry("i1", true), 0);
+  book.put(entry("i1", false, 2), 0);
+  book.put(entry("i1", true), 0);
+  book.put(entry("i1"), 0);
   book.leave(entry("i1"));
   expect(idsOf(book)).toEqual(["i1"]);
   expect(book.find("i1")?.entry.bornAt).toEqual(2);
-  book.heardBirth("i1", 1);
+  book.heardBirth({ id: "i1", bornAt: 1 }, 0);
   expect(book.find("i1")?.entry.bornAt).toEqual(2);
-  book.heardBirth("i1", 3);
+  book.heardBirth({ id: "i1", bornAt: 3 }, 0);
   expect(book.find("i1")?.entry.bornAt).toEqual(3);
 });
 
@@ -118,7 +118,7 @@
   // stale page with the one before.
   // Cause: only lives that were seen to end were known to be over.
   const book = createBook();
-  book.put({ ...entry("i1", false, 2), address: "10.0.0.2:80" });
-  book.put(entry("i1", false, 1));
+  book.put({ ...entry("i1", false, 2), address: "10.0.0.2:80" }, 0);
+  book.put(entry("i1", false, 1), 0);
   expect(book.find("i1")?.entry.address).toEqual("10.0.0.2:80");
 });
--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/lapse_window_test.ts
@@ -0,0 +1,50 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { LapseWindow } from "../../endpoints/lapse_window.ts";
+
+function createWindow(
+  options: { readonly drain?: number; readonly contact?: number } = {},
+): LapseWindow {
+  return new LapseWindow({
+    drainMilliseconds: options.drain ?? 2_000,
+    contactMilliseconds: options.contact ?? 3_000,
+    sendMilliseconds: 250,
+  });
+}
+
+test("what is missing while calls are answered has left", () => {
+  const window = createWindow();
+  expect(window.answered(1_000)).toEqual(false);
+  expect(window.heldUntil(1_000)).toEqual(undefined);
+});
+
+test("a missing entry is believed from the list's return, not from its removal", () => {
+  // Entries removed 3.3 s after the return of the list were believed until
+  // 5.6 s after it, since the time began anew with each removal.
+  const window = createWindow({ drain: 10_000, contact: 10_000 });
+  window.failed(6_900);
+  expect(window.answered(7_100)).toEqual(true);
+  expect(window.heldUntil(7_100)).toEqual(9_100);
+  window.answered(8_900);
+  expect(window.heldUntil(8_900)).toEqual(9_100);
+  expect(window.heldUntil(9_100)).toEqual(undefined);
+});
+
+test("no removal is believed past the bound of leaving", () => {
+  const window = createWindow({ drain: 1_500 });
+  window.failed(6_900);
+  window.answered(7_100);
+  expect(window.heldUntil(7_100)).toEqual(7_100 + 1_500 - 250);
+});
+
+test("a return that is noticed late shortens the time that is left", () => {
+  // A daemon whose call was sent into the silence read the list 3.4 s after its
+  // return, when all others had long stopped believing what was missing.
+  const window = createWindow();
+  window.failed(6_900);
+  window.answered(9_200);
+  expect(window.heldUntil(9_200)).toEqual(6_900 + 3_000 - 250);
+  window.failed(10_000);
+  window.answered(13_400);
+  expect(window.heldUntil(13_400)).toEqual(undefined);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -82,7 +82,7 @@
 function createWorld(room = 10_000): World {
   const timer = new ManualTimer();
   const client = new HeldPieceClient();
-  const book = new EndpointBook({ lapseMilliseconds: 2_000 });
+  const book = new EndpointBook();
   const configuration = new ConfigurationKeeper();
   const services = { encode: terms(1, room), rerank: terms(6, room) };
   configuration.offer({
@@ -110,7 +110,7 @@
       zone: "a",
       slots: 1,
       isDraining: false,
-    });
+    }, 0);
   }
   const log = { info: () => {}, warn: () => {} };
   const budget = new ServiceRetryBudget({
@@ -194,7 +194,7 @@
   await timer.settle();
   for (const id of ["encode-0", "encode-1"]) {
     const entry = book.find(id)?.entry;
-    if (entry !== undefined) book.put({ ...entry, isDraining: true });
+    if (entry !== undefined) book.put({ ...entry, isDraining: true }, 0);
   }
   await timer.settle();
   client.make("encode-1");
--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -113,7 +113,7 @@
     accounts: [{ name: "acme", callerKeys: ["key"], priority: undefined }],
   };
   if (options.isConfigured !== false) configuration.offer(first);
-  const book = new EndpointBook({ lapseMilliseconds: 2_000 });
+  const book = new EndpointBook();
   for (const id of ["i1", "i2", "i3"]) {
     book.put({
       id,
@@ -123,7 +123,7 @@
       zone: "a",
       slots: 4,
       isDraining: false,
-    });
+    }, 0);
   }
   const calls: EndpointCall[] = [];
   const released: string[] = [];
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -1,5 +1,7 @@
 import type { EndpointEntry } from "./endpoint_entry.ts";
+import type { EndpointLife } from "./return_watch.ts";
 import { EndpointState } from "./endpoint_state.ts";
+import { ReturnWatch } from "./return_watch.ts";
 
 /**
  * Why an endpoint takes no more new work: it is leaving and goes on for a
@@ -20,41 +22,26 @@
   | "leaving"
   /** This life of the endpoint was taken out before. */
   | "has_left"
+  /** It was taken out since its entry was missing, and is listed again. */
+  | "listed_again"
   | "earlier_life";
 
-/** One life of an endpoint, from a start to an end. */
-export type EndpointLife = Pick<EndpointEntry, "id" | "bornAt">;
-
-/** How removals are judged. */
-export interface EndpointBookOptions {
-  /**
-   * How long an entry that is missing after an outage of the store may still
-   * come back, milliseconds. Below the time within which a leaving endpoint
-   * must get no more requests.
-   */
-  readonly lapseMilliseconds: number;
-}
-
 /**
  * The endpoints that may get work, by service. Leaving is final for a life of
  * an endpoint: a list read late, or one kept by a store that returns, must not
  * bring an endpoint back that has said it is leaving, since it may exit any
- * moment. One that starts again under its id is a new endpoint: it holds
+ * moment. One whose entry was only missing may be listed again. One that starts again under its id is a new endpoint: it holds
  * nothing of what it made or read before, so that whoever goes on with beliefs
  * of the life before sends it inputs and prompts that are gone.
  */
 export class EndpointBook {
-  readonly #options: EndpointBookOptions;
   readonly #states = new Map<string, EndpointState>();
   readonly #byService = new Map<string, Set<EndpointState>>();
   /** Start of the last life that left or was replaced, by id. */
   readonly #left = new Map<string, number>();
+  readonly #returns = new ReturnWatch();
   readonly #listeners = new Set<EndpointGoneListener>();
 
-  constructor(options: EndpointBookOptions) {
-    this.#options = options;
-  }
-
   get size(): number {
     return this.#states.size;
   }
@@ -72,10 +59,15 @@
     return [...this.#byService.get(service) ?? []];
   }
 
-  put(entry: EndpointEntry): EndpointPutOutcome {
+  /** True while an entry is missing that may come back. */
+  get hasMissing(): boolean {
+    return [...this.#states.values()].some((one) => one.lapsesAt !== undefined);
+  }
+
+  put(entry: EndpointEntry, now: number): EndpointPutOutcome {
     const { id, bornAt } = entry;
     const left = this.#left.get(id) ?? Number.NEGATIVE_INFINITY;
-    if (bornAt === left) return "has_left";
+    if (bornAt === left) return this.#putAgain(entry, now);
     const known = this.#states.get(id);
     // Word of an earlier life, from whatever source, arrived late.
     const lastBorn = Math.max(left, known?.entry.bornAt ?? left);
@@ -97,10 +89,10 @@
   }
 
   /** Takes in that a life of an endpoint began, told by itself. */
-  heardBirth(id: string, bornAt: number): void {
+  heardBirth({ id, bornAt }: EndpointLife, now: number): void {
     const known = this.#states.get(id);
     if (known === undefined) return;
-    this.put({ ...known.entry, bornAt });
+    this.put({ ...known.entry, bornAt }, now);
   }
 
   /** Takes a life of an endpoint out for good; a later one stays. */
@@ -110,30 +102,36 @@
   ): void {
     const left = this.#left.get(id) ?? Number.NEGATIVE_INFINITY;
     this.#left.set(id, Math.max(left, bornAt));
+    this.#returns.forget(id);
     const known = this.#states.get(id);
     if (known === undefined || known.entry.bornAt > bornAt) return;
     this.#drop(id, cause);
   }
 
   /**
-   * Takes in that an entry is missing. While the store was away entries lapse
-   * of endpoints that live; those are back soon after, so that an endpoint
-   * which vanished around an outage is given that long. Returns until when it
-   * is believed, undefined when it is out.
+   * Takes in that an entry is missing, and until when it is believed to be back
+   * soon; without that its endpoint has left.
    */
-  miss(
-    id: string,
-    options: { readonly isStoreUnsettled: boolean; readonly now: number },
-  ): number | undefined {
+  miss(id: string, heldUntil: number | undefined): void {
+    this.#returns.missing(id);
     const state = this.#states.get(id);
-    if (state === undefined) return undefined;
-    if (!options.isStoreUnsettled) {
-      // One that crashed shows that itself, by calls that fail.
-      this.leave(state.entry, "leaving");
-      return undefined;
+    if (state === undefined) return;
+    if (heldUntil !== undefined) {
+      state.lapsesAt ??= heldUntil;
+      return;
     }
-    state.lapsesAt ??= options.now + this.#options.lapseMilliseconds;
-    return state.lapsesAt;
+    // One that crashed shows that itself, by calls that fail.
+    this.leave(state.entry, "leaving");
+    this.#returns.missed(state.entry);
+  }
+
+  /**
+   * Takes an endpoint out whose entry can't be read, until it can. It may have
+   * said that it leaves just before, and nobody would know.
+   */
+  suspend(id: string): void {
+    this.#returns.missing(id);
+    this.#drop(id, "leaving");
   }
 
   /** Drops entries that were missing for too long; returns their ids. */
@@ -141,15 +139,36 @@
     const lapsed = [...this.#states.values()]
       .filter(({ lapsesAt }) => lapsesAt !== undefined && lapsesAt <= now)
       .map(({ entry }) => entry.id);
-    for (const id of lapsed) this.#drop(id);
+    for (const id of lapsed) this.#drop(id, "leaving");
     return lapsed;
   }
 
+  /** Takes in that the list was away; what is listed again is watched anew. */
+  listReturned(now: number): void {
+    this.#returns.restart(now);
+  }
+
+  /** Uses endpoints again that have been listed again since `since`. */
+  readmit(since: number): readonly EndpointEntry[] {
+    const found = this.#returns.takeListedSince(since);
+    for (const entry of found) {
+      this.#left.delete(entry.id);
+      this.#add(entry);
+    }
+    return found;
+  }
+
   registerGone(listener: EndpointGoneListener): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
   }
 
+  #putAgain(entry: EndpointEntry, now: number): EndpointPutOutcome {
+    if (entry.isDraining) this.#returns.forget(entry.id);
+    else if (this.#returns.listed(entry, now)) return "listed_again";
+    return "has_left";
+  }
+
   #renew(entry: EndpointEntry): void {
     const known = this.#states.get(entry.id);
     if (known === undefined) return;
--- /dev/null
+++ b/packages/kelpspar-gateway/src/endpoints/lapse_window.ts
@@ -0,0 +1,72 @@
+/** From what it is worked out how long a missing endpoint is believed. */
+export interface LapseWindowOptions {
+  /** After which a leaving endpoint must get no more requests, milliseconds. */
+  readonly drainMilliseconds: number;
+  /**
+   * Time from the return of the list until bounds hold again, milliseconds.
+   */
+  readonly contactMilliseconds: number;
+  /** From the choice of an endpoint until a request is there, milliseconds. */
+  readonly sendMilliseconds: number;
+}
+
+/**
+ * Entries that lapsed while the list was away are back within this time of its
+ * return if their endpoint lives, milliseconds. Source: the platform.
+ */
+const BACK_MILLISECONDS = 2_000;
+
+/**
+ * Decides whether an entry that is missing lapsed while the list could not be
+ * written, or its endpoint has left.
+ *
+ * Load: endpoints leave in the seconds around an outage in which the entries of
+ * all others lapse. Taken for leaving, lapses leave no endpoint; taken for
+ * lapses, leavings get requests past their bound. So a missing entry is
+ * believed until the earliest of three times, and not at all after them:
+ *
+ * - entries whose endpoints live are back by then, counted from the first
+ *   answer, which came after the return;
+ * - what was removed after the first answer must get no more: the bound of
+ *   leaving, counted from that answer, with the time that a request takes;
+ * - what was removed between the return and the first answer must get no more
+ *   once bounds hold again. The return isn't known, but the last call that
+ *   failed began before it.
+ */
+export class LapseWindow {
+  readonly #options: LapseWindowOptions;
+  /** When the last call that failed began; monotonic milliseconds. */
+  #failedCallAt: number | undefined;
+  #endsAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: LapseWindowOptions) {
+    this.#options = options;
+  }
+
+  /** Takes in that a call that began at `startedAt` failed. */
+  failed(startedAt: number): void {
+    this.#failedCallAt = startedAt;
+  }
+
+  /** Takes in that a call was answered; true for the first after a failure. */
+  answered(now: number): boolean {
+    if (this.#failedCallAt === undefined) return false;
+    const { drainMilliseconds, contactMilliseconds, sendMilliseconds } =
+      this.#options;
+    this.#endsAt = Math.min(
+      now + BACK_MILLISECONDS,
+      now + drainMilliseconds - sendMilliseconds,
+      this.#failedCallAt + contactMilliseconds - sendMilliseconds,
+    );
+    this.#failedCallAt = undefined;
+    return true;
+  }
+
+  /**
+   * Until when an entry that is found missing now may come back; undefined
+   * when its endpoint has left.
+   */
+  heldUntil(now: number): number | undefined {
+    return now < this.#endsAt ? this.#endsAt : undefined;
+  }
+}
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -21,11 +21,6 @@
 import { RequestService } from "./requests/request_service.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
 
-/**
- * How long an endpoint's entry that went missing around an outage of the store
- * may take to come back, milliseconds: two seconds and a poll.
- */
-const LAPSE_MILLISECONDS = 2_300;
 /** How often missing entries are looked over, milliseconds. */
 const SWEEP_MILLISECONDS = 100;
 /** Daemons from which on the coordinator of stages takes no callers. */
@@ -61,7 +56,7 @@
 /** One daemon: callers on one side, endpoints and other daemons on the other. */
 export class GatewayDaemon {
   readonly configuration = new ConfigurationKeeper();
-  readonly book = new EndpointBook({ lapseMilliseconds: LAPSE_MILLISECONDS });
+  readonly book = new EndpointBook();
   readonly metrics = new GatewayMetrics();
   readonly #options: GatewayDaemonOptions;
   readonly #membership: FleetMembership;
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -37,6 +37,7 @@
 export type { GatewayDaemonOptions } from "./gateway_daemon.ts";
 export { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 export { EndpointBook } from "./endpoints/endpoint_book.ts";
+export { LapseWindow } from "./endpoints/lapse_window.ts";
 export { headerValue, passedHeaders } from "./exchange/connection_headers.ts";
 export { exchangeHttp } from "./exchange/http_exchange.ts";
 export { listen } from "./front/listen.ts";
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -274,7 +274,8 @@
       terms,
       client,
       timer,
-      onBirth: (bornAt) => book.heardBirth(lane.endpoint.entry.id, bornAt),
+      onBirth: (bornAt) =>
+        book.heardBirth({ ...lane.endpoint.entry, bornAt }, timer.now()),
       onOver: () => this.pump(),
     });
   }
