Let a kind of request that gets next to nothing go first for a while

Cause: who goes first is decided by priority alone, which has no floor; a flood of another kind pushes the least urgent one out. Change: LeastShares counts what ended by kind, halving in 30 s; a kind below 0.3 of what all get has the most urgent priority that is in work. The backlog that admission asks for has a file of its own.

--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -161,6 +161,7 @@
       stagesOf.set(attemptId, stages);
       const outcome = await coordinator.run({
         attemptId,
+        kind: kind.name,
         pieceKey,
         stages,
         remainingMilliseconds: left,
--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_client_test.ts
@@ -13,6 +13,7 @@
   stages: [],
   remainingMilliseconds: 5_000,
   objectiveMilliseconds: 1_000,
+  kind: "model",
   tailMilliseconds: 100,
   priority: 0,
 };
--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
@@ -17,6 +17,7 @@
       })),
       remainingMilliseconds: 10_000,
       objectiveMilliseconds: 2_000,
+      kind: "model",
       tailMilliseconds: 300,
       priority: 0,
     },
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -147,6 +147,7 @@
       ],
       remainingMilliseconds: 60_000,
       objectiveMilliseconds: 30_000,
+      kind: "model",
       tailMilliseconds: 100,
       priority: 0,
     }, new AbortController().signal);
--- a/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
@@ -17,6 +17,7 @@
       stages: [{ service: "s", after: [], resultBytes, pieces: count }],
       remainingMilliseconds: 10_000,
       objectiveMilliseconds: 1_000,
+      kind: "model",
       tailMilliseconds: 100,
       priority: 0,
     },
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -27,6 +27,8 @@
 
 const chainSchema = z.object({
   attemptId: z.string(),
+  /** Daemons of the version before do not tell it. */
+  kind: z.string().default(""),
   pieceKey: z.string(),
   stages: z.array(z.object({
     service: z.string(),
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -15,6 +15,8 @@
 export interface ChainRequest {
   /** Id of the caller's attempt. */
   readonly attemptId: string;
+  /** The request's route; requests of one are of one kind. */
+  readonly kind: string;
   /** What pieces without inputs are made from. */
   readonly pieceKey: string;
   readonly stages: readonly ChainStage[];
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -13,7 +13,9 @@
 import type { PieceTask } from "./piece_task.ts";
 import { ReaderPlacement } from "../placement/reader_placement.ts";
 import { admitChain } from "./admit_chain.ts";
+import { backlogOf } from "./backlog.ts";
 import { ChainRun } from "./chain_run.ts";
+import { LeastShares } from "./least_shares.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import { ResultFreer } from "./result_freer.ts";
 import { ServiceDesk } from "./service_desk.ts";
@@ -22,13 +24,6 @@
 const FAILED_RETRY_MILLISECONDS = 400;
 /** Time in which a daemon learns of the first endpoints, milliseconds. */
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
-/**
- * What a piece of less urgent work counts for in the wait of more urgent work:
- * it goes behind unless it was begun or is pressed. Counted whole, a sixth of
- * the urgent is refused in a replayed burst of 2.5 while work that may wait
- * twice as long is on time.
- */
-const BEHIND_SHARE = 0.3;
 /** A chain whose results were lost so often is given up. */
 const MOST_RESTARTS = 3;
 /** How often the load of each service is written, milliseconds. */
@@ -58,6 +53,7 @@
   readonly #chains = new Set<ChainRun>();
   readonly #readers: ReaderPlacement;
   readonly #refused = new RefusedCallers();
+  readonly #shares = new LeastShares();
   readonly #freer: ResultFreer;
 
   constructor(options: PieceCoordinatorOptions) {
@@ -89,7 +85,7 @@
 
   /** Runs a chain; `signal` ends it when its caller is gone. */
   run(asked: ChainRequest, signal: AbortSignal): Promise<ChainOutcome> {
-    const request = this.#sinceFirstAsked(asked);
+    const request = this.#withOwnShare(this.#sinceFirstAsked(asked));
     const refusal = this.#admit(request);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
@@ -134,6 +130,21 @@
     };
   }
 
+  /** The request in front if its kind gets less than its share. */
+  #withOwnShare(request: ChainRequest): ChainRequest {
+    const isOwed = this.#shares.isOwed(request.kind, this.#now());
+    if (!isOwed) return request;
+    const others = [...this.#chains].map((chain) => chain.request.priority);
+    return { ...request, priority: Math.min(request.priority, ...others) };
+  }
+
+  #countEnd({ kind, pieceKey }: ChainRequest, isOnTime: boolean): void {
+    const now = this.#now();
+    // A caller that comes back was counted when it was sent away.
+    if (!this.#refused.has(pieceKey)) this.#shares.ended(kind, isOnTime, now);
+    else if (isOnTime) this.#shares.servedAfterAll(kind, now);
+  }
+
   #now(): number {
     return this.#options.timer.now();
   }
@@ -148,7 +159,11 @@
     if (isMissing) return refuse("no_endpoint", NO_ENDPOINT_RETRY_MILLISECONDS);
     const admission = admitChain({
       stages: request.stages.map((stage, number) => ({
-        backlog: this.#backlog(stage.service, used[number], request.priority),
+        backlog: backlogOf(stage.service, {
+          desk: used[number],
+          chains: this.#chains,
+          priority: request.priority,
+        }),
         work: used[number]?.workTime(stage.pieces) ?? 0,
         after: stage.after,
       })),
@@ -163,27 +178,14 @@
       expectedMilliseconds: Math.round(admission.expected),
       objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
       openChains: this.#chains.size,
+      priority: request.priority,
     });
     if (isAdmitted) return undefined;
+    this.#countEnd(request, false);
     this.#refused.record(request.pieceKey, this.#now());
     return refuse("overloaded", admission.retryAfterMilliseconds);
   }
 
-  /** Time until all admitted pieces of a service are made, milliseconds. */
-  #backlog(
-    service: string,
-    desk: ServiceDesk | undefined,
-    priority: number,
-  ): number {
-    if (desk === undefined) return 0;
-    let pieces = 0;
-    for (const chain of this.#chains) {
-      const share = chain.request.priority <= priority ? 1 : BEHIND_SHARE;
-      pieces += chain.missingOf(service) * share;
-    }
-    return Math.max(desk.slotWait(), pieces / Math.max(desk.rate(), 1e-6));
-  }
-
   #deskOf(service: string): ServiceDesk | undefined {
     const known = this.#desks.get(service);
     if (known !== undefined) return known;
@@ -200,7 +202,7 @@
         inputsGone: (task) =>
           this.#restart(task.chain, task.chain.forgetInputs(task.stage)),
         failed: (chain, reason) =>
-          this.#close(chain, refuse(reason, FAILED_RETRY_MILLISECONDS)),
+          this.#fail(chain, refuse(reason, FAILED_RETRY_MILLISECONDS)),
       },
     });
     this.#desks.set(service, desk);
@@ -229,6 +231,8 @@
     if (!chain.isDone()) return false;
     this.#chains.delete(chain);
     const results = chain.finalResults();
+    const endsAt = this.#now() + chain.request.tailMilliseconds;
+    this.#countEnd(chain.request, endsAt <= chain.objectiveAt);
     chain.settle({ type: "done", results, place: this.#placeReader(chain) });
     return true;
   }
@@ -239,6 +243,11 @@
     return this.#readers.place(attemptId, reader, chain.finalInputs());
   }
 
+  #fail(chain: ChainRun, outcome: ChainOutcome): void {
+    if (chain.isOpen) this.#countEnd(chain.request, false);
+    this.#close(chain, outcome);
+  }
+
   #close(chain: ChainRun, outcome: ChainOutcome): void {
     if (!chain.isOpen) return;
     this.#chains.delete(chain);
@@ -264,7 +273,7 @@
 
   #restart(chain: ChainRun, tasks: readonly PieceTask[]): void {
     if (chain.restarts <= MOST_RESTARTS) this.#enqueue(tasks);
-    else this.#close(chain, refuse("failing", FAILED_RETRY_MILLISECONDS));
+    else this.#fail(chain, refuse("failing", FAILED_RETRY_MILLISECONDS));
   }
 
   #takeTerms(): void {
--- a/packages/kelpspar-gateway/src/pieces/refused_callers.ts
+++ b/packages/kelpspar-gateway/src/pieces/refused_callers.ts
@@ -21,6 +21,11 @@
     this.#firstAskedAt.set(key, now);
   }
 
+  /** Whether a caller was refused before. */
+  has(key: string): boolean {
+    return this.#firstAskedAt.has(key);
+  }
+
   /** Milliseconds since the caller first asked; 0 for one that is new. */
   ageOf(key: string, now: number): number {
     return now - (this.#firstAskedAt.get(key) ?? now);
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -183,6 +183,7 @@
     const { request, route } = run.options;
     return {
       attemptId: request.attemptId ?? "",
+      kind: route.name,
       pieceKey: request.pieceKey,
       stages,
       remainingMilliseconds: run.remaining(),
--- a/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
+++ b/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
@@ -42,7 +42,7 @@
   },
   {
     name: "admission-by-what-goes-before",
-    file: `${GATEWAY}/pieces/piece_coordinator.ts`,
+    file: `${GATEWAY}/pieces/backlog.ts`,
     code: "chain.request.priority <= priority ? 1 : BEHIND_SHARE",
     without: "chain.request.priority <= priority ? 1 : 0 * BEHIND_SHARE + 1",
   },
