Work out the times of reading the list from the bounds

Cause: a call for the list waited 1,000 ms and had 1,200 ms more, whatever the time after which bounds hold again; on connections that fell silent for good the list was read 3.5 s later. A single failed call says nothing of when that was. Ruled out: a shorter pace, which is priced with each call. Change: listTimes gives pace, wait and limit from the bounds; LapseWindow counts from the last answer when a single call failed.

--- a/packages/kelpspar-gateway/src/__tests__/unit/lapse_window_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/lapse_window_test.ts
@@ -22,6 +22,7 @@
   // Entries removed 3.3 s after the return of the list were believed until
   // 5.6 s after it, since the time began anew with each removal.
   const window = createWindow({ drain: 10_000, contact: 10_000 });
+  window.failed(4_000);
   window.failed(6_900);
   expect(window.answered(7_100)).toEqual(true);
   expect(window.heldUntil(7_100)).toEqual(9_100);
@@ -32,6 +33,7 @@
 
 test("no removal is believed past the bound of leaving", () => {
   const window = createWindow({ drain: 1_500 });
+  window.failed(4_000);
   window.failed(6_900);
   window.answered(7_100);
   expect(window.heldUntil(7_100)).toEqual(7_100 + 1_500 - 250);
@@ -41,10 +43,22 @@
   // A daemon whose call was sent into the silence read the list 3.4 s after its
   // return, when all others had long stopped believing what was missing.
   const window = createWindow();
+  window.failed(4_000);
   window.failed(6_900);
   window.answered(9_200);
   expect(window.heldUntil(9_200)).toEqual(6_900 + 3_000 - 250);
+  window.failed(9_600);
   window.failed(10_000);
   window.answered(13_400);
   expect(window.heldUntil(13_400)).toEqual(undefined);
 });
+
+test("a single call that failed may have gone out on a dead connection", () => {
+  // The trouble was over when the connections fell silent, a pace before the
+  // call, and a removal read 2.6 s after it was believed for 1.2 s more.
+  const window = createWindow();
+  window.answered(1_000);
+  window.failed(2_100);
+  window.answered(3_700);
+  expect(window.heldUntil(3_700)).toEqual(1_000 + 3_000 - 250);
+});
--- a/packages/kelpspar-gateway/src/endpoints/lapse_window.ts
+++ b/packages/kelpspar-gateway/src/endpoints/lapse_window.ts
@@ -31,12 +31,16 @@
  *   leaving, counted from that answer, with the time that a request takes;
  * - what was removed between the return and the first answer must get no more
  *   once bounds hold again. The return isn't known, but the last call that
- *   failed began before it.
+ *   failed began before it. Not so a single one: it may have gone out on a
+ *   connection that was dead, and the trouble was over at any time since the
+ *   answer before.
  */
 export class LapseWindow {
   readonly #options: LapseWindowOptions;
   /** When the last call that failed began; monotonic milliseconds. */
   #failedCallAt: number | undefined;
+  #failedCalls = 0;
+  #answeredAt = Number.NEGATIVE_INFINITY;
   #endsAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: LapseWindowOptions) {
@@ -46,22 +50,31 @@
   /** Takes in that a call that began at `startedAt` failed. */
   failed(startedAt: number): void {
     this.#failedCallAt = startedAt;
+    this.#failedCalls++;
   }
 
   /** Takes in that a call was answered; true for the first after a failure. */
   answered(now: number): boolean {
-    if (this.#failedCallAt === undefined) return false;
+    const awayAt = this.#lastAwayAt();
+    this.#answeredAt = now;
+    this.#failedCallAt = undefined;
+    this.#failedCalls = 0;
+    if (awayAt === undefined) return false;
     const { drainMilliseconds, contactMilliseconds, sendMilliseconds } =
       this.#options;
     this.#endsAt = Math.min(
       now + BACK_MILLISECONDS,
       now + drainMilliseconds - sendMilliseconds,
-      this.#failedCallAt + contactMilliseconds - sendMilliseconds,
+      awayAt + contactMilliseconds - sendMilliseconds,
     );
-    this.#failedCallAt = undefined;
     return true;
   }
 
+  /** A time at which, or after which, the list was away for sure. */
+  #lastAwayAt(): number | undefined {
+    return this.#failedCalls === 1 ? this.#answeredAt : this.#failedCallAt;
+  }
+
   /**
    * Until when an entry that is found missing now may come back; undefined
    * when its endpoint has left.
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -1,3 +1,4 @@
+export type { ListTimes } from "./endpoints/list_times.ts";
 export type {
   CallerLimits,
   ClientAccount,
@@ -38,6 +39,7 @@
 export { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 export { EndpointBook } from "./endpoints/endpoint_book.ts";
 export { LapseWindow } from "./endpoints/lapse_window.ts";
+export { listTimes } from "./endpoints/list_times.ts";
 export { headerValue, passedHeaders } from "./exchange/connection_headers.ts";
 export { exchangeHttp } from "./exchange/http_exchange.ts";
 export { listen } from "./front/listen.ts";
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -48,6 +48,27 @@
     without: "",
     noticedBy: `${GATEWAY_TESTS}/lapse_window_test.ts`,
   },
+  {
+    name: "a single failed call tells nothing of when the list was away",
+    file: `${GATEWAY}/endpoints/lapse_window.ts`,
+    code: "this.#failedCalls === 1 ? this.#answeredAt : this.#failedCallAt",
+    without: "this.#failedCallAt",
+    noticedBy: `${GATEWAY_TESTS}/lapse_window_test.ts`,
+  },
+  {
+    name: "a call for the list waits no longer than the bounds allow",
+    file: `${GATEWAY}/endpoints/list_times.ts`,
+    code: "Math.min(left, LONGEST_WAIT_MILLISECONDS)",
+    without: "LONGEST_WAIT_MILLISECONDS",
+    noticedBy: `${GATEWAY_TESTS}/list_times_test.ts`,
+  },
+  {
+    name: "a kind that gets next to nothing goes first",
+    file: `${GATEWAY}/pieces/piece_coordinator.ts`,
+    code: "if (!isOwed) return request;",
+    without: "if (!isOwed || isOwed) return request;",
+    noticedBy: `${GATEWAY_TESTS}/long_flood_test.ts`,
+  },
   {
     name: "an endpoint listed again is used once its entry has stayed",
     file: `${GATEWAY}/endpoints/return_watch.ts`,
