Look for endpoints listed again in a table that is read anew

Cause: read in the code: with the history the removal of an entry that was listed again is dropped as well, and a table read anew was searched only for endpoints in use. Change: endpoints that may be listed again are looked for too.

--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -50,6 +50,11 @@
     return [...this.#states.keys()];
   }
 
+  /** Those that were taken out as missing and may be listed again. */
+  get returningIds(): readonly string[] {
+    return this.#returns.ids;
+  }
+
   find(id: string): EndpointState | undefined {
     return this.#states.get(id);
   }
--- a/packages/kelpspar-gateway/src/endpoints/return_watch.ts
+++ b/packages/kelpspar-gateway/src/endpoints/return_watch.ts
@@ -23,6 +23,10 @@
 export class ReturnWatch {
   readonly #returns = new Map<string, Return>();
 
+  get ids(): readonly string[] {
+    return [...this.#returns.keys()];
+  }
+
   /** Takes in that a life was taken out because its entry was missing. */
   missed({ id, bornAt }: EndpointLife): void {
     this.#returns.set(id, { bornAt, listed: undefined });
