Forget that a life was missing once a later one is in use

Cause: read in the diff: an entry of a life that had lapsed, written late after the endpoint had started again, was watched and would have taken the place of the later life after its trial. Change: what is put to use ends the watch of its id.

--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_book_test.ts
@@ -122,3 +122,31 @@
   book.put(entry("i1", false, 1), 0);
   expect(book.find("i1")?.entry.address).toEqual("10.0.0.2:80");
 });
+
+test("a life that was missing isn't used again beside a later one", () => {
+  // An endpoint's entry lapsed, it started again under its id, and a heartbeat
+  // of the life before arrived last: that entry stayed listed until the later
+  // life wrote its own, and the life before was used again in its place.
+  const book = createBook();
+  book.put(entry("i1"), 0);
+  book.miss("i1", undefined);
+  book.put(entry("i1", false, 2), 1_000);
+  book.put(entry("i1"), 2_000);
+  expect(book.readmit(9_000)).toEqual([]);
+  expect(book.find("i1")?.entry.bornAt).toEqual(2);
+});
+
+test("an endpoint that was missing is used again once it stays listed", () => {
+  const book = createBook();
+  book.put(entry("i1"), 0);
+  book.miss("i1", undefined);
+  expect(book.put(entry("i1"), 1_000)).toEqual("listed_again");
+  expect(book.put(entry("i1"), 2_000)).toEqual("has_left");
+  expect(book.readmit(999)).toEqual([]);
+  book.miss("i1", undefined);
+  book.put(entry("i1"), 3_000);
+  book.listReturned(4_000);
+  expect(book.readmit(3_999)).toEqual([]);
+  expect(book.readmit(4_000).map(({ id }) => id)).toEqual(["i1"]);
+  expect(idsOf(book)).toEqual(["i1"]);
+});
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -30,9 +30,10 @@
  * The endpoints that may get work, by service. Leaving is final for a life of
  * an endpoint: a list read late, or one kept by a store that returns, must not
  * bring an endpoint back that has said it is leaving, since it may exit any
- * moment. One whose entry was only missing may be listed again. One that starts again under its id is a new endpoint: it holds
- * nothing of what it made or read before, so that whoever goes on with beliefs
- * of the life before sends it inputs and prompts that are gone.
+ * moment. One whose entry was only missing may be listed again. One that starts
+ * again under its id is a new endpoint: it holds nothing of what it made or
+ * read before, so that whoever goes on with beliefs of the life before sends it
+ * inputs and prompts that are gone.
  */
 export class EndpointBook {
   readonly #states = new Map<string, EndpointState>();
@@ -187,6 +188,7 @@
   }
 
   #add(entry: EndpointEntry): void {
+    this.#returns.forget(entry.id);
     const state = new EndpointState(entry);
     this.#states.set(entry.id, state);
     const ofService = this.#byService.get(entry.service);
