--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -44,7 +44,7 @@
   {
     name: "a return that was noticed late counts from the last failed call",
     file: `${GATEWAY}/endpoints/lapse_window.ts`,
-    code: "this.#failedCallAt + contactMilliseconds - sendMilliseconds,",
+    code: "awayAt + contactMilliseconds - sendMilliseconds,",
     without: "",
     noticedBy: `${GATEWAY_TESTS}/lapse_window_test.ts`,
   },
