Answer every request that is open when a daemon ends

A stopping daemon waits for what is open and ends 350 ms before it would be killed, whatever is open then. Ruled out: the changes to the list of endpoints: the stop wasn't touched. Change: RequestService.endOpen gives each open request its answer, 503 where nothing may have run, before the process ends. Figures: the new test fails without endOpen's answers and passes with them; all of request_service_test passes.

--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -93,7 +93,7 @@
   script: readonly Script[],
   options: {
     readonly route?: Partial<ServiceRoute>;
-    readonly chain?: ChainOutcome;
+    readonly chain?: ChainOutcome | Promise<ChainOutcome>;
     /** False for a daemon that just started. */
     readonly isConfigured?: boolean;
   } = {},
@@ -378,3 +378,20 @@
     .toEqual(true);
   expect(world.calls.length).toEqual(0);
 });
+
+test("a request that is open when its daemon ends gets its final answer", async () => {
+  // A daemon was told to stop at 9.20 s, with a request open since 8.19 s whose
+  // stages were not done; at 16.89 s, 0.3 s before it would have been killed,
+  // the process ended and the connection closed with no answer.
+  const waiting = createWorld([], { chain: new Promise(() => {}) });
+  void waiting.service.serve(request(), waiting.reply);
+  await waiting.timer.advance(8_000);
+  waiting.service.endOpen();
+  expect(waiting.reply.status).toEqual(503);
+  const sent = createWorld([() => new Promise(() => {})]);
+  void sent.service.serve(request(), sent.reply);
+  await sent.timer.advance(8_000);
+  sent.service.endOpen();
+  await sent.timer.settle();
+  expect(sent.reply.status).toEqual(502);
+});
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -240,6 +240,7 @@
           this.#coordinator.openChains === 0;
         if (!isDone && now < endsAt) return;
         stopChecks();
+        this.#service.endOpen();
         resolve();
       }, STOP_CHECK_MILLISECONDS);
     });
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -12,6 +12,8 @@
 
 /** Time in which a daemon that just started learns its configuration, ms. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+/** A caller comes back to another daemon this long after one ended, ms. */
+const ENDED_RETRY_MILLISECONDS = 250;
 /**
  * A request without pieces waits so long for its place, milliseconds: some
  * times the way to another daemon and back. It goes where this daemon thinks
@@ -24,7 +26,7 @@
 /** Serves requests: route, key, stages, then the request itself. */
 export class RequestService {
   readonly #parts: RequestParts;
-  #open = 0;
+  readonly #open = new Set<RequestRun>();
 
   constructor(parts: RequestParts) {
     this.#parts = parts;
@@ -32,13 +34,25 @@
 
   /** Requests that have no final answer yet. */
   get open(): number {
-    return this.#open;
+    return this.#open.size;
+  }
+
+  /**
+   * Gives every open request its final answer, since this daemon ends. Left to
+   * the end of the process their connections close without one: a caller whose
+   * request waits for its stages can't know that it didn't run.
+   */
+  endOpen(): void {
+    for (const run of [...this.#open]) {
+      if (run.firstByteAt !== undefined) run.breakOff("daemon ends");
+      else run.giveUp("daemon ends", ENDED_RETRY_MILLISECONDS);
+    }
   }
 
   async serve(request: ServingRequest, reply: RequestReply): Promise<void> {
     const run = this.#accept(request, reply);
     if (run === undefined) return;
-    this.#open++;
+    this.#open.add(run);
     try {
       await this.#run(run);
     } catch (error) {
@@ -48,7 +62,7 @@
       });
       run.giveUp("internal error", NO_CONFIGURATION_RETRY_MILLISECONDS);
     } finally {
-      this.#open--;
+      this.#open.delete(run);
     }
   }
 
