Follow the store through returns from an older copy, and read it for others

Cause: two faults of the same code that follows the store's tables.

A store that comes back from an older copy gives versions out again. Rows that are news look older than what was read of them and count as stale reads; a feed that goes on from its old position misses what was written between; entries that the copy lacks count as leaving; rows that daemons wrote of themselves are never written again.

Ruled out: a lapse of entries as the cause of 1 (list_outage_test.ts, a store that is only away, passes before and after); longer polls for 2 (a call that waits longer notices a silent connection later than the bound of leaving allows); one reader (its loss would be noticed by 194 daemons at once).

Change: following tables moves from platform/ into the gateway (`tables/`); platform/ decodes rows and the header. - `store_era` decides what an era that is told means; a rise voids versions, positions and absences of all tables. What is believed of endpoints stays, leavings, births and configurations never go back. Daemons tell the era in digests. Late answers of an earlier era count for nothing; eras that are missing, fall or are no number, pages without a version and changes that skip versions are counted (`kelpspar_anomalies_total`), logged once. - `own_row` looks for the own row after each return and writes it again, all daemons spread over what a table takes. One log line for each return. - `reading_plan`: two readers or more of each zone, eight or more of a fleet, read the tables and pass changes on with era, version and age; the others follow one and read for themselves while no source is fresh. `relay_times` works all waits out from the bound of leaving; where that is too short (the small sites) each daemon reads for itself as before.

--- a/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
@@ -10,6 +10,7 @@
   Fleet,
 } from "../../fleet/fleet.ts";
 import { FleetMembership } from "../../fleet/fleet_membership.ts";
+import { StoreEra } from "../../tables/store_era.ts";
 
 function address(daemonId: string): DaemonAddress {
   return {
@@ -49,6 +50,7 @@
     membership,
     peers: client as PeerClient,
     configuration: new ConfigurationKeeper(),
+    era: new StoreEra({ timer, anomalies: { note: () => {} } }),
     timer,
     log: { info: () => {}, warn: () => {} },
     random: new SeededRandom(7),
@@ -98,7 +100,11 @@
       new FleetMembership({ self: address(`d${at}`), incarnation: "x" }),
   );
   const digestOf = (member: FleetMembership, now: number): FleetDigest =>
-    member.createDigest(own, { configurationVersion: 1, now });
+    member.createDigest(own, {
+      configurationVersion: 1,
+      storeEra: undefined,
+      now,
+    });
   let missed = 0;
   for (let round = 0; round < rounds; round++) {
     const now = round * EXCHANGE_MILLISECONDS;
--- a/packages/kelpspar-gateway/src/__tests__/unit/lapse_window_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/lapse_window_test.ts
@@ -62,3 +62,25 @@
   window.answered(3_700);
   expect(window.heldUntil(3_700)).toEqual(1_000 + 3_000 - 250);
 });
+
+test("after a return from a copy missing entries are believed like after one failed call", () => {
+  // The copy lacks entries of endpoints that were listed since it was made.
+  const window = createWindow();
+  window.answered(1_000);
+  window.restored();
+  expect(window.answered(1_800)).toEqual(true);
+  expect(window.heldUntil(1_800)).toEqual(1_800 + 2_000 - 250);
+  expect(window.answered(2_900)).toEqual(false);
+});
+
+test("another daemon's word counts as an answer, with the time that it believes", () => {
+  const window = createWindow();
+  window.failed(4_000);
+  expect(window.confirmed(4_500, undefined)).toEqual(false);
+  expect(window.heldUntil(4_500)).toEqual(undefined);
+  expect(window.confirmed(5_000, 6_000)).toEqual(true);
+  expect(window.heldUntil(5_500)).toEqual(6_000);
+  window.restored();
+  expect(window.confirmed(8_000, undefined)).toEqual(false);
+  expect(window.confirmed(8_100, 9_000)).toEqual(true);
+});
--- a/packages/kelpspar-gateway/src/endpoints/lapse_window.ts
+++ b/packages/kelpspar-gateway/src/endpoints/lapse_window.ts
@@ -40,6 +40,7 @@
   /** When the last call that failed began; monotonic milliseconds. */
   #failedCallAt: number | undefined;
   #failedCalls = 0;
+  #isRestored = false;
   #answeredAt = Number.NEGATIVE_INFINITY;
   #endsAt = Number.NEGATIVE_INFINITY;
 
@@ -53,12 +54,38 @@
     this.#failedCalls++;
   }
 
+  /**
+   * Takes in that the list came back as it was some time before: entries
+   * written since then are missing until they are written again. It was away
+   * between the last two answers, like around a single call that failed.
+   */
+  restored(): void {
+    this.#failedCalls = Math.max(this.#failedCalls, 1);
+    this.#isRestored = true;
+  }
+
+  /**
+   * Takes in that another daemon had an answer, and until when it believes
+   * missing entries; true when a time of believing begins here.
+   */
+  confirmed(now: number, heldUntil: number | undefined): boolean {
+    const wasHeld = this.heldUntil(now) !== undefined;
+    // A source that was started since knows nothing of entries before.
+    if (this.#isRestored) this.answered(now);
+    this.#answeredAt = now;
+    this.#failedCallAt = undefined;
+    this.#failedCalls = 0;
+    this.#endsAt = Math.max(this.#endsAt, heldUntil ?? this.#endsAt);
+    return !wasHeld && this.heldUntil(now) !== undefined;
+  }
+
   /** Takes in that a call was answered; true for the first after a failure. */
   answered(now: number): boolean {
     const awayAt = this.#lastAwayAt();
     this.#answeredAt = now;
     this.#failedCallAt = undefined;
     this.#failedCalls = 0;
+    this.#isRestored = false;
     if (awayAt === undefined) return false;
     const { drainMilliseconds, contactMilliseconds, sendMilliseconds } =
       this.#options;
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
+import type { StoreEra } from "../tables/store_era.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import type { FleetMembership, OwnState } from "./fleet_membership.ts";
 import type { PeerClient } from "./peer_client.ts";
@@ -32,6 +33,7 @@
   readonly membership: FleetMembership;
   readonly peers: PeerClient;
   readonly configuration: ConfigurationKeeper;
+  readonly era: StoreEra;
   readonly timer: TimerService;
   readonly log: GatewayLog;
   readonly random: RandomSource;
@@ -112,9 +114,10 @@
   }
 
   #digest(): FleetDigest {
-    const { membership, configuration, timer } = this.#options;
+    const { membership, configuration, era, timer } = this.#options;
     return membership.createDigest(this.ownState, {
       configurationVersion: configuration.version,
+      storeEra: era.current,
       now: timer.now(),
     });
   }
@@ -122,6 +125,7 @@
   #take(digest: FleetDigest): void {
     const { membership, timer, configuration } = this.#options;
     membership.heard(digest, timer.now());
+    this.#options.era.told(digest.storeEra);
     if (membership.hasUnknownAddresses) {
       void this.#fetchAddresses(digest.self.peer);
     }
--- a/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
@@ -37,6 +37,8 @@
 export const fleetDigestSchema = z.object({
   self: daemonAddressSchema,
   configurationVersion: z.number(),
+  /** Rises each time that the store comes back from an older copy. */
+  storeEra: z.number().optional(),
   /** The newest heartbeats it knows, its own first. */
   heartbeats: z.array(heartbeatSchema),
 });
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -1,6 +1,7 @@
 import type { DaemonAddress, FleetDigest, Heartbeat } from "./fleet_digest.ts";
+import type { ReaderCandidate } from "../tables/reading_plan.ts";
 import type { SilenceLimits } from "./silence_limits.ts";
-import { RendezvousNodes } from "kelpspar-decisions/routing";
+import { rankByCores } from "./rank_by_cores.ts";
 import { silenceLimits } from "./silence_limits.ts";
 
 /** Who this daemon is. */
@@ -37,8 +38,8 @@
 const FORGOTTEN_AFTER_MILLISECONDS = 60_000;
 /** A gap between sweeps of this length means that this daemon stood still. */
 const PAUSE_MILLISECONDS = 900;
-/** Daemons whose share of a processor is this near the largest are alike. */
-const ALIKE_CORES_SHARE = 0.9;
+/** A daemon that was learned of so lately may be heard any moment, ms. */
+const HOPEFUL_MILLISECONDS = 3_000;
 
 /**
  * Which daemons live. Addresses come from seeds, the store and other daemons;
@@ -125,6 +126,28 @@
       .map(({ address }) => address);
   }
 
+  /**
+   * Other daemons that may read the store's tables for this one. Those that
+   * were learned of just now count as heard: when all start at once nobody has
+   * been heard, and each would read for itself.
+   */
+  readerCandidates(now: number): readonly ReaderCandidate[] {
+    const heard = this.heardLately(now)
+      .filter(({ heartbeat }) => !heartbeat.isLeaving)
+      .map(({ address, heartbeat }) => ({
+        address,
+        isStoreFresh: heartbeat.isStoreFresh && heartbeat.isReady,
+      }));
+    const hopeful = [...this.#records.values()].flatMap((record) => {
+      const { address, heartbeat, doubtedAt, knownSince } = record;
+      const isHopeful = address !== undefined && heartbeat === undefined &&
+        doubtedAt === Number.NEGATIVE_INFINITY &&
+        now - knownSince <= HOPEFUL_MILLISECONDS;
+      return isHopeful ? [{ address, isStoreFresh: true }] : [];
+    });
+    return [...heard, ...hopeful];
+  }
+
   /** Whether a daemon may not be waited for any more. */
   isStalled(daemonId: string, now: number): boolean {
     if (daemonId === this.#options.self.daemonId) return false;
@@ -182,7 +205,11 @@
   /** This daemon's digest now. */
   createDigest(
     own: OwnState,
-    options: { readonly configurationVersion: number; readonly now: number },
+    options: {
+      readonly configurationVersion: number;
+      readonly storeEra: number | undefined;
+      readonly now: number;
+    },
   ): FleetDigest {
     const { self, incarnation } = this.#options;
     const heartbeat = {
@@ -194,6 +221,7 @@
     return {
       self,
       configurationVersion: options.configurationVersion,
+      storeEra: options.storeEra,
       heartbeats: [
         heartbeat,
         ...this.heardLately(options.now).map((one) => one.heartbeat),
@@ -264,20 +292,3 @@
     });
   }
 }
-
-function rankByCores(
-  key: string,
-  addresses: readonly DaemonAddress[],
-): readonly string[] {
-  const most = Math.max(...addresses.map((one) => one.cores));
-  const isLarge = (one: DaemonAddress): boolean =>
-    one.cores >= most * ALIKE_CORES_SHARE;
-  const groups = [
-    addresses.filter(isLarge),
-    addresses.filter((one) => !isLarge(one)),
-  ];
-  return groups.flatMap((group) => {
-    const ids = group.map((one) => one.daemonId);
-    return new RendezvousNodes(ids).best(key, ids.length);
-  });
-}
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -3,10 +3,13 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
+import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
+import type { FollowClient } from "../tables/table_follower.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import type { PeerRouter } from "./peer_router.ts";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { PeerConnections } from "kelpspar-peers";
+import { followAnswerSchema } from "../tables/table_changes.ts";
 import { PEER_PATH } from "./peer_listener.ts";
 
 /** How long a short call to a peer may take, milliseconds. */
@@ -14,8 +17,13 @@
 /** A connection that isn't there after this is given up, milliseconds. */
 const CONNECT_MILLISECONDS = 500;
 
+type PeerCall<Answer> = (
+  client: TRPCClient<PeerRouter>,
+  signal: AbortSignal,
+) => Promise<Answer>;
+
 /** Calls other daemons by tRPC; each call throws when it fails. */
-export class PeerClient {
+export class PeerClient implements FollowClient {
   readonly #timer: TimerService;
   readonly #connections = new PeerConnections({
     createClient: (peer, fetch) =>
@@ -58,6 +66,19 @@
     );
   }
 
+  async follow(
+    peer: string,
+    request: FollowRequest,
+    limitMilliseconds: number,
+  ): Promise<FollowAnswer> {
+    const answer = await this.#limited(
+      peer,
+      limitMilliseconds,
+      (client, signal) => client.follow.mutate(request, { signal }),
+    );
+    return followAnswerSchema.parse(answer);
+  }
+
   release(peer: string, release: ChainRelease): Promise<null> {
     const { attemptId, results } = release;
     return this.#short(
@@ -86,21 +107,23 @@
     return await client.runChain.mutate(input, { signal });
   }
 
+  #short<Answer>(peer: string, call: PeerCall<Answer>): Promise<Answer> {
+    return this.#limited(peer, SHORT_CALL_MILLISECONDS, call);
+  }
+
   /**
    * A call that times out destroys the connections to that peer: one that went
    * silent for good would fail every later call while the peer is well.
    */
-  async #short<Answer>(
+  async #limited<Answer>(
     peer: string,
-    call: (
-      client: TRPCClient<PeerRouter>,
-      signal: AbortSignal,
-    ) => Promise<Answer>,
+    limitMilliseconds: number,
+    call: PeerCall<Answer>,
   ): Promise<Answer> {
     const abort = new AbortController();
     const stopTimer = this.#timer.registerTimeout(
       () => abort.abort(new Error("timed out")),
-      SHORT_CALL_MILLISECONDS,
+      limitMilliseconds,
     );
     const connection = this.#connections.open(peer);
     try {
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -1,9 +1,11 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
+import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import { followRequestSchema } from "../tables/table_changes.ts";
 import { fleetDigestSchema } from "./fleet_digest.ts";
 
 /** Answers other daemons. */
@@ -13,6 +15,8 @@
   addresses(): readonly DaemonAddress[];
   /** The configuration in force here. */
   configuration(): ServingConfiguration | undefined;
+  /** What is known here of the store's tables; waits until there is news. */
+  follow(request: FollowRequest, signal: AbortSignal): Promise<FollowAnswer>;
   /** Runs a chain of stages; `signal` ends it when the asker is gone. */
   runChain(request: ChainRequest, signal: AbortSignal): Promise<ChainOutcome>;
   release(release: ChainRelease): void;
@@ -68,6 +72,9 @@
   configuration: trpc.procedure.query(({ ctx }) =>
     ctx.handlers.configuration() ?? null
   ),
+  follow: trpc.procedure.input(followRequestSchema).mutation((
+    { ctx, input },
+  ) => ctx.handlers.follow(input, ctx.gone)),
   runChain: trpc.procedure.input(chainSchema).mutation(({ ctx, input }) =>
     ctx.handlers.runChain(input, ctx.gone)
   ),
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -5,6 +5,9 @@
 import type { GatewayLog } from "./log/gateway_log.ts";
 import type { PieceClient } from "./pieces/piece_call.ts";
 import type { EndpointClient } from "./requests/endpoint_call.ts";
+import type { ReadingPlan } from "./tables/reading_plan.ts";
+import type { SharedTables } from "./tables/shared_tables.ts";
+import type { FollowClient } from "./tables/table_follower.ts";
 import { createServer } from "node:http";
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
@@ -14,15 +17,20 @@
 import { createPeerListener } from "./fleet/peer_listener.ts";
 import { FrontServer } from "./front/front_server.ts";
 import { listen } from "./front/listen.ts";
+import { AnomalyLog } from "./log/anomaly_log.ts";
 import { GatewayMetrics } from "./metrics/gateway_metrics.ts";
 import { PieceCoordinator } from "./pieces/piece_coordinator.ts";
 import { ChainClient } from "./requests/chain_client.ts";
 import { ExpectedTimes } from "./requests/expected_times.ts";
 import { RequestService } from "./requests/request_service.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
+import { planReading } from "./tables/reading_plan.ts";
+import { StoreEra } from "./tables/store_era.ts";
 
 /** How often missing entries are looked over, milliseconds. */
 const SWEEP_MILLISECONDS = 100;
+/** How long a decision on who reads the tables stands, milliseconds. */
+const PLAN_MILLISECONDS = 400;
 /** Daemons from which on the coordinator of stages takes no callers. */
 const MANY_DAEMONS = 12;
 /** Most addresses that callers are given. */
@@ -58,6 +66,10 @@
   readonly configuration = new ConfigurationKeeper();
   readonly book = new EndpointBook();
   readonly metrics = new GatewayMetrics();
+  readonly anomalies: AnomalyLog;
+  readonly era: StoreEra;
+  /** Asks other daemons for what they know of the store's tables. */
+  readonly followClient: FollowClient;
   readonly #options: GatewayDaemonOptions;
   readonly #membership: FleetMembership;
   readonly #fleet: Fleet;
@@ -67,15 +79,21 @@
   readonly #chains: ChainClient;
   readonly #peerServer: Server;
   #storeHeardAt = Number.NEGATIVE_INFINITY;
+  #tables: Pick<SharedTables, "answer"> | undefined;
+  #plan: ReadingPlan | undefined;
+  #plannedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: GatewayDaemonOptions) {
     this.#options = options;
     const { self, timer, log } = options;
-    const { configuration, book } = this;
+    this.anomalies = new AnomalyLog(log, this.metrics);
+    this.era = new StoreEra({ timer, anomalies: this.anomalies });
+    const { configuration, book, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#storeHeardAt, Number.MAX_SAFE_INTEGER);
     const membership = new FleetMembership(options);
     const peers = new PeerClient(timer);
+    this.followClient = peers;
     const budget = new ServiceRetryBudget({
       ratio: options.retryRatio,
       slack: options.retrySlack,
@@ -86,6 +104,7 @@
       membership,
       peers,
       configuration,
+      era,
       timer,
       log,
       random: options.random,
@@ -121,7 +140,7 @@
       log,
       metrics: this.metrics,
       zone: self.zone,
-      sharers: () => 1 + membership.heardLately(timer.now()).length,
+      sharers: () => this.fleetSize(),
     });
     this.#membership = membership;
     this.#fleet = fleet;
@@ -136,6 +155,12 @@
       exchange: (digest) => fleet.exchange(digest),
       addresses: () => [self, ...membership.contacts()],
       configuration: () => configuration.table?.configuration,
+      follow: (request, signal) => {
+        if (this.#tables !== undefined) {
+          return this.#tables.answer(request, signal);
+        }
+        throw new Error("The store's tables aren't followed here yet");
+      },
       runChain: (request, signal) => coordinator.run(request, signal),
       release: (release) => coordinator.release(release),
     }));
@@ -176,9 +201,36 @@
     this.#fleet.greet(peers.filter((peer) => peer !== self.peer));
   }
 
-  /** Says that the store's list of endpoints is as of now. */
-  storeHeard(): void {
-    this.#storeHeardAt = this.#options.timer.now();
+  /** Says that the list of endpoints was as the store has it at `at`. */
+  storeHeard(at: number): void {
+    this.#storeHeardAt = Math.max(this.#storeHeardAt, at);
+  }
+
+  /** Passes the store's tables on to other daemons; returns the teardown. */
+  registerTables(tables: Pick<SharedTables, "answer">): () => void {
+    this.#tables = tables;
+    return () => {
+      if (this.#tables === tables) this.#tables = undefined;
+    };
+  }
+
+  /** Whether this daemon reads the store's tables, and whom it may follow. */
+  readingPlan(): ReadingPlan {
+    const { self, timer } = this.#options;
+    const now = timer.now();
+    if (
+      this.#plan === undefined || now - this.#plannedAt > PLAN_MILLISECONDS
+    ) {
+      const others = this.#membership.readerCandidates(now);
+      this.#plan = planReading(self, others);
+      this.#plannedAt = now;
+    }
+    return this.#plan;
+  }
+
+  /** Daemons that are heard, this one among them. */
+  fleetSize(): number {
+    return this.#membership.heardLately(this.#options.timer.now()).length + 1;
   }
 
   /** True while callers may be sent here. */
@@ -207,12 +259,12 @@
 
   /** State for the metrics page. */
   recordState(): void {
-    const { timer } = this.#options;
     const { metrics } = this;
-    const daemons = this.#membership.heardLately(timer.now()).length + 1;
     metrics.setState("configuration_version", this.configuration.version);
     metrics.setState("endpoints", this.book.size);
-    metrics.setState("daemons", daemons);
+    metrics.setState("daemons", this.fleetSize());
+    metrics.setState("store_era", this.era.current ?? 0);
+    metrics.setState("reads_store", this.readingPlan().isReader ? 1 : 0);
     metrics.setState("open_requests", this.#service.open);
   }
 
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ["service", "outcome"],
     registers: [this.#registry],
   });
+  readonly #anomalies = new Counter({
+    name: "kelpspar_anomalies_total",
+    help: "What should not happen and harms nothing, by kind",
+    labelNames: ["anomaly"],
+    registers: [this.#registry],
+  });
   readonly #gauges = new Gauge({
     name: "kelpspar_state",
     help: "Configuration version, endpoints, daemons and chains known now",
@@ -73,6 +79,10 @@
     this.#firstByte.observe({ account, route }, measure.firstByteSeconds);
   }
 
+  countAnomaly(anomaly: string): void {
+    this.#anomalies.inc({ anomaly });
+  }
+
   countCall(service: string, outcome: string): void {
     this.#endpointCalls.inc({ service, outcome });
   }
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -35,6 +35,19 @@
   EndpointClient,
 } from "./requests/endpoint_call.ts";
 export type { PromptPart, ServingRequest } from "./requests/serving_request.ts";
+export type { ReadingPlan } from "./tables/reading_plan.ts";
+export type { FollowAnswer, FollowRequest } from "./tables/table_changes.ts";
+export type { FeedTimes } from "./tables/table_feed.ts";
+export type { FollowClient } from "./tables/table_follower.ts";
+export type {
+  CallTimes,
+  EraWord,
+  FeedAnswer,
+  StoreAnswer,
+  TablePage,
+  TableRow,
+  TableStore,
+} from "./tables/table_store.ts";
 export type { GatewayDaemonOptions } from "./gateway_daemon.ts";
 export { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 export { EndpointBook } from "./endpoints/endpoint_book.ts";
@@ -45,5 +58,16 @@
 export { listen } from "./front/listen.ts";
 export { createTextServer } from "./front/text_server.ts";
 export { GatewayDaemon } from "./gateway_daemon.ts";
+export { AnomalyLog } from "./log/anomaly_log.ts";
 export { LineLog } from "./log/line_log.ts";
 export { readBody } from "./requests/read_body.ts";
+export { OwnRow } from "./tables/own_row.ts";
+export { planReading } from "./tables/reading_plan.ts";
+export { relayTimes } from "./tables/relay_times.ts";
+export { SharedTables } from "./tables/shared_tables.ts";
+export { StoreEra } from "./tables/store_era.ts";
+export {
+  FIRST_PAUSE_MILLISECONDS,
+  LONGEST_PAUSE_MILLISECONDS,
+} from "./tables/table_feed.ts";
+export { StoreCallError } from "./tables/table_store.ts";
--- /dev/null
+++ b/packages/kelpspar-gateway/src/tables/reading_plan.ts
@@ -0,0 +1,84 @@
+import type { DaemonAddress } from "../fleet/fleet_digest.ts";
+import { RendezvousNodes } from "kelpspar-decisions/routing";
+import { rankByCores } from "../fleet/rank_by_cores.ts";
+
+/** A daemon that may read the store's tables for others. */
+export interface ReaderCandidate {
+  readonly address: DaemonAddress;
+  /** False when its own list of endpoints is old: the store turns it away. */
+  readonly isStoreFresh: boolean;
+}
+
+/** What a daemon does to know what the store's tables hold. */
+export interface ReadingPlan {
+  /** It reads them itself, for others too. */
+  readonly isReader: boolean;
+  /** Others that it may follow, best first. */
+  readonly sources: readonly DaemonAddress[];
+}
+
+/** Least readers of a fleet: a fleet of eight reads as it did, each itself. */
+const LEAST_READERS = 8;
+/** Least readers of an availability zone: one, and one beside it. */
+const LEAST_READERS_OF_ZONE = 2;
+/** Others that a daemon may follow; beyond them it reads for itself. */
+const MOST_SOURCES = 6;
+const READERS_KEY = "tables";
+
+/**
+ * Decides which daemons read the store's tables, by a rule that all compute
+ * alike from who is heard.
+ *
+ * Load: 195 daemons that each read three tables make 8,800 calls on a calm day,
+ * more than all that they serve costs, and as many again while endpoints come
+ * and go. A few readers in each zone make as many calls whatever the size of
+ * the fleet.
+ */
+export function planReading(
+  self: DaemonAddress,
+  others: readonly ReaderCandidate[],
+): ReadingPlan {
+  const candidates = [{ address: self, isStoreFresh: true }, ...others];
+  const zones = [...new Set(candidates.map((one) => one.address.zone))];
+  const count = Math.max(
+    LEAST_READERS_OF_ZONE,
+    Math.ceil(LEAST_READERS / zones.length),
+  );
+  const readersOf = (zone: string): readonly DaemonAddress[] =>
+    rankReaders(candidates.filter((one) => one.address.zone === zone))
+      .slice(0, count);
+  const own = readersOf(self.zone);
+  const isReader = own.some((one) => one.daemonId === self.daemonId);
+  const far = zones.filter((zone) => zone !== self.zone).flatMap(readersOf);
+  const sources = [
+    ...spread(self, own.filter((one) => one.daemonId !== self.daemonId)),
+    ...spread(self, far),
+  ];
+  return { isReader, sources: sources.slice(0, MOST_SOURCES) };
+}
+
+/** Best first: those that the store answers, then by processor share. */
+function rankReaders(
+  candidates: readonly ReaderCandidate[],
+): readonly DaemonAddress[] {
+  const fresh = candidates.filter((one) => one.isStoreFresh);
+  const stale = candidates.filter((one) => !one.isStoreFresh);
+  const byId = new Map(
+    candidates.map(({ address }) => [address.daemonId, address]),
+  );
+  return [fresh, stale].flatMap((group) =>
+    rankByCores(READERS_KEY, group.map((one) => one.address))
+      .flatMap((id) => byId.get(id) ?? [])
+  );
+}
+
+/** In an order of this daemon's own, so that readers share the followers. */
+function spread(
+  self: DaemonAddress,
+  readers: readonly DaemonAddress[],
+): readonly DaemonAddress[] {
+  const byId = new Map(readers.map((one) => [one.daemonId, one]));
+  const ids = [...byId.keys()];
+  return new RendezvousNodes(ids).best(self.daemonId, ids.length)
+    .flatMap((id) => byId.get(id) ?? []);
+}
--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -25,6 +25,7 @@
   const verdict = await runSoak({
     seed: 1,
     seconds: 8,
+    daemons: 3,
     program: PROGRAM,
     hasFaults: true,
     print: () => {},
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -4,33 +4,72 @@
 import { printText } from "./read_settings.ts";
 
 const EXIT_BROKEN = 1;
+const EXIT_USAGE = 64;
+const USAGE =
+  "npm run soak -- [--seed N] [--seeds COUNT] [--seconds S] [--daemons N] [--calm]";
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
 
-const { values } = parseArgs({
-  options: {
-    seed: { type: "string", default: "1" },
-    seeds: { type: "string", default: "1" },
-    seconds: { type: "string", default: "12" },
-    calm: { type: "boolean", default: false },
-  },
-});
+/** What the command line asks for. */
+interface SoakArguments {
+  readonly seed: number;
+  readonly seeds: number;
+  readonly seconds: number;
+  readonly daemons: number;
+  readonly isCalm: boolean;
+}
 
-for (let index = 0; index < Number(values.seeds); index++) {
-  const seed = Number(values.seed) + index;
-  const verdict = await runSoak({
-    seed,
-    seconds: Number(values.seconds),
-    program: PROGRAM,
-    hasFaults: !values.calm,
-    print: (line) => printText(`  ${line}`),
+try {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: "string", default: "1" },
+      seeds: { type: "string", default: "1" },
+      seconds: { type: "string", default: "12" },
+      daemons: { type: "string", default: "3" },
+      calm: { type: "boolean", default: false },
+      help: { type: "boolean", default: false },
+    },
   });
-  const { asked, served, refused, broken } = verdict;
-  printText(
-    `Seed ${seed}: ${asked} requests, ${served} served, ${refused} refused, ` +
-      `${broken.length} promises broken`,
-  );
-  for (const line of broken) printText(`  BROKEN ${line}`);
-  if (broken.length > 0) process.exitCode = EXIT_BROKEN;
+  if (values.help) printText(USAGE);
+  else {
+    await run({
+      seed: readCount("seed", values.seed),
+      seeds: readCount("seeds", values.seeds),
+      seconds: readCount("seconds", values.seconds),
+      daemons: readCount("daemons", values.daemons),
+      isCalm: values.calm,
+    });
+  }
+} catch (error) {
+  if (!(error instanceof TypeError)) throw error;
+  printText(`${error.message}. Usage: ${USAGE}`);
+  process.exitCode = EXIT_USAGE;
+}
+
+function readCount(name: string, text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count > 0) return count;
+  throw new TypeError(`--${name} takes a whole number above 0, not "${text}"`);
+}
+
+async function run(asked: SoakArguments): Promise<void> {
+  for (let index = 0; index < asked.seeds; index++) {
+    const seed = asked.seed + index;
+    const verdict = await runSoak({
+      seed,
+      seconds: asked.seconds,
+      daemons: asked.daemons,
+      program: PROGRAM,
+      hasFaults: !asked.isCalm,
+      print: (line) => printText(`  ${line}`),
+    });
+    const { asked: requests, served, refused, broken } = verdict;
+    printText(
+      `Seed ${seed}: ${requests} requests, ${served} served, ` +
+        `${refused} refused, ${broken.length} promises broken`,
+    );
+    for (const line of broken) printText(`  BROKEN ${line}`);
+    if (broken.length > 0) process.exitCode = EXIT_BROKEN;
+  }
 }
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -13,6 +13,7 @@
 export interface SoakOptions {
   readonly seed: number;
   readonly seconds: number;
+  readonly daemons: number;
   /** The bundle that the platform runs. */
   readonly program: string;
   /** Without faults it is a demonstration. */
@@ -20,7 +21,6 @@
   readonly print: (line: string) => void;
 }
 
-const DAEMONS = 3;
 const CALLERS = 10;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time for daemons to start and hear of each other. */
@@ -84,10 +84,12 @@
 
 async function startDaemons(
   site: WireSite,
-  options: { readonly folder: string; readonly program: string },
+  options: Pick<SoakOptions, "daemons" | "program"> & {
+    readonly folder: string;
+  },
 ): Promise<readonly DaemonProcess[]> {
   const daemons: DaemonProcess[] = [];
-  for (let index = 0; index < DAEMONS; index++) {
+  for (let index = 0; index < options.daemons; index++) {
     const name = `daemon-${index}`;
     const seeds = daemons.map((one) =>
       (one.options.settings["listen"] as Record<string, string>)["control"] ??
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -28,6 +28,10 @@
 const STAGE_FAULTS = ["mute", "slow", "no_room", "gone"] as const;
 const STORE_FAULTS = ["busy", "reset", "silent"] as const;
 const LONGEST_FAULT_MILLISECONDS = 2_000;
+/** A store comes back from a copy that is at most so old, milliseconds. */
+const OLDEST_COPY_MILLISECONDS = 5_000;
+/** What was lost is written again within this time, milliseconds. */
+const WRITTEN_AGAIN_MILLISECONDS = 1_200;
 const DELAY_MILLISECONDS = 120;
 
 /** Every fault by name. */
@@ -76,6 +80,20 @@
     later(targets, () => store.fault = "none");
     return store.fault;
   },
+  drill: (targets) => {
+    const { site, random, timer } = targets;
+    const lost = random.next() * OLDEST_COPY_MILLISECONDS;
+    site.store.fault = draw(STORE_FAULTS, random);
+    later(targets, () => {
+      site.store.restore(lost);
+      site.store.fault = "none";
+      timer.registerTimeout(
+        () => site.writeAgain(),
+        random.next() * WRITTEN_AGAIN_MILLISECONDS,
+      );
+    });
+    return `store, from a copy of ${Math.round(lost)} ms before`;
+  },
   compact: ({ site }) => {
     site.store.compact();
     return "history";
--- a/packages/kelpspar-standins/src/wire/store_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/store_stand_in.ts
@@ -5,6 +5,12 @@
 /** How the store misbehaves: 503, a reset connection, or no answer. */
 export type StoreFault = "none" | "busy" | "reset" | "silent";
 
+/** When a change was written, by the process's monotonic clock. */
+interface Change {
+  readonly row: Row;
+  readonly at: number;
+}
+
 interface Row {
   readonly table: string;
   readonly part: string;
@@ -18,6 +24,8 @@
   readonly table: string;
   readonly after: number;
   readonly answer: () => void;
+  /** Loses the answer with its connection. */
+  readonly drop: () => void;
 }
 
 /** The platform's store at its published protocol: rows, transactions, feed. */
@@ -25,12 +33,14 @@
   fault: StoreFault = "none";
   /** Calls that were answered or failed. */
   calls = 0;
+  /** Rises by one each time that the store comes back from an older copy. */
+  era = 1;
   #ver = 0;
   /** Feeds from before this version get 410. */
   #oldest = 0;
   readonly #rows = new Map<string, Row>();
   /** Every change by itself, in order. */
-  readonly #history: Row[] = [];
+  #history: Change[] = [];
   readonly #waiters = new Set<Waiter>();
   readonly #server: Server;
 
@@ -66,10 +76,29 @@
     this.#oldest = ++this.#ver;
   }
 
+  /** Whether there is a row of that value. */
+  holds(table: string, key: string, value: object): boolean {
+    const text = Buffer.from(JSON.stringify(value)).toString("base64");
+    const row = this.#rows.get(nameOf({ table, part: "", key }));
+    return row !== undefined && !row.tombstone && row.value === text;
+  }
+
+  /** Comes back as it was so long ago; what was written since is lost. */
+  restore(lostMilliseconds: number): void {
+    const until = performance.now() - lostMilliseconds;
+    this.#history = this.#history.filter(({ at }) => at <= until);
+    this.#rows.clear();
+    for (const { row } of this.#history) this.#rows.set(nameOf(row), row);
+    this.#ver = this.#history.at(-1)?.row.ver ?? 0;
+    this.#oldest = Math.min(this.#oldest, this.#ver);
+    this.era++;
+    for (const waiter of [...this.#waiters]) waiter.drop();
+  }
+
   #write(row: Omit<Row, "ver">): void {
     const changed = { ...row, ver: ++this.#ver };
-    this.#rows.set(`${row.table}/${row.part}/${row.key}`, changed);
-    this.#history.push(changed);
+    this.#rows.set(nameOf(row), changed);
+    this.#history.push({ row: changed, at: performance.now() });
     for (const waiter of [...this.#waiters]) {
       if (waiter.table === row.table) waiter.answer();
     }
@@ -79,7 +108,7 @@
     this.calls++;
     const faults: Readonly<Record<StoreFault, (() => void) | undefined>> = {
       none: undefined,
-      busy: () => response.writeHead(503).end(),
+      busy: () => response.writeHead(503, this.#headers()).end(),
       reset: () => response.socket?.resetAndDestroy(),
       silent: () => {},
     };
@@ -120,12 +149,13 @@
   #feed(url: URL, response: ServerResponse): void {
     const table = url.searchParams.get("table") ?? "";
     const after = Number(url.searchParams.get("after"));
-    if (after < this.#oldest) {
-      response.writeHead(410).end();
+    if (after < this.#oldest || after > this.#ver) {
+      response.writeHead(410, this.#headers()).end();
       return;
     }
     const changed = (): readonly Row[] =>
-      this.#history.filter((row) => row.table === table && row.ver > after);
+      this.#history.map(({ row }) => row)
+        .filter((row) => row.table === table && row.ver > after);
     if (changed().length > 0) {
       this.#send(response, { rows: changed() });
       return;
@@ -138,6 +168,11 @@
         this.#waiters.delete(waiter);
         this.#send(response, { rows: changed() });
       },
+      drop: () => {
+        clearTimeout(timeout);
+        this.#waiters.delete(waiter);
+        response.socket?.resetAndDestroy();
+      },
     };
     const waitMs = Number(url.searchParams.get("waitMs"));
     const timeout = setTimeout(waiter.answer, waitMs);
@@ -150,7 +185,18 @@
 
   #send(response: ServerResponse, fields: object): void {
     if (response.destroyed) return;
-    response.writeHead(200, { "Content-Type": "application/json" });
+    response.writeHead(200, this.#headers());
     response.end(JSON.stringify({ ...fields, ver: this.#ver, nowMs: 0 }));
   }
+
+  #headers(): Readonly<Record<string, string>> {
+    return {
+      "Content-Type": "application/json",
+      "Store-Era": String(this.era),
+    };
+  }
+}
+
+function nameOf(row: Pick<Row, "table" | "part" | "key">): string {
+  return `${row.table}/${row.part}/${row.key}`;
 }
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -39,6 +39,8 @@
   readonly #options: Required<WireSiteOptions>;
   #storeAddress = "";
   #version = 1;
+  /** What the operator and the runners wrote, by table and key. */
+  readonly #written = new Map<string, readonly [string, string, object]>();
   /** Keys that are in force. */
   keys: readonly string[] = ["key-1", "key-2"];
 
@@ -96,7 +98,21 @@
 
   /** Writes the next version of the configuration. */
   publish(): void {
-    this.store.put("op", "config", this.#configuration(this.#version++));
+    this.#write("op", "config", this.#configuration(this.#version++));
+  }
+
+  /** Writes again what the store lost, as the operator and runners do. */
+  writeAgain(): void {
+    for (const [table, key, value] of this.#written.values()) {
+      if (!this.store.holds(table, key, value)) {
+        this.store.put(table, key, value);
+      }
+    }
+  }
+
+  #write(table: string, key: string, value: object): void {
+    this.#written.set(`${table}/${key}`, [table, key, value]);
+    this.store.put(table, key, value);
   }
 
   /** Settings of a daemon; addresses are free ones of loopback. */
@@ -142,7 +158,7 @@
     runners: readonly { start(): Promise<string> }[],
   ): Promise<void> {
     for (const [index, runner] of runners.entries()) {
-      this.store.put("servers", `${service}-${index}`, {
+      this.#write("servers", `${service}-${index}`, {
         service,
         address: await this.#reach(await runner.start()),
         zone: "a",
