Let readers pause longer, and don't pass heartbeats on

The same heartbeats were passed on to every follower. Change: the cycle is all pace but 200 ms; a row that differs by its heartbeat only isn't told to followers.

--- a/packages/kelpspar-gateway/src/__tests__/unit/table_mirror_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/table_mirror_test.ts
@@ -66,3 +66,24 @@
   expect(mirror.since(1)?.isWhole).toEqual(true);
   expect(mirror.since(690)?.isWhole).toEqual(false);
 });
+
+test("a row that says nothing new is not passed on", () => {
+  // Load: 120 endpoints write their rows every 1.2 s; passed on, that is
+  // 15 KB/s for each daemon that follows.
+  let changes = 0;
+  const pages: number[] = [];
+  const mirror = new TableMirror("t", {
+    takeTable: () => {},
+    takeChanges: (page) => pages.push(page.rows.length),
+    isSameRow: (known, one) => known.key === one.key,
+    changed: () => changes++,
+  });
+  mirror.takeTable({ rows: [row("a", 1)], version: 1 });
+  mirror.takeChanges({ rows: [row("a", 2)], version: 2 });
+  expect([changes, pages, mirror.since(1)?.rows]).toEqual([1, [1], []]);
+  mirror.takeChanges({ rows: [row("a", 3, true)], version: 3 });
+  expect([changes, mirror.since(2)?.rows]).toEqual([2, [row("a", 3, true)]]);
+  // One that is back after its removal is news.
+  mirror.takeChanges({ rows: [row("a", 4)], version: 4 });
+  expect([changes, mirror.since(3)?.rows]).toEqual([3, [row("a", 4)]]);
+});
--- a/packages/kelpspar-gateway/src/tables/relay_times.ts
+++ b/packages/kelpspar-gateway/src/tables/relay_times.ts
@@ -32,8 +32,12 @@
 const ANSWER_MILLISECONDS = 150;
 /** A shorter cycle of a reader saves no calls, milliseconds. */
 const LEAST_CYCLE_MILLISECONDS = 500;
-/** Share of a cycle between calls while endpoints come and go. */
-const PACE_SHARE = 1 / 3;
+/**
+ * How long a reader's call waits for a change, milliseconds. Heartbeats of
+ * endpoints answer it at once as a rule, so that the pace alone says how many
+ * calls are made.
+ */
+const WAIT_MILLISECONDS = 200;
 
 /**
  * Works out when readers call and followers give them up; undefined when the
@@ -54,8 +58,8 @@
   const cycle = left - LIMIT_MILLISECONDS;
   if (cycle < LEAST_CYCLE_MILLISECONDS) return undefined;
   return {
-    paceMilliseconds: cycle * PACE_SHARE,
-    waitMilliseconds: cycle * (1 - PACE_SHARE),
+    paceMilliseconds: cycle - WAIT_MILLISECONDS,
+    waitMilliseconds: WAIT_MILLISECONDS,
     limitMilliseconds: LIMIT_MILLISECONDS,
     followMilliseconds: left - FOLLOW_LIMIT_MILLISECONDS,
     followLimitMilliseconds: FOLLOW_LIMIT_MILLISECONDS,
--- a/packages/kelpspar-gateway/src/tables/shared_tables.ts
+++ b/packages/kelpspar-gateway/src/tables/shared_tables.ts
@@ -9,7 +9,7 @@
 import type { FeedTimes } from "./table_feed.ts";
 import type { FollowClient } from "./table_follower.ts";
 import type { TableListener } from "./table_mirror.ts";
-import type { TableStore } from "./table_store.ts";
+import type { TableRow, TableStore } from "./table_store.ts";
 import { ListFreshness } from "./list_freshness.ts";
 import { RestoreReport } from "./restore_report.ts";
 import { TableFeed } from "./table_feed.ts";
@@ -30,6 +30,8 @@
   /** When the store is asked for it, unless `isPulse` and passed on. */
   readonly times: FeedTimes;
   readonly isUrgent?: () => boolean;
+  /** Whether a row that was written again says nothing new to others. */
+  readonly isSameRow?: (known: TableRow, row: TableRow) => boolean;
   /** Told of an answer of the store, before what it holds is taken. */
   readonly answered?: () => void;
   /** Told when a call to the store that began at `startedAt` failed. */
@@ -101,16 +103,16 @@
 
   /** Follows a table from `register` on. */
   add(subscription: TableSubscription): void {
-    const { table, isRelayed } = subscription;
+    const { table, isRelayed, isSameRow } = subscription;
     const mirror = new TableMirror(table, {
+      isSameRow,
       takeTable: (page) => {
         subscription.takeTable(page);
         this.#report.tableRead(table, page.rows.length);
-        if (isRelayed) this.#relay.changed();
       },
-      takeChanges: (page) => {
-        subscription.takeChanges(page);
-        if (isRelayed && page.rows.length > 0) this.#relay.changed();
+      takeChanges: (page) => subscription.takeChanges(page),
+      changed: () => {
+        if (isRelayed) this.#relay.changed();
       },
     });
     this.#mirrors.set(table, mirror);
--- a/packages/kelpspar-gateway/src/tables/table_mirror.ts
+++ b/packages/kelpspar-gateway/src/tables/table_mirror.ts
@@ -8,6 +8,20 @@
   readonly takeChanges: (page: TablePage) => void;
 }
 
+/** What a mirror is made from. */
+export interface TableMirrorOptions extends TableListener {
+  /**
+   * Whether a row that was written again says nothing new. Endpoints write
+   * theirs every second or so; passed on, that would be nearly all that
+   * followers are told.
+   */
+  readonly isSameRow?:
+    | ((known: TableRow, row: TableRow) => boolean)
+    | undefined;
+  /** Told when there is something to pass on. */
+  readonly changed?: () => void;
+}
+
 /** What one daemon passes on to another of a table. */
 export interface TableChanges extends TablePage {
   readonly table: string;
@@ -30,16 +44,16 @@
  */
 export class TableMirror {
   readonly table: string;
-  readonly #listener: TableListener;
+  readonly #options: TableMirrorOptions;
   readonly #rows = new Map<string, TableRow>();
   #version: number | undefined;
   /** Changes after this version are all kept. */
   #completeSince = 0;
   #generation = 0;
 
-  constructor(table: string, listener: TableListener) {
+  constructor(table: string, options: TableMirrorOptions) {
     this.table = table;
-    this.#listener = listener;
+    this.#options = options;
   }
 
   /** Up to which all is known; undefined before the first read. */
@@ -68,20 +82,22 @@
     for (const row of [...page.rows, ...newer]) this.#rows.set(row.key, row);
     this.#version = page.version;
     this.#completeSince = page.version;
-    this.#listener.takeTable(page);
+    this.#options.takeTable(page);
+    this.#options.changed?.();
   }
 
   /** Takes all that changed after a version that was known. */
   takeChanges(page: TablePage): void {
+    let isChanged = false;
     for (const row of page.rows) {
-      const known = this.#rows.get(row.key);
-      if (known === undefined || row.version >= known.version) {
-        this.#rows.set(row.key, row);
-      }
+      if (!this.#isNews(row)) continue;
+      this.#rows.set(row.key, row);
+      isChanged = true;
     }
     this.#version = Math.max(this.#version ?? 0, page.version);
     this.#dropOldRemovals();
-    this.#listener.takeChanges(page);
+    this.#options.takeChanges(page);
+    if (isChanged) this.#options.changed?.();
   }
 
   /** Takes what another daemon passed on. */
@@ -111,6 +127,15 @@
     return { table, isWhole, after: version ?? 0, version: own, rows };
   }
 
+  #isNews(row: TableRow): boolean {
+    const known = this.#rows.get(row.key);
+    if (known === undefined) return true;
+    if (row.version < known.version) return false;
+    const isSame = !row.isRemoved && !known.isRemoved &&
+      this.#options.isSameRow?.(known, row) === true;
+    return !isSame;
+  }
+
   #dropOldRemovals(): void {
     const removed = [...this.#rows.values()].filter((row) => row.isRemoved);
     if (removed.length <= MOST_REMOVALS) return;
