--- a/packages/kelpspar-gateway/src/tables/store_era.ts
+++ b/packages/kelpspar-gateway/src/tables/store_era.ts
@@ -100,6 +100,8 @@
     this.#current = after;
     this.#knownSince = this.#options.timer.now();
     if (before === undefined) return;
-    for (const listener of this.#listeners) listener({ before, after, source });
+    for (const listener of this.#listeners) {
+      listener({ before, after, source });
+    }
   }
 }
