--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -158,10 +158,7 @@
   /** Forgets the long dead; call it a few times a second. */
   sweep(now: number): void {
     const gap = now - (this.#sweptAt ?? now);
-    if (gap > PAUSE_MILLISECONDS) {
-      this.#silenceCountsFrom = now;
-      this.#view = undefined;
-    }
+    if (gap > PAUSE_MILLISECONDS) this.#countSilenceFrom(now);
     this.#sweptAt = now;
     for (const [id, record] of this.#records) {
       const since = Math.max(record.heardAt, record.knownSince);
@@ -352,6 +349,11 @@
     record.heardAt = now;
   }
 
+  #countSilenceFrom(now: number): void {
+    this.#silenceCountsFrom = now;
+    this.#view = undefined;
+  }
+
   #limits(): SilenceLimits {
     return silenceLimits(this.#records.size + 1);
   }
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -177,7 +177,7 @@
   {
     name: "a daemon that stood still counts silence anew",
     file: `${GATEWAY}/fleet/fleet_membership.ts`,
-    code: "if (gap > PAUSE_MILLISECONDS) this.#silenceCountsFrom = now;",
+    code: "if (gap > PAUSE_MILLISECONDS) this.#countSilenceFrom(now);",
     without: "",
     noticedBy: `${GATEWAY_TESTS}/fleet_membership_test.ts`,
   },
