Tell connections that fell silent from daemons that are busy

Cause: a short call that was overdue destroyed all connections to its daemon, since one that fell silent for good would fail every later call. The chains of stages that ran over them ended and were asked for again, of a coordinator that was late because it had too much to do. Ruled out: a coordinator that died or stood still (no line of its silence). Change: an overdue connection takes no more calls; calls under way go on. Figures: peer_client_test.ts; with the connection destroyed at once (as before) the chain of a late daemon fails, with this it runs once and is answered; a chain on a silent connection is given up 1 s after it fell silent.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -0,0 +1,137 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Server as TcpServer, Socket } from "node:net";
+import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
+import type { ChainRequest } from "../../pieces/chain_request.ts";
+import { expect } from "earl";
+import { SystemTimer } from "kelpspar-shared";
+import { createServer } from "node:http";
+import { connect, createServer as createTcpServer } from "node:net";
+import { after, before, beforeEach, test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
+import { PeerClient } from "../../fleet/peer_client.ts";
+import { createPeerListener } from "../../fleet/peer_listener.ts";
+
+const SELF = { daemonId: "d1", front: "", peer: "", zone: "a", cores: 1 };
+const DIGEST = { self: SELF, configurationVersion: 1, heartbeats: "" };
+const DONE: ChainOutcome = {
+  type: "refused",
+  reason: "overloaded",
+  retryAfterMilliseconds: 1,
+};
+const CHAIN: ChainRequest = {
+  attemptId: "a1",
+  kind: "",
+  pieceKey: "k",
+  stages: [],
+  remainingMilliseconds: 9_000,
+  objectiveMilliseconds: 9_000,
+  tailMilliseconds: 0,
+  priority: 1,
+  reader: undefined,
+};
+/** A short call is overdue after 600 ms; this is well beyond. */
+const BUSY_MILLISECONDS = 900;
+const CHAIN_MILLISECONDS = 2_000;
+
+const sockets = new Set<Socket>();
+let chainsRun = 0;
+let busyUntil = 0;
+let server: Server;
+/** Stands before the server, so that connections can fall silent. */
+let way: TcpServer;
+let peer = "";
+
+async function answer(
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const busy = busyUntil - performance.now();
+  if (busy > 0) await pause(busy);
+  listener(message, response);
+}
+
+const listener = createPeerListener({
+  exchange: () => DIGEST,
+  addresses: () => [],
+  configuration: () => undefined,
+  follow: () => Promise.reject(new Error("Not followed")),
+  runChain: async (_request, signal) => {
+    chainsRun++;
+    await pause(CHAIN_MILLISECONDS, undefined, { signal });
+    return DONE;
+  },
+  release: () => {},
+});
+
+before(async () => {
+  server = createServer((message, response) => void answer(message, response));
+  const { port } = await listening(server);
+  way = createTcpServer((socket) => {
+    const onward = connect(port, "127.0.0.1");
+    socket.pipe(onward).pipe(socket);
+    socket.on("error", () => onward.destroy());
+    onward.on("error", () => socket.destroy());
+    sockets.add(onward);
+  });
+  peer = `127.0.0.1:${(await listening(way)).port}`;
+});
+
+beforeEach(() => {
+  chainsRun = 0;
+  busyUntil = 0;
+});
+
+// The timer of a call that was overdue outlives the tests.
+after(() => {
+  for (const socket of sockets) socket.destroy();
+  way.close();
+  server.closeAllConnections();
+  server.close();
+  setImmediate(() => process.exit());
+});
+
+test("a chain goes on at a peer that answers late", async () => {
+  // Symptom: "coordinator lost … The client is destroyed" on a calm day, four
+  // times, and the stages of these requests were run twice.
+  // Sequence: the coordinator had no time for 0.6 s; an exchange of digests
+  // timed out and destroyed the connections to it.
+  // Cause: an overdue answer was taken for a connection that fell silent.
+  const client = new PeerClient(new SystemTimer());
+  const chain = client.runChain(peer, CHAIN, new AbortController().signal);
+  await pause(100);
+  busyUntil = performance.now() + BUSY_MILLISECONDS;
+  const exchange = client.exchange(peer, DIGEST);
+  expect(await failed(exchange)).toEqual(true);
+  expect(await failed(client.exchange(peer, DIGEST))).toEqual(false);
+  expect(await chain).toEqual(DONE);
+  expect(chainsRun).toEqual(1);
+});
+
+test("a chain on a connection that fell silent is given up once the peer answers on another", async () => {
+  // The asker would wait for the rest of the deadline otherwise, since the
+  // peer lives.
+  const client = new PeerClient(new SystemTimer());
+  const startedAt = performance.now();
+  const chain = failed(
+    client.runChain(peer, CHAIN, new AbortController().signal),
+  );
+  await pause(50);
+  expect(await failed(client.exchange(peer, DIGEST))).toEqual(false);
+  // What the peer answers on them goes nowhere from here on.
+  await pause(50);
+  for (const socket of sockets) socket.unpipe().pause();
+  expect(await failed(client.exchange(peer, DIGEST))).toEqual(true);
+  expect(await failed(client.exchange(peer, DIGEST))).toEqual(false);
+  expect(await chain).toEqual(true);
+  expect(performance.now() - startedAt < 1_500).toEqual(true);
+});
+
+function failed(promise: Promise<unknown>): Promise<boolean> {
+  return promise.then(() => false, () => true);
+}
+
+function listening(one: Server | TcpServer): Promise<AddressInfo> {
+  return new Promise((resolve) =>
+    one.listen(0, "127.0.0.1", () => resolve(one.address() as AddressInfo))
+  );
+}
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -11,20 +11,19 @@
 import { PeerConnections } from "kelpspar-peers";
 import { followAnswerSchema } from "../tables/table_changes.ts";
 import { PEER_PATH } from "./peer_listener.ts";
+import { SilentConnections } from "./silent_connections.ts";
 
 /** How long a short call to a peer may take, milliseconds. */
 const SHORT_CALL_MILLISECONDS = 600;
 /** A connection that isn't there after this is given up, milliseconds. */
 const CONNECT_MILLISECONDS = 500;
 
-type PeerCall<Answer> = (
-  client: TRPCClient<PeerRouter>,
-  signal: AbortSignal,
-) => Promise<Answer>;
+type PeerCall<Answer> = (client: TRPCClient<PeerRouter>) => Promise<Answer>;
 
 /** Calls other daemons by tRPC; each call throws when it fails. */
 export class PeerClient implements FollowClient {
   readonly #timer: TimerService;
+  readonly #silent: SilentConnections<TRPCClient<PeerRouter>>;
   readonly #connections = new PeerConnections({
     createClient: (peer, fetch) =>
       createTRPCClient<PeerRouter>({
@@ -40,29 +39,30 @@
 
   constructor(timer: TimerService) {
     this.#timer = timer;
+    this.#silent = new SilentConnections(this.#connections, timer);
   }
 
   exchange(peer: string, digest: FleetDigest): Promise<FleetDigest> {
     return this.#short(
       peer,
-      (client, signal) => client.exchange.mutate(digest, { signal }),
+      (client) => client.exchange.mutate(digest),
     );
   }
 
   addresses(peer: string): Promise<readonly DaemonAddress[]> {
     return this.#short(
       peer,
-      (client, signal) => client.addresses.query(undefined, { signal }),
+      (client) => client.addresses.query(),
     );
   }
 
   configuration(peer: string): Promise<ServingConfiguration | null> {
     return this.#short(
       peer,
-      async (client, signal) =>
-        await client.configuration.query(undefined, {
-          signal,
-        }) as unknown as ServingConfiguration | null,
+      async (client) =>
+        await client.configuration.query() as unknown as
+          | ServingConfiguration
+          | null,
     );
   }
 
@@ -74,7 +74,7 @@
     const answer = await this.#limited(
       peer,
       limitMilliseconds,
-      (client, signal) => client.follow.mutate(request, { signal }),
+      (client) => client.follow.mutate(request),
     );
     return followAnswerSchema.parse(answer);
   }
@@ -83,8 +83,7 @@
     const { attemptId, results } = release;
     return this.#short(
       peer,
-      (client, signal) =>
-        client.release.mutate({ attemptId, results: [...results] }, { signal }),
+      (client) => client.release.mutate({ attemptId, results: [...results] }),
     );
   }
 
@@ -112,27 +111,28 @@
   }
 
   /**
-   * A call that times out destroys the connections to that peer: one that went
-   * silent for good would fail every later call while the peer is well.
+   * A call that times out says nothing of its connection yet: the peer may be
+   * busy, or the connection silent for good while new ones work. Later calls
+   * take a new one; see `SilentConnections` for what becomes of the old.
    */
   async #limited<Answer>(
     peer: string,
     limitMilliseconds: number,
     call: PeerCall<Answer>,
   ): Promise<Answer> {
-    const abort = new AbortController();
-    const stopTimer = this.#timer.registerTimeout(
-      () => abort.abort(new Error("timed out")),
-      limitMilliseconds,
-    );
     const connection = this.#connections.open(peer);
+    const answer = call(connection.client);
+    let stopTimer = (): void => {};
+    const timeout = new Promise<never>((_, reject) => {
+      stopTimer = this.#timer.registerTimeout(() => {
+        this.#silent.overdue(peer, connection, answer);
+        reject(new Error("timed out"));
+      }, limitMilliseconds);
+    });
     try {
-      return await call(connection.client, abort.signal);
-    } catch (error) {
-      // Chains under way there fail and are asked for again: their connections
-      // may be just as silent, and pieces may be made twice.
-      if (abort.signal.aborted) this.#connections.drop(peer, connection);
-      throw error;
+      const answered = await Promise.race([answer, timeout]);
+      this.#silent.answered(peer, connection);
+      return answered;
     } finally {
       stopTimer();
     }
--- a/packages/kelpspar-peers/src/peer_connections.ts
+++ b/packages/kelpspar-peers/src/peer_connections.ts
@@ -46,6 +46,17 @@
     void connection.agent.destroy();
   }
 
+  /** Lets later calls take a new connection; those under way go on. */
+  retire(peer: string, connection: PeerConnection<Client>): void {
+    if (this.#connections.get(peer) !== connection) return;
+    this.#connections.delete(peer);
+  }
+
+  /** Closes a retired connection once the calls on it have ended. */
+  closeRetired(connection: PeerConnection<Client>): void {
+    void connection.agent.close();
+  }
+
   /** Destroys every connection. */
   async close(): Promise<void> {
     const connections = [...this.#connections.values()];
