--- a/packages/kelpspar-gateway/src/fleet/packed_heartbeats.ts
+++ b/packages/kelpspar-gateway/src/fleet/packed_heartbeats.ts
@@ -23,7 +23,7 @@
 const READY = 2;
 const STORE_FRESH = 4;
 
-/** 40 bits: two of 340 daemons share one in a fleet of twenty million. */
+/** 40 bits, so that two of some hundred daemons never share one in practice. */
 export function daemonKey(daemonId: string): DaemonKey {
   const second = hashText(`second ${daemonId}`) % SECOND_HASH_VALUES;
   return hashText(daemonId) * SECOND_HASH_VALUES + second;
@@ -41,8 +41,8 @@
 }
 
 /**
- * Packs heartbeats to 16 characters each. As text with names they were 158
- * each, and nearly all that daemons of a large fleet sent one another.
+ * Packs heartbeats to 16 characters each: they are nearly all that daemons of a
+ * large fleet send one another.
  */
 export function packHeartbeats(heartbeats: readonly PackedHeartbeat[]): string {
   const bytes = Buffer.allocUnsafe(heartbeats.length * HEARTBEAT_BYTES);
--- a/packages/kelpspar-gateway/src/tables/reading_plan.ts
+++ b/packages/kelpspar-gateway/src/tables/reading_plan.ts
@@ -47,10 +47,9 @@
  * Decides which daemons read the store's tables, by a rule that all compute
  * alike from who is heard.
  *
- * Load: 195 daemons that each read three tables make 8,800 calls on a calm day,
- * more than all that they serve costs, and as many again while endpoints come
- * and go. A few readers in each zone make as many calls whatever the size of
- * the fleet. They call more often than who reads for itself, since a change has
+ * Load: hundreds of daemons that each read all tables call the store more than
+ * anything else, on calm days too. A few readers in each zone make as many
+ * calls whatever the size of the fleet. They call more often than who reads for itself, since a change has
  * a second way to go; in a small fleet that would cost more than it saves.
  */
 export function planReading(options: PlanReadingOptions): ReadingPlan {
@@ -85,13 +84,10 @@
 ): readonly DaemonAddress[] {
   const fresh = candidates.filter((one) => one.isStoreFresh);
   const stale = candidates.filter((one) => !one.isStoreFresh);
-  const byId = new Map(
-    candidates.map(({ address }) => [address.daemonId, address]),
-  );
-  return [fresh, stale].flatMap((group) =>
-    rankByCores(READERS_KEY, group.map((one) => one.address))
-      .flatMap((id) => byId.get(id) ?? [])
-  );
+  return [fresh, stale].flatMap((group) => {
+    const addresses = group.map((one) => one.address);
+    return inOrder(rankByCores(READERS_KEY, addresses), addresses);
+  });
 }
 
 /** In an order of this daemon's own, so that readers share the followers. */
@@ -99,8 +95,15 @@
   self: DaemonAddress,
   readers: readonly DaemonAddress[],
 ): readonly DaemonAddress[] {
-  const byId = new Map(readers.map((one) => [one.daemonId, one]));
-  const ids = [...byId.keys()];
-  return new RendezvousNodes(ids).best(self.daemonId, ids.length)
-    .flatMap((id) => byId.get(id) ?? []);
+  const ids = readers.map((one) => one.daemonId);
+  const best = new RendezvousNodes(ids).best(self.daemonId, ids.length);
+  return inOrder(best, readers);
+}
+
+function inOrder(
+  ids: readonly string[],
+  addresses: readonly DaemonAddress[],
+): readonly DaemonAddress[] {
+  const byId = new Map(addresses.map((one) => [one.daemonId, one]));
+  return ids.flatMap((id) => byId.get(id) ?? []);
 }
--- a/packages/kelpspar-gateway/src/tables/relay_times.ts
+++ b/packages/kelpspar-gateway/src/tables/relay_times.ts
@@ -22,7 +22,7 @@
   readonly spreadMilliseconds: number;
 }
 
-/** A call to the store, milliseconds; answers of a slow one took 390. */
+/** A call to the store, milliseconds; a slow one answers within it too. */
 const LIMIT_MILLISECONDS = 600;
 /** Between daemons, with a machine that is busy, milliseconds. */
 const FOLLOW_LIMIT_MILLISECONDS = 400;
