--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -5,6 +5,7 @@
 import {
   daemonKey,
   isLaterSequence,
+  lackingHeartbeats,
   packedLife,
   packHeartbeats,
   unpackHeartbeats,
@@ -300,7 +301,7 @@
     const known = this.#heartbeatsHeard(options.now);
     const lacking = options.asker === undefined
       ? known
-      : withoutKnown(known, options.asker);
+      : lackingHeartbeats(known, options.asker.heartbeats);
     return {
       self,
       configurationVersion: options.configurationVersion,
@@ -407,18 +408,3 @@
   return known.isLeaving === told.isLeaving && known.isReady === told.isReady &&
     known.isStoreFresh === told.isStoreFresh;
 }
-
-/** Heartbeats that the asker lacks, or has older ones of. */
-function withoutKnown(
-  heartbeats: readonly PackedHeartbeat[],
-  asker: FleetDigest,
-): readonly PackedHeartbeat[] {
-  const known = new Map(
-    unpackHeartbeats(asker.heartbeats).map((one) => [one.key, one]),
-  );
-  return heartbeats.filter((one) => {
-    const told = known.get(one.key);
-    return told?.incarnation !== one.incarnation ||
-      isLaterSequence(one.sequence, told.sequence);
-  });
-}
--- a/packages/kelpspar-gateway/src/fleet/packed_heartbeats.ts
+++ b/packages/kelpspar-gateway/src/fleet/packed_heartbeats.ts
@@ -80,6 +80,21 @@
   return heartbeats;
 }
 
+/** Those of `heartbeats` that `packed` lacks, or has older ones of. */
+export function lackingHeartbeats(
+  heartbeats: readonly PackedHeartbeat[],
+  packed: string,
+): readonly PackedHeartbeat[] {
+  const known = new Map(
+    unpackHeartbeats(packed).map((one) => [one.key, one]),
+  );
+  return heartbeats.filter((one) => {
+    const told = known.get(one.key);
+    return told?.incarnation !== one.incarnation ||
+      isLaterSequence(one.sequence, told.sequence);
+  });
+}
+
 function flagsOf(one: PackedHeartbeat): number {
   return (one.isLeaving ? LEAVING : 0) + (one.isReady ? READY : 0) +
     (one.isStoreFresh ? STORE_FRESH : 0);
