Name each request in the log whatever its attempt, and check endpoints after a cut

Change: a fingerprint of caller, method, host, target and body stands beside the attempt in 'request sent', 'endpoint call failed' and 'request ended'. After a cut answer the endpoint's port is tried once, and 'endpoint checked after a cut answer' says whether it takes connections and how far the answer had come. No decision uses either yet.

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -22,6 +22,7 @@
 import { PieceCoordinator } from "./pieces/piece_coordinator.ts";
 import { ChainClient } from "./requests/chain_client.ts";
 import { ExpectedTimes } from "./requests/expected_times.ts";
+import { CrashWatch } from "./quarantine/crash_watch.ts";
 import { RequestService } from "./requests/request_service.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
 import { planReading } from "./tables/reading_plan.ts";
@@ -134,6 +135,7 @@
       endpoints: options.endpoints,
       chains,
       budget,
+      crashes: new CrashWatch(options),
       times: new ExpectedTimes(),
       timer,
       random: options.random,
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -16,6 +16,7 @@
 } from "./configuration/service_definition.ts";
 export type { EndpointEntry } from "./endpoints/endpoint_entry.ts";
 export type { DaemonAddress } from "./fleet/fleet_digest.ts";
+export type { ListeningState } from "./exchange/check_listening.ts";
 export type { RequestDecoder } from "./front/front_server.ts";
 export type { TextAnswer } from "./front/text_server.ts";
 export type { GatewayLog, LogFields } from "./log/gateway_log.ts";
@@ -54,6 +55,7 @@
 export { LapseWindow } from "./endpoints/lapse_window.ts";
 export { listTimes } from "./endpoints/list_times.ts";
 export { headerValue, passedHeaders } from "./exchange/connection_headers.ts";
+export { checkListening } from "./exchange/check_listening.ts";
 export { exchangeHttp } from "./exchange/http_exchange.ts";
 export { listen } from "./front/listen.ts";
 export { createTextServer } from "./front/text_server.ts";
--- a/packages/kelpspar-gateway/src/requests/endpoint_call.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_call.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
+import type { ListeningState } from "../exchange/check_listening.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
 /** A request on its way to an endpoint. */
@@ -59,4 +60,6 @@
 export interface EndpointClient {
   /** Never throws. */
   send(call: EndpointCall): Promise<EndpointAnswer>;
+  /** Whether an endpoint takes connections; never throws. */
+  check(endpoint: EndpointEntry): Promise<ListeningState>;
 }
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -88,6 +88,7 @@
     const now = parts.timer.now();
     parts.log.warn("endpoint call failed", {
       attempt: request.attemptId,
+      fingerprint: this.#run.fingerprint,
       service,
       endpoint: sent.endpoint.entry.id,
       reason,
@@ -134,7 +135,10 @@
     if (didNotRun) run.runs--;
     if (answer.type === "unreachable") run.arrivals--;
     parts.metrics.countCall(service, answer.type);
-    return { endpoint, answer, sentAt };
+    const answeredAt = answer.type === "answered"
+      ? parts.timer.now()
+      : undefined;
+    return { endpoint, answer, sentAt, answeredAt };
   }
 
   /**
@@ -173,6 +177,7 @@
     const now = parts.timer.now();
     parts.log.info("request sent", {
       attempt: request.attemptId,
+      fingerprint: this.#run.fingerprint,
       service,
       endpoint: endpoint.entry.id,
       home: home?.entry.id,
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -104,6 +104,7 @@
         return this.#takeRefusal(sent, answer.refusal);
       case "unknown":
         this.#countFailure(sent, answer.reason);
+        this.#watchCrash(sent);
         return this.#againOrFail(answer.reason);
     }
   }
@@ -196,9 +197,21 @@
   #cut(sent: Sent, error: unknown): DispatchEnd | "again" {
     const reason = error instanceof Error ? error.message : String(error);
     this.#countFailure(sent, `answer cut: ${reason}`);
+    this.#watchCrash(sent);
     return this.#againOrFail("answer cut");
   }
 
+  #watchCrash({ endpoint, sentAt, answeredAt }: Sent): void {
+    const { fingerprint, options } = this.#run;
+    void options.parts.crashes.cut({
+      attemptId: options.request.attemptId,
+      fingerprint,
+      endpoint: endpoint.entry,
+      sentAt,
+      answeredAt,
+    });
+  }
+
   #countFailure(sent: Sent, reason: string, isCertain = false): void {
     sent.endpoint.failed(isCertain, this.#run.now());
     this.#sender.logFailure(sent, reason);
--- a/packages/kelpspar-gateway/src/requests/request_parts.ts
+++ b/packages/kelpspar-gateway/src/requests/request_parts.ts
@@ -3,6 +3,7 @@
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
+import type { CrashWatch } from "../quarantine/crash_watch.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { ChainRunner } from "./chain_runner.ts";
 import type { EndpointClient } from "./endpoint_call.ts";
@@ -15,6 +16,7 @@
   readonly endpoints: EndpointClient;
   readonly chains: ChainRunner;
   readonly budget: ServiceRetryBudget;
+  readonly crashes: Pick<CrashWatch, "cut">;
   readonly times: ExpectedTimes;
   readonly timer: TimerService;
   readonly random: RandomSource;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -6,6 +6,7 @@
 import type { RequestParts } from "./request_parts.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
+import { requestFingerprint } from "../quarantine/request_fingerprint.ts";
 import { requestPriority } from "./request_priority.ts";
 
 /** A timed-out caller has no time left; any wait is as good, milliseconds. */
@@ -33,6 +34,8 @@
 export class RequestRun {
   readonly options: RequestRunOptions;
   readonly deadlineAt: number;
+  /** The same for each repeat of the request, whoever takes it. */
+  readonly fingerprint: string;
   /** Ends all work for the request: its caller is gone or it has its answer. */
   readonly stop = new AbortController();
   /** Endpoints that may have run it. */
@@ -51,7 +54,11 @@
 
   constructor(options: RequestRunOptions) {
     this.options = options;
-    const { request, route, arrivedAt, parts, reply } = options;
+    const { request, route, arrivedAt, parts, reply, account } = options;
+    this.fingerprint = requestFingerprint({
+      caller: account?.name ?? request.callerKey ?? "",
+      ...request,
+    });
     const { timeoutMilliseconds: timeout } = route;
     const wait = Math.min(request.deadlineMilliseconds ?? timeout, timeout);
     this.deadlineAt = arrivedAt + wait;
@@ -185,6 +192,7 @@
     const now = this.now();
     parts.log.info("request ended", {
       attempt: request.attemptId,
+      fingerprint: this.fingerprint,
       outcome: end,
       route: route.name,
       service,
--- a/packages/kelpspar-gateway/src/requests/sent.ts
+++ b/packages/kelpspar-gateway/src/requests/sent.ts
@@ -9,6 +9,8 @@
   readonly endpoint: EndpointState;
   readonly answer: EndpointAnswer;
   readonly sentAt: number;
+  /** When the answer began; undefined when none did. Monotonic ms. */
+  readonly answeredAt: number | undefined;
 }
 
 /** Closes the connection of an answer that nobody reads. */
