--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -18,8 +18,12 @@
 
 const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
 const PROGRAM = `${ROOT}target/start_daemon.cjs`;
-const RUN = { headers: {}, body: "", lastEventId: undefined };
-
+const RUN = {
+  target: "/once/x",
+  headers: {},
+  body: "",
+  lastEventId: undefined,
+};
 test("a short soak with faults breaks no promise", async () => {
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: ROOT });
   const verdict = await runSoak({
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -25,6 +25,8 @@
 /** One request that a runner ran. */
 export interface RunnerRun {
   readonly attemptId: string;
+  /** Path and query. */
+  readonly target: string;
   readonly headers: IncomingMessage["headers"];
   readonly body: string;
   readonly lastEventId: string | undefined;
@@ -40,12 +42,19 @@
   readonly paceMilliseconds?: number;
 }
 
+/** Requests to paths that end so crash the runner that begins to run them. */
+export const CRASHING_PATH = "/crash";
+
 /** A runner of requests at its published protocol. */
 export class RunnerStandIn {
   fault: RunnerFault = "none";
   readonly runs: RunnerRun[] = [];
   readonly #options: RunnerStandInOptions;
   readonly #server: Server;
+  #address: string | undefined;
+  #lives = 1;
+  /** Called when a request crashes the runner. */
+  onCrash = (): void => {};
 
   constructor(options: RunnerStandInOptions) {
     this.#options = options;
@@ -54,9 +63,29 @@
     );
   }
 
+  /** New with each life. */
+  get id(): string {
+    const { id } = this.#options;
+    return this.#lives === 1 ? id : `${id}-life-${this.#lives}`;
+  }
+
   /** Listens on loopback; gives `address:port`. */
-  start(): Promise<string> {
-    return listenOnLoopback(this.#server);
+  async start(): Promise<string> {
+    this.#address = await listenOnLoopback(this.#server);
+    return this.#address;
+  }
+
+  /** Cuts all connections and refuses new ones until it listens again. */
+  crash(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** Begins a new life under a new id, where it listened before a crash. */
+  startAgain(): void {
+    this.#lives++;
+    const port = Number(this.#address?.split(":")[1]);
+    this.#server.listen(port, "127.0.0.1");
   }
 
   stop(): void {
@@ -70,7 +99,7 @@
     response: ServerResponse,
   ): void {
     const attemptId = String(message.headers["x-attempt-id"]);
-    if (message.headers["x-expect-instance"] !== this.#options.id) {
+    if (message.headers["x-expect-instance"] !== this.id) {
       response.writeHead(421).end();
       return;
     }
@@ -79,7 +108,8 @@
       return;
     }
     const lastEventId = message.headers["last-event-id"] as string | undefined;
-    this.runs.push({ attemptId, headers: message.headers, body, lastEventId });
+    const { headers, url: target = "" } = message;
+    this.runs.push({ attemptId, target, headers, body, lastEventId });
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
       mute: () => {},
@@ -89,12 +119,25 @@
       },
     };
     const handler = handlers[this.fault];
-    if (handler !== undefined) handler();
+    if (target.endsWith(CRASHING_PATH)) {
+      void this.#crashMidway(attemptId, response);
+    } else if (handler !== undefined) handler();
     else if (this.#options.isStream) {
       void this.#stream(attemptId, lastEventId, response);
     } else void this.#answer(attemptId, response);
   }
 
+  async #crashMidway(
+    attemptId: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.#options.isStream) {
+      response.writeHead(200, this.#head(attemptId)).flushHeaders();
+    }
+    await this.#pace();
+    this.onCrash();
+  }
+
   #resetMidway(attemptId: string, response: ServerResponse): void {
     const { socket } = response;
     const head = Object.entries(this.#head(attemptId))
@@ -107,7 +150,7 @@
   #head(attemptId: string): Record<string, string> {
     return {
       "X-Attempt-Id": this.fault === "foreign" ? "of-another" : attemptId,
-      "X-Server-Seal": `seal-${this.#options.id}`,
+      "X-Server-Seal": `seal-${this.id}`,
     };
   }
 
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -22,6 +22,8 @@
 const HOST = "site.example";
 const PIECE_MILLISECONDS = 1;
 const RESULT_BYTES = 1_000;
+/** A runner that crashed is back after this time, milliseconds. */
+const CRASHED_MILLISECONDS = 500;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
@@ -158,19 +160,41 @@
     runners: readonly { start(): Promise<string> }[],
   ): Promise<void> {
     for (const [index, runner] of runners.entries()) {
-      this.#write("servers", `${service}-${index}`, {
-        service,
-        address: await this.#reach(await runner.start()),
-        zone: "a",
-        version: "v1",
-        slots: 4,
-        state: "ready",
-        coldLeftMs: 0,
-        seq: 1,
-      });
+      const address = await this.#reach(await runner.start());
+      const write = (id: string): void => {
+        this.#write("servers", id, {
+          service,
+          address,
+          zone: "a",
+          version: "v1",
+          slots: 4,
+          state: "ready",
+          coldLeftMs: 0,
+          seq: 1,
+        });
+      };
+      write(`${service}-${index}`);
+      if (runner instanceof RunnerStandIn) this.#watchCrashes(runner, write);
     }
   }
 
+  /** Starts a runner that crashed again, under a new id. */
+  #watchCrashes(runner: RunnerStandIn, write: (id: string) => void): void {
+    runner.onCrash = () => {
+      runner.crash();
+      setTimeout(() => {
+        this.#remove("servers", runner.id);
+        runner.startAgain();
+        write(runner.id);
+      }, CRASHED_MILLISECONDS);
+    };
+  }
+
+  #remove(table: string, key: string): void {
+    this.#written.delete(`${table}/${key}`);
+    this.store.remove(table, key);
+  }
+
   #configuration(version: number): object {
     const { batch, callMilliseconds, room } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
