Keep quarantined requests in the store, for fleets that end whole

Cause: what the quarantine knows lived in daemons only. Change: daemons that saw one of a poison request's crashes write its reports to a table of our own, try again while the store is away, write again what a restored store lost, and remove the row of a released request. Ruled out: reading at each start (195 calls at a start of the large fleet) and rows in the table of daemons (each write wakes the long poll of every daemon). Evidence: 'a fleet that was killed whole twice still holds quarantined requests' (two processes, SIGKILL twice) failed before the rows were registered and passes now. The soak gets a caller that repeats a crashing request, and counts it by the users' rule; its check has a test. Open: rows of a daemon whose VM never returns stay until an operator removes them.

--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -62,6 +62,8 @@
 export { GatewayDaemon } from "./gateway_daemon.ts";
 export { AnomalyLog } from "./log/anomaly_log.ts";
 export { LineLog } from "./log/line_log.ts";
+export { Quarantine } from "./quarantine/quarantine.ts";
+export { QuarantineRows } from "./quarantine/quarantine_rows.ts";
 export { readBody } from "./requests/read_body.ts";
 export { OwnRow } from "./tables/own_row.ts";
 export { planReading } from "./tables/reading_plan.ts";
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -24,6 +24,8 @@
   readonly #options: QuarantineOptions;
   readonly #ledger = new CrashLedger();
   readonly #served = new ServedRequests();
+  /** Requests whose crashes this daemon saw. */
+  readonly #own = new Set<string>();
   readonly #listeners = new Set<QuarantineListener>();
 
   constructor(options: QuarantineOptions) {
@@ -49,6 +51,11 @@
     return this.#ledger.poison;
   }
 
+  /** True when this daemon saw one of the request's crashes. */
+  isOwn(fingerprint: string): boolean {
+    return this.#own.has(fingerprint);
+  }
+
   /** Drops old reports from time to time; returns the teardown. */
   register(): () => void {
     const { timer } = this.#options;
@@ -57,6 +64,11 @@
         this.#ledger.sweep(timer.now());
         return false;
       });
+      for (const fingerprint of this.#own) {
+        if (!this.#ledger.suspects.has(fingerprint)) {
+          this.#own.delete(fingerprint);
+        }
+      }
     };
     return timer.registerInterval(sweep, SWEEP_MILLISECONDS);
   }
@@ -64,6 +76,7 @@
   /** Takes in that an endpoint crashed under a request. */
   crashed(report: CrashReport): void {
     const now = this.#options.timer.now();
+    this.#own.add(report.fingerprint);
     this.#change("own", () => this.#ledger.report(report, now));
   }
 
--- /dev/null
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
@@ -0,0 +1,136 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { StoreEra } from "../tables/store_era.ts";
+import type { TableRow, TableStore } from "../tables/table_store.ts";
+import type { Quarantine } from "./quarantine.ts";
+import { StoreCallError } from "../tables/table_store.ts";
+import {
+  crashMessageSchema,
+  fromCrashMessage,
+  toCrashMessage,
+} from "./crash_message.ts";
+
+/** Wait after a call that failed, milliseconds. */
+const FAILED_PAUSE_MILLISECONDS = 2_000;
+/** Rows that a restored store lost are written again within so long, ms. */
+const WRITE_AGAIN_MILLISECONDS = 2_000;
+
+/** What rows of a quarantine are kept with. */
+export interface QuarantineRowsOptions {
+  readonly store: TableStore;
+  readonly era: StoreEra;
+  readonly table: string;
+  readonly quarantine: Quarantine;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: GatewayLog;
+}
+
+/**
+ * Keeps poison requests in the store, for daemons that all end at once. A
+ * daemon that saw one of a request's crashes writes its row. The table is read
+ * at the first crash that a daemon sees: until then there is nothing to decide,
+ * and daemons that start among others learn from those.
+ */
+export class QuarantineRows {
+  readonly #options: QuarantineRowsOptions;
+  /** Requests whose rows are as they should be, or are being written. */
+  readonly #kept = new Set<string>();
+  #hasRead = false;
+
+  constructor(options: QuarantineRowsOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to read and write rows; returns the teardown. */
+  register(): () => void {
+    const { quarantine, era, timer, random } = this.#options;
+    const teardowns = [
+      quarantine.registerListener((source) => {
+        if (source === "own") this.#readOnce();
+        this.#keep();
+      }),
+      era.registerListener(() => {
+        this.#kept.clear();
+        const wait = random.next() * WRITE_AGAIN_MILLISECONDS;
+        timer.registerTimeout(() => this.#keep(), wait);
+      }),
+    ];
+    return () => teardowns.forEach((teardown) => teardown());
+  }
+
+  #readOnce(): void {
+    if (this.#hasRead) return;
+    this.#hasRead = true;
+    void this.#try("quarantine not read", () => this.#read());
+  }
+
+  /** Writes rows of new poison requests, and drops those of released ones. */
+  #keep(): void {
+    const { quarantine } = this.#options;
+    for (const fingerprint of quarantine.fingerprints) {
+      if (!quarantine.isOwn(fingerprint)) continue;
+      if (this.#kept.has(fingerprint)) continue;
+      this.#kept.add(fingerprint);
+      this.#write(fingerprint);
+    }
+    for (const fingerprint of this.#kept) {
+      if (quarantine.holds(fingerprint)) continue;
+      this.#kept.delete(fingerprint);
+      this.#write(fingerprint);
+    }
+  }
+
+  async #read(): Promise<void> {
+    const { store, table, era, timer, quarantine } = this.#options;
+    const startedAt = timer.now();
+    const page = await store.readTable(table);
+    if (era.answered(page.era, startedAt) === "late") {
+      throw new Error("The store answered from an earlier era");
+    }
+    for (const row of page.rows) this.#take(row);
+    this.#options.log.info("quarantine read", {
+      rows: page.rows.length,
+      quarantined: quarantine.size,
+    });
+  }
+
+  #take(row: TableRow): void {
+    try {
+      const message = crashMessageSchema.parse(JSON.parse(row.text));
+      this.#options.quarantine.take(fromCrashMessage(message), "store");
+    } catch (error) {
+      this.#options.log.warn("quarantine row not understood", {
+        key: row.key,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+
+  #write(fingerprint: string): void {
+    const { store, table, era, timer, quarantine } = this.#options;
+    void this.#try("quarantine row not written", async () => {
+      const startedAt = timer.now();
+      const text = quarantine.holds(fingerprint)
+        ? JSON.stringify(toCrashMessage(quarantine.page(fingerprint)))
+        : undefined;
+      era.answered(await store.write(table, fingerprint, text), startedAt);
+    });
+  }
+
+  /** Tries until it is done. */
+  async #try(message: string, act: () => Promise<void>): Promise<void> {
+    const { timer, log, era } = this.#options;
+    const startedAt = timer.now();
+    try {
+      await act();
+    } catch (error) {
+      log.warn(message, { reason: String(error) });
+      if (error instanceof StoreCallError) era.answered(error.era, startedAt);
+      timer.registerTimeout(
+        () => void this.#try(message, act),
+        FAILED_PAUSE_MILLISECONDS,
+      );
+    }
+  }
+}
--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import { SeededRandom } from "kelpspar-shared";
 import { execFileSync } from "node:child_process";
 import {
   existsSync,
@@ -13,12 +14,16 @@
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { checkSoak } from "../../soak/check_soak.ts";
+import { CRASHING_PATH } from "../../wire/runner_stand_in.ts";
+import { WireCaller } from "../../wire/wire_caller.ts";
+import { WireSite } from "../../wire/wire_site.ts";
 import { DaemonProcess } from "../../wire/daemon_process.ts";
 import { runSoak } from "../../soak/run_soak.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
 const PROGRAM = `${ROOT}target/start_daemon.cjs`;
 const RUN = {
+  at: 0,
   target: "/once/x",
   headers: {},
   body: "",
@@ -38,6 +43,53 @@
   expect(verdict.served > verdict.asked / 2).toEqual(true);
 });
 
+// Guards against a fleet that forgets poison requests when all of it ends.
+test("a fleet that was killed whole twice still holds quarantined requests", async () => {
+  const site = new WireSite({ modelRunners: 6 });
+  await site.start();
+  const folder = mkdtempSync(join(tmpdir(), "kelpspar-daemons-"));
+  const daemons = await Promise.all(["daemon-1", "daemon-2"].map(
+    async (name) =>
+      new DaemonProcess({
+        name,
+        program: PROGRAM,
+        settingsPath: join(folder, `${name}.json`),
+        settings: await site.createSettings(name),
+      }),
+  ));
+  const target = `all${CRASHING_PATH}`;
+  const repeat = async (seconds: number): Promise<number> => {
+    const endsAt = performance.now() + seconds * 1_000;
+    await new WireCaller({
+      name: `caller-${endsAt}`,
+      daemons,
+      random: new SeededRandom(1),
+      target,
+      routes: ["stream"],
+      pauseMilliseconds: 100,
+    }).run(() => performance.now() >= endsAt);
+    return site.models.flatMap((one) => one.runs).length;
+  };
+  try {
+    for (const daemon of daemons) daemon.start();
+    await setTimeoutPromise(2_000);
+    const before = await repeat(3);
+    expect(before >= 3).toEqual(true);
+    let after = before;
+    for (let kills = 0; kills < 2; kills++) {
+      for (const daemon of daemons) daemon.signal("SIGKILL");
+      await Promise.all(daemons.map((daemon) => daemon.startAgain()));
+      await setTimeoutPromise(2_000);
+      after = await repeat(3);
+    }
+    expect(after - before <= 3).toEqual(true);
+  } finally {
+    await Promise.all(daemons.map((daemon) => daemon.end()));
+    site.stop();
+    rmSync(folder, { recursive: true });
+  }
+});
+
 test("a daemon that is to start again doesn't outlive the soak", async () => {
   // Symptom: the soak didn't end after its last seed, and daemons ran on.
   // Sequence: a daemon was told to stop and to start again; the soak ended and
@@ -126,4 +178,15 @@
   expect(broken({ status: 503 }, 0)).toEqual(0);
   expect(broken({ status: 503 }, 1)).toEqual(1);
   expect(checkSoak([], [run]).broken.length).toEqual(1);
+  const crashing = (...times: readonly number[]): number =>
+    checkSoak(
+      [{ ...answer, status: 502, text: "" }],
+      times.map((at) => ({
+        ...run,
+        at,
+        target: `/stream/all${CRASHING_PATH}`,
+      })),
+    ).broken.filter((line) => line.includes("crashes runners")).length;
+  expect(crashing(0, 100, 200, 3_300, 3_400, 3_500)).toEqual(0);
+  expect(crashing(0, 100, 200, 3_300, 3_400, 3_500, 3_600)).toEqual(1);
 });
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -1,5 +1,6 @@
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
 import type { WireAnswer } from "../wire/wire_caller.ts";
+import { CRASHING_PATH } from "../wire/runner_stand_in.ts";
 
 /** What a soak came to. */
 export interface SoakVerdict {
@@ -14,6 +15,12 @@
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const ONCE: ReadonlySet<string> = new Set(["once", "stream"]);
 const EVENTS = 5;
+/** The users' rule on requests that crash runners: after so many crashes, */
+const CRASHES = 3;
+/** and the time in which all daemons know of them, milliseconds, */
+const CONTACT_MILLISECONDS = 3_000;
+/** it may be sent so often. */
+const SENDS_AFTER_CRASHES = 3;
 
 /** Checks promises by what callers and runners saw. */
 export function checkSoak(
@@ -27,6 +34,7 @@
   const sent = new Set(answers.map(({ attemptId }) => attemptId));
   const broken = [
     ...answers.flatMap((answer) => checkAnswer(answer, runsOf)),
+    ...checkCrashing(runs),
     ...[...runsOf.keys()].filter((id) => !sent.has(id))
       .map((id) => `${id}: run, but no caller sent it`),
   ];
@@ -38,6 +46,21 @@
   };
 }
 
+/** A request that crashes runners may be sent so often after the third. */
+function checkCrashing(runs: readonly RunnerRun[]): readonly string[] {
+  const times = runs
+    .filter(({ target }) => target.endsWith(CRASHING_PATH))
+    .map(({ at }) => at)
+    .sort((one, other) => one - other);
+  const third = times[CRASHES - 1];
+  if (third === undefined) return [];
+  const late = times.filter((at) => at > third + CONTACT_MILLISECONDS).length;
+  if (late <= SENDS_AFTER_CRASHES) return [];
+  return [
+    `a request that crashes runners: sent ${late} times after it was known`,
+  ];
+}
+
 function checkAnswer(
   answer: WireAnswer,
   runsOf: ReadonlyMap<string, number>,
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -5,6 +5,7 @@
 import { join } from "node:path";
 import { WireSite } from "../wire/wire_site.ts";
 import { checkSoak } from "./check_soak.ts";
+import { CRASHING_PATH } from "../wire/runner_stand_in.ts";
 import { WireCaller } from "../wire/wire_caller.ts";
 import { DaemonProcess } from "../wire/daemon_process.ts";
 import { SOAK_FAULTS } from "./soak_faults.ts";
@@ -30,6 +31,8 @@
 /** Time without faults at the end, in which what hangs is answered. */
 const CALM_MILLISECONDS = 3_000;
 const CALLER_NAME_BYTES = 4;
+/** Between the repeats of a request that crashes runners. */
+const CRASHING_PAUSE_MILLISECONDS = 200;
 
 /**
  * Runs real daemons as processes before stand-ins and harms them from outside.
@@ -60,6 +63,16 @@
           random: new SeededRandom(options.seed * CALLERS + index),
         }),
     );
+    callers.push(
+      new WireCaller({
+        name: random.nextHexadecimal(CALLER_NAME_BYTES),
+        daemons,
+        random: new SeededRandom(options.seed),
+        target: `all${CRASHING_PATH}`,
+        routes: ["stream"],
+        pauseMilliseconds: CRASHING_PAUSE_MILLISECONDS,
+      }),
+    );
     const calls = callers.map((one) => one.run(() => timer.now() >= endsAt));
     const targets = { site, daemons, proxies: site.proxies, random, timer };
     while (timer.now() < endsAt - CALM_MILLISECONDS) {
--- a/packages/kelpspar-standins/src/wire/loopback_proxy.ts
+++ b/packages/kelpspar-standins/src/wire/loopback_proxy.ts
@@ -1,4 +1,4 @@
-import type { Server, Socket } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
 import { parseHost } from "kelpspar-shared";
 import { connect, createServer } from "node:net";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
@@ -15,6 +15,7 @@
   delayMilliseconds = 0;
   readonly #target: string;
   readonly #server: Server;
+  #address: AddressInfo | undefined;
   readonly #pairs = new Set<Pair>();
 
   /** `target` is `address:port`. */
@@ -41,6 +42,17 @@
     }
   }
 
+  /** Resets every connection and refuses new ones. */
+  refuse(): void {
+    this.#address = this.#server.address() as AddressInfo;
+    this.stop();
+  }
+
+  /** Takes connections again, where it did before. */
+  acceptAgain(): void {
+    this.#server.listen(this.#address?.port, "127.0.0.1");
+  }
+
   /** Lets open connections stand and passes nothing on; new ones work. */
   silence(): void {
     for (const pair of this.#pairs) pair.isSilent = true;
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -25,6 +25,8 @@
 /** One request that a runner ran. */
 export interface RunnerRun {
   readonly attemptId: string;
+  /** When it came, monotonic milliseconds. */
+  readonly at: number;
   /** Path and query. */
   readonly target: string;
   readonly headers: IncomingMessage["headers"];
@@ -109,7 +111,8 @@
     }
     const lastEventId = message.headers["last-event-id"] as string | undefined;
     const { headers, url: target = "" } = message;
-    this.runs.push({ attemptId, target, headers, body, lastEventId });
+    const at = performance.now();
+    this.runs.push({ attemptId, at, target, headers, body, lastEventId });
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
       mute: () => {},
--- a/packages/kelpspar-standins/src/wire/wire_caller.ts
+++ b/packages/kelpspar-standins/src/wire/wire_caller.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from "kelpspar-shared";
 import type { DaemonProcess } from "./daemon_process.ts";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { Agent, request as sendRequest } from "undici";
 
 /** Routes of the site that callers use. */
@@ -27,6 +28,9 @@
   readonly #daemons: readonly DaemonProcess[];
   readonly #random: RandomSource;
   readonly #name: string;
+  readonly #target: string;
+  readonly #routes: readonly WireRoute[];
+  readonly #pauseMilliseconds: number;
   readonly #agent = new Agent({ pipelining: 1 });
   #count = 0;
 
@@ -34,7 +38,15 @@
     readonly name: string;
     readonly daemons: readonly DaemonProcess[];
     readonly random: RandomSource;
+    /** The path below the route. */
+    readonly target?: string;
+    readonly routes?: readonly WireRoute[];
+    /** Between an answer and the next request. */
+    readonly pauseMilliseconds?: number;
   }) {
+    this.#target = options.target ?? "x";
+    this.#routes = options.routes ?? WIRE_ROUTES;
+    this.#pauseMilliseconds = options.pauseMilliseconds ?? 0;
     this.#name = options.name;
     this.#daemons = options.daemons;
     this.#random = options.random;
@@ -46,8 +58,9 @@
       const addresses = await this.#resolve();
       const address = this.#draw(addresses);
       if (address === undefined) continue;
-      const route = this.#draw(WIRE_ROUTES) ?? "once";
+      const route = this.#draw(this.#routes) ?? "once";
       this.answers.push(await this.#ask(address, route));
+      await setTimeoutPromise(this.#pauseMilliseconds);
     }
     await this.#agent.destroy();
   }
@@ -72,7 +85,7 @@
     const answer = { attemptId, route };
     try {
       const { statusCode, body } = await sendRequest(
-        `http://${address}/${route}/x`,
+        `http://${address}/${route}/${this.#target}`,
         {
           method: route === "often" ? "GET" : "POST",
           dispatcher: this.#agent,
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -160,7 +160,9 @@
     runners: readonly { start(): Promise<string> }[],
   ): Promise<void> {
     for (const [index, runner] of runners.entries()) {
-      const address = await this.#reach(await runner.start());
+      const runnerAddress = await runner.start();
+      const address = await this.#reach(runnerAddress);
+      const proxy = address === runnerAddress ? undefined : this.proxies.at(-1);
       const write = (id: string): void => {
         this.#write("servers", id, {
           service,
@@ -174,17 +176,26 @@
         });
       };
       write(`${service}-${index}`);
-      if (runner instanceof RunnerStandIn) this.#watchCrashes(runner, write);
+      if (!(runner instanceof RunnerStandIn)) continue;
+      this.#watchCrashes(runner, { proxy, write });
     }
   }
 
   /** Starts a runner that crashed again, under a new id. */
-  #watchCrashes(runner: RunnerStandIn, write: (id: string) => void): void {
+  #watchCrashes(
+    runner: RunnerStandIn,
+    { proxy, write }: {
+      readonly proxy: LoopbackProxy | undefined;
+      readonly write: (id: string) => void;
+    },
+  ): void {
     runner.onCrash = () => {
       runner.crash();
+      proxy?.refuse();
       setTimeout(() => {
         this.#remove("servers", runner.id);
         runner.startAgain();
+        proxy?.acceptAgain();
         write(runner.id);
       }, CRASHED_MILLISECONDS);
     };
