--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -50,6 +50,12 @@
 /** A runner of requests at its published protocol. */
 export class RunnerStandIn {
   fault: RunnerFault = "none";
+  /** Says in all answers that it leaves. */
+  isLeaving = false;
+  /** What it adds when it refuses as full; undefined for nothing. */
+  retryAfter: string | undefined;
+  /** Requests that it refused as full. */
+  refusals = 0;
   readonly runs: RunnerRun[] = [];
   readonly #options: RunnerStandInOptions;
   readonly #server: Server;
@@ -106,7 +112,15 @@
       return;
     }
     if (this.fault === "full") {
-      response.writeHead(503, { "X-Not-Executed": "1" }).end();
+      this.refusals++;
+      const headers = {
+        "X-Not-Executed": "1",
+        ...this.#notices(),
+        ...(this.retryAfter === undefined
+          ? {}
+          : { "Retry-After": this.retryAfter }),
+      };
+      response.writeHead(503, headers).end();
       return;
     }
     const lastEventId = message.headers["last-event-id"] as string | undefined;
@@ -154,9 +168,14 @@
     return {
       "X-Attempt-Id": this.fault === "foreign" ? "of-another" : attemptId,
       "X-Server-Seal": `seal-${this.id}`,
+      ...this.#notices(),
     };
   }
 
+  #notices(): Record<string, string> {
+    return this.isLeaving ? { "Server-Leaving": "1" } : {};
+  }
+
   async #answer(attemptId: string, response: ServerResponse): Promise<void> {
     await this.#pace();
     const text = `answer to ${attemptId}`;
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -31,6 +31,12 @@
 /** A runner of stage pieces at its published protocol, one call at a time. */
 export class StageRunnerStandIn {
   fault: StageFault = "none";
+  /** Says in all answers that it leaves. */
+  isLeaving = false;
+  /** Refuses calls and asks for a pause of so long; undefined to take them. */
+  retryAfter: string | undefined;
+  /** Calls that it refused so. */
+  refusals = 0;
   /** Pieces of each call that was worked on. */
   readonly calls: (readonly StageEntry[])[] = [];
   /** Handles that are kept now. */
@@ -72,6 +78,7 @@
         this.#run(entries, response);
       },
     };
+    if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     const handler = handlers[path];
     if (handler === undefined) response.writeHead(404).end();
     else handler();
@@ -92,6 +99,12 @@
 
   #run(entries: readonly StageEntry[], response: ServerResponse): void {
     if (this.fault === "mute") return;
+    if (this.retryAfter !== undefined) {
+      this.refusals++;
+      response.setHeader("Retry-After", this.retryAfter);
+      response.writeHead(503, { "X-Not-Executed": "1" }).end();
+      return;
+    }
     this.#turn = this.#turn.then(async () => {
       if (response.destroyed) return;
       this.calls.push(entries);
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -112,6 +112,17 @@
     }
   }
 
+  /** What runners of a service wrote last of themselves. */
+  entriesOf(
+    service: string,
+  ): readonly { readonly key: string; readonly value: object }[] {
+    return [...this.#written.values()]
+      .filter(([table, key]) =>
+        table === "servers" && key.startsWith(`${service}-`)
+      )
+      .map(([, key, value]) => ({ key, value }));
+  }
+
   #write(table: string, key: string, value: object): void {
     this.#written.set(`${table}/${key}`, [table, key, value]);
     this.store.put(table, key, value);
