Believe what endpoints say of themselves in answers: leaving, and a pause

Cause: a daemon learned of leaving from the list of endpoints only; while the store is away the list says ready. Class: what an endpoint says of itself in an answer is lost. Looked for elsewhere: Retry-After of a refusal was dropped in the same way, and each client (requests, stage calls, freeing, reports) read its own headers. Ruled out: an entry that brings it back (a life that left stays out) and the coordinator's belief (the daemon that sends asks its own book last). Change: one registry for all clients passes notices on. Leaving takes that life out for good, in use at that moment or not; a later life is used. A pause keeps the endpoint out of every choice of this daemon: requests, hedges, placement, prompt sources, stage calls; at most ten minutes, and what can't be read is counted. When all endpoints of a service pause, callers are told at once when the first is back; when none is left, before their stages are made. A stand-in runner that was to start again after the site had stopped listened on: soak_test.ts did not exit in one run of npm test, with the process at 100% of a core for nine minutes. Why it span isn't known.

--- a/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
+++ b/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
@@ -37,8 +37,8 @@
 export function chooseEndpoint(
   options: ChooseEndpointOptions,
 ): EndpointChoice | undefined {
-  const untried = options.endpoints.filter(({ entry }) =>
-    !options.tried.has(entry.id)
+  const untried = options.endpoints.filter((one) =>
+    !options.tried.has(one.entry.id) && one.pauseLeft(options.now) === 0
   );
   const sound = untried.filter((one) => !one.isSetAside(options.now));
   // An endpoint that was set aside may still serve; refusing is certain loss.
--- /dev/null
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
@@ -0,0 +1,39 @@
+import type { EndpointEntry } from "./endpoint_entry.ts";
+
+/** What an endpoint says of itself beside an answer, whatever the answer. */
+export type EndpointNotice =
+  /** It is leaving and may exit any moment. */
+  | { readonly type: "leaving" }
+  /** It wants nothing from this daemon for so long. */
+  | { readonly type: "pause"; readonly milliseconds: number }
+  /** It wants a pause whose length can't be read. */
+  | { readonly type: "unreadable_pause"; readonly text: string };
+
+/** The endpoint that an answer came from. */
+export type NoticingEndpoint = Pick<EndpointEntry, "id"> & {
+  /** The life that was asked; undefined when only its id is known. */
+  readonly bornAt?: number;
+};
+
+/** Told of each notice. */
+export type EndpointNoticeListener = (
+  endpoint: NoticingEndpoint,
+  notice: EndpointNotice,
+) => void;
+
+/**
+ * Passes on what endpoints say of themselves in answers of any kind. One place
+ * for all clients, so that no kind of call is left out.
+ */
+export class EndpointNotices {
+  readonly #listeners = new Set<EndpointNoticeListener>();
+
+  tell(endpoint: NoticingEndpoint, notice: EndpointNotice): void {
+    for (const listener of this.#listeners) listener(endpoint, notice);
+  }
+
+  registerListener(listener: EndpointNoticeListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+}
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -27,6 +27,7 @@
   readonly #ended = new AbortController();
   #failingShare = 0;
   #setAsideUntil = 0;
+  #pausedUntil = 0;
   #pause = FIRST_PAUSE_MILLISECONDS;
   #slowness = 1;
   #slownessAt = 0;
@@ -60,6 +61,16 @@
     return now < this.#setAsideUntil;
   }
 
+  /** It wants nothing from this daemon until then, monotonic milliseconds. */
+  pause(until: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, until);
+  }
+
+  /** Milliseconds until it may be sent anything; 0 when it may be now. */
+  pauseLeft(now: number): number {
+    return Math.max(0, this.#pausedUntil - now);
+  }
+
   /** Counts a call that ended well, `ratio` times as long as expected. */
   succeeded(ratio: number, now: number): void {
     this.#failingShare *= 1 - NEWEST_WEIGHT;
--- /dev/null
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -0,0 +1,64 @@
+import type { TimerService } from "kelpspar-shared";
+import type { AnomalyLog } from "../log/anomaly_log.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { EndpointBook } from "./endpoint_book.ts";
+import type {
+  EndpointNotice,
+  EndpointNoticeListener,
+  NoticingEndpoint,
+} from "./endpoint_notices.ts";
+
+/** A longer wish is cut to this; an endpoint that recovers is used again. */
+const LONGEST_PAUSE_MILLISECONDS = 600_000;
+
+/** What notices act on. */
+export interface NoticeHandlersOptions {
+  readonly book: EndpointBook;
+  readonly timer: TimerService;
+  readonly log: GatewayLog;
+  readonly anomalies: Pick<AnomalyLog, "note">;
+}
+
+type Handlers = {
+  readonly [Type in EndpointNotice["type"]]: (
+    endpoint: NoticingEndpoint,
+    notice: Extract<EndpointNotice, { type: Type }>,
+  ) => void;
+};
+
+/**
+ * Takes notices of endpoints into the book. Leaving is final for the life that
+ * told it, whatever the list of endpoints says later.
+ */
+export function takeNotices(
+  options: NoticeHandlersOptions,
+): EndpointNoticeListener {
+  const { book, timer, log, anomalies } = options;
+  const handlers: Handlers = {
+    leaving: ({ id, bornAt }) => {
+      const known = book.find(id)?.entry;
+      const life = bornAt ?? known?.bornAt;
+      if (life === undefined) return;
+      // Holds for one that isn't in use now too: its entry may be back later.
+      book.leave({ id, bornAt: life }, "leaving");
+      if (known?.bornAt !== life) return;
+      log.info("endpoint leaving", { endpoint: id, source: "answer" });
+    },
+    pause: ({ id }, { milliseconds }) => {
+      const now = timer.now();
+      const until = now + Math.min(milliseconds, LONGEST_PAUSE_MILLISECONDS);
+      book.find(id)?.pause(until);
+      log.info("endpoint wants a pause", { endpoint: id, milliseconds });
+    },
+    unreadable_pause: ({ id }, { text }) => {
+      anomalies.note("pause_unreadable", { endpoint: id, text });
+    },
+  };
+  return (endpoint, notice) => {
+    const handler = handlers[notice.type] as (
+      endpoint: NoticingEndpoint,
+      notice: EndpointNotice,
+    ) => void;
+    handler(endpoint, notice);
+  };
+}
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonAddress } from "./fleet/fleet_digest.ts";
+import type { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 import type { RequestDecoder } from "./front/front_server.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
 import type { PieceClient } from "./pieces/piece_call.ts";
@@ -11,6 +12,7 @@
 import { createServer } from "node:http";
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
+import { takeNotices } from "./endpoints/notice_handlers.ts";
 import { Fleet } from "./fleet/fleet.ts";
 import { FleetMembership } from "./fleet/fleet_membership.ts";
 import { PeerClient } from "./fleet/peer_client.ts";
@@ -57,6 +59,8 @@
   readonly decode: RequestDecoder;
   readonly endpoints: EndpointClient;
   readonly pieces: PieceClient;
+  /** What endpoints say of themselves in answers to both clients. */
+  readonly notices: EndpointNotices;
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
@@ -184,6 +188,9 @@
       release: (release) => coordinator.release(release),
     }));
     coordinator.register();
+    options.notices.registerListener(
+      takeNotices({ ...options, book, anomalies: this.anomalies }),
+    );
   }
 
   /** Listens for callers and other daemons, and greets those it knows of. */
--- a/packages/kelpspar-gateway/src/log/anomaly_log.ts
+++ b/packages/kelpspar-gateway/src/log/anomaly_log.ts
@@ -16,7 +16,9 @@
   | "changes_of_earlier_era"
   /** A daemon passes on changes after a version that isn't known here. */
   | "changes_skip_versions"
-  | "page_not_understood";
+  | "page_not_understood"
+  /** An endpoint wants a pause whose length can't be read. */
+  | "pause_unreadable";
 
 /** Counts anomalies and logs the first of each kind, so that none floods. */
 export class AnomalyLog {
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -15,6 +15,10 @@
   ServiceDefinition,
 } from "./configuration/service_definition.ts";
 export type { EndpointEntry } from "./endpoints/endpoint_entry.ts";
+export type {
+  EndpointNotice,
+  NoticingEndpoint,
+} from "./endpoints/endpoint_notices.ts";
 export type { DaemonAddress } from "./fleet/fleet_digest.ts";
 export type { ListeningState } from "./exchange/check_listening.ts";
 export type { RequestDecoder } from "./front/front_server.ts";
@@ -52,6 +56,7 @@
 export type { GatewayDaemonOptions } from "./gateway_daemon.ts";
 export { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 export { EndpointBook } from "./endpoints/endpoint_book.ts";
+export { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 export { LapseWindow } from "./endpoints/lapse_window.ts";
 export { listTimes } from "./endpoints/list_times.ts";
 export { headerValue, passedHeaders } from "./exchange/connection_headers.ts";
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -28,19 +28,21 @@
 
   /** True when one more call may start. */
   isFree(terms: PieceTerms, now: number): boolean {
-    return this.calls.size < terms.slots && this.pausedUntil <= now;
+    return this.calls.size < terms.slots && this.pausedUntil <= now &&
+      this.endpoint.pauseLeft(now) === 0;
   }
 
-  /** Time until a call ends when all slots are taken, milliseconds. */
+  /** Time until one more call may start, milliseconds. */
   waitFor(
     terms: PieceTerms,
     options: { readonly slowness: number; readonly now: number },
   ): number {
-    if (this.calls.size < terms.slots) return 0;
+    const pause = this.endpoint.pauseLeft(options.now);
+    if (this.calls.size < terms.slots) return pause;
     const due = [...this.calls].map((call) =>
       call.startedAt + call.soundTime * Math.max(1, options.slowness)
     );
-    return Math.max(0, Math.min(...due) - options.now);
+    return Math.max(pause, Math.min(...due) - options.now);
   }
 
   /** Bytes free for results, those of running calls taken off. */
--- a/packages/kelpspar-gateway/src/pieces/service_lanes.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -16,7 +16,10 @@
     this.#service = options.service;
   }
 
-  /** Those that get work: the sound ones, or all when none is. */
+  /**
+   * Those that get work: the sound ones, else all that want no pause. Gives
+   * paused ones only where all are, so that their pauses can be waited for.
+   */
   usable(now: number): readonly EndpointLane[] {
     const lanes = this.#book.ofService(this.#service).map((endpoint) => {
       const known = this.#lanes.get(endpoint.entry.id);
@@ -25,8 +28,10 @@
       this.#lanes.set(endpoint.entry.id, lane);
       return lane;
     });
-    const sound = lanes.filter((lane) => !lane.endpoint.isSetAside(now));
-    return sound.length > 0 ? sound : lanes;
+    const awake = lanes.filter(({ endpoint }) => endpoint.pauseLeft(now) === 0);
+    const sound = awake.filter(({ endpoint }) => !endpoint.isSetAside(now));
+    const best = sound.length > 0 ? sound : awake;
+    return best.length > 0 ? best : lanes;
   }
 
   /** Time until one more call could start if nothing waited, milliseconds. */
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -102,10 +102,12 @@
     return zone;
   }
 
-  /** Those that may read; all of them when each has failed lately. */
+  /** Those that may read; all of them when none of them is sound. */
   #soundOnes(service: string, now: number): readonly EndpointState[] {
     const endpoints = this.#options.book.ofService(service);
-    const sound = endpoints.filter((one) => !one.isSetAside(now));
+    const sound = endpoints.filter((one) =>
+      !one.isSetAside(now) && one.pauseLeft(now) === 0
+    );
     return sound.length > 0 ? sound : endpoints;
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -1,17 +1,17 @@
 import type { EndpointRefusal } from "./endpoint_call.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { Answered, Sent } from "./sent.ts";
+import { pauseOfAll } from "../endpoints/pause_of_all.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
 import { readBody } from "./read_body.ts";
+import {
+  FULL_RETRY_MILLISECONDS,
+  NO_ENDPOINT_RETRY_MILLISECONDS,
+} from "./retry_waits.ts";
 import { closeSent } from "./sent.ts";
 import { StreamForward } from "./stream_forward.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
-/** A caller comes back this long after all endpoints were full, ms. */
-const FULL_RETRY_MILLISECONDS = 300;
-/** The same when no endpoint is known or could be reached. */
-const NO_ENDPOINT_RETRY_MILLISECONDS = 700;
-
 /** Why a dispatch ended without the request's final answer. */
 export type DispatchEnd = "ended" | "input_gone";
 
@@ -89,10 +89,12 @@
   }
 
   #noEndpoint(): DispatchEnd {
+    const { parts, service } = this.#run.options;
+    const pause = pauseOfAll(parts.book.ofService(service), this.#run.now());
     const wait = this.#sender.hasTried
       ? FULL_RETRY_MILLISECONDS
       : NO_ENDPOINT_RETRY_MILLISECONDS;
-    this.giveUp("no endpoint left", wait);
+    this.giveUp("no endpoint left", pause > 0 ? pause : wait);
     return "ended";
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -5,10 +5,12 @@
 import type { RequestParts } from "./request_parts.ts";
 import type { OwnAnswer, RequestReply } from "./request_reply.ts";
 import type { ServingRequest } from "./serving_request.ts";
+import { pauseOfAll } from "../endpoints/pause_of_all.ts";
 import { readerOf } from "./choose_for_request.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { RequestDispatch } from "./request_dispatch.ts";
 import { RequestRun } from "./request_run.ts";
+import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
 
 /** Time in which a daemon that just started learns its configuration, ms. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
@@ -56,6 +58,11 @@
       run.rejectQuarantined();
       return;
     }
+    const unservable = findUnservable(run);
+    if (unservable !== undefined) {
+      run.giveUp(unservable.reason, unservable.retryAfterMilliseconds);
+      return;
+    }
     this.#open.add(run);
     try {
       await this.#run(run);
@@ -237,6 +244,30 @@
   }
 }
 
+/**
+ * Why no endpoint could take the request once its stages are done, if that is
+ * known now: stages would be made in vain and the caller told late.
+ */
+function findUnservable(
+  run: RequestRun,
+): { reason: string; retryAfterMilliseconds: number } | undefined {
+  const { parts, service, route } = run.options;
+  const { book } = parts;
+  const endpoints = book.ofService(service);
+  // A book without any endpoint is one that hasn't been read yet.
+  if (endpoints.length === 0 && book.size > 0) {
+    return {
+      reason: "no endpoint",
+      retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
+    };
+  }
+  const pause = pauseOfAll(endpoints, run.now());
+  const hasPieces = toStages(run).some(({ pieces }) => pieces > 0);
+  const mayWait = hasPieces ? route.objectiveMilliseconds : 0;
+  if (pause <= mayWait) return undefined;
+  return { reason: "all endpoints pause", retryAfterMilliseconds: pause };
+}
+
 function toStages(run: RequestRun): readonly ChainStage[] {
   const { request, route } = run.options;
   return route.stages.map((stage, number) => ({
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -152,7 +152,8 @@
       response.writeHead(200, this.#head(attemptId)).flushHeaders();
     }
     await this.#pace();
-    this.onCrash();
+    // Two requests that crash it may have begun together.
+    if (this.#server.listening) this.onCrash();
   }
 
   #resetMidway(attemptId: string, response: ServerResponse): void {
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -39,6 +39,8 @@
   /** Empty unless the site is proxied. */
   readonly proxies: LoopbackProxy[] = [];
   readonly #options: Required<WireSiteOptions>;
+  /** Starts of runners that crashed and aren't back yet. */
+  readonly #restarts = new Set<NodeJS.Timeout>();
   #storeAddress = "";
   #version = 1;
   /** What the operator and the runners wrote, by table and key. */
@@ -91,6 +93,7 @@
   }
 
   stop(): void {
+    for (const restart of this.#restarts) clearTimeout(restart);
     for (const proxy of this.proxies) proxy.stop();
     this.store.stop();
     for (const one of [...this.plain, ...this.models, ...this.stages]) {
@@ -203,12 +206,14 @@
     runner.onCrash = () => {
       runner.crash();
       proxy?.refuse();
-      setTimeout(() => {
+      const restart = setTimeout(() => {
+        this.#restarts.delete(restart);
         this.#remove("servers", runner.id);
         runner.startAgain();
         proxy?.acceptAgain();
         write(runner.id);
       }, CRASHED_MILLISECONDS);
+      this.#restarts.add(restart);
     };
   }
 
