Read the quarantine with each crash, for daemons that no other reaches

What callers would see: a daemon that reaches the store and none of the others counts as in touch; having read the table once, it sends a request that the rest of the fleet holds until it has seen three crashes itself. Cause: the table was read at the first crash of a life only. Change: each crash that a daemon sees itself makes it read the table, those within one second together, and one call at a time while the store is away. Evidence: two tests failed before (reads again; one read for crashes that come together) and pass; eight of eight in the file.

--- a/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
@@ -12,6 +12,8 @@
 
 /** Wait after a call that failed, milliseconds. */
 const FAILED_PAUSE_MILLISECONDS = 2_000;
+/** Crashes within so long share a read of the table, milliseconds. */
+const READ_PAUSE_MILLISECONDS = 1_000;
 /** Rows that a restored store lost are written again within so long, ms. */
 const WRITE_AGAIN_MILLISECONDS = 2_000;
 
@@ -29,14 +31,16 @@
 /**
  * Keeps poison requests in the store, for daemons that all end at once. A
  * daemon that saw one of a request's crashes writes its row. The table is read
- * at the first crash that a daemon sees: until then there is nothing to decide,
- * and daemons that start among others learn from those.
+ * with each crash that a daemon sees itself: one that starts alone, or that no
+ * other reaches, learns of the request before it sends it once more.
  */
 export class QuarantineRows {
   readonly #options: QuarantineRowsOptions;
   /** Requests whose rows are as they should be, or are being written. */
   readonly #kept = new Set<string>();
-  #hasRead = false;
+  #readAt = Number.NEGATIVE_INFINITY;
+  /** A read is planned or under way, tried again while the store is away. */
+  #isReadDue = false;
 
   constructor(options: QuarantineRowsOptions) {
     this.#options = options;
@@ -47,7 +51,7 @@
     const { quarantine, era, timer, random } = this.#options;
     const teardowns = [
       quarantine.registerListener((source) => {
-        if (source === "own") this.#readOnce();
+        if (source === "own") this.#readSoon();
         this.#keep();
       }),
       era.registerListener(() => {
@@ -59,10 +63,17 @@
     return () => teardowns.forEach((teardown) => teardown());
   }
 
-  #readOnce(): void {
-    if (this.#hasRead) return;
-    this.#hasRead = true;
-    void this.#try("quarantine not read", () => this.#read());
+  #readSoon(): void {
+    if (this.#isReadDue) return;
+    this.#isReadDue = true;
+    const { timer } = this.#options;
+    const wait = this.#readAt + READ_PAUSE_MILLISECONDS - timer.now();
+    const read = (): void => {
+      this.#readAt = timer.now();
+      void this.#try("quarantine not read", () => this.#read());
+    };
+    if (wait <= 0) read();
+    else timer.registerTimeout(read, wait);
   }
 
   /** Writes rows of new poison requests, and drops those of released ones. */
@@ -88,6 +99,7 @@
     if (era.answered(page.era, startedAt) === "late") {
       throw new Error("The store answered from an earlier era");
     }
+    this.#isReadDue = false;
     for (const row of page.rows) this.#take(row);
     this.#options.log.info("quarantine read", {
       rows: page.rows.length,
