--- a/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -34,6 +34,19 @@
   expect(formatStory(story).includes("outcome=failed")).toEqual(true);
 });
 
+test("the story of a fingerprint holds all attempts of a request", () => {
+  const lines = [
+    line(1, "request sent", { attempt: "a1", fingerprint: "f1" }),
+    line(2, "request quarantined", { fingerprint: "f1", crashes: "i1,i2,i3" }),
+    line(3, "request ended", { attempt: "a2", fingerprint: "f1" }),
+    line(3, "request ended", { attempt: "a3", fingerprint: "f2" }),
+  ].flatMap((text) => parseLogLine(text) ?? []);
+  const story = explainRequest("f1", lines);
+  expect(story.own.length).toEqual(3);
+  expect(formatStory(story).includes("attempt=a2")).toEqual(true);
+  expect(formatStory(story).includes("fingerprint=")).toEqual(false);
+});
+
 test("a request that no line names is said to be so", () => {
   expect(formatStory(explainRequest("zz", [])))
     .toEqual('No line names request "zz"');
--- a/packages/kelpspar-cli/src/commands/explain_command.ts
+++ b/packages/kelpspar-cli/src/commands/explain_command.ts
@@ -9,23 +9,26 @@
 
 const STANDARD_INPUT = "/dev/stdin";
 
-/** `kelpspar explain REQUEST_ID [LOG...]`. */
+/**
+ * `kelpspar explain REQUEST_ID [LOG...]`; the id is that of an attempt, or the
+ * fingerprint of a request.
+ */
 export function createExplainCommand(context: CliContext): CliCommand {
   return command({
     name: "explain",
     description: "Tell a request's story from daemons' logs",
     args: {
-      attempt: positional({ type: string, displayName: "REQUEST_ID" }),
+      id: positional({ type: string, displayName: "REQUEST_ID" }),
       files: restPositionals({ type: string, displayName: "LOG" }),
       json: jsonFlag,
     },
-    handler: ({ attempt, files, json }) =>
+    handler: ({ id, files, json }) =>
       answerWith({ context, json }, async () => {
         const paths = files.length === 0 ? [STANDARD_INPUT] : files;
         const texts = await Promise.all(paths.map(context.readFile));
         const lines = texts.flatMap((text) => text.split("\n"))
           .flatMap((text) => parseLogLine(text) ?? []);
-        const story = explainRequest(attempt, lines);
+        const story = explainRequest(id, lines);
         return { data: story, text: formatStory(story) };
       }),
   });
--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -2,7 +2,8 @@
 
 /** A request's story. */
 export interface RequestStory {
-  readonly attempt: string;
+  /** The id of an attempt, or the fingerprint of all attempts of a request. */
+  readonly id: string;
   /** Lines of the request itself, in order of time. */
   readonly own: readonly LogLine[];
   /** What its daemons learned or lost around it. */
@@ -21,6 +22,10 @@
   "endpoint missing",
   "endpoint answer overdue",
   "endpoint replaced",
+  "endpoint wants a pause",
+  "quarantine read",
+  "request quarantined",
+  "request released from quarantine",
   "settings read again",
   "stage load",
   "starting",
@@ -32,20 +37,20 @@
 
 /** Finds what a log says of a request, and of its daemons around it. */
 export function explainRequest(
-  attempt: string,
+  id: string,
   lines: readonly LogLine[],
 ): RequestStory {
   const sorted = [...lines].sort((left, right) =>
     Date.parse(left.time) - Date.parse(right.time)
   );
   const own = sorted.filter((line) =>
-    line.attempt === attempt ||
-    line.attempts?.split(",").includes(attempt) === true
+    line.attempt === id || line.fingerprint === id ||
+    line.attempts?.split(",").includes(id) === true
   );
   const first = own[0];
   const last = own.at(-1);
   if (first === undefined || last === undefined) {
-    return { attempt, own, around: [] };
+    return { id, own, around: [] };
   }
   const from = Date.parse(first.time) - BEFORE_MILLISECONDS;
   const until = Date.parse(last.time);
@@ -55,5 +60,5 @@
     return BELIEFS.has(line.message) && daemons.has(line.daemon) &&
       time >= from && time <= until && !own.includes(line);
   });
-  return { attempt, own, around };
+  return { id, own, around };
 }
--- a/packages/kelpspar-cli/src/explain/format_story.ts
+++ b/packages/kelpspar-cli/src/explain/format_story.ts
@@ -7,27 +7,26 @@
   "level",
   "message",
   "daemon",
-  "attempt",
   "at",
 ]);
 
 /** A story as text for a person. */
 export function formatStory(story: RequestStory): string {
   if (story.own.length === 0) {
-    return `No line names request "${story.attempt}"`;
+    return `No line names request "${story.id}"`;
   }
   return [
-    `Request ${story.attempt}`,
-    ...story.own.map(formatLine),
+    `Request ${story.id}`,
+    ...story.own.map((line) => formatLine(line, story.id)),
     "",
     "What its daemons learned around it",
-    ...story.around.map(formatLine),
+    ...story.around.map((line) => formatLine(line, story.id)),
   ].join("\n");
 }
 
-function formatLine(line: LogLine): string {
+function formatLine(line: LogLine, id: string): string {
   const fields = Object.entries(line)
-    .filter(([name]) => !SHOWN_APART.has(name))
+    .filter(([name, value]) => !SHOWN_APART.has(name) && value !== id)
     .map(([name, value]) => `${name}=${String(value)}`);
   const clock = line.time.slice(11, 23);
   return `  ${clock} ${line.daemon} ${line.message}: ${fields.join(" ")}`;
--- a/packages/kelpspar-cli/src/explain/log_line.ts
+++ b/packages/kelpspar-cli/src/explain/log_line.ts
@@ -8,6 +8,8 @@
   daemon: z.string().default(""),
   /** The request's attempt. */
   attempt: z.string().optional(),
+  /** The same for each repeat of a request. */
+  fingerprint: z.string().optional(),
   /** Attempts that a call carried pieces of, joined by commas. */
   attempts: z.string().optional(),
 });
