Forget rows with their reports, and make store calls that repeat one function

What goes wrong otherwise: a request's row stays in the store after its reports are an hour old, and the next daemon that reads it holds the request anew. Change: dropping old reports tells listeners (source 'age'), who remove rows; it asks the store for nothing else and tells no daemon. A test plays the hour. Tidied: the loop that repeats a store call stood in own_row.ts and quarantine_rows.ts; the parts of a quarantine are made in one place.

--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -69,23 +69,18 @@
       if (this.#served.has(fingerprint)) continue;
       this.#served.set(fingerprint, now - ageMilliseconds);
     }
-    this.sweep(now);
+    this.#dropOld(now);
+    this.#dropSurplus();
     this.#settle();
     return this.#checksum !== before;
   }
 
-  /** Drops what is too old, and what is too much. */
-  sweep(now: number): void {
-    const oldest = now - REPORT_LIFETIME_MILLISECONDS;
-    const size = this.#reports.size + this.#served.size;
-    for (const [key, { at }] of this.#reports) {
-      if (at <= oldest) this.#reports.delete(key);
-    }
-    for (const [fingerprint, at] of this.#served) {
-      if (at <= oldest) this.#served.delete(fingerprint);
-    }
-    this.#dropSurplus();
-    if (this.#reports.size + this.#served.size !== size) this.#settle();
+  /** Drops what is too old; false when nothing was. */
+  sweep(now: number): boolean {
+    const before = this.#checksum;
+    this.#dropOld(now);
+    this.#settle();
+    return this.#checksum !== before;
   }
 
   /** Everything, or what concerns one request. */
@@ -102,6 +97,16 @@
     };
   }
 
+  #dropOld(now: number): void {
+    const oldest = now - REPORT_LIFETIME_MILLISECONDS;
+    for (const [key, { at }] of this.#reports) {
+      if (at <= oldest) this.#reports.delete(key);
+    }
+    for (const [fingerprint, at] of this.#served) {
+      if (at <= oldest) this.#served.delete(fingerprint);
+    }
+  }
+
   #dropSurplus(): void {
     const oldest = [...this.#served.keys()].slice(0, -MOST_REPORTS);
     for (const fingerprint of oldest) this.#served.delete(fingerprint);
--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantine_rows_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantine_rows_test.ts
@@ -1,5 +1,6 @@
 import type { EraWord, TableStore } from "../../tables/table_store.ts";
 import { expect } from "earl";
+import { REPORT_LIFETIME_MILLISECONDS } from "kelpspar-decisions/quarantine";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
 import { Quarantine } from "../../quarantine/quarantine.ts";
@@ -56,6 +57,7 @@
   const log = { info: note, warn: note };
   const era = new StoreEra({ timer, anomalies: { note: () => {} } });
   const quarantine = new Quarantine({ timer, log });
+  quarantine.register();
   new QuarantineRows({
     store,
     era,
@@ -180,6 +182,18 @@
   expect(store.rows.size).toEqual(0);
 });
 
+// Guards against rows that outlive what they say.
+test("the row of a request is removed once its crashes are forgotten", async () => {
+  const store = new OneTable();
+  const world = startDaemon(store);
+  crash(world, "1", "2", "3");
+  await world.timer.settle();
+  expect(store.rows.size).toEqual(1);
+  await world.timer.advance(REPORT_LIFETIME_MILLISECONDS + 120_000);
+  expect(world.quarantine.size).toEqual(0);
+  expect(store.rows.size).toEqual(0);
+});
+
 // Guards against one foreign row that hides all others.
 test("a row of another form is logged and left out", async () => {
   const store = new OneTable();
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -5,6 +5,8 @@
 import type { RequestDecoder } from "./front/front_server.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
 import type { PieceClient } from "./pieces/piece_call.ts";
+import type { Quarantine } from "./quarantine/quarantine.ts";
+import type { QuarantineParts } from "./quarantine/quarantine_parts.ts";
 import type { EndpointClient } from "./requests/endpoint_call.ts";
 import type { ReadingPaces, ReadingPlan } from "./tables/reading_plan.ts";
 import type { SharedTables } from "./tables/shared_tables.ts";
@@ -24,9 +26,7 @@
 import { PieceCoordinator } from "./pieces/piece_coordinator.ts";
 import { ChainClient } from "./requests/chain_client.ts";
 import { ExpectedTimes } from "./requests/expected_times.ts";
-import { CrashWatch } from "./quarantine/crash_watch.ts";
-import { Quarantine } from "./quarantine/quarantine.ts";
-import { QuarantineSync } from "./quarantine/quarantine_sync.ts";
+import { createQuarantineParts } from "./quarantine/quarantine_parts.ts";
 import { RequestService } from "./requests/request_service.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
 import { planReading } from "./tables/reading_plan.ts";
@@ -79,7 +79,7 @@
   readonly followClient: FollowClient;
   readonly quarantine: Quarantine;
   readonly #options: GatewayDaemonOptions;
-  readonly #crashes: QuarantineSync;
+  readonly #crashes: QuarantineParts;
   readonly #membership: FleetMembership;
   readonly #fleet: Fleet;
   readonly #front: FrontServer;
@@ -108,21 +108,14 @@
       slack: options.retrySlack,
       windowMilliseconds: options.retryWindowMilliseconds,
     });
-    const quarantine = new Quarantine(options);
-    const crashes = new QuarantineSync({
-      quarantine,
-      peers,
-      membership,
-      random: options.random,
-      log,
-    });
+    const crashes = createQuarantineParts({ ...options, peers, membership });
     const fleet = new Fleet({
       daemonId: self.daemonId,
       membership,
       peers,
       configuration,
       era,
-      crashes,
+      crashes: crashes.sync,
       timer,
       log,
       random: options.random,
@@ -152,8 +145,8 @@
       endpoints: options.endpoints,
       chains,
       budget,
-      crashes: new CrashWatch({ ...options, quarantine }),
-      quarantine,
+      crashes: crashes.watch,
+      quarantine: crashes.quarantine,
       times: new ExpectedTimes(),
       timer,
       random: options.random,
@@ -162,7 +155,7 @@
       zone: self.zone,
       sharers: () => this.fleetSize(),
     });
-    this.quarantine = quarantine;
+    this.quarantine = crashes.quarantine;
     this.#crashes = crashes;
     this.#membership = membership;
     this.#fleet = fleet;
@@ -183,7 +176,7 @@
         }
         throw new Error("The store's tables aren't followed here yet");
       },
-      shareCrashes: (page) => crashes.answer(page),
+      shareCrashes: (page) => crashes.sync.answer(page),
       runChain: (request, signal) => coordinator.run(request, signal),
       release: (release) => coordinator.release(release),
     }));
@@ -200,7 +193,6 @@
       this.#front.limits = table.configuration.limits;
     });
     timer.registerInterval(() => this.#sweepBook(), SWEEP_MILLISECONDS);
-    this.quarantine.register();
     this.#crashes.register();
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -7,8 +7,8 @@
 /** How often reports that are too old are dropped, milliseconds. */
 const SWEEP_MILLISECONDS = 60_000;
 
-/** Where news of crashes came from. */
-export type QuarantineSource = "own" | "daemon" | "store";
+/** Where news of crashes came from; `age`: reports were forgotten. */
+export type QuarantineSource = "own" | "daemon" | "store" | "age";
 
 /** Told when something new is known of crashes. */
 export type QuarantineListener = (source: QuarantineSource) => void;
@@ -60,10 +60,7 @@
   register(): () => void {
     const { timer } = this.#options;
     const sweep = (): void => {
-      this.#change("own", () => {
-        this.#ledger.sweep(timer.now());
-        return false;
-      });
+      this.#change("age", () => this.#ledger.sweep(timer.now()));
       for (const fingerprint of this.#own) {
         if (!this.#ledger.suspects.has(fingerprint)) {
           this.#own.delete(fingerprint);
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
@@ -3,7 +3,7 @@
 import type { StoreEra } from "../tables/store_era.ts";
 import type { TableRow, TableStore } from "../tables/table_store.ts";
 import type { Quarantine } from "./quarantine.ts";
-import { StoreCallError } from "../tables/table_store.ts";
+import { callUntilDone } from "../tables/call_until_done.ts";
 import {
   crashMessageSchema,
   fromCrashMessage,
@@ -131,18 +131,8 @@
   }
 
   /** Tries until it is done. */
-  async #try(message: string, act: () => Promise<void>): Promise<void> {
-    const { timer, log, era } = this.#options;
-    const startedAt = timer.now();
-    try {
-      await act();
-    } catch (error) {
-      log.warn(message, { reason: String(error) });
-      if (error instanceof StoreCallError) era.answered(error.era, startedAt);
-      timer.registerTimeout(
-        () => void this.#try(message, act),
-        FAILED_PAUSE_MILLISECONDS,
-      );
-    }
+  #try(message: string, act: () => Promise<void>): Promise<void> {
+    const pauseMilliseconds = FAILED_PAUSE_MILLISECONDS;
+    return callUntilDone({ ...this.#options, act, message, pauseMilliseconds });
   }
 }
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
@@ -14,6 +14,7 @@
   own: 8,
   daemon: 2,
   store: 0,
+  age: 0,
 };
 
 /** What a sync works with. */
--- a/packages/kelpspar-gateway/src/tables/own_row.ts
+++ b/packages/kelpspar-gateway/src/tables/own_row.ts
@@ -2,7 +2,7 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EraListener, StoreEra } from "./store_era.ts";
 import type { TablePage, TableStore } from "./table_store.ts";
-import { StoreCallError } from "./table_store.ts";
+import { callUntilDone } from "./call_until_done.ts";
 
 /** What a daemon's own row is kept with. */
 export interface OwnRowOptions {
@@ -102,18 +102,8 @@
   }
 
   /** Tries until it is done. */
-  async #try(message: string, act: () => Promise<void>): Promise<void> {
-    const { timer, log, era } = this.#options;
-    const startedAt = timer.now();
-    try {
-      await act();
-    } catch (error) {
-      log.warn(message, { reason: String(error) });
-      if (error instanceof StoreCallError) era.answered(error.era, startedAt);
-      timer.registerTimeout(
-        () => void this.#try(message, act),
-        FAILED_PAUSE_MILLISECONDS,
-      );
-    }
+  #try(message: string, act: () => Promise<void>): Promise<void> {
+    const pauseMilliseconds = FAILED_PAUSE_MILLISECONDS;
+    return callUntilDone({ ...this.#options, act, message, pauseMilliseconds });
   }
 }
