--- a/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
@@ -18,6 +18,7 @@
   register(): () => void;
 }
 
+/** Makes the parts; nothing happens until `register`. */
 export function createQuarantineParts(
   options: QuarantinePartsOptions,
 ): QuarantineParts {
@@ -27,7 +28,7 @@
     quarantine,
     sync,
     watch: new CrashWatch({ ...options, quarantine }),
-    register() {
+    register: (): () => void => {
       const teardowns = [quarantine.register(), sync.register()];
       return () => teardowns.forEach((teardown) => teardown());
     },
