End the soak's process although a connection is left behind

Suspected, no run shows it: a socket of the loopback proxy that was reset with writes left; Node's reset waits for them. Ruled out: runners that start again after the site has stopped (cancelled before, and it still came). Change: stopped proxies destroy what a reset left; the soak's program and test file exit once they are done, as the platform's tests do. Open: the cause of the spinning. It is in the stand-ins, not in a daemon.

--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -10,7 +10,7 @@
 } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { test } from "node:test";
+import { after, test } from "node:test";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { checkSoak } from "../../soak/check_soak.ts";
@@ -29,6 +29,12 @@
   body: "",
   lastEventId: undefined,
 };
+
+// A connection that a proxy left behind must not keep the process.
+after(() => {
+  setImmediate(() => process.exit());
+});
+
 test("a short soak with faults breaks no promise", async () => {
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: ROOT });
   const verdict = await runSoak({
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -40,6 +40,8 @@
       daemons: readCount("daemons", values.daemons),
       isCalm: values.calm,
     });
+    // A connection that a proxy left behind must not keep the process.
+    process.exit();
   }
 } catch (error) {
   if (!(error instanceof TypeError)) throw error;
--- a/packages/kelpspar-standins/src/wire/loopback_proxy.ts
+++ b/packages/kelpspar-standins/src/wire/loopback_proxy.ts
@@ -31,6 +31,11 @@
 
   stop(): void {
     this.reset();
+    // A reset waits for writes that may never end.
+    for (const { near, far } of this.#pairs) {
+      near.destroy();
+      far.destroy();
+    }
     this.#server.close();
   }
 
