Test a quarantined request's path, its spread, and the guards of both mends

Eleven guards in quarantine_guards.ts; npm run guards takes a test file, and answers a wrong one by its usage and code 64.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -94,6 +94,9 @@
   readonly reply: RecordedReply;
   readonly calls: EndpointCall[];
   readonly released: string[];
+  readonly quarantine: Quarantine;
+  /** Times that stages were run. */
+  readonly chainsRun: () => number;
   readonly lines: { readonly message: string; readonly fields: LogFields }[];
 }
 
@@ -193,7 +196,16 @@
     zone: "a",
     sharers: () => 1,
   });
-  return { timer, service, reply: new RecordedReply(), calls, released, lines };
+  return {
+    timer,
+    service,
+    reply: new RecordedReply(),
+    calls,
+    released,
+    quarantine,
+    chainsRun: () => chains,
+    lines,
+  };
 }
 
 export function request(options: Partial<ServingRequest> = {}): ServingRequest {
--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantine_sync_test.ts
@@ -0,0 +1,116 @@
+import type { CrashPage } from "kelpspar-decisions/quarantine";
+import type { DaemonAddress } from "../../fleet/fleet_digest.ts";
+import { expect } from "earl";
+import { ManualTimer, SeededRandom } from "kelpspar-shared";
+import { test } from "node:test";
+import { EXCHANGE_MILLISECONDS } from "../../fleet/fleet.ts";
+import { Quarantine } from "../../quarantine/quarantine.ts";
+import { QuarantineSync } from "../../quarantine/quarantine_sync.ts";
+
+/** Within this all daemons that are in touch must know, milliseconds. */
+const CONTACT_MILLISECONDS = 3_000;
+
+interface Member {
+  readonly peer: string;
+  readonly quarantine: Quarantine;
+  readonly sync: QuarantineSync;
+}
+
+/** Daemons that reach each other; calls beyond `isLost` fail. */
+function createFleet(
+  count: number,
+  isLost: () => boolean,
+): { readonly members: readonly Member[]; readonly calls: () => number } {
+  const random = new SeededRandom(5);
+  const byPeer = new Map<string, Member>();
+  const addresses = Array.from({ length: count }, (_, at): DaemonAddress => ({
+    daemonId: `d${at}`,
+    front: `d${at}:1`,
+    peer: `d${at}:2`,
+    zone: "a",
+    cores: 1,
+  }));
+  let calls = 0;
+  const log = { info: () => {}, warn: () => {} };
+  for (const { peer } of addresses) {
+    const quarantine = new Quarantine({ timer: new ManualTimer(), log });
+    const sync = new QuarantineSync({
+      quarantine,
+      peers: {
+        shareCrashes: (to: string, page: CrashPage): Promise<CrashPage> => {
+          calls++;
+          const other = byPeer.get(to);
+          return other === undefined || isLost()
+            ? Promise.reject(new Error("not reached"))
+            : Promise.resolve(other.sync.answer(page));
+        },
+      },
+      membership: {
+        contacts: () => addresses.filter((one) => one.peer !== peer),
+      },
+      random,
+      log,
+    });
+    sync.register();
+    byPeer.set(peer, { peer, quarantine, sync });
+  }
+  return { members: [...byPeer.values()], calls: () => calls };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 50; turn++) await Promise.resolve();
+}
+
+/** Each daemon compares its checksum with one other, as digests do. */
+async function exchangeDigests(
+  members: readonly Member[],
+  random: SeededRandom,
+): Promise<void> {
+  for (const one of members) {
+    const other = members[random.nextInteger(members.length)] as Member;
+    one.sync.told(other.peer, other.sync.checksum);
+    other.sync.told(one.peer, one.sync.checksum);
+  }
+  await settle();
+}
+
+/** Rounds of digests after which all hold the request. */
+async function roundsUntilHeld(members: readonly Member[]): Promise<number> {
+  const random = new SeededRandom(9);
+  for (const [index, crash] of ["1", "2", "3"].entries()) {
+    members[index % members.length]?.quarantine.crashed({
+      fingerprint: "p",
+      crash,
+      ranMilliseconds: 90,
+    });
+    await settle();
+  }
+  const areAllTold = (): boolean =>
+    members.every(({ quarantine }) => quarantine.holds("p"));
+  for (let rounds = 0;; rounds++) {
+    if (areAllTold() || rounds === 50) return rounds;
+    await exchangeDigests(members, random);
+  }
+}
+
+// Guards against daemons that send a poison request since nobody told them.
+test("all daemons know of crashes within the time to be in touch", async () => {
+  for (const count of [2, 8, 195]) {
+    for (const lossShare of [0, 0.3]) {
+      const chance = new SeededRandom(3);
+      const { members } = createFleet(count, () => chance.next() < lossShare);
+      const rounds = await roundsUntilHeld(members);
+      expect(rounds * EXCHANGE_MILLISECONDS < CONTACT_MILLISECONDS)
+        .toEqual(true);
+    }
+  }
+});
+
+// Guards against word of a crash that is passed on for ever.
+test("daemons that know the same are silent", async () => {
+  const { members, calls } = createFleet(40, () => false);
+  await roundsUntilHeld(members);
+  const before = calls();
+  await exchangeDigests(members, new SeededRandom(4));
+  expect(calls()).toEqual(before);
+});
--- a/packages/kelpspar-scenarios/src/guards/main.ts
+++ b/packages/kelpspar-scenarios/src/guards/main.ts
@@ -2,30 +2,46 @@
 import { spawnSync } from "node:child_process";
 import { fileURLToPath } from "node:url";
 import { GUARDS } from "./guards.ts";
+import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { SourceCopy } from "./source_copy.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
 const NAME_WIDTH = 62;
+const EXIT_USAGE = 64;
+const USAGE = "Usage: npm run guards [-- TEST_FILE], a file that notices one";
 /** A test that hangs without its guard has noticed as well, milliseconds. */
 const TEST_MILLISECONDS = 60_000;
 
+/** Guards that one test file notices; all when it isn't given. */
+function chooseGuards(testFile: string | undefined): readonly Guard[] {
+  const all = [...GUARDS, ...QUARANTINE_GUARDS];
+  if (testFile === undefined) return all;
+  return all.filter(({ noticedBy }) => noticedBy.endsWith(testFile));
+}
+
 /** Takes each guard of the gateway away and says whether its test notices. */
 function main(): void {
+  const guards = chooseGuards(process.argv[2]);
+  if (guards.length === 0) {
+    process.stdout.write(`${USAGE}\n`);
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
   const copy = new SourceCopy(ROOT);
-  for (const file of new Set(GUARDS.map(({ noticedBy }) => noticedBy))) {
+  for (const file of new Set(guards.map(({ noticedBy }) => noticedBy))) {
     // A test that fails in the copy anyway would seem to notice everything.
     if (!passes(file, copy)) throw new Error(`"${file}" fails with its guards`);
   }
   let missed = 0;
-  for (const guard of GUARDS) {
+  for (const guard of guards) {
     const isNoticed = tryWithout(guard, copy);
     if (!isNoticed) missed++;
     const verdict = isNoticed ? "noticed" : "NOT NOTICED";
     process.stdout.write(`${guard.name.padEnd(NAME_WIDTH)}${verdict}\n`);
   }
   copy.remove();
-  const noticed = GUARDS.length - missed;
-  process.stdout.write(`${noticed} of ${GUARDS.length} guards were noticed\n`);
+  const noticed = guards.length - missed;
+  process.stdout.write(`${noticed} of ${guards.length} guards were noticed\n`);
   if (missed > 0) process.exitCode = 1;
 }
 
--- /dev/null
+++ b/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
@@ -0,0 +1,86 @@
+import type { Guard } from "./guard.ts";
+
+const GATEWAY = "packages/kelpspar-gateway/src";
+const GATEWAY_TESTS = `${GATEWAY}/__tests__/unit`;
+const DECISIONS = "packages/kelpspar-decisions/src";
+
+/** Guards of the quarantine and of what endpoints say of themselves. */
+export const QUARANTINE_GUARDS: readonly Guard[] = [
+  {
+    name: "a quarantined request fails before its stages",
+    file: `${GATEWAY}/requests/request_service.ts`,
+    code: "if (run.isQuarantined) {",
+    without: "if (run.isQuarantined && !run.isOpen) {",
+    noticedBy: `${GATEWAY_TESTS}/quarantined_request_test.ts`,
+  },
+  {
+    name: "a request quarantined meanwhile isn't sent",
+    file: `${GATEWAY}/requests/request_dispatch.ts`,
+    code: "if (run.isQuarantined) {",
+    without: "if (run.isQuarantined && !run.isOpen) {",
+    noticedBy: `${GATEWAY_TESTS}/quarantined_request_test.ts`,
+  },
+  {
+    name: "a quarantined request isn't hedged",
+    file: `${GATEWAY}/requests/endpoint_sender.ts`,
+    code: "!run.isQuarantined",
+    without: "true",
+    noticedBy: `${GATEWAY_TESTS}/quarantined_request_test.ts`,
+  },
+  {
+    name: "a cut answer alone is no crash",
+    file: `${GATEWAY}/quarantine/crash_watch.ts`,
+    code: 'if (state !== "refused" && state !== "restarted") return;',
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/quarantined_request_test.ts`,
+  },
+  {
+    name: "a served request is never poison",
+    file: `${DECISIONS}/quarantine/find_poison_requests.ts`,
+    code: "if (served.has(report.fingerprint)) continue;",
+    without: "",
+    noticedBy: `${DECISIONS}/__tests__/unit/find_poison_requests_test.ts`,
+  },
+  {
+    name: "daemons that know different crashes share them",
+    file: `${GATEWAY}/quarantine/quarantine_sync.ts`,
+    code: "if (checksum !== this.checksum) void this.#share(peer);",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/quarantine_sync_test.ts`,
+  },
+  {
+    name: "rows that a restored store lost are written again",
+    file: `${GATEWAY}/quarantine/quarantine_rows.ts`,
+    code: "this.#kept.clear();",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/quarantine_rows_test.ts`,
+  },
+  {
+    name: "crashes that come together are one read",
+    file: `${GATEWAY}/quarantine/quarantine_rows.ts`,
+    code: "if (this.#isReadDue) return;",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/quarantine_rows_test.ts`,
+  },
+  {
+    name: "leaving counts for an endpoint that isn't in use",
+    file: `${GATEWAY}/endpoints/notice_handlers.ts`,
+    code: "book.leave({ id, bornAt: life },",
+    without: "if (known !== undefined) book.leave({ id, bornAt: life },",
+    noticedBy: `${GATEWAY_TESTS}/notice_handlers_test.ts`,
+  },
+  {
+    name: "a pause keeps an endpoint out of the choice",
+    file: `${GATEWAY}/endpoints/choose_endpoint.ts`,
+    code: "&& one.pauseLeft(options.now) === 0",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/notice_handlers_test.ts`,
+  },
+  {
+    name: "a pause has a longest length",
+    file: `${GATEWAY}/endpoints/notice_handlers.ts`,
+    code: "Math.min(milliseconds, LONGEST_PAUSE_MILLISECONDS)",
+    without: "milliseconds",
+    noticedBy: `${GATEWAY_TESTS}/notice_handlers_test.ts`,
+  },
+];
