--- a/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
@@ -5,7 +5,7 @@
 import { chooseEndpoint } from "../../endpoints/choose_endpoint.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { EndpointNotices } from "../../endpoints/endpoint_notices.ts";
-import { takeNotices } from "../../endpoints/notice_handlers.ts";
+import { createNoticeListener } from "../../endpoints/notice_handlers.ts";
 import { pauseOfAll } from "../../endpoints/pause_of_all.ts";
 
 const ENTRY: EndpointEntry = {
@@ -30,7 +30,7 @@
   const book = new EndpointBook();
   const notices = new EndpointNotices();
   const anomalies: string[] = [];
-  notices.registerListener(takeNotices({
+  notices.registerListener(createNoticeListener({
     book,
     timer,
     log: { info: () => {}, warn: () => {} },
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
@@ -4,20 +4,20 @@
 export type EndpointNotice =
   /** It is leaving and may exit any moment. */
   | { readonly type: "leaving" }
-  /** It wants nothing from this daemon for so long. */
+  /** It sent Retry-After: no calls from this daemon for so long. */
   | { readonly type: "pause"; readonly milliseconds: number }
-  /** It wants a pause whose length can't be read. */
+  /** It sent a Retry-After that can't be parsed. */
   | { readonly type: "unreadable_pause"; readonly text: string };
 
 /** The endpoint that an answer came from. */
-export type NoticingEndpoint = Pick<EndpointEntry, "id"> & {
+export type AnsweringEndpoint = Pick<EndpointEntry, "id"> & {
   /** The life that was asked; undefined when only its id is known. */
   readonly bornAt?: number;
 };
 
 /** Told of each notice. */
 export type EndpointNoticeListener = (
-  endpoint: NoticingEndpoint,
+  endpoint: AnsweringEndpoint,
   notice: EndpointNotice,
 ) => void;
 
@@ -28,7 +28,7 @@
 export class EndpointNotices {
   readonly #listeners = new Set<EndpointNoticeListener>();
 
-  tell(endpoint: NoticingEndpoint, notice: EndpointNotice): void {
+  tell(endpoint: AnsweringEndpoint, notice: EndpointNotice): void {
     for (const listener of this.#listeners) listener(endpoint, notice);
   }
 
--- a/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -3,12 +3,12 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type {
+  AnsweringEndpoint,
   EndpointNotice,
   EndpointNoticeListener,
-  NoticingEndpoint,
 } from "./endpoint_notices.ts";
 
-/** A longer wish is cut to this; an endpoint that recovers is used again. */
+/** Upper limit of Retry-After, so that a wrong value is not for good. */
 const LONGEST_PAUSE_MILLISECONDS = 600_000;
 
 /** What notices act on. */
@@ -21,7 +21,7 @@
 
 type Handlers = {
   readonly [Type in EndpointNotice["type"]]: (
-    endpoint: NoticingEndpoint,
+    endpoint: AnsweringEndpoint,
     notice: Extract<EndpointNotice, { type: Type }>,
   ) => void;
 };
@@ -30,7 +30,7 @@
  * Takes notices of endpoints into the book. Leaving is final for the life that
  * told it, whatever the list of endpoints says later.
  */
-export function takeNotices(
+export function createNoticeListener(
   options: NoticeHandlersOptions,
 ): EndpointNoticeListener {
   const { book, timer, log, anomalies } = options;
@@ -56,7 +56,7 @@
   };
   return (endpoint, notice) => {
     const handler = handlers[notice.type] as (
-      endpoint: NoticingEndpoint,
+      endpoint: AnsweringEndpoint,
       notice: EndpointNotice,
     ) => void;
     handler(endpoint, notice);
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -14,7 +14,7 @@
 import { createServer } from "node:http";
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
-import { takeNotices } from "./endpoints/notice_handlers.ts";
+import { createNoticeListener } from "./endpoints/notice_handlers.ts";
 import { Fleet } from "./fleet/fleet.ts";
 import { FleetMembership } from "./fleet/fleet_membership.ts";
 import { PeerClient } from "./fleet/peer_client.ts";
@@ -182,7 +182,7 @@
     }));
     coordinator.register();
     options.notices.registerListener(
-      takeNotices({ ...options, book, anomalies: this.anomalies }),
+      createNoticeListener({ ...options, book, anomalies: this.anomalies }),
     );
   }
 
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -16,8 +16,8 @@
 } from "./configuration/service_definition.ts";
 export type { EndpointEntry } from "./endpoints/endpoint_entry.ts";
 export type {
+  AnsweringEndpoint,
   EndpointNotice,
-  NoticingEndpoint,
 } from "./endpoints/endpoint_notices.ts";
 export type { DaemonAddress } from "./fleet/fleet_digest.ts";
 export type { ListeningState } from "./exchange/check_listening.ts";
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
@@ -6,11 +6,11 @@
 import type { Quarantine, QuarantineSource } from "./quarantine.ts";
 
 /**
- * Daemons that are told at once of a crash seen here, and of one heard of from
- * another daemon. In a fleet of hundreds all hear of it in a few rounds; what
- * is lost is made up for by the checksums in digests.
+ * Daemons that are told at once, by the source of the news. Reports spread like
+ * a rumor: in a fleet of hundreds all know within a few hops, and the checksums
+ * in digests repair what was lost.
  */
-const TOLD: Readonly<Record<QuarantineSource, number>> = {
+const PEERS_TOLD: Readonly<Record<QuarantineSource, number>> = {
   own: 8,
   daemon: 2,
   store: 0,
@@ -40,7 +40,7 @@
   /** Tells others of news; returns the teardown. */
   register(): () => void {
     return this.#options.quarantine.registerListener((source) =>
-      this.#tell(TOLD[source])
+      this.#tell(PEERS_TOLD[source])
     );
   }
 
