Close a connection to a peer once, though several overdue calls ask for it

Cause: an overdue call retires its connection and closes it when its answer is settled. With two overdue calls on one connection the second close came after the first had ended; undici rejects that ('The client is destroyed'), nobody takes the rejection, and the process ends. It was there before; the quarantine's calls beside digests made two overdue calls on one connection common. Change: a connection that is closed or destroyed isn't closed again. Figures: the new test fails before with the same message and passes.

--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -3,6 +3,7 @@
 import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
 import type { ChainRequest } from "../../pieces/chain_request.ts";
 import { expect } from "earl";
+import { PeerConnections } from "kelpspar-peers";
 import { SystemTimer } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { connect, createServer as createTcpServer } from "node:net";
@@ -127,6 +128,25 @@
   expect(performance.now() - startedAt < 1_500).toEqual(true);
 });
 
+// Guards against a daemon that ends when two calls to a peer were overdue.
+test("a connection that several overdue calls close is closed once", async () => {
+  const connections = new PeerConnections({
+    createClient: () => ({}),
+    agent: { pipelining: 1 },
+  });
+  for (const end of ["closed", "destroyed"] as const) {
+    const connection = connections.open(peer);
+    if (end === "destroyed") connections.drop(peer, connection);
+    else connections.retire(peer, connection);
+    // A rejection that nobody takes ends the process, and fails the test.
+    for (let calls = 0; calls < 2; calls++) {
+      connections.closeRetired(connection);
+      await pause(20);
+    }
+    expect(connection.agent.destroyed).toEqual(true);
+  }
+});
+
 function failed(promise: Promise<unknown>): Promise<boolean> {
   return promise.then(() => false, () => true);
 }
--- a/packages/kelpspar-peers/src/peer_connections.ts
+++ b/packages/kelpspar-peers/src/peer_connections.ts
@@ -52,9 +52,13 @@
     this.#connections.delete(peer);
   }
 
-  /** Closes a retired connection once the calls on it have ended. */
-  closeRetired(connection: PeerConnection<Client>): void {
-    void connection.agent.close();
+  /**
+   * Closes a retired connection once the calls on it have ended, if it isn't
+   * closed: several overdue calls of one connection ask for it.
+   */
+  closeRetired({ agent }: PeerConnection<Client>): void {
+    if (agent.closed || agent.destroyed) return;
+    void agent.close();
   }
 
   /** Destroys every connection. */
