--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -71,6 +71,11 @@
     return Math.max(0, this.#pausedUntil - now);
   }
 
+  /** True when nothing speaks against sending it work now. */
+  isSound(now: number): boolean {
+    return !this.isSetAside(now) && this.pauseLeft(now) === 0;
+  }
+
   /** Counts a call that ended well, `ratio` times as long as expected. */
   succeeded(ratio: number, now: number): void {
     this.#failingShare *= 1 - NEWEST_WEIGHT;
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -105,9 +105,7 @@
   /** Those that may read; all of them when none of them is sound. */
   #soundOnes(service: string, now: number): readonly EndpointState[] {
     const endpoints = this.#options.book.ofService(service);
-    const sound = endpoints.filter((one) =>
-      !one.isSetAside(now) && one.pauseLeft(now) === 0
-    );
+    const sound = endpoints.filter((one) => one.isSound(now));
     return sound.length > 0 ? sound : endpoints;
   }
 
--- a/packages/kelpspar-gateway/src/requests/choose_for_request.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_for_request.ts
@@ -22,11 +22,8 @@
   if (place === undefined || tried.has(place.endpointId)) return undefined;
   const { book, timer } = options.parts;
   const find = (id: string | undefined): EndpointState | undefined => {
-    const now = timer.now();
     const found = id === undefined ? undefined : book.find(id);
-    const isUsable = found !== undefined && !found.isSetAside(now) &&
-      found.pauseLeft(now) === 0;
-    return isUsable ? found : undefined;
+    return found?.isSound(timer.now()) === true ? found : undefined;
   };
   const endpoint = find(place.endpointId);
   if (endpoint === undefined) return undefined;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -164,8 +164,8 @@
   }
 
   /**
-   * Fails a quarantined request for good. Says nothing of whether it ran, since earlier
-   * attempts did, and doesn't invite the caller back.
+   * Fails a quarantined request for good. Says nothing of whether it ran, since
+   * earlier attempts did, and doesn't invite the caller back.
    */
   rejectQuarantined(): void {
     if (!this.isOpen) return;
