Follow evacuations of zones, and pace requests to cold endpoints

Cause: the rows evacuate/ZONE of the operator's table were read by nobody, and coldLeftMs was parsed and dropped.

Change, evacuation: rows of the operator's table mark endpoints of their zone in the book, from where every choice is made: first sends, retries, hedges, places given by the coordinator, prompts fetched, stage pieces. What runs there ends there; chains that wait for a service with no zone left are refused.

Change, cold endpoints: an endpoint says how long it is cold in its entry or X-Cold-Ms; one whose zone is taken back or that was born again is presumed cold for 3 s.

Ruled out: an owner for each cold endpoint (most requests arrive elsewhere and would be refused), and a grant for each request (one more message each).

Both in one commit since they meet in the same lines of the book.

--- a/packages/kelpspar-decisions/src/routing/mod.ts
+++ b/packages/kelpspar-decisions/src/routing/mod.ts
@@ -36,6 +36,7 @@
 export type { Placed, Watch, WatchOptions } from "./watch_assignment.ts";
 export { AdaptiveLimit } from "./adaptive_limit.ts";
 export { chooseEndpoint } from "./choose_endpoint.ts";
+export { ColdPace } from "./cold_pace.ts";
 export { ConnectionWatch } from "./connection_watch.ts";
 export { DEFAULT_CHOICE_WEIGHTS } from "./choose_options.ts";
 export { EndpointRegistry } from "./endpoint_registry.ts";
--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -8,6 +8,7 @@
 } from "./simulated_stages.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { ColdGate } from "../../endpoints/cold_gate.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
@@ -98,6 +99,12 @@
     configuration,
     book,
     client,
+    coldGate: new ColdGate({
+      chooser: "coordinator",
+      configuration,
+      random: new SeededRandom(2),
+      sharers: () => 1,
+    }),
     timer,
     log,
     budget: new ServiceRetryBudget({
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -13,6 +13,7 @@
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { Readable } from "node:stream";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { ColdGate } from "../../endpoints/cold_gate.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { GatewayMetrics } from "../../metrics/gateway_metrics.ts";
 import { CrashWatch } from "../../quarantine/crash_watch.ts";
@@ -92,6 +93,7 @@
   readonly timer: ManualTimer;
   readonly service: RequestService;
   readonly reply: RecordedReply;
+  readonly book: EndpointBook;
   readonly calls: EndpointCall[];
   readonly released: string[];
   readonly quarantine: Quarantine;
@@ -162,6 +164,12 @@
     configuration,
     book,
     endpoints,
+    coldGate: new ColdGate({
+      chooser: "daemon",
+      configuration,
+      random: new SeededRandom(2),
+      sharers: () => 1,
+    }),
     crashes: new CrashWatch({ endpoints, quarantine, timer, log }),
     quarantine,
     chains: {
@@ -200,6 +208,7 @@
     timer,
     service,
     reply: new RecordedReply(),
+    book,
     calls,
     released,
     quarantine,
--- a/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
@@ -92,6 +92,7 @@
       affinity: undefined,
       random: new SeededRandom(1),
       now,
+      isOpen: () => true,
     })?.endpoint.entry.id;
   expect(choose(0)).toEqual("i1");
   notices.tell(ENTRY, { type: "pause", milliseconds: 400 });
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -5,9 +5,10 @@
   PieceClient,
 } from "../../pieces/piece_call.ts";
 import { expect } from "earl";
-import { ManualTimer } from "kelpspar-shared";
+import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { ColdGate } from "../../endpoints/cold_gate.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
@@ -77,6 +78,8 @@
   readonly client: HeldPieceClient;
   readonly book: EndpointBook;
   readonly run: (attemptId: string, pieces: readonly number[]) => void;
+  /** How chains ended, by their attempt. */
+  readonly outcomes: ReadonlyMap<string, string>;
 }
 
 function createWorld(room = 10_000): World {
@@ -122,11 +125,18 @@
     configuration,
     book,
     client,
+    coldGate: new ColdGate({
+      chooser: "coordinator",
+      configuration,
+      random: new SeededRandom(2),
+      sharers: () => 1,
+    }),
     timer,
     budget,
     log,
   });
   coordinator.register();
+  const outcomes = new Map<string, string>();
   const run = (attemptId: string, pieces: readonly number[]): void => {
     void coordinator.run({
       attemptId,
@@ -150,9 +160,14 @@
       kind: "model",
       tailMilliseconds: 100,
       priority: 0,
-    }, new AbortController().signal);
+    }, new AbortController().signal).then((outcome) =>
+      outcomes.set(
+        attemptId,
+        outcome.type === "done" ? "done" : outcome.reason,
+      )
+    );
   };
-  return { timer, client, book, run };
+  return { timer, client, book, run, outcomes };
 }
 
 test("a piece is never sent with some of its inputs only", async () => {
@@ -233,3 +248,31 @@
   expect(client.open.map(({ call }) => call.endpoint.id))
     .toEqual(["encode-1", "encode-0"]);
 });
+
+// Guards against pieces that are sent to a zone under evacuation.
+test("pieces wait for no endpoint of an evacuated zone", async () => {
+  const { timer, client, book, run } = createWorld();
+  const known = book.find("encode-0")?.entry;
+  if (known !== undefined) book.put({ ...known, zone: "b" }, 0);
+  book.setEvacuated(new Set(["b"]), 0);
+  run("a", [2, 0]);
+  await timer.advance(100);
+  const sentTo = client.open.map(({ call }) => call.endpoint.id);
+  expect(new Set(sentTo)).toEqual(new Set(["encode-1"]));
+});
+
+// Guards against callers that wait for pieces which nobody may make.
+test("chains that wait for a service whose zones are all evacuated end", async () => {
+  const { timer, client, book, run, outcomes } = createWorld();
+  run("served", [1, 0]);
+  run("other", [1, 0]);
+  run("waits", [1, 0]);
+  await timer.advance(10);
+  book.setEvacuated(new Set(["a"]), 0);
+  await timer.advance(10);
+  expect(outcomes.get("waits")).toEqual("no_endpoint");
+  client.make("encode-0");
+  client.make("encode-1");
+  await timer.advance(10);
+  expect(outcomes.get("served")).toEqual("done");
+});
--- a/packages/kelpspar-gateway/src/configuration/service_definition.ts
+++ b/packages/kelpspar-gateway/src/configuration/service_definition.ts
@@ -23,4 +23,9 @@
   readonly engineSlots: number | undefined;
   /** Memory of a model endpoint for prompts and what it generates, tokens. */
   readonly engineTokens?: number | undefined;
+  /**
+   * What an endpoint bears while it is cold, from all daemons together;
+   * undefined when it has no such limit.
+   */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
--- a/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
+++ b/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
@@ -25,6 +25,8 @@
   readonly affinity: string | undefined;
   readonly random: RandomSource;
   readonly now: number;
+  /** False for a cold endpoint that has got all that it may for now. */
+  readonly isOpen: (endpoint: EndpointState) => boolean;
 }
 
 /** The endpoint chosen, and the one that has the prompt if it is another. */
@@ -38,7 +40,8 @@
   options: ChooseEndpointOptions,
 ): EndpointChoice | undefined {
   const untried = options.endpoints.filter((one) =>
-    !options.tried.has(one.entry.id) && one.pauseLeft(options.now) === 0
+    !options.tried.has(one.entry.id) && one.pauseLeft(options.now) === 0 &&
+    options.isOpen(one)
   );
   const sound = untried.filter((one) => !one.isSetAside(options.now));
   // An endpoint that was set aside may still serve; refusing is certain loss.
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -15,6 +15,9 @@
   cause: EndpointGoneCause,
 ) => void;
 
+/** Told when endpoints of other availability zones may get work. */
+export type EvacuationListener = () => void;
+
 /** What an entry that was put came to. */
 export type EndpointPutOutcome =
   | "listed"
@@ -26,6 +29,12 @@
   | "listed_again"
   | "earlier_life";
 
+/**
+ * An endpoint that was started, or whose zone is taken back, may be cold and
+ * says so with its next heartbeat; until then that is presumed, milliseconds.
+ */
+const PRESUMED_COLD_MILLISECONDS = 3_000;
+
 /**
  * The endpoints that may get work, by service. Leaving is final for a life of
  * an endpoint: a list read late, or one kept by a store that returns, must not
@@ -42,6 +51,8 @@
   readonly #left = new Map<string, number>();
   readonly #returns = new ReturnWatch();
   readonly #listeners = new Set<EndpointGoneListener>();
+  readonly #evacuationListeners = new Set<EvacuationListener>();
+  #evacuated: ReadonlySet<string> = new Set();
 
   get size(): number {
     return this.#states.size;
@@ -62,7 +73,39 @@
 
   /** Those of `service` that may get new work. */
   ofService(service: string): readonly EndpointState[] {
-    return [...this.#byService.get(service) ?? []];
+    const all = [...this.#byService.get(service) ?? []];
+    return this.#evacuated.size === 0
+      ? all
+      : all.filter((one) => !one.isEvacuated);
+  }
+
+  /** True when it has endpoints, and all of them are in evacuated zones. */
+  isEvacuated(service: string): boolean {
+    const all = [...this.#byService.get(service) ?? []];
+    return all.length > 0 && all.every((one) => one.isEvacuated);
+  }
+
+  /** Availability zones whose endpoints get no new work. */
+  get evacuatedZones(): ReadonlySet<string> {
+    return this.#evacuated;
+  }
+
+  /** Takes in which availability zones are evacuated now. */
+  setEvacuated(zones: ReadonlySet<string>, now: number): void {
+    this.#evacuated = zones;
+    for (const state of this.#states.values()) {
+      const wasEvacuated = state.isEvacuated;
+      state.isEvacuated = zones.has(state.entry.zone);
+      if (wasEvacuated && !state.isEvacuated) {
+        state.presumeCold(now + PRESUMED_COLD_MILLISECONDS);
+      }
+    }
+    for (const listener of this.#evacuationListeners) listener();
+  }
+
+  registerEvacuation(listener: EvacuationListener): () => void {
+    this.#evacuationListeners.add(listener);
+    return () => this.#evacuationListeners.delete(listener);
   }
 
   /** True while an entry is missing that may come back. */
@@ -87,10 +130,10 @@
       return "leaving";
     }
     if (this.#states.has(id)) {
-      this.#renew(entry);
+      this.#renew(entry, now);
       return "renewed";
     }
-    this.#add(entry);
+    this.#add(entry, now);
     return "listed";
   }
 
@@ -98,7 +141,10 @@
   heardBirth({ id, bornAt }: EndpointLife, now: number): void {
     const known = this.#states.get(id);
     if (known === undefined) return;
+    const isNew = bornAt > known.entry.bornAt;
     this.put({ ...known.entry, bornAt }, now);
+    if (!isNew) return;
+    this.#states.get(id)?.presumeCold(now + PRESUMED_COLD_MILLISECONDS);
   }
 
   /** Takes a life of an endpoint out for good; a later one stays. */
@@ -166,7 +212,8 @@
     const found = this.#returns.takeListedSince(since);
     for (const entry of found) {
       this.#left.delete(entry.id);
-      this.#add(entry);
+      // What it said of being cold counts from when it was listed.
+      this.#add(entry, since);
     }
     return found;
   }
@@ -182,21 +229,29 @@
     return "has_left";
   }
 
-  #renew(entry: EndpointEntry): void {
+  #renew(entry: EndpointEntry, now: number): void {
     const known = this.#states.get(entry.id);
     if (known === undefined) return;
     if (known.entry.service !== entry.service) {
       this.#drop(entry.id);
-      this.#add(entry);
+      this.#add(entry, now);
       return;
     }
     known.entry = entry;
     known.lapsesAt = undefined;
+    this.#takeFacts(known, now);
+  }
+
+  #takeFacts(state: EndpointState, now: number): void {
+    const { zone, coldMilliseconds = 0 } = state.entry;
+    state.isEvacuated = this.#evacuated.has(zone);
+    state.tellCold(coldMilliseconds, now);
   }
 
-  #add(entry: EndpointEntry): void {
+  #add(entry: EndpointEntry, now: number): void {
     this.#returns.forget(entry.id);
     const state = new EndpointState(entry);
+    this.#takeFacts(state, now);
     this.#states.set(entry.id, state);
     const ofService = this.#byService.get(entry.service);
     if (ofService === undefined) {
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
@@ -10,4 +10,6 @@
   readonly zone: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /** How much longer it is cold, as of its writing, milliseconds. */
+  readonly coldMilliseconds?: number;
 }
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
@@ -6,6 +6,10 @@
   | { readonly type: "leaving" }
   /** It sent Retry-After: no calls from this daemon for so long. */
   | { readonly type: "pause"; readonly milliseconds: number }
+  /** It is cold for so long. */
+  | { readonly type: "cold"; readonly milliseconds: number }
+  /** What it says of being cold can't be parsed. */
+  | { readonly type: "unreadable_cold"; readonly text: string }
   /** It sent a Retry-After that can't be parsed. */
   | { readonly type: "unreadable_pause"; readonly text: string };
 
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -17,6 +17,9 @@
  */
 const SLOWNESS_HALF_LIFE_MILLISECONDS = 2_500;
 
+/** Limit for what an endpoint says of its being cold, milliseconds. */
+const LONGEST_COLD_MILLISECONDS = 60_000;
+
 /** What one daemon knows of an endpoint from its own calls. */
 export class EndpointState {
   entry: EndpointEntry;
@@ -24,10 +27,14 @@
   inFlight = 0;
   /** Set while the entry is gone but may come back; monotonic ms. */
   lapsesAt: number | undefined;
+  /** Set while its availability zone is evacuated. */
+  isEvacuated = false;
   readonly #ended = new AbortController();
   #failingShare = 0;
   #setAsideUntil = 0;
   #pausedUntil = 0;
+  #coldUntil = 0;
+  #presumedColdUntil = 0;
   #pause = FIRST_PAUSE_MILLISECONDS;
   #slowness = 1;
   #slownessAt = 0;
@@ -71,9 +78,26 @@
     return Math.max(0, this.#pausedUntil - now);
   }
 
+  /** Takes in how much longer it says that it is cold, milliseconds. */
+  tellCold(milliseconds: number, now: number): void {
+    const cold = Math.min(milliseconds, LONGEST_COLD_MILLISECONDS);
+    this.#coldUntil = now + cold;
+  }
+
+  /** It may have become cold and not said so yet; monotonic milliseconds. */
+  presumeCold(until: number): void {
+    this.#presumedColdUntil = Math.max(this.#presumedColdUntil, until);
+  }
+
+  /** True while it bears fewer requests a second than later on. */
+  isCold(now: number): boolean {
+    return now < this.#coldUntil || now < this.#presumedColdUntil;
+  }
+
   /** True when nothing speaks against sending it work now. */
   isSound(now: number): boolean {
-    return !this.isSetAside(now) && this.pauseLeft(now) === 0;
+    return !this.isEvacuated && !this.isSetAside(now) &&
+      this.pauseLeft(now) === 0;
   }
 
   /** Counts a call that ended well, `ratio` times as long as expected. */
--- a/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -50,6 +50,12 @@
       book.find(id)?.pause(until);
       log.info("endpoint wants a pause", { endpoint: id, milliseconds });
     },
+    cold: ({ id }, { milliseconds }) => {
+      book.find(id)?.tellCold(milliseconds, timer.now());
+    },
+    unreadable_cold: ({ id }, { text }) => {
+      anomalies.note("cold_unreadable", { endpoint: id, text });
+    },
     unreadable_pause: ({ id }, { text }) => {
       anomalies.note("pause_unreadable", { endpoint: id, text });
     },
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonAddress } from "./fleet/fleet_digest.ts";
+import type { EndpointChooser } from "./endpoints/cold_gate.ts";
 import type { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 import type { RequestDecoder } from "./front/front_server.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
@@ -13,6 +14,7 @@
 import type { FollowClient } from "./tables/table_follower.ts";
 import { createServer } from "node:http";
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
+import { ColdGate } from "./endpoints/cold_gate.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
 import { createNoticeListener } from "./endpoints/notice_handlers.ts";
 import { Fleet } from "./fleet/fleet.ts";
@@ -121,9 +123,17 @@
       random: options.random,
       storeAge,
     });
+    const coldGate = (chooser: EndpointChooser): ColdGate =>
+      new ColdGate({
+        chooser,
+        configuration,
+        random: options.random,
+        sharers: () => membership.contacts().length + 1,
+      });
     const coordinator = new PieceCoordinator({
       configuration,
       book,
+      coldGate: coldGate("coordinator"),
       client: options.pieces,
       timer,
       budget,
@@ -143,6 +153,7 @@
       configuration,
       book,
       endpoints: options.endpoints,
+      coldGate: coldGate("daemon"),
       chains,
       budget,
       crashes: crashes.watch,
@@ -282,6 +293,7 @@
     const { metrics } = this;
     metrics.setState("configuration_version", this.configuration.version);
     metrics.setState("endpoints", this.book.size);
+    metrics.setState("evacuated_zones", this.book.evacuatedZones.size);
     metrics.setState("daemons", this.fleetSize());
     metrics.setState("quarantined_requests", this.quarantine.size);
     metrics.setState("store_era", this.era.current ?? 0);
--- a/packages/kelpspar-gateway/src/log/anomaly_log.ts
+++ b/packages/kelpspar-gateway/src/log/anomaly_log.ts
@@ -18,7 +18,15 @@
   | "changes_skip_versions"
   | "page_not_understood"
   /** An endpoint wants a pause whose length can't be read. */
-  | "pause_unreadable";
+  | "pause_unreadable"
+  /** How long an endpoint is cold can't be read. */
+  | "cold_unreadable"
+  /** A service's limit for cold endpoints isn't one; it has none then. */
+  | "cold_limit_unreadable"
+  /** An availability zone is evacuated that the settings don't name. */
+  | "evacuation_of_unknown_zone"
+  /** The row of an evacuation isn't what the operator writes; it holds. */
+  | "evacuation_unreadable";
 
 /** Counts anomalies and logs the first of each kind, so that none floods. */
 export class AnomalyLog {
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -4,6 +4,7 @@
   EndpointBook,
   EndpointGoneCause,
 } from "../endpoints/endpoint_book.ts";
+import type { ColdGate } from "../endpoints/cold_gate.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { ReaderPlace } from "../placement/reader_place.ts";
@@ -36,6 +37,8 @@
   readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
   readonly client: PieceClient;
+  /** For the endpoints at which it places requests. */
+  readonly coldGate: ColdGate;
   readonly timer: TimerService;
   readonly budget: ServiceRetryBudget;
   readonly log: GatewayLog;
@@ -76,6 +79,7 @@
     const teardowns = [
       this.#readers.register(),
       book.registerGone((id, cause) => this.#endpointGone(id, cause)),
+      book.registerEvacuation(() => this.#zonesEvacuated()),
       configuration.registerListener(() => this.#takeTerms()),
       timer.registerInterval(() => this.#pumpAll(), SWEEP_MILLISECONDS),
       timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
@@ -271,6 +275,18 @@
     }
   }
 
+  /** Ends chains that wait for endpoints of which none may be used. */
+  #zonesEvacuated(): void {
+    const { book } = this.#options;
+    const lost = [...this.#desks].filter(([service]) =>
+      book.isEvacuated(service)
+    ).map(([, desk]) => desk);
+    for (const chain of [...this.#chains]) {
+      if (!lost.some((desk) => desk.hasWaiting(chain))) continue;
+      this.#fail(chain, refuse("no_endpoint", NO_ENDPOINT_RETRY_MILLISECONDS));
+    }
+  }
+
   #restart(chain: ChainRun, tasks: readonly PieceTask[]): void {
     if (chain.restarts <= MOST_RESTARTS) this.#enqueue(tasks);
     else this.#fail(chain, refuse("failing", FAILED_RETRY_MILLISECONDS));
--- a/packages/kelpspar-gateway/src/pieces/piece_queue.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_queue.ts
@@ -38,6 +38,11 @@
     this.#tasks = this.#tasks.filter((task) => task.chain !== chain);
   }
 
+  /** Whether pieces of a chain wait. */
+  hasChain(chain: ChainRun): boolean {
+    return this.#tasks.some((task) => task.chain === chain);
+  }
+
   /** Open chains whose pieces would come too late now. */
   expired(now: number): ReadonlySet<ChainRun> {
     const expired = new Set<ChainRun>();
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -71,6 +71,11 @@
     });
   }
 
+  /** Whether pieces of a chain wait here for an endpoint. */
+  hasWaiting(chain: ChainRun): boolean {
+    return this.#queue.hasChain(chain);
+  }
+
   chainClosed(chain: ChainRun): void {
     this.#queue.dropChain(chain);
     this.#lanes.abortUnneeded();
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
+import type { ColdGate } from "../endpoints/cold_gate.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "../pieces/chain_outcome.ts";
@@ -18,6 +19,7 @@
 export interface ReaderPlacementOptions {
   readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
+  readonly coldGate: ColdGate;
   readonly timer: TimerService;
 }
 
@@ -49,14 +51,17 @@
     reader: ChainReader,
     inputs: readonly ReaderInput[],
   ): ReaderPlace | undefined {
-    const now = this.#options.timer.now();
+    const { coldGate, timer } = this.#options;
+    const now = timer.now();
     const shared = reader.promptParts.slice(0, -1);
     const promptTokens = reader.promptParts.reduce(
       (sum, { tokens }) => sum + tokens,
       0,
     );
     const capacity = this.#capacityOf(reader.service);
-    const candidates = this.#soundOnes(reader.service, now)
+    const open = this.#soundOnes(reader.service, now)
+      .filter((endpoint) => coldGate.isOpen(endpoint, now));
+    const candidates = open
       .map((endpoint): ReaderCandidate => {
         const { id, zone } = endpoint.entry;
         const memory = this.#ledger.memoryOf(id, capacity);
@@ -71,6 +76,8 @@
       });
     const place = chooseReader({ candidates, promptTokens });
     if (place === undefined) return undefined;
+    const chosen = open.find((one) => one.entry.id === place.endpointId);
+    if (chosen !== undefined) coldGate.chosen(chosen, now);
     const holderId = place.promptSourceId ?? place.endpointId;
     const kept = candidates.find((one) => one.endpointId === holderId)
       ?.heldTokens ?? 0;
--- a/packages/kelpspar-gateway/src/requests/choose_for_request.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_for_request.ts
@@ -41,14 +41,26 @@
 export function chooseForRequest(
   run: RequestRun,
   tried: ReadonlySet<string>,
+): EndpointChoice | undefined {
+  return placedEndpoint(run, tried) ?? ownChoice(run, tried);
+}
+
+function ownChoice(
+  run: RequestRun,
+  tried: ReadonlySet<string>,
 ): EndpointChoice | undefined {
   const { parts, service } = run.options;
-  return placedEndpoint(run, tried) ?? chooseEndpoint({
-    endpoints: parts.book.ofService(service),
+  const { book, coldGate } = parts;
+  const now = parts.timer.now();
+  const choice = chooseEndpoint({
+    endpoints: book.ofService(service),
     tried,
     zone: parts.zone,
     affinity: affinityOf(run),
     random: parts.random,
-    now: parts.timer.now(),
+    now,
+    isOpen: (endpoint) => coldGate.isOpen(endpoint, now),
   });
+  if (choice !== undefined) coldGate.chosen(choice.endpoint, now);
+  return choice;
 }
--- a/packages/kelpspar-gateway/src/requests/request_parts.ts
+++ b/packages/kelpspar-gateway/src/requests/request_parts.ts
@@ -1,5 +1,6 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
+import type { ColdGate } from "../endpoints/cold_gate.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
@@ -15,6 +16,8 @@
   readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
   readonly endpoints: EndpointClient;
+  /** For the endpoints that this daemon chooses itself. */
+  readonly coldGate: ColdGate;
   readonly chains: ChainRunner;
   readonly budget: ServiceRetryBudget;
   readonly crashes: Pick<CrashWatch, "cut">;
