--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -58,6 +58,8 @@
   readonly #refused = new RefusedCallers();
   readonly #shares = new LeastShares();
   readonly #freer: ResultFreer;
+  /** Ends the timers that run while chains are open. */
+  #stopTimers: (() => void) | undefined;
 
   constructor(options: PieceCoordinatorOptions) {
     this.#options = options;
@@ -75,14 +77,13 @@
 
   /** Subscribes to endpoints, configurations and time; returns the teardown. */
   register(): () => void {
-    const { book, configuration, timer } = this.#options;
+    const { book, configuration } = this.#options;
     const teardowns = [
       this.#readers.register(),
       book.registerGone((id, cause) => this.#endpointGone(id, cause)),
       book.registerEvacuation(() => this.#zonesEvacuated()),
       configuration.registerListener(() => this.#takeTerms()),
-      timer.registerInterval(() => this.#pumpAll(), SWEEP_MILLISECONDS),
-      timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
+      () => this.#stopTimers?.(),
     ];
     return () => teardowns.forEach((teardown) => teardown());
   }
@@ -97,6 +98,7 @@
       const readerZone = this.#readers.zoneOfHolder(request.reader);
       const chain = new ChainRun({ request, now, readerZone, settle: resolve });
       this.#chains.add(chain);
+      this.#startTimers();
       signal.addEventListener(
         "abort",
         () => this.#close(chain, refuse("too_late", 0)),
@@ -300,8 +302,24 @@
     }
   }
 
+  /** Most daemons run no chains, and wake for nothing. */
+  #startTimers(): void {
+    if (this.#stopTimers !== undefined) return;
+    const { timer } = this.#options;
+    const teardowns = [
+      timer.registerInterval(() => this.#sweep(), SWEEP_MILLISECONDS),
+      timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
+    ];
+    this.#stopTimers = () => teardowns.forEach((teardown) => teardown());
+  }
+
+  #sweep(): void {
+    if (this.#chains.size > 0) return this.#pumpAll();
+    this.#stopTimers?.();
+    this.#stopTimers = undefined;
+  }
+
   #logLoad(): void {
-    if (this.#chains.size === 0) return;
     for (const desk of this.#desks.values()) desk.logLoad();
   }
 
