Test evacuations and cold runners on the wire, with two daemons and two zones

Stand-ins say their zone, that they are cold, and what they bear; a zone is evacuated and taken back while both daemons are asked.

--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -15,6 +15,10 @@
   readonly batch?: number;
   /** Results that a stage runner has room for. */
   readonly room?: number;
+  /** Availability zones of runners, in turn. */
+  readonly zones?: readonly string[];
+  /** Requests a second that a cold runner bears; 0 for no limit. */
+  readonly coldPerSecond?: number;
   /** Puts a proxy that harms connections before runners and store. */
   readonly proxied?: boolean;
 }
@@ -56,6 +60,8 @@
       callMilliseconds: 20,
       batch: 6,
       room: 40,
+      zones: ["a"],
+      coldPerSecond: 0,
       proxied: false,
       ...options,
     };
@@ -106,6 +112,21 @@
     this.#write("op", "config", this.#configuration(this.#version++));
   }
 
+  /** Asks that nothing more be sent to the runners of a zone. */
+  evacuate(zone: string): void {
+    this.#write("op", `evacuate/${zone}`, {});
+  }
+
+  takeBack(zone: string): void {
+    this.#remove("op", `evacuate/${zone}`);
+  }
+
+  /** Lets a runner say that it is cold for so long. */
+  becomeCold(runnerId: string, coldLeftMs: number): void {
+    const [, , entry] = this.#written.get(`servers/${runnerId}`) ?? [];
+    this.#write("servers", runnerId, { ...entry, coldLeftMs });
+  }
+
   /** Writes again what the store lost, as the operator and runners do. */
   writeAgain(): void {
     for (const [table, key, value] of this.#written.values()) {
@@ -173,7 +194,9 @@
     service: string,
     runners: readonly { start(): Promise<string> }[],
   ): Promise<void> {
+    const { zones } = this.#options;
     for (const [index, runner] of runners.entries()) {
+      const zone = zones[index % zones.length] ?? "a";
       const runnerAddress = await runner.start();
       const address = await this.#reach(runnerAddress);
       const proxy = address === runnerAddress ? undefined : this.proxies.at(-1);
@@ -181,7 +204,7 @@
         this.#write("servers", id, {
           service,
           address,
-          zone: "a",
+          zone,
           version: "v1",
           slots: 4,
           state: "ready",
@@ -223,7 +246,7 @@
   }
 
   #configuration(version: number): object {
-    const { batch, callMilliseconds, room } = this.#options;
+    const { batch, callMilliseconds, room, coldPerSecond } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
@@ -254,7 +277,12 @@
         }),
       ],
       services: [
-        { name: "plain", healthPath: "/health", maxConns: 100 },
+        {
+          name: "plain",
+          healthPath: "/health",
+          maxConns: 100,
+          coldPerS: coldPerSecond,
+        },
         {
           name: "model",
           healthPath: "/health",
