--- a/packages/kelpspar-gateway/src/endpoints/list_times.ts
+++ b/packages/kelpspar-gateway/src/endpoints/list_times.ts
@@ -26,7 +26,7 @@
  * time for the call and for requests that wait for a connection.
  */
 const PACE_SHARE = 0.55;
-/** Answers took up to 390 ms from a store slowed 77 times. */
+/** A store that is slow still answers within it, milliseconds. */
 const LIMIT_MILLISECONDS = 600;
 const LONGEST_WAIT_MILLISECONDS = 1_000;
 const LEAST_WAIT_MILLISECONDS = 100;
@@ -39,9 +39,9 @@
  *
  * Load: connections fall silent for good just after a call; the next one begins
  * a pace later, waits for a change that it will not hear of, and then its
- * limit; the one after it is answered. With a wait and a limit that were chosen
- * alone that took 3.5 s where bounds held again after 3 s, and endpoints that
- * had left meanwhile got requests.
+ * limit; the one after it is answered. With a wait and a limit that are chosen
+ * alone that takes longer than until bounds hold again, and endpoints that have
+ * left meanwhile get requests.
  */
 export function listTimes(bounds: ListBounds): ListTimes {
   const paceMilliseconds = bounds.drainMilliseconds * PACE_SHARE;
--- a/packages/kelpspar-gateway/src/endpoints/return_watch.ts
+++ b/packages/kelpspar-gateway/src/endpoints/return_watch.ts
@@ -15,8 +15,7 @@
  *
  * Load: writes of endpoints come late or not at all while the list can be read,
  * so that entries of endpoints that live lapse and are back later. Without this
- * they get nothing for the rest of their life: in a replay of late writes and
- * cut connections 7 of 28 and 10 of 25 endpoints. A heartbeat that was under
+ * they get nothing for the rest of their life. A heartbeat that was under
  * way when its endpoint left can list it again as well; that entry lapses, so
  * that only one that stays longer shows a living endpoint.
  */
--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -35,9 +35,9 @@
  * Each step of a route's priority, a tenth, leaves so much less of the time
  * that a chain may wait. Work that may wait is sent away before the queue is
  * full, so that the urgent finds places; what waits in a queue up to its
- * objective ends late as often as not (0.56 of 140 on time, from the log of a
- * day with bursts). Taken from the waiting and not from the whole objective,
- * since a long chain would have nothing left and never be admitted.
+ * objective ends late as often as not. Taken from the waiting and not from the
+ * whole objective, since a long chain would have nothing left and never be
+ * admitted.
  */
 const ROUTE_WAIT_SHARE = 0.25;
 /** Share of the waiting that the least urgent has. */
--- a/packages/kelpspar-gateway/src/pieces/backlog.ts
+++ b/packages/kelpspar-gateway/src/pieces/backlog.ts
@@ -3,9 +3,8 @@
 
 /**
  * What a piece of less urgent work counts for in the wait of more urgent work:
- * it goes behind unless it was begun or is pressed. Counted whole, a sixth of
- * the urgent is refused in a replayed burst of 2.5 while work that may wait
- * twice as long is on time.
+ * it goes behind unless it was begun or is pressed. Counted whole, urgent
+ * requests are refused in a burst while those that may wait are on time.
  */
 const BEHIND_SHARE = 0.3;
 
--- a/packages/kelpspar-gateway/src/pieces/crossing_bytes.ts
+++ b/packages/kelpspar-gateway/src/pieces/crossing_bytes.ts
@@ -5,7 +5,7 @@
  * inputs that lie elsewhere, and its result if the others of its stage are made
  * elsewhere, since whoever reads them reads it too. Each piece of the next
  * stage reads all of them, so that sixteen small results cross as many times
- * as there are readers: on a day of bursts that was 0.44 of 0.63 GB.
+ * as there are readers.
  */
 export function crossingBytes(task: PieceTask, zone: string): number {
   const { chain, stage } = task;
--- a/packages/kelpspar-gateway/src/pieces/least_shares.ts
+++ b/packages/kelpspar-gateway/src/pieces/least_shares.ts
@@ -7,10 +7,8 @@
 
 /**
  * A kind whose share on time is below this part of that of all requests goes
- * first: users ask that no kind earns less than 0.21 to 0.41 of its credit. Not
- * taken of its own requests alone, since a kind that comes eight times as often
- * would then push out the others to get its part. With 0.4 a replayed flood of
- * all kinds costs 0.085 of the worth, with this 0.069 (two seeds).
+ * first. Not taken of its own requests alone, since a kind that comes eight
+ * times as often would then push out the others to get its part.
  */
 const LEAST_PART = 0.3;
 /**
@@ -28,9 +26,7 @@
  *
  * Load: one kind comes four times as often for longer than callers wait. Who
  * goes first is decided by priority, which alone leaves the least urgent kind
- * 0.05 of its requests on time beside such a flood of another; with this it is
- * 0.27, and the worth of all 0.811 in place of 0.804 (replay of 29 s, two
- * seeds).
+ * hardly anything beside such a flood of another.
  */
 export class LeastShares {
   readonly #counts = new Map<string, KindCount>();
--- a/packages/kelpspar-gateway/src/pieces/rank_piece.ts
+++ b/packages/kelpspar-gateway/src/pieces/rank_piece.ts
@@ -15,9 +15,7 @@
 /**
  * What a whole step of priority counts for in the queue, milliseconds. A tenth
  * of it, a step of a route's, is about three stage calls: urgent work goes
- * first unless the other is that much more pressed. With it, and admission that
- * counts what goes behind less, the urgent kind is on time in 0.97 of a replayed
- * burst of 2.5, against 0.84 with a step of half a call (8 seeds).
+ * first unless the other is that much more pressed.
  */
 const PRIORITY_STEP_MILLISECONDS = 10_000;
 /** Puts what is late in any case behind all that can still be on time. */
--- a/packages/kelpspar-gateway/src/pieces/refused_callers.ts
+++ b/packages/kelpspar-gateway/src/pieces/refused_callers.ts
@@ -7,9 +7,7 @@
  * Callers that were refused, by the key that stays the same when they come
  * back. What goes wrong without: their time to be on time is counted from
  * their return, so that they go behind work that came after them. Their
- * deadlines don't tell their age, as those of fresh callers differ by a sixth:
- * read from them, most callers looked old, and the most valuable kind was on
- * time in 0.73 of its credit on a calm day, against 0.79 without.
+ * deadlines don't tell their age, as those of fresh callers differ as well.
  */
 export class RefusedCallers {
   readonly #firstAskedAt = new Map<string, number>();
--- a/packages/kelpspar-gateway/src/pieces/watch_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/watch_call.ts
@@ -6,8 +6,8 @@
 /** and this much more, for the way and for pieces larger than the average. */
 const OVERDUE_MILLISECONDS = 80;
 /**
- * A call is given up after so many times what it should take: slow endpoints
- * were seen at five times, and one that hangs must not keep its lane.
+ * A call is given up after so many times what it should take. Slow endpoints
+ * still end theirs before; one that hangs must not keep its lane.
  */
 const GIVEN_UP_AFTER_FACTOR = 9;
 
--- a/packages/kelpspar-gateway/src/placement/choose_reader.ts
+++ b/packages/kelpspar-gateway/src/placement/choose_reader.ts
@@ -25,16 +25,12 @@
  * What a megabyte between zones weighs, in prompt tokens that are read. A
  * megabyte takes a millisecond and costs the operator money, a token takes a
  * fiftieth: two results of 1.5 MB are worth 1,500 tokens, so that an endpoint
- * nearby is taken unless it is about 35 ms of reading behind.
+ * nearby is taken unless it is some ten milliseconds of reading behind.
  */
 const CROSSING_TOKENS_PER_MEGABYTE = 500;
 /** What a fetch of kept tokens costs beside its length, tokens: a round trip. */
 const FETCH_TOKENS = 100;
-/**
- * What fetching a token costs against reading it: the memory that moves. At
- * 0.2 long prompts left their holder for a few megabytes and were read again
- * elsewhere.
- */
+/** What fetching a token costs against reading it: the memory that moves. */
 const FETCH_SHARE = 0.28;
 /**
  * What a token weighs that makes another yield which is of use: that one has
--- a/packages/kelpspar-gateway/src/tables/reading_plan.ts
+++ b/packages/kelpspar-gateway/src/tables/reading_plan.ts
@@ -17,7 +17,7 @@
   readonly readerMilliseconds: number;
 }
 
-/** From what it is decided who reads. */
+/** Inputs of `planReading`. */
 export interface PlanReadingOptions {
   readonly self: DaemonAddress;
   readonly others: readonly ReaderCandidate[];
@@ -35,7 +35,7 @@
   readonly sources: readonly DaemonAddress[];
 }
 
-/** Least readers of a fleet: losing one must not be felt. */
+/** Least readers of a fleet: it tolerates the loss of one. */
 const LEAST_READERS = 8;
 /** Least readers of an availability zone: one, and one beside it. */
 const LEAST_READERS_OF_ZONE = 2;
@@ -44,13 +44,13 @@
 const READERS_KEY = "tables";
 
 /**
- * Decides which daemons read the store's tables, by a rule that all compute
- * alike from who is heard.
+ * Decides which daemons read the store's tables. Deterministic: daemons with
+ * the same membership view pick the same readers.
  *
- * Load: hundreds of daemons that each read all tables call the store more than
- * anything else, on calm days too. A few readers in each zone make as many
- * calls whatever the size of the fleet. They call more often than who reads for itself, since a change has
- * a second way to go; in a small fleet that would cost more than it saves.
+ * Load: hundreds of daemons that each poll all tables make the store the
+ * bottleneck. A few readers in each zone make as many calls whatever the size
+ * of the fleet. Readers poll faster, because a change takes one more hop to
+ * reach followers; in a small fleet that costs more than it saves.
  */
 export function planReading(options: PlanReadingOptions): ReadingPlan {
   const { self, others, paces } = options;
