Ask in one place which endpoints get work

Three forms of one rule (sound ones, else all that want no pause) stood in the choice of an endpoint, in placing readers and in the lanes of a stage service. Placing gave paused endpoints too where all paused; the daemon then refused the place and chose none, with the same end. Behaviour as before else; tests as they were.

--- a/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
+++ b/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from "kelpspar-shared";
 import type { EndpointState } from "./endpoint_state.ts";
+import { preferSound } from "./prefer_sound.ts";
 import { RendezvousNodes } from "kelpspar-decisions/routing";
 
 /**
@@ -40,12 +41,9 @@
   options: ChooseEndpointOptions,
 ): EndpointChoice | undefined {
   const untried = options.endpoints.filter((one) =>
-    !options.tried.has(one.entry.id) && one.pauseLeft(options.now) === 0 &&
-    options.isOpen(one)
+    !options.tried.has(one.entry.id) && options.isOpen(one)
   );
-  const sound = untried.filter((one) => !one.isSetAside(options.now));
-  // An endpoint that was set aside may still serve; refusing is certain loss.
-  const candidates = sound.length > 0 ? sound : untried;
+  const candidates = preferSound(untried, options.now);
   if (candidates.length === 0) return undefined;
   return options.affinity === undefined
     ? { endpoint: chooseLeastLoaded(candidates, options), home: undefined }
--- a/packages/kelpspar-gateway/src/pieces/service_lanes.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -1,6 +1,8 @@
 import type { PieceTerms } from "../configuration/service_definition.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
+import { preferSound } from "../endpoints/prefer_sound.ts";
 import { EndpointLane } from "./endpoint_lane.ts";
 
 /** The endpoints of one stage service, as its desk uses them. */
@@ -21,17 +23,17 @@
    * paused ones only where all are, so that their pauses can be waited for.
    */
   usable(now: number): readonly EndpointLane[] {
-    const lanes = this.#book.ofService(this.#service).map((endpoint) => {
-      const known = this.#lanes.get(endpoint.entry.id);
-      if (known !== undefined) return known;
-      const lane = new EndpointLane(endpoint);
-      this.#lanes.set(endpoint.entry.id, lane);
-      return lane;
-    });
-    const awake = lanes.filter(({ endpoint }) => endpoint.pauseLeft(now) === 0);
-    const sound = awake.filter(({ endpoint }) => !endpoint.isSetAside(now));
-    const best = sound.length > 0 ? sound : awake;
-    return best.length > 0 ? best : lanes;
+    const all = this.#book.ofService(this.#service);
+    const best = preferSound(all, now);
+    return (best.length > 0 ? best : all).map((one) => this.#laneOf(one));
+  }
+
+  #laneOf(endpoint: EndpointState): EndpointLane {
+    const known = this.#lanes.get(endpoint.entry.id);
+    if (known !== undefined) return known;
+    const lane = new EndpointLane(endpoint);
+    this.#lanes.set(endpoint.entry.id, lane);
+    return lane;
   }
 
   /** Time until one more call could start if nothing waited, milliseconds. */
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -2,10 +2,10 @@
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
 import type { ColdGate } from "../endpoints/cold_gate.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
-import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "../pieces/chain_outcome.ts";
 import type { ReaderCandidate } from "./choose_reader.ts";
 import type { ChainReader, ReaderPlace } from "./reader_place.ts";
+import { preferSound } from "../endpoints/prefer_sound.ts";
 import { chooseReader } from "./choose_reader.ts";
 import { ReaderLedger } from "./reader_ledger.ts";
 
@@ -51,7 +51,7 @@
     reader: ChainReader,
     inputs: readonly ReaderInput[],
   ): ReaderPlace | undefined {
-    const { coldGate, timer } = this.#options;
+    const { book, coldGate, timer } = this.#options;
     const now = timer.now();
     const shared = reader.promptParts.slice(0, -1);
     const promptTokens = reader.promptParts.reduce(
@@ -59,7 +59,7 @@
       0,
     );
     const capacity = this.#capacityOf(reader.service);
-    const open = this.#soundOnes(reader.service, now)
+    const open = preferSound(book.ofService(reader.service), now)
       .filter((endpoint) => coldGate.isOpen(endpoint, now));
     const candidates = open
       .map((endpoint): ReaderCandidate => {
@@ -101,7 +101,8 @@
     const capacity = this.#capacityOf(reader.service);
     let zone: string | undefined;
     let most = 0;
-    for (const { entry } of this.#soundOnes(reader.service, now)) {
+    const { book } = this.#options;
+    for (const { entry } of preferSound(book.ofService(reader.service), now)) {
       const held = this.#ledger.memoryOf(entry.id, capacity)
         .heldTokens(shared, now);
       if (held > most) [zone, most] = [entry.zone, held];
@@ -109,13 +110,6 @@
     return zone;
   }
 
-  /** Those that may read; all of them when none of them is sound. */
-  #soundOnes(service: string, now: number): readonly EndpointState[] {
-    const endpoints = this.#options.book.ofService(service);
-    const sound = endpoints.filter((one) => one.isSound(now));
-    return sound.length > 0 ? sound : endpoints;
-  }
-
   /** Memory of one endpoint of a service for prompts, tokens. */
   #capacityOf(service: string): number {
     const { table } = this.#options.configuration;
