--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -1,7 +1,11 @@
-import type { DaemonAddress, FleetDigest, Heartbeat } from "./fleet_digest.ts";
+import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import type { DaemonKey, PackedHeartbeat } from "./packed_heartbeats.ts";
 import type { ReaderCandidate } from "../tables/reading_plan.ts";
+import type { FleetView } from "./fleet_view.ts";
+import type { Member, MemberRecord, OwnState } from "./member_record.ts";
 import type { SilenceLimits } from "./silence_limits.ts";
+import { createFleetView, rankTrusted } from "./fleet_view.ts";
+import { createRecord } from "./member_record.ts";
 import {
   daemonKey,
   isLaterSequence,
@@ -10,7 +14,6 @@
   packHeartbeats,
   unpackHeartbeats,
 } from "./packed_heartbeats.ts";
-import { rankByCores } from "./rank_by_cores.ts";
 import { silenceLimits } from "./silence_limits.ts";
 
 /** Who this daemon is. */
@@ -19,31 +22,6 @@
   readonly incarnation: string;
 }
 
-/** What a daemon says of itself now. */
-export type OwnState = Pick<
-  Heartbeat,
-  "isLeaving" | "isReady" | "isStoreFresh"
->;
-
-/** A daemon that is heard. */
-export interface Member {
-  readonly address: DaemonAddress;
-  readonly heartbeat: OwnState;
-}
-
-interface MemberRecord {
-  readonly key: DaemonKey;
-  address: DaemonAddress;
-  heartbeat: PackedHeartbeat | undefined;
-  /** When its heartbeat last moved on, as seen here. */
-  heardAt: number;
-  /** When a call to it last failed; what it said before doesn't count. */
-  doubtedAt: number;
-  /** Lives that were replaced by a later one. */
-  readonly retired: Set<string>;
-  readonly knownSince: number;
-}
-
 /** Silence after which a daemon is forgotten, milliseconds. */
 const FORGOTTEN_AFTER_MILLISECONDS = 60_000;
 /** A gap between sweeps of this length means that this daemon stood still. */
@@ -54,16 +32,6 @@
   readonly heardAt: number;
 }
 
-/** Lists of daemons, worked out once for many questions. */
-interface FleetView {
-  readonly at: number;
-  readonly heard: readonly Member[];
-  readonly trusted: readonly Member[];
-  readonly trustedIds: ReadonlySet<string>;
-  /** What `ranked` gave, by its key and this daemon's own state. */
-  readonly rankings: Map<string, readonly string[]>;
-}
-
 /** How long a heartbeat waits for its daemon's address, milliseconds. */
 const UNRESOLVED_MILLISECONDS = 3_000;
 /** A view may be so old while nothing that it holds changed, milliseconds. */
@@ -254,36 +222,11 @@
     const isStoreFresh = options.own.isStoreFresh && !options.own.isLeaving;
     const name = `${isStoreFresh} ${key}`;
     const ranking = view.rankings.get(name) ??
-      this.#rank(key, { isStoreFresh, view });
+      rankTrusted(key, { self: this.#options.self, isStoreFresh, view });
     view.rankings.set(name, ranking);
     return ranking;
   }
 
-  #rank(
-    key: string,
-    { isStoreFresh, view }: {
-      readonly isStoreFresh: boolean;
-      readonly view: FleetView;
-    },
-  ): readonly string[] {
-    const others = view.trusted.filter(({ heartbeat }) =>
-      heartbeat.isReady && !heartbeat.isLeaving
-    );
-    const own = { address: this.#options.self, isStoreFresh };
-    const all = [
-      own,
-      ...others.map(({ address, heartbeat }) => ({
-        address,
-        isStoreFresh: heartbeat.isStoreFresh,
-      })),
-    ];
-    const fresh = all.filter((one) => one.isStoreFresh);
-    const stale = all.filter((one) => !one.isStoreFresh);
-    return [fresh, stale].flatMap((group) =>
-      rankByCores(key, group.map((one) => one.address))
-    );
-  }
-
   find(daemonId: string): DaemonAddress | undefined {
     return this.#records.get(daemonId)?.address;
   }
@@ -381,44 +324,15 @@
     const isCurrent = known !== undefined && now >= known.at &&
       now - known.at < VIEW_MILLISECONDS;
     if (isCurrent) return known;
-    const { silent, stalled } = this.#limits();
-    const trusted = this.#within(stalled, now).filter((one) => {
-      const record = this.#records.get(one.address.daemonId);
-      return record !== undefined && record.doubtedAt <= record.heardAt;
+    const view = createFleetView({
+      records: this.#records.values(),
+      limits: this.#limits(),
+      silenceCountsFrom: this.#silenceCountsFrom,
+      now,
     });
-    const view = {
-      at: now,
-      heard: this.#within(silent, now),
-      trusted,
-      trustedIds: new Set(trusted.map((one) => one.address.daemonId)),
-      rankings: new Map<string, readonly string[]>(),
-    };
     this.#view = view;
     return view;
   }
-
-  #within(milliseconds: number, now: number): readonly Member[] {
-    return [...this.#records.values()].flatMap((record) => {
-      const { address, heartbeat, heardAt } = record;
-      const isUnknown = heartbeat === undefined ||
-        heardAt === Number.NEGATIVE_INFINITY;
-      if (isUnknown) return [];
-      const since = Math.max(heardAt, this.#silenceCountsFrom);
-      return now - since <= milliseconds ? [{ address, heartbeat }] : [];
-    });
-  }
-}
-
-function createRecord(address: DaemonAddress, now: number): MemberRecord {
-  return {
-    key: daemonKey(address.daemonId),
-    address,
-    heartbeat: undefined,
-    heardAt: Number.NEGATIVE_INFINITY,
-    doubtedAt: Number.NEGATIVE_INFINITY,
-    retired: new Set<string>(),
-    knownSince: now,
-  };
 }
 
 function isSameState(known: OwnState, told: OwnState): boolean {
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -1,6 +1,7 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ChainRunner } from "./chain_runner.ts";
-import type { FleetMembership, OwnState } from "../fleet/fleet_membership.ts";
+import type { FleetMembership } from "../fleet/fleet_membership.ts";
+import type { OwnState } from "../fleet/member_record.ts";
 import type { PeerClient } from "../fleet/peer_client.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
