Let followers pause two seconds when the store doesn't answer them either

Change: a follower that lost its source and whose own call fails pauses 2 s (to 3 s drawn) from the first failure on. It hears of the store's return from its sources, which try again every 0.8 s; where all readers are turned away and it isn't, its first call is answered, as before. Ruled out: fewer probes the larger the fleet, since followers must hold their bounds while all readers are cut off (shared_tables_test.ts).

--- a/packages/kelpspar-gateway/src/tables/shared_tables.ts
+++ b/packages/kelpspar-gateway/src/tables/shared_tables.ts
@@ -64,10 +64,11 @@
 
 /**
  * A daemon that lost its source reads for itself this often, ms, and pauses so
- * long at most while its calls fail: a whole fleet does it at once.
+ * long while its calls fail: a whole fleet does it at once, and hears of the
+ * store's return from its sources.
  */
 const OWN_PACE_MILLISECONDS = 1_100;
-const OWN_PAUSE_MILLISECONDS = 1_500;
+const OWN_PAUSE_MILLISECONDS = 2_000;
 /** How often a daemon looks whether it is to read for others, milliseconds. */
 const LOOK_MILLISECONDS = 250;
 
@@ -191,6 +192,7 @@
         ...times,
         waitMilliseconds: 0,
         paceMilliseconds: OWN_PACE_MILLISECONDS,
+        leastPauseMilliseconds: OWN_PAUSE_MILLISECONDS,
         longestPauseMilliseconds: OWN_PAUSE_MILLISECONDS,
       };
     }
--- a/packages/kelpspar-gateway/src/tables/table_feed.ts
+++ b/packages/kelpspar-gateway/src/tables/table_feed.ts
@@ -14,7 +14,8 @@
   readonly limitMilliseconds?: number;
   /** Least time between the starts of two calls, milliseconds. */
   readonly paceMilliseconds: number;
-  /** Longest wait after a failed call, milliseconds. */
+  /** Least and longest wait after a failed call, milliseconds. */
+  readonly leastPauseMilliseconds?: number;
   readonly longestPauseMilliseconds: number;
 }
 
@@ -127,8 +128,9 @@
   /** Drawn, so that daemons don't all return to a weak store at once. */
   #pauseAfterFailure(): number {
     const { random, times } = this.#options;
-    const pause = this.#failedPause;
-    this.#failedPause = Math.min(pause * 2, times().longestPauseMilliseconds);
+    const { leastPauseMilliseconds = 0, longestPauseMilliseconds } = times();
+    const pause = Math.max(this.#failedPause, leastPauseMilliseconds);
+    this.#failedPause = Math.min(pause * 2, longestPauseMilliseconds);
     return pause * (1 + random.next() / 2);
   }
 
