--- a/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_book.ts
@@ -18,6 +18,9 @@
 /** Told when endpoints of other availability zones may get work. */
 export type EvacuationListener = () => void;
 
+/** Told when an entry is missing that may come back. */
+export type MissingListener = () => void;
+
 /** What an entry that was put came to. */
 export type EndpointPutOutcome =
   | "listed"
@@ -52,6 +55,7 @@
   readonly #returns = new ReturnWatch();
   readonly #listeners = new Set<EndpointGoneListener>();
   readonly #evacuationListeners = new Set<EvacuationListener>();
+  readonly #missingListeners = new Set<MissingListener>();
   #evacuated: ReadonlySet<string> = new Set();
 
   get size(): number {
@@ -170,6 +174,7 @@
     if (state === undefined) return;
     if (heldUntil !== undefined) {
       state.lapsesAt ??= heldUntil;
+      for (const listener of this.#missingListeners) listener();
       return;
     }
     // One that crashed shows that itself, by calls that fail.
@@ -218,6 +223,11 @@
     return found;
   }
 
+  registerMissing(listener: MissingListener): () => void {
+    this.#missingListeners.add(listener);
+    return () => this.#missingListeners.delete(listener);
+  }
+
   registerGone(listener: EndpointGoneListener): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -30,8 +30,6 @@
 const BEHIND_MILLISECONDS = 350;
 /** A store older than this makes a daemon's list of endpoints doubtful, ms. */
 const STORE_STALE_MILLISECONDS = 3_500;
-/** How often beliefs are looked over, milliseconds. */
-const SWEEP_MILLISECONDS = 200;
 
 /** What a fleet works with. */
 export interface FleetOptions {
@@ -79,11 +77,10 @@
   /** Begins to exchange digests; returns the teardown. */
   register(): () => void {
     const { timer } = this.#options;
-    const teardowns = [
-      timer.registerInterval(() => this.#exchangeDue(), EXCHANGE_MILLISECONDS),
-      timer.registerInterval(() => this.#sweep(), SWEEP_MILLISECONDS),
-    ];
-    return () => teardowns.forEach((teardown) => teardown());
+    return timer.registerInterval(() => {
+      this.#sweep();
+      this.#exchangeDue();
+    }, EXCHANGE_MILLISECONDS);
   }
 
   /** Exchanges with daemons now: they are new, or must show that they live. */
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -90,6 +90,8 @@
   readonly #chains: ChainClient;
   readonly #peerServer: Server;
   #storeHeardAt = Number.NEGATIVE_INFINITY;
+  /** Ends the watch over missing entries. */
+  #stopWatch: (() => void) | undefined;
   #tables: Pick<SharedTables, "answer"> | undefined;
   #plan: ReadingPlan | undefined;
   #plannedAt = Number.NEGATIVE_INFINITY;
@@ -200,11 +202,11 @@
 
   /** Listens for callers and other daemons, and greets those it knows of. */
   async start(): Promise<void> {
-    const { self, timer, seeds } = this.#options;
+    const { self, seeds } = this.#options;
     this.configuration.registerListener((table) => {
       this.#front.limits = table.configuration.limits;
     });
-    timer.registerInterval(() => this.#sweepBook(), SWEEP_MILLISECONDS);
+    this.book.registerMissing(() => this.#watchMissing());
     this.#crashes.register();
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
@@ -212,11 +214,18 @@
     this.greet(seeds);
   }
 
-  #sweepBook(): void {
+  /** Looks over missing entries until none is left. */
+  #watchMissing(): void {
+    if (this.#stopWatch !== undefined) return;
     const { timer, log } = this.#options;
-    for (const endpoint of this.book.sweep(timer.now())) {
-      log.info("endpoint given up", { endpoint });
-    }
+    this.#stopWatch = timer.registerInterval(() => {
+      for (const endpoint of this.book.sweep(timer.now())) {
+        log.info("endpoint given up", { endpoint });
+      }
+      if (this.book.hasMissing) return;
+      this.#stopWatch?.();
+      this.#stopWatch = undefined;
+    }, SWEEP_MILLISECONDS);
   }
 
   /** Takes in where other daemons may be. */
