Read the limits that endpoints name, and log who was told and who chose

Change: the header is decoded into a notice, kept by life of an endpoint and logged when it changes; nothing acts on it. The stand-ins can name limits and note when requests come.

--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -20,6 +20,8 @@
   "daemon silent",
   "endpoint leaving",
   "endpoint missing",
+  "endpoint names a limit",
+  "endpoint names no limit any more",
   "endpoint answer overdue",
   "endpoint replaced",
   "endpoint wants a pause",
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -15,6 +15,7 @@
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import { ColdGate } from "../../endpoints/cold_gate.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { GatewayMetrics } from "../../metrics/gateway_metrics.ts";
 import { CrashWatch } from "../../quarantine/crash_watch.ts";
 import { Quarantine } from "../../quarantine/quarantine.ts";
@@ -164,6 +165,7 @@
     configuration,
     book,
     endpoints,
+    limits: new EndpointLimits(),
     coldGate: new ColdGate({
       chooser: "daemon",
       configuration,
--- a/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { chooseEndpoint } from "../../endpoints/choose_endpoint.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointNotices } from "../../endpoints/endpoint_notices.ts";
 import { createNoticeListener } from "../../endpoints/notice_handlers.ts";
 import { pauseOfAll } from "../../endpoints/pause_of_all.ts";
@@ -32,6 +33,7 @@
   const anomalies: string[] = [];
   notices.registerListener(createNoticeListener({
     book,
+    limits: new EndpointLimits(),
     timer,
     log: { info: () => {}, warn: () => {} },
     anomalies: { note: (anomaly) => void anomalies.push(anomaly) },
--- a/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
+++ b/packages/kelpspar-gateway/src/endpoints/choose_endpoint.ts
@@ -33,6 +33,8 @@
 /** The endpoint chosen, and the one that has the prompt if it is another. */
 export interface EndpointChoice {
   readonly endpoint: EndpointState;
+  /** Chosen by the coordinator, not by this daemon. */
+  readonly isPlaced?: boolean;
   readonly home: EndpointState | undefined;
 }
 
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_notices.ts
@@ -8,6 +8,12 @@
   | { readonly type: "pause"; readonly milliseconds: number }
   /** It is cold for so long. */
   | { readonly type: "cold"; readonly milliseconds: number }
+  /** It takes so many requests a second from all daemons together. */
+  | { readonly type: "limit"; readonly perSecond: number }
+  /** It names no limit beside work that it did. */
+  | { readonly type: "unlimited" }
+  /** It names a limit that can't be parsed. */
+  | { readonly type: "unreadable_limit"; readonly text: string }
   /** What it says of being cold can't be parsed. */
   | { readonly type: "unreadable_cold"; readonly text: string }
   /** It sent a Retry-After that can't be parsed. */
@@ -16,7 +22,7 @@
 /** The endpoint that an answer came from. */
 export type AnsweringEndpoint = Pick<EndpointEntry, "id"> & {
   /** The life that was asked; undefined when only its id is known. */
-  readonly bornAt?: number;
+  readonly bornAt?: number | undefined;
 };
 
 /** Told of each notice. */
--- a/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -2,6 +2,7 @@
 import type { AnomalyLog } from "../log/anomaly_log.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type {
   AnsweringEndpoint,
   EndpointNotice,
@@ -14,6 +15,7 @@
 /** What notices act on. */
 export interface NoticeHandlersOptions {
   readonly book: EndpointBook;
+  readonly limits: EndpointLimits;
   readonly timer: TimerService;
   readonly log: GatewayLog;
   readonly anomalies: Pick<AnomalyLog, "note">;
@@ -33,7 +35,7 @@
 export function createNoticeListener(
   options: NoticeHandlersOptions,
 ): EndpointNoticeListener {
-  const { book, timer, log, anomalies } = options;
+  const { book, limits, timer, log, anomalies } = options;
   const handlers: Handlers = {
     leaving: ({ id, bornAt }) => {
       const known = book.find(id)?.entry;
@@ -53,6 +55,19 @@
     cold: ({ id }, { milliseconds }) => {
       book.find(id)?.tellCold(milliseconds, timer.now());
     },
+    limit: ({ id, bornAt }, { perSecond }) => {
+      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
+      if (!limits.tell(life, perSecond, timer.now())) return;
+      log.info("endpoint names a limit", { endpoint: id, perSecond });
+    },
+    unlimited: ({ id, bornAt }) => {
+      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
+      if (!limits.tell(life, undefined, timer.now())) return;
+      log.info("endpoint names no limit any more", { endpoint: id });
+    },
+    unreadable_limit: ({ id }, { text }) => {
+      anomalies.note("limit_unreadable", { endpoint: id, text });
+    },
     unreadable_cold: ({ id }, { text }) => {
       anomalies.note("cold_unreadable", { endpoint: id, text });
     },
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -16,6 +16,7 @@
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { ColdGate } from "./endpoints/cold_gate.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
+import { EndpointLimits } from "./endpoints/endpoint_limits.ts";
 import { createNoticeListener } from "./endpoints/notice_handlers.ts";
 import { Fleet } from "./fleet/fleet.ts";
 import { FleetMembership } from "./fleet/fleet_membership.ts";
@@ -74,6 +75,7 @@
 export class GatewayDaemon {
   readonly configuration = new ConfigurationKeeper();
   readonly book = new EndpointBook();
+  readonly limits = new EndpointLimits();
   readonly metrics = new GatewayMetrics();
   readonly anomalies: AnomalyLog;
   readonly era: StoreEra;
@@ -101,7 +103,7 @@
     const { self, timer, log } = options;
     this.anomalies = new AnomalyLog(log, this.metrics);
     this.era = new StoreEra({ timer, anomalies: this.anomalies });
-    const { configuration, book, era } = this;
+    const { configuration, book, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#storeHeardAt, Number.MAX_SAFE_INTEGER);
     const membership = new FleetMembership(options);
@@ -154,6 +156,7 @@
     const service = new RequestService({
       configuration,
       book,
+      limits,
       endpoints: options.endpoints,
       coldGate: coldGate("daemon"),
       chains,
@@ -196,7 +199,12 @@
     this.#peerServer.keepAliveTimeout = PEER_IDLE_MILLISECONDS;
     coordinator.register();
     options.notices.registerListener(
-      createNoticeListener({ ...options, book, anomalies: this.anomalies }),
+      createNoticeListener({
+        ...options,
+        book,
+        limits,
+        anomalies: this.anomalies,
+      }),
     );
   }
 
--- a/packages/kelpspar-gateway/src/log/anomaly_log.ts
+++ b/packages/kelpspar-gateway/src/log/anomaly_log.ts
@@ -19,6 +19,8 @@
   | "page_not_understood"
   /** An endpoint wants a pause whose length can't be read. */
   | "pause_unreadable"
+  /** An endpoint names a limit that can't be read. */
+  | "limit_unreadable"
   /** How long an endpoint is cold can't be read. */
   | "cold_unreadable"
   /** A service's limit for cold endpoints isn't one; it has none then. */
--- a/packages/kelpspar-gateway/src/requests/choose_for_request.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_for_request.ts
@@ -28,7 +28,11 @@
   const endpoint = find(place.endpointId);
   if (endpoint === undefined) return undefined;
   // A source that fails here would hold the request until the fetch gives up.
-  return { endpoint, home: find(place.promptSourceId) };
+  return {
+    endpoint,
+    home: find(place.promptSourceId),
+    isPlaced: true,
+  };
 }
 
 /** What requests with the same prompt share, where endpoints keep prompts. */
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -173,7 +173,7 @@
     );
   }
 
-  #logSend({ endpoint, home }: EndpointChoice): void {
+  #logSend({ endpoint, home, isPlaced }: EndpointChoice): void {
     const { parts, request, service } = this.#run.options;
     const now = parts.timer.now();
     parts.log.info("request sent", {
@@ -182,6 +182,8 @@
       service,
       endpoint: endpoint.entry.id,
       home: home?.entry.id,
+      isPlaced: isPlaced === true,
+      limitPerSecond: parts.limits.of(endpoint.entry),
       inFlight: endpoint.inFlight,
       slowness: Number(endpoint.slowness(now).toFixed(2)),
       isSetAside: endpoint.isSetAside(now),
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -52,6 +52,10 @@
   fault: RunnerFault = "none";
   /** Says in all answers that it leaves. */
   isLeaving = false;
+  /** The limit that it names in all answers; undefined for none. */
+  limit: string | undefined;
+  /** When requests came, those that it refused too; monotonic milliseconds. */
+  readonly arrivals: number[] = [];
   /** What it adds when it refuses as full; undefined for nothing. */
   retryAfter: string | undefined;
   /** Requests that it refused as full. */
@@ -111,6 +115,7 @@
       response.writeHead(421).end();
       return;
     }
+    this.arrivals.push(performance.now());
     if (this.fault === "full") {
       this.refusals++;
       const headers = {
@@ -174,7 +179,10 @@
   }
 
   #notices(): Record<string, string> {
-    return this.isLeaving ? { "Server-Leaving": "1" } : {};
+    return {
+      ...(this.isLeaving ? { "Server-Leaving": "1" } : {}),
+      ...(this.limit === undefined ? {} : { "Server-Limit": this.limit }),
+    };
   }
 
   async #answer(attemptId: string, response: ServerResponse): Promise<void> {
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -33,6 +33,10 @@
   fault: StageFault = "none";
   /** Says in all answers that it leaves. */
   isLeaving = false;
+  /** The limit that it names in all answers; undefined for none. */
+  limit: string | undefined;
+  /** When calls came, monotonic milliseconds. */
+  readonly arrivals: number[] = [];
   /** Refuses calls and asks for a pause of so long; undefined to take them. */
   retryAfter: string | undefined;
   /** Calls that it refused so. */
@@ -79,6 +83,9 @@
       },
     };
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
+    if (this.limit !== undefined) {
+      response.setHeader("Server-Limit", this.limit);
+    }
     const handler = handlers[path];
     if (handler === undefined) response.writeHead(404).end();
     else handler();
@@ -98,6 +105,7 @@
   }
 
   #run(entries: readonly StageEntry[], response: ServerResponse): void {
+    this.arrivals.push(performance.now());
     if (this.fault === "mute") return;
     if (this.retryAfter !== undefined) {
       this.refusals++;
