--- a/packages/kelpspar-decisions/src/__tests__/unit/routing_cold_pace_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/routing_shared_pace_test.ts
@@ -1,7 +1,8 @@
+import type { PaceRequest } from "../../routing/shared_pace.ts";
 import { expect } from "earl";
 import { SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
-import { ColdPace } from "../../routing/cold_pace.ts";
+import { SharedPace } from "../../routing/shared_pace.ts";
 
 const PER_SECOND = 6;
 /** What the rules allow in any second beside what the endpoint bears. */
@@ -11,6 +12,14 @@
 const COLD_MILLISECONDS = 3_000;
 const STEP_MILLISECONDS = 10;
 
+function maySend(
+  pace: SharedPace,
+  endpointId: string,
+  request: PaceRequest,
+): boolean {
+  return pace.waitFor(endpointId, request) === 0;
+}
+
 interface Play {
   readonly senders: number;
   /** What each sender takes the number of senders for. */
@@ -21,12 +30,12 @@
 /** When a cold endpoint gets requests that all senders have without end. */
 function playFlood({ senders, believed, seed }: Play): readonly number[] {
   const random = new SeededRandom(seed);
-  const paces = Array.from({ length: senders }, () => new ColdPace(random));
+  const paces = Array.from({ length: senders }, () => new SharedPace(random));
   const sentAt: number[] = [];
   for (let now = 0; now < COLD_MILLISECONDS; now += STEP_MILLISECONDS) {
     for (const pace of paces) {
       const request = { perSecond: PER_SECOND, sharers: believed, now };
-      if (!pace.maySend("i1", request)) continue;
+      if (!maySend(pace, "i1", request)) continue;
       pace.sent("i1", now);
       sentAt.push(now);
     }
@@ -76,13 +85,13 @@
 
 // Guards against a second cold time that goes on with the share of the first.
 test("an endpoint that wasn't asked for long is paced anew", () => {
-  const pace = new ColdPace(new SeededRandom(1));
+  const pace = new SharedPace(new SeededRandom(1));
   const request = { perSecond: 1, sharers: 1_000 };
   pace.sent("i1", 0);
-  expect(pace.maySend("i1", { ...request, now: 900_000 })).toEqual(false);
-  expect(pace.maySend("i1", { ...request, now: 901_000 })).toEqual(false);
-  expect(pace.maySend("i2", { ...request, sharers: 1, now: 0 }))
+  expect(maySend(pace, "i1", { ...request, now: 900_000 })).toEqual(false);
+  expect(maySend(pace, "i1", { ...request, now: 901_000 })).toEqual(false);
+  expect(maySend(pace, "i2", { ...request, sharers: 1, now: 0 }))
     .toEqual(false);
-  expect(pace.maySend("i2", { ...request, sharers: 1, now: 1_000 }))
+  expect(maySend(pace, "i2", { ...request, sharers: 1, now: 1_000 }))
     .toEqual(true);
 });
--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_limited_load.ts
@@ -0,0 +1,155 @@
+import type { EndpointChooser } from "../../endpoints/endpoint_gate.ts";
+import type { EndpointState } from "../../endpoints/endpoint_state.ts";
+import { SeededRandom } from "kelpspar-shared";
+import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
+import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
+
+const SERVICE = "service";
+const STEP_MILLISECONDS = 10;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** The rule counts requests in each span of this length, milliseconds. */
+const SPAN_MILLISECONDS = 4_000;
+
+/** A fleet before endpoints that name limits. */
+export interface LimitedLoad {
+  readonly daemons: number;
+  readonly endpoints: number;
+  /** What each endpoint names at a moment, requests a second. */
+  readonly limitAt: (now: number) => number;
+  /** Requests that come to the fleet at a moment, a second. */
+  readonly perSecondAt: (now: number) => number;
+  readonly milliseconds: number;
+  readonly seed: number;
+  /** Whether the endpoints are of a model; of a plain service if left out. */
+  readonly isModel?: boolean;
+  /** Daemons that take themselves for the coordinator; one if left out. */
+  readonly coordinators?: number;
+  /** A daemon is started anew each so often; never if left out. */
+  readonly restartEveryMilliseconds?: number;
+  /** Daemons that each takes the fleet for; all if left out. */
+  readonly believedDaemons?: number;
+}
+
+/** What a load came to. */
+export interface LimitedPlay {
+  /** Sends by endpoint, milliseconds. */
+  readonly sentAt: readonly (readonly number[])[];
+  readonly asked: number;
+}
+
+/** Plays requests that only endpoints with limits could take. */
+export function playLimitedLoad(load: LimitedLoad): LimitedPlay {
+  const random = new SeededRandom(load.seed);
+  const limits = new EndpointLimits();
+  const configuration = configure(load.isModel === true);
+  const book = createBook(load.endpoints);
+  const endpoints = book.ofService(SERVICE);
+  const sentAt = endpoints.map((): number[] => []);
+  const createGate = (chooser: EndpointChooser): EndpointGate =>
+    new EndpointGate({
+      chooser,
+      configuration,
+      limits,
+      random,
+      sharers: () =>
+        chooser === "daemon" ? load.believedDaemons ?? load.daemons : 1,
+    });
+  const daemons = Array.from(
+    { length: load.daemons },
+    () => createGate("daemon"),
+  );
+  const coordinators = Array.from(
+    { length: load.coordinators ?? 1 },
+    () => createGate("coordinator"),
+  );
+  let asked = 0;
+  let due = 0;
+  for (let now = 0; now < load.milliseconds; now += STEP_MILLISECONDS) {
+    for (const { entry } of endpoints) {
+      limits.tell(entry, load.limitAt(now), now);
+    }
+    const { restartEveryMilliseconds: every } = load;
+    if (every !== undefined && now > 0 && now % every === 0) {
+      daemons[(now / every) % load.daemons] = createGate("daemon");
+    }
+    due += load.perSecondAt(now) * STEP_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    for (; due >= 1; due--) {
+      asked++;
+      const index = random.nextInteger(load.daemons);
+      const coordinator = coordinators[index % coordinators.length];
+      const gates = [daemons[index], coordinator] as EndpointGate[];
+      const sent = send(endpoints, gates, now);
+      if (sent !== undefined) sentAt[sent]?.push(now);
+    }
+    // Each daemon looks at every endpoint, whether it needs it or not.
+    for (const gate of daemons) {
+      for (const one of endpoints) gate.isOpen(one, now);
+    }
+  }
+  return { sentAt, asked };
+}
+
+/** Most sends to one endpoint in a span, from a moment on. */
+export function mostInSpan(sentAt: readonly number[], from = 0): number {
+  const late = sentAt.filter((at) => at >= from);
+  return Math.max(
+    0,
+    ...late.map((start) =>
+      late.filter((at) => at >= start && at < start + SPAN_MILLISECONDS).length
+    ),
+  );
+}
+
+function send(
+  endpoints: readonly EndpointState[],
+  gates: readonly EndpointGate[],
+  now: number,
+): number | undefined {
+  for (const gate of gates) {
+    const index = endpoints.findIndex((one) => gate.isOpen(one, now));
+    const chosen = endpoints[index];
+    if (chosen === undefined) continue;
+    gate.chosen(chosen, now);
+    return index;
+  }
+  return undefined;
+}
+
+function createBook(endpoints: number): EndpointBook {
+  const book = new EndpointBook();
+  for (let index = 0; index < endpoints; index++) {
+    book.put({
+      id: `i${index}`,
+      bornAt: 1,
+      service: SERVICE,
+      address: `10.0.0.1:${index}`,
+      zone: "a",
+      slots: 4,
+      isDraining: false,
+    }, 0);
+  }
+  return book;
+}
+
+function configure(isModel: boolean): ConfigurationKeeper {
+  const configuration = new ConfigurationKeeper();
+  configuration.offer({
+    version: 1,
+    routes: [],
+    services: [{
+      name: SERVICE,
+      pieces: undefined,
+      engineSlots: isModel ? 64 : undefined,
+    }],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    accounts: undefined,
+  });
+  return configuration;
+}
--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -8,7 +8,8 @@
 } from "./simulated_stages.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
-import { ColdGate } from "../../endpoints/cold_gate.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
@@ -99,8 +100,9 @@
     configuration,
     book,
     client,
-    coldGate: new ColdGate({
+    gate: new EndpointGate({
       chooser: "coordinator",
+      limits: new EndpointLimits(),
       configuration,
       random: new SeededRandom(2),
       sharers: () => 1,
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -13,7 +13,7 @@
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { Readable } from "node:stream";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
-import { ColdGate } from "../../endpoints/cold_gate.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { GatewayMetrics } from "../../metrics/gateway_metrics.ts";
@@ -165,9 +165,9 @@
     configuration,
     book,
     endpoints,
-    limits: new EndpointLimits(),
-    coldGate: new ColdGate({
+    gate: new EndpointGate({
       chooser: "daemon",
+      limits: new EndpointLimits(),
       configuration,
       random: new SeededRandom(2),
       sharers: () => 1,
--- a/packages/kelpspar-gateway/src/__tests__/unit/cold_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_gate_test.ts
@@ -1,11 +1,12 @@
 import type { EndpointEntry } from "../../endpoints/endpoint_entry.ts";
-import type { EndpointChooser } from "../../endpoints/cold_gate.ts";
+import type { EndpointChooser } from "../../endpoints/endpoint_gate.ts";
 import { expect } from "earl";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import { chooseEndpoint } from "../../endpoints/choose_endpoint.ts";
-import { ColdGate } from "../../endpoints/cold_gate.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { ReaderPlacement } from "../../placement/reader_placement.ts";
 
@@ -62,11 +63,13 @@
   options: {
     readonly limit?: number | undefined;
     readonly sharers?: number;
+    readonly limits?: EndpointLimits;
     readonly random?: SeededRandom;
   },
-): ColdGate {
-  return new ColdGate({
+): EndpointGate {
+  return new EndpointGate({
     chooser,
+    limits: options.limits ?? new EndpointLimits(),
     configuration: configure("limit" in options ? options.limit : COLD_LIMIT),
     random: options.random ?? new SeededRandom(1),
     sharers: () => options.sharers ?? 1,
@@ -74,7 +77,10 @@
 }
 
 /** Endpoints chosen by one daemon that has requests without end. */
-function playChoices(book: EndpointBook, gate: ColdGate): readonly string[] {
+function playChoices(
+  book: EndpointBook,
+  gate: EndpointGate,
+): readonly string[] {
   const chosen: string[] = [];
   for (let now = 0; now < 1_000; now += 10) {
     const choice = chooseEndpoint({
@@ -120,12 +126,12 @@
   book.put(entry("cold", "model", COLD_MILLISECONDS), 0);
   const timer = new ManualTimer();
   const configuration = configure(COLD_LIMIT);
-  const coldGate = createGate("coordinator", {});
+  const gate = createGate("coordinator", {});
   const placement = new ReaderPlacement({
     configuration,
     book,
     timer,
-    coldGate,
+    gate,
   });
   const random = new SeededRandom(7);
   const daemons = Array.from(
@@ -137,8 +143,10 @@
   if (cold === undefined) throw new Error("No endpoint");
   for (let now = 0; now < COLD_MILLISECONDS; now += 10) {
     const reader = { service: "model", promptParts: [{ id: "p", tokens: 9 }] };
-    const place = placement.place(`a${now}`, reader, []);
-    if (place?.endpointId === "cold") sentAt.push(now);
+    const placed = placement.place(`a${now}`, reader, []);
+    const isCold = placed.type === "placed" &&
+      placed.place.endpointId === "cold";
+    if (isCold) sentAt.push(now);
     for (const gate of daemons) {
       if (!gate.isOpen(cold, timer.now())) continue;
       gate.chosen(cold, timer.now());
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -8,7 +8,8 @@
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
-import { ColdGate } from "../../endpoints/cold_gate.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
@@ -125,8 +126,9 @@
     configuration,
     book,
     client,
-    coldGate: new ColdGate({
+    gate: new EndpointGate({
       chooser: "coordinator",
+      limits: new EndpointLimits(),
       configuration,
       random: new SeededRandom(2),
       sharers: () => 1,
--- a/packages/kelpspar-gateway/src/__tests__/unit/prompt_home_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/prompt_home_test.ts
@@ -3,7 +3,8 @@
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
 import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
-import { ColdGate } from "../../endpoints/cold_gate.ts";
+import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
+import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { ReaderPlacement } from "../../placement/reader_placement.ts";
 
@@ -32,8 +33,9 @@
     configuration,
     book,
     timer: new ManualTimer(),
-    coldGate: new ColdGate({
+    gate: new EndpointGate({
       chooser: "coordinator",
+      limits: new EndpointLimits(),
       configuration,
       random: new SeededRandom(1),
       sharers: () => 1,
@@ -55,9 +57,9 @@
         { id: attemptId, tokens: 500 },
       ],
     };
-    const place = placement.place(attemptId, reader, []);
+    const placed = placement.place(attemptId, reader, []);
     placement.ended(attemptId);
-    return place?.endpointId;
+    return placed.type === "placed" ? placed.place.endpointId : undefined;
   });
 }
 
@@ -89,7 +91,8 @@
     ],
   };
   const zone = placement.zoneOfHolder(reader);
-  const place = placement.place("a1", reader, []);
-  const index = Number(place?.endpointId.slice(1));
+  const placed = placement.place("a1", reader, []);
+  if (placed.type !== "placed") throw new Error("Not placed");
+  const index = Number(placed.place.endpointId.slice(1));
   expect(zone).toEqual(entry(index).zone);
 });
--- a/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -65,7 +65,9 @@
       if (!limits.tell(life, undefined, timer.now())) return;
       log.info("endpoint names no limit any more", { endpoint: id });
     },
-    unreadable_limit: ({ id }, { text }) => {
+    unreadable_limit: ({ id, bornAt }, { text }) => {
+      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
+      limits.tellUnreadable(life, timer.now());
       anomalies.note("limit_unreadable", { endpoint: id, text });
     },
     unreadable_cold: ({ id }, { text }) => {
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -1,5 +1,6 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
+import type { LimitSync } from "../endpoints/limit_sync.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { QuarantineSync } from "../quarantine/quarantine_sync.ts";
 import type { StoreEra } from "../tables/store_era.ts";
@@ -39,6 +40,7 @@
   readonly configuration: ConfigurationKeeper;
   readonly era: StoreEra;
   readonly crashes: Pick<QuarantineSync, "checksum" | "told">;
+  readonly limits: Pick<LimitSync, "checksum" | "told">;
   readonly timer: TimerService;
   readonly log: GatewayLog;
   readonly random: RandomSource;
@@ -120,11 +122,13 @@
   }
 
   #digest(asker?: FleetDigest): FleetDigest {
-    const { membership, configuration, era, crashes, timer } = this.#options;
+    const { membership, configuration, era, crashes, limits, timer } =
+      this.#options;
     return membership.createDigest(this.ownState, {
       configurationVersion: configuration.version,
       storeEra: era.current,
       crashChecksum: crashes.checksum,
+      limitChecksum: limits.checksum,
       ...(asker === undefined ? {} : { asker }),
       now: timer.now(),
     });
@@ -135,6 +139,7 @@
     membership.heard(digest, timer.now());
     this.#options.era.told(digest.storeEra);
     this.#options.crashes.told(digest.self.peer, digest.crashChecksum);
+    this.#options.limits.told(digest.self.peer, digest.limitChecksum);
     if (membership.hasUnknownAddresses) {
       void this.#fetchAddresses(digest.self.peer);
     }
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -146,6 +146,11 @@
     return [...this.#records.values()].map(({ address }) => address);
   }
 
+  /** Other daemons that there may be, those without a known address too. */
+  get size(): number {
+    return this.#records.size + this.#unresolved.size;
+  }
+
   /** Daemons heard from lately, leaving ones too. */
   heardLately(now: number): readonly Member[] {
     return this.#viewAt(now).heard;
@@ -246,6 +251,7 @@
       readonly configurationVersion: number;
       readonly storeEra: number | undefined;
       readonly crashChecksum?: number | undefined;
+      readonly limitChecksum?: number | undefined;
       readonly now: number;
       readonly asker?: FleetDigest;
     },
@@ -266,6 +272,7 @@
       configurationVersion: options.configurationVersion,
       storeEra: options.storeEra,
       crashChecksum: options.crashChecksum,
+      limitChecksum: options.limitChecksum,
       heartbeats: packHeartbeats([heartbeat, ...lacking]),
     };
   }
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -1,7 +1,7 @@
 import type { Server } from "node:http";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { DaemonAddress } from "./fleet/fleet_digest.ts";
-import type { EndpointChooser } from "./endpoints/cold_gate.ts";
+import type { EndpointChooser } from "./endpoints/endpoint_gate.ts";
 import type { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 import type { RequestDecoder } from "./front/front_server.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
@@ -14,8 +14,9 @@
 import type { FollowClient } from "./tables/table_follower.ts";
 import { createServer } from "node:http";
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
-import { ColdGate } from "./endpoints/cold_gate.ts";
+import { EndpointGate } from "./endpoints/endpoint_gate.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
+import { LimitSync } from "./endpoints/limit_sync.ts";
 import { EndpointLimits } from "./endpoints/endpoint_limits.ts";
 import { createNoticeListener } from "./endpoints/notice_handlers.ts";
 import { Fleet } from "./fleet/fleet.ts";
@@ -84,6 +85,7 @@
   readonly quarantine: Quarantine;
   readonly #options: GatewayDaemonOptions;
   readonly #crashes: QuarantineParts;
+  readonly #limitSync: LimitSync;
   readonly #membership: FleetMembership;
   readonly #fleet: Fleet;
   readonly #front: FrontServer;
@@ -115,6 +117,7 @@
       windowMilliseconds: options.retryWindowMilliseconds,
     });
     const crashes = createQuarantineParts({ ...options, peers, membership });
+    const limitSync = new LimitSync({ ...options, limits, peers, membership });
     const fleet = new Fleet({
       daemonId: self.daemonId,
       membership,
@@ -122,22 +125,31 @@
       configuration,
       era,
       crashes: crashes.sync,
+      limits: limitSync,
       timer,
       log,
       random: options.random,
       storeAge,
     });
-    const coldGate = (chooser: EndpointChooser): ColdGate =>
-      new ColdGate({
+    const sharers: Readonly<Record<EndpointChooser, () => number>> = {
+      // One that others ask while it doesn't take itself for the coordinator
+      // shares with all that may be in the same place.
+      coordinator: () =>
+        this.#chains.coordinator === self.daemonId ? 1 : membership.size + 1,
+      daemon: () => membership.size + 1,
+    };
+    const gate = (chooser: EndpointChooser): EndpointGate =>
+      new EndpointGate({
         chooser,
         configuration,
+        limits,
         random: options.random,
-        sharers: () => membership.contacts().length + 1,
+        sharers: () => sharers[chooser](),
       });
     const coordinator = new PieceCoordinator({
       configuration,
       book,
-      coldGate: coldGate("coordinator"),
+      gate: gate("coordinator"),
       client: options.pieces,
       timer,
       budget,
@@ -156,9 +168,8 @@
     const service = new RequestService({
       configuration,
       book,
-      limits,
       endpoints: options.endpoints,
-      coldGate: coldGate("daemon"),
+      gate: gate("daemon"),
       chains,
       budget,
       crashes: crashes.watch,
@@ -173,6 +184,7 @@
     });
     this.quarantine = crashes.quarantine;
     this.#crashes = crashes;
+    this.#limitSync = limitSync;
     this.#membership = membership;
     this.#fleet = fleet;
     this.#service = service;
@@ -193,6 +205,7 @@
         throw new Error("The store's tables aren't followed here yet");
       },
       shareCrashes: (page) => crashes.sync.answer(page),
+      shareLimits: (page) => limitSync.answer(page),
       runChain: (request, signal) => coordinator.run(request, signal),
       release: (release) => coordinator.release(release),
     }));
@@ -216,6 +229,7 @@
     });
     this.book.registerMissing(() => this.#watchMissing());
     this.#crashes.register();
+    this.#limitSync.register();
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
     this.#fleet.register();
@@ -312,6 +326,7 @@
     metrics.setState("configuration_version", this.configuration.version);
     metrics.setState("endpoints", this.book.size);
     metrics.setState("evacuated_zones", this.book.evacuatedZones.size);
+    metrics.setState("limited_endpoints", this.limits.size);
     metrics.setState("daemons", this.fleetSize());
     metrics.setState("quarantined_requests", this.quarantine.size);
     metrics.setState("store_era", this.era.current ?? 0);
--- a/packages/kelpspar-gateway/src/pieces/chain_outcome.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_outcome.ts
@@ -20,6 +20,8 @@
 export type ChainRefusal =
   | "no_endpoint"
   | "overloaded"
+  /** The endpoints that would read it have got what they take for now. */
+  | "over_limit"
   | "too_late"
   | "failing";
 
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -1,7 +1,11 @@
 import type { PieceTerms } from "../configuration/service_definition.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import type { RunningCall } from "./running_call.ts";
+import { piecesPerMillisecond } from "./service_capacity.ts";
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 interface KeptResult {
   readonly bytes: number;
@@ -11,6 +15,7 @@
 /** One endpoint of a stage service: its calls and the room for its results. */
 export class EndpointLane {
   readonly endpoint: EndpointState;
+  readonly #gate: EndpointGate;
   readonly calls = new Set<RunningCall>();
   /** Until then it gets no calls: it was full; monotonic milliseconds. */
   pausedUntil = 0;
@@ -22,14 +27,16 @@
   isGone = false;
   readonly #kept = new Map<string, KeptResult>();
 
-  constructor(endpoint: EndpointState) {
+  constructor(endpoint: EndpointState, gate: EndpointGate) {
     this.endpoint = endpoint;
+    this.#gate = gate;
   }
 
   /** True when one more call may start. */
   isFree(terms: PieceTerms, now: number): boolean {
     return this.calls.size < terms.slots && this.pausedUntil <= now &&
-      this.endpoint.pauseLeft(now) === 0;
+      this.endpoint.pauseLeft(now) === 0 &&
+      this.#gate.isOpen(this.endpoint, now);
   }
 
   /** Time until one more call may start, milliseconds. */
@@ -37,7 +44,10 @@
     terms: PieceTerms,
     options: { readonly slowness: number; readonly now: number },
   ): number {
-    const pause = this.endpoint.pauseLeft(options.now);
+    const pause = Math.max(
+      this.endpoint.pauseLeft(options.now),
+      this.#gate.waitFor(this.endpoint, options.now),
+    );
     if (this.calls.size < terms.slots) return pause;
     const due = [...this.calls].map((call) =>
       call.startedAt + call.soundTime * Math.max(1, options.slowness)
@@ -45,6 +55,23 @@
     return Math.max(pause, Math.min(...due) - options.now);
   }
 
+  /** Pieces a millisecond that it makes in full calls. */
+  rate(terms: PieceTerms, now: number): number {
+    const slowness = Math.max(1, this.endpoint.slowness(now));
+    const rate = piecesPerMillisecond(terms, [slowness]);
+    const callsPerSecond = this.#gate.rateOf(this.endpoint, now);
+    if (callsPerSecond === undefined) return rate;
+    const limit = callsPerSecond * terms.batch / MILLISECONDS_PER_SECOND;
+    return Math.min(rate, limit);
+  }
+
+  /** Notes that a call starts. */
+  start(call: RunningCall, now: number): void {
+    this.calls.add(call);
+    this.endpoint.inFlight++;
+    this.#gate.chosen(this.endpoint, now);
+  }
+
   /** Bytes free for results, those of running calls taken off. */
   room(terms: PieceTerms, now: number): number {
     let used = 0;
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -4,19 +4,25 @@
   EndpointBook,
   EndpointGoneCause,
 } from "../endpoints/endpoint_book.ts";
-import type { ColdGate } from "../endpoints/cold_gate.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
-import type { ReaderPlace } from "../placement/reader_place.ts";
-import type { ChainOutcome, PieceResult } from "./chain_outcome.ts";
+import type { Placement } from "../placement/reader_place.ts";
+import type {
+  ChainOutcome,
+  ChainRefusal,
+  PieceResult,
+} from "./chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "./chain_request.ts";
 import type { PieceClient } from "./piece_call.ts";
 import type { PieceTask } from "./piece_task.ts";
 import { ReaderPlacement } from "../placement/reader_placement.ts";
+import type { StageOutlook } from "./admit_chain.ts";
 import { admitChain } from "./admit_chain.ts";
 import { backlogOf } from "./backlog.ts";
 import { ChainRun } from "./chain_run.ts";
 import { LeastShares } from "./least_shares.ts";
+import { mostPlaceWait } from "./most_place_wait.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import { ResultFreer } from "./result_freer.ts";
 import { ServiceDesk } from "./service_desk.ts";
@@ -38,7 +44,7 @@
   readonly book: EndpointBook;
   readonly client: PieceClient;
   /** For the endpoints at which it places requests. */
-  readonly coldGate: ColdGate;
+  readonly gate: EndpointGate;
   readonly timer: TimerService;
   readonly budget: ServiceRetryBudget;
   readonly log: GatewayLog;
@@ -57,6 +63,8 @@
   readonly #readers: ReaderPlacement;
   readonly #refused = new RefusedCallers();
   readonly #shares = new LeastShares();
+  /** Chains that are done and wait until an endpoint takes their request. */
+  readonly #unplaced = new Set<ChainRun>();
   readonly #freer: ResultFreer;
   /** Ends the timers that run while chains are open. */
   #stopTimers: (() => void) | undefined;
@@ -163,16 +171,17 @@
       stage.pieces > 0 && used[number]?.hasEndpoints !== true
     );
     if (isMissing) return refuse("no_endpoint", NO_ENDPOINT_RETRY_MILLISECONDS);
+    const stages = request.stages.map((stage, number) => ({
+      backlog: backlogOf(stage.service, {
+        desk: used[number],
+        chains: this.#chains,
+        priority: request.priority,
+      }),
+      work: used[number]?.workTime(stage.pieces) ?? 0,
+      after: stage.after,
+    }));
     const admission = admitChain({
-      stages: request.stages.map((stage, number) => ({
-        backlog: backlogOf(stage.service, {
-          desk: used[number],
-          chains: this.#chains,
-          priority: request.priority,
-        }),
-        work: used[number]?.workTime(stage.pieces) ?? 0,
-        after: stage.after,
-      })),
+      stages: [...stages, this.#placing(request)],
       tail: request.tailMilliseconds,
       objective: request.objectiveMilliseconds,
       remaining: request.remainingMilliseconds,
@@ -192,6 +201,18 @@
     return refuse("overloaded", admission.retryAfterMilliseconds);
   }
 
+  /** Placing at endpoints with limits, as a stage after all others. */
+  #placing({ reader, stages }: ChainRequest): StageOutlook {
+    const after = stages.map((_, number) => number);
+    if (reader === undefined) return { backlog: 0, work: 0, after };
+    const ahead =
+      [...this.#chains].filter((one) =>
+        one.request.reader?.service === reader.service
+      ).length;
+    const backlog = this.#readers.waitBehind(reader.service, ahead);
+    return { backlog, work: 0, after };
+  }
+
   #deskOf(service: string): ServiceDesk | undefined {
     const known = this.#desks.get(service);
     if (known !== undefined) return known;
@@ -235,20 +256,46 @@
 
   #settleIfDone(chain: ChainRun): boolean {
     if (!chain.isDone()) return false;
+    const placement = this.#placeReader(chain);
+    if (placement.type === "over_limit") {
+      this.#waitForPlace(chain, placement.waitMilliseconds);
+      return true;
+    }
     this.#chains.delete(chain);
     const results = chain.finalResults();
     const endsAt = this.#now() + chain.request.tailMilliseconds;
     this.#countEnd(chain.request, endsAt <= chain.objectiveAt);
-    chain.settle({ type: "done", results, place: this.#placeReader(chain) });
+    const place = placement.type === "placed" ? placement.place : undefined;
+    chain.settle({ type: "done", results, place });
     return true;
   }
 
-  #placeReader(chain: ChainRun): ReaderPlace | undefined {
+  #placeReader(chain: ChainRun): Placement {
     const { attemptId, reader } = chain.request;
-    if (reader === undefined) return undefined;
+    if (reader === undefined) return { type: "no_endpoint" };
     return this.#readers.place(attemptId, reader, chain.finalInputs());
   }
 
+  /** Keeps a chain until an endpoint takes its request, if that is in time. */
+  #waitForPlace(chain: ChainRun, waitMilliseconds: number): void {
+    const now = this.#now();
+    const { tailMilliseconds } = chain.request;
+    const isWaiting = waitMilliseconds <= mostPlaceWait({
+      hasPieces: chain.request.stages.some(({ pieces }) => pieces > 0),
+      slack: chain.objectiveAt - now - tailMilliseconds,
+      remaining: chain.deadlineAt - now - tailMilliseconds,
+    });
+    if (isWaiting) this.#unplaced.add(chain);
+    else this.#fail(chain, refuse("over_limit", waitMilliseconds));
+  }
+
+  #placeWaiting(): void {
+    for (const chain of [...this.#unplaced]) {
+      this.#unplaced.delete(chain);
+      if (chain.isOpen) this.#settleIfDone(chain);
+    }
+  }
+
   #fail(chain: ChainRun, outcome: ChainOutcome): void {
     if (chain.isOpen) this.#countEnd(chain.request, false);
     this.#close(chain, outcome);
@@ -314,6 +361,7 @@
   }
 
   #sweep(): void {
+    this.#placeWaiting();
     if (this.#chains.size > 0) return this.#pumpAll();
     this.#stopTimers?.();
     this.#stopTimers = undefined;
@@ -329,7 +377,7 @@
 }
 
 function refuse(
-  reason: "no_endpoint" | "overloaded" | "too_late" | "failing",
+  reason: ChainRefusal,
   retryAfterMilliseconds: number,
 ): ChainOutcome {
   return { type: "refused", reason, retryAfterMilliseconds };
--- a/packages/kelpspar-gateway/src/pieces/service_desk.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk.ts
@@ -18,7 +18,7 @@
 import { PieceRepeats } from "./piece_repeats.ts";
 import { planCall } from "./plan_call.ts";
 import { rankTask } from "./rank_piece.ts";
-import { oneCallTime, piecesPerMillisecond } from "./service_capacity.ts";
+import { oneCallTime } from "./service_capacity.ts";
 import { ServiceLanes } from "./service_lanes.ts";
 import { toPieceOrder } from "./to_piece_order.ts";
 import { watchCall } from "./watch_call.ts";
@@ -96,10 +96,8 @@
   /** Pieces a millisecond that sound endpoints make now. */
   rate(): number {
     const now = this.#now();
-    const slowness = this.#lanes.usable(now).map((lane) =>
-      Math.max(1, lane.endpoint.slowness(now))
-    );
-    return piecesPerMillisecond(this.#terms, slowness);
+    return this.#lanes.usable(now)
+      .reduce((sum, lane) => sum + lane.rate(this.#terms, now), 0);
   }
 
   /** Time that calls for `pieces` pieces take, milliseconds. */
@@ -155,8 +153,7 @@
       task.calls++;
       task.chain.begin(task.stage, lane.endpoint.entry.zone);
     }
-    lane.calls.add(call);
-    lane.endpoint.inFlight++;
+    lane.start(call, now);
     this.#repeats.recordFirst(tasks);
     const stopWatch = watchCall({
       call,
--- a/packages/kelpspar-gateway/src/pieces/service_desk_options.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_desk_options.ts
@@ -1,6 +1,7 @@
 import type { TimerService } from "kelpspar-shared";
 import type { PieceTerms } from "../configuration/service_definition.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { PieceResult } from "./chain_outcome.ts";
@@ -20,6 +21,7 @@
   readonly service: string;
   readonly terms: PieceTerms;
   readonly book: EndpointBook;
+  readonly gate: EndpointGate;
   readonly client: PieceClient;
   readonly timer: TimerService;
   readonly budget: ServiceRetryBudget;
--- a/packages/kelpspar-gateway/src/pieces/service_lanes.ts
+++ b/packages/kelpspar-gateway/src/pieces/service_lanes.ts
@@ -1,20 +1,28 @@
 import type { PieceTerms } from "../configuration/service_definition.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import { preferSound } from "../endpoints/prefer_sound.ts";
 import { EndpointLane } from "./endpoint_lane.ts";
 
+/** What lanes are made with. */
+export interface ServiceLanesOptions {
+  readonly book: EndpointBook;
+  readonly gate: EndpointGate;
+  readonly service: string;
+}
+
 /** The endpoints of one stage service, as its desk uses them. */
 export class ServiceLanes {
   readonly #book: EndpointBook;
+  readonly #gate: EndpointGate;
   readonly #service: string;
   readonly #lanes = new Map<string, EndpointLane>();
 
-  constructor(
-    options: { readonly book: EndpointBook; readonly service: string },
-  ) {
+  constructor(options: ServiceLanesOptions) {
     this.#book = options.book;
+    this.#gate = options.gate;
     this.#service = options.service;
   }
 
@@ -31,7 +39,7 @@
   #laneOf(endpoint: EndpointState): EndpointLane {
     const known = this.#lanes.get(endpoint.entry.id);
     if (known !== undefined) return known;
-    const lane = new EndpointLane(endpoint);
+    const lane = new EndpointLane(endpoint, this.#gate);
     this.#lanes.set(endpoint.entry.id, lane);
     return lane;
   }
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -1,13 +1,13 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
-import type { ColdGate } from "../endpoints/cold_gate.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "../pieces/chain_outcome.ts";
 import type { PromptPart } from "../requests/serving_request.ts";
 import type { ReaderCandidate } from "./choose_reader.ts";
 import type { EndpointMemory } from "./endpoint_memory.ts";
-import type { ChainReader, ReaderPlace } from "./reader_place.ts";
+import type { ChainReader, Placement } from "./reader_place.ts";
 import { preferSound } from "../endpoints/prefer_sound.ts";
 import { promptAffinity } from "../requests/prompt_affinity.ts";
 import { chooseReader } from "./choose_reader.ts";
@@ -20,12 +20,13 @@
  * 17,000 tokens each are three tenths of 550,000.
  */
 const PROMPT_MEMORY_SHARE = 0.7;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What readers are placed with. */
 export interface ReaderPlacementOptions {
   readonly configuration: ConfigurationKeeper;
   readonly book: EndpointBook;
-  readonly coldGate: ColdGate;
+  readonly gate: EndpointGate;
   readonly timer: TimerService;
 }
 
@@ -58,18 +59,32 @@
     );
   }
 
-  /** Where a request is to be read; undefined when no endpoint is known. */
+  /** Decides where a request is to be read. */
   place(
     attemptId: string,
     reader: ChainReader,
     inputs: readonly ReaderInput[],
-  ): ReaderPlace | undefined {
-    const { book, coldGate, timer } = this.#options;
+  ): Placement {
+    const { book, gate, timer } = this.#options;
     const now = timer.now();
     const promptTokens = sumTokens(reader.promptParts);
-    const open = preferSound(book.ofService(reader.service), now)
-      .filter((endpoint) => coldGate.isOpen(endpoint, now));
-    const beliefs = this.#beliefsOf(reader, open);
+    const all = book.ofService(reader.service);
+    const usable = preferSound(all, now);
+    if (usable.length === 0) return { type: "no_endpoint" };
+    const open = preferSound(
+      all.filter((endpoint) => gate.isOpen(endpoint, now)),
+      now,
+    );
+    if (open.length === 0) {
+      const waits = usable.map((endpoint) => gate.waitFor(endpoint, now));
+      return { type: "over_limit", waitMilliseconds: Math.min(...waits) };
+    }
+    // Daemons choose those without limits themselves where no prompt matters.
+    const limited = promptTokens > 0
+      ? []
+      : open.filter((one) => gate.limitOf(one, now) !== undefined);
+    const choosable = limited.length > 0 ? limited : open;
+    const beliefs = this.#beliefsOf(reader, choosable);
     const candidates = beliefs.map(
       ({ endpoint, ...tokens }): ReaderCandidate => {
         const { id, zone } = endpoint.entry;
@@ -84,9 +99,12 @@
       },
     );
     const place = chooseReader({ candidates, promptTokens });
-    if (place === undefined) return undefined;
-    const chosen = open.find((one) => one.entry.id === place.endpointId);
-    if (chosen !== undefined) coldGate.chosen(chosen, now);
+    const chosen = open.find((one) => one.entry.id === place?.endpointId);
+    if (place === undefined || chosen === undefined) {
+      return { type: "no_endpoint" };
+    }
+    const limitPerSecond = gate.limitOf(chosen, now);
+    gate.chosen(chosen, now);
     const holderId = place.promptSourceId ?? place.endpointId;
     const kept = candidates.find((one) => one.endpointId === holderId)
       ?.heldTokens ?? 0;
@@ -96,7 +114,26 @@
       tokens: promptTokens - kept,
       now,
     });
-    return place;
+    return { type: "placed", place: { ...place, limitPerSecond } };
+  }
+
+  /**
+   * Milliseconds until a request can be placed that comes after `ahead` others;
+   * 0 while an endpoint of the service has no limit.
+   */
+  waitBehind(service: string, ahead: number): number {
+    const { book, gate, timer } = this.#options;
+    const now = timer.now();
+    const usable = preferSound(book.ofService(service), now);
+    let perSecond = 0;
+    for (const endpoint of usable) {
+      const rate = gate.rateOf(endpoint, now);
+      if (rate === undefined) return 0;
+      perSecond += rate;
+    }
+    if (perSecond === 0) return 0;
+    const first = Math.min(...usable.map((one) => gate.waitFor(one, now)));
+    return first + ahead * MILLISECONDS_PER_SECOND / perSecond;
   }
 
   /**
--- a/packages/kelpspar-gateway/src/requests/choose_for_request.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_for_request.ts
@@ -1,18 +1,10 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
-import type { ChainReader } from "../placement/reader_place.ts";
 import type { RequestRun } from "./request_run.ts";
 import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
+import { readerOf } from "./chain_of_request.ts";
 import { promptAffinity } from "./prompt_affinity.ts";
 
-/** What a model endpoint will read; undefined for plain services. */
-export function readerOf(run: RequestRun): ChainReader | undefined {
-  const { parts, service, request } = run.options;
-  const { table } = parts.configuration;
-  const isModel = table?.findService(service)?.engineSlots !== undefined;
-  return isModel ? { service, promptParts: request.promptParts } : undefined;
-}
-
 /** The endpoint at which the request was placed, while it may be used. */
 function placedEndpoint(
   run: RequestRun,
@@ -20,13 +12,19 @@
 ): EndpointChoice | undefined {
   const { place, options } = run;
   if (place === undefined || tried.has(place.endpointId)) return undefined;
-  const { book, timer } = options.parts;
+  const { book, gate, timer } = options.parts;
   const find = (id: string | undefined): EndpointState | undefined => {
     const found = id === undefined ? undefined : book.find(id);
     return found?.isSound(timer.now()) === true ? found : undefined;
   };
   const endpoint = find(place.endpointId);
   if (endpoint === undefined) return undefined;
+  // The coordinator may not know yet what the endpoint names, or may have less
+  // recent word of it than this daemon.
+  const limit = gate.limitOf(endpoint, timer.now());
+  const isWithin = limit === undefined ||
+    (place.limitPerSecond !== undefined && place.limitPerSecond <= limit);
+  if (!isWithin) return undefined;
   // A source that fails here would hold the request until the fetch gives up.
   return {
     endpoint,
@@ -54,7 +52,7 @@
   tried: ReadonlySet<string>,
 ): EndpointChoice | undefined {
   const { parts, service } = run.options;
-  const { book, coldGate } = parts;
+  const { book, gate } = parts;
   const now = parts.timer.now();
   const choice = chooseEndpoint({
     endpoints: book.ofService(service),
@@ -63,8 +61,8 @@
     affinity: affinityOf(run),
     random: parts.random,
     now,
-    isOpen: (endpoint) => coldGate.isOpen(endpoint, now),
+    isOpen: (endpoint) => gate.isOpen(endpoint, now),
   });
-  if (choice !== undefined) coldGate.chosen(choice.endpoint, now);
+  if (choice !== undefined) gate.chosen(choice.endpoint, now);
   return choice;
 }
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -41,6 +41,16 @@
     return this.#tried.size > 0;
   }
 
+  /** True when an endpoint is left that takes only so many requests. */
+  get hasLimited(): boolean {
+    const { parts, service } = this.#run.options;
+    const now = parts.timer.now();
+    return parts.book.ofService(service).some((one) =>
+      !this.#tried.has(one.entry.id) && one.pauseLeft(now) === 0 &&
+      parts.gate.limitOf(one, now) !== undefined
+    );
+  }
+
   choose(): EndpointChoice | undefined {
     return chooseForRequest(this.#run, this.#tried);
   }
@@ -183,7 +193,7 @@
       endpoint: endpoint.entry.id,
       home: home?.entry.id,
       isPlaced: isPlaced === true,
-      limitPerSecond: parts.limits.of(endpoint.entry),
+      limitPerSecond: parts.gate.limitOf(endpoint, now),
       inFlight: endpoint.inFlight,
       slowness: Number(endpoint.slowness(now).toFixed(2)),
       isSetAside: endpoint.isSetAside(now),
--- a/packages/kelpspar-gateway/src/requests/request_dispatch.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatch.ts
@@ -1,8 +1,10 @@
+import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { Answered, Sent } from "./sent.ts";
 import { pauseOfAll } from "../endpoints/pause_of_all.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
+import { findPlace } from "./find_place.ts";
 import { readBody } from "./read_body.ts";
 import {
   FULL_RETRY_MILLISECONDS,
@@ -54,7 +56,8 @@
         run.rejectQuarantined();
         return "ended";
       }
-      const choice = sender.choose();
+      const choice = sender.choose() ?? await this.#choosePlaced();
+      if (!run.isOpen) return "ended";
       if (choice === undefined) return this.#noEndpoint();
       if (!sender.mayRepeat()) return this.#fail("repeats used up");
       const sent = await sender.send(choice);
@@ -88,9 +91,29 @@
     return "ended";
   }
 
+  /**
+   * Asks the coordinator when endpoints with limits are left that this daemon
+   * may not choose itself now; once for each send.
+   */
+  async #choosePlaced(): Promise<EndpointChoice | undefined> {
+    const run = this.#run;
+    const isAsked = run.placeAskedAt === run.sends;
+    if (isAsked || !this.#sender.hasLimited) return undefined;
+    await findPlace(run);
+    return run.isOpen ? this.#sender.choose() : undefined;
+  }
+
   #noEndpoint(): DispatchEnd {
     const { parts, service } = this.#run.options;
     const pause = pauseOfAll(parts.book.ofService(service), this.#run.now());
+    if (pause === 0 && this.#sender.hasLimited) {
+      const wait = this.#run.placeWait ?? 0;
+      this.giveUp(
+        "over the endpoints' limits",
+        Math.max(wait, FULL_RETRY_MILLISECONDS),
+      );
+      return "ended";
+    }
     const wait = this.#sender.hasTried
       ? FULL_RETRY_MILLISECONDS
       : NO_ENDPOINT_RETRY_MILLISECONDS;
--- a/packages/kelpspar-gateway/src/requests/request_parts.ts
+++ b/packages/kelpspar-gateway/src/requests/request_parts.ts
@@ -1,8 +1,7 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
-import type { ColdGate } from "../endpoints/cold_gate.ts";
+import type { EndpointGate } from "../endpoints/endpoint_gate.ts";
 import type { EndpointBook } from "../endpoints/endpoint_book.ts";
-import type { EndpointLimits } from "../endpoints/endpoint_limits.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { CrashWatch } from "../quarantine/crash_watch.ts";
@@ -18,9 +17,7 @@
   readonly book: EndpointBook;
   readonly endpoints: EndpointClient;
   /** For the endpoints that this daemon chooses itself. */
-  readonly coldGate: ColdGate;
-  /** What endpoints allow all daemons together. */
-  readonly limits: EndpointLimits;
+  readonly gate: EndpointGate;
   readonly chains: ChainRunner;
   readonly budget: ServiceRetryBudget;
   readonly crashes: Pick<CrashWatch, "cut">;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -1,6 +1,6 @@
 import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { ClientAccount } from "../configuration/serving_configuration.ts";
-import type { PieceResult } from "../pieces/chain_outcome.ts";
+import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ReaderPlace } from "../placement/reader_place.ts";
 import type { OwnAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestParts } from "./request_parts.ts";
@@ -46,10 +46,13 @@
   sends = 0;
   /** Sends that came to an endpoint, refusals included. */
   arrivals = 0;
+  /** Sends that had been made when the coordinator was asked for a place. */
+  placeAskedAt: number | undefined;
   firstByteAt: number | undefined;
   #end: RequestEnd | undefined;
   #results: readonly PieceResult[] = [];
   #place: ReaderPlace | undefined;
+  #placeWait: number | undefined;
   /** The place was given and its reading not reported yet. */
   #isPlaceOpen = false;
   readonly #teardowns: (() => void)[] = [];
@@ -118,9 +121,24 @@
   holdResults(results: readonly PieceResult[], place?: ReaderPlace): void {
     this.releaseResults();
     this.#results = results;
-    this.#place = place;
-    this.#isPlaceOpen = place !== undefined;
-    if (!this.isOpen) this.releaseResults();
+    this.#putPlace(place);
+  }
+
+  /** Takes in where it goes, or when it may come back. */
+  takePlacing(outcome: ChainOutcome): void {
+    this.#placeWait = undefined;
+    if (outcome.type === "done") this.#putPlace(outcome.place);
+    else if (outcome.reason === "over_limit") {
+      this.#placeWait = outcome.retryAfterMilliseconds;
+    }
+  }
+
+  /**
+   * Milliseconds until the endpoints take more, by the coordinator's last word;
+   * undefined unless they had got what they take.
+   */
+  get placeWait(): number | undefined {
+    return this.#placeWait;
   }
 
   /** Where the request is best read; undefined when that isn't known. */
@@ -199,6 +217,12 @@
     this.#record(end, fields);
   }
 
+  #putPlace(place: ReaderPlace | undefined): void {
+    this.#place = place;
+    this.#isPlaceOpen = place !== undefined;
+    if (!this.isOpen) this.releaseResults();
+  }
+
   #timedOut(): void {
     if (this.firstByteAt !== undefined) {
       this.breakOff("timed out midway");
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -1,13 +1,15 @@
 import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { ClientAccount } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
-import type { ChainRequest, ChainStage } from "../pieces/chain_request.ts";
+import type { ChainStage } from "../pieces/chain_request.ts";
 import type { RequestParts } from "./request_parts.ts";
 import type { OwnAnswer, RequestReply } from "./request_reply.ts";
 import type { ServingRequest } from "./serving_request.ts";
 import { pauseOfAll } from "../endpoints/pause_of_all.ts";
-import { readerOf } from "./choose_for_request.ts";
+import { chainOf, readerOf, stagesOf } from "./chain_of_request.ts";
 import { chooseTarget } from "./choose_target.ts";
+import { findPlace } from "./find_place.ts";
+import { LimitedTrials } from "./limited_trials.ts";
 import { RequestDispatch } from "./request_dispatch.ts";
 import { RequestRun } from "./request_run.ts";
 import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
@@ -16,22 +18,18 @@
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
 /** A caller comes back to another daemon this long after one ended, ms. */
 const ENDED_RETRY_MILLISECONDS = 250;
-/**
- * A request without pieces waits so long for its place, milliseconds: some
- * times the way to another daemon and back. It goes where this daemon thinks
- * best if that takes longer.
- */
-const PLACE_MILLISECONDS = 60;
 /** Chains are run again at most so often when their results were lost. */
 const MOST_CHAIN_RUNS = 2;
 
 /** Serves requests: route, key, stages, then the request itself. */
 export class RequestService {
   readonly #parts: RequestParts;
+  readonly #trials: LimitedTrials;
   readonly #open = new Set<RequestRun>();
 
   constructor(parts: RequestParts) {
     this.#parts = parts;
+    this.#trials = new LimitedTrials(parts);
   }
 
   /** Requests that have no final answer yet. */
@@ -161,15 +159,15 @@
 
   async #run(run: RequestRun): Promise<void> {
     const { route } = run.options;
-    const stages = toStages(run);
+    const stages = stagesOf(run);
     const hasPieces = stages.some(({ pieces }) => pieces > 0);
     // One for all runs of the chain: it knows how far a stream has come.
     const dispatch = new RequestDispatch(run, route.stages.length > 0);
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (hasPieces) {
         if (!await this.#runChain(run, stages)) return;
-      } else if (readerOf(run) !== undefined) {
-        await this.#findPlace(run, stages);
+      } else if (this.#isPlaced(run)) {
+        await findPlace(run);
       }
       const end = await dispatch.run();
       if (end !== "input_gone" || !run.isOpen) return;
@@ -179,49 +177,21 @@
     }
   }
 
+  /** Whether the coordinator is asked where a request without pieces goes. */
+  #isPlaced(run: RequestRun): boolean {
+    return readerOf(run) !== undefined ||
+      this.#trials.take(run.options.service, run.now());
+  }
+
   async #runChain(
     run: RequestRun,
     stages: readonly ChainStage[],
   ): Promise<boolean> {
-    const request = this.#toChain(run, stages);
+    const request = chainOf(run, { stages, reader: readerOf(run) });
     const outcome = await this.#parts.chains.run(request, run.stop.signal);
     return this.#takeOutcome(run, outcome);
   }
 
-  /** Asks where a request without pieces is best read. */
-  async #findPlace(
-    run: RequestRun,
-    stages: readonly ChainStage[],
-  ): Promise<void> {
-    const { chains, timer } = this.#parts;
-    const abort = new AbortController();
-    const stop = (): void => abort.abort();
-    const stopTimer = timer.registerTimeout(stop, PLACE_MILLISECONDS);
-    run.stop.signal.addEventListener("abort", stop, { once: true });
-    const outcome = await chains.run(this.#toChain(run, stages), abort.signal);
-    stopTimer();
-    run.stop.signal.removeEventListener("abort", stop);
-    if (outcome.type === "done") run.holdResults([], outcome.place);
-  }
-
-  #toChain(run: RequestRun, stages: readonly ChainStage[]): ChainRequest {
-    const { request, route } = run.options;
-    return {
-      attemptId: request.attemptId ?? "",
-      kind: route.name,
-      pieceKey: request.pieceKey,
-      stages,
-      remainingMilliseconds: run.remaining(),
-      objectiveMilliseconds: run.objectiveLeft(),
-      reader: readerOf(run),
-      tailMilliseconds: this.#parts.times.of(
-        route.name,
-        route.kind === "stream",
-      ),
-      priority: run.priority,
-    };
-  }
-
   #refuseStages(
     run: RequestRun,
     { reason, retryAfterMilliseconds }: Extract<
@@ -262,18 +232,8 @@
     };
   }
   const pause = pauseOfAll(endpoints, run.now());
-  const hasPieces = toStages(run).some(({ pieces }) => pieces > 0);
+  const hasPieces = stagesOf(run).some(({ pieces }) => pieces > 0);
   const mayWait = hasPieces ? route.objectiveMilliseconds : 0;
   if (pause <= mayWait) return undefined;
   return { reason: "all endpoints pause", retryAfterMilliseconds: pause };
 }
-
-function toStages(run: RequestRun): readonly ChainStage[] {
-  const { request, route } = run.options;
-  return route.stages.map((stage, number) => ({
-    service: stage.service,
-    after: stage.after,
-    resultBytes: stage.resultBytes,
-    pieces: request.pieceCounts[number] ?? 0,
-  }));
-}
