Let the soak's runners name limits, and check what they get

The soak names limits of 0.5, 1 and 3 requests a second, and one that can't be read, for 7 to 14 s at plain, model and stage runners, and holds all arrivals of daemons that are killed, stopped and paused meanwhile to the users' rule; the rule excuses such daemons, the check doesn't. A runner that crashed names nothing in its next life.

--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -1,4 +1,5 @@
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
+import type { NamedLimit } from "../wire/named_limit.ts";
 import type { WireAnswer } from "../wire/wire_caller.ts";
 import { CRASHING_PATH } from "../wire/runner_stand_in.ts";
 
@@ -22,10 +23,19 @@
 /** it may be sent so often. */
 const SENDS_AFTER_CRASHES = 3;
 
+/** The users' rule on limits counts requests in such spans, milliseconds, */
+const LIMIT_SPAN_MILLISECONDS = 4_000;
+/** and allows so many times the limit, */
+const LIMIT_OVERSHOOT = 1.5;
+/** and so many requests more. */
+const LIMIT_SLACK = 5;
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Checks promises by what callers and runners saw. */
 export function checkSoak(
   answers: readonly WireAnswer[],
   runs: readonly RunnerRun[],
+  limits: readonly NamedLimit[] = [],
 ): SoakVerdict {
   const runsOf = new Map<string, number>();
   for (const { attemptId } of runs) {
@@ -35,6 +45,7 @@
   const broken = [
     ...answers.flatMap((answer) => checkAnswer(answer, runsOf)),
     ...checkCrashing(runs),
+    ...limits.flatMap(checkLimit),
     ...[...runsOf.keys()].filter((id) => !sent.has(id))
       .map((id) => `${id}: run, but no caller sent it`),
   ];
@@ -61,6 +72,30 @@
   ];
 }
 
+/** Most requests in a span while a runner names a limit. */
+function checkLimit({ changes, arrivals }: NamedLimit): readonly string[] {
+  return changes.flatMap(({ at, text }, index) => {
+    const perSecond = Number(text);
+    if (text === undefined || Number.isNaN(perSecond)) return [];
+    const until = changes[index + 1]?.at ?? Number.POSITIVE_INFINITY;
+    const counted = arrivals.filter((one) =>
+      one >= at + CONTACT_MILLISECONDS && one < until
+    );
+    const most = Math.max(
+      0,
+      ...counted.map((from) =>
+        counted.filter((one) =>
+          one >= from && one < from + LIMIT_SPAN_MILLISECONDS
+        ).length
+      ),
+    );
+    const allowed = LIMIT_OVERSHOOT * perSecond * LIMIT_SPAN_MILLISECONDS /
+        MILLISECONDS_PER_SECOND + LIMIT_SLACK;
+    if (most <= allowed) return [];
+    return [`a limit of ${text} a second: ${most} requests in 4 s`];
+  });
+}
+
 function checkAnswer(
   answer: WireAnswer,
   runsOf: ReadonlyMap<string, number>,
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -87,6 +87,7 @@
     return checkSoak(
       callers.flatMap((one) => one.answers),
       runners.flatMap((one) => one.runs),
+      [...runners, ...site.stages].map(({ limit }) => limit),
     );
   } finally {
     await Promise.all(daemons.map((daemon) => daemon.end()));
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -27,6 +27,10 @@
 ] as const;
 const STAGE_FAULTS = ["mute", "slow", "no_room", "gone"] as const;
 const STORE_FAULTS = ["busy", "reset", "silent"] as const;
+/** Limits in requests a second; the last one can't be read. */
+const LIMITS = ["0.5", "1", "3", "few"] as const;
+/** A limit stays for once to twice so long: it counts after 3 s only. */
+const LIMIT_MILLISECONDS = 7_000;
 const LONGEST_FAULT_MILLISECONDS = 2_000;
 /** A store comes back from a copy that is at most so old, milliseconds. */
 const OLDEST_COPY_MILLISECONDS = 5_000;
@@ -74,6 +78,19 @@
     later(targets, () => stage.fault = "none");
     return stage.fault;
   },
+  limit: (targets) => {
+    const { site, random, timer } = targets;
+    const { limit } = draw(
+      [...site.plain, ...site.models, ...site.stages],
+      random,
+    );
+    limit.text = draw(LIMITS, random);
+    timer.registerTimeout(
+      () => limit.text = undefined,
+      (1 + random.next()) * LIMIT_MILLISECONDS,
+    );
+    return limit.text;
+  },
   store: (targets) => {
     const { store } = targets.site;
     store.fault = draw(STORE_FAULTS, targets.random);
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
+import { NamedLimit } from "./named_limit.ts";
 
 /** What a runner does to requests while a fault is set. */
 export type RunnerFault =
@@ -52,10 +53,7 @@
   fault: RunnerFault = "none";
   /** Says in all answers that it leaves. */
   isLeaving = false;
-  /** The limit that it names in all answers; undefined for none. */
-  limit: string | undefined;
-  /** When requests came, those that it refused too; monotonic milliseconds. */
-  readonly arrivals: number[] = [];
+  readonly limit = new NamedLimit();
   /** What it adds when it refuses as full; undefined for nothing. */
   retryAfter: string | undefined;
   /** Requests that it refused as full. */
@@ -96,6 +94,7 @@
   /** Begins a new life under a new id, where it listened before a crash. */
   startAgain(): void {
     this.#lives++;
+    this.limit.text = undefined;
     const port = Number(this.#address?.split(":")[1]);
     this.#server.listen(port, "127.0.0.1");
   }
@@ -115,7 +114,7 @@
       response.writeHead(421).end();
       return;
     }
-    this.arrivals.push(performance.now());
+    this.limit.arrived();
     if (this.fault === "full") {
       this.refusals++;
       const headers = {
@@ -181,7 +180,9 @@
   #notices(): Record<string, string> {
     return {
       ...(this.isLeaving ? { "Server-Leaving": "1" } : {}),
-      ...(this.limit === undefined ? {} : { "Server-Limit": this.limit }),
+      ...(this.limit.text === undefined
+        ? {}
+        : { "Server-Limit": this.limit.text }),
     };
   }
 
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -1,6 +1,7 @@
 import type { Server, ServerResponse } from "node:http";
 import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
+import { NamedLimit } from "./named_limit.ts";
 
 /** What a stage runner does to calls while a fault is set. */
 export type StageFault = "none" | "mute" | "slow" | "no_room" | "gone";
@@ -33,10 +34,7 @@
   fault: StageFault = "none";
   /** Says in all answers that it leaves. */
   isLeaving = false;
-  /** The limit that it names in all answers; undefined for none. */
-  limit: string | undefined;
-  /** When calls came, monotonic milliseconds. */
-  readonly arrivals: number[] = [];
+  readonly limit = new NamedLimit();
   /** Refuses calls and asks for a pause of so long; undefined to take them. */
   retryAfter: string | undefined;
   /** Calls that it refused so. */
@@ -83,8 +81,8 @@
       },
     };
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
-    if (this.limit !== undefined) {
-      response.setHeader("Server-Limit", this.limit);
+    if (this.limit.text !== undefined) {
+      response.setHeader("Server-Limit", this.limit.text);
     }
     const handler = handlers[path];
     if (handler === undefined) response.writeHead(404).end();
@@ -105,7 +103,7 @@
   }
 
   #run(entries: readonly StageEntry[], response: ServerResponse): void {
-    this.arrivals.push(performance.now());
+    this.limit.arrived();
     if (this.fault === "mute") return;
     if (this.retryAfter !== undefined) {
       this.refusals++;
