--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -109,6 +109,8 @@
   options: {
     readonly route?: Partial<ServiceRoute>;
     readonly chain?: ChainOutcome | Promise<ChainOutcome>;
+    /** What endpoints named; nothing when left out. */
+    readonly limits?: EndpointLimits;
     /** False for a daemon that just started. */
     readonly isConfigured?: boolean;
     /** Whether endpoints take connections; all do when left out. */
@@ -167,7 +169,7 @@
     endpoints,
     gate: new EndpointGate({
       chooser: "daemon",
-      limits: new EndpointLimits(),
+      limits: options.limits ?? new EndpointLimits(),
       configuration,
       random: new SeededRandom(2),
       sharers: () => 1,
--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
@@ -1,6 +1,11 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
+import {
+  fromLimitMessage,
+  limitMessageSchema,
+  toLimitMessage,
+} from "../../endpoints/limit_page.ts";
 
 const LIFE = { id: "i1", bornAt: 5 };
 
@@ -28,3 +33,55 @@
   expect(limits.tell(LIFE, 1, 30)).toEqual(false);
   expect(limits.of({ id: "i1", bornAt: 9 })).toEqual(7);
 });
+
+// Guards against a limit that nobody can read and that counts as none.
+test("an unreadable limit keeps the one before, or counts as one a second", () => {
+  const limits = new EndpointLimits();
+  expect(limits.tellUnreadable(LIFE, 0)).toEqual(true);
+  expect(limits.of(LIFE)).toEqual(1);
+  limits.tell(LIFE, 7, 10);
+  limits.tellUnreadable(LIFE, 20);
+  expect(limits.of(LIFE)).toEqual(7);
+  limits.tell(LIFE, undefined, 30);
+  limits.tellUnreadable(LIFE, 40);
+  expect(limits.of(LIFE)).toEqual(1);
+});
+
+// Guards against daemons that bring each other's old word back.
+test("daemons take the newest word, and the lower one of the same time", () => {
+  const one = new EndpointLimits();
+  const other = new EndpointLimits();
+  one.tell(LIFE, 12, 1_000);
+  other.take(one.page(1_000), 5_000);
+  expect(other.of(LIFE)).toEqual(12);
+  expect(other.checksum).toEqual(one.checksum);
+  // Clocks differ; ages count.
+  other.tell(LIFE, 4, 5_100);
+  other.take(one.page(1_200), 5_200);
+  expect(other.of(LIFE)).toEqual(4);
+  one.take(other.page(5_200), 1_200);
+  expect(one.of(LIFE)).toEqual(4);
+  one.tell(LIFE, undefined, 9_000);
+  other.take(one.page(9_000), 13_000);
+  expect(other.of(LIFE)).toEqual(undefined);
+  expect([one.checksum, other.checksum]).toEqual([0, 0]);
+  one.take(other.page(13_010), 9_010);
+  expect(one.of(LIFE)).toEqual(undefined);
+});
+
+// Guards against limits that a message loses or can't carry.
+test("limits and their ends go between daemons as they are", () => {
+  const limits = new EndpointLimits();
+  limits.tell(LIFE, 0, 0);
+  limits.tell({ id: "i2" }, 0.5, 0);
+  limits.tell({ id: "i2" }, undefined, 40);
+  const page = limits.page(100);
+  const message = JSON.parse(JSON.stringify(toLimitMessage(page)));
+  expect(fromLimitMessage(limitMessageSchema.parse(message))).toEqual(page);
+  expect(page.map((one) => [one.id, one.bornAt, one.perSecond])).toEqual([
+    ["i1", 5, 0],
+    ["i2", undefined, undefined],
+  ]);
+  // The end of a limit is forgotten after a while, the limit isn't.
+  expect(limits.page(90_000).map(({ id }) => id)).toEqual(["i1"]);
+});
