Tell all daemons of endpoints that say in an answer that they leave

What callers and endpoints saw: while the store is away, an endpoint that told one daemon that it leaves got requests from the others, and the coordinator went on naming it as a place. Same class as the limits: what an endpoint says in an answer concerns the whole fleet and stayed with the daemon that was told. Change: leavings of the last minute are shared beside the limits, in one page with one checksum; a life that another daemon heard to be leaving is taken out for good, as if this one had been told.

--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
@@ -2,10 +2,10 @@
 import { test } from "node:test";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import {
-  fromLimitMessage,
-  limitMessageSchema,
-  toLimitMessage,
-} from "../../endpoints/limit_page.ts";
+  fromNoticeMessage,
+  noticeMessageSchema,
+  toNoticeMessage,
+} from "../../endpoints/notice_page.ts";
 
 const LIFE = { id: "i1", bornAt: 5 };
 
@@ -75,13 +75,18 @@
   limits.tell(LIFE, 0, 0);
   limits.tell({ id: "i2" }, 0.5, 0);
   limits.tell({ id: "i2" }, undefined, 40);
-  const page = limits.page(100);
-  const message = JSON.parse(JSON.stringify(toLimitMessage(page)));
-  expect(fromLimitMessage(limitMessageSchema.parse(message))).toEqual(page);
-  expect(page.map((one) => [one.id, one.bornAt, one.perSecond])).toEqual([
-    ["i1", 5, 0],
-    ["i2", undefined, undefined],
-  ]);
+  const page = {
+    limits: limits.page(100),
+    leavings: [{ ...LIFE, ageMilliseconds: 7 }],
+  };
+  const message = JSON.parse(JSON.stringify(toNoticeMessage(page)));
+  expect(fromNoticeMessage(noticeMessageSchema.parse(message))).toEqual(page);
+  expect(page.limits.map((one) => [one.id, one.bornAt, one.perSecond])).toEqual(
+    [
+      ["i1", 5, 0],
+      ["i2", undefined, undefined],
+    ],
+  );
   // The end of a limit is forgotten after a while, the limit isn't.
   expect(limits.page(90_000).map(({ id }) => id)).toEqual(["i1"]);
 });
--- a/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
@@ -48,7 +48,7 @@
     peers: client as PeerClient,
     configuration: new ConfigurationKeeper(),
     crashes: { checksum: undefined, told: () => {} },
-    limits: { checksum: undefined, told: () => {} },
+    notices: { checksum: undefined, told: () => {} },
     era: new StoreEra({ timer, anomalies: { note: () => {} } }),
     timer,
     log: { info: () => {}, warn: () => {} },
--- a/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/notice_handlers_test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { chooseEndpoint } from "../../endpoints/choose_endpoint.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
+import { EndpointLeavings } from "../../endpoints/endpoint_leavings.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointNotices } from "../../endpoints/endpoint_notices.ts";
 import { createNoticeListener } from "../../endpoints/notice_handlers.ts";
@@ -23,6 +24,7 @@
   readonly timer: ManualTimer;
   readonly book: EndpointBook;
   readonly notices: EndpointNotices;
+  readonly leavings: EndpointLeavings;
   readonly anomalies: string[];
 }
 
@@ -31,15 +33,17 @@
   const book = new EndpointBook();
   const notices = new EndpointNotices();
   const anomalies: string[] = [];
+  const leavings = new EndpointLeavings();
   notices.registerListener(createNoticeListener({
     book,
     limits: new EndpointLimits(),
+    leavings,
     timer,
     log: { info: () => {}, warn: () => {} },
     anomalies: { note: (anomaly) => void anomalies.push(anomaly) },
   }));
   book.put(ENTRY, timer.now());
-  return { timer, book, notices, anomalies };
+  return { timer, book, notices, leavings, anomalies };
 }
 
 function ids(book: EndpointBook): readonly string[] {
@@ -128,3 +132,22 @@
   expect(anomalies).toEqual(["pause_unreadable"]);
   expect(pauseOfAll(book.ofService("model"), 0)).toEqual(0);
 });
+
+// Guards against daemons that go on with an endpoint that told another one.
+test("what one daemon heard of leaving takes the endpoint out for another", () => {
+  const [one, other] = [createWorld(), createWorld()];
+  one.notices.tell(ENTRY, { type: "leaving" });
+  const page = one.leavings.page(5_000);
+  expect(other.leavings.take(page, 0)).toEqual(true);
+  expect(ids(other.book)).toEqual([]);
+  expect(other.book.put(ENTRY, 10)).toEqual("has_left");
+  expect(other.leavings.checksum).toEqual(one.leavings.checksum);
+  expect(other.leavings.take(page, 0)).toEqual(false);
+  // A later life is another one, and word is forgotten once the list has told.
+  other.book.put({ ...ENTRY, bornAt: 9 }, 10);
+  expect(ids(other.book)).toEqual(["i1"]);
+  expect(one.leavings.page(70_000)).toEqual([]);
+  expect(one.leavings.checksum).toEqual(0);
+  expect(one.leavings.take([{ ...ENTRY, ageMilliseconds: 60_000 }], 70_000))
+    .toEqual(false);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -56,7 +56,7 @@
   addresses: () => [],
   configuration: () => undefined,
   shareCrashes: (page) => page,
-  shareLimits: (page) => page,
+  shareNotices: (page) => page,
   follow: () => Promise.reject(new Error("Not followed")),
   runChain: async (_request, signal) => {
     chainsRun++;
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_limits.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_limits.ts
@@ -1,13 +1,7 @@
-import type { AgedLimit, LimitPage } from "./limit_page.ts";
+import type { AgedLimit } from "./notice_page.ts";
 import type { AnsweringEndpoint } from "./endpoint_notices.ts";
 import { hashText } from "kelpspar-decisions/routing";
 
-/** Who said what changed a limit. */
-export type LimitSource = "answer" | "daemon";
-
-/** Told when a limit begins, changes or ends. */
-export type LimitListener = (source: LimitSource) => void;
-
 /** What one life of an endpoint said last of its limit. */
 interface ToldLimit {
   readonly bornAt: number | undefined;
@@ -37,7 +31,6 @@
  */
 export class EndpointLimits {
   readonly #told = new Map<string, ToldLimit>();
-  readonly #listeners = new Set<LimitListener>();
   #checksum = 0;
 
   /** 0 without any limit; equal for daemons that know the same ones. */
@@ -72,7 +65,7 @@
     const known = this.#told.get(life.id);
     if (known !== undefined && at < known.at) return false;
     const hasChanged = this.#put(life, perSecond, at);
-    if (hasChanged) this.#changed("answer");
+    if (hasChanged) this.#settle();
     return hasChanged;
   }
 
@@ -82,7 +75,7 @@
   }
 
   /** What is known, for other daemons. */
-  page(now: number): LimitPage {
+  page(now: number): readonly AgedLimit[] {
     this.#forget(now);
     return [...this.#told].map((
       [id, { bornAt, perSecond, at }],
@@ -94,8 +87,8 @@
     }));
   }
 
-  /** Takes in what another daemon knows. */
-  take(page: LimitPage, now: number): void {
+  /** Takes in what another daemon knows; false when nothing changes. */
+  take(page: readonly AgedLimit[], now: number): boolean {
     let hasChanged = false;
     for (const { perSecond, ageMilliseconds, ...life } of page) {
       const at = now - ageMilliseconds;
@@ -103,12 +96,8 @@
       if (known !== undefined && !isNews({ perSecond, at }, known)) continue;
       hasChanged = this.#put(life, perSecond, at) || hasChanged;
     }
-    if (hasChanged) this.#changed("daemon");
-  }
-
-  registerListener(listener: LimitListener): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
+    if (hasChanged) this.#settle();
+    return hasChanged;
   }
 
   #put(
@@ -125,14 +114,13 @@
     return known?.perSecond !== perSecond;
   }
 
-  #changed(source: LimitSource): void {
+  #settle(): void {
     let checksum = 0;
     for (const [id, { perSecond }] of this.#told) {
       if (perSecond === undefined) continue;
       checksum = (checksum + hashText(`${id} ${perSecond}`)) >>> 0;
     }
     this.#checksum = checksum;
-    for (const listener of this.#listeners) listener(source);
   }
 
   #forget(now: number): void {
@@ -146,7 +134,7 @@
       one.at - other.at
     ).slice(0, surplus);
     for (const [id] of oldest) this.#told.delete(id);
-    this.#changed("daemon");
+    this.#settle();
   }
 }
 
--- a/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
+++ b/packages/kelpspar-gateway/src/endpoints/notice_handlers.ts
@@ -2,6 +2,7 @@
 import type { AnomalyLog } from "../log/anomaly_log.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
+import type { EndpointLeavings } from "./endpoint_leavings.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
 import type {
   AnsweringEndpoint,
@@ -16,9 +17,12 @@
 export interface NoticeHandlersOptions {
   readonly book: EndpointBook;
   readonly limits: EndpointLimits;
+  readonly leavings: EndpointLeavings;
   readonly timer: TimerService;
   readonly log: GatewayLog;
   readonly anomalies: Pick<AnomalyLog, "note">;
+  /** Told of what other daemons are to know. */
+  readonly onNews?: () => void;
 }
 
 type Handlers = {
@@ -35,7 +39,16 @@
 export function createNoticeListener(
   options: NoticeHandlersOptions,
 ): EndpointNoticeListener {
-  const { book, limits, timer, log, anomalies } = options;
+  const { book, limits, leavings, timer, log, anomalies } = options;
+  const onNews = options.onNews ?? ((): void => {});
+  const lifeOf = ({ id, bornAt }: AnsweringEndpoint): AnsweringEndpoint => ({
+    id,
+    bornAt: bornAt ?? book.find(id)?.entry.bornAt,
+  });
+  leavings.registerListener((life) => {
+    book.leave(life, "leaving");
+    log.info("endpoint leaving", { endpoint: life.id, source: "daemon" });
+  });
   const handlers: Handlers = {
     leaving: ({ id, bornAt }) => {
       const known = book.find(id)?.entry;
@@ -43,6 +56,7 @@
       if (life === undefined) return;
       // Holds for one that isn't in use now too: its entry may be back later.
       book.leave({ id, bornAt: life }, "leaving");
+      if (leavings.tell({ id, bornAt: life }, timer.now())) onNews();
       if (known?.bornAt !== life) return;
       log.info("endpoint leaving", { endpoint: id, source: "answer" });
     },
@@ -55,20 +69,19 @@
     cold: ({ id }, { milliseconds }) => {
       book.find(id)?.tellCold(milliseconds, timer.now());
     },
-    limit: ({ id, bornAt }, { perSecond }) => {
-      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
-      if (!limits.tell(life, perSecond, timer.now())) return;
-      log.info("endpoint names a limit", { endpoint: id, perSecond });
+    limit: (endpoint, { perSecond }) => {
+      if (!limits.tell(lifeOf(endpoint), perSecond, timer.now())) return;
+      onNews();
+      log.info("endpoint names a limit", { endpoint: endpoint.id, perSecond });
     },
-    unlimited: ({ id, bornAt }) => {
-      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
-      if (!limits.tell(life, undefined, timer.now())) return;
-      log.info("endpoint names no limit any more", { endpoint: id });
+    unlimited: (endpoint) => {
+      if (!limits.tell(lifeOf(endpoint), undefined, timer.now())) return;
+      onNews();
+      log.info("endpoint names no limit any more", { endpoint: endpoint.id });
     },
-    unreadable_limit: ({ id, bornAt }, { text }) => {
-      const life = { id, bornAt: bornAt ?? book.find(id)?.entry.bornAt };
-      limits.tellUnreadable(life, timer.now());
-      anomalies.note("limit_unreadable", { endpoint: id, text });
+    unreadable_limit: (endpoint, { text }) => {
+      if (limits.tellUnreadable(lifeOf(endpoint), timer.now())) onNews();
+      anomalies.note("limit_unreadable", { endpoint: endpoint.id, text });
     },
     unreadable_cold: ({ id }, { text }) => {
       anomalies.note("cold_unreadable", { endpoint: id, text });
--- a/packages/kelpspar-gateway/src/fleet/fleet.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet.ts
@@ -1,6 +1,6 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { ConfigurationKeeper } from "../configuration/configuration_keeper.ts";
-import type { LimitSync } from "../endpoints/limit_sync.ts";
+import type { NoticeSync } from "../endpoints/notice_sync.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { QuarantineSync } from "../quarantine/quarantine_sync.ts";
 import type { StoreEra } from "../tables/store_era.ts";
@@ -40,7 +40,7 @@
   readonly configuration: ConfigurationKeeper;
   readonly era: StoreEra;
   readonly crashes: Pick<QuarantineSync, "checksum" | "told">;
-  readonly limits: Pick<LimitSync, "checksum" | "told">;
+  readonly notices: Pick<NoticeSync, "checksum" | "told">;
   readonly timer: TimerService;
   readonly log: GatewayLog;
   readonly random: RandomSource;
@@ -122,13 +122,13 @@
   }
 
   #digest(asker?: FleetDigest): FleetDigest {
-    const { membership, configuration, era, crashes, limits, timer } =
+    const { membership, configuration, era, crashes, notices, timer } =
       this.#options;
     return membership.createDigest(this.ownState, {
       configurationVersion: configuration.version,
       storeEra: era.current,
       crashChecksum: crashes.checksum,
-      limitChecksum: limits.checksum,
+      noticeChecksum: notices.checksum,
       ...(asker === undefined ? {} : { asker }),
       now: timer.now(),
     });
@@ -139,7 +139,7 @@
     membership.heard(digest, timer.now());
     this.#options.era.told(digest.storeEra);
     this.#options.crashes.told(digest.self.peer, digest.crashChecksum);
-    this.#options.limits.told(digest.self.peer, digest.limitChecksum);
+    this.#options.notices.told(digest.self.peer, digest.noticeChecksum);
     if (membership.hasUnknownAddresses) {
       void this.#fetchAddresses(digest.self.peer);
     }
--- a/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_digest.ts
@@ -38,8 +38,8 @@
   storeEra: z.number().optional(),
   /** Of the crashes that it knows of; absent when it knows of none. */
   crashChecksum: z.number().optional(),
-  /** Of the endpoints' limits that it knows of; absent without any. */
-  limitChecksum: z.number().optional(),
+  /** Of what endpoints told it and others; absent without any. */
+  noticeChecksum: z.number().optional(),
   /**
    * The newest heartbeats it knows, its own first, packed; an answer leaves
    * out those that the asker has.
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -251,7 +251,7 @@
       readonly configurationVersion: number;
       readonly storeEra: number | undefined;
       readonly crashChecksum?: number | undefined;
-      readonly limitChecksum?: number | undefined;
+      readonly noticeChecksum?: number | undefined;
       readonly now: number;
       readonly asker?: FleetDigest;
     },
@@ -272,7 +272,7 @@
       configurationVersion: options.configurationVersion,
       storeEra: options.storeEra,
       crashChecksum: options.crashChecksum,
-      limitChecksum: options.limitChecksum,
+      noticeChecksum: options.noticeChecksum,
       heartbeats: packHeartbeats([heartbeat, ...lacking]),
     };
   }
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -3,7 +3,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
-import type { LimitPage } from "../endpoints/limit_page.ts";
+import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { FollowClient } from "../tables/table_follower.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
@@ -11,7 +11,10 @@
 import type { CrashPage } from "kelpspar-decisions/quarantine";
 import { createTRPCClient } from "@trpc/client";
 import { createPeerLink, PeerConnections } from "kelpspar-peers";
-import { fromLimitMessage, toLimitMessage } from "../endpoints/limit_page.ts";
+import {
+  fromNoticeMessage,
+  toNoticeMessage,
+} from "../endpoints/notice_page.ts";
 import {
   fromCrashMessage,
   toCrashMessage,
@@ -91,13 +94,13 @@
     return fromCrashMessage(answer);
   }
 
-  /** Tells a peer of endpoints' limits; gives all that it knows of. */
-  async shareLimits(peer: string, page: LimitPage): Promise<LimitPage> {
+  /** Tells a peer what endpoints say; gives all that it knows of. */
+  async shareNotices(peer: string, page: NoticePage): Promise<NoticePage> {
     const answer = await this.#short(
       peer,
-      (client) => client.shareLimits.mutate(toLimitMessage(page)),
+      (client) => client.shareNotices.mutate(toNoticeMessage(page)),
     );
-    return fromLimitMessage(answer);
+    return fromNoticeMessage(answer);
   }
 
   async follow(
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -2,16 +2,16 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
-import type { LimitPage } from "../endpoints/limit_page.ts";
+import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import {
-  fromLimitMessage,
-  limitMessageSchema,
-  toLimitMessage,
-} from "../endpoints/limit_page.ts";
+  fromNoticeMessage,
+  noticeMessageSchema,
+  toNoticeMessage,
+} from "../endpoints/notice_page.ts";
 import {
   crashMessageSchema,
   fromCrashMessage,
@@ -31,8 +31,8 @@
   follow(request: FollowRequest, signal: AbortSignal): Promise<FollowAnswer>;
   /** Takes crashes in; gives all that are known here. */
   shareCrashes(page: CrashPage): CrashPage;
-  /** Takes endpoints' limits in; gives all that are known here. */
-  shareLimits(page: LimitPage): LimitPage;
+  /** Takes in what endpoints say; gives all that is known here. */
+  shareNotices(page: NoticePage): NoticePage;
   /** Runs a chain of stages; `signal` ends it when the asker is gone. */
   runChain(request: ChainRequest, signal: AbortSignal): Promise<ChainOutcome>;
   release(release: ChainRelease): void;
@@ -94,9 +94,9 @@
   shareCrashes: trpc.procedure.input(crashMessageSchema).mutation((
     { ctx, input },
   ) => toCrashMessage(ctx.handlers.shareCrashes(fromCrashMessage(input)))),
-  shareLimits: trpc.procedure.input(limitMessageSchema).mutation((
+  shareNotices: trpc.procedure.input(noticeMessageSchema).mutation((
     { ctx, input },
-  ) => toLimitMessage(ctx.handlers.shareLimits(fromLimitMessage(input)))),
+  ) => toNoticeMessage(ctx.handlers.shareNotices(fromNoticeMessage(input)))),
   runChain: trpc.procedure.input(chainSchema).mutation(({ ctx, input }) =>
     ctx.handlers.runChain(input, ctx.gone())
   ),
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -16,9 +16,10 @@
 import { ConfigurationKeeper } from "./configuration/configuration_keeper.ts";
 import { EndpointGate } from "./endpoints/endpoint_gate.ts";
 import { EndpointBook } from "./endpoints/endpoint_book.ts";
-import { LimitSync } from "./endpoints/limit_sync.ts";
+import { EndpointLeavings } from "./endpoints/endpoint_leavings.ts";
 import { EndpointLimits } from "./endpoints/endpoint_limits.ts";
 import { createNoticeListener } from "./endpoints/notice_handlers.ts";
+import { NoticeSync } from "./endpoints/notice_sync.ts";
 import { Fleet } from "./fleet/fleet.ts";
 import { FleetMembership } from "./fleet/fleet_membership.ts";
 import { PEER_IDLE_MILLISECONDS, PeerClient } from "./fleet/peer_client.ts";
@@ -85,7 +86,6 @@
   readonly quarantine: Quarantine;
   readonly #options: GatewayDaemonOptions;
   readonly #crashes: QuarantineParts;
-  readonly #limitSync: LimitSync;
   readonly #membership: FleetMembership;
   readonly #fleet: Fleet;
   readonly #front: FrontServer;
@@ -117,7 +117,14 @@
       windowMilliseconds: options.retryWindowMilliseconds,
     });
     const crashes = createQuarantineParts({ ...options, peers, membership });
-    const limitSync = new LimitSync({ ...options, limits, peers, membership });
+    const leavings = new EndpointLeavings();
+    const noticeSync = new NoticeSync({
+      ...options,
+      limits,
+      leavings,
+      peers,
+      membership,
+    });
     const fleet = new Fleet({
       daemonId: self.daemonId,
       membership,
@@ -125,7 +132,7 @@
       configuration,
       era,
       crashes: crashes.sync,
-      limits: limitSync,
+      notices: noticeSync,
       timer,
       log,
       random: options.random,
@@ -184,7 +191,6 @@
     });
     this.quarantine = crashes.quarantine;
     this.#crashes = crashes;
-    this.#limitSync = limitSync;
     this.#membership = membership;
     this.#fleet = fleet;
     this.#service = service;
@@ -205,7 +211,7 @@
         throw new Error("The store's tables aren't followed here yet");
       },
       shareCrashes: (page) => crashes.sync.answer(page),
-      shareLimits: (page) => limitSync.answer(page),
+      shareNotices: (page) => noticeSync.answer(page),
       runChain: (request, signal) => coordinator.run(request, signal),
       release: (release) => coordinator.release(release),
     }));
@@ -216,7 +222,9 @@
         ...options,
         book,
         limits,
+        leavings,
         anomalies: this.anomalies,
+        onNews: () => noticeSync.heard(),
       }),
     );
   }
@@ -229,7 +237,6 @@
     });
     this.book.registerMissing(() => this.#watchMissing());
     this.#crashes.register();
-    this.#limitSync.register();
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
     this.#fleet.register();
