Forget limits of endpoints that are gone

Cause: found by reading: a limit ends by its endpoint's word alone, so that one whose endpoint ends while it names a limit stayed for ever; ids are new with each life, and the page that daemons share would have grown with each of them. Change: a limit of which no daemon has heard for ten minutes is forgotten; endpoints in use are asked every few seconds whatever they name. The cap on the number of entries goes, since time bounds them. Two files have their parts in order. Evidence: endpoint_limits_test.ts (the entry stayed before).

--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
@@ -87,6 +87,8 @@
       ["i2", undefined, undefined],
     ],
   );
-  // The end of a limit is forgotten after a while, the limit isn't.
+  // The end of a limit is forgotten after a while, a limit much later.
   expect(limits.page(90_000).map(({ id }) => id)).toEqual(["i1"]);
+  expect(limits.page(700_000)).toEqual([]);
+  expect([limits.size, limits.checksum]).toEqual([0, 0]);
 });
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_limits.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_limits.ts
@@ -20,8 +20,11 @@
 const SAME_TIME_MILLISECONDS = 250;
 /** How long the end of a limit is kept for daemons that know of it, ms. */
 const ENDED_MILLISECONDS = 60_000;
-/** Endpoints kept; beyond that those of which nothing was heard longest go. */
-const MOST_ENDPOINTS = 5_000;
+/**
+ * A limit of which no daemon has heard for so long is of an endpoint that is
+ * gone, milliseconds: others are asked every few seconds whatever they name.
+ */
+const SILENT_MILLISECONDS = 600_000;
 
 /**
  * The limits that endpoints name, requests a second from all daemons together.
@@ -65,7 +68,7 @@
     const known = this.#told.get(life.id);
     if (known !== undefined && at < known.at) return false;
     const hasChanged = this.#put(life, perSecond, at);
-    if (hasChanged) this.#settle();
+    if (hasChanged) this.#forget(at);
     return hasChanged;
   }
 
@@ -96,7 +99,7 @@
       if (known !== undefined && !isNews({ perSecond, at }, known)) continue;
       hasChanged = this.#put(life, perSecond, at) || hasChanged;
     }
-    if (hasChanged) this.#settle();
+    if (hasChanged) this.#forget(now);
     return hasChanged;
   }
 
@@ -125,15 +128,11 @@
 
   #forget(now: number): void {
     for (const [id, { perSecond, at }] of this.#told) {
-      const isOver = perSecond === undefined && now - at > ENDED_MILLISECONDS;
-      if (isOver) this.#told.delete(id);
+      const kept = perSecond === undefined
+        ? ENDED_MILLISECONDS
+        : SILENT_MILLISECONDS;
+      if (now - at > kept) this.#told.delete(id);
     }
-    const surplus = this.#told.size - MOST_ENDPOINTS;
-    if (surplus <= 0) return;
-    const oldest = [...this.#told].sort(([, one], [, other]) =>
-      one.at - other.at
-    ).slice(0, surplus);
-    for (const [id] of oldest) this.#told.delete(id);
     this.#settle();
   }
 }
--- a/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
+++ b/packages/kelpspar-gateway/src/pieces/endpoint_lane.ts
@@ -15,7 +15,6 @@
 /** One endpoint of a stage service: its calls and the room for its results. */
 export class EndpointLane {
   readonly endpoint: EndpointState;
-  readonly #gate: EndpointGate;
   readonly calls = new Set<RunningCall>();
   /** Until then it gets no calls: it was full; monotonic milliseconds. */
   pausedUntil = 0;
@@ -25,6 +24,7 @@
   isRoomAsked = false;
   /** Set once the endpoint is gone; what it still answers is lost with it. */
   isGone = false;
+  readonly #gate: EndpointGate;
   readonly #kept = new Map<string, KeptResult>();
 
   constructor(endpoint: EndpointState, gate: EndpointGate) {
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -8,6 +8,7 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { Placement } from "../placement/reader_place.ts";
+import type { StageOutlook } from "./admit_chain.ts";
 import type {
   ChainOutcome,
   ChainRefusal,
@@ -17,7 +18,6 @@
 import type { PieceClient } from "./piece_call.ts";
 import type { PieceTask } from "./piece_task.ts";
 import { ReaderPlacement } from "../placement/reader_placement.ts";
-import type { StageOutlook } from "./admit_chain.ts";
 import { admitChain } from "./admit_chain.ts";
 import { backlogOf } from "./backlog.ts";
 import { ChainRun } from "./chain_run.ts";
