--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_limits_test.ts
@@ -61,6 +61,15 @@
   expect(other.of(LIFE)).toEqual(4);
   one.take(other.page(5_200), 1_200);
   expect(one.of(LIFE)).toEqual(4);
+  // Said within a moment of each other, in an order that nobody knows.
+  const hears = (known: number, word: number): number | undefined => {
+    const [here, there] = [new EndpointLimits(), new EndpointLimits()];
+    here.tell(LIFE, known, 1_000);
+    there.tell(LIFE, word, 1_000);
+    here.take(there.page(1_000), 1_100);
+    return here.of(LIFE);
+  };
+  expect([hears(4, 12), hears(12, 4)]).toEqual([4, 4]);
   one.tell(LIFE, undefined, 9_000);
   other.take(one.page(9_000), 13_000);
   expect(other.of(LIFE)).toEqual(undefined);
--- a/packages/kelpspar-scenarios/src/guards/main.ts
+++ b/packages/kelpspar-scenarios/src/guards/main.ts
@@ -2,6 +2,7 @@
 import { spawnSync } from "node:child_process";
 import { fileURLToPath } from "node:url";
 import { GUARDS } from "./guards.ts";
+import { NOTICE_GUARDS } from "./notice_guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { SourceCopy } from "./source_copy.ts";
 
@@ -14,7 +15,7 @@
 
 /** Guards that one test file notices; all when it isn't given. */
 function chooseGuards(testFile: string | undefined): readonly Guard[] {
-  const all = [...GUARDS, ...QUARANTINE_GUARDS];
+  const all = [...GUARDS, ...QUARANTINE_GUARDS, ...NOTICE_GUARDS];
   if (testFile === undefined) return all;
   return all.filter(({ noticedBy }) => noticedBy.endsWith(testFile));
 }
