--- a/packages/kelpspar-gateway/src/__tests__/support/play_limited_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_limited_load.ts
@@ -1,10 +1,10 @@
 import type { EndpointChooser } from "../../endpoints/endpoint_gate.ts";
 import type { EndpointState } from "../../endpoints/endpoint_state.ts";
 import { SeededRandom } from "kelpspar-shared";
-import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
+import { configurationOf } from "./configuration_of.ts";
 
 const SERVICE = "service";
 const STEP_MILLISECONDS = 10;
@@ -43,7 +43,11 @@
 export function playLimitedLoad(load: LimitedLoad): LimitedPlay {
   const random = new SeededRandom(load.seed);
   const limits = new EndpointLimits();
-  const configuration = configure(load.isModel === true);
+  const configuration = configurationOf([{
+    name: SERVICE,
+    pieces: undefined,
+    engineSlots: load.isModel === true ? 64 : undefined,
+  }]);
   const book = createBook(load.endpoints);
   const endpoints = book.ofService(SERVICE);
   const sentAt = endpoints.map((): number[] => []);
@@ -132,24 +136,3 @@
   }
   return book;
 }
-
-function configure(isModel: boolean): ConfigurationKeeper {
-  const configuration = new ConfigurationKeeper();
-  configuration.offer({
-    version: 1,
-    routes: [],
-    services: [{
-      name: SERVICE,
-      pieces: undefined,
-      engineSlots: isModel ? 64 : undefined,
-    }],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
-    },
-    accounts: undefined,
-  });
-  return configuration;
-}
--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_gate_test.ts
@@ -1,14 +1,15 @@
+import type { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import type { EndpointEntry } from "../../endpoints/endpoint_entry.ts";
 import type { EndpointChooser } from "../../endpoints/endpoint_gate.ts";
 import { expect } from "earl";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
-import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import { chooseEndpoint } from "../../endpoints/choose_endpoint.ts";
 import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { ReaderPlacement } from "../../placement/reader_placement.ts";
+import { configurationOf } from "../support/configuration_of.ts";
 
 const COLD_LIMIT = 6;
 const COLD_MILLISECONDS = 3_000;
@@ -16,33 +17,20 @@
 const MOST_IN_A_SECOND = 1.5 * COLD_LIMIT + 5;
 
 function configure(limit: number | undefined): ConfigurationKeeper {
-  const configuration = new ConfigurationKeeper();
-  configuration.offer({
-    version: 1,
-    routes: [],
-    services: [
-      {
-        name: "model",
-        pieces: undefined,
-        engineSlots: 64,
-        coldRequestsPerSecond: limit,
-      },
-      {
-        name: "plain",
-        pieces: undefined,
-        engineSlots: undefined,
-        coldRequestsPerSecond: limit,
-      },
-    ],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
+  return configurationOf([
+    {
+      name: "model",
+      pieces: undefined,
+      engineSlots: 64,
+      coldRequestsPerSecond: limit,
     },
-    accounts: undefined,
-  });
-  return configuration;
+    {
+      name: "plain",
+      pieces: undefined,
+      engineSlots: undefined,
+      coldRequestsPerSecond: limit,
+    },
+  ]);
 }
 
 function entry(id: string, service: string, cold = 0): EndpointEntry {
--- a/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
@@ -1,15 +1,16 @@
+import type { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
 import type { PieceCall } from "../../pieces/piece_call.ts";
 import { expect } from "earl";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { test } from "node:test";
-import { ConfigurationKeeper } from "../../configuration/configuration_keeper.ts";
 import { EndpointBook } from "../../endpoints/endpoint_book.ts";
 import { EndpointGate } from "../../endpoints/endpoint_gate.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { mostPlaceWait } from "../../pieces/most_place_wait.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+import { configurationOf } from "../support/configuration_of.ts";
 import { mostInSpan } from "../support/play_limited_load.ts";
 
 const LIMIT = 2;
@@ -131,34 +132,21 @@
 }
 
 function configure(): ConfigurationKeeper {
-  const configuration = new ConfigurationKeeper();
-  configuration.offer({
-    version: 1,
-    routes: [],
-    services: [
-      { name: "model", engineSlots: 8, pieces: undefined },
-      {
-        name: "stage",
-        engineSlots: undefined,
-        pieces: {
-          batch: 4,
-          slots: 1,
-          callMilliseconds: CALL_MILLISECONDS,
-          pieceMilliseconds: 1,
-          resultBytes: 100_000,
-          keptMilliseconds: 4_000,
-        },
+  return configurationOf([
+    { name: "model", engineSlots: 8, pieces: undefined },
+    {
+      name: "stage",
+      engineSlots: undefined,
+      pieces: {
+        batch: 4,
+        slots: 1,
+        callMilliseconds: CALL_MILLISECONDS,
+        pieceMilliseconds: 1,
+        resultBytes: 100_000,
+        keptMilliseconds: 4_000,
       },
-    ],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
     },
-    accounts: undefined,
-  });
-  return configuration;
+  ]);
 }
 
 const MODEL_IDS = ["model-0", "model-1", "model-2"];
