--- a/packages/kelpspar-gateway/src/endpoints/endpoint_gate.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_gate.ts
@@ -26,10 +26,10 @@
 
 /**
  * Of what an endpoint takes, the part of each role. Requests to models are
- * placed by the coordinator as a rule, plain ones only where all endpoints have
- * limits, and only coordinators send to stage endpoints. Two daemons may both
- * take themselves for the coordinator: twice its part and once that of all
- * daemons stays within one and a half times what the endpoint takes.
+ * placed by the coordinator as a rule, plain ones where all endpoints have limits
+ * and now and then beside, and only coordinators send to stage endpoints. Two
+ * daemons may both take themselves for the coordinator: twice its part and once
+ * that of all daemons stays within one and a half times what the endpoint takes.
  */
 const ROLE_SHARES: Readonly<
   Record<ServiceKind, Readonly<Record<EndpointChooser, number>>>
