Log the framing of streams and the bytes after their last event

A stream that was broken off and one that was whole had the same line in the log. request ended now tells whether the answer was close-delimited and how many bytes followed its last whole event, which tells the hypotheses apart.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -280,7 +280,8 @@
 
 function answered(status: number, body: Readable): EndpointAnswer {
   const close = (): void => void body.destroy();
-  return { type: "answered", status, headers: [], body, close };
+  const framing = "close_delimited";
+  return { type: "answered", status, headers: [], framing, body, close };
 }
 
 export function stream(
--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -217,6 +217,7 @@
       type: "answered",
       status: 200,
       headers: [],
+      framing: "close_delimited",
       body,
       close: () => void body.destroy(),
     }),
--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -1,7 +1,9 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { TimerService } from "kelpspar-shared";
+import type { BodyFraming } from "./body_framing.ts";
 import { parseHost } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
+import { bodyFraming } from "./body_framing.ts";
 import { watchHangUp } from "./watch_hang_up.ts";
 
 /** A request on a dedicated connection. */
@@ -28,6 +30,7 @@
   | {
     readonly type: "answered";
     readonly message: IncomingMessage;
+    readonly framing: BodyFraming;
     readonly close: () => void;
   }
   /** No connection was established, so nothing was sent. */
@@ -42,13 +45,6 @@
   /** The request may have arrived. */
   | { readonly type: "unknown"; readonly reason: string };
 
-/** True when the head determines where the body ends. */
-function isFramed(message: IncomingMessage): boolean {
-  const { headers } = message;
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 /**
  * Sends a request on a new connection that is never reused.
  *
@@ -126,9 +122,12 @@
       // Node's parser treats any end of the connection as the end of a body
       // without a length. After a reset the body is incomplete, but the caller
       // would get it as a complete one.
-      if (!isFramed(message)) cutBody = (error) => void message.destroy(error);
+      const framing = bodyFraming(message, options.method);
+      if (framing === "close_delimited") {
+        cutBody = (error) => void message.destroy(error);
+      }
       const close = (): void => void outgoing.destroy();
-      resolve({ type: "answered", message, close });
+      resolve({ type: "answered", message, framing, close });
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
       cutBody(error);
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -62,6 +62,7 @@
 export { computeListTiming } from "./endpoints/list_timing.ts";
 export { endToEndHeaders, headerValue } from "./exchange/connection_headers.ts";
 export { checkListening } from "./exchange/check_listening.ts";
+export type { HttpExchangeResult } from "./exchange/http_exchange.ts";
 export { exchangeHttp } from "./exchange/http_exchange.ts";
 export { ConnectionAttempts } from "./isolation/connection_attempts.ts";
 export { listen } from "./front/listen.ts";
--- a/packages/kelpspar-gateway/src/relay/relay_client.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_client.ts
@@ -1,5 +1,5 @@
-import type { IncomingMessage } from "node:http";
 import type { TimerService } from "kelpspar-shared";
+import type { HttpExchangeResult } from "../exchange/http_exchange.ts";
 import type { RelayAnswer } from "./relay_answer.ts";
 import type { RelayMessage } from "./relay_message.ts";
 import {
@@ -16,6 +16,8 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
 const OWN_HEADERS: ReadonlySet<string> = new Set([RELAY_ORIGIN_HEADER]);
 
+type AnsweredExchange = Extract<HttpExchangeResult, { type: "answered" }>;
+
 /** One relayed request. */
 export interface RelayCall {
   /** `address:port` of the other daemon. */
@@ -54,7 +56,7 @@
   });
   switch (result.type) {
     case "answered":
-      return await readAnswer(result.message, result.close);
+      return await readAnswer(result);
     case "unreachable":
       return { type: "unreachable", reason: result.reason };
     case "unsendable":
@@ -64,8 +66,7 @@
 }
 
 async function readAnswer(
-  message: IncomingMessage,
-  close: () => void,
+  { message, framing, close }: AnsweredExchange,
 ): Promise<RelayAnswer> {
   const raw = message.rawHeaders;
   const origin = headerValue(raw, RELAY_ORIGIN_HEADER);
@@ -74,7 +75,14 @@
     const headers = endToEndHeaders(raw, OWN_HEADERS);
     return {
       type: "answered",
-      answer: { type: "answered", status, headers, body: message, close },
+      answer: {
+        type: "answered",
+        status,
+        headers,
+        framing,
+        body: message,
+        close,
+      },
     };
   }
   try {
--- a/packages/kelpspar-gateway/src/requests/endpoint_call.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_call.ts
@@ -1,4 +1,5 @@
 import type { Readable } from "node:stream";
+import type { BodyFraming } from "../exchange/body_framing.ts";
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
 import type { ListeningState } from "../exchange/check_listening.ts";
 import type { ServingRequest } from "./serving_request.ts";
@@ -30,7 +31,11 @@
     readonly status: number;
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
-    /** Emits an error when the body is truncated. */
+    readonly framing: BodyFraming;
+    /**
+     * Emits an error when the body is truncated, unless it is close-delimited
+     * and its connection ends regularly.
+     */
     readonly body: Readable;
     /** Closes the connection, even while the body is still arriving. */
     readonly close: () => void;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -310,13 +310,18 @@
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
     const { endpoint } = result;
+    let partialEventBytes: number;
     try {
       const onFirstEvent = (): void => {
         this.#sender.recordFirstByte(result);
         // An endpoint that writes events has read its inputs.
         run.releaseResults();
       };
-      await this.#streamForwarder.forward({ answer, endpoint, onFirstEvent });
+      partialEventBytes = await this.#streamForwarder.forward({
+        answer,
+        endpoint,
+        onFirstEvent,
+      });
     } catch (error) {
       return run.isOpen ? this.#handleCutAnswer(result, error) : "ended";
     } finally {
@@ -324,7 +329,12 @@
     }
     if (run.isOpen) run.options.dependencies.quarantine.served(run.fingerprint);
     // No effect if the run has ended already, e.g. by a caller's disconnect.
-    run.finish("served", { endpoint: endpoint.entry.id, status: 200 });
+    run.finish("served", {
+      endpoint: endpoint.entry.id,
+      status: 200,
+      framing: answer.framing,
+      partialEventBytes,
+    });
     return "ended";
   }
 
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -33,9 +33,10 @@
 
   /**
    * Forwards the stream of one endpoint. If it is cut, drops the partial event
-   * at its end and throws; the caller's stream stays open.
+   * at its end and throws; the caller's stream stays open. Returns the number
+   * of bytes after its last whole event.
    */
-  async forward(stream: ForwardedStream): Promise<void> {
+  async forward(stream: ForwardedStream): Promise<number> {
     const { answer, endpoint } = stream;
     const stopSignal = this.#run.stop.signal;
     const signals = endpoint === undefined
@@ -54,7 +55,9 @@
       for (const signal of signals) signal.removeEventListener("abort", onStop);
       answer.close();
     }
+    const { partialEventBytes } = this.#relay;
     if (this.#run.isOpen) await this.#endReply(answer);
+    return partialEventBytes;
   }
 
   async #forwardEvents(stream: ForwardedStream): Promise<void> {
--- a/packages/kelpspar-gateway/src/requests/stream_relay.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_relay.ts
@@ -21,6 +21,11 @@
     return this.#lastEventId;
   }
 
+  /** Bytes received after the last whole event. */
+  get partialEventBytes(): number {
+    return this.#partialEvent.length;
+  }
+
   /** Adds bytes and returns the events that are now complete. */
   push(chunk: Uint8Array): Buffer {
     const bytes = this.#partialEvent.length === 0
