--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -13,6 +13,8 @@
   | "answer_lost"
   /** Closes the connection in the middle of the response. */
   | "cut"
+  /** Ends a stream regularly in the middle of an event. */
+  | "ended_midway"
   /** Accepts requests and never responds. */
   | "mute"
   /** Responds with another request's attempt id. */
@@ -24,6 +26,12 @@
   /** Responds with status 500. */
   | "failing";
 
+/** How a runner marks the end of its streams. */
+export type StreamFraming = "chunked" | "close_delimited";
+
+/** Line end of a `text/event-stream`. */
+export type StreamLineEnd = "\n" | "\r\n" | "\r";
+
 /** A request that a runner executed. */
 export interface RunnerRun {
   readonly attemptId: string;
@@ -52,6 +60,8 @@
 /** A stand-in for a request runner; speaks the published protocol. */
 export class RunnerStandIn {
   fault: RunnerFault = "none";
+  streamFraming: StreamFraming = "chunked";
+  streamLineEnd: StreamLineEnd = "\n";
   /** Whether all responses carry `Server-Leaving`. */
   isLeaving = false;
   readonly limit = new AdvertisedLimit();
@@ -247,6 +257,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { events = 5 } = this.#options;
+    response.useChunkedEncodingByDefault = this.streamFraming === "chunked";
     response.writeHead(200, {
       ...this.#responseHeaders(attemptId),
       "Content-Type": "text/event-stream",
@@ -254,11 +265,16 @@
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
       await this.#delay();
       if (response.destroyed) return;
-      const event = `id: ${id}\ndata: ${attemptId} ${id}\n\n`;
+      const lines = [`id: ${id}`, `data: ${attemptId} ${id}`, "", ""];
+      const event = lines.join(this.streamLineEnd);
       if (this.fault === "cut" && id > events / 2) {
         response.write(event.slice(0, 6), () => response.destroy());
         return;
       }
+      if (this.fault === "ended_midway" && id > events / 2) {
+        response.end(event.slice(0, 6));
+        return;
+      }
       response.write(event);
     }
     response.end();
