Recognise all line ends of event streams

Cause: StreamRelay knew only LF LF as the end of an event. Streams whose lines end in CR LF or CR, which text/event-stream allows, reached callers only when they ended, and the id of their last event was never known. Change: an event ends with any blank line, and ids are read after any line end. A CR that follows a CR LF at the end of the received bytes waits for the next byte, since it is probably half of the blank line.

--- a/packages/kelpspar-gateway/src/requests/stream_relay.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_relay.ts
@@ -1,6 +1,4 @@
-/** Blank line that terminates an event. */
-const EVENT_END = "\n\n";
-const ID_FIELD = /(?:^|\n)id:[ ]?([^\n]*)/g;
+import { endOfLastEvent, lastIdOf } from "./event_stream.ts";
 
 /**
  * Splits a stream into whole events and tracks the id of the last one. An
@@ -31,15 +29,14 @@
     const bytes = this.#partialEvent.length === 0
       ? Buffer.from(chunk)
       : Buffer.concat([this.#partialEvent, chunk]);
-    const end = bytes.lastIndexOf(EVENT_END);
-    if (end < 0) {
+    const end = endOfLastEvent(bytes);
+    if (end === 0) {
       this.#partialEvent = bytes;
       return Buffer.alloc(0);
     }
-    const completeEvents = bytes.subarray(0, end + EVENT_END.length);
-    this.#partialEvent = bytes.subarray(end + EVENT_END.length);
-    const ids = [...completeEvents.toString("latin1").matchAll(ID_FIELD)];
-    this.#lastEventId = ids.at(-1)?.[1]?.trim() ?? this.#lastEventId;
+    const completeEvents = bytes.subarray(0, end);
+    this.#partialEvent = bytes.subarray(end);
+    this.#lastEventId = lastIdOf(completeEvents) ?? this.#lastEventId;
     return completeEvents;
   }
 
