Treat streams that end inside an event as broken off

What callers saw: 200 with an endpoint's proof and a partial last event, framed as complete; resumable streams stopped there. Cause: an answer with neither a length nor chunks ends with its connection. If an endpoint crashes, its connection may end by FIN, which the HTTP parser reports as the end of the body. StreamForwarder wrote the bytes after the last event and ended the reply. Change: a stream whose body ends inside an event is a cut answer: a resumable one goes on at another endpoint, any other is aborted, or fails with 502 before its first event. So is a close-delimited stream without a byte, unless the caller resumes and a second endpoint has nothing left either. An answer on a streaming route with another media type is buffered, since it has no events.

--- a/packages/kelpspar-gateway/src/__tests__/unit/broken_off_stream_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/broken_off_stream_test.ts
@@ -27,7 +27,9 @@
   parts: readonly (string | Buffer)[],
   options: AnswerOptions = {},
 ): ReceivedAnswer {
-  const body = Readable.from(parts.map((part) => Buffer.from(part)));
+  // A socket emits no empty chunks.
+  const chunks = parts.filter((part) => part.length > 0);
+  const body = Readable.from(chunks.map((part) => Buffer.from(part)));
   return {
     type: "answered",
     status: 200,
--- a/packages/kelpspar-gateway/src/requests/event_stream.ts
+++ b/packages/kelpspar-gateway/src/requests/event_stream.ts
@@ -1,6 +1,7 @@
 // Line ends and blank lines of `text/event-stream` (WHATWG HTML, section 9.2.6).
 const LINE_FEED_BLANK_LINE = "\n\n";
 const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
 /**
  * A blank line and the line end before it. A CR at the end of the bytes that
  * follows a CR LF is probably half of a second one, so it doesn't match yet.
@@ -24,3 +25,8 @@
   const ids = [...events.toString("latin1").matchAll(ID_FIELD)];
   return ids.at(-1)?.[1]?.trim();
 }
+
+/** True if bytes that follow a whole event begin another one. */
+export function isPartialEvent(rest: Buffer): boolean {
+  return rest.some((byte) => byte !== CARRIAGE_RETURN && byte !== LINE_FEED);
+}
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -310,18 +310,13 @@
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
     const { endpoint } = result;
-    let partialEventBytes: number;
     try {
       const onFirstEvent = (): void => {
         this.#sender.recordFirstByte(result);
         // An endpoint that writes events has read its inputs.
         run.releaseResults();
       };
-      partialEventBytes = await this.#streamForwarder.forward({
-        answer,
-        endpoint,
-        onFirstEvent,
-      });
+      await this.#streamForwarder.forward({ answer, endpoint, onFirstEvent });
     } catch (error) {
       return run.isOpen ? this.#handleCutAnswer(result, error) : "ended";
     } finally {
@@ -333,7 +328,6 @@
       endpoint: endpoint.entry.id,
       status: 200,
       framing: answer.framing,
-      partialEventBytes,
     });
     return "ended";
   }
--- a/packages/kelpspar-gateway/src/requests/send_result.ts
+++ b/packages/kelpspar-gateway/src/requests/send_result.ts
@@ -1,6 +1,7 @@
 import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointAnswer } from "./endpoint_call.ts";
+import { isEventStream, mediaType } from "./is_event_stream.ts";
 
 /** An answer with status and body from the endpoint. */
 export type ReceivedAnswer = Extract<EndpointAnswer, { type: "answered" }>;
@@ -16,12 +17,17 @@
   readonly release: () => void;
 }
 
-/** Whether an answer to a route of this kind arrives as a stream. */
+/**
+ * Whether an answer to a route of this kind arrives as a stream of events. One
+ * without a media type counts as such.
+ */
 export function isStreamed(
   answer: EndpointAnswer,
   { kind }: Pick<ServiceRoute, "kind">,
 ): boolean {
-  return kind === "stream" && answer.type === "answered" && answer.status < 300;
+  return kind === "stream" && answer.type === "answered" &&
+    answer.status < 300 &&
+    (mediaType(answer.headers) === undefined || isEventStream(answer.headers));
 }
 
 /** Closes the connection of an answer that won't be read. */
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -25,6 +25,9 @@
   readonly #run: RequestRun;
   readonly #relay: StreamRelay;
   #hasBegun = false;
+  #hasAnswerBytes = false;
+  /** Answers that ended without a byte while none had been received. */
+  #emptyAnswers = 0;
 
   constructor(run: RequestRun, relay: StreamRelay) {
     this.#run = run;
@@ -32,11 +35,10 @@
   }
 
   /**
-   * Forwards the stream of one endpoint. If it is cut, drops the partial event
-   * at its end and throws; the caller's stream stays open. Returns the number
-   * of bytes after its last whole event.
+   * Forwards the stream of one endpoint. If it is cut or ends inside an event,
+   * drops the partial event and throws; the caller's stream stays open.
    */
-  async forward(stream: ForwardedStream): Promise<number> {
+  async forward(stream: ForwardedStream): Promise<void> {
     const { answer, endpoint } = stream;
     const stopSignal = this.#run.stop.signal;
     const signals = endpoint === undefined
@@ -48,6 +50,7 @@
     }
     try {
       await this.#forwardEvents(stream);
+      if (this.#run.isOpen) this.#assertComplete(answer);
     } catch (error) {
       this.#relay.dropPartialEvent();
       throw error;
@@ -55,9 +58,7 @@
       for (const signal of signals) signal.removeEventListener("abort", onStop);
       answer.close();
     }
-    const { partialEventBytes } = this.#relay;
     if (this.#run.isOpen) await this.#endReply(answer);
-    return partialEventBytes;
   }
 
   async #forwardEvents(stream: ForwardedStream): Promise<void> {
@@ -65,10 +66,12 @@
     const { answer, onFirstEvent } = stream;
     const { reply, dependencies } = run.options;
     let stopIdleTimeout = this.#registerIdleTimeout(stream);
+    this.#hasAnswerBytes = false;
     try {
       for await (const chunk of answer.body) {
         if (!run.isOpen) return;
         stopIdleTimeout();
+        this.#hasAnswerBytes = true;
         const events = this.#relay.push(chunk as Buffer);
         if (events.length > 0) {
           if (run.firstByteAt === undefined) {
@@ -85,6 +88,28 @@
     }
   }
 
+  /** Throws if the stream was broken off, although its body ended regularly. */
+  #assertComplete({ framing }: ReceivedAnswer): void {
+    if (this.#relay.isInsideEvent) {
+      throw new Error(`the stream ended inside an event (${framing})`);
+    }
+    const isEmpty = framing === "close_delimited" && !this.#hasAnswerBytes;
+    if (isEmpty && !this.#isConfirmedRest()) {
+      throw new Error("the stream ended before its first event");
+    }
+  }
+
+  /**
+   * True if two endpoints have nothing after the event that the caller resumes
+   * at, which may have been the last one.
+   */
+  #isConfirmedRest(): boolean {
+    const { lastEventId } = this.#run.options.request;
+    if (lastEventId === undefined || this.#relay.hasReceivedBytes) return false;
+    this.#emptyAnswers++;
+    return this.#emptyAnswers >= 2;
+  }
+
   async #endReply(answer: ReceivedAnswer): Promise<void> {
     const { reply } = this.#run.options;
     this.#beginReply(answer);
--- a/packages/kelpspar-gateway/src/requests/stream_relay.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_relay.ts
@@ -1,4 +1,4 @@
-import { endOfLastEvent, lastIdOf } from "./event_stream.ts";
+import { endOfLastEvent, isPartialEvent, lastIdOf } from "./event_stream.ts";
 
 /**
  * Splits a stream into whole events and tracks the id of the last one. An
@@ -9,6 +9,7 @@
 export class StreamRelay {
   #partialEvent: Buffer = Buffer.alloc(0);
   #lastEventId: string | undefined;
+  #hasReceivedBytes = false;
 
   constructor(lastEventId: string | undefined) {
     this.#lastEventId = lastEventId;
@@ -19,13 +20,19 @@
     return this.#lastEventId;
   }
 
-  /** Bytes received after the last whole event. */
-  get partialEventBytes(): number {
-    return this.#partialEvent.length;
+  /** True after bytes of an event whose end hasn't been received. */
+  get isInsideEvent(): boolean {
+    return isPartialEvent(this.#partialEvent);
+  }
+
+  /** True once any bytes were received, from whichever endpoint. */
+  get hasReceivedBytes(): boolean {
+    return this.#hasReceivedBytes;
   }
 
   /** Adds bytes and returns the events that are now complete. */
   push(chunk: Uint8Array): Buffer {
+    this.#hasReceivedBytes = true;
     const bytes = this.#partialEvent.length === 0
       ? Buffer.from(chunk)
       : Buffer.concat([this.#partialEvent, chunk]);
@@ -40,7 +47,7 @@
     return completeEvents;
   }
 
-  /** Returns and clears the bytes after the last event, at a regular end. */
+  /** Returns and clears blank lines after the last event, at a regular end. */
   flush(): Buffer {
     const rest = this.#partialEvent;
     this.#partialEvent = Buffer.alloc(0);
