Treat buffered event streams that end inside an event as cut

Cause: an event stream on a route that doesn't stream is read whole, and the end of its connection was taken for its end there too, also in an answer that is kept while other endpoints are tried. Result: 'a buffered event stream that ends inside an event is retried' failed before and passes.

--- a/packages/kelpspar-gateway/src/requests/read_answer_body.ts
+++ b/packages/kelpspar-gateway/src/requests/read_answer_body.ts
@@ -1,10 +1,12 @@
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
+import { endOfLastEvent, isPartialEvent } from "./event_stream.ts";
+import { isEventStream } from "./is_event_stream.ts";
 import { readBody } from "./read_body.ts";
 
 /**
  * Reads the whole body and closes the answer, at once when the run stops. Throws
- * if the body is cut.
+ * if the body is cut or is an event stream that ends inside an event.
  */
 export async function readAnswerBody(
   run: RequestRun,
@@ -13,9 +15,16 @@
   const onStop = (): void => answer.close();
   run.stop.signal.addEventListener("abort", onStop, { once: true });
   try {
-    return await readBody(answer.body);
+    const body = await readBody(answer.body);
+    if (isEventStream(answer.headers)) assertWholeEvents(body);
+    return body;
   } finally {
     run.stop.signal.removeEventListener("abort", onStop);
     answer.close();
   }
 }
+
+function assertWholeEvents(body: Buffer): void {
+  if (!isPartialEvent(body.subarray(endOfLastEvent(body)))) return;
+  throw new Error("the event stream ended inside an event");
+}
