Reset the connections of HTTP/1.0 callers of aborted answers

An aborted answer closed its connection by FIN, and an HTTP/1.0 caller, whose answer has no chunks, takes that for the end. Change: an answer without chunks is aborted by a reset. Result: 'an aborted stream resets the connection of an HTTP/1.0 caller' got a regular end before ('end' is not equal to 'reset') and passes.

--- a/packages/kelpspar-gateway/src/front/http_reply.ts
+++ b/packages/kelpspar-gateway/src/front/http_reply.ts
@@ -64,6 +64,10 @@
   }
 
   abort(): void {
+    const { chunkedEncoding, headersSent, socket } = this.#response;
+    // Without chunks, as for callers that speak HTTP/1.0, a regular end of the
+    // connection would complete the answer.
+    if (headersSent && !chunkedEncoding) socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
