--- a/packages/kelpspar-scenarios/src/guards/main.ts
+++ b/packages/kelpspar-scenarios/src/guards/main.ts
@@ -6,6 +6,7 @@
 import { NOTICE_GUARDS } from "./notice_guards.ts";
 import { QUARANTINE_GUARDS } from "./quarantine_guards.ts";
 import { SourceCopy } from "./source_copy.ts";
+import { STREAM_GUARDS } from "./stream_guards.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
 const NAME_WIDTH = 62;
@@ -21,6 +22,7 @@
     ...QUARANTINE_GUARDS,
     ...NOTICE_GUARDS,
     ...ISOLATION_GUARDS,
+    ...STREAM_GUARDS,
   ];
   if (testFile === undefined) return all;
   return all.filter(({ noticedBy }) => noticedBy.endsWith(testFile));
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -19,12 +19,15 @@
   "full",
   "answer_lost",
   "cut",
+  "ended_midway",
   "mute",
   "foreign",
   "extra",
   "unframed_reset",
   "failing",
 ] as const;
+const STREAM_FRAMINGS = ["chunked", "close_delimited"] as const;
+const STREAM_LINE_ENDS = ["\n", "\r\n", "\r"] as const;
 const STAGE_FAULTS = ["mute", "slow", "no_room", "gone"] as const;
 const STORE_FAULTS = ["busy", "reset", "silent"] as const;
 /** Limits in requests per second; the last one can't be parsed. */
@@ -78,6 +81,12 @@
     later(targets, () => runner.fault = "none");
     return runner.fault;
   },
+  framing: ({ site, random }) => {
+    const runner = pickRandom(site.models, random);
+    runner.streamFraming = pickRandom(STREAM_FRAMINGS, random);
+    runner.streamLineEnd = pickRandom(STREAM_LINE_ENDS, random);
+    return runner.streamFraming;
+  },
   stage: (targets) => {
     const stage = pickRandom(targets.site.stages, targets.random);
     stage.fault = pickRandom(STAGE_FAULTS, targets.random);
