--- a/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_entry.ts
@@ -8,6 +8,8 @@
   /** `address:port`. */
   readonly address: string;
   readonly zone: string;
+  /** Version of its software; undefined if it reports none. */
+  readonly version?: string | undefined;
   readonly slots: number;
   readonly isDraining: boolean;
   /** Remaining cold time when the entry was written. */
--- a/packages/kelpspar-gateway/src/relay/relay_message.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_message.ts
@@ -19,6 +19,7 @@
     pieceCounts: z.array(z.number().int().min(0)),
     pieceKey: z.string(),
     lastEventId: z.string().optional(),
+    resumedAttemptId: z.string().optional(),
     /** Base64. */
     body: z.string(),
   }),
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -304,6 +304,7 @@
       fingerprint: this.#run.fingerprint,
       service,
       endpoint: endpoint.entry.id,
+      version: endpoint.entry.version,
       home: home?.entry.id,
       isPlaced: isPlaced === true,
       limitPerSecond: dependencies.rateLimiter.limitOf(endpoint, now),
@@ -316,6 +317,7 @@
       tried: this.#triedEndpointIds.size,
       remainingMilliseconds: Math.round(this.#run.remaining()),
       lastEventId: this.#relay.lastEventId,
+      resumedAttempt: request.resumedAttemptId,
     });
   }
 }
--- a/packages/kelpspar-gateway/src/requests/serving_request.ts
+++ b/packages/kelpspar-gateway/src/requests/serving_request.ts
@@ -26,5 +26,7 @@
   readonly pieceKey: string;
   /** Id of the last event received of a stream that the caller resumes. */
   readonly lastEventId: string | undefined;
+  /** Id of the attempt that brought the first event of that stream. */
+  readonly resumedAttemptId?: string | undefined;
   readonly body: Uint8Array;
 }
