--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -13,6 +13,8 @@
   | "answer_lost"
   /** Closes the connection in the middle of the response. */
   | "cut"
+  /** Cuts streams in this way unless they resume another. */
+  | "cut_new"
   /** Ends a stream regularly in the middle of an event. */
   | "ended_midway"
   /** Accepts requests and never responds. */
@@ -52,8 +54,13 @@
   readonly events?: number;
   /** Delay before the response and each event, milliseconds; default 5. */
   readonly delayMilliseconds?: number;
+  /** Version of its software, which its events contain; default none. */
+  readonly version?: string | undefined;
 }
 
+/** Version in the entries of runners whose events contain none. */
+const DEFAULT_VERSION = "v1";
+
 /** A request whose path ends with this crashes the runner that starts it. */
 export const CRASHING_PATH_SUFFIX = "/crash";
 
@@ -98,6 +105,11 @@
     return this.#incarnation === 1 ? id : `${id}-life-${this.#incarnation}`;
   }
 
+  /** Version of its software. */
+  get version(): string {
+    return this.#options.version ?? DEFAULT_VERSION;
+  }
+
   /** Listens on loopback; resolves to `address:port`. */
   async start(): Promise<string> {
     this.#address = await listenOnLoopback(this.#server);
@@ -256,7 +268,8 @@
     lastEventId: string | undefined,
     response: ServerResponse,
   ): Promise<void> {
-    const { events = 5 } = this.#options;
+    const { events = 5, version } = this.#options;
+    const mark = version === undefined ? "" : ` ${version}`;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunked";
     response.writeHead(200, {
       ...this.#responseHeaders(attemptId),
@@ -265,9 +278,11 @@
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
       await this.#delay();
       if (response.destroyed) return;
-      const lines = [`id: ${id}`, `data: ${attemptId} ${id}`, "", ""];
+      const lines = [`id: ${id}`, `data: ${attemptId} ${id}${mark}`, "", ""];
       const event = lines.join(this.streamLineEnd);
-      if (this.fault === "cut" && id > events / 2) {
+      const isCut = this.fault === "cut" ||
+        (this.fault === "cut_new" && lastEventId === undefined);
+      if (isCut && id > events / 2) {
         response.write(event.slice(0, 6), () => response.destroy());
         return;
       }
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -15,6 +15,12 @@
   readonly batch?: number;
   /** Number of results that a stage runner's memory holds. */
   readonly room?: number;
+  /** Software versions, assigned to model runners in rotation. */
+  readonly modelVersions?: readonly string[];
+  /** Whether the coordinator places requests at model runners. */
+  readonly hasEngines?: boolean;
+  /** Time between two events of a stream. */
+  readonly eventMilliseconds?: number;
   /** Availability zones, assigned to runners in rotation. */
   readonly zones?: readonly string[];
   /** Limit of requests per second to a cold runner; 0 for none. */
@@ -60,23 +66,31 @@
       callMilliseconds: 20,
       batch: 6,
       room: 40,
+      modelVersions: [],
+      hasEngines: true,
+      eventMilliseconds: 5,
       zones: ["a"],
       coldPerSecond: 0,
       hasProxies: false,
       ...options,
     };
     const { plainRunners, modelRunners, stageRunners } = this.#options;
-    const create = (
-      count: number,
-      name: string,
-      isStream: boolean,
-    ): readonly RunnerStandIn[] =>
-      Array.from(
-        { length: count },
-        (_, index) => new RunnerStandIn({ id: `${name}-${index}`, isStream }),
-      );
-    this.plain = create(plainRunners, "plain", false);
-    this.models = create(modelRunners, "model", true);
+    const { modelVersions, eventMilliseconds } = this.#options;
+    this.plain = Array.from(
+      { length: plainRunners },
+      (_, index) =>
+        new RunnerStandIn({ id: `plain-${index}`, isStream: false }),
+    );
+    this.models = Array.from(
+      { length: modelRunners },
+      (_, index) =>
+        new RunnerStandIn({
+          id: `model-${index}`,
+          isStream: true,
+          delayMilliseconds: eventMilliseconds,
+          version: modelVersions[index % Math.max(1, modelVersions.length)],
+        }),
+    );
     this.stages = Array.from(
       { length: stageRunners },
       (_, index) =>
@@ -121,6 +135,12 @@
     this.#remove("op", `evacuate/${zone}`);
   }
 
+  /** Reports that a runner leaves. */
+  drain(runnerId: string): void {
+    const [, , entry] = this.#written.get(`servers/${runnerId}`) ?? [];
+    this.#write("servers", runnerId, { ...entry, state: "draining" });
+  }
+
   /** Marks a runner as cold for this time. */
   setCold(runnerId: string, coldLeftMs: number): void {
     const [, , entry] = this.#written.get(`servers/${runnerId}`) ?? [];
@@ -165,13 +185,14 @@
   async createSettings(
     nodeName: string,
     seeds: readonly string[] = [],
+    zone = "a",
   ): Promise<Readonly<Record<string, unknown>>> {
     const ports = await findFreePorts(5);
     const [front, ready, control, directory, metrics] = ports;
     return {
       nodeName,
       ip: "127.0.0.1",
-      zone: "a",
+      zone,
       seeds,
       listen: {
         front: `127.0.0.1:${front}`,
@@ -201,7 +222,10 @@
 
   async #registerRunners(
     service: string,
-    runners: readonly { start(): Promise<string> }[],
+    runners: readonly {
+      readonly version?: string;
+      start(): Promise<string>;
+    }[],
   ): Promise<void> {
     const { zones } = this.#options;
     for (const [index, runner] of runners.entries()) {
@@ -214,7 +238,7 @@
           service,
           address,
           zone,
-          version: "v1",
+          version: runner.version ?? "v1",
           slots: 4,
           state: "ready",
           coldLeftMs: 0,
@@ -255,7 +279,8 @@
   }
 
   #configuration(version: number): object {
-    const { batch, callMilliseconds, room, coldPerSecond } = this.#options;
+    const { batch, callMilliseconds, room, coldPerSecond, hasEngines } =
+      this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
@@ -296,7 +321,7 @@
           name: "model",
           healthPath: "/health",
           maxConns: 100,
-          engine: { slots: 8 },
+          ...(hasEngines ? { engine: { slots: 8 } } : {}),
         },
         {
           name: "stage",
