Keep resumed streams at the software version that began them

What callers saw: streams whose events came from two versions of an endpoint's software, joined by the system after a cut or by a caller that took them up. Cause: no choice of an endpoint knew versions, and a daemon that took a stream up could not know which version had begun it; Resumes was read by nobody. Change: a resumable stream is pinned to the version of its first event, in every choice of an endpoint, at the coordinator and over relays. While a service has, or recently had, several versions, the daemon that begins a stream tells three others, ranked by zone and rendezvous hash, before the first event leaves. A daemon that takes a stream up asks up to eight in that order for at most 150 ms; what nobody knows, or whose version has left, is refused with 503 before its stages run. With a single version nothing is sent.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -14,6 +14,8 @@
 } from "../../requests/request_reply.ts";
 import type { RequestDependencies } from "../../requests/request_dependencies.ts";
 import type { ServingRequest } from "../../requests/serving_request.ts";
+import type { OriginLookup } from "../../streams/stream_origins.ts";
+import type { BegunStream } from "../../streams/stream_origin.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { Readable } from "node:stream";
 import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
@@ -112,6 +114,8 @@
   readonly registry: EndpointRegistry;
   readonly endpointCalls: EndpointCall[];
   readonly releasedHandles: string[];
+  /** Streams whose software other daemons were told. */
+  readonly begunStreams: BegunStream[];
   readonly quarantine: Quarantine;
   /** Number of chains that were run. */
   readonly chainRunCount: () => number;
@@ -134,6 +138,12 @@
     readonly relay?: RequestDependencies["relay"];
     /** Daemons that share the endpoints, which are brittle if this is set. */
     readonly senders?: readonly string[];
+    /** What is known of a stream that a caller resumes. */
+    readonly origin?: OriginLookup;
+    /** Settles when other daemons know of a stream. */
+    readonly told?: Promise<void>;
+    /** Software version of each endpoint. */
+    readonly versions?: readonly string[];
   } = {},
 ): World {
   const timer = new ManualTimer();
@@ -152,18 +162,20 @@
   };
   if (options.isConfigured !== false) configuration.applyIfNewer(initial);
   const endpointRegistry = new EndpointRegistry();
-  for (const id of ["i1", "i2", "i3"]) {
+  for (const [index, id] of ["i1", "i2", "i3"].entries()) {
     endpointRegistry.upsert({
       id,
       bornAt: 0,
       service: "model",
       address: `10.0.0.${id.slice(1)}:80`,
       zone: "a",
+      version: options.versions?.[index],
       slots: 4,
       isDraining: false,
     }, 0);
   }
   const endpointCalls: EndpointCall[] = [];
+  const begunStreams: BegunStream[] = [];
   const releasedHandles: string[] = [];
   const logLines: World["logLines"] = [];
   let chainRunCount = 0;
@@ -234,6 +246,13 @@
         releasedHandles.push(...results.map(({ handle }) => handle));
       },
     },
+    streamOrigins: {
+      begin: ({ stream }) => {
+        begunStreams.push(stream);
+        return options.told ?? Promise.resolve();
+      },
+      find: () => Promise.resolve(options.origin ?? { type: "any" }),
+    },
     budget: new ServiceRetryBudget({
       ratio: 0.2,
       slack: 50,
@@ -254,6 +273,7 @@
     registry: endpointRegistry,
     endpointCalls,
     releasedHandles,
+    begunStreams,
     quarantine,
     chainRunCount: () => chainRunCount,
     logLines,
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -65,6 +65,8 @@
     return DONE;
   },
   release: () => {},
+  holdStreams: () => {},
+  answerOrigin: () => ({ recent: [] }),
 });
 
 before(async () => {
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -36,6 +36,8 @@
   follow: notUsed,
   runChain: notUsed,
   release: (release) => void released.push(release),
+  holdStreams: notUsed,
+  answerOrigin: notUsed,
 }));
 let peer = "";
 
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_registry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_registry.ts
@@ -17,8 +17,12 @@
 export type EndpointGoneListener = (
   id: string,
   cause: EndpointGoneCause,
+  entry: EndpointEntry,
 ) => void;
 
+/** Called when an endpoint is added that may get new work. */
+export type EndpointListedListener = (entry: EndpointEntry) => void;
+
 /** Called when the evacuated availability zones are set. */
 export type EvacuationListener = () => void;
 
@@ -64,6 +68,7 @@
   readonly #retiredBornAt = new Map<string, number>();
   readonly #returning = new ReturnTracker();
   readonly #goneListeners = new Set<EndpointGoneListener>();
+  readonly #listedListeners = new Set<EndpointListedListener>();
   readonly #evacuationListeners = new Set<EvacuationListener>();
   readonly #missingListeners = new Set<MissingListener>();
   #evacuatedZones: ReadonlySet<string> = new Set();
@@ -87,15 +92,20 @@
 
   /** Endpoints of `service` that may get new work. */
   availableFor(service: string): readonly EndpointState[] {
-    const all = [...this.#statesByService.get(service) ?? []];
+    const all = this.listedFor(service);
     return this.#evacuatedZones.size === 0
       ? all
       : all.filter((state) => !state.isEvacuated);
   }
 
+  /** Endpoints of `service`, those in evacuated zones too. */
+  listedFor(service: string): readonly EndpointState[] {
+    return [...this.#statesByService.get(service) ?? []];
+  }
+
   /** Whether `service` has endpoints and all of them are in evacuated zones. */
   isEvacuated(service: string): boolean {
-    const all = [...this.#statesByService.get(service) ?? []];
+    const all = this.listedFor(service);
     return all.length > 0 && all.every((state) => state.isEvacuated);
   }
 
@@ -259,6 +269,11 @@
     return () => this.#missingListeners.delete(listener);
   }
 
+  registerListed(listener: EndpointListedListener): () => void {
+    this.#listedListeners.add(listener);
+    return () => this.#listedListeners.delete(listener);
+  }
+
   registerGone(listener: EndpointGoneListener): () => void {
     this.#goneListeners.add(listener);
     return () => this.#goneListeners.delete(listener);
@@ -302,6 +317,7 @@
     if (states === undefined) {
       this.#statesByService.set(entry.service, new Set([state]));
     } else states.add(state);
+    for (const listener of this.#listedListeners) listener(entry);
   }
 
   #remove(id: string, cause: EndpointGoneCause = "over"): void {
@@ -310,6 +326,8 @@
     this.#states.delete(id);
     state.load.service.members.delete(state.load);
     this.#statesByService.get(state.entry.service)?.delete(state);
-    for (const listener of this.#goneListeners) listener(id, cause);
+    for (const listener of this.#goneListeners) {
+      listener(id, cause, state.entry);
+    }
   }
 }
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -5,6 +5,9 @@
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
+import type { OriginAnswer } from "../streams/origin_answer.ts";
+import type { FindOptions } from "../streams/stream_origins.ts";
+import type { BegunStream } from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { FollowClient } from "../tables/table_follower.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
@@ -21,6 +24,7 @@
   toCrashMessage,
 } from "../quarantine/crash_message.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
+import { originAnswerSchema } from "../streams/origin_answer.ts";
 import { followAnswerSchema } from "../tables/table_changes.ts";
 import { PeerTimeoutError } from "./peer_timeout_error.ts";
 import { PEER_PATH } from "./peer_listener.ts";
@@ -148,6 +152,27 @@
     );
   }
 
+  /** Tells a peer which software began streams. */
+  tellStreams(peer: string, streams: readonly BegunStream[]): Promise<null> {
+    return this.#callWithShortTimeout(
+      peer,
+      (client) => client.tellStreams.mutate([...streams]),
+    );
+  }
+
+  /** Asks a peer which software began a stream. */
+  async askOrigin(
+    peer: string,
+    { attemptId, services }: FindOptions,
+  ): Promise<OriginAnswer> {
+    const answer = await this.#callWithShortTimeout(
+      peer,
+      (client) =>
+        client.askOrigin.mutate({ attemptId, services: [...services] }),
+    );
+    return originAnswerSchema.parse(answer);
+  }
+
   /** Runs a chain at a peer; ends with the chain or when `signal` aborts. */
   async runChain(
     peer: string,
@@ -162,6 +187,7 @@
     const reader = request.reader === undefined ? undefined : {
       service: request.reader.service,
       promptParts: [...request.reader.promptParts],
+      version: request.reader.version,
     };
     const input = { ...request, stages, reader };
     return await client.runChain.mutate(input, { signal });
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -4,6 +4,9 @@
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
+import type { OriginAnswer } from "../streams/origin_answer.ts";
+import type { FindOptions } from "../streams/stream_origins.ts";
+import type { BegunStream } from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
@@ -19,6 +22,7 @@
   toCrashMessage,
 } from "../quarantine/crash_message.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
+import { begunStreamsSchema } from "../streams/stream_origin.ts";
 import { releaseLoadSchema } from "../load/release_load.ts";
 import { followRequestSchema } from "../tables/table_changes.ts";
 import { fleetDigestSchema } from "./fleet_digest.ts";
@@ -47,6 +51,10 @@
     signal: AbortSignal,
   ): Promise<PeerChainAnswer>;
   release(release: ChainRelease): void;
+  /** Remembers streams that the peer has begun. */
+  holdStreams(streams: readonly BegunStream[]): void;
+  /** Tells which software began a stream. */
+  answerOrigin(options: FindOptions): OriginAnswer;
 }
 
 /** tRPC context of a call from another daemon. */
@@ -72,6 +80,7 @@
   reader: z.object({
     service: z.string(),
     promptParts: z.array(z.object({ id: z.string(), tokens: z.number() })),
+    version: z.string().optional(),
   }).optional(),
   tailMilliseconds: z.number(),
   priority: z.number(),
@@ -79,6 +88,11 @@
   mayRedirect: z.boolean().default(false),
 });
 
+const findSchema = z.object({
+  attemptId: z.string(),
+  services: z.array(z.string()),
+});
+
 const releaseSchema = z.object({
   attemptId: z.string(),
   results: z.array(z.object({
@@ -122,6 +136,15 @@
     ctx.handlers.release(input);
     return null;
   }),
+  tellStreams: trpc.procedure.input(begunStreamsSchema).mutation((
+    { ctx, input },
+  ) => {
+    ctx.handlers.holdStreams(input);
+    return null;
+  }),
+  askOrigin: trpc.procedure.input(findSchema).mutation(({ ctx, input }) =>
+    ctx.handlers.answerOrigin(input)
+  ),
 });
 
 /** Router type for the tRPC client. */
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -48,6 +48,7 @@
 import { createQuarantineParts } from "./quarantine/quarantine_parts.ts";
 import { RequestService } from "./requests/request_service.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
+import { StreamOrigins } from "./streams/stream_origins.ts";
 import { planReading } from "./tables/reading_plan.ts";
 import { StoreEra } from "./tables/store_era.ts";
 
@@ -221,8 +222,15 @@
           .map(({ address }) => address.daemonId),
       ],
     });
+    const streamOrigins = new StreamOrigins({
+      ...options,
+      registry,
+      peers,
+      membership,
+    });
     const service = new RequestService({
       relay,
+      streamOrigins,
       concurrency,
       configuration,
       endpointRegistry: registry,
@@ -266,6 +274,8 @@
       shareSpeeds: (page) => speedSync.answer(page),
       runChain: (request, signal) => chains.runForPeer(request, signal),
       release: (release) => coordinator.release(release),
+      holdStreams: (streams) => streamOrigins.hold(streams),
+      answerOrigin: (question) => streamOrigins.answer(question),
     });
     this.#peerServer = createServer(createRelayListener({
       serve: (message, reply) => service.serveRelayed(message, reply),
@@ -276,6 +286,7 @@
     }));
     this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
     coordinator.register();
+    streamOrigins.register();
     isolation.registerListener((isIsolated) => {
       fleet.announceState();
       if (isIsolated) coordinator.abandonChains();
--- a/packages/kelpspar-gateway/src/placement/reader_place.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_place.ts
@@ -5,6 +5,8 @@
   readonly service: string;
   /** Parts of its prompt in order; the last one is its own. */
   readonly promptParts: readonly PromptPart[];
+  /** Software version that must read it; undefined if any may. */
+  readonly version?: string | undefined;
 }
 
 /** The endpoint chosen to read a request. */
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -13,6 +13,7 @@
 import { preferHealthy } from "../endpoints/prefer_healthy.ts";
 import { promptAffinity } from "../requests/prompt_affinity.ts";
 import { chooseReader } from "./choose_reader.ts";
+import { softwareOf } from "../streams/software_of.ts";
 import { likelyTokens } from "./likely_tokens.ts";
 import { RendezvousNodes } from "kelpspar-decisions/routing";
 import { ReaderTracker } from "./reader_tracker.ts";
@@ -71,7 +72,10 @@
     const { registry, rateLimiter, timer } = this.#options;
     const now = timer.now();
     const promptTokens = sumTokens(reader.promptParts);
-    const all = registry.availableFor(reader.service);
+    const all = registry.availableFor(reader.service).filter(({ entry }) =>
+      reader.version === undefined ||
+      softwareOf(entry).version === reader.version
+    );
     const usable = preferHealthy(all, now);
     if (usable.length === 0) return { type: "no_endpoint" };
     const open = preferHealthy(
--- a/packages/kelpspar-gateway/src/relay/relay_message.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_message.ts
@@ -1,11 +1,14 @@
 import type { ServingRequest } from "../requests/serving_request.ts";
+import type { StreamOrigin } from "../streams/stream_origin.ts";
 import { z } from "zod";
+import { streamOriginSchema } from "../streams/stream_origin.ts";
 
 const messageSchema = z.object({
   /** The sender's configuration; the receiver needs it or a later one. */
   configurationVersion: z.number(),
   /** Endpoints that may still run a repeatable request. */
   attemptsLeft: z.number().int().min(1),
+  streamOrigin: streamOriginSchema.optional(),
   request: z.object({
     attemptId: z.string(),
     method: z.string(),
@@ -29,6 +32,8 @@
 export interface RelayMessage {
   readonly configurationVersion: number;
   readonly attemptsLeft: number;
+  /** Software that began the stream, if the sender knows it. */
+  readonly streamOrigin?: StreamOrigin | undefined;
   readonly request: ServingRequest;
 }
 
--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -3,6 +3,7 @@
 import type { RequestRun } from "./request_run.ts";
 import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
 import { createChainReader } from "./create_chain_request.ts";
+import { softwareOf } from "../streams/software_of.ts";
 import { promptAffinity } from "./prompt_affinity.ts";
 
 /** The endpoint that the coordinator chose, if it is usable. */
@@ -18,7 +19,7 @@
     return found?.isHealthy(timer.now()) === true ? found : undefined;
   };
   const endpoint = find(place.endpointId);
-  if (endpoint === undefined) return undefined;
+  if (endpoint === undefined || !mayContinue(run, endpoint)) return undefined;
   // The coordinator may not have read the endpoint's limit yet, or may have an
   // older one than this daemon.
   const limit = rateLimiter.limitOf(endpoint, timer.now());
@@ -34,6 +35,15 @@
   };
 }
 
+/** False if the request continues a stream of another software version. */
+export function mayContinue(
+  { streamOrigin }: RequestRun,
+  { entry }: EndpointState,
+): boolean {
+  return streamOrigin === undefined ||
+    softwareOf(entry).version === streamOrigin.version;
+}
+
 /** Affinity key of the prompt, for services whose endpoints cache prompts. */
 function affinityOf(run: RequestRun): string | undefined {
   const reader = createChainReader(run);
@@ -56,7 +66,9 @@
   const { endpointRegistry, rateLimiter } = dependencies;
   const now = dependencies.timer.now();
   const choice = chooseEndpoint({
-    endpoints: endpointRegistry.availableFor(service),
+    endpoints: endpointRegistry.availableFor(service).filter((endpoint) =>
+      mayContinue(run, endpoint)
+    ),
     tried,
     zone: dependencies.zone,
     affinity: affinityOf(run),
--- a/packages/kelpspar-gateway/src/requests/create_chain_request.ts
+++ b/packages/kelpspar-gateway/src/requests/create_chain_request.ts
@@ -7,7 +7,9 @@
   const { dependencies, service, request } = run.options;
   const { table } = dependencies.configuration;
   const isModel = table?.findService(service)?.engineSlots !== undefined;
-  return isModel ? { service, promptParts: request.promptParts } : undefined;
+  if (!isModel) return undefined;
+  const { promptParts } = request;
+  return { service, promptParts, version: run.streamOrigin?.version };
 }
 
 /** The stages of the request's route, each with its number of pieces. */
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -4,7 +4,10 @@
 import type { RequestRun } from "./request_run.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
-import { chooseRequestEndpoint } from "./choose_request_endpoint.ts";
+import {
+  chooseRequestEndpoint,
+  mayContinue,
+} from "./choose_request_endpoint.ts";
 import { isStreamed } from "./send_result.ts";
 import { firstSuccessful, isOverdue } from "./hedge.ts";
 import { describeEndpointLoad } from "../load/describe_endpoint_load.ts";
@@ -65,6 +68,14 @@
     return this.#unpausedEndpoints(this.#run.now()).length > 0;
   }
 
+  /** True if an endpoint is left that may continue the stream. */
+  get hasContinuingEndpoint(): boolean {
+    const { dependencies, service } = this.#run.options;
+    return dependencies.endpointRegistry.availableFor(service).some((
+      endpoint,
+    ) => mayContinue(this.#run, endpoint));
+  }
+
   /** Untried endpoints that didn't request a pause. */
   #unpausedEndpoints(now: number): readonly EndpointState[] {
     const { dependencies, service } = this.#run.options;
@@ -72,6 +83,7 @@
       endpoint,
     ) =>
       !this.#triedEndpointIds.has(endpoint.entry.id) &&
+      mayContinue(this.#run, endpoint) &&
       endpoint.remainingPauseMilliseconds(now) === 0
     );
   }
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -8,6 +8,7 @@
 import type { CrashDetector } from "../quarantine/crash_detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerRelay } from "../relay/peer_relay.ts";
+import type { StreamOrigins } from "../streams/stream_origins.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { ChainRunner } from "./chain_runner.ts";
 import type { EndpointClient } from "./endpoint_call.ts";
@@ -28,6 +29,7 @@
     PeerRelay,
     "isNeeded" | "verified" | "choosePeer" | "send"
   >;
+  readonly streamOrigins: Pick<StreamOrigins, "begin" | "find">;
   readonly budget: ServiceRetryBudget;
   readonly crashes: Pick<CrashDetector, "checkEndpoint">;
   readonly quarantine: Pick<Quarantine, "has" | "served">;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -13,6 +13,7 @@
 } from "./retry_waits.ts";
 import { QUEUE_SHARE } from "./queue_share.ts";
 import { closeAnswer, isStreamed } from "./send_result.ts";
+import { StreamContinuation } from "./stream_continuation.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
@@ -51,6 +52,7 @@
   readonly #hasStages: boolean;
   readonly #sender: EndpointSender;
   readonly #streamForwarder: StreamForwarder;
+  readonly #continuation: StreamContinuation;
   readonly #relayer: RequestRelayer;
   /** Last error answer of an endpoint, returned if all retries fail too. */
   #fallback: BufferedAnswer | undefined;
@@ -61,6 +63,7 @@
     this.#hasStages = hasStages;
     this.#sender = new EndpointSender(run, relay);
     this.#streamForwarder = new StreamForwarder(run, relay);
+    this.#continuation = new StreamContinuation(run, relay);
     this.#relayer = new RequestRelayer({
       run,
       streamRelay: relay,
@@ -81,12 +84,21 @@
     return true;
   }
 
+  /** Fails a stream whose software is unknown or gone; false if it failed. */
+  async prepareContinuation(): Promise<boolean> {
+    const failure = await this.#continuation.resolve();
+    if (failure !== undefined) this.fail(failure);
+    return failure === undefined;
+  }
+
   async run(): Promise<DispatchOutcome> {
     const run = this.#run;
     const sender = this.#sender;
     if (this.#hasStages) sender.inputs = run.resultHandles;
     while (run.isOpen) {
       if (this.#isIsolated) return "isolated";
+      const failure = this.#continuation.failure;
+      if (failure !== undefined) return this.#failAndEnd(failure);
       // Results are freed at the first event of a stream. An endpoint that
       // resumes the stream needs them too, so they must be made again first.
       if (this.#areInputsFreed) return "input_gone";
@@ -311,12 +323,19 @@
     const run = this.#run;
     const { endpoint } = result;
     try {
+      const beforeFirstEvent = this.#continuation.begin(endpoint.entry);
       const onFirstEvent = (): void => {
         this.#sender.recordFirstByte(result);
+        this.#continuation.begun(endpoint.entry);
         // An endpoint that writes events has read its inputs.
         run.releaseResults();
       };
-      await this.#streamForwarder.forward({ answer, endpoint, onFirstEvent });
+      await this.#streamForwarder.forward({
+        answer,
+        endpoint,
+        beforeFirstEvent,
+        onFirstEvent,
+      });
     } catch (error) {
       return run.isOpen ? this.#handleCutAnswer(result, error) : "ended";
     } finally {
--- a/packages/kelpspar-gateway/src/requests/request_placement.ts
+++ b/packages/kelpspar-gateway/src/requests/request_placement.ts
@@ -23,7 +23,8 @@
   const stop = (): void => abortController.abort();
   const stopTimer = timer.registerTimeout(stop, PLACEMENT_TIMEOUT_MILLISECONDS);
   run.stop.signal.addEventListener("abort", stop, { once: true });
-  const reader = createChainReader(run) ?? { service, promptParts: [] };
+  const reader = createChainReader(run) ??
+    { service, promptParts: [], version: run.streamOrigin?.version };
   const chain = createChainRequest(run, { stages: [], reader });
   const outcome = await chainRunner.run(chain, abortController.signal);
   stopTimer();
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -85,6 +85,7 @@
       message: {
         configurationVersion: configuration.version,
         attemptsLeft,
+        streamOrigin: run.streamOrigin,
         request: this.#createRequest(),
       },
       isRepeatable: run.hasAttemptsLeft,
@@ -106,10 +107,15 @@
 
   #createRequest(): RequestRun["options"]["request"] {
     const { run, streamRelay } = this.#options;
+    const { request } = run.options;
+    const { lastEventId } = streamRelay;
     return {
-      ...run.options.request,
+      ...request,
       deadlineMilliseconds: Math.max(1, Math.floor(run.remaining())),
-      lastEventId: streamRelay.lastEventId,
+      lastEventId,
+      resumedAttemptId: lastEventId === undefined
+        ? request.resumedAttemptId
+        : request.resumedAttemptId ?? request.attemptId,
     };
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -2,6 +2,7 @@
 import type { ClientAccount } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ReleaseLoad } from "../load/release_load.ts";
+import type { StreamOrigin } from "../streams/stream_origin.ts";
 import type { ReaderPlace } from "../placement/reader_place.ts";
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
@@ -35,6 +36,8 @@
    * undefined for a request of a caller. A relayed request isn't relayed again.
    */
   readonly relayedAttempts: number | undefined;
+  /** Software that began the stream, if the relaying daemon knows it. */
+  readonly streamOrigin?: StreamOrigin | undefined;
 }
 
 /**
@@ -42,7 +45,7 @@
  * have run, and gives exactly one final answer.
  */
 export class RequestRun {
-  readonly options: RequestRunOptions;
+  #options: RequestRunOptions;
   readonly deadlineAt: number;
   /** Identical for all attempts of the request, at any daemon. */
   readonly fingerprint: string;
@@ -57,6 +60,8 @@
   /** Value of `sends` when the coordinator was last asked for a place. */
   sendsAtPlacementRequest: number | undefined;
   firstByteAt: number | undefined;
+  /** Software that must continue the stream; undefined if any may begin it. */
+  streamOrigin: StreamOrigin | undefined;
   /** Load of the endpoint that ran the request, for the coordinator. */
   releaseLoad: ReleaseLoad | undefined;
   #outcome: RequestOutcome | undefined;
@@ -68,7 +73,10 @@
   readonly #teardowns: (() => void)[] = [];
 
   constructor(options: RequestRunOptions) {
-    this.options = options;
+    this.#options = options;
+    if (options.streamOrigin !== undefined) {
+      this.continueAt(options.streamOrigin);
+    }
     const { request, route, arrivedAt, dependencies, reply, account } = options;
     this.fingerprint = requestFingerprint({
       caller: account?.name ?? request.callerKey ?? "",
@@ -96,6 +104,19 @@
     );
   }
 
+  get options(): RequestRunOptions {
+    return this.#options;
+  }
+
+  /** Pins the request to the software that began its stream. */
+  continueAt(origin: StreamOrigin): void {
+    this.streamOrigin = origin;
+    const { route } = this.#options;
+    const { service } = origin;
+    if (!route.targets.some((target) => target.service === service)) return;
+    this.#options = { ...this.#options, service };
+  }
+
   get isOpen(): boolean {
     return this.#outcome === undefined;
   }
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -5,6 +5,7 @@
 import type { RelayMessage } from "../relay/relay_message.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
+import type { RequestRunOptions } from "./request_run.ts";
 import type { ServingRequest } from "./serving_request.ts";
 import { shortestPause } from "../endpoints/shortest_pause.ts";
 import {
@@ -37,6 +38,14 @@
   "failing",
 ]);
 
+/** What another daemon relays beside a request. */
+type RelayedState = Pick<
+  RequestRunOptions,
+  "relayedAttempts" | "streamOrigin"
+>;
+
+const NOT_RELAYED: RelayedState = { relayedAttempts: undefined };
+
 /** How the chain of a request ended; `isolated` if it may be relayed. */
 type ChainEnd = "done" | "ended" | "isolated";
 
@@ -83,7 +92,10 @@
       });
       return;
     }
-    await this.#serve(message.request, reply, message.attemptsLeft);
+    await this.#serve(message.request, reply, {
+      relayedAttempts: message.attemptsLeft,
+      streamOrigin: message.streamOrigin,
+    });
   }
 
   async serve(request: ServingRequest, reply: RequestReply): Promise<void> {
@@ -93,9 +105,9 @@
   async #serve(
     request: ServingRequest,
     reply: RequestReply,
-    relayedAttempts?: number,
+    relayed: RelayedState = NOT_RELAYED,
   ): Promise<void> {
-    const run = this.#accept(request, reply, relayedAttempts);
+    const run = this.#accept(request, reply, relayed);
     if (run === undefined) return;
     if (run.isQuarantined) {
       run.rejectQuarantined();
@@ -125,7 +137,7 @@
   #accept(
     request: ServingRequest,
     reply: RequestReply,
-    relayedAttempts: number | undefined,
+    relayed: RelayedState,
   ): RequestRun | undefined {
     const { configuration, random, timer } = this.#dependencies;
     const table = configuration.table;
@@ -167,7 +179,7 @@
       service,
       account,
       arrivedAt: timer.now(),
-      relayedAttempts,
+      ...relayed,
     });
   }
 
@@ -213,6 +225,7 @@
     // Shared by all runs of the chain, since it tracks a stream's position.
     const dispatcher = new RequestDispatcher(run, route.stages.length > 0);
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
+      if (!await dispatcher.prepareContinuation()) return;
       if (await dispatcher.relay()) return;
       if (hasPieces) {
         const end = await this.#runChain(run, stages);
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -16,6 +16,8 @@
   readonly answer: ReceivedAnswer;
   /** Undefined for a stream that another daemon relays. */
   readonly endpoint?: EndpointState;
+  /** Settles when the first event may leave. */
+  readonly beforeFirstEvent?: Promise<void>;
   /** Called once, at the first event of all streams of the request. */
   readonly onFirstEvent?: () => void;
 }
@@ -63,7 +65,7 @@
 
   async #forwardEvents(stream: ForwardedStream): Promise<void> {
     const run = this.#run;
-    const { answer, onFirstEvent } = stream;
+    const { answer, beforeFirstEvent, onFirstEvent } = stream;
     const { reply, dependencies } = run.options;
     let stopIdleTimeout = this.#registerIdleTimeout(stream);
     this.#hasAnswerBytes = false;
@@ -75,6 +77,8 @@
         const events = this.#relay.push(chunk as Buffer);
         if (events.length > 0) {
           if (run.firstByteAt === undefined) {
+            await beforeFirstEvent;
+            if (!run.isOpen) return;
             run.firstByteAt = dependencies.timer.now();
             onFirstEvent?.();
           }
--- /dev/null
+++ b/packages/kelpspar-gateway/src/streams/software_of.ts
@@ -0,0 +1,9 @@
+import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
+import type { StreamOrigin } from "./stream_origin.ts";
+
+/** The software that an endpoint runs. */
+export function softwareOf(
+  { service, version }: Pick<EndpointEntry, "service" | "version">,
+): StreamOrigin {
+  return { service, version: version ?? "" };
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -0,0 +1,232 @@
+import type { TimerService } from "kelpspar-shared";
+import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import type { DaemonAddress } from "../fleet/fleet_digest.ts";
+import type { FleetMembership } from "../fleet/fleet_membership.ts";
+import type { PeerClient } from "../fleet/peer_client.ts";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { OriginAnswer } from "./origin_answer.ts";
+import type { BegunStream, StreamOrigin } from "./stream_origin.ts";
+import { BegunStreams } from "./begun_streams.ts";
+import { firstAnswer } from "./first_answer.ts";
+import { hasSeveralVersions } from "./has_several_versions.ts";
+import { rankOriginHolders } from "./rank_origin_holders.ts";
+import { settleSome } from "./settle_some.ts";
+import { VersionHistory } from "./version_history.ts";
+
+/** Daemons that remember a stream, beside the one that began it. */
+const HOLDERS = 3;
+/** Holders that must have answered before the first event leaves. */
+const REQUIRED_HOLDERS = 2;
+/** Time that the first event waits for them at most. */
+const TELL_TIMEOUT_MILLISECONDS = 100;
+/** Daemons that are asked for a stream; more than tell each other of it. */
+const ASKED_DAEMONS = 8;
+/** Time after which a stream that nobody has found counts as unknown. */
+const ASK_TIMEOUT_MILLISECONDS = 150;
+
+/** Outcome of `StreamOrigins.find`. */
+export type OriginLookup =
+  | { readonly type: "known"; readonly origin: StreamOrigin }
+  /** Only one software version can have begun the stream. */
+  | { readonly type: "any" }
+  /** Several can have, and no daemon that answered knows which one did. */
+  | { readonly type: "unknown" };
+
+/** Dependencies of `StreamOrigins`. */
+export interface StreamOriginsOptions {
+  readonly registry: EndpointRegistry;
+  readonly peers: Pick<PeerClient, "tellStreams" | "askOrigin">;
+  readonly membership: Pick<FleetMembership, "liveMembers">;
+  readonly timer: TimerService;
+  readonly log: GatewayLog;
+}
+
+/** A stream that begins, and the services that its route may send it to. */
+export interface BeginOptions {
+  readonly stream: BegunStream;
+  readonly services: readonly string[];
+}
+
+/** The attempt that began a stream, and the services that it may be of. */
+export interface FindOptions {
+  readonly attemptId: string;
+  readonly services: readonly string[];
+}
+
+/**
+ * Knows which software version began a stream, for daemons that take it up.
+ * While endpoints of a service have several versions, the daemon that begins a
+ * stream tells some others before its first event leaves; a daemon that takes a
+ * stream up asks them. With a single version nothing is sent.
+ */
+export class StreamOrigins {
+  readonly #options: StreamOriginsOptions;
+  readonly #history: VersionHistory;
+  readonly #streams = new BegunStreams();
+  /** Services whose own streams were told when a second version appeared. */
+  readonly #toldServices = new Set<string>();
+
+  constructor(options: StreamOriginsOptions) {
+    this.#options = options;
+    this.#history = new VersionHistory(options);
+  }
+
+  /** Subscribes to the endpoint list; returns the teardown. */
+  register(): () => void {
+    const unregister = [
+      this.#history.register(),
+      this.#options.registry.registerListed(({ service }) =>
+        this.#tellOwnStreams(service)
+      ),
+    ];
+    return () => {
+      for (const teardown of unregister) teardown();
+    };
+  }
+
+  /** Number of streams that are remembered. */
+  get size(): number {
+    return this.#streams.size;
+  }
+
+  /**
+   * Remembers which software begins a stream; resolves when enough other daemons
+   * do, at most after `TELL_TIMEOUT_MILLISECONDS`. Never rejects.
+   */
+  async begin({ stream, services }: BeginOptions): Promise<void> {
+    const { timer } = this.#options;
+    this.#streams.add(stream, { isOwn: true, now: timer.now() });
+    if (!this.#mayDiffer(services)) return;
+    const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
+    await settleSome(
+      holders.map((holder) => this.#tell(holder, [stream])),
+      {
+        count: REQUIRED_HOLDERS,
+        timeoutMilliseconds: TELL_TIMEOUT_MILLISECONDS,
+        timer,
+      },
+    );
+  }
+
+  /** Finds the software that began a stream. Never rejects. */
+  async find(options: FindOptions): Promise<OriginLookup> {
+    const { timer, log } = this.#options;
+    const { attemptId, services } = options;
+    const known = this.#streams.find(attemptId, timer.now());
+    if (known !== undefined) return { type: "known", origin: known };
+    const mayDiffer = this.#mayDiffer(services);
+    if (!mayDiffer && this.#history.isComplete) return { type: "any" };
+    const startedAt = timer.now();
+    const { origin, recent, asked } = await this.#ask(options);
+    const lookup = toLookup(origin, [
+      ...this.#history.recent(services),
+      ...recent,
+    ]);
+    log.info("origin of a stream asked for", {
+      resumedAttempt: attemptId,
+      outcome: lookup.type,
+      service: origin?.service,
+      version: origin?.version,
+      asked,
+      tookMilliseconds: Math.round(timer.now() - startedAt),
+    });
+    return lookup;
+  }
+
+  /** Remembers streams that another daemon has begun. */
+  hold(streams: readonly BegunStream[]): void {
+    const now = this.#options.timer.now();
+    for (const stream of streams) {
+      this.#streams.add(stream, { isOwn: false, now });
+    }
+  }
+
+  /** Answers another daemon that takes up a stream. */
+  answer({ attemptId, services }: FindOptions): OriginAnswer {
+    const known = this.#streams.find(attemptId, this.#options.timer.now());
+    return {
+      origin: known === undefined
+        ? undefined
+        : { service: known.service, version: known.version },
+      recent: this.#history.recent(services),
+    };
+  }
+
+  #mayDiffer(services: readonly string[]): boolean {
+    return hasSeveralVersions(this.#history.recent(services));
+  }
+
+  #rank(attemptId: string): readonly DaemonAddress[] {
+    const { membership, timer } = this.#options;
+    return rankOriginHolders(
+      attemptId,
+      membership.liveMembers(timer.now()).map(({ address }) => address),
+    );
+  }
+
+  /**
+   * Tells the streams that began while their service had a single version, once
+   * it has a second one.
+   */
+  #tellOwnStreams(service: string): void {
+    if (!this.#mayDiffer([service])) {
+      this.#toldServices.delete(service);
+      return;
+    }
+    if (this.#toldServices.has(service)) return;
+    this.#toldServices.add(service);
+    const byHolder = new Map<DaemonAddress, BegunStream[]>();
+    const streams = this.#streams.ownStreams(this.#options.timer.now());
+    for (const stream of streams) {
+      if (stream.service !== service) continue;
+      for (const holder of this.#rank(stream.attemptId).slice(0, HOLDERS)) {
+        byHolder.set(holder, [...byHolder.get(holder) ?? [], stream]);
+      }
+    }
+    for (const [holder, held] of byHolder) void this.#tell(holder, held);
+  }
+
+  /** Resolves to false if the holder didn't answer. */
+  async #tell(
+    { peer }: DaemonAddress,
+    streams: readonly BegunStream[],
+  ): Promise<boolean> {
+    try {
+      await this.#options.peers.tellStreams(peer, streams);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  async #ask(
+    options: FindOptions,
+  ): Promise<OriginAnswer & { readonly asked: number }> {
+    const { peers, timer } = this.#options;
+    const daemons = this.#rank(options.attemptId).slice(0, ASKED_DAEMONS);
+    const { found, answers } = await firstAnswer(
+      daemons.map(({ peer }) => peers.askOrigin(peer, options)),
+      {
+        isFound: ({ origin }) => origin !== undefined,
+        timeoutMilliseconds: ASK_TIMEOUT_MILLISECONDS,
+        timer,
+      },
+    );
+    return {
+      origin: found?.origin,
+      recent: answers.flatMap(({ recent }) => recent),
+      asked: daemons.length,
+    };
+  }
+}
+
+function toLookup(
+  origin: StreamOrigin | undefined,
+  recent: readonly StreamOrigin[],
+): OriginLookup {
+  if (origin !== undefined) {
+    const { service, version } = origin;
+    return { type: "known", origin: { service, version } };
+  }
+  return { type: hasSeveralVersions(recent) ? "unknown" : "any" };
+}
