Take streams up in the soak; check the guards of their versions

The soak's model runners have two versions and mark their events, streams last 150 ms, and callers break three in ten resumable streams and take them up at other daemons, up to twice. check_soak.ts compares the events of a stream over all of its attempts, as strictly as before, and reports streams of two versions, broken ones too. Ten guards, each noticed; one wasn't before its test let the versions stand for longer than a stream lives.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_origins_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_origins_test.ts
@@ -155,6 +155,7 @@
 // Guards against a stream of a version that left which goes on at the last one.
 test("a version that left recently may have begun a stream", async () => {
   const fleet = createFleet(6);
+  await fleet.timer.advance(LONG_AGO_MILLISECONDS);
   for (const daemonId of fleet.daemons.keys()) fleet.unlist(daemonId, "v1");
   expect((await fleet.find("d1", "s")).type).toEqual("unknown");
   await fleet.timer.advance(LONG_AGO_MILLISECONDS);
--- a/packages/kelpspar-scenarios/src/guards/stream_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/stream_guards.ts
@@ -3,7 +3,13 @@
 const GATEWAY = "packages/kelpspar-gateway/src";
 const NOTICED_BY = `${GATEWAY}/__tests__/unit/broken_off_stream_test.ts`;
 
-/** Guards against streams that were broken off and look complete. */
+const CONTINUED = `${GATEWAY}/__tests__/unit/continued_stream_test.ts`;
+const ORIGINS = `${GATEWAY}/__tests__/unit/stream_origins_test.ts`;
+
+/**
+ * Guards against streams that were broken off and look complete, and against
+ * streams of two software versions.
+ */
 export const STREAM_GUARDS: readonly Guard[] = [
   {
     name: "a stream that ends inside an event was broken off",
@@ -48,4 +54,75 @@
     without: "",
     noticedBy: "platform/src/__tests__/unit/broken_off_answer_test.ts",
   },
+  {
+    name: "a daemon continues a stream at its own version",
+    file: `${GATEWAY}/requests/choose_request_endpoint.ts`,
+    code: "      mayContinue(run, endpoint)\n    ),",
+    without: "      endpoint !== undefined\n    ),",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "a place of another version isn't used",
+    file: `${GATEWAY}/requests/choose_request_endpoint.ts`,
+    code: "if (endpoint === undefined || !mayContinue(run, endpoint))",
+    without: "if (endpoint === undefined)",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "a stream of an unknown version is refused",
+    file: `${GATEWAY}/requests/stream_continuation.ts`,
+    code: 'if (lookup.type === "unknown") {',
+    without: "if (false) {",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "the first event waits for other daemons",
+    file: `${GATEWAY}/requests/stream_forwarder.ts`,
+    code: "await beforeFirstEvent;",
+    without: "",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "a stream is told under the attempt that began it",
+    file: `${GATEWAY}/requests/stream_continuation.ts`,
+    code: "resumedAttemptId ?? attemptId;",
+    without: "attemptId;",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "versions that left recently count",
+    file: `${GATEWAY}/streams/version_history.ts`,
+    code: "this.#recordListed(entry)\n    );",
+    without: "void entry\n    );",
+    noticedBy: ORIGINS,
+  },
+  {
+    name: "a daemon that just started asks for the versions before",
+    file: `${GATEWAY}/streams/stream_origins.ts`,
+    code: "if (!mayDiffer && this.#history.isComplete)",
+    without: "if (!mayDiffer)",
+    noticedBy: ORIGINS,
+  },
+  {
+    name: "each zone has a holder",
+    file: `${GATEWAY}/streams/rank_origin_holders.ts`,
+    code: "zones.add(daemon.zone);",
+    without: "",
+    noticedBy: ORIGINS,
+  },
+  {
+    name: "live streams are told when a second version appears",
+    file: `${GATEWAY}/streams/stream_origins.ts`,
+    code:
+      "for (const [holder, held] of byHolder) void this.#tell(holder, held);",
+    without: "",
+    noticedBy: ORIGINS,
+  },
+  {
+    name: "an earlier send doesn't replace a later one",
+    file: `${GATEWAY}/streams/begun_streams.ts`,
+    code: "if (known !== undefined && known.stream.sends > sends) return;",
+    without: "",
+    noticedBy: ORIGINS,
+  },
 ];
--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -202,6 +202,18 @@
   expect(violations({ status: 503 }, 0)).toEqual(0);
   expect(violations({ status: 503 }, 1)).toEqual(1);
   expect(checkSoak([], [run]).violations.length).toEqual(1);
+  const streamed = (versions: readonly string[], isWhole = true): number => {
+    const events = versions.map((version, index) =>
+      `id: ${index + 1}\ndata: a ${index + 1} ${version}\n\n`
+    ).join("");
+    const text = isWhole ? events : undefined;
+    const stream = { ...answer, route: "resumed", status: 200 } as const;
+    return checkSoak([{ ...stream, text, events }], [run]).violations.length;
+  };
+  expect(streamed(["v1", "v1", "v1", "v1", "v1"])).toEqual(0);
+  expect(streamed(["v1", "v1", "v1", "v1"])).toEqual(1);
+  expect(streamed(["v1", "v1", "v2", "v2", "v2"])).toEqual(1);
+  expect(streamed(["v1", "v2"], false)).toEqual(1);
   const crashing = (...times: readonly number[]): number =>
     checkSoak(
       [{ ...answer, status: 502, text: "" }],
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -91,9 +91,11 @@
       print: (line) => printText(`  ${line}`),
     });
     const { submitted: requests, served, refused, violations } = verdict;
+    const { resumes, resumed } = verdict;
     printText(
       `Seed ${seed}: ${requests} requests, ${served} served, ` +
-        `${refused} refused, ${violations.length} promises broken`,
+        `${refused} refused, ${resumed} of ${resumes} streams taken up, ` +
+        `${violations.length} promises broken`,
     );
     for (const line of violations) printText(`  BROKEN ${line}`);
     if (violations.length > 0) process.exitCode = EXIT_CHECK_FAILED;
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -8,6 +8,9 @@
   readonly submitted: number;
   readonly served: number;
   readonly refused: number;
+  /** Attempts that took up a broken stream, and those that brought events. */
+  readonly resumes: number;
+  readonly resumed: number;
   /** One line for each violated guarantee. */
   readonly violations: readonly string[];
 }
@@ -42,7 +45,7 @@
   for (const { attemptId } of runs) {
     runsOf.set(attemptId, (runsOf.get(attemptId) ?? 0) + 1);
   }
-  const sent = new Set(answers.map(({ attemptId }) => attemptId));
+  const sent = new Set(answers.flatMap(attemptIdsOf));
   const violations = [
     ...answers.flatMap((answer) => checkAnswer(answer, runsOf)),
     ...checkPoisonRequests(runs),
@@ -56,10 +59,24 @@
     refused:
       answers.filter((answer) => NOT_RUN_STATUSES.has(answer.status ?? 0))
         .length,
+    resumes: answers.reduce(
+      (sum, { resumingIds = [] }) => sum + resumingIds.length,
+      0,
+    ),
+    resumed: answers.reduce(
+      (sum, { resumedCount = 0 }) => sum + resumedCount,
+      0,
+    ),
     violations,
   };
 }
 
+function attemptIdsOf(
+  { attemptId, resumingIds = [] }: WireAnswer,
+): readonly string[] {
+  return [attemptId, ...resumingIds];
+}
+
 /** Checks how often a poison request ran after its third crash was known. */
 function checkPoisonRequests(runs: readonly RunnerRun[]): readonly string[] {
   const times = runs
@@ -120,18 +137,50 @@
     violations.push(`${attemptId}: said not to have run, and ran`);
   }
   const isWhole = status === SERVED_STATUS && text !== undefined;
-  // Runners end the lines of their streams in different ways.
-  const lines = text?.replaceAll(/\r\n?/g, "\n");
-  if (isWhole && lines !== expectedText(answer)) {
+  if (isWhole && !isExpected(answer, text)) {
     violations.push(`${attemptId}: another body: ${JSON.stringify(text)}`);
   }
+  const versions = new Set(
+    eventsOf(answer.events ?? "").map(({ version }) => version),
+  );
+  if (versions.size > 1) {
+    const found = [...versions].join(" and ");
+    violations.push(`${attemptId}: a stream of the versions ${found}`);
+  }
   return violations;
 }
 
-function expectedText({ attemptId, route }: WireAnswer): string {
-  if (route === "once" || route === "often") return `answer to ${attemptId}`;
-  return Array.from(
-    { length: EVENTS_PER_STREAM },
-    (_, index) => `id: ${index + 1}\ndata: ${attemptId} ${index + 1}\n\n`,
+interface StreamEvent {
+  readonly id: number;
+  readonly attemptId: string;
+  readonly version: string;
+}
+
+function eventsOf(lines: string): readonly StreamEvent[] {
+  const matches = lines.matchAll(/id: (\d+)\ndata: (\S+) \1 (\S+)\n\n/g);
+  return [...matches].map(([, id, attemptId = "", version = ""]) => ({
+    id: Number(id),
+    attemptId,
+    version,
+  }));
+}
+
+/** Whether a caller has the whole answer of its own attempts, and only that. */
+function isExpected(answer: WireAnswer, text: string): boolean {
+  const { attemptId, route } = answer;
+  if (route === "once" || route === "often") {
+    return text === `answer to ${attemptId}`;
+  }
+  // Runners end the lines of their streams in different ways.
+  const lines = text.replaceAll(/\r\n?/g, "\n");
+  const events = eventsOf(lines);
+  const ids = attemptIdsOf(answer);
+  const isComplete = events.length === EVENTS_PER_STREAM &&
+    events.every((event, index) =>
+      event.id === index + 1 && ids.includes(event.attemptId)
+    );
+  const rendered = events.map(({ id, attemptId: owner, version }) =>
+    `id: ${id}\ndata: ${owner} ${id} ${version}\n\n`
   ).join("");
+  return isComplete && rendered === lines;
 }
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -26,6 +26,9 @@
 }
 
 const CALLER_COUNT = 10;
+/** Long enough for faults within a stream. */
+const EVENT_MILLISECONDS = 30;
+const MODEL_VERSIONS = ["v1", "v1.2"];
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time for daemons to start and discover each other. */
 const STARTUP_MILLISECONDS = 2_000;
@@ -47,7 +50,9 @@
   const folder = mkdtempSync(join(tmpdir(), "kelpspar-soak-"));
   const site = new WireSite({
     plainRunners: 3,
-    modelRunners: 3,
+    modelRunners: 4,
+    modelVersions: MODEL_VERSIONS,
+    eventMilliseconds: EVENT_MILLISECONDS,
     hasProxies: true,
   });
   await site.start();
--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -19,6 +19,7 @@
   "full",
   "answer_lost",
   "cut",
+  "cut_new",
   "ended_midway",
   "mute",
   "foreign",
--- a/packages/kelpspar-standins/src/wire/wire_caller.ts
+++ b/packages/kelpspar-standins/src/wire/wire_caller.ts
@@ -17,9 +17,20 @@
   readonly status: number | undefined;
   /** Undefined when the body was truncated. */
   readonly text: string | undefined;
+  /** Whole events of a stream, over all of its attempts; default none. */
+  readonly events?: string;
+  /** Ids of later attempts that took up the stream; default none. */
+  readonly resumingIds?: readonly string[];
+  /** How many of those brought more events. */
+  readonly resumedCount?: number;
 }
 
 const DEADLINE_MILLISECONDS = 2_500;
+/** Share of resumable streams whose connection the caller breaks. */
+const BROKEN_SHARE = 0.3;
+/** Attempts that take up one stream. */
+const MAXIMUM_RESUMES = 2;
+const EVENT_PATTERN = /id: (\d+)\n[^\n]*\n\n/g;
 const DIRECTORY_TIMEOUT_MILLISECONDS = 1_000;
 
 /** A caller that resolves addresses, reuses connections and sends requests. */
@@ -59,7 +70,10 @@
       const address = this.#pickRandom(addresses);
       if (address === undefined) continue;
       const route = this.#pickRandom(this.#routes) ?? "once";
-      this.answers.push(await this.#sendAttempt(address, route));
+      const answer = await this.#sendAttempt(address, route);
+      this.answers.push(
+        route === "resumed" ? await this.#resume(answer, addresses) : answer,
+      );
       await setTimeoutPromise(this.#pauseMilliseconds);
     }
     await this.#agent.destroy();
@@ -80,7 +94,42 @@
     }
   }
 
-  async #sendAttempt(address: string, route: WireRoute): Promise<WireAnswer> {
+  /** Takes a broken stream up at other daemons, as often as callers do. */
+  async #resume(
+    first: WireAnswer,
+    addresses: readonly string[],
+  ): Promise<WireAnswer> {
+    const { attemptId: resumes } = first;
+    let last = first;
+    let events = first.events ?? "";
+    const resumingIds: string[] = [];
+    let resumedCount = 0;
+    while (last.text === undefined && resumingIds.length < MAXIMUM_RESUMES) {
+      const lastEventId = [...events.matchAll(EVENT_PATTERN)].at(-1)?.[1];
+      const address = this.#pickRandom(addresses);
+      if (lastEventId === undefined || address === undefined) break;
+      const headers = { resumes, "last-event-id": lastEventId };
+      last = await this.#sendAttempt(address, first.route, headers);
+      resumingIds.push(last.attemptId);
+      if (last.events !== undefined && last.events !== "") resumedCount++;
+      events += last.events ?? "";
+    }
+    const text = last.text === undefined ? undefined : events;
+    return {
+      ...last,
+      attemptId: resumes,
+      text,
+      events,
+      resumingIds,
+      resumedCount,
+    };
+  }
+
+  async #sendAttempt(
+    address: string,
+    route: WireRoute,
+    resumingHeaders: Readonly<Record<string, string>> = {},
+  ): Promise<WireAnswer> {
     const attemptId = `${this.#name}-${this.#attemptCount++}`;
     const answer = { attemptId, route };
     try {
@@ -97,12 +146,21 @@
             "x-api-key": "key-1",
             "x-pieces": "2,3",
             "x-piece-key": "k",
+            ...resumingHeaders,
           },
           body: route === "often" ? null : "body",
         },
       );
-      const text = await body.text().catch(() => undefined);
-      return { ...answer, status: statusCode, text };
+      const isBroken = route === "resumed" &&
+        this.#random.next() < BROKEN_SHARE;
+      const { isWhole, received } = await readText(body, isBroken);
+      const isStream = route === "stream" || route === "resumed";
+      const lines = received.replaceAll(/\r\n?/g, "\n");
+      const events = isStream && statusCode === 200
+        ? (lines.match(EVENT_PATTERN) ?? []).join("")
+        : "";
+      const text = isWhole ? received : undefined;
+      return { ...answer, status: statusCode, text, events };
     } catch {
       // The connection was refused, reset or too slow: the outcome is unknown.
       return { ...answer, status: undefined, text: undefined };
@@ -113,3 +171,25 @@
     return values[this.#random.nextInteger(Math.max(1, values.length))];
   }
 }
+
+/**
+ * Reads a body, or only its first chunk if the caller breaks its connection;
+ * what arrived of a truncated one counts as received.
+ */
+async function readText(
+  body: AsyncIterable<Buffer>,
+  isBroken: boolean,
+): Promise<{ readonly isWhole: boolean; readonly received: string }> {
+  const chunks: Buffer[] = [];
+  let isWhole = false;
+  try {
+    for await (const chunk of body) {
+      chunks.push(chunk);
+      if (isBroken) break;
+    }
+    isWhole = !isBroken;
+  } catch {
+    // The connection was reset, or the deadline has passed.
+  }
+  return { isWhole, received: Buffer.concat(chunks).toString() };
+}
