Begin resumable streams where another endpoint could take them up

Cause: a stream that begins at the last endpoint of its software version can't go on once that endpoint fails. Change: a daemon that chooses the endpoint of a resumable stream itself prefers versions with a second endpoint while one of these has a free slot. The coordinator's places are unchanged, where it would cost prompts that are read again. Result: the two new tests of continued_stream_test.ts; the first failed before the change.

--- a/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
@@ -40,6 +40,36 @@
   }
 });
 
+// Guards against streams that begin where no other endpoint could go on.
+test("a stream begins at a version with two endpoints while they have free slots", async () => {
+  for (const busyCalls of [0, 4]) {
+    for (let run = 0; run < 10; run++) {
+      const world = createWorld([() => stream(FIRST)], {
+        route: { stages: [] },
+        versions: ["v1", "v1", "v2"],
+      });
+      for (const id of ["i1", "i2"]) {
+        const endpoint = world.registry.find(id);
+        if (endpoint !== undefined) endpoint.inFlight = busyCalls;
+      }
+      await serve(world);
+      const [id] = world.endpointCalls.map(({ endpoint }) => endpoint.id);
+      expect(id === "i3").toEqual(busyCalls > 0);
+    }
+  }
+});
+
+// Guards against a refusal while an endpoint of another version is left.
+test("a stream begins at the last endpoint of a version if the others refuse", async () => {
+  const full = () => ({ type: "not_run", refusal: "full" }) as const;
+  const world = createWorld([full, full, () => stream(FIRST)], {
+    route: { stages: [] },
+    versions: ["v1", "v1", "v2"],
+  });
+  await serve(world);
+  expect(world.reply.text).toEqual(FIRST);
+});
+
 // Guards against a place from a coordinator that chose another version.
 test("a resumed stream isn't sent to a place of another software version", async () => {
   const world = createWorld([() => stream(SECOND)], {
--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -3,6 +3,7 @@
 import type { RequestRun } from "./request_run.ts";
 import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
 import { createChainReader } from "./create_chain_request.ts";
+import { preferResumable } from "../streams/prefer_resumable.ts";
 import { softwareOf } from "../streams/software_of.ts";
 import { promptAffinity } from "./prompt_affinity.ts";
 
@@ -65,19 +66,28 @@
   const { dependencies, service } = run.options;
   const { endpointRegistry, rateLimiter } = dependencies;
   const now = dependencies.timer.now();
-  const choice = chooseEndpoint({
-    endpoints: endpointRegistry.availableFor(service).filter((endpoint) =>
-      mayContinue(run, endpoint)
-    ),
-    tried,
-    zone: dependencies.zone,
-    affinity: affinityOf(run),
-    random: dependencies.random,
-    now,
-    isWithinLimit: (endpoint) =>
-      rateLimiter.isWithinLimit(endpoint, now) &&
-      dependencies.concurrency.mayStart(endpoint),
-  });
+  const choose = (
+    endpoints: readonly EndpointState[],
+  ): EndpointChoice | undefined =>
+    chooseEndpoint({
+      endpoints,
+      tried,
+      zone: dependencies.zone,
+      affinity: affinityOf(run),
+      random: dependencies.random,
+      now,
+      isWithinLimit: (endpoint) =>
+        rateLimiter.isWithinLimit(endpoint, now) &&
+        dependencies.concurrency.mayStart(endpoint),
+    });
+  const endpoints = endpointRegistry.availableFor(service).filter((endpoint) =>
+    mayContinue(run, endpoint)
+  );
+  const preferred = run.beginsResumableStream
+    ? preferResumable(endpoints, now)
+    : endpoints;
+  const choice = choose(preferred) ??
+    (preferred === endpoints ? undefined : choose(endpoints));
   if (choice !== undefined) rateLimiter.recordRequest(choice.endpoint, now);
   return choice;
 }
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -132,6 +132,12 @@
     return kind === "idempotent" || (kind === "stream" && isResumable);
   }
 
+  /** True until the first event of a stream that may be taken up later. */
+  get beginsResumableStream(): boolean {
+    const { kind, isResumable } = this.options.route;
+    return kind === "stream" && isResumable && this.streamOrigin === undefined;
+  }
+
   /** True if the request may run at one more endpoint. */
   get hasAttemptsLeft(): boolean {
     return this.isRepeatable && this.attemptsLeft > 0;
--- a/packages/kelpspar-scenarios/src/guards/stream_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/stream_guards.ts
@@ -57,8 +57,15 @@
   {
     name: "a daemon continues a stream at its own version",
     file: `${GATEWAY}/requests/choose_request_endpoint.ts`,
-    code: "      mayContinue(run, endpoint)\n    ),",
-    without: "      endpoint !== undefined\n    ),",
+    code: "    mayContinue(run, endpoint)\n  );",
+    without: "    endpoint !== undefined\n  );",
+    noticedBy: CONTINUED,
+  },
+  {
+    name: "a stream begins where another endpoint could go on",
+    file: `${GATEWAY}/requests/choose_request_endpoint.ts`,
+    code: "const preferred = run.beginsResumableStream",
+    without: "const preferred = run.beginsResumableStream && false",
     noticedBy: CONTINUED,
   },
   {
