Show remembered streams to operators; tell streams of one holder together

Streams that are told when a second version appears are grouped by the holder's address without copying the list.

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -101,6 +101,7 @@
   readonly #peerServer: Server;
   readonly #isolation: IsolationMonitor;
   readonly #relay: PeerRelay;
+  readonly #streamOrigins: StreamOrigins;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
@@ -248,6 +249,7 @@
       zone: self.zone,
       senderCount: () => this.fleetSize(),
     });
+    this.#streamOrigins = streamOrigins;
     this.quarantine = crashes.quarantine;
     this.#quarantineParts = crashes;
     this.#membership = membership;
@@ -404,6 +406,7 @@
       "endpoints_of_unknown_services",
       this.#countEndpointsOfUnknownServices(),
     );
+    metrics.setState("remembered_streams", this.#streamOrigins.size);
     metrics.setState("isolated", this.#isolation.isIsolated ? 1 : 0);
     metrics.setState("evacuated_zones", this.registry.evacuatedZones.size);
     metrics.setState("limited_endpoints", this.limits.size);
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -92,7 +92,7 @@
     if (!this.#mayDiffer(services)) return;
     const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
     await settleSome(
-      holders.map((holder) => this.#tell(holder, [stream])),
+      holders.map(({ peer }) => this.#tell(peer, [stream])),
       {
         count: REQUIRED_HOLDERS,
         timeoutMilliseconds: TELL_TIMEOUT_MILLISECONDS,
@@ -163,20 +163,23 @@
    */
   #tellOwnStreams(service: string): void {
     if (!this.#mayDiffer([service])) return;
-    const byHolder = new Map<DaemonAddress, BegunStream[]>();
+    const streamsByPeer = new Map<string, BegunStream[]>();
     const streams = this.#streams.ownStreams(this.#options.timer.now());
     for (const stream of streams) {
       if (stream.service !== service) continue;
-      for (const holder of this.#rank(stream.attemptId).slice(0, HOLDERS)) {
-        byHolder.set(holder, [...byHolder.get(holder) ?? [], stream]);
+      const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
+      for (const { peer } of holders) {
+        const told = streamsByPeer.get(peer);
+        if (told === undefined) streamsByPeer.set(peer, [stream]);
+        else told.push(stream);
       }
     }
-    for (const [holder, held] of byHolder) void this.#tell(holder, held);
+    for (const [peer, told] of streamsByPeer) void this.#tell(peer, told);
   }
 
   /** Resolves to false if the holder didn't answer. */
   async #tell(
-    { peer }: DaemonAddress,
+    peer: string,
     streams: readonly BegunStream[],
   ): Promise<boolean> {
     try {
--- a/packages/kelpspar-scenarios/src/guards/stream_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/stream_guards.ts
@@ -121,7 +121,7 @@
     name: "live streams are told when a second version appears",
     file: `${GATEWAY}/streams/stream_origins.ts`,
     code:
-      "for (const [holder, held] of byHolder) void this.#tell(holder, held);",
+      "for (const [peer, told] of streamsByPeer) void this.#tell(peer, told);",
     without: "",
     noticedBy: ORIGINS,
   },
