Run the daemons of the isolation tests in processes of their own

Cause: isolated_daemon_test.ts and isolated_series_test.ts ran five daemons, their callers and nine endpoints in one process; beside load it starved, and requests failed that the stages' endpoints couldn't carry in time. Change: the daemons run as processes with the partition hook that the soak uses. NetworkPartition now concerns the one daemon of its process; what told several apart is gone.

--- a/packages/kelpspar-standins/src/__tests__/support/starting_processes.ts
+++ b/packages/kelpspar-standins/src/__tests__/support/starting_processes.ts
@@ -1,4 +1,4 @@
-import type { BuiltProgram } from "./build_program.ts";
+import type { BuiltProgram } from "../../wire/build_program.ts";
 import { join } from "node:path";
 import { request as sendRequest } from "undici";
 import { DaemonProcess } from "../../wire/daemon_process.ts";
--- a/packages/kelpspar-standins/src/__tests__/unit/fleet_start_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/fleet_start_test.ts
@@ -1,8 +1,8 @@
-import type { BuiltProgram } from "../support/build_program.ts";
+import type { BuiltProgram } from "../../wire/build_program.ts";
 import { expect } from "earl";
 import { after, before, test } from "node:test";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
-import { buildProgram } from "../support/build_program.ts";
+import { buildProgram } from "../../wire/build_program.ts";
 import { StartingProcesses } from "../support/starting_processes.ts";
 
 /** Objective of the site's routes. */
--- a/packages/kelpspar-standins/src/__tests__/unit/kept_code_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/kept_code_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { execFileSync } from "node:child_process";
 import { test } from "node:test";
-import { buildProgram } from "../support/build_program.ts";
+import { buildProgram } from "../../wire/build_program.ts";
 
 test("Node.js accepts the code cache that the build created for the daemon", () => {
   // A restart takes a third longer if Node.js rejects the code cache, which it
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -33,14 +33,13 @@
 export type { RunnerFault, RunnerRun } from "./wire/runner_stand_in.ts";
 export type { StageFault } from "./wire/stage_runner_stand_in.ts";
 export type { StoreFault } from "./wire/store_stand_in.ts";
-export type {
-  NetworkPartitionOptions,
-  PartitionMode,
-} from "./wire/network_partition.ts";
+export type { PartitionMode } from "./wire/network_partition.ts";
 export type { WireSiteOptions } from "./wire/wire_site.ts";
 export { CRASHING_PATH_SUFFIX, RunnerStandIn } from "./wire/runner_stand_in.ts";
 export { StageRunnerStandIn } from "./wire/stage_runner_stand_in.ts";
 export { StoreStandIn } from "./wire/store_stand_in.ts";
 export { BrittleCapacity } from "./wire/brittle_capacity.ts";
-export { NetworkPartition } from "./wire/network_partition.ts";
+export type { BuiltProgram } from "./wire/build_program.ts";
+export { buildProgram } from "./wire/build_program.ts";
+export { DaemonProcess } from "./wire/daemon_process.ts";
 export { WireSite } from "./wire/wire_site.ts";
--- a/packages/kelpspar-standins/src/__tests__/support/build_program.ts
+++ b/packages/kelpspar-standins/src/wire/build_program.ts
@@ -10,7 +10,8 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
+const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
+const PARTITION_HOOK = "packages/kelpspar-standins/src/wire/partition_hook.ts";
 /** Inputs of the build. */
 const SOURCES = ["deploy", "packages", "platform", "tsconfig.base.json"];
 const RUN = /^run = "node (.*) (target\/\S+)"$/m;
@@ -23,6 +24,8 @@
   readonly program: string;
   /** Options of Node.js. */
   readonly nodeArguments: readonly string[];
+  /** Path of the compiled `partition_hook.ts`. */
+  readonly partitionHook: string;
   readonly remove: () => void;
 }
 
@@ -37,12 +40,22 @@
   }
   symlinkSync(join(ROOT, "node_modules"), join(folder, "node_modules"));
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: folder });
+  const partitionHook = join(folder, "partition_hook.mjs");
+  execFileSync(join(ROOT, "node_modules/.bin/esbuild"), [
+    join(ROOT, PARTITION_HOOK),
+    "--bundle",
+    "--platform=node",
+    "--format=esm",
+    "--log-level=error",
+    `--outfile=${partitionHook}`,
+  ]);
   const deployment = readFileSync(join(folder, "deploy/system.toml"), "utf8");
   const [, options = "", program = ""] = RUN.exec(deployment) ?? [];
   return {
     folder,
     program,
     nodeArguments: options.split(" "),
+    partitionHook,
     remove: () => rmSync(folder, { recursive: true }),
   };
 }
--- a/packages/kelpspar-standins/src/wire/network_partition.ts
+++ b/packages/kelpspar-standins/src/wire/network_partition.ts
@@ -1,6 +1,4 @@
 import type { SocketConnectOpts } from "node:net";
-import type { WireSite } from "./wire_site.ts";
-import { AsyncLocalStorage } from "node:async_hooks";
 import { Socket } from "node:net";
 
 /** What happens to a daemon's connections to endpoints. */
@@ -12,44 +10,21 @@
   /** Open connections live on, and new ones are refused. */
   | "refused";
 
-interface OpenConnection {
-  readonly daemon: string;
-  readonly socket: Socket;
-}
-
 const connect = Socket.prototype.connect;
 
-/** Which connections a `NetworkPartition` concerns. */
-export interface NetworkPartitionOptions {
-  /** Addresses of the endpoints, `address:port`. */
-  readonly addresses: readonly string[];
-  /** The only daemon of this process, if there is no more than one. */
-  readonly daemon?: string;
-}
-
-/**
- * Partitions daemons of this process from endpoints. Connections of several
- * daemons are told apart by the asynchronous context that they were started in.
- */
+/** Partitions the daemon of this process from endpoints. */
 export class NetworkPartition {
-  readonly #context = new AsyncLocalStorage<string>();
-  readonly #daemon: string | undefined;
-  readonly #modes = new Map<string, PartitionMode>();
-  readonly #open = new Set<OpenConnection>();
+  readonly #open = new Set<Socket>();
   readonly #ports: ReadonlySet<number>;
+  #mode: PartitionMode | undefined;
 
-  constructor({ addresses, daemon }: NetworkPartitionOptions) {
-    this.#daemon = daemon;
+  /** Takes the addresses of the endpoints, `address:port`. */
+  constructor(addresses: readonly string[]) {
     this.#ports = new Set(
       addresses.map((address) => Number(address.split(":").at(-1))),
     );
   }
 
-  /** Partitions daemons from all endpoints of a site that was started. */
-  static ofSite(site: WireSite): NetworkPartition {
-    return new NetworkPartition({ addresses: site.runnerAddresses });
-  }
-
   /** Intercepts connections; returns the teardown. */
   register(): () => void {
     const intercept = this.#intercept.bind(this);
@@ -64,35 +39,26 @@
     };
   }
 
-  /** Runs `start`; connections that result from it are the daemon's. */
-  runAs<Result>(daemon: string, start: () => Result): Result {
-    return this.#context.run(daemon, start);
-  }
-
-  /** Partitions a daemon from all endpoints. */
-  start(daemon: string, mode: PartitionMode): void {
-    this.#modes.set(daemon, mode);
-    const open = [...this.#open].filter((entry) => entry.daemon === daemon);
-    for (const { socket } of open) {
+  /** Partitions the daemon from all endpoints. */
+  start(mode: PartitionMode): void {
+    this.#mode = mode;
+    for (const socket of [...this.#open]) {
       if (mode === "silent") silence(socket);
       if (mode === "reset") fail(socket, "ECONNRESET");
     }
   }
 
-  end(daemon: string): void {
-    this.#modes.delete(daemon);
+  end(): void {
+    this.#mode = undefined;
   }
 
   #intercept(socket: Socket, parameters: unknown[]): Socket {
-    const daemon = this.#daemon ?? this.#context.getStore();
-    if (daemon === undefined || !this.#isEndpoint(parameters)) {
+    if (!this.#isEndpoint(parameters)) {
       return Reflect.apply(connect, socket, parameters) as Socket;
     }
-    const mode = this.#modes.get(daemon);
-    if (mode === undefined) {
-      const entry = { daemon, socket };
-      this.#open.add(entry);
-      socket.once("close", () => this.#open.delete(entry));
+    if (this.#mode === undefined) {
+      this.#open.add(socket);
+      socket.once("close", () => this.#open.delete(socket));
       return Reflect.apply(connect, socket, parameters) as Socket;
     }
     // Without a handle the socket stays as if it were still connecting.
@@ -102,7 +68,7 @@
       reset: "ECONNRESET",
       refused: "ECONNREFUSED",
     };
-    const code = failures[mode];
+    const code = failures[this.#mode];
     if (code !== undefined) setImmediate(() => fail(socket, code));
     return socket;
   }
--- a/packages/kelpspar-standins/src/wire/partition_hook.ts
+++ b/packages/kelpspar-standins/src/wire/partition_hook.ts
@@ -8,20 +8,19 @@
   readPartitionFile,
 } from "./partition_file.ts";
 
-const DAEMON = "daemon";
 const POLL_INTERVAL_MILLISECONDS = 25;
 
 const path = process.env[PARTITION_FILE_VARIABLE] ?? "";
 const { addresses } = readPartitionFile(path);
-const partition = new NetworkPartition({ addresses, daemon: DAEMON });
+const partition = new NetworkPartition(addresses);
 let current: PartitionMode | undefined;
 
 function update(): void {
   const { mode } = readPartitionFile(path);
   if (mode === current) return;
   current = mode;
-  if (mode === undefined) partition.end(DAEMON);
-  else partition.start(DAEMON, mode);
+  if (mode === undefined) partition.end();
+  else partition.start(mode);
 }
 
 partition.register();
