--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -68,14 +68,6 @@
     return this.#unpausedEndpoints(this.#run.now()).length > 0;
   }
 
-  /** True if an endpoint is left that may continue the stream. */
-  get hasContinuingEndpoint(): boolean {
-    const { dependencies, service } = this.#run.options;
-    return dependencies.endpointRegistry.availableFor(service).some((
-      endpoint,
-    ) => mayContinue(this.#run, endpoint));
-  }
-
   /** Untried endpoints that didn't request a pause. */
   #unpausedEndpoints(now: number): readonly EndpointState[] {
     const { dependencies, service } = this.#run.options;
--- a/packages/kelpspar-gateway/src/requests/read_answer_body.ts
+++ b/packages/kelpspar-gateway/src/requests/read_answer_body.ts
@@ -1,7 +1,7 @@
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
 import { endOfLastEvent, isPartialEvent } from "./event_stream.ts";
-import { isEventStream } from "./is_event_stream.ts";
+import { isEventStream } from "./media_type.ts";
 import { readBody } from "./read_body.ts";
 
 /**
--- a/packages/kelpspar-gateway/src/requests/send_result.ts
+++ b/packages/kelpspar-gateway/src/requests/send_result.ts
@@ -1,7 +1,7 @@
 import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointAnswer } from "./endpoint_call.ts";
-import { isEventStream, mediaType } from "./is_event_stream.ts";
+import { isEventStream, mediaType } from "./media_type.ts";
 
 /** An answer with status and body from the endpoint. */
 export type ReceivedAnswer = Extract<EndpointAnswer, { type: "answered" }>;
--- a/packages/kelpspar-gateway/src/requests/stream_continuation.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_continuation.ts
@@ -1,6 +1,7 @@
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { StreamRelay } from "./stream_relay.ts";
+import { mayContinue } from "./choose_request_endpoint.ts";
 import { softwareOf } from "../streams/software_of.ts";
 import { STREAM_LIFETIME_MILLISECONDS } from "../streams/version_history.ts";
 
@@ -45,7 +46,7 @@
     if (streamOrigin === undefined) return undefined;
     const { endpointRegistry } = options.dependencies;
     const hasEndpoint = endpointRegistry.availableFor(options.service).some(
-      ({ entry }) => softwareOf(entry).version === streamOrigin.version,
+      (endpoint) => mayContinue(this.#run, endpoint),
     );
     return hasEndpoint
       ? undefined
