Share what the change wrote twice about streams

Waiting for holders and for the origin of a stream were two loops over calls with a timeout; collectAnswers serves both. What a resumable stream is stood in three places and is RequestRun.isResumableStream now. The soak test and the fleet of processes each compiled the partition hook. No behaviour changes, and no test's assertions.

--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -128,14 +128,18 @@
 
   /** True if the request may run more than once. */
   get isRepeatable(): boolean {
+    return this.options.route.kind === "idempotent" || this.isResumableStream;
+  }
+
+  /** True for a stream that may be taken up at another endpoint or daemon. */
+  get isResumableStream(): boolean {
     const { kind, isResumable } = this.options.route;
-    return kind === "idempotent" || (kind === "stream" && isResumable);
+    return kind === "stream" && isResumable;
   }
 
-  /** True until the first event of a stream that may be taken up later. */
+  /** True until the first event of a resumable stream. */
   get beginsResumableStream(): boolean {
-    const { kind, isResumable } = this.options.route;
-    return kind === "stream" && isResumable && this.streamOrigin === undefined;
+    return this.isResumableStream && this.streamOrigin === undefined;
   }
 
   /** True if the request may run at one more endpoint. */
--- a/packages/kelpspar-gateway/src/requests/stream_continuation.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_continuation.ts
@@ -27,7 +27,7 @@
   async resolve(): Promise<ContinuationFailure | undefined> {
     const run = this.#run;
     const isResumed = this.#relay.lastEventId !== undefined;
-    if (!this.#isResumable || !isResumed) return undefined;
+    if (!this.#run.isResumableStream || !isResumed) return undefined;
     if (run.streamOrigin !== undefined) return this.failure;
     const lookup = await run.options.dependencies.streamOrigins.find({
       attemptId: this.#firstAttemptId,
@@ -55,7 +55,7 @@
 
   /** Resolves when other daemons know that an endpoint begins the stream. */
   async begin(endpoint: EndpointEntry): Promise<void> {
-    if (!this.#isResumable) return;
+    if (!this.#run.isResumableStream) return;
     const { options, sends } = this.#run;
     const { request, route, dependencies, arrivedAt } = options;
     const wait = request.deadlineMilliseconds ?? route.timeoutMilliseconds;
@@ -76,12 +76,7 @@
 
   /** Pins the stream to the software whose first event reaches the caller. */
   begun(endpoint: EndpointEntry): void {
-    if (this.#isResumable) this.#run.continueAt(softwareOf(endpoint));
-  }
-
-  get #isResumable(): boolean {
-    const { kind, isResumable } = this.#run.options.route;
-    return kind === "stream" && isResumable;
+    if (this.#run.isResumableStream) this.#run.continueAt(softwareOf(endpoint));
   }
 
   /** The attempt that brought the caller's first event. */
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -7,10 +7,9 @@
 import type { BegunStream, StreamOrigin } from "./stream_origin.ts";
 import type { VersionHistoryOptions } from "./version_history.ts";
 import { BegunStreams } from "./begun_streams.ts";
-import { firstAnswer } from "./first_answer.ts";
+import { collectAnswers } from "./collect_answers.ts";
 import { hasSeveralVersions } from "./has_several_versions.ts";
 import { rankOriginHolders } from "./rank_origin_holders.ts";
-import { settleSome } from "./settle_some.ts";
 import { VersionHistory } from "./version_history.ts";
 
 /** Daemons that remember a stream, beside the one that began it. */
@@ -87,14 +86,14 @@
    * do, at most after `TELL_TIMEOUT_MILLISECONDS`. Never rejects.
    */
   async begin({ stream, services }: BeginOptions): Promise<void> {
-    const { timer } = this.#options;
+    const { peers, timer } = this.#options;
     this.#streams.add(stream, { isOwn: true, now: timer.now() });
     if (!this.#mayDiffer(services)) return;
     const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
-    await settleSome(
-      holders.map(({ peer }) => this.#tell(peer, [stream])),
+    await collectAnswers(
+      holders.map(({ peer }) => peers.tellStreams(peer, [stream])),
       {
-        count: REQUIRED_HOLDERS,
+        isEnough: ({ length }) => length >= REQUIRED_HOLDERS,
         timeoutMilliseconds: TELL_TIMEOUT_MILLISECONDS,
         timer,
       },
@@ -174,19 +173,10 @@
         else told.push(stream);
       }
     }
-    for (const [peer, told] of streamsByPeer) void this.#tell(peer, told);
-  }
-
-  /** Resolves to false if the holder didn't answer. */
-  async #tell(
-    peer: string,
-    streams: readonly BegunStream[],
-  ): Promise<boolean> {
-    try {
-      await this.#options.peers.tellStreams(peer, streams);
-      return true;
-    } catch {
-      return false;
+    const { peers } = this.#options;
+    for (const [peer, told] of streamsByPeer) {
+      // A holder that can't be told is one of several.
+      peers.tellStreams(peer, told).catch(() => {});
     }
   }
 
@@ -195,22 +185,26 @@
   ): Promise<OriginAnswer & { readonly asked: number }> {
     const { peers, timer } = this.#options;
     const daemons = this.#rank(options.attemptId).slice(0, ASKED_DAEMONS);
-    const { found, answers } = await firstAnswer(
+    const answers = await collectAnswers(
       daemons.map(({ peer }) => peers.askOrigin(peer, options)),
       {
-        isFound: ({ origin }) => origin !== undefined,
+        isEnough: (received) => received.some(hasOrigin),
         timeoutMilliseconds: ASK_TIMEOUT_MILLISECONDS,
         timer,
       },
     );
     return {
-      origin: found?.origin,
+      origin: answers.find(hasOrigin)?.origin,
       recent: answers.flatMap(({ recent }) => recent),
       asked: daemons.length,
     };
   }
 }
 
+function hasOrigin({ origin }: OriginAnswer): boolean {
+  return origin !== undefined;
+}
+
 function toLookup(
   origin: StreamOrigin | undefined,
   recent: readonly StreamOrigin[],
--- a/packages/kelpspar-scenarios/src/guards/stream_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/stream_guards.ts
@@ -120,8 +120,7 @@
   {
     name: "live streams are told when a second version appears",
     file: `${GATEWAY}/streams/stream_origins.ts`,
-    code:
-      "for (const [peer, told] of streamsByPeer) void this.#tell(peer, told);",
+    code: "peers.tellStreams(peer, told).catch(() => {});",
     without: "",
     noticedBy: ORIGINS,
   },
--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -1,5 +1,4 @@
 import { expect } from "earl";
-import { buildSync } from "esbuild";
 import { SeededRandom } from "kelpspar-shared";
 import { execFileSync } from "node:child_process";
 import {
@@ -15,6 +14,7 @@
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { checkSoak } from "../../soak/check_soak.ts";
+import { buildPartitionHook } from "../../wire/build_program.ts";
 import { CRASHING_PATH_SUFFIX } from "../../wire/runner_stand_in.ts";
 import { WireCaller } from "../../wire/wire_caller.ts";
 import { WireSite } from "../../wire/wire_site.ts";
@@ -37,21 +37,6 @@
   setImmediate(() => process.exit());
 });
 
-/** Compiles the hook into a folder, since daemons run without the sources. */
-function buildPartitionHook(folder: string): string {
-  const outfile = join(folder, "partition_hook.mjs");
-  buildSync({
-    entryPoints: [
-      fileURLToPath(new URL("../../wire/partition_hook.ts", import.meta.url)),
-    ],
-    outfile,
-    bundle: true,
-    platform: "node",
-    format: "esm",
-  });
-  return outfile;
-}
-
 test("a short soak with faults violates no guarantee", async () => {
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: ROOT });
   const folder = mkdtempSync(join(tmpdir(), "kelpspar-hook-"));
--- a/packages/kelpspar-standins/src/wire/build_program.ts
+++ b/packages/kelpspar-standins/src/wire/build_program.ts
@@ -40,22 +40,27 @@
   }
   symlinkSync(join(ROOT, "node_modules"), join(folder, "node_modules"));
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: folder });
-  const partitionHook = join(folder, "partition_hook.mjs");
-  execFileSync(join(ROOT, "node_modules/.bin/esbuild"), [
-    join(ROOT, PARTITION_HOOK),
-    "--bundle",
-    "--platform=node",
-    "--format=esm",
-    "--log-level=error",
-    `--outfile=${partitionHook}`,
-  ]);
   const deployment = readFileSync(join(folder, "deploy/system.toml"), "utf8");
   const [, options = "", program = ""] = RUN.exec(deployment) ?? [];
   return {
     folder,
     program,
     nodeArguments: options.split(" "),
-    partitionHook,
+    partitionHook: buildPartitionHook(folder),
     remove: () => rmSync(folder, { recursive: true }),
   };
 }
+
+/** Compiles the hook into a folder, since daemons run without the sources. */
+export function buildPartitionHook(folder: string): string {
+  const outfile = join(folder, "partition_hook.mjs");
+  execFileSync(join(ROOT, "node_modules/.bin/esbuild"), [
+    join(ROOT, PARTITION_HOOK),
+    "--bundle",
+    "--platform=node",
+    "--format=esm",
+    "--log-level=error",
+    `--outfile=${outfile}`,
+  ]);
+  return outfile;
+}
