Log the parts of prompts with ends of requests and checks of endpoints

Cause: no log line names the parts of a prompt, so that the logs of an incident can't tell which part its crashes share, nor whether requests with that part were served in between.

--- a/packages/kelpspar-gateway/src/__tests__/unit/crash_detector_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/crash_detector_test.ts
@@ -16,6 +16,7 @@
   await detector.checkEndpoint({
     attemptId: "a1",
     fingerprint: "f",
+    promptParts: [],
     endpoint: {
       id: "i1",
       bornAt: 1,
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -4,12 +4,15 @@
 import type { IsolationMonitor } from "../isolation/isolation_monitor.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EndpointClient } from "../requests/endpoint_call.ts";
+import type { PromptPart } from "../requests/serving_request.ts";
 import type { Quarantine } from "./quarantine.ts";
+import { describePromptParts } from "../requests/describe_prompt_parts.ts";
 
 /** An answer that ended before it was complete. */
 export interface TruncatedAnswer {
   readonly attemptId: string | undefined;
   readonly fingerprint: string;
+  readonly promptParts: readonly PromptPart[];
   readonly endpoint: EndpointEntry;
   /** Monotonic milliseconds. */
   readonly sentAt: number;
@@ -53,6 +56,7 @@
     log.info("endpoint checked after truncated answer", {
       attempt: answer.attemptId,
       fingerprint,
+      parts: describePromptParts(answer.promptParts),
       endpoint: endpoint.id,
       bornAt: endpoint.bornAt,
       state,
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -366,6 +366,7 @@
     void options.dependencies.crashes.checkEndpoint({
       attemptId: options.request.attemptId,
       fingerprint,
+      promptParts: options.request.promptParts,
       endpoint: endpoint.entry,
       sentAt,
       answeredAt,
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -8,6 +8,7 @@
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
+import { describePromptParts } from "./describe_prompt_parts.ts";
 import { requestFingerprint } from "../quarantine/request_fingerprint.ts";
 import { requestPriority } from "./request_priority.ts";
 
@@ -338,6 +339,7 @@
     dependencies.log.info("request ended", {
       attempt: request.attemptId,
       fingerprint: this.fingerprint,
+      parts: describePromptParts(request.promptParts),
       outcome: end,
       route: route.name,
       service,
