--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -1,4 +1,9 @@
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  Server,
+  ServerResponse,
+} from "node:http";
 import type { BrittleCapacity } from "./brittle_capacity.ts";
 import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
@@ -80,9 +85,13 @@
   retryAfter: string | undefined;
   /** Set while the runner is brittle. */
   brittle: BrittleCapacity | undefined;
+  /** Ids of prompt parts that crash the runner once it answers on them. */
+  crashingParts: ReadonlySet<string> = new Set();
   /** Number of requests refused as overloaded. */
   refusals = 0;
   readonly runs: RunnerRun[] = [];
+  /** When the runner crashed, monotonic milliseconds. */
+  readonly crashTimes: number[] = [];
   readonly #options: RunnerStandInOptions;
   readonly #server: Server;
   /** End of the current silence, monotonic milliseconds. */
@@ -118,6 +127,7 @@
 
   /** Closes all connections and refuses new ones until `restart`. */
   crash(): void {
+    this.crashTimes.push(performance.now());
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -182,7 +192,9 @@
       },
     };
     const handler = handlers[this.fault];
-    if (target.endsWith(CRASHING_PATH_SUFFIX)) {
+    if (
+      target.endsWith(CRASHING_PATH_SUFFIX) || this.#hasCrashingPart(headers)
+    ) {
       void this.#crashMidway(attemptId, response);
     } else if (handler !== undefined) handler();
     else if (this.#options.isStream) {
@@ -190,6 +202,12 @@
     } else void this.#answer(attemptId, response);
   }
 
+  #hasCrashingPart({ "x-prompt-prefix": parts }: IncomingHttpHeaders): boolean {
+    return String(parts ?? "").split(",").some((part) =>
+      this.crashingParts.has(part.split(":")[0] ?? "")
+    );
+  }
+
   async #crashMidway(
     attemptId: string,
     response: ServerResponse,
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -25,6 +25,8 @@
   readonly zones?: readonly string[];
   /** Limit of requests per second to a cold runner; 0 for none. */
   readonly coldPerSecond?: number;
+  /** Time until a crashed runner restarts. */
+  readonly restartMilliseconds?: number;
   /** Whether a fault-injecting proxy precedes each runner and the store. */
   readonly hasProxies?: boolean;
 }
@@ -32,8 +34,6 @@
 const HOST = "site.example";
 const PIECE_MILLISECONDS = 1;
 const RESULT_BYTES = 1_000;
-/** Time until a crashed runner restarts. */
-const RESTART_DELAY_MILLISECONDS = 500;
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
@@ -71,6 +71,7 @@
       eventMilliseconds: 5,
       zones: ["a"],
       coldPerSecond: 0,
+      restartMilliseconds: 500,
       hasProxies: false,
       ...options,
     };
@@ -268,7 +269,7 @@
         runner.restart();
         proxy?.resumeListening();
         write(runner.id);
-      }, RESTART_DELAY_MILLISECONDS);
+      }, this.#options.restartMilliseconds);
       this.#restarts.add(restart);
     };
   }
