Read stored quarantines when all daemons start

What callers saw: after all daemons were killed, requests with a quarantined part ended one more endpoint.

Cause: a daemon read the quarantine's table after a crash that it had detected itself. Daemons that start together have no peer that knows more.

Change: a row of the daemons' table, which each reader reads at its start, says that the quarantine's table has rows; a daemon that finds it reads these. A daemon that read a row removes it once the quarantine ends, since the daemon that wrote it may be gone. Without quarantines there is no row and no call.

--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantine_rows_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantine_rows_test.ts
@@ -8,10 +8,13 @@
 import { StoreEra } from "../../tables/store_era.ts";
 
 const TABLE = "quarantine";
+const MARKER = { table: "daemons", key: "quarantine" };
 
 /** A store with one table; `era` rises when it is restored from a copy. */
 class OneTable implements TableStore {
   readonly rows = new Map<string, string>();
+  /** Keys of the rows of other tables. */
+  readonly otherKeys = new Set<string>();
   era: ReportedEra = 1;
   isAway = false;
   reads = 0;
@@ -34,13 +37,16 @@
   }
 
   write(
-    _: string,
+    table: string,
     key: string,
     text: string | undefined,
   ): Promise<ReportedEra> {
     this.writes++;
     if (this.isAway) return Promise.reject(new Error("away"));
-    if (text === undefined) this.rows.delete(key);
+    if (table !== TABLE) {
+      if (text === undefined) this.otherKeys.delete(key);
+      else this.otherKeys.add(key);
+    } else if (text === undefined) this.rows.delete(key);
     else this.rows.set(key, text);
     return Promise.resolve(this.era);
   }
@@ -51,12 +57,16 @@
   readonly era: StoreEra;
   readonly quarantine: Quarantine;
   readonly messages: string[];
+  readonly quarantineRows: QuarantineRows;
   /** Stops reading and writing rows. */
   readonly teardown: () => void;
 }
 
 /** Creates a daemon's quarantine with a store that all daemons share. */
-function startDaemon(store: TableStore): World {
+function startDaemon(
+  store: TableStore,
+  marker?: typeof MARKER,
+): World {
   const timer = new ManualTimer();
   const messages: string[] = [];
   const note = (message: string): void => void messages.push(message);
@@ -64,16 +74,18 @@
   const era = new StoreEra({ timer, anomalies: { note: () => {} } });
   const quarantine = new Quarantine({ timer, log });
   quarantine.register();
-  const teardown = new QuarantineRows({
+  const quarantineRows = new QuarantineRows({
     store,
     era,
     table: TABLE,
+    ...(marker === undefined ? {} : { marker }),
     quarantine,
     timer,
     random: new SeededRandom(1),
     log,
-  }).register();
-  return { timer, era, quarantine, messages, teardown };
+  });
+  const teardown = quarantineRows.register();
+  return { timer, era, quarantine, messages, quarantineRows, teardown };
 }
 
 function crash(world: World, ...crashes: readonly string[]): void {
@@ -231,3 +243,32 @@
       .length,
   ).toEqual(2);
 });
+
+// Guards against daemons that start together and send a request that the
+// daemons before them had quarantined.
+test("a daemon that finds the marker quarantines a stored request", async () => {
+  const store = new OneTable();
+  const first = startDaemon(store, MARKER);
+  expect(store.otherKeys.size).toEqual(0);
+  crash(first, "1", "2", "3");
+  await first.timer.settle();
+  expect([...store.otherKeys]).toEqual([MARKER.key]);
+  const second = startDaemon(store, MARKER);
+  second.quarantineRows.handleMarker();
+  await second.timer.settle();
+  expect(second.quarantine.has("p")).toEqual(true);
+});
+
+// Guards against rows that stay because the daemons that wrote them are gone.
+test("a daemon removes the rows that it read, and the marker, with the quarantine", async () => {
+  const store = new OneTable();
+  const first = startDaemon(store, MARKER);
+  crash(first, "1", "2", "3");
+  await first.timer.settle();
+  first.teardown();
+  const second = startDaemon(store, MARKER);
+  second.quarantineRows.handleMarker();
+  await second.timer.settle();
+  await second.timer.advance(REPORT_LIFETIME_MILLISECONDS + 120_000);
+  expect([store.rows.size, store.otherKeys.size]).toEqual([0, 0]);
+});
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_rows.ts
@@ -22,6 +22,11 @@
   readonly store: TableStore;
   readonly era: StoreEra;
   readonly table: string;
+  /**
+   * A row of a table that daemons read when they start. It exists while the
+   * quarantine's table has rows, so that daemons needn't read that one as well.
+   */
+  readonly marker?: { readonly table: string; readonly key: string };
   readonly quarantine: Quarantine;
   readonly timer: TimerService;
   readonly random: RandomSource;
@@ -40,6 +45,8 @@
   readonly #stop = new AbortController();
   /** Subjects whose rows are written, or are being written. */
   readonly #writtenRows = new Set<string>();
+  /** Whether the marker is written, or being written. */
+  #isMarked = false;
   #readAt = Number.NEGATIVE_INFINITY;
   /** A read is scheduled or running; retried while the store is down. */
   #isReadDue = false;
@@ -58,6 +65,7 @@
       }),
       era.registerListener(() => {
         this.#writtenRows.clear();
+        this.#isMarked = false;
         const wait = random.next() * REWRITE_JITTER_MILLISECONDS;
         timer.registerTimeout(() => this.#syncRows(), wait);
       }),
@@ -66,6 +74,11 @@
     return () => teardowns.forEach((teardown) => teardown());
   }
 
+  /** To be called when the marker is found in the store. */
+  handleMarker(): void {
+    this.#scheduleRead();
+  }
+
   #scheduleRead(): void {
     if (this.#isReadDue) return;
     this.#isReadDue = true;
@@ -93,6 +106,8 @@
       this.#writtenRows.delete(key);
       this.#write(key);
     }
+    const hasRows = this.#writtenRows.size > 0;
+    if (hasRows !== this.#isMarked) this.#writeMarker(hasRows);
   }
 
   async #read(): Promise<void> {
@@ -104,6 +119,7 @@
     }
     this.#isReadDue = false;
     for (const row of page.rows) this.#mergeRow(row);
+    this.#isMarked ||= this.#writtenRows.size > 0;
     this.#options.log.info("quarantine read", {
       rows: page.rows.length,
       quarantined: quarantine.keys.size,
@@ -111,9 +127,12 @@
   }
 
   #mergeRow(row: TableRow): void {
+    const { quarantine } = this.#options;
     try {
       const message = crashMessageSchema.parse(JSON.parse(row.text));
-      this.#options.quarantine.merge(fromCrashMessage(message), "store");
+      quarantine.merge(fromCrashMessage(message), "store");
+      // The daemon that wrote the row may not live until the subject's release.
+      if (quarantine.keys.has(row.key)) this.#writtenRows.add(row.key);
     } catch (error) {
       this.#options.log.warn("invalid quarantine row", {
         key: row.key,
@@ -133,6 +152,18 @@
     });
   }
 
+  #writeMarker(hasRows: boolean): void {
+    const { store, marker, era, timer } = this.#options;
+    if (marker === undefined) return;
+    const { table, key } = marker;
+    this.#isMarked = hasRows;
+    void this.#retry("failed to mark quarantine table", async () => {
+      const startedAt = timer.now();
+      const text = this.#isMarked ? "{}" : undefined;
+      era.checkAnswer(await store.write(table, key, text), startedAt);
+    });
+  }
+
   /** Retries `operation` until it succeeds. */
   #retry(message: string, operation: () => Promise<void>): Promise<void> {
     const retryDelayMilliseconds = RETRY_DELAY_MILLISECONDS;
