Crash runners by a part of the prompt in the soak

Change: all callers of the soak send prompts that begin with a shared part; one more caller sends requests with a part that crashes model runners, on the streaming and the resumable route. The soak checks the users' rule: at most three sends later than 3 s after the fifth crash.

--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -20,8 +20,12 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const AT_MOST_ONCE_ROUTES: ReadonlySet<string> = new Set(["once", "stream"]);
 const EVENTS_PER_STREAM = 5;
+/** Part of a prompt that crashes the runners that begin to answer on it. */
+export const CRASHING_PART = "dead";
 /** The users' rule on poison requests: known after this many crashes. */
 const CRASH_LIMIT = 3;
+/** The users' rule on parts of prompts: known after this many crashes. */
+const PART_CRASH_LIMIT = 5;
 /** The users' rule: time until all daemons know of a crash or a limit. */
 const PROPAGATION_MILLISECONDS = 3_000;
 /** The users' rule: sends of a poison request after all daemons know it. */
@@ -48,7 +52,18 @@
   const sent = new Set(answers.flatMap(attemptIdsOf));
   const violations = [
     ...answers.flatMap((answer) => checkAnswer(answer, runsOf)),
-    ...checkPoisonRequests(runs),
+    ...checkLateSends(
+      "a request that crashes runners",
+      runs.filter(({ target }) => target.endsWith(CRASHING_PATH_SUFFIX)),
+      CRASH_LIMIT,
+    ),
+    ...checkLateSends(
+      "a part that crashes runners",
+      runs.filter(({ headers }) =>
+        String(headers["x-prompt-prefix"]).includes(`${CRASHING_PART}:`)
+      ),
+      PART_CRASH_LIMIT,
+    ),
     ...limits.flatMap(checkAdvertisedLimit),
     ...[...runsOf.keys()].filter((id) => !sent.has(id))
       .map((id) => `${id}: run, but no caller sent it`),
@@ -77,20 +92,19 @@
   return [attemptId, ...resumingIds];
 }
 
-/** Checks how often a poison request ran after its third crash was known. */
-function checkPoisonRequests(runs: readonly RunnerRun[]): readonly string[] {
-  const times = runs
-    .filter(({ target }) => target.endsWith(CRASHING_PATH_SUFFIX))
-    .map(({ at }) => at)
-    .sort((left, right) => left - right);
-  const third = times[CRASH_LIMIT - 1];
-  if (third === undefined) return [];
+/** Checks how often what crashes runners was sent after it was known. */
+function checkLateSends(
+  what: string,
+  runs: readonly RunnerRun[],
+  crashLimit: number,
+): readonly string[] {
+  const times = runs.map(({ at }) => at).sort((left, right) => left - right);
+  const known = times[crashLimit - 1];
+  if (known === undefined) return [];
   const late =
-    times.filter((at) => at > third + PROPAGATION_MILLISECONDS).length;
+    times.filter((at) => at > known + PROPAGATION_MILLISECONDS).length;
   if (late <= MAXIMUM_SENDS_AFTER_CRASH_LIMIT) return [];
-  return [
-    `a request that crashes runners: sent ${late} times after it was known`,
-  ];
+  return [`${what}: sent ${late} times after it was known`];
 }
 
 /** Checks the highest request count in a window against each limit. */
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { WireSite } from "../wire/wire_site.ts";
-import { checkSoak } from "./check_soak.ts";
+import { checkSoak, CRASHING_PART } from "./check_soak.ts";
 import { CRASHING_PATH_SUFFIX } from "../wire/runner_stand_in.ts";
 import { WireCaller } from "../wire/wire_caller.ts";
 import { DaemonProcess } from "../wire/daemon_process.ts";
@@ -37,7 +37,9 @@
 /** Time without new faults at the end, so that pending requests finish. */
 const QUIET_MILLISECONDS = 3_000;
 const CALLER_NAME_BYTES = 4;
-/** Pause between repeats of a request that crashes runners. */
+/** Part that the prompts of all callers begin with. */
+const SHARED_PART = "aa";
+/** Pause between repeats of requests that crash runners. */
 const CRASHING_REQUEST_PAUSE_MILLISECONDS = 200;
 
 /**
@@ -55,6 +57,9 @@
     eventMilliseconds: EVENT_MILLISECONDS,
     hasProxies: true,
   });
+  for (const runner of site.models) {
+    runner.crashingParts = new Set([CRASHING_PART]);
+  }
   await site.start();
   const daemons = await startDaemons(site, { folder, ...options });
   const sleep = (milliseconds: number): Promise<void> =>
@@ -69,6 +74,7 @@
           name: `${random.nextHexadecimal(CALLER_NAME_BYTES)}-${index}`,
           daemons,
           random: new SeededRandom(options.seed * CALLER_COUNT + index),
+          sharedParts: [SHARED_PART],
         }),
     );
     callers.push(
@@ -80,6 +86,14 @@
         routes: ["stream"],
         pauseMilliseconds: CRASHING_REQUEST_PAUSE_MILLISECONDS,
       }),
+      new WireCaller({
+        name: random.nextHexadecimal(CALLER_NAME_BYTES),
+        daemons,
+        random: new SeededRandom(options.seed + 1),
+        routes: ["stream", "resumed"],
+        sharedParts: [SHARED_PART, CRASHING_PART],
+        pauseMilliseconds: CRASHING_REQUEST_PAUSE_MILLISECONDS,
+      }),
     );
     const calls = callers.map((caller) =>
       caller.run(() => timer.now() >= endsAt)
--- a/packages/kelpspar-standins/src/wire/wire_caller.ts
+++ b/packages/kelpspar-standins/src/wire/wire_caller.ts
@@ -42,6 +42,7 @@
   readonly #target: string;
   readonly #routes: readonly WireRoute[];
   readonly #pauseMilliseconds: number;
+  readonly #sharedParts: readonly string[] | undefined;
   readonly #agent = new Agent({ pipelining: 1 });
   #attemptCount = 0;
 
@@ -52,12 +53,15 @@
     /** Path below the route's prefix; default `x`. */
     readonly target?: string;
     readonly routes?: readonly WireRoute[];
+    /** Ids of the prompt's parts before its own last one; default no prompt. */
+    readonly sharedParts?: readonly string[];
     /** Pause between a response and the next request; default 0. */
     readonly pauseMilliseconds?: number;
   }) {
     this.#target = options.target ?? "x";
     this.#routes = options.routes ?? WIRE_ROUTES;
     this.#pauseMilliseconds = options.pauseMilliseconds ?? 0;
+    this.#sharedParts = options.sharedParts;
     this.#name = options.name;
     this.#daemons = options.daemons;
     this.#random = options.random;
@@ -146,6 +150,7 @@
             "x-api-key": "key-1",
             "x-pieces": "2,3",
             "x-piece-key": "k",
+            ...this.#promptHeader(),
             ...resumingHeaders,
           },
           body: route === "often" ? null : "body",
@@ -167,6 +172,13 @@
     }
   }
 
+  #promptHeader(): Readonly<Record<string, string>> {
+    if (this.#sharedParts === undefined) return {};
+    const own = `e${this.#attemptCount.toString(16)}`;
+    const parts = [...this.#sharedParts, own].map((id) => `${id}:100`);
+    return { "x-prompt-prefix": parts.join(",") };
+  }
+
   #pickRandom<Value>(values: readonly Value[]): Value | undefined {
     return values[this.#random.nextInteger(Math.max(1, values.length))];
   }
