Blame requests that were served only long before their crashes

Cause: a request that was served within the hour was never quarantined, whatever it did afterwards; a new version of the endpoints may be what it crashes. Change: a request counts for a crash unless it was served later than 3 s before it, anywhere. An outage of several endpoints that cuts a request which callers repeat often still blames nobody. Daemons remember when they served a request, and keep the latest time that they hear of. Test: 'a request that was served anywhere is never poison' asserted the fault and is replaced by 'a request that was served anywhere isn't blamed for crashes around it', which asks for no blame before the serving and for 3 s after it. 'a request that was served isn't quarantined for later crashes' stays.

--- a/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
@@ -171,3 +171,33 @@
     expect(ledger.merge(reversed.page(2_000), 2_000)).toEqual(false);
   });
 }
+
+function reportCrashes(ledger: CrashLedger, from: number, count: number): void {
+  for (let number = 0; number < count; number++) {
+    const at = from + number * 500;
+    const crash = `at ${at}`;
+    ledger.report({ fingerprint: "p", crash, ranMilliseconds: 5 }, at);
+  }
+}
+
+// Guards against quarantining a frequent request during unrelated crashes.
+test("a request that was served anywhere isn't blamed for crashes around it", () => {
+  const ledger = new CrashLedger();
+  reportCrashes(ledger, 1_000, 4);
+  expect([...ledger.poison]).toEqual(["p"]);
+  expect(ledger.markServed("p", 2_600)).toEqual(true);
+  expect([...ledger.poison]).toEqual([]);
+  // Crashes at 3 s to 5.5 s, at most 3 s after the request was served.
+  reportCrashes(ledger, 3_000, 6);
+  expect([...ledger.poison]).toEqual([]);
+  expect(ledger.markServed("p", 5_600)).toEqual(false);
+});
+
+// Guards against a request that a new version of the endpoints crashes on.
+test("a request that was served only long before its crashes is poison", () => {
+  const ledger = new CrashLedger();
+  reportCrashes(ledger, 1_000, 1);
+  ledger.markServed("p", 2_000);
+  reportCrashes(ledger, 60_000, 3);
+  expect([...ledger.poison]).toEqual(["p"]);
+});
--- a/packages/kelpspar-decisions/src/__tests__/unit/find_poison_requests_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_poison_requests_test.ts
@@ -8,8 +8,6 @@
   POISON_CRASH_THRESHOLD,
 } from "../../quarantine/mod.ts";
 
-const NONE: ReadonlySet<string> = new Set();
-
 function at(
   crash: string,
   fingerprint: string,
@@ -18,8 +16,8 @@
   return { crash, fingerprint, ranMilliseconds };
 }
 
-function found(reports: readonly CrashReport[], served = NONE): string[] {
-  return [...findPoisonRequests(reports, served)].sort();
+function found(reports: readonly CrashReport[]): string[] {
+  return [...findPoisonRequests(reports)].sort();
 }
 
 // Guards against a request that keeps crashing endpoints.
@@ -62,12 +60,6 @@
   expect(found([...plain, at("c4", "b-poison")])).toEqual(["b-poison"]);
 });
 
-// Guards against quarantining a frequent request during unrelated crashes.
-test("a request that was served anywhere is never poison", () => {
-  const reports = ["c1", "c2", "c3", "c4"].map((crash) => at(crash, "status"));
-  expect(found(reports, new Set(["status"]))).toEqual([]);
-});
-
 interface Load {
   /** Requests per second at all endpoints. */
   readonly requestsPerSecond: number;
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -19,6 +19,12 @@
  * monotonic clock doesn't show.
  */
 const TRUSTED_AGE_MILLISECONDS = 1_000;
+/**
+ * A request that was served this shortly before a crash isn't blamed for it: an
+ * outage of several endpoints cuts a request that callers repeat often at all of
+ * them. What was served earlier proves nothing about a new version of them.
+ */
+const SERVED_RECENTLY_MILLISECONDS = 3_000;
 
 interface StoredReport extends TimedCrashReport {
   /** When this ledger first had the report; not shared. */
@@ -44,7 +50,7 @@
  */
 export class CrashLedger {
   readonly #reports = new Map<string, StoredReport>();
-  /** Requests that were served successfully, and when. */
+  /** When requests were last served successfully. */
   readonly #served = new Map<string, number>();
   readonly #evidence = new PartEvidence();
   #poison: ReadonlySet<string> = new Set();
@@ -74,7 +80,7 @@
     return this.#checksum;
   }
 
-  /** Fingerprints of requests reported at a crash and not known as served. */
+  /** Fingerprints of requests that count for a crash. */
   get suspects(): ReadonlySet<string> {
     return this.#suspects;
   }
@@ -113,12 +119,20 @@
       this.merge({ reports: [], served: [], cleared }, now);
   }
 
-  /** Marks a request as served; returns false if it was marked already. */
-  markServed(fingerprint: string, now: number): boolean {
-    return this.merge({
-      reports: [],
-      served: [{ fingerprint, ageMilliseconds: 0 }],
-    }, now);
+  /**
+   * Marks a request as served at `at`; returns false if that clears it of no
+   * crash.
+   */
+  markServed(fingerprint: string, at: number): boolean {
+    const clears = [...this.#reports.values()].some((report) =>
+      report.fingerprint === fingerprint && this.#countsForPoison(report) &&
+      !isBlamedAfterServing(report, at)
+    );
+    if (!clears) return false;
+    this.#addServed(fingerprint, at);
+    this.#dropExcess();
+    this.#recompute();
+    return true;
   }
 
   /** Merges another daemon's reports; returns false if nothing changed. */
@@ -220,7 +234,12 @@
   #addServed(fingerprint: string, at: number): void {
     const known = this.#served.get(fingerprint);
     if (known === undefined) this.#toggle(servedKey(fingerprint), 1);
-    this.#served.set(fingerprint, Math.min(known ?? at, at));
+    else if (known < at) this.#isChanged = true;
+    this.#served.set(fingerprint, Math.max(known ?? at, at));
+  }
+
+  #countsForPoison(report: StoredReport): boolean {
+    return isBlamedAfterServing(report, this.#served.get(report.fingerprint));
   }
 
   #removeServed(fingerprint: string): void {
@@ -280,13 +299,10 @@
   #recompute(): void {
     if (!this.#isChanged) return;
     this.#isChanged = false;
-    const served = new Set(this.#served.keys());
     const reports = [...this.#reports.values()];
-    this.#suspects = new Set(
-      reports.map(({ fingerprint }) => fingerprint)
-        .filter((fingerprint) => !served.has(fingerprint)),
-    );
-    this.#poison = findPoisonRequests(reports, served);
+    const counted = reports.filter((report) => this.#countsForPoison(report));
+    this.#suspects = new Set(counted.map(({ fingerprint }) => fingerprint));
+    this.#poison = findPoisonRequests(counted);
     this.#crashingParts = findCrashingParts({
       reports,
       trials: this.#evidence.trials,
@@ -323,6 +339,14 @@
   };
 }
 
+/** Whether a request that was last served at `servedAt` counts for a crash. */
+function isBlamedAfterServing(
+  { at }: StoredReport,
+  servedAt = Number.NEGATIVE_INFINITY,
+): boolean {
+  return servedAt < at - SERVED_RECENTLY_MILLISECONDS;
+}
+
 function isSameReport(left: StoredReport, right: StoredReport): boolean {
   return left.at === right.at && left.learnedAt === right.learnedAt &&
     left.ranMilliseconds === right.ranMilliseconds &&
--- a/packages/kelpspar-decisions/src/quarantine/find_poison_requests.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_poison_requests.ts
@@ -19,14 +19,12 @@
  * harmless requests are reported at several crashes too. A crash explained by a
  * poison request therefore doesn't count against the other requests. The
  * assignment is recomputed from all reports each time, so that a wrong guess
- * lasts until the next crash. Requests in `served` completed somewhere and are
- * never poison.
+ * lasts until the next crash.
  */
 export function findPoisonRequests(
   reports: Iterable<CrashReport>,
-  served: ReadonlySet<string>,
 ): ReadonlySet<string> {
-  const suspects = groupBySuspect(reports, served);
+  const suspects = groupBySuspect(reports);
   const explained = new Set<string>();
   const poison = new Set<string>();
   for (;;) {
@@ -39,11 +37,9 @@
 
 function groupBySuspect(
   reports: Iterable<CrashReport>,
-  served: ReadonlySet<string>,
 ): readonly Suspect[] {
   const byFingerprint = new Map<string, CrashReport[]>();
   for (const report of reports) {
-    if (served.has(report.fingerprint)) continue;
     const known = byFingerprint.get(report.fingerprint);
     if (known === undefined) byFingerprint.set(report.fingerprint, [report]);
     else known.push(report);
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -150,7 +150,7 @@
 
   /** Records that an endpoint answered a request completely. */
   served(fingerprint: string): void {
-    this.#served.add(fingerprint);
+    this.#served.add(fingerprint, this.#options.timer.now());
     if (this.#ledger.suspects.has(fingerprint)) this.#clearServed("own");
   }
 
@@ -191,12 +191,12 @@
 
   /** Clears suspects that this daemon has served. */
   #clearServed(source: QuarantineSource): void {
-    const now = this.#options.timer.now();
     for (const fingerprint of this.#ledger.suspects) {
-      if (!this.#served.has(fingerprint)) continue;
+      const at = this.#served.servedAt(fingerprint);
+      if (at === undefined) continue;
       this.#applyChange(
         source,
-        () => this.#ledger.markServed(fingerprint, now),
+        () => this.#ledger.markServed(fingerprint, at),
       );
     }
   }
--- a/packages/kelpspar-gateway/src/quarantine/served_requests.ts
+++ b/packages/kelpspar-gateway/src/quarantine/served_requests.ts
@@ -1,19 +1,20 @@
 /** Number of most recently served requests that are remembered. */
 const MAXIMUM_SERVED_REQUESTS = 2_000;
 
-/** Fingerprints of the requests that this daemon served most recently. */
+/** When this daemon served the most recent requests, by their fingerprints. */
 export class ServedRequests {
-  readonly #fingerprints = new Set<string>();
+  readonly #servedAt = new Map<string, number>();
 
-  add(fingerprint: string): void {
-    this.#fingerprints.delete(fingerprint);
-    this.#fingerprints.add(fingerprint);
-    if (this.#fingerprints.size <= MAXIMUM_SERVED_REQUESTS) return;
-    const [oldest] = this.#fingerprints;
-    if (oldest !== undefined) this.#fingerprints.delete(oldest);
+  add(fingerprint: string, now: number): void {
+    this.#servedAt.delete(fingerprint);
+    this.#servedAt.set(fingerprint, now);
+    if (this.#servedAt.size <= MAXIMUM_SERVED_REQUESTS) return;
+    const [oldest] = this.#servedAt.keys();
+    if (oldest !== undefined) this.#servedAt.delete(oldest);
   }
 
-  has(fingerprint: string): boolean {
-    return this.#fingerprints.has(fingerprint);
+  /** Monotonic milliseconds; undefined if the request isn't remembered. */
+  servedAt(fingerprint: string): number | undefined {
+    return this.#servedAt.get(fingerprint);
   }
 }
--- a/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
@@ -35,11 +35,11 @@
     noticedBy: `${GATEWAY_TESTS}/quarantined_request_test.ts`,
   },
   {
-    name: "a served request is never poison",
-    file: `${DECISIONS}/quarantine/find_poison_requests.ts`,
-    code: "if (served.has(report.fingerprint)) continue;",
-    without: "",
-    noticedBy: `${DECISIONS}/__tests__/unit/find_poison_requests_test.ts`,
+    name: "a served request isn't poison for crashes around it",
+    file: `${DECISIONS}/quarantine/crash_ledger.ts`,
+    code: "findPoisonRequests(counted)",
+    without: "findPoisonRequests(reports)",
+    noticedBy: `${DECISIONS}/__tests__/unit/crash_ledger_test.ts`,
   },
   {
     name: "daemons that know different crashes share them",
