--- a/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
+++ b/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
@@ -5,7 +5,7 @@
 const MINUTE_MILLISECONDS = 60_000;
 const DOWN_MILLISECONDS = 2_500;
 /** Time for which an answer must go on to clear its parts. */
-const SOUND_MILLISECONDS = 600;
+const SOUND_MILLISECONDS = 400;
 const SOFTWARE = "model v1";
 /** Parts that each request has. */
 const COMMON_PARTS = 4;
--- a/packages/kelpspar-gateway/src/requests/answer_progress.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_progress.ts
@@ -5,7 +5,7 @@
  * answers on the parts of its prompt. Longer than the time within which a crash
  * is blamed on them.
  */
-const SOUND_AFTER_MILLISECONDS = 600;
+const SOUND_AFTER_MILLISECONDS = 400;
 
 /** Observes how long one endpoint writes events of a stream. */
 export class AnswerProgress {
