Let operators end quarantines and see why a part is held

Cause: a quarantine ended after an hour or with a stop of all daemons, and the timeline of a refused request showed the quarantine only if it had begun within 3 s before. 'explain' shows the quarantine that refused a request however long ago it began, and with the id of a part its crashes, its quarantine and its end.

--- a/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -51,3 +51,33 @@
   expect(formatTimeline(explainRequest("zz", [])))
     .toEqual('No line names request "zz"');
 });
+
+const PART_LOG = [
+  line(1, "endpoint checked after truncated answer", {
+    attempt: "a1",
+    parts: "s,p,o1",
+    state: "refused",
+  }),
+  line(2, "prompt parts quarantined", { parts: "p", crashes: "i1,i2,i3" }),
+  line(3, "prompt parts quarantined", { parts: "q", crashes: "i4,i5,i6" }),
+  line(30, "request ended", {
+    attempt: "a2",
+    parts: "s,p,o2",
+    reason: "quarantined: prompt parts p crash endpoints",
+  }),
+  line(40, "quarantine released by the operator", { id: "p" }),
+];
+
+// Guards against refusals whose reason lies long before the request.
+test("the timeline of a refused request has the quarantine of its part", () => {
+  const lines = PART_LOG.flatMap((text) => parseLogLine(text) ?? []);
+  const { around } = explainRequest("a2", lines);
+  expect(around.map(({ parts }) => parts)).toEqual(["p"]);
+});
+
+// Guards against operators who can't see why a part is quarantined.
+test("the timeline of a part has its crashes, its quarantine and its end", () => {
+  const lines = PART_LOG.flatMap((text) => parseLogLine(text) ?? []);
+  const { own } = explainRequest("p", lines);
+  expect(own.map(({ time }) => time.slice(17, 19))).toEqual(["01", "02", "40"]);
+});
--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -2,7 +2,10 @@
 
 /** The log lines about one request. */
 export interface RequestTimeline {
-  /** The id of an attempt, or the fingerprint of all attempts of a request. */
+  /**
+   * The id of an attempt, the fingerprint of all attempts of a request, or the
+   * id of a part of prompts.
+   */
   readonly id: string;
   /** Lines about the request itself, sorted by time. */
   readonly own: readonly LogLine[];
@@ -37,6 +40,14 @@
   "store regained",
 ]);
 
+/** Log messages that concern a part of prompts itself. */
+const PART_MESSAGES: ReadonlySet<string> = new Set([
+  "endpoint checked after truncated answer",
+  "prompt parts quarantined",
+  "prompt parts released from quarantine",
+  "quarantine released by the operator",
+]);
+
 /** Finds the log lines of a request and of its daemons' state changes. */
 export function explainRequest(
   id: string,
@@ -47,7 +58,9 @@
   );
   const own = sorted.filter((line) =>
     line.attempt === id || line.fingerprint === id ||
-    line.attempts?.split(",").includes(id) === true
+    line.attempts?.split(",").includes(id) === true ||
+    PART_MESSAGES.has(line.message) &&
+      (line.id === id || partsOf(line).includes(id))
   );
   const first = own[0];
   const last = own.at(-1);
@@ -57,10 +70,19 @@
   const from = Date.parse(first.time) - CONTEXT_WINDOW_MILLISECONDS;
   const to = Date.parse(last.time);
   const daemons = new Set(own.map((line) => line.daemon));
+  const parts = new Set(own.flatMap(partsOf));
   const around = sorted.filter((line) => {
     const time = Date.parse(line.time);
-    return CONTEXT_MESSAGES.has(line.message) && daemons.has(line.daemon) &&
-      time >= from && time <= to && !own.includes(line);
+    if (time > to || !daemons.has(line.daemon) || own.includes(line)) {
+      return false;
+    }
+    return CONTEXT_MESSAGES.has(line.message) && time >= from ||
+      line.message === "prompt parts quarantined" &&
+        partsOf(line).every((part) => parts.has(part));
   });
   return { id, own, around };
 }
+
+function partsOf({ parts = "" }: LogLine): readonly string[] {
+  return parts === "" ? [] : parts.split(",");
+}
--- a/packages/kelpspar-cli/src/explain/log_line.ts
+++ b/packages/kelpspar-cli/src/explain/log_line.ts
@@ -12,6 +12,10 @@
   fingerprint: z.string().optional(),
   /** Ids of the attempts whose pieces a call carried, joined by commas. */
   attempts: z.string().optional(),
+  /** Ids of parts of prompts, joined by commas. */
+  parts: z.string().optional(),
+  /** What an operator named. */
+  id: z.string().optional(),
 });
 
 /** A structured log line of a daemon. */
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -135,6 +135,15 @@
     return true;
   }
 
+  /** Clears parts of all crashes that are known now. */
+  releaseParts(parts: readonly string[], now: number): void {
+    const cleared = parts.flatMap((part) =>
+      (this.#evidence.trials.get(part) ?? [])
+        .map(({ crash }) => ({ part, crash }))
+    );
+    this.merge({ reports: [], served: [], cleared }, now);
+  }
+
   /** Merges another daemon's reports; returns false if nothing changed. */
   merge(page: CrashPage, now: number): boolean {
     const before = this.#checksum;
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -23,7 +23,8 @@
 
 /**
  * Source of a change; `age` means that reports expired, `grace` that the grace
- * period of parts has ended, `answer` that an endpoint answered on suspects.
+ * period of parts has ended, `answer` that an endpoint answered on suspects,
+ * `operator` that an operator ended a quarantine.
  */
 export type QuarantineSource =
   | "own"
@@ -31,7 +32,8 @@
   | "store"
   | "age"
   | "grace"
-  | "answer";
+  | "answer"
+  | "operator";
 
 /** Called when the known crashes or the quarantined subjects change. */
 export type QuarantineListener = (source: QuarantineSource) => void;
@@ -161,6 +163,29 @@
     this.#applyChange("answer", () => this.#ledger.clearParts(answer, now));
   }
 
+  /**
+   * Ends the quarantine of a request, by its fingerprint, or of a part, by its
+   * id; false if there is none. Later crashes count again.
+   */
+  release(id: string): boolean {
+    const now = this.#options.timer.now();
+    const released = [...this.#subjects.values()].filter((subject) =>
+      subject.type === "request"
+        ? subject.fingerprint === id
+        : subject.parts.includes(id)
+    );
+    for (const subject of released) {
+      this.#applyChange("operator", () => {
+        if (subject.type === "request") {
+          return this.#ledger.markServed(subject.fingerprint, now);
+        }
+        this.#ledger.releaseParts(subject.parts, now);
+        return true;
+      });
+    }
+    return released.length > 0;
+  }
+
   /** Merges reports from other daemons or the store. */
   merge(page: CrashPage, source: QuarantineSource): void {
     const now = this.#options.timer.now();
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_sync.ts
@@ -14,6 +14,7 @@
   age: 0,
   grace: 0,
   answer: 2,
+  operator: 8,
 };
 
 /** Options of `QuarantineSync`. */
