Keep crash reports that quarantine nothing for ten minutes only

Change: reports that quarantine nothing are dropped after ten minutes; parts are kept only of answers that are blamed, 32 at most.

--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -5,10 +5,12 @@
 import { findCrashingParts } from "./find_crashing_parts.ts";
 import { findPoisonRequests } from "./find_poison_requests.ts";
 import { PartEvidence } from "./part_evidence.ts";
-import { longestSeries } from "./part_trials.ts";
+import { isBlamed, longestSeries } from "./part_trials.ts";
 
-/** How long a report is kept, milliseconds: one hour. */
+/** How long a report that quarantines something is kept: one hour. */
 export const REPORT_LIFETIME_MILLISECONDS = 3_600_000;
+/** How long other reports are kept, so that pages stay small. */
+export const SUSPECT_LIFETIME_MILLISECONDS = 600_000;
 /** Reports kept; the oldest ones of non-poison requests are dropped first. */
 export const MAXIMUM_REPORTS = 2_000;
 /** Crashes in a page about one cause, which must fit into a row of the store. */
@@ -150,7 +152,8 @@
     for (const { ageMilliseconds, ...report } of page.reports) {
       if (ageMilliseconds >= REPORT_LIFETIME_MILLISECONDS) continue;
       const at = now - ageMilliseconds;
-      this.#addReport({ ...report, at, learnedAt: now });
+      const stored = { ...report, at, learnedAt: now };
+      this.#addReport(isBlamed(stored) ? stored : withoutParts(stored));
     }
     for (const { fingerprint, ageMilliseconds } of page.served) {
       if (ageMilliseconds >= REPORT_LIFETIME_MILLISECONDS) continue;
@@ -161,7 +164,7 @@
     }
     this.#dropExpired(now);
     this.#dropExcess();
-    this.#recompute();
+    this.#dropOldSuspects(now);
     return this.#checksum !== before;
   }
 
@@ -169,7 +172,7 @@
   sweep(now: number): boolean {
     const before = this.#checksum;
     this.#dropExpired(now);
-    this.#recompute();
+    this.#dropOldSuspects(now);
     return this.#checksum !== before;
   }
 
@@ -272,6 +275,16 @@
     }
   }
 
+  #dropOldSuspects(now: number): void {
+    this.#recompute();
+    const oldest = now - SUSPECT_LIFETIME_MILLISECONDS;
+    for (const [key, report] of this.#reports) {
+      if (report.at > oldest || this.#isExplained(report)) continue;
+      this.#removeReport(key, report);
+    }
+    this.#recompute();
+  }
+
   /**
    * Drops by an order that depends on the content alone. Poison requests are
    * found among the reports including those just merged; otherwise a full ledger
@@ -348,6 +361,11 @@
   };
 }
 
+/** Drops the parts of a report, which matter only if the answer is blamed. */
+function withoutParts({ parts: _, ...report }: StoredReport): StoredReport {
+  return report;
+}
+
 /** Whether a request that was last served at `servedAt` counts for a crash. */
 function isBlamedAfterServing(
   { at }: StoredReport,
--- a/packages/kelpspar-decisions/src/quarantine/mod.ts
+++ b/packages/kelpspar-decisions/src/quarantine/mod.ts
@@ -8,6 +8,7 @@
   CrashLedger,
   MAXIMUM_REPORTS,
   REPORT_LIFETIME_MILLISECONDS,
+  SUSPECT_LIFETIME_MILLISECONDS,
 } from "./crash_ledger.ts";
 export {
   findPoisonRequests,
@@ -21,4 +22,4 @@
   PART_CRASH_THRESHOLD,
   PART_GRACE_MILLISECONDS,
 } from "./find_crashing_parts.ts";
-export { BLAME_WINDOW_MILLISECONDS } from "./part_trials.ts";
+export { BLAME_WINDOW_MILLISECONDS, isBlamed } from "./part_trials.ts";
--- a/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
@@ -1,7 +1,7 @@
 import type { ClearedPart } from "./crash_page.ts";
 import type { TimedCrashReport } from "./crash_report.ts";
 import type { PartTrial, PartTrials } from "./part_trials.ts";
-import { compareTrials, createTrial, isBlamed } from "./part_trials.ts";
+import { compareTrials, createTrial } from "./part_trials.ts";
 
 interface CrashEvidence {
   /** The requests with the part that were at the crash. */
@@ -22,7 +22,7 @@
     return this.#trials;
   }
 
-  /** Adds a report. */
+  /** Adds a report of an answer that is blamed. */
   add(report: TimedCrashReport): void {
     for (const part of new Set(report.parts)) {
       const crashes = this.#evidence.get(part) ??
@@ -33,7 +33,7 @@
         const reports = new Set([report]);
         crashes.set(report.crash, { reports, isCleared: false });
       } else found.reports.add(report);
-      if (isBlamed(report)) this.#updateTrials(part);
+      this.#updateTrials(part);
     }
   }
 
@@ -80,9 +80,7 @@
   #updateTrials(part: string): void {
     const trials: PartTrial[] = [];
     for (const [crash, found] of this.#evidence.get(part) ?? []) {
-      if (found.isCleared) continue;
-      const blamed = [...found.reports].filter(isBlamed);
-      if (blamed.length > 0) trials.push(createTrial(crash, blamed));
+      if (!found.isCleared) trials.push(createTrial(crash, [...found.reports]));
     }
     if (trials.length === 0) this.#trials.delete(part);
     else this.#trials.set(part, trials.sort(compareTrials));
--- a/packages/kelpspar-gateway/src/requests/shared_parts.ts
+++ b/packages/kelpspar-gateway/src/requests/shared_parts.ts
@@ -1,7 +1,7 @@
 import type { PromptPart } from "./serving_request.ts";
 
 /** Parts that are considered at most; the first ones are shared the most. */
-const MAXIMUM_SHARED_PARTS = 64;
+const MAXIMUM_SHARED_PARTS = 32;
 
 /**
  * Returns the ids of the parts that other requests may share: all but the last,
