--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantine_sync_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantine_sync_test.ts
@@ -20,6 +20,7 @@
 function createFleet(
   count: number,
   isLost: () => boolean,
+  timer = new ManualTimer(),
 ): { readonly members: readonly Member[]; readonly calls: () => number } {
   const random = new SeededRandom(5);
   const byPeer = new Map<string, Member>();
@@ -33,7 +34,7 @@
   let calls = 0;
   const log = { info: () => {}, warn: () => {} };
   for (const { peer } of addresses) {
-    const quarantine = new Quarantine({ timer: new ManualTimer(), log });
+    const quarantine = new Quarantine({ timer, log });
     const sync = new QuarantineSync({
       quarantine,
       peers: {
@@ -120,3 +121,45 @@
   await exchangeDigests(members, new SeededRandom(4));
   expect(calls()).toEqual(before);
 });
+
+// Guards against daemons that send a part that crashes endpoints because they
+// don't know of its crashes, or keep holding a sound one.
+test("all daemons hold a part 1 s after its third crash, and no sound one", async () => {
+  for (const count of [61, 195, 340]) {
+    for (const lossShare of [0, 0.3]) {
+      const timer = new ManualTimer();
+      const random = new SeededRandom(count);
+      const { members } = createFleet(
+        count,
+        () => random.next() < lossShare,
+        timer,
+      );
+      const pick = (): Quarantine =>
+        (members[random.nextInteger(count)] as Member).quarantine;
+      for (let number = 1; number <= 3; number++) {
+        pick().reportCrash({
+          fingerprint: `f${number}`,
+          crash: `c${number}`,
+          ranMilliseconds: 50,
+          wroteMilliseconds: 50,
+          parts: ["common", "p"],
+          software: "model v1",
+        });
+        await timer.advance(EXCHANGE_INTERVAL_MILLISECONDS);
+        await exchangeDigests(members, random);
+        const answer = { software: "model v1", beganAt: timer.now() - 1 };
+        pick().answered({ ...answer, parts: ["common"] });
+        await timer.advance(EXCHANGE_INTERVAL_MILLISECONDS);
+        await exchangeDigests(members, random);
+      }
+      const held = members.filter(({ quarantine }) =>
+        quarantine.find({ fingerprint: "", parts: ["common", "p"] })
+      );
+      expect(held.length).toEqual(count);
+      const soundHeld = members.filter(({ quarantine }) =>
+        quarantine.find({ fingerprint: "", parts: ["common", "other"] })
+      );
+      expect(soundHeld.length).toEqual(0);
+    }
+  }
+});
