Look at the parts of a cut request alone before it is sent on

Cause: while any part was suspect, each answer rebuilt the quarantined subjects, and each cut request waited for the check of its endpoint, which takes as long as a connection that isn't answered. A key of many parts could exceed what the store takes. Change: answers that clear nothing end at once; only requests with a part at a crash wait; long keys are hashed.

--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -91,16 +91,17 @@
   }
 
   /** True if one more crash may show that a part of the request is the cause. */
-  isSuspect({ parts }: QuarantinableRequest): boolean {
-    return this.#ledger.hasSuspectParts &&
-      parts.some((part) =>
-        this.#ledger.crashesInSuccession(part) >= SUSPECT_CRASHES
-      );
+  isSuspect(request: QuarantinableRequest): boolean {
+    return this.crashesInSuccession(request) >= SUSPECT_CRASHES;
   }
 
-  /** True while answers are observed because a part is suspect. */
-  get hasSuspectParts(): boolean {
-    return this.#ledger.hasSuspectParts;
+  /** Most endpoints that crashed in succession on a part of the request. */
+  crashesInSuccession({ parts }: QuarantinableRequest): number {
+    if (!this.#ledger.hasSuspectParts) return 0;
+    return Math.max(
+      0,
+      ...parts.map((part) => this.#ledger.crashesInSuccession(part)),
+    );
   }
 
   /** Keys of all subjects that must not be sent. */
@@ -159,8 +160,11 @@
   /** Records that an endpoint answers on parts of a prompt. */
   answered(answer: SoundAnswer): void {
     if (!this.#ledger.hasSuspectParts) return;
-    const now = this.#options.timer.now();
-    this.#applyChange("answer", () => this.#ledger.clearParts(answer, now));
+    const isCleared = this.#ledger.clearParts(
+      answer,
+      this.#options.timer.now(),
+    );
+    if (isCleared) this.#applyChange("answer", () => true);
   }
 
   /**
--- a/packages/kelpspar-gateway/src/quarantine/quarantined_subject.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantined_subject.ts
@@ -1,4 +1,7 @@
 import type { CrashingParts } from "kelpspar-decisions/quarantine";
+import { createHash } from "node:crypto";
+
+const MAXIMUM_KEY_CHARACTERS = 120;
 
 /** A request, or parts of prompts, that must not be sent to endpoints. */
 export type QuarantinedSubject =
@@ -12,11 +15,13 @@
   readonly parts: readonly string[];
 }
 
-/** Identifies a subject in the log and in the store. */
+/** Identifies a subject in the store, whose keys are of limited length. */
 export function subjectKey(subject: QuarantinedSubject): string {
-  return subject.type === "request"
-    ? subject.fingerprint
-    : `parts ${subject.parts.join("+")}`;
+  if (subject.type === "request") return subject.fingerprint;
+  const ids = subject.parts.join("+");
+  return ids.length <= MAXIMUM_KEY_CHARACTERS
+    ? `parts ${ids}`
+    : `parts ${createHash("sha256").update(ids).digest("hex")}`;
 }
 
 /** Whether the subject keeps a request from being sent. */
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -34,7 +34,7 @@
   readonly crashes: Pick<CrashDetector, "checkEndpoint">;
   readonly quarantine: Pick<
     Quarantine,
-    "find" | "isSuspect" | "hasSuspectParts" | "served" | "answered"
+    "find" | "isSuspect" | "crashesInSuccession" | "served" | "answered"
   >;
   readonly firstByteEstimates: FirstByteEstimates;
   readonly timer: TimerService;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -398,7 +398,8 @@
       firstEventAt,
       hasRestarted: endpoint.ended.aborted,
     });
-    if (quarantine.hasSuspectParts && run.hasAttemptsLeft) await check;
+    const isCounted = quarantine.crashesInSuccession(run) > 0;
+    if (isCounted && run.hasAttemptsLeft) await check;
   }
 
   /** Records that the endpoint answers on the parts of the prompt. */
