--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -1,7 +1,10 @@
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
 import type { AdvertisedLimit } from "../wire/advertised_limit.ts";
 import type { WireAnswer } from "../wire/wire_caller.ts";
-import { CRASHING_PATH_SUFFIX } from "../wire/runner_stand_in.ts";
+import {
+  CRASHING_PATH_SUFFIX,
+  hasPromptPart,
+} from "../wire/runner_stand_in.ts";
 
 /** The result of a soak test. */
 export interface SoakVerdict {
@@ -59,9 +62,7 @@
     ),
     ...checkLateSends(
       "a part that crashes runners",
-      runs.filter(({ headers }) =>
-        String(headers["x-prompt-prefix"]).includes(`${CRASHING_PART}:`)
-      ),
+      runs.filter((run) => hasPromptPart(run, CRASHING_PART)),
       PART_CRASH_LIMIT,
     ),
     ...limits.flatMap(checkAdvertisedLimit),
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -69,6 +69,15 @@
 /** A request whose path ends with this crashes the runner that starts it. */
 export const CRASHING_PATH_SUFFIX = "/crash";
 
+/** Whether a request that a runner ran has a part of the prompt with this id. */
+export function hasPromptPart(
+  { headers }: Pick<RunnerRun, "headers">,
+  id: string,
+): boolean {
+  return String(headers["x-prompt-prefix"] ?? "").split(",")
+    .some((part) => part.split(":")[0] === id);
+}
+
 /** A stand-in for a request runner; speaks the published protocol. */
 export class RunnerStandIn {
   fault: RunnerFault = "none";
@@ -202,10 +211,8 @@
     } else void this.#answer(attemptId, response);
   }
 
-  #hasCrashingPart({ "x-prompt-prefix": parts }: IncomingHttpHeaders): boolean {
-    return String(parts ?? "").split(",").some((part) =>
-      this.crashingParts.has(part.split(":")[0] ?? "")
-    );
+  #hasCrashingPart(headers: IncomingHttpHeaders): boolean {
+    return [...this.crashingParts].some((id) => hasPromptPart({ headers }, id));
   }
 
   async #crashMidway(
