Never quarantine a part that many sound answers have

Cause: all callers share a first part. It was at more crashes than the part that caused them, since partitions let no answer through that would have cleared it, and became the cause instead. A quarantined part gets no answers, so that nothing clears it any more. Change: a daemon doesn't hold a part that ten of its last 100 sound answers of five minutes have, nor counts it against a cut request. The soak fails if a request is refused for parts without the one that crashes runners.

--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
@@ -153,3 +153,20 @@
   await world.timer.advance(PART_GRACE_MILLISECONDS);
   expect(world.quarantine.partsSize).toEqual(1);
 });
+
+// Guards against refusing all requests, and with them the answers that would
+// clear the part, because a part of all of them is at several crashes.
+test("a part that many sound answers have isn't quarantined", async () => {
+  const world = createWorld([() => stream(EVENT)]);
+  for (let answers = 0; answers < 10; answers++) {
+    world.quarantine.answered({
+      parts: ["common"],
+      software: SOFTWARE,
+      beganAt: world.timer.now(),
+    });
+  }
+  await crashOn(world, "common", 4);
+  await serve(world, prompted("common", "own"));
+  expect(world.reply.status).toEqual(200);
+  expect(world.quarantine.partsSize).toEqual(0);
+});
--- /dev/null
+++ b/packages/kelpspar-gateway/src/quarantine/common_parts.ts
@@ -0,0 +1,47 @@
+/** Sound answers that are remembered. */
+const MAXIMUM_ANSWERS = 100;
+/** How many of them make a part common. */
+const COMMON_ANSWERS = 10;
+const LIFETIME_MILLISECONDS = 300_000;
+
+interface RememberedAnswer {
+  readonly parts: readonly string[];
+  readonly at: number;
+}
+
+/**
+ * The parts that many of this daemon's latest sound answers have. Such a part is
+ * at most crashes whatever causes them, and quarantining it would refuse the
+ * answers that clear it.
+ */
+export class CommonParts {
+  readonly #answers: RememberedAnswer[] = [];
+  readonly #counts = new Map<string, number>();
+
+  /** Remembers a sound answer; `now` is in monotonic milliseconds. */
+  add(parts: readonly string[], now: number): void {
+    if (parts.length === 0) return;
+    this.#answers.push({ parts: [...new Set(parts)], at: now });
+    this.#count(this.#answers.at(-1), 1);
+    if (this.#answers.length > MAXIMUM_ANSWERS) this.#dropOldest();
+  }
+
+  has(part: string, now: number): boolean {
+    while ((this.#answers[0]?.at ?? now) < now - LIFETIME_MILLISECONDS) {
+      this.#dropOldest();
+    }
+    return (this.#counts.get(part) ?? 0) >= COMMON_ANSWERS;
+  }
+
+  #dropOldest(): void {
+    this.#count(this.#answers.shift(), -1);
+  }
+
+  #count(answer: RememberedAnswer | undefined, sign: 1 | -1): void {
+    for (const part of answer?.parts ?? []) {
+      const count = (this.#counts.get(part) ?? 0) + sign;
+      if (count === 0) this.#counts.delete(part);
+      else this.#counts.set(part, count);
+    }
+  }
+}
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -11,6 +11,7 @@
 } from "./quarantined_subject.ts";
 import { CrashLedger } from "kelpspar-decisions/quarantine";
 import { appliesTo, subjectKey } from "./quarantined_subject.ts";
+import { CommonParts } from "./common_parts.ts";
 import { ServedRequests } from "./served_requests.ts";
 
 /** How often expired reports are dropped, milliseconds. */
@@ -49,6 +50,7 @@
   readonly #options: QuarantineOptions;
   readonly #ledger = new CrashLedger();
   readonly #served = new ServedRequests();
+  readonly #commonParts = new CommonParts();
   /** Fingerprints of requests whose crashes this daemon detected. */
   readonly #reportedHere = new Set<string>();
   /** Crashes that this daemon detected. */
@@ -98,9 +100,11 @@
   /** Most endpoints that crashed in succession on a part of the request. */
   crashesInSuccession({ parts }: QuarantinableRequest): number {
     if (!this.#ledger.hasSuspectParts) return 0;
+    const now = this.#options.timer.now();
     return Math.max(
       0,
-      ...parts.map((part) => this.#ledger.crashesInSuccession(part)),
+      ...parts.filter((part) => !this.#commonParts.has(part, now))
+        .map((part) => this.#ledger.crashesInSuccession(part)),
     );
   }
 
@@ -159,11 +163,10 @@
 
   /** Records that an endpoint answers on parts of a prompt. */
   answered(answer: SoundAnswer): void {
+    const now = this.#options.timer.now();
+    this.#commonParts.add(answer.parts, now);
     if (!this.#ledger.hasSuspectParts) return;
-    const isCleared = this.#ledger.clearParts(
-      answer,
-      this.#options.timer.now(),
-    );
+    const isCleared = this.#ledger.clearParts(answer, now);
     if (isCleared) this.#applyChange("answer", () => true);
   }
 
@@ -238,8 +241,10 @@
       ...[...poison].map((fingerprint) =>
         ({ type: "request", fingerprint }) as const
       ),
-      ...crashingParts.filter(({ enforcedFrom }) => enforcedFrom <= now)
-        .map((cause) => ({ type: "parts", ...cause }) as const),
+      ...crashingParts.filter(({ enforcedFrom, parts }) =>
+        enforcedFrom <= now &&
+        !parts.every((part) => this.#commonParts.has(part, now))
+      ).map((cause) => ({ type: "parts", ...cause }) as const),
     ];
     const before = this.#subjects;
     this.#subjects = new Map(
--- a/packages/kelpspar-gateway/src/requests/answer_progress.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_progress.ts
@@ -11,7 +11,8 @@
 export class AnswerProgress {
   readonly #run: RequestRun;
   readonly #onSound: (firstEventAt: number) => void;
-  #isSound = false;
+  /** Whether the answer went on for long enough. */
+  isSound = false;
   /** When the first event arrived, monotonic milliseconds. */
   firstEventAt: number | undefined;
 
@@ -22,11 +23,11 @@
 
   /** To be called when events arrive. */
   advance(): void {
-    if (this.#isSound) return;
+    if (this.isSound) return;
     const now = this.#run.now();
     this.firstEventAt ??= now;
     if (now - this.firstEventAt < SOUND_AFTER_MILLISECONDS) return;
-    this.#isSound = true;
+    this.isSound = true;
     this.#onSound(this.firstEventAt);
   }
 }
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -355,7 +355,9 @@
     }
     if (run.isOpen) {
       run.options.dependencies.quarantine.served(run.fingerprint);
-      this.#recordSoundAnswer(result, progress.firstEventAt);
+      if (!progress.isSound) {
+        this.#recordSoundAnswer(result, progress.firstEventAt);
+      }
     }
     // No effect if the run has ended already, e.g. by a caller's disconnect.
     run.finish("served", {
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -142,6 +142,10 @@
   const { attemptId, route, status, text } = answer;
   const runs = runsOf.get(attemptId) ?? 0;
   const violations: string[] = [];
+  const held = text?.match(/prompt parts (\S+) crash/)?.[1];
+  if (held !== undefined && !held.split(",").includes(CRASHING_PART)) {
+    violations.push(`${attemptId}: quarantined for sound parts ${held}`);
+  }
   if (AT_MOST_ONCE_ROUTES.has(route) && runs > 1) {
     violations.push(`${attemptId}: ${route} ran ${runs} times`);
   }
