Read the parts of a run's prompt in one place

Cause: the load of crashing parts read the header of a run by itself, beside hasPromptPart of the stand-ins, which the soak and the stand-ins use.

--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -35,7 +35,11 @@
 export type { StoreFault } from "./wire/store_stand_in.ts";
 export type { PartitionMode } from "./wire/network_partition.ts";
 export type { WireSiteOptions } from "./wire/wire_site.ts";
-export { CRASHING_PATH_SUFFIX, RunnerStandIn } from "./wire/runner_stand_in.ts";
+export {
+  CRASHING_PATH_SUFFIX,
+  hasPromptPart,
+  RunnerStandIn,
+} from "./wire/runner_stand_in.ts";
 export { StageRunnerStandIn } from "./wire/stage_runner_stand_in.ts";
 export { StoreStandIn } from "./wire/store_stand_in.ts";
 export { BrittleCapacity } from "./wire/brittle_capacity.ts";
