--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -25,6 +25,8 @@
 const SENDING_MILLISECONDS = 7_000;
 const CALM_MILLISECONDS = 3_000;
 
+/** TROUBLE=0 plays the case without the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
 const record = fileURLToPath(new URL("record.txt", import.meta.url));
 
 /** The addresses of the directory, kept for the time that it states. */
@@ -106,7 +108,7 @@
   });
 }
 
-runCase(async (hasTrouble) => {
+runCase(async () => {
   const site = new Site(record);
   const runners = [0, 1, 2].map((index) => {
     const runner = new RunnerStandIn({
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -15,7 +15,6 @@
 
 const DAEMONS = 3;
 const TAKEN_KEY = "2ctnfzs989anu6ws9dnn";
-const HEARTBEAT_MILLISECONDS = 1_200;
 const CALM_MILLISECONDS = 15_000;
 const IDLE_MILLISECONDS = 2_000;
 const CHANGE_AFTER_MILLISECONDS = 500;
@@ -25,6 +24,8 @@
 const REQUEST_INTERVAL_MILLISECONDS = 100;
 const OBSERVED_MILLISECONDS = 16_000;
 
+/** TROUBLE=0 plays the case without the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
 const record = fileURLToPath(new URL("record.txt", import.meta.url));
 
 function createManifest(version, { service, keys }) {
@@ -79,7 +80,7 @@
   });
 }
 
-runCase(async (hasTrouble) => {
+runCase(async () => {
   const site = new Site(record);
   const runners = ["old", "old", "old", "new", "new", "new"].map(
     (name, index) => {
@@ -94,7 +95,6 @@
     },
   );
   let proxy;
-  let stopHeartbeats = () => {};
   try {
     await site.start({
       daemons: DAEMONS,
@@ -108,16 +108,6 @@
         return await proxy.start();
       },
     });
-    let beat = 1;
-    const heartbeats = runners.map((runner, index) =>
-      setTimeout(() => {
-        heartbeats.push(setInterval(
-          () => site.writeEntry(runner, ++beat),
-          HEARTBEAT_MILLISECONDS,
-        ));
-      }, index * HEARTBEAT_MILLISECONDS / runners.length)
-    );
-    stopHeartbeats = () => heartbeats.forEach((timer) => clearTimeout(timer));
     await sleep(CALM_MILLISECONDS);
     const silentAt = site.now();
     if (hasTrouble) {
@@ -185,7 +175,6 @@
     console.log(summary);
     return wrong.length > 0;
   } finally {
-    stopHeartbeats();
     await site.stop(runners);
     proxy?.stop();
   }
--- a/review/common/site.mjs
+++ b/review/common/site.mjs
@@ -1,16 +1,19 @@
 // A small deployment on loopback: daemons started by the command of the deploy
-// file, the project's stand-in of the store, and runners of the caller's choice.
+// file, a stand-in of the store, and runners of the caller's choice.
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { findFreePorts } from "../../packages/kelpspar-standins/dist/wire/free_ports.js";
-import { StoreStandIn } from "../../packages/kelpspar-standins/dist/wire/store_stand_in.js";
+import { PagedStore } from "./paged_store.mjs";
 
 export const ROOT = fileURLToPath(new URL("../..", import.meta.url));
 export const HOST = "pule25.example";
 export const KEY = "9dnn2ctnfzs989anu6ws";
+const HEARTBEAT_MILLISECONDS = 1_200;
+/** No case may run longer than 120 s. */
+const MAXIMUM_RUN_MILLISECONDS = 110_000;
 
 /** Bounds of sites/tillbrook-ops.toml. */
 const BOUNDS = {
@@ -48,6 +51,16 @@
   return args;
 }
 
+/** Processes of daemons that haven't ended. */
+const children = new Set();
+
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.on(signal, () => process.exit(2));
+}
+
 /** A daemon as a separate process. */
 export class Daemon {
   constructor(settings, path, onLine) {
@@ -79,6 +92,9 @@
       },
       stdio: ["ignore", "pipe", "pipe"],
     });
+    const { child } = this;
+    children.add(child);
+    child.once("exit", () => children.delete(child));
     for (const stream of [this.child.stdout, this.child.stderr]) {
       stream.on("data", (data) => this.onLine(`${this.name}: ${data}`));
     }
@@ -111,10 +127,11 @@
 }
 
 export class Site {
-  store = new StoreStandIn();
+  store = new PagedStore();
   daemons = [];
   #folder = mkdtempSync(join(tmpdir(), "review-"));
   #lines = [];
+  #timers = [];
   #record;
   #startedAt = performance.now();
 
@@ -140,7 +157,13 @@
     connectStore = (address) => address,
   }) {
     const storeAddress = await connectStore(await this.store.start());
-    for (const runner of runners) await this.register(runner);
+    for (const [index, runner] of runners.entries()) {
+      await this.register(runner);
+      this.#startHeartbeats(
+        runner,
+        index * HEARTBEAT_MILLISECONDS / runners.length,
+      );
+    }
     this.store.put("op", "config", configuration);
     const all = [];
     for (let index = 0; index < daemons; index++) {
@@ -212,7 +235,18 @@
     });
   }
 
+  #startHeartbeats(runner, delay) {
+    let seq = 1;
+    this.#timers.push(setTimeout(() => {
+      this.#timers.push(setInterval(
+        () => this.writeEntry(runner, ++seq),
+        HEARTBEAT_MILLISECONDS,
+      ));
+    }, delay));
+  }
+
   async stop(runners) {
+    for (const timer of this.#timers) clearTimeout(timer);
     await Promise.all(this.daemons.map((daemon) => daemon.kill()));
     this.store.stop();
     for (const runner of runners) runner.stop();
@@ -249,9 +283,13 @@
   };
 }
 
-/** Runs a case: exit code 1 if the rule was broken, 0 if not, 2 on errors. */
+/** Exits with 1 if the rule was broken, 0 if not, 2 if the case couldn't run. */
 export function runCase(play) {
-  play(process.env.TROUBLE !== "0").then(
+  setTimeout(() => {
+    console.error("the case takes too long");
+    process.exit(2);
+  }, MAXIMUM_RUN_MILLISECONDS).unref();
+  play().then(
     (isBroken) => process.exit(isBroken ? 1 : 0),
     (error) => {
       console.error(error);
