Log the phases of a planned stop

The logs can't tell whether the lost streams were accepted too late, left open although they had ended, or came over connections that were kept: nothing says when a stopping daemon closed its listener, nor which requests it accepted after the signal.

Change: 'no longer listening for callers' and 'ending open requests' say how long ago the signal came and what is open; 'request ended' says how long after the signal the request arrived. No behaviour changes.

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -442,16 +442,29 @@
    * work is left or just before it would be killed.
    */
   async stop(): Promise<void> {
-    const { timer, graceMilliseconds } = this.#options;
+    const { timer, graceMilliseconds, log } = this.#options;
+    const startedAt = timer.now();
+    this.#requestService.stopRequestedAt = startedAt;
     this.#fleet.announceLeaving();
     this.#front.leave();
     await waitUntilDrained({
       timer,
       graceMilliseconds,
-      stopListening: () => this.#front.stopListening(),
+      stopListening: () => {
+        log.info("no longer listening for callers", {
+          sinceStopMilliseconds: Math.round(timer.now() - startedAt),
+          openRequests: this.#requestService.open,
+        });
+        this.#front.stopListening();
+      },
       isBusy: () =>
         this.#requestService.open > 0 || this.#coordinator.openChains > 0,
     });
+    log.info("ending open requests", {
+      sinceStopMilliseconds: Math.round(timer.now() - startedAt),
+      openRequests: this.#requestService.open,
+      openChains: this.#coordinator.openChains,
+    });
     this.#requestService.failOpenRequests();
   }
 }
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -34,6 +34,8 @@
   readonly service: string;
   readonly account: ClientAccount | undefined;
   readonly arrivedAt: number;
+  /** When the daemon was told to stop, if the request arrived after that. */
+  readonly stopRequestedAt?: number | undefined;
   /**
    * Endpoints that may run a repeatable request that another daemon relayed;
    * undefined for a request of a caller. A relayed request isn't relayed again.
@@ -355,6 +357,7 @@
   ): void {
     const { dependencies, request, route, service, account, arrivedAt } =
       this.options;
+    const { stopRequestedAt } = this.options;
     const now = this.now();
     dependencies.log.info("request ended", {
       attempt: request.attemptId,
@@ -372,6 +375,9 @@
       runs: this.runs,
       sends: this.sends,
       isRelayed: this.mayRelay ? undefined : true,
+      acceptedSinceStopMilliseconds: stopRequestedAt === undefined
+        ? undefined
+        : Math.round(arrivedAt - stopRequestedAt),
       ...fields,
     });
     dependencies.metrics.countRequest({
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -54,6 +54,8 @@
   readonly #dependencies: RequestDependencies;
   readonly #limitedEndpointProbes: LimitedEndpointProbes;
   readonly #openRuns = new Set<RequestRun>();
+  /** When the daemon was told to stop; monotonic milliseconds. */
+  stopRequestedAt: number | undefined;
 
   constructor(dependencies: RequestDependencies) {
     this.#dependencies = dependencies;
@@ -179,6 +181,7 @@
       service,
       account,
       arrivedAt: timer.now(),
+      stopRequestedAt: this.stopRequestedAt,
       ...relayed,
     });
   }
