Add series of overlapping planned stops

Plays planned stops as platforms make them: SIGTERM to several or all daemons a moment apart, SIGKILL after the grace period, a start soon after each end, at several grace periods, with streams, whole answers, slow readers, stages, extra signals and an unavailable store. Callers follow the directory; half of them use a daemon and its open connections until its process is gone. The check is the users' rule on planned work. 'npm run stops' plays named situations or drawn ones ('--seed', '--seeds').

--- /dev/null
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -0,0 +1,111 @@
+import type { StopSituation } from "../stops/stop_situation.ts";
+import { SeededRandom } from "kelpspar-shared";
+import { appendFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { checkStops } from "../stops/check_stops.ts";
+import { drawSituation } from "../stops/draw_situation.ts";
+import { runStops } from "../stops/run_stops.ts";
+import {
+  STOP_SITUATION_NAMES,
+  stopSituation,
+} from "../stops/stop_situations.ts";
+import { printText } from "./read_settings.ts";
+
+const EXIT_CHECK_FAILED = 1;
+const EXIT_USAGE = 64;
+const USAGE =
+  "npm run stops -- [--seed N] [--seeds COUNT] [--situations NAME,...] [--log FILE]";
+const PROGRAM = fileURLToPath(
+  new URL("../../../../target/start_daemon.cjs", import.meta.url),
+);
+
+/** One run and its label in the output. */
+interface StopRun {
+  readonly label: string;
+  readonly seed: number;
+  readonly situation: StopSituation;
+}
+
+try {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: "string", default: "1" },
+      seeds: { type: "string", default: "1" },
+      situations: { type: "string" },
+      log: { type: "string" },
+      help: { type: "boolean", default: false },
+    },
+  });
+  if (values.help) printText(USAGE);
+  else {
+    const seed = readCount("seed", values.seed);
+    const runs = values.situations === undefined
+      ? drawRuns(seed, readCount("seeds", values.seeds))
+      : namedRuns(seed, values.situations);
+    for (const run of runs) await play(run, values.log);
+    process.exit();
+  }
+} catch (error) {
+  if (!(error instanceof TypeError)) throw error;
+  printText(`${error.message}. Usage: ${USAGE}`);
+  process.exitCode = EXIT_USAGE;
+}
+
+function readCount(name: string, text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count > 0) return count;
+  throw new TypeError(`--${name} takes a whole number above 0, not "${text}"`);
+}
+
+function drawRuns(seed: number, seeds: number): readonly StopRun[] {
+  return Array.from({ length: seeds }, (_, index) => {
+    const drawn = drawSituation(new SeededRandom(seed + index));
+    return {
+      label: `seed ${seed + index}`,
+      seed: seed + index,
+      situation: drawn,
+    };
+  });
+}
+
+function namedRuns(seed: number, text: string): readonly StopRun[] {
+  const names = text === "all" ? STOP_SITUATION_NAMES : text.split(",");
+  return names.map((name) => {
+    const known = STOP_SITUATION_NAMES.find((found) => found === name);
+    if (known === undefined) {
+      throw new TypeError(
+        `--situations takes names out of ${
+          STOP_SITUATION_NAMES.join(", ")
+        } or "all", not "${name}"`,
+      );
+    }
+    return { label: name, seed, situation: stopSituation(known) };
+  });
+}
+
+async function play(
+  { label, seed, situation }: StopRun,
+  logPath: string | undefined,
+): Promise<void> {
+  const records = await runStops({
+    seed,
+    situation,
+    program: { path: PROGRAM, nodeArguments: [] },
+    ...(logPath === undefined
+      ? {}
+      : { onLine: (line) => appendFileSync(logPath, `${line}\n`) }),
+  });
+  const verdict = checkStops(records);
+  const { sent, whole, refused, failed, notConnected, cut, violations } =
+    verdict;
+  printText(
+    `${label}: ${sent} sent, ${whole} whole, ${refused} refused, ` +
+      `${failed} failed, ${notConnected} not connected, ${cut} cut with an ` +
+      `excuse, ${violations.length} promises broken`,
+  );
+  if (violations.length === 0) return;
+  printText(`  ${JSON.stringify(situation)}`);
+  for (const line of violations) printText(`  BROKEN ${line}`);
+  process.exitCode = EXIT_CHECK_FAILED;
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/stops/stop_situation.ts
@@ -0,0 +1,54 @@
+import type { WireRoute } from "../wire/wire_caller.ts";
+import type { StoreFault } from "../wire/store_stand_in.ts";
+
+/** A signal that a stopping daemon gets besides the first SIGTERM. */
+export interface ExtraSignal {
+  readonly signal: "SIGHUP" | "SIGTERM";
+  /** Time after the SIGTERM, or before it if negative, milliseconds. */
+  readonly afterMilliseconds: number;
+}
+
+/** A series of planned stops, and the requests that are sent meanwhile. */
+export interface StopSituation {
+  /** Time from SIGTERM until a daemon is killed, seconds. */
+  readonly graceSeconds: number;
+  readonly daemons: number;
+  /** Daemons that are stopped in each round. */
+  readonly stopped: number;
+  /** Time between two stops, milliseconds. */
+  readonly gapMilliseconds: number;
+  readonly rounds: number;
+  readonly route: WireRoute;
+  /** Whether requests have stages that are run before them. */
+  readonly hasStages: boolean;
+  /** Range of the time that runners take for an answer, milliseconds. */
+  readonly answerMilliseconds: readonly [minimum: number, maximum: number];
+  /** Length of whole answers. */
+  readonly bytes: number;
+  /** Time that callers take to read an answer, milliseconds. */
+  readonly readMilliseconds: number;
+  readonly perSecond: number;
+  /** Requests that run at each runner at the same time; others wait. */
+  readonly slots: number | undefined;
+  readonly signals: readonly ExtraSignal[];
+  /** Fault of the store during the stops. */
+  readonly store: StoreFault;
+}
+
+/** Six daemons that all stop while callers send streams. */
+export const DEFAULT_SITUATION: StopSituation = {
+  graceSeconds: 8,
+  daemons: 6,
+  stopped: 6,
+  gapMilliseconds: 400,
+  rounds: 2,
+  route: "stream",
+  hasStages: false,
+  answerMilliseconds: [6_000, 6_000],
+  bytes: 0,
+  readMilliseconds: 0,
+  perSecond: 30,
+  slots: undefined,
+  signals: [],
+  store: "none",
+};
--- a/packages/kelpspar-standins/src/wire/daemon_process.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -71,6 +71,11 @@
     return this.#process?.processId;
   }
 
+  /** Resolves when the current process has ended. */
+  get exited(): Promise<unknown> {
+    return this.#process?.exited ?? Promise.resolve();
+  }
+
   get isPartitioned(): boolean {
     return this.#isPartitioned;
   }
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -4,9 +4,11 @@
   Server,
   ServerResponse,
 } from "node:http";
+import type { AnswerPlan } from "./answer_plan.ts";
 import type { BrittleCapacity } from "./brittle_capacity.ts";
 import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
+import { readAnswerPlan } from "./answer_plan.ts";
 import { AdvertisedLimit } from "./advertised_limit.ts";
 
 /** How a runner handles requests while a fault is set. */
@@ -49,6 +51,8 @@
   readonly headers: IncomingMessage["headers"];
   readonly body: string;
   readonly lastEventId: string | undefined;
+  /** When its response ended or was cut; undefined until then. */
+  endedAt?: number;
 }
 
 /** How a runner responds. */
@@ -63,6 +67,18 @@
   readonly version?: string | undefined;
 }
 
+/** One response in progress. */
+interface AnswerOptions {
+  readonly attemptId: string;
+  readonly response: ServerResponse;
+  readonly plan: AnswerPlan;
+}
+
+interface StreamOptions extends AnswerOptions {
+  readonly lastEventId: string | undefined;
+}
+
+const DEFAULT_DELAY_MILLISECONDS = 5;
 /** Version in the entries of runners whose events contain none. */
 const DEFAULT_VERSION = "v1";
 
@@ -94,6 +110,8 @@
   retryAfter: string | undefined;
   /** Set while the runner is brittle. */
   brittle: BrittleCapacity | undefined;
+  /** Set if only so many requests run at the same time; not advertised. */
+  capacity: BrittleCapacity | undefined;
   /** Ids of prompt parts that crash the runner once it answers on them. */
   crashingParts: ReadonlySet<string> = new Set();
   /** Number of requests refused as overloaded. */
@@ -191,7 +209,17 @@
     const lastEventId = message.headers["last-event-id"] as string | undefined;
     const { headers, url: target = "" } = message;
     const at = performance.now();
-    this.runs.push({ attemptId, at, target, headers, body, lastEventId });
+    const run: RunnerRun = {
+      attemptId,
+      at,
+      target,
+      headers,
+      body,
+      lastEventId,
+    };
+    this.runs.push(run);
+    response.on("close", () => run.endedAt = performance.now());
+    const plan = readAnswerPlan(target, this.#options);
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
       mute: () => {},
@@ -207,8 +235,8 @@
       void this.#crashMidway(attemptId, response);
     } else if (handler !== undefined) handler();
     else if (this.#options.isStream) {
-      void this.#stream(attemptId, lastEventId, response);
-    } else void this.#answer(attemptId, response);
+      void this.#stream({ attemptId, lastEventId, response, plan });
+    } else void this.#answer({ attemptId, response, plan });
   }
 
   #hasCrashingPart(headers: IncomingHttpHeaders): boolean {
@@ -222,7 +250,7 @@
     if (this.#options.isStream) {
       response.writeHead(200, this.#responseHeaders(attemptId)).flushHeaders();
     }
-    await this.#delay();
+    await this.#delay(this.#options.delayMilliseconds);
     // Another request that crashes the runner may have been faster.
     if (this.#server.listening) this.onCrash();
   }
@@ -257,13 +285,13 @@
     };
   }
 
-  async #answer(attemptId: string, response: ServerResponse): Promise<void> {
-    const { brittle } = this;
-    await brittle?.acquire();
+  async #answer({ attemptId, response, plan }: AnswerOptions): Promise<void> {
+    const capacity = this.brittle ?? this.capacity;
+    await capacity?.acquire();
     const startedAt = performance.now();
-    await this.#delay();
-    brittle?.release(performance.now() - startedAt);
-    const text = `answer to ${attemptId}`;
+    await this.#delay(plan.delayMilliseconds);
+    capacity?.release(performance.now() - startedAt);
+    const text = `answer to ${attemptId}`.padEnd(plan.bytes ?? 0, ".");
     const length = { "Content-Length": String(text.length) };
     response.writeHead(200, { ...this.#responseHeaders(attemptId), ...length });
     if (this.fault === "cut") {
@@ -276,24 +304,19 @@
     }
   }
 
-  async #stream(
-    attemptId: string,
-    lastEventId: string | undefined,
-    response: ServerResponse,
-  ): Promise<void> {
-    const { brittle } = this;
-    await brittle?.acquire();
+  async #stream(options: StreamOptions): Promise<void> {
+    const capacity = this.brittle ?? this.capacity;
+    await capacity?.acquire();
     const startedAt = performance.now();
-    await this.#sendEvents(attemptId, lastEventId, response);
-    brittle?.release(performance.now() - startedAt);
+    await this.#sendEvents(options);
+    capacity?.release(performance.now() - startedAt);
   }
 
   async #sendEvents(
-    attemptId: string,
-    lastEventId: string | undefined,
-    response: ServerResponse,
+    { attemptId, lastEventId, response, plan }: StreamOptions,
   ): Promise<void> {
-    const { events = 5, version } = this.#options;
+    const { version } = this.#options;
+    const { events, delayMilliseconds } = plan;
     const mark = version === undefined ? "" : ` ${version}`;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunked";
     response.writeHead(200, {
@@ -301,7 +324,7 @@
       "Content-Type": "text/event-stream",
     });
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
-      await this.#delay();
+      await this.#delay(delayMilliseconds);
       if (response.destroyed) return;
       const lines = [`id: ${id}`, `data: ${attemptId} ${id}${mark}`, "", ""];
       const event = lines.join(this.streamLineEnd);
@@ -320,8 +343,7 @@
     response.end();
   }
 
-  #delay(): Promise<void> {
-    const { delayMilliseconds = 5 } = this.#options;
+  #delay(delayMilliseconds = DEFAULT_DELAY_MILLISECONDS): Promise<void> {
     const silence = Math.max(0, this.#silentUntil - performance.now());
     return new Promise((resolve) =>
       setTimeout(resolve, silence + delayMilliseconds * this.slowdown)
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -27,6 +27,10 @@
   readonly coldPerSecond?: number;
   /** Time until a crashed runner restarts. */
   readonly restartMilliseconds?: number;
+  /** Timeout of all routes, milliseconds. */
+  readonly timeoutMilliseconds?: number;
+  /** Time from SIGTERM until a daemon is killed, seconds. */
+  readonly graceSeconds?: number;
   /** Whether a fault-injecting proxy precedes each runner and the store. */
   readonly hasProxies?: boolean;
 }
@@ -72,6 +76,8 @@
       zones: ["a"],
       coldPerSecond: 0,
       restartMilliseconds: 500,
+      timeoutMilliseconds: 3_000,
+      graceSeconds: 3,
       hasProxies: false,
       ...options,
     };
@@ -202,7 +208,7 @@
         directory: `127.0.0.1:${directory}`,
       },
       bounds: {
-        graceS: 3,
+        graceS: this.#options.graceSeconds,
         retryBudgetRatio: 0.2,
         budgetSlack: 50,
         budgetWindowS: 10,
@@ -282,12 +288,13 @@
   #configuration(version: number): object {
     const { batch, callMilliseconds, room, coldPerSecond, hasEngines } =
       this.#options;
+    const { timeoutMilliseconds } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
       prefix: `/${name}/`,
       kind,
-      timeoutMs: 3_000,
+      timeoutMs: timeoutMilliseconds,
       sloMs: 1_000,
       priority: 1,
       attempts: 1,
