Refuse requests that can't end before a stopping daemon does

Change: DaemonLifecycle has the phases of a daemon's end, and one table says what each allows; the front, the ready page, the gossip, the relay listener and the admission ask it. A stopping daemon compares the time that is left with what answers of the route take: the longest of the last hundred to two hundred, from arrival until the connection has taken the last byte, plus a margin, or the age of an answer in progress; the deadline where less is known. What can't end is refused at once with 503, before anything is sent. Relayed requests go the same way. waitUntilDrained is gone.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -18,6 +18,8 @@
 import type { BegunStream } from "../../streams/stream_origin.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { Readable } from "node:stream";
+import { AnswerTimes } from "../../lifecycle/answer_times.ts";
+import { DaemonLifecycle } from "../../lifecycle/daemon_lifecycle.ts";
 import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
 import { BrittleServices } from "../../endpoints/brittle_services.ts";
 import { ConcurrencyLimiter } from "../../endpoints/concurrency_limiter.ts";
@@ -52,6 +54,8 @@
 };
 
 const REFUSALS_PER_SECOND = 5;
+/** Time from the stop signal until the daemon is killed, milliseconds. */
+const GRACE = 8_000;
 
 const NO_RELAY: RequestDependencies["relay"] = {
   isNeeded: false,
@@ -67,6 +71,7 @@
   refusal: DaemonAnswer | undefined;
   text = "";
   endState: "open" | "ended" | "broken" = "open";
+  readonly sent = Promise.resolve(true);
 
   get disconnectSignal(): AbortSignal {
     return this.#disconnect.signal;
@@ -117,6 +122,8 @@
   /** Streams whose software other daemons were told. */
   readonly begunStreams: BegunStream[];
   readonly quarantine: Quarantine;
+  readonly lifecycle: DaemonLifecycle;
+  readonly answerTimes: AnswerTimes;
   /** Number of chains that were run. */
   readonly chainRunCount: () => number;
   readonly logLines: { readonly message: string; readonly fields: LogFields }[];
@@ -195,6 +202,8 @@
       Promise.resolve(options.check?.(endpoint) ?? "listening"),
   };
   const brittle = new BrittleServices();
+  const lifecycle = new DaemonLifecycle({ timer, graceMilliseconds: GRACE });
+  const answerTimes = new AnswerTimes();
   if (options.senders !== undefined) {
     brittle.record("model", REFUSALS_PER_SECOND, timer.now());
   }
@@ -259,6 +268,8 @@
       windowMilliseconds: 10_000,
     }),
     firstByteEstimates: new FirstByteEstimates(),
+    lifecycle,
+    answerTimes,
     timer,
     random: new SeededRandom(1),
     log,
@@ -275,6 +286,8 @@
     releasedHandles,
     begunStreams,
     quarantine,
+    lifecycle,
+    answerTimes,
     chainRunCount: () => chainRunCount,
     logLines,
   };
--- a/packages/kelpspar-gateway/src/__tests__/support/starting_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/starting_fleet.ts
@@ -124,6 +124,7 @@
       random,
       storeAge: () => 0,
       isIsolated: () => false,
+      isLeaving: () => false,
       isReadingTables: () => false,
     });
     const chains = new ChainClient({
--- a/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
@@ -78,6 +78,7 @@
     random: new SeededRandom(7),
     storeAge: () => 0,
     isIsolated: () => false,
+    isLeaving: () => false,
     isReadingTables: options.isReadingTables ?? (() => false),
   });
   const peers = addresses.map(({ peer }) => peer);
--- a/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
@@ -15,6 +15,7 @@
 
 let server: FrontServer;
 let address: AddressInfo;
+let isLeaving = false;
 
 before(async () => {
   const probe = createServer().listen(0, "127.0.0.1");
@@ -23,6 +24,7 @@
   probe.close();
   server = new FrontServer({
     decode: (_, body) => request({ body }),
+    isLeaving: () => isLeaving,
     serve: async ({ body }, reply) => reply.answer(200, [], body),
   });
   server.limits = {
@@ -90,7 +92,7 @@
 
 // Guards against an answer lost by closing the connection while it still sends.
 test("a leaving daemon answers a body that is too large", async () => {
-  server.leave();
+  isLeaving = true;
   const { text } = await send(LARGE_BYTES, false);
   expect(statuses(text)).toEqual(["413", "200"]);
 });
--- a/packages/kelpspar-gateway/src/fleet/fleet_gossip.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_gossip.ts
@@ -64,6 +64,8 @@
   readonly isReadingTables: () => boolean;
   /** True while this daemon reaches no endpoint. */
   readonly isIsolated: () => boolean;
+  /** True from the stop signal on. */
+  readonly isLeaving: () => boolean;
 }
 
 /** Exchanges digests with other daemons to maintain the fleet membership. */
@@ -72,7 +74,6 @@
   readonly #partners: GossipPartners;
   readonly #discovery: CoordinatorDiscovery;
   #hasAnnouncedReady = false;
-  #isLeaving = false;
   #seedsContactedAt = Number.NEGATIVE_INFINITY;
   /** Peers with an exchange in progress. */
   readonly #exchanging = new Set<string>();
@@ -94,13 +95,8 @@
     });
   }
 
-  get isLeaving(): boolean {
-    return this.#isLeaving;
-  }
-
   /** Announces at once that this daemon accepts no more callers. */
   announceLeaving(): void {
-    this.#isLeaving = true;
     this.#exchangeWithContacts();
   }
 
@@ -201,9 +197,9 @@
 
   /** State that this daemon reports about itself. */
   get ownState(): OwnState {
-    const { configuration, storeAge, isIsolated } = this.#options;
+    const { configuration, storeAge, isIsolated, isLeaving } = this.#options;
     return {
-      isLeaving: this.#isLeaving,
+      isLeaving: isLeaving(),
       isReady: configuration.table !== undefined,
       isStoreFresh: storeAge() < STORE_STALE_MILLISECONDS,
       isIsolated: isIsolated(),
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -34,6 +34,8 @@
 /** Options of `FrontServer`. */
 export interface FrontServerOptions {
   readonly decode: RequestDecoder;
+  /** Whether each connection is closed after its next answer. */
+  readonly isLeaving: () => boolean;
   readonly serve: (
     request: ServingRequest,
     reply: RequestReply,
@@ -45,7 +47,6 @@
   readonly #options: FrontServerOptions;
   readonly #server: Server;
   #limits = DEFAULT_LIMITS;
-  #isLeaving = false;
 
   constructor(options: FrontServerOptions) {
     this.#options = options;
@@ -78,11 +79,6 @@
       KEEP_ALIVE_MARGIN_MILLISECONDS;
   }
 
-  /** Makes the server close each connection after its next answer. */
-  leave(): void {
-    this.#isLeaving = true;
-  }
-
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void {
     this.#server.close();
@@ -96,7 +92,7 @@
     const reply = new HttpReply(
       response,
       // Closing before the whole request has arrived would reset the connection.
-      () => this.#isLeaving && message.complete,
+      () => this.#options.isLeaving() && message.complete,
     );
     const headBytes = message.rawHeaders.reduce(
       (sum, text) => sum + text.length + 2,
--- a/packages/kelpspar-gateway/src/front/http_reply.ts
+++ b/packages/kelpspar-gateway/src/front/http_reply.ts
@@ -8,13 +8,17 @@
   readonly #response: ServerResponse;
   readonly #mustClose: () => boolean;
   readonly #gone = new AbortController();
+  readonly sent: Promise<boolean>;
 
   constructor(response: ServerResponse, mustClose: () => boolean) {
     this.#response = response;
     this.#mustClose = mustClose;
     response.on("error", () => this.#gone.abort());
-    response.on("close", () => {
-      if (!response.writableFinished) this.#gone.abort();
+    this.sent = new Promise((resolve) => {
+      response.on("close", () => {
+        if (!response.writableFinished) this.#gone.abort();
+        resolve(response.writableFinished);
+      });
     });
   }
 
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -5,6 +5,7 @@
 import type { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 import type { RequestDecoder } from "./front/front_server.ts";
 import type { ConnectionAttempts } from "./isolation/connection_attempts.ts";
+import type { DaemonPhase } from "./lifecycle/daemon_phase.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
 import type { PieceClient } from "./pieces/piece_call.ts";
 import type { Quarantine } from "./quarantine/quarantine.ts";
@@ -34,8 +35,9 @@
 import { chooseCallerAddresses } from "./front/choose_caller_addresses.ts";
 import { FrontServer } from "./front/front_server.ts";
 import { listen } from "./front/listen.ts";
-import { waitUntilDrained } from "./front/wait_until_drained.ts";
 import { IsolationMonitor } from "./isolation/isolation_monitor.ts";
+import { AnswerTimes } from "./lifecycle/answer_times.ts";
+import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
 import { AnomalyLog } from "./log/anomaly_log.ts";
@@ -102,6 +104,7 @@
   readonly #isolation: IsolationMonitor;
   readonly #relay: PeerRelay;
   readonly #streamOrigins: StreamOrigins;
+  readonly #lifecycle: DaemonLifecycle;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
@@ -115,6 +118,8 @@
     const { configuration, registry, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#tablesConfirmedAt, Number.MAX_SAFE_INTEGER);
+    const lifecycle = new DaemonLifecycle(options);
+    this.#lifecycle = lifecycle;
     const isolation = new IsolationMonitor({ ...options, registry });
     this.#isolation = isolation;
     const membership = new FleetMembership(options);
@@ -162,6 +167,7 @@
       storeAge,
       isReadingTables: () => this.#tables?.isReadingFirst === true,
       isIsolated: () => isolation.isIsolated,
+      isLeaving: () => lifecycle.policy.isLeaving,
     });
     const senderCounts: Readonly<Record<EndpointChooser, () => number>> = {
       // A daemon that receives pieces without seeing itself as the coordinator
@@ -242,6 +248,8 @@
       crashes: crashes.detector,
       quarantine: crashes.quarantine,
       firstByteEstimates: new FirstByteEstimates(),
+      lifecycle,
+      answerTimes: new AnswerTimes(),
       timer,
       random: options.random,
       log,
@@ -259,6 +267,7 @@
     this.#chainClient = chains;
     this.#front = new FrontServer({
       decode: options.decode,
+      isLeaving: () => lifecycle.policy.isLeaving,
       serve: (request, reply) => service.serve(request, reply),
     });
     const peerListener = createPeerListener({
@@ -282,7 +291,7 @@
     this.#peerServer = createServer(createRelayListener({
       serve: (message, reply) => service.serveRelayed(message, reply),
       isAble: ({ configurationVersion }) =>
-        !isolation.isIsolated && !fleet.isLeaving &&
+        !isolation.isIsolated && !lifecycle.policy.isLeaving &&
         configuration.version >= configurationVersion,
       otherwise: peerListener,
     }));
@@ -378,7 +387,8 @@
 
   /** True while callers may be routed to this daemon. */
   get isReady(): boolean {
-    return this.configuration.table !== undefined && !this.#fleet.isLeaving;
+    return this.configuration.table !== undefined &&
+      this.#lifecycle.policy.isReady;
   }
 
   /** Addresses at which callers may connect; never empty. */
@@ -438,33 +448,30 @@
 
   /**
    * Stops gracefully without truncating answers: callers are routed elsewhere,
-   * those with outdated addresses are still served, and the process ends when no
-   * work is left or just before it would be killed.
+   * those with outdated addresses are still served if their answers can end in
+   * time, and the process ends when no work is left or just before it would be
+   * killed.
    */
   async stop(): Promise<void> {
-    const { timer, graceMilliseconds, log } = this.#options;
-    const startedAt = timer.now();
-    this.#requestService.stopRequestedAt = startedAt;
-    this.#fleet.announceLeaving();
-    this.#front.leave();
-    await waitUntilDrained({
-      timer,
-      graceMilliseconds,
-      stopListening: () => {
-        log.info("no longer listening for callers", {
-          sinceStopMilliseconds: Math.round(timer.now() - startedAt),
-          openRequests: this.#requestService.open,
-        });
-        this.#front.stopListening();
-      },
-      isBusy: () =>
-        this.#requestService.open > 0 || this.#coordinator.openChains > 0,
-    });
-    log.info("ending open requests", {
-      sinceStopMilliseconds: Math.round(timer.now() - startedAt),
+    this.#lifecycle.registerListener((phase) => this.#handlePhase(phase));
+    await this.#lifecycle.stop(() =>
+      this.#requestService.open > 0 || this.#coordinator.openChains > 0
+    );
+    this.#requestService.failOpenRequests();
+  }
+
+  #handlePhase(phase: DaemonPhase): void {
+    const { timer, log } = this.#options;
+    const { policy, stopRequestedAt } = this.#lifecycle;
+    log.info("phase entered", {
+      phase,
+      sinceStopMilliseconds: Math.round(
+        timer.now() - (stopRequestedAt ?? timer.now()),
+      ),
       openRequests: this.#requestService.open,
       openChains: this.#coordinator.openChains,
     });
-    this.#requestService.failOpenRequests();
+    if (phase === "leaving") this.#fleet.announceLeaving();
+    if (!policy.isListening) this.#front.stopListening();
   }
 }
--- /dev/null
+++ b/packages/kelpspar-gateway/src/lifecycle/daemon_lifecycle.ts
@@ -0,0 +1,94 @@
+import type { TimerService } from "kelpspar-shared";
+import type { DaemonPhase } from "./daemon_phase.ts";
+import type { PhasePolicy } from "./phase_policy.ts";
+import { nextPhase } from "./next_phase.ts";
+import { PHASE_POLICIES } from "./phase_policy.ts";
+
+/** Open requests are given up this long before the process is killed, ms. */
+const STOP_MARGIN_MILLISECONDS = 350;
+const CHECK_INTERVAL_MILLISECONDS = 50;
+
+/** Dependencies of a `DaemonLifecycle`. */
+export interface DaemonLifecycleOptions {
+  readonly timer: TimerService;
+  /** Time from the stop signal until the process is killed. */
+  readonly graceMilliseconds: number;
+}
+
+/** Called when a daemon has entered a phase. */
+export type PhaseListener = (phase: DaemonPhase) => void;
+
+/** The phase of a daemon, which decides what it accepts and reports. */
+export class DaemonLifecycle {
+  readonly #options: DaemonLifecycleOptions;
+  readonly #listeners = new Set<PhaseListener>();
+  #phase: DaemonPhase = "serving";
+  #stopRequestedAt: number | undefined;
+
+  constructor(options: DaemonLifecycleOptions) {
+    this.#options = options;
+  }
+
+  get phase(): DaemonPhase {
+    return this.#phase;
+  }
+
+  get policy(): PhasePolicy {
+    return PHASE_POLICIES[this.#phase];
+  }
+
+  /** When the daemon was told to stop; monotonic milliseconds. */
+  get stopRequestedAt(): number | undefined {
+    return this.#stopRequestedAt;
+  }
+
+  /** Milliseconds until open requests are given up; infinite while serving. */
+  get remainingMilliseconds(): number {
+    if (this.#stopRequestedAt === undefined) return Number.POSITIVE_INFINITY;
+    if (this.policy.admission === "none") return 0;
+    return Math.max(0, this.#endsAt - this.#options.timer.now());
+  }
+
+  /** Adds a listener; returns the teardown. */
+  registerListener(listener: PhaseListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /**
+   * Leads the daemon through the phases of its end; resolves in the last one.
+   * `isBusy` is true while requests or stages of other daemons are in progress.
+   */
+  stop(isBusy: () => boolean): Promise<void> {
+    const { timer, graceMilliseconds } = this.#options;
+    const stopRequestedAt = timer.now();
+    this.#stopRequestedAt = stopRequestedAt;
+    this.#enter("leaving");
+    return new Promise((resolve) => {
+      const stopChecks = timer.registerInterval(() => {
+        const phase = nextPhase({
+          phase: this.#phase,
+          now: timer.now(),
+          stopRequestedAt,
+          graceMilliseconds,
+          endsAt: this.#endsAt,
+          isBusy: isBusy(),
+        });
+        if (phase !== this.#phase) this.#enter(phase);
+        if (phase !== "ending") return;
+        stopChecks();
+        resolve();
+      }, CHECK_INTERVAL_MILLISECONDS);
+    });
+  }
+
+  get #endsAt(): number {
+    return (this.#stopRequestedAt ?? Number.POSITIVE_INFINITY) +
+      this.#options.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+  }
+
+  #enter(phase: DaemonPhase): void {
+    this.#phase = phase;
+    for (const listener of this.#listeners) listener(phase);
+  }
+}
--- a/packages/kelpspar-gateway/src/relay/relay_reply.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_reply.ts
@@ -19,6 +19,10 @@
     return this.#reply.disconnectSignal;
   }
 
+  get sent(): Promise<boolean> {
+    return this.#reply.sent;
+  }
+
   refuse(answer: DaemonAnswer): void {
     this.#reply.answer(
       answer.status,
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -7,6 +7,8 @@
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { CrashDetector } from "../quarantine/crash_detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
+import type { AnswerTimes } from "../lifecycle/answer_times.ts";
+import type { DaemonLifecycle } from "../lifecycle/daemon_lifecycle.ts";
 import type { PeerRelay } from "../relay/peer_relay.ts";
 import type { StreamOrigins } from "../streams/stream_origins.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
@@ -37,6 +39,11 @@
     "find" | "isSuspect" | "crashesInSuccession" | "served" | "answered"
   >;
   readonly firstByteEstimates: FirstByteEstimates;
+  readonly lifecycle: Pick<
+    DaemonLifecycle,
+    "remainingMilliseconds" | "stopRequestedAt"
+  >;
+  readonly answerTimes: Pick<AnswerTimes, "record" | "bound">;
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly log: GatewayLog;
--- a/packages/kelpspar-gateway/src/requests/request_reply.ts
+++ b/packages/kelpspar-gateway/src/requests/request_reply.ts
@@ -14,6 +14,11 @@
 export interface RequestReply {
   /** Aborted when the caller disconnects. */
   readonly disconnectSignal: AbortSignal;
+  /**
+   * Settles when the caller's connection has taken the whole answer (true), or
+   * was closed before that (false).
+   */
+  readonly sent: Promise<boolean>;
   refuse(answer: DaemonAnswer): void;
   /** Sends a whole answer of an endpoint. */
   answer(
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -34,8 +34,6 @@
   readonly service: string;
   readonly account: ClientAccount | undefined;
   readonly arrivedAt: number;
-  /** When the daemon was told to stop, if the request arrived after that. */
-  readonly stopRequestedAt?: number | undefined;
   /**
    * Endpoints that may run a repeatable request that another daemon relayed;
    * undefined for a request of a caller. A relayed request isn't relayed again.
@@ -334,9 +332,17 @@
     for (const teardown of this.#teardowns) teardown();
     this.stop.abort(REQUEST_ENDED);
     this.releaseResults();
+    if (end === "served") void this.#recordAnswerTime();
     this.#recordOutcome(end, fields);
   }
 
+  /** Records the answer's time, unless it is only the rest of a stream. */
+  async #recordAnswerTime(): Promise<void> {
+    const { reply, request, dependencies, route, arrivedAt } = this.#options;
+    if (request.lastEventId !== undefined || !await reply.sent) return;
+    dependencies.answerTimes.record(route.name, this.now() - arrivedAt);
+  }
+
   #setPlace(place: ReaderPlace | undefined): void {
     this.#place = place;
     this.#hasUnreleasedPlace = place !== undefined;
@@ -357,7 +363,7 @@
   ): void {
     const { dependencies, request, route, service, account, arrivedAt } =
       this.options;
-    const { stopRequestedAt } = this.options;
+    const { stopRequestedAt } = dependencies.lifecycle;
     const now = this.now();
     dependencies.log.info("request ended", {
       attempt: request.attemptId,
@@ -375,7 +381,7 @@
       runs: this.runs,
       sends: this.sends,
       isRelayed: this.mayRelay ? undefined : true,
-      acceptedSinceStopMilliseconds: stopRequestedAt === undefined
+      sinceStopMilliseconds: stopRequestedAt === undefined
         ? undefined
         : Math.round(arrivedAt - stopRequestedAt),
       ...fields,
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -3,6 +3,7 @@
 import type { ChainOutcome, ChainRefusal } from "../pieces/chain_outcome.ts";
 import type { ChainStage } from "../pieces/chain_request.ts";
 import type { RelayMessage } from "../relay/relay_message.ts";
+import type { RequestRefusal } from "./find_shutdown_refusal.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestRunOptions } from "./request_run.ts";
@@ -14,6 +15,10 @@
   createChainStages,
 } from "./create_chain_request.ts";
 import { chooseTarget } from "./choose_target.ts";
+import {
+  findShutdownRefusal,
+  SHUTDOWN_RETRY_MILLISECONDS,
+} from "./find_shutdown_refusal.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { LimitedEndpointProbes } from "./limited_endpoint_probes.ts";
 import { RequestDispatcher } from "./request_dispatcher.ts";
@@ -26,8 +31,6 @@
 
 /** Retry delay while a starting daemon has not read its configuration. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
-/** Retry delay of open requests at shutdown; another daemon serves them. */
-const SHUTDOWN_RETRY_MILLISECONDS = 250;
 /** Maximum number of chain runs for a request whose results were lost. */
 const MAXIMUM_CHAIN_RUNS = 2;
 
@@ -54,8 +57,6 @@
   readonly #dependencies: RequestDependencies;
   readonly #limitedEndpointProbes: LimitedEndpointProbes;
   readonly #openRuns = new Set<RequestRun>();
-  /** When the daemon was told to stop; monotonic milliseconds. */
-  stopRequestedAt: number | undefined;
 
   constructor(dependencies: RequestDependencies) {
     this.#dependencies = dependencies;
@@ -115,9 +116,10 @@
       run.rejectQuarantined();
       return;
     }
-    const unservable = this.#dependencies.relay.isNeeded
-      ? undefined
-      : findUnservableReason(run);
+    const unservable = findShutdownRefusal(run, this.#openRuns) ??
+      (this.#dependencies.relay.isNeeded
+        ? undefined
+        : findUnservableReason(run));
     if (unservable !== undefined) {
       run.fail(unservable.reason, unservable.retryAfterMilliseconds);
       return;
@@ -181,7 +183,6 @@
       service,
       account,
       arrivedAt: timer.now(),
-      stopRequestedAt: this.stopRequestedAt,
       ...relayed,
     });
   }
@@ -292,19 +293,13 @@
   }
 }
 
-/** Why a request is refused before its stages run. */
-interface UnservableReason {
-  readonly reason: string;
-  readonly retryAfterMilliseconds: number;
-}
-
 /**
  * Returns the reason if it is known in advance that no endpoint can run the
  * request. Running its stages would be wasted, and the caller refused late.
  */
 function findUnservableReason(
   run: RequestRun,
-): UnservableReason | undefined {
+): RequestRefusal | undefined {
   const { dependencies, service } = run.options;
   const { endpointRegistry } = dependencies;
   const endpoints = endpointRegistry.availableFor(service);
@@ -323,7 +318,7 @@
 function findLongPause(
   run: RequestRun,
   hasPieces: boolean,
-): UnservableReason | undefined {
+): RequestRefusal | undefined {
   const { dependencies, service, route } = run.options;
   const endpoints = dependencies.endpointRegistry.availableFor(service);
   const pause = shortestPause(endpoints, run.now());
@@ -333,7 +328,7 @@
 }
 
 /** Brittle endpoints without a place for the request when its stages end. */
-function findMissingPlace(run: RequestRun): UnservableReason | undefined {
+function findMissingPlace(run: RequestRun): RequestRefusal | undefined {
   const { dependencies, service, route } = run.options;
   const { concurrency, firstByteEstimates } = dependencies;
   if (!concurrency.isLimited(service)) return undefined;
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -46,4 +46,8 @@
 export type { BuiltProgram } from "./wire/build_program.ts";
 export { buildProgram } from "./wire/build_program.ts";
 export { DaemonProcess } from "./wire/daemon_process.ts";
+export { checkStops } from "./stops/check_stops.ts";
+export { runStops } from "./stops/run_stops.ts";
+export type { StopSituation } from "./stops/stop_situation.ts";
+export { DEFAULT_SITUATION } from "./stops/stop_situation.ts";
 export { WireSite } from "./wire/wire_site.ts";
--- a/packages/kelpspar-standins/src/programs/stops_main.ts
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -15,7 +15,7 @@
 const EXIT_CHECK_FAILED = 1;
 const EXIT_USAGE = 64;
 const USAGE =
-  "npm run stops -- [--seed N] [--seeds COUNT] [--situations NAME,...] [--log FILE]";
+  "npm run stops -- [--seed N] [--seeds COUNT] [--situations NAME,...] [--sticky N] [--log FILE]";
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
@@ -33,6 +33,7 @@
       seed: { type: "string", default: "1" },
       seeds: { type: "string", default: "1" },
       situations: { type: "string" },
+      sticky: { type: "string" },
       log: { type: "string" },
       help: { type: "boolean", default: false },
     },
@@ -43,7 +44,13 @@
     const runs = values.situations === undefined
       ? drawRuns(seed, readCount("seeds", values.seeds))
       : namedRuns(seed, values.situations);
-    for (const run of runs) await play(run, values.log);
+    const sticky = values.sticky === undefined
+      ? {}
+      : { stickyCallers: Number(values.sticky) };
+    for (const run of runs) {
+      const situation = { ...run.situation, ...sticky };
+      await play({ ...run, situation }, values.log);
+    }
     process.exit();
   }
 } catch (error) {
--- a/packages/kelpspar-standins/src/stops/run_stops.ts
+++ b/packages/kelpspar-standins/src/stops/run_stops.ts
@@ -10,7 +10,7 @@
 import { BrittleCapacity } from "../wire/brittle_capacity.ts";
 import { DaemonProcess } from "../wire/daemon_process.ts";
 import { WireSite } from "../wire/wire_site.ts";
-import { StopCaller } from "./stop_caller.ts";
+import { DirectoryCaller } from "../wire/directory_caller.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const RUNNERS = 4;
@@ -39,7 +39,6 @@
 
 /**
  * Stops daemons in overlapping series, as platforms do, while callers use them.
- * Half of the callers use a daemon until its process is gone.
  */
 export async function runStops(options: RunStopsOptions): Promise<StopRecords> {
   const { situation } = options;
@@ -68,14 +67,14 @@
     const callers = Array.from(
       { length: CALLERS },
       (_, index) =>
-        new StopCaller({
+        new DirectoryCaller({
           name: `c${index}`,
           host: site.host,
           daemons,
           situation,
           deadlineMilliseconds: DEADLINE_MILLISECONDS,
           random: new SeededRandom(options.seed * CALLERS + index),
-          isSticky: index % 2 === 1,
+          isSticky: index < situation.stickyCallers,
         }),
     );
     const interval = CALLERS * MILLISECONDS_PER_SECOND / situation.perSecond;
--- a/packages/kelpspar-standins/src/stops/stop_situation.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situation.ts
@@ -31,6 +31,8 @@
   /** Requests that run at each runner at the same time; others wait. */
   readonly slots: number | undefined;
   readonly signals: readonly ExtraSignal[];
+  /** Callers, of six, that use a daemon until its process is gone. */
+  readonly stickyCallers: number;
   /** Fault of the store during the stops. */
   readonly store: StoreFault;
 }
@@ -50,5 +52,6 @@
   perSecond: 30,
   slots: undefined,
   signals: [],
+  stickyCallers: 3,
   store: "none",
 };
--- a/packages/kelpspar-standins/src/stops/stop_caller.ts
+++ b/packages/kelpspar-standins/src/wire/directory_caller.ts
@@ -1,7 +1,7 @@
 import type { RandomSource } from "kelpspar-shared";
-import type { DaemonProcess } from "../wire/daemon_process.ts";
-import type { StopAttempt } from "./stop_attempt.ts";
-import type { StopSituation } from "./stop_situation.ts";
+import type { DaemonProcess } from "./daemon_process.ts";
+import type { StopAttempt } from "../stops/stop_attempt.ts";
+import type { StopSituation } from "../stops/stop_situation.ts";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { Agent, request as sendRequest } from "undici";
 
@@ -14,8 +14,8 @@
 /** A failed address isn't used again for this time. */
 const AVOIDED_MILLISECONDS = 1_000;
 
-/** Options of a `StopCaller`. */
-export interface StopCallerOptions {
+/** Options of a `DirectoryCaller`. */
+export interface DirectoryCallerOptions {
   readonly name: string;
   readonly host: string;
   readonly daemons: readonly DaemonProcess[];
@@ -30,9 +30,9 @@
  * A caller that follows the directory for as long as its answers may be kept,
  * and keeps its connections open. It doesn't retry.
  */
-export class StopCaller {
+export class DirectoryCaller {
   readonly attempts: StopAttempt[] = [];
-  readonly #options: StopCallerOptions;
+  readonly #options: DirectoryCallerOptions;
   readonly #agent = new Agent({ pipelining: 1, keepAliveTimeout: 60_000 });
   readonly #open = new Set<Promise<void>>();
   readonly #avoidedUntil = new Map<string, number>();
@@ -41,7 +41,7 @@
   #current: string | undefined;
   #attemptCount = 0;
 
-  constructor(options: StopCallerOptions) {
+  constructor(options: DirectoryCallerOptions) {
     this.#options = options;
   }
 
