Keep a stopping daemon alive until its answers are read

Cause: a request counted as done when its answer was handed to the response object. The daemon then closed its listener by http.Server.close, which destroys connections whose last answer was ended and isn't flushed, or ended its process.

Change: OpenExchanges counts a request, of a caller or relayed, from its head until the connection has taken the last byte or was closed. The daemon ends when none is open, stops accepting by the method of net.Server, and closes idle connections only when nothing is open. A request whose body is still being read counts as open too, until the grace period ends.

--- a/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
@@ -3,8 +3,10 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import { after, before, test } from "node:test";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { FrontServer } from "../../front/front_server.ts";
 import { MAXIMUM_DISCARDED_BYTES } from "../../front/discard_body.ts";
+import { OpenExchanges } from "../../front/open_exchanges.ts";
 import { request } from "../support/request_world.ts";
 
 const LIMIT_BYTES = 1_000;
@@ -13,9 +15,12 @@
 const CHUNK = Buffer.alloc(64 * 1024, "x");
 const SECOND = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok";
 
+const LARGE_ANSWER = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+
 let server: FrontServer;
 let address: AddressInfo;
 let isLeaving = false;
+const exchanges = new OpenExchanges();
 
 before(async () => {
   const probe = createServer().listen(0, "127.0.0.1");
@@ -23,9 +28,15 @@
   address = probe.address() as AddressInfo;
   probe.close();
   server = new FrontServer({
-    decode: (_, body) => request({ body }),
+    decode: ({ url }, body) => request({ body, target: url ?? "/" }),
     isLeaving: () => isLeaving,
-    serve: async ({ body }, reply) => reply.answer(200, [], body),
+    exchanges,
+    serve: async ({ body, target }, reply) =>
+      reply.answer(
+        200,
+        [],
+        target === "/large" ? Buffer.alloc(LARGE_BYTES) : body,
+      ),
   });
   server.limits = {
     headerBytes: 10_000,
@@ -36,7 +47,10 @@
   await server.listen(`127.0.0.1:${address.port}`);
 });
 
-after(() => server.stopListening());
+after(() => {
+  server.stopListening();
+  server.closeIdleConnections();
+});
 
 /** Sends a body, and a second request after it; returns all that is answered. */
 async function send(
@@ -96,3 +110,31 @@
   const { text } = await send(LARGE_BYTES, false);
   expect(statuses(text)).toEqual(["413", "200"]);
 });
+
+// Guards against a process that never ends after a caller is gone.
+test("exchanges end with their connection, also pipelined ones", async () => {
+  const socket = connect(address.port, "127.0.0.1");
+  socket.write(LARGE_ANSWER + LARGE_ANSWER);
+  await once(socket, "readable");
+  expect(exchanges.count).toEqual(2);
+  socket.destroy();
+  await setTimeoutPromise(50);
+  expect(exchanges.count).toEqual(0);
+});
+
+// Guards against an answer that is cut because its caller reads slowly.
+test("an answer that isn't read yet stays open when the server closes", async () => {
+  const socket = connect(address.port, "127.0.0.1");
+  socket.write(LARGE_ANSWER);
+  await once(socket, "readable");
+  socket.pause();
+  await setTimeoutPromise(50);
+  expect(exchanges.count).toEqual(1);
+  server.stopListening();
+  let received = 0;
+  socket.on("data", (chunk: Buffer) => received += chunk.length);
+  socket.resume();
+  await once(socket, "close");
+  expect(received > LARGE_BYTES).toEqual(true);
+  expect(exchanges.count).toEqual(0);
+});
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { OpenExchanges } from "./open_exchanges.ts";
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { ServingRequest } from "../requests/serving_request.ts";
 import { createServer } from "node:http";
+import { Server as NetServer } from "node:net";
 import { discardBody } from "./discard_body.ts";
 import { HttpReply } from "./http_reply.ts";
 import { listen } from "./listen.ts";
@@ -36,6 +38,7 @@
   readonly decode: RequestDecoder;
   /** Whether each connection is closed after its next answer. */
   readonly isLeaving: () => boolean;
+  readonly exchanges: OpenExchanges;
   readonly serve: (
     request: ServingRequest,
     reply: RequestReply,
@@ -79,9 +82,15 @@
       KEEP_ALIVE_MARGIN_MILLISECONDS;
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections; open ones stay open. */
   stopListening(): void {
-    this.#server.close();
+    // The method of HTTP servers also destroys connections whose last answer
+    // was ended and isn't flushed yet.
+    NetServer.prototype.close.call(this.#server);
+  }
+
+  /** Closes idle connections; to be called while no exchange is open. */
+  closeIdleConnections(): void {
     this.#server.closeIdleConnections();
   }
 
@@ -89,6 +98,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.#options.exchanges.track(message, response);
     const reply = new HttpReply(
       response,
       // Closing before the whole request has arrived would reset the connection.
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -35,9 +35,11 @@
 import { chooseCallerAddresses } from "./front/choose_caller_addresses.ts";
 import { FrontServer } from "./front/front_server.ts";
 import { listen } from "./front/listen.ts";
+import { OpenExchanges } from "./front/open_exchanges.ts";
 import { IsolationMonitor } from "./isolation/isolation_monitor.ts";
 import { AnswerTimes } from "./lifecycle/answer_times.ts";
 import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
+import { waitUntil } from "./lifecycle/wait_until.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
 import { AnomalyLog } from "./log/anomaly_log.ts";
@@ -54,6 +56,8 @@
 import { planReading } from "./tables/reading_plan.ts";
 import { StoreEra } from "./tables/store_era.ts";
 
+/** Time for the last answers to be handed to the operating system. */
+const FLUSH_TIMEOUT_MILLISECONDS = 100;
 /** How long a reading plan is cached, milliseconds. */
 const PLAN_CACHE_MILLISECONDS = 400;
 
@@ -105,6 +109,7 @@
   readonly #relay: PeerRelay;
   readonly #streamOrigins: StreamOrigins;
   readonly #lifecycle: DaemonLifecycle;
+  readonly #exchanges = new OpenExchanges();
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
@@ -268,6 +273,7 @@
     this.#front = new FrontServer({
       decode: options.decode,
       isLeaving: () => lifecycle.policy.isLeaving,
+      exchanges: this.#exchanges,
       serve: (request, reply) => service.serve(request, reply),
     });
     const peerListener = createPeerListener({
@@ -293,6 +299,7 @@
       isAble: ({ configurationVersion }) =>
         !isolation.isIsolated && !lifecycle.policy.isLeaving &&
         configuration.version >= configurationVersion,
+      exchanges: this.#exchanges,
       otherwise: peerListener,
     }));
     this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
@@ -429,6 +436,7 @@
     metrics.setState("store_era", this.era.current ?? 0);
     metrics.setState("reads_store", this.#plan?.isReader === true ? 1 : 0);
     metrics.setState("open_requests", this.#requestService.open);
+    metrics.setState("open_exchanges", this.#exchanges.count);
     const { coordinatorChanges, redirectedChains } = this.#chainClient.counts;
     metrics.setState("coordinator_changes", coordinatorChanges);
     metrics.setState("redirected_chains", redirectedChains);
@@ -455,9 +463,16 @@
   async stop(): Promise<void> {
     this.#lifecycle.registerListener((phase) => this.#handlePhase(phase));
     await this.#lifecycle.stop(() =>
-      this.#requestService.open > 0 || this.#coordinator.openChains > 0
+      this.#exchanges.count > 0 || this.#coordinator.openChains > 0
     );
     this.#requestService.failOpenRequests();
+    const { timer } = this.#options;
+    await waitUntil(() => this.#exchanges.count === 0, {
+      timer,
+      timeoutMilliseconds: FLUSH_TIMEOUT_MILLISECONDS,
+    });
+    // An answer that a caller doesn't read would be lost.
+    if (this.#exchanges.count === 0) this.#front.closeIdleConnections();
   }
 
   #handlePhase(phase: DaemonPhase): void {
@@ -469,6 +484,7 @@
         timer.now() - (stopRequestedAt ?? timer.now()),
       ),
       openRequests: this.#requestService.open,
+      openExchanges: this.#exchanges.count,
       openChains: this.#coordinator.openChains,
     });
     if (phase === "leaving") this.#fleet.announceLeaving();
--- a/packages/kelpspar-gateway/src/relay/relay_listener.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_listener.ts
@@ -3,6 +3,7 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
+import type { OpenExchanges } from "../front/open_exchanges.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { RelayMessage } from "./relay_message.ts";
 import { HttpReply } from "../front/http_reply.ts";
@@ -21,6 +22,7 @@
   readonly serve: (message: RelayMessage, reply: RequestReply) => Promise<void>;
   /** False if another daemon should be asked. */
   readonly isAble: (message: RelayMessage) => boolean;
+  readonly exchanges: OpenExchanges;
   /** Answers requests at other paths. */
   readonly otherwise: RequestListener;
 }
@@ -35,6 +37,7 @@
       options.otherwise(request, response);
       return;
     }
+    options.exchanges.track(request, response);
     if (open >= MAXIMUM_OPEN_REQUESTS) {
       request.resume();
       createReply(response, () => true).refuse({
--- a/packages/kelpspar-standins/src/stops/stop_situations.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situations.ts
@@ -45,7 +45,7 @@
     answerMilliseconds: [20, 20],
     bytes: LARGE_BYTES,
     readMilliseconds: 6_000,
-    perSecond: 3,
+    perSecond: 6,
   },
   varying: { answerMilliseconds: [600, 6_000] },
   stages: { hasStages: true, answerMilliseconds: [2_000, 2_000] },
--- a/packages/kelpspar-standins/src/wire/directory_caller.ts
+++ b/packages/kelpspar-standins/src/wire/directory_caller.ts
@@ -1,9 +1,11 @@
+import type { IncomingMessage } from "node:http";
 import type { RandomSource } from "kelpspar-shared";
 import type { DaemonProcess } from "./daemon_process.ts";
 import type { StopAttempt } from "../stops/stop_attempt.ts";
 import type { StopSituation } from "../stops/stop_situation.ts";
+import { Agent, request as sendHttpRequest } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
-import { Agent, request as sendRequest } from "undici";
+import { request as sendRequest } from "undici";
 
 const DIRECTORY_TIMEOUT_MILLISECONDS = 1_000;
 const DIRECTORY_TRIES = 3;
@@ -33,7 +35,9 @@
 export class DirectoryCaller {
   readonly attempts: StopAttempt[] = [];
   readonly #options: DirectoryCallerOptions;
-  readonly #agent = new Agent({ pipelining: 1, keepAliveTimeout: 60_000 });
+  // Not undici, whose client fails an assertion when the connection of a body
+  // that is read slowly ends.
+  readonly #agent = new Agent({ keepAlive: true });
   readonly #open = new Set<Promise<void>>();
   readonly #avoidedUntil = new Map<string, number>();
   #addresses: readonly string[] = [];
@@ -60,7 +64,7 @@
       await setTimeoutPromise(intervalMilliseconds);
     }
     await Promise.all(this.#open);
-    await this.#agent.destroy();
+    this.#agent.destroy();
   }
 
   async #chooseAddress(): Promise<string | undefined> {
@@ -101,9 +105,7 @@
   }
 
   async #send(address: string): Promise<void> {
-    const { name, host, situation, deadlineMilliseconds } = this.#options;
-    const { route, hasStages } = situation;
-    const attemptId = `${name}-${this.#attemptCount++}`;
+    const attemptId = `${this.#options.name}-${this.#attemptCount++}`;
     const sentAt = performance.now();
     let status: number | undefined;
     let retryAfterMilliseconds: number | undefined;
@@ -120,35 +122,18 @@
       });
     };
     try {
-      const { statusCode, headers, body } = await sendRequest(
-        `http://${address}/${route}/x?${this.#answerQuery()}`,
-        {
-          method: route === "often" ? "GET" : "POST",
-          dispatcher: this.#agent,
-          signal: AbortSignal.timeout(deadlineMilliseconds),
-          headers: {
-            host,
-            "x-attempt-id": attemptId,
-            "x-deadline-ms": String(deadlineMilliseconds),
-            "x-api-key": "key-1",
-            ...(hasStages ? { "x-pieces": "2,3", "x-piece-key": "k" } : {}),
-          },
-          body: route === "often" ? null : "body",
-        },
-      );
-      status = statusCode;
-      const retryAfter = headers["retry-after"];
+      const response = await this.#exchange(address, attemptId);
+      status = response.statusCode;
+      const retryAfter = response.headers["retry-after"];
       retryAfterMilliseconds = retryAfter === undefined
         ? undefined
         : Number(retryAfter) * MILLISECONDS_PER_SECOND;
-      await this.#read(body, Number(headers["content-length"] ?? 0));
-      record(true);
+      const length = Number(response.headers["content-length"] ?? 0);
+      await this.#read(response, length);
+      record(response.complete);
     } catch (error) {
-      const { code, cause } = error as {
-        readonly code?: string;
-        readonly cause?: { readonly code?: string };
-      };
-      record(false, code ?? cause?.code ?? String(error));
+      const { code } = error as { readonly code?: string };
+      record(false, code ?? String(error));
     }
     const { isWhole } = this.attempts.at(-1) ?? {};
     if (isWhole === true && status === 200) return;
@@ -158,6 +143,35 @@
     if (isGone && this.#current === address) this.#current = undefined;
   }
 
+  /** Sends a request; resolves to the response, whose body isn't read yet. */
+  #exchange(address: string, attemptId: string): Promise<IncomingMessage> {
+    const { host, situation, deadlineMilliseconds } = this.#options;
+    const { route, hasStages } = situation;
+    const [hostname = "", port = ""] = address.split(":");
+    const body = route === "often" ? "" : "body";
+    return new Promise((resolve, reject) => {
+      const request = sendHttpRequest({
+        hostname,
+        port,
+        agent: this.#agent,
+        method: route === "often" ? "GET" : "POST",
+        path: `/${route}/x?${this.#answerQuery()}`,
+        signal: AbortSignal.timeout(deadlineMilliseconds),
+        headers: {
+          host,
+          "x-attempt-id": attemptId,
+          "x-deadline-ms": deadlineMilliseconds,
+          "x-api-key": "key-1",
+          "content-length": body.length,
+          ...(hasStages ? { "x-pieces": "2,3", "x-piece-key": "k" } : {}),
+        },
+      });
+      request.on("response", resolve);
+      request.on("error", reject);
+      request.end(body);
+    });
+  }
+
   /** Reads a body, at an even speed if callers read slowly. */
   async #read(body: AsyncIterable<Buffer>, length: number): Promise<void> {
     const { readMilliseconds } = this.#options.situation;
