Tell other daemons at once that a daemon leaves

Callers saw: addresses of a daemon for up to 0.4 s after its SIGTERM, given by other daemons. Cause: the announcement had the sequence of a heartbeat that others had heard already, so that they ignored the new state in it. Change: a leaving daemon announces its state like any other change of state, with the next sequence. The new test of fleet_test fails with the former announcement (the digest leaves the member as staying) and passes now.

--- a/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/fleet_test.ts
@@ -29,12 +29,15 @@
   options: {
     readonly seeds?: readonly string[];
     readonly isReadingTables?: () => boolean;
+    readonly isLeaving?: () => boolean;
   } = {},
 ): {
   readonly fleet: FleetGossip;
   readonly timer: ManualTimer;
   readonly peers: readonly string[];
   readonly contacted: string[];
+  /** Digests that were sent. */
+  readonly digests: FleetDigest[];
   /** Peers that were asked for their configuration. */
   readonly fetchedFrom: string[];
 } {
@@ -49,14 +52,16 @@
   );
   for (const one of addresses) membership.add(one, timer.now());
   const contacted: string[] = [];
+  const digests: FleetDigest[] = [];
   const fetchedFrom: string[] = [];
   const client: Pick<PeerClient, "exchange" | "configuration"> = {
     configuration: (peer) => {
       fetchedFrom.push(peer);
       return Promise.resolve(null);
     },
-    exchange(peer: string): Promise<FleetDigest> {
+    exchange(peer: string, digest: FleetDigest): Promise<FleetDigest> {
       contacted.push(peer);
+      digests.push(digest);
       return options.seeds === undefined
         ? new Promise(() => {})
         : Promise.reject(new Error("refused"));
@@ -78,11 +83,11 @@
     random: new SeededRandom(7),
     storeAge: () => 0,
     isIsolated: () => false,
-    isLeaving: () => false,
+    isLeaving: options.isLeaving ?? (() => false),
     isReadingTables: options.isReadingTables ?? (() => false),
   });
   const peers = addresses.map(({ peer }) => peer);
-  return { fleet, timer, peers, contacted, fetchedFrom };
+  return { fleet, timer, peers, contacted, digests, fetchedFrom };
 }
 
 test("a daemon that starts in a large fleet contacts a few peers", () => {
@@ -98,11 +103,32 @@
 
 test("a daemon that leaves a large fleet contacts a few peers", () => {
   const { fleet, contacted } = createFleet(72);
-  fleet.announceLeaving();
+  fleet.announceState();
   expect(contacted.length > 0).toEqual(true);
   expect(contacted.length <= 16).toEqual(true);
 });
 
+// Guards against callers that are sent to a leaving daemon until its next
+// heartbeat.
+test("others learn at once that a daemon leaves", async () => {
+  let isLeaving = false;
+  const { fleet, timer, peers, digests } = createFleet(1, {
+    seeds: [],
+    isLeaving: () => isLeaving,
+  });
+  const other = new FleetMembership({ self: address("d1"), incarnation: "o" });
+  const hear = (): readonly boolean[] => {
+    for (const digest of digests.splice(0)) other.applyDigest(digest, 0);
+    return other.liveMembers(0).map(({ heartbeat }) => heartbeat.isLeaving);
+  };
+  fleet.exchangeWithAll(peers);
+  expect(hear()).toEqual([false]);
+  await timer.settle();
+  isLeaving = true;
+  fleet.announceState();
+  expect(hear()).toEqual([true]);
+});
+
 test("a daemon in a small fleet contacts all peers", () => {
   const { fleet, peers, contacted } = createFleet(7);
   fleet.exchangeWithSome(peers);
--- a/packages/kelpspar-gateway/src/fleet/fleet_gossip.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_gossip.ts
@@ -95,17 +95,12 @@
     });
   }
 
-  /** Announces at once that this daemon accepts no more callers. */
-  announceLeaving(): void {
-    this.#exchangeWithContacts();
-  }
-
   /** Tells other daemons at once that this daemon's state has changed. */
   announceState(): void {
     const { membership } = this.#options;
     // A heartbeat of the same sequence with another state would be ignored.
     membership.advanceHeartbeat();
-    this.#exchangeWithContacts();
+    this.exchangeWithSome(membership.contacts().map(({ peer }) => peer));
   }
 
   /** Starts the periodic exchanges; returns the teardown. */
@@ -183,12 +178,6 @@
     this.exchangeWithAll(seeds.filter((peer) => peer !== self.peer));
   }
 
-  #exchangeWithContacts(): void {
-    this.exchangeWithSome(
-      this.#options.membership.contacts().map((contact) => contact.peer),
-    );
-  }
-
   /** Applies another daemon's digest and returns this daemon's. */
   exchange(digest: FleetDigest): FleetDigest {
     this.#applyDigest(digest);
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -487,7 +487,7 @@
       openExchanges: this.#exchanges.count,
       openChains: this.#coordinator.openChains,
     });
-    if (phase === "leaving") this.#fleet.announceLeaving();
+    if (phase === "leaving") this.#fleet.announceState();
     if (!policy.isListening) this.#front.stopListening();
   }
 }
