Serve what can end while all daemons stop

Callers saw, when all daemons were stopped within a grace period: closed doors between the end of the daemons, 3.6 s after SIGTERM, and their next start, and no word on when to come back.

Cause: a stopping daemon stopped listening at a fixed share of its grace period whether or not another daemon served. Its directory named itself if it knew no other, and refusals said 250 ms always, 'another daemon serves them'. A daemon that had just started knew no answer times.

Change: a daemon that nobody replaces listens while it accepts requests, up to its end; one that is replaced listens for the share from then on. While all leave, the directory lists those that end within a second of the last, at most half of all, for half a second: the others run out of requests, end early and have started again before the last ones end. A refusal's Retry-After is short if another daemon serves or lasts long enough for the answer, and otherwise the time until the first daemon has probably started again. Daemons fetch each other's answer times, a second after the start and every 20 s.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -12,7 +12,10 @@
   DaemonAnswer,
   RequestReply,
 } from "../../requests/request_reply.ts";
-import type { RequestDependencies } from "../../requests/request_dependencies.ts";
+import type {
+  OtherDaemons,
+  RequestDependencies,
+} from "../../requests/request_dependencies.ts";
 import type { ServingRequest } from "../../requests/serving_request.ts";
 import type { OriginLookup } from "../../streams/stream_origins.ts";
 import type { BegunStream } from "../../streams/stream_origin.ts";
@@ -143,6 +146,8 @@
     readonly check?: (endpoint: EndpointEntry) => ListeningState;
     /** Other daemons; without them the daemon is never isolated. */
     readonly relay?: RequestDependencies["relay"];
+    /** Other daemons while this one stops; one serves by default. */
+    readonly others?: Partial<OtherDaemons>;
     /** Daemons that share the endpoints, which are brittle if this is set. */
     readonly senders?: readonly string[];
     /** What is known of a stream that a caller resumes. */
@@ -270,6 +275,12 @@
     firstByteEstimates: new FirstByteEstimates(),
     lifecycle,
     answerTimes,
+    others: () => ({
+      isOtherServing: true,
+      isOtherStarting: false,
+      othersEndIn: [],
+      ...options.others,
+    }),
     timer,
     random: new SeededRandom(1),
     log,
--- a/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
@@ -38,3 +38,13 @@
   const answers = [9_000, ...Array.from({ length: 200 }, () => 100)];
   expect((boundOf(answers) ?? 0) < 1_000).toEqual(true);
 });
+
+// Guards against a daemon that has just started and refuses all when it stops.
+test("a daemon takes over the times that another one has seen", () => {
+  const seen = new AnswerTimes();
+  for (let count = 0; count < 10; count++) seen.record("r", 6_000);
+  const started = new AnswerTimes();
+  started.merge(seen.page());
+  expect(started.bound("r")).toEqual(seen.bound("r"));
+  expect(started.page()).toEqual([]);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/fleet_membership_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/fleet_membership_test.ts
@@ -277,3 +277,25 @@
   client.add(address("d50"), 30);
   expect(client.liveMembers(30).length).toEqual(196);
 });
+
+// Guards against sending callers to daemons that end before others.
+test("it is known since when a daemon leaves, until it starts again", () => {
+  const membership = new FleetMembership({
+    self: address("d1"),
+    incarnation: "me",
+  });
+  const since = (now: number): readonly number[] =>
+    membership.leaving(now).map((member) => member.since);
+  membership.applyDigest(digest("d2", { sequence: 1 }), 0);
+  expect(since(0)).toEqual([]);
+  membership.applyDigest(digest("d2", { sequence: 2, isLeaving: true }), 100);
+  membership.applyDigest(digest("d2", { sequence: 3, isLeaving: true }), 500);
+  expect(since(500)).toEqual([100]);
+  membership.applyDigest(digest("d2", { incarnation: "y" }), 900);
+  expect(since(900)).toEqual([]);
+  membership.applyDigest(
+    digest("d2", { incarnation: "y", sequence: 2, isLeaving: true }),
+    1_300,
+  );
+  expect(since(1_300)).toEqual([1_300]);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/next_phase_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/next_phase_test.ts
@@ -10,6 +10,8 @@
   graceMilliseconds: 8_000,
   endsAt: 8_650,
   isBusy: true,
+  replacedSince: 1_000,
+  admittedAt: 1_000,
 };
 
 // Guards against closed connections while callers still hold old addresses.
@@ -31,3 +33,20 @@
     expect(nextPhase({ ...STATE, phase, now: 8_650 })).toEqual("ending");
   }
 });
+
+// Guards against callers that find nobody while a daemon could still serve them.
+test("a daemon that nobody replaces listens while it accepts requests", () => {
+  const alone = { ...STATE, replacedSince: undefined, now: 6_000 };
+  expect(nextPhase(alone)).toEqual("leaving");
+  const idle = { ...alone, isBusy: false };
+  expect(nextPhase({ ...idle, admittedAt: 5_500 })).toEqual("leaving");
+  expect(nextPhase({ ...idle, admittedAt: 4_900 })).toEqual("closing");
+});
+
+// Guards against callers that were told this address just before its successor
+// was known.
+test("a daemon listens for a while after another one replaces it", () => {
+  const replaced = { ...STATE, replacedSince: 4_000, isBusy: false };
+  expect(nextPhase({ ...replaced, now: 7_500 })).toEqual("leaving");
+  expect(nextPhase({ ...replaced, now: 7_700 })).toEqual("closing");
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -57,6 +57,7 @@
   configuration: () => undefined,
   shareCrashes: (page) => page,
   shareNotices: (page) => page,
+  answerTimes: () => [],
   shareSpeeds: (page) => page,
   follow: () => Promise.reject(new Error("Not followed")),
   runChain: async (_request, signal) => {
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -32,6 +32,7 @@
   configuration: notUsed,
   shareCrashes: notUsed,
   shareNotices: notUsed,
+  answerTimes: () => [],
   shareSpeeds: notUsed,
   follow: notUsed,
   runChain: notUsed,
--- a/packages/kelpspar-gateway/src/__tests__/unit/stopping_daemon_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stopping_daemon_test.ts
@@ -13,6 +13,8 @@
 
 const ROUTE = { name: "r", stages: [] } as const;
 const GRACE_MILLISECONDS = 8_000;
+const BUSY = { isBusy: () => true, isReplaced: () => true };
+const IDLE = { isBusy: () => false, isReplaced: () => true };
 
 /** A daemon that was told to stop, and knows how long its answers take. */
 async function stoppingWorld(options: {
@@ -29,7 +31,7 @@
     if (answerMilliseconds === undefined) break;
     world.answerTimes.record(ROUTE.name, answerMilliseconds);
   }
-  void world.lifecycle.stop(() => true);
+  void world.lifecycle.stop(BUSY);
   await world.timer.advance(options.sinceStopMilliseconds);
   return world;
 }
@@ -92,7 +94,7 @@
   }
   void world.service.serve(request(), new RecordedReply());
   await world.timer.advance(5_000);
-  void world.lifecycle.stop(() => true);
+  void world.lifecycle.stop(BUSY);
   await world.timer.advance(3_000);
   await serve(world);
   expect(world.reply.status).toEqual(503);
@@ -122,9 +124,25 @@
   for (let count = 0; count < 20; count++) {
     world.answerTimes.record(ROUTE.name, 1);
   }
-  void world.lifecycle.stop(() => false);
+  void world.lifecycle.stop(IDLE);
   await world.timer.advance(GRACE_MILLISECONDS / 2);
   expect(world.lifecycle.phase).toEqual("ending");
   await serve(world);
   expect(world.reply.status).toEqual(503);
 });
+
+// Guards against callers that are sent from one ending daemon to the next.
+test("a refusal says when a daemon will serve again", async () => {
+  const world = createWorld([], {
+    route: ROUTE,
+    others: { isOtherServing: false, othersEndIn: [5_000] },
+  });
+  for (let count = 0; count < 20; count++) {
+    world.answerTimes.record(ROUTE.name, 6_000);
+  }
+  void world.lifecycle.stop(BUSY);
+  await world.timer.advance(2_000);
+  await serve(world);
+  const { retryAfterMilliseconds = 0 } = world.reply.refusal ?? {};
+  expect(retryAfterMilliseconds > 1_600).toEqual(true);
+});
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -26,6 +26,13 @@
   readonly incarnation: string;
 }
 
+/** A daemon that was told to stop. */
+export interface LeavingMember {
+  readonly address: DaemonAddress;
+  /** When that was first heard; monotonic milliseconds. */
+  readonly since: number;
+}
+
 /** Silence after which a daemon's record is removed. */
 const MEMBER_EXPIRY_MILLISECONDS = 60_000;
 /** A longer gap between sweeps means that this process was paused. */
@@ -192,6 +199,23 @@
       .map(({ address }) => address);
   }
 
+  /** Other daemons that were told to stop and still run. */
+  leaving(now: number): readonly LeavingMember[] {
+    return this.liveMembers(now)
+      .filter(({ heartbeat }) => heartbeat.isLeaving && heartbeat.isReady)
+      .map(({ address }) => ({
+        address,
+        since: this.#records.get(address.daemonId)?.leavingSince ?? now,
+      }));
+  }
+
+  /** Whether another daemon runs that has no configuration yet. */
+  hasStarting(now: number): boolean {
+    return this.liveMembers(now).some(({ heartbeat }) =>
+      !heartbeat.isLeaving && !heartbeat.isReady
+    );
+  }
+
   /**
    * Other daemons that may read the store's tables for this one. Newly
    * discovered daemons count as live: when all daemons start at once, none has
@@ -359,6 +383,9 @@
     }
     if (!isSameRun || !isSameState(known, heartbeat)) this.#view = undefined;
     record.heartbeat = heartbeat;
+    if (!heartbeat.isLeaving) record.leavingSince = undefined;
+    else if (!isSameRun) record.leavingSince = options.now;
+    else record.leavingSince ??= options.now;
     this.#recordLiveness(record, options.now);
   }
 
--- a/packages/kelpspar-gateway/src/fleet/member_record.ts
+++ b/packages/kelpspar-gateway/src/fleet/member_record.ts
@@ -23,6 +23,8 @@
   lastHeartbeatAt: number;
   /** When a call to it last failed; earlier heartbeats don't count. */
   suspectedAt: number;
+  /** When it was first heard that it leaves; undefined if it stays. */
+  leavingSince: number | undefined;
   /** Incarnations that a later one replaced. */
   readonly retiredIncarnations: Set<string>;
   readonly knownSince: number;
@@ -38,6 +40,7 @@
     heartbeat: undefined,
     lastHeartbeatAt: Number.NEGATIVE_INFINITY,
     suspectedAt: Number.NEGATIVE_INFINITY,
+    leavingSince: undefined,
     retiredIncarnations: new Set<string>(),
     knownSince: now,
   };
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -3,6 +3,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
+import type { RouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -23,6 +24,7 @@
   fromCrashMessage,
   toCrashMessage,
 } from "../quarantine/crash_message.ts";
+import { routeTimesPageSchema } from "../lifecycle/route_times.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
 import { originAnswerSchema } from "../streams/origin_answer.ts";
 import { followAnswerSchema } from "../tables/table_changes.ts";
@@ -130,6 +132,15 @@
     return speedMessageSchema.parse(answer);
   }
 
+  /** Returns how long answers of each route take at a peer. */
+  async answerTimes(peer: string): Promise<readonly RouteTimes[]> {
+    const answer = await this.#callWithShortTimeout(
+      peer,
+      (client) => client.answerTimes.query(),
+    );
+    return routeTimesPageSchema.parse(answer);
+  }
+
   async follow(
     peer: string,
     request: FollowRequest,
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -2,6 +2,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
+import type { RouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -42,6 +43,8 @@
   shareNotices(page: NoticePage): NoticePage;
   /** Merges a peer's endpoint speeds; returns a page of those known here. */
   shareSpeeds(page: readonly LearnedSpeed[]): readonly LearnedSpeed[];
+  /** Returns how long answers of each route take here. */
+  answerTimes(): readonly RouteTimes[];
   /**
    * Runs a chain of stages, or names the coordinator; `signal` aborts it when
    * the caller disconnects.
@@ -129,6 +132,9 @@
   shareSpeeds: trpc.procedure.input(speedMessageSchema).mutation((
     { ctx, input },
   ) => [...ctx.handlers.shareSpeeds(input)]),
+  answerTimes: trpc.procedure.query(({ ctx }) => [
+    ...ctx.handlers.answerTimes(),
+  ]),
   runChain: trpc.procedure.input(chainSchema).mutation(({ ctx, input }) =>
     ctx.handlers.runChain(input, ctx.createDisconnectSignal())
   ),
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -4,10 +4,15 @@
 import type { EndpointChooser } from "./endpoints/endpoint_rate_limiter.ts";
 import type { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 import type { RequestDecoder } from "./front/front_server.ts";
+import type {
+  CallerAddresses,
+  LeavingDaemon,
+} from "./front/choose_caller_addresses.ts";
 import type { ConnectionAttempts } from "./isolation/connection_attempts.ts";
 import type { DaemonPhase } from "./lifecycle/daemon_phase.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
 import type { PieceClient } from "./pieces/piece_call.ts";
+import type { OtherDaemons } from "./requests/request_dependencies.ts";
 import type { Quarantine } from "./quarantine/quarantine.ts";
 import type { QuarantineParts } from "./quarantine/quarantine_parts.ts";
 import type { EndpointClient } from "./requests/endpoint_call.ts";
@@ -38,7 +43,11 @@
 import { OpenExchanges } from "./front/open_exchanges.ts";
 import { IsolationMonitor } from "./isolation/isolation_monitor.ts";
 import { AnswerTimes } from "./lifecycle/answer_times.ts";
-import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
+import { AnswerTimesSync } from "./lifecycle/answer_times_sync.ts";
+import {
+  DaemonLifecycle,
+  STOP_MARGIN_MILLISECONDS,
+} from "./lifecycle/daemon_lifecycle.ts";
 import { waitUntil } from "./lifecycle/wait_until.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
@@ -110,6 +119,8 @@
   readonly #streamOrigins: StreamOrigins;
   readonly #lifecycle: DaemonLifecycle;
   readonly #exchanges = new OpenExchanges();
+  readonly #answerTimes = new AnswerTimes();
+  readonly #answerTimesSync: AnswerTimesSync;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
@@ -155,6 +166,12 @@
       peers,
       membership,
     });
+    this.#answerTimesSync = new AnswerTimesSync({
+      ...options,
+      answerTimes: this.#answerTimes,
+      peers,
+      membership,
+    });
     const fleet = new FleetGossip({
       self,
       seeds: options.seeds,
@@ -254,7 +271,8 @@
       quarantine: crashes.quarantine,
       firstByteEstimates: new FirstByteEstimates(),
       lifecycle,
-      answerTimes: new AnswerTimes(),
+      answerTimes: this.#answerTimes,
+      others: () => this.#otherDaemons(),
       timer,
       random: options.random,
       log,
@@ -288,6 +306,7 @@
       },
       shareCrashes: (page) => crashes.sync.answer(page),
       shareNotices: (page) => noticeSync.answer(page),
+      answerTimes: () => this.#answerTimes.page(),
       shareSpeeds: (page) => speedSync.answer(page),
       runChain: (request, signal) => chains.runForPeer(request, signal),
       release: (release) => coordinator.release(release),
@@ -336,6 +355,7 @@
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
     this.#fleet.register();
+    this.#answerTimesSync.register();
     this.#fleet.contactSeeds();
   }
 
@@ -398,13 +418,22 @@
       this.#lifecycle.policy.isReady;
   }
 
-  /** Addresses at which callers may connect; never empty. */
-  callerAddresses(): readonly string[] {
+  /** Addresses at which callers may connect. */
+  callerAddresses(): CallerAddresses {
     const { self, timer, random } = this.#options;
+    const { policy, remainingMilliseconds } = this.#lifecycle;
+    const isOwnLeaving = policy.isLeaving && policy.isListening &&
+      this.configuration.table !== undefined;
     return chooseCallerAddresses({
       self,
       isReady: this.isReady,
       others: this.#membership.serving(timer.now()),
+      leaving: [
+        ...(isOwnLeaving
+          ? [{ address: self, endsIn: remainingMilliseconds }]
+          : []),
+        ...this.#otherLeaving(),
+      ],
       coordinator: this.#chainClient.coordinator,
       isIsolated: (daemonId) =>
         daemonId === self.daemonId
@@ -414,6 +443,28 @@
     });
   }
 
+  /** Other daemons that leave. All have the same grace period. */
+  #otherLeaving(): readonly LeavingDaemon[] {
+    const { timer, graceMilliseconds } = this.#options;
+    const now = timer.now();
+    return this.#membership.leaving(now).map(({ address, since }) => ({
+      address,
+      endsIn: Math.max(
+        0,
+        since + graceMilliseconds - STOP_MARGIN_MILLISECONDS - now,
+      ),
+    }));
+  }
+
+  #otherDaemons(): OtherDaemons {
+    const now = this.#options.timer.now();
+    return {
+      isOtherServing: this.#membership.serving(now).length > 0,
+      isOtherStarting: this.#membership.hasStarting(now),
+      othersEndIn: this.#otherLeaving().map(({ endsIn }) => endsIn),
+    };
+  }
+
   /** Updates the state gauges of the metrics page. */
   recordState(): void {
     const { metrics } = this;
@@ -462,11 +513,13 @@
    */
   async stop(): Promise<void> {
     this.#lifecycle.registerListener((phase) => this.#handlePhase(phase));
-    await this.#lifecycle.stop(() =>
-      this.#exchanges.count > 0 || this.#coordinator.openChains > 0
-    );
-    this.#requestService.failOpenRequests();
     const { timer } = this.#options;
+    await this.#lifecycle.stop({
+      isBusy: () =>
+        this.#exchanges.count > 0 || this.#coordinator.openChains > 0,
+      isReplaced: () => this.#membership.serving(timer.now()).length > 0,
+    });
+    this.#requestService.failOpenRequests();
     await waitUntil(() => this.#exchanges.count === 0, {
       timer,
       timeoutMilliseconds: FLUSH_TIMEOUT_MILLISECONDS,
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
@@ -1,3 +1,5 @@
+import type { RouteTimes } from "./route_times.ts";
+
 /** Answers after which the longest of the older ones is forgotten. */
 const WINDOW_ANSWERS = 100;
 /** Answers of a route from which its times are known. */
@@ -12,7 +14,7 @@
 const MAXIMUM_ROUTES = 1_000;
 
 /** Times of a route's answers, milliseconds. */
-interface RouteTimes {
+interface RouteWindow {
   readonly answers: number;
   readonly meanMilliseconds: number;
   readonly longestMilliseconds: number;
@@ -25,7 +27,9 @@
  * until the caller's connection has taken the last byte.
  */
 export class AnswerTimes {
-  readonly #routes = new Map<string, RouteTimes>();
+  readonly #routes = new Map<string, RouteWindow>();
+  /** Times that another daemon has seen. */
+  #otherTimes: ReadonlyMap<string, RouteTimes> = new Map();
 
   /** Records a whole answer. */
   record(route: string, milliseconds: number): void {
@@ -40,27 +44,49 @@
    * undefined while too few are known.
    */
   bound(route: string): number | undefined {
-    const times = this.#routes.get(route);
-    if (times === undefined) return undefined;
-    const { answers, meanMilliseconds, formerLongestMilliseconds } = times;
+    const known = [this.#find(route), this.#otherTimes.get(route)].filter((
+      times,
+    ) => times !== undefined);
+    if (known.length === 0) return undefined;
+    return Math.max(
+      ...known.map(({ longestMilliseconds, meanMilliseconds }) =>
+        longestMilliseconds + Math.max(
+          MINIMUM_MARGIN_MILLISECONDS,
+          (longestMilliseconds - meanMilliseconds) * SPREAD_SHARE,
+        )
+      ),
+    );
+  }
+
+  /** The times that this daemon has seen itself. */
+  page(): readonly RouteTimes[] {
+    return [...this.#routes.keys()].flatMap((route) => this.#find(route) ?? []);
+  }
+
+  /** Takes over the times of another daemon, instead of earlier ones. */
+  merge(page: readonly RouteTimes[]): void {
+    this.#otherTimes = new Map(page.map((times) => [times.route, times]));
+  }
+
+  #find(route: string): RouteTimes | undefined {
+    const window = this.#routes.get(route);
+    if (window === undefined) return undefined;
+    const { answers, meanMilliseconds, formerLongestMilliseconds } = window;
     const isKnown = answers >= MINIMUM_ANSWERS ||
       formerLongestMilliseconds !== undefined;
     if (!isKnown) return undefined;
-    const longest = Math.max(
-      times.longestMilliseconds,
+    const longestMilliseconds = Math.max(
+      window.longestMilliseconds,
       formerLongestMilliseconds ?? 0,
     );
-    return longest + Math.max(
-      MINIMUM_MARGIN_MILLISECONDS,
-      (longest - meanMilliseconds) * SPREAD_SHARE,
-    );
+    return { route, meanMilliseconds, longestMilliseconds };
   }
 }
 
 function addAnswer(
-  known: RouteTimes | undefined,
+  known: RouteWindow | undefined,
   milliseconds: number,
-): RouteTimes {
+): RouteWindow {
   if (known === undefined) {
     return {
       answers: 1,
--- a/packages/kelpspar-gateway/src/lifecycle/daemon_lifecycle.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/daemon_lifecycle.ts
@@ -1,11 +1,11 @@
 import type { TimerService } from "kelpspar-shared";
 import type { DaemonPhase } from "./daemon_phase.ts";
 import type { PhasePolicy } from "./phase_policy.ts";
-import { nextPhase } from "./next_phase.ts";
+import { listensUntil, nextPhase } from "./next_phase.ts";
 import { PHASE_POLICIES } from "./phase_policy.ts";
 
 /** Open requests are given up this long before the process is killed, ms. */
-const STOP_MARGIN_MILLISECONDS = 350;
+export const STOP_MARGIN_MILLISECONDS = 350;
 const CHECK_INTERVAL_MILLISECONDS = 50;
 
 /** Dependencies of a `DaemonLifecycle`. */
@@ -15,6 +15,14 @@
   readonly graceMilliseconds: number;
 }
 
+/** What a stopping daemon does, and who replaces it. */
+export interface StopWatch {
+  /** True while requests or stages of other daemons are in progress. */
+  readonly isBusy: () => boolean;
+  /** Whether another daemon serves callers. */
+  readonly isReplaced: () => boolean;
+}
+
 /** Called when a daemon has entered a phase. */
 export type PhaseListener = (phase: DaemonPhase) => void;
 
@@ -24,6 +32,8 @@
   readonly #listeners = new Set<PhaseListener>();
   #phase: DaemonPhase = "serving";
   #stopRequestedAt: number | undefined;
+  #replacedSince: number | undefined;
+  #admittedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: DaemonLifecycleOptions) {
     this.#options = options;
@@ -49,23 +59,36 @@
     return Math.max(0, this.#endsAt - this.#options.timer.now());
   }
 
+  /** Milliseconds until a daemon without requests ends; 0 while serving. */
+  get minimumMilliseconds(): number {
+    const { timer, graceMilliseconds } = this.#options;
+    const stopRequestedAt = this.#stopRequestedAt;
+    if (stopRequestedAt === undefined) return 0;
+    const until = listensUntil({ stopRequestedAt, graceMilliseconds });
+    return Math.max(0, until - timer.now());
+  }
+
+  /** Records that a request was accepted. */
+  recordAdmission(): void {
+    this.#admittedAt = this.#options.timer.now();
+  }
+
   /** Adds a listener; returns the teardown. */
   registerListener(listener: PhaseListener): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
   }
 
-  /**
-   * Leads the daemon through the phases of its end; resolves in the last one.
-   * `isBusy` is true while requests or stages of other daemons are in progress.
-   */
-  stop(isBusy: () => boolean): Promise<void> {
+  /** Leads the daemon through the phases of its end; resolves in the last one. */
+  stop({ isBusy, isReplaced }: StopWatch): Promise<void> {
     const { timer, graceMilliseconds } = this.#options;
     const stopRequestedAt = timer.now();
     this.#stopRequestedAt = stopRequestedAt;
     this.#enter("leaving");
+    this.#updateReplacement(isReplaced());
     return new Promise((resolve) => {
       const stopChecks = timer.registerInterval(() => {
+        this.#updateReplacement(isReplaced());
         const phase = nextPhase({
           phase: this.#phase,
           now: timer.now(),
@@ -73,6 +96,8 @@
           graceMilliseconds,
           endsAt: this.#endsAt,
           isBusy: isBusy(),
+          replacedSince: this.#replacedSince,
+          admittedAt: this.#admittedAt,
         });
         if (phase !== this.#phase) this.#enter(phase);
         if (phase !== "ending") return;
@@ -87,6 +112,11 @@
       this.#options.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
   }
 
+  #updateReplacement(isReplaced: boolean): void {
+    if (!isReplaced) this.#replacedSince = undefined;
+    else this.#replacedSince ??= this.#options.timer.now();
+  }
+
   #enter(phase: DaemonPhase): void {
     this.#phase = phase;
     for (const listener of this.#listeners) listener(phase);
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -9,6 +9,7 @@
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { AnswerTimes } from "../lifecycle/answer_times.ts";
 import type { DaemonLifecycle } from "../lifecycle/daemon_lifecycle.ts";
+import type { StopForecastOptions } from "../lifecycle/stop_forecast.ts";
 import type { PeerRelay } from "../relay/peer_relay.ts";
 import type { StreamOrigins } from "../streams/stream_origins.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
@@ -16,6 +17,12 @@
 import type { EndpointClient } from "./endpoint_call.ts";
 import type { FirstByteEstimates } from "./first_byte_estimates.ts";
 
+/** What is known of other daemons while this one stops. */
+export type OtherDaemons = Pick<
+  StopForecastOptions,
+  "isOtherServing" | "isOtherStarting" | "othersEndIn"
+>;
+
 /** Services that the request path depends on. */
 export interface RequestDependencies {
   readonly configuration: ActiveConfiguration;
@@ -41,9 +48,14 @@
   readonly firstByteEstimates: FirstByteEstimates;
   readonly lifecycle: Pick<
     DaemonLifecycle,
-    "remainingMilliseconds" | "stopRequestedAt"
+    | "remainingMilliseconds"
+    | "minimumMilliseconds"
+    | "stopRequestedAt"
+    | "recordAdmission"
   >;
   readonly answerTimes: Pick<AnswerTimes, "record" | "bound">;
+  /** What is known of other daemons while this one stops. */
+  readonly others: () => OtherDaemons;
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly log: GatewayLog;
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -17,7 +17,7 @@
 import { chooseTarget } from "./choose_target.ts";
 import {
   findShutdownRefusal,
-  SHUTDOWN_RETRY_MILLISECONDS,
+  shutdownRetryMilliseconds,
 } from "./find_shutdown_refusal.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { LimitedEndpointProbes } from "./limited_endpoint_probes.ts";
@@ -74,9 +74,10 @@
    * stages couldn't know that it didn't run.
    */
   failOpenRequests(): void {
-    for (const run of [...this.#openRuns]) {
+    const open = [...this.#openRuns];
+    for (const run of open) {
       if (run.firstByteAt !== undefined) run.abort("daemon ends");
-      else run.fail("daemon ends", SHUTDOWN_RETRY_MILLISECONDS);
+      else run.fail("daemon ends", shutdownRetryMilliseconds(run, open));
     }
   }
 
@@ -116,7 +117,7 @@
       run.rejectQuarantined();
       return;
     }
-    const unservable = findShutdownRefusal(run, this.#openRuns) ??
+    const unservable = this.#findShutdownRefusal(run) ??
       (this.#dependencies.relay.isNeeded
         ? undefined
         : findUnservableReason(run));
@@ -125,6 +126,7 @@
       return;
     }
     this.#openRuns.add(run);
+    this.#dependencies.lifecycle.recordAdmission();
     try {
       await this.#run(run);
     } catch (error) {
@@ -138,6 +140,13 @@
     }
   }
 
+  #findShutdownRefusal(run: RequestRun): RequestRefusal | undefined {
+    const { stopRequestedAt } = this.#dependencies.lifecycle;
+    return stopRequestedAt === undefined
+      ? undefined
+      : findShutdownRefusal(run, [...this.#openRuns]);
+  }
+
   #accept(
     request: ServingRequest,
     reply: RequestReply,
--- a/packages/kelpspar-standins/src/programs/stops_main.ts
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -106,8 +106,10 @@
   const verdict = checkStops(records);
   const { sent, whole, refused, failed, notConnected, cut, violations } =
     verdict;
+  const { refusedWithin } = verdict;
   printText(
-    `${label}: ${sent} sent, ${whole} whole, ${refused} refused, ` +
+    `${label}: ${sent} sent, ${whole} whole, ${refused} refused ` +
+      `(95 in 100 within ${refusedWithin} ms), ` +
       `${failed} failed, ${notConnected} not connected, ${cut} cut with an ` +
       `excuse, ${violations.length} promises broken`,
   );
--- a/packages/kelpspar-standins/src/stops/check_stops.ts
+++ b/packages/kelpspar-standins/src/stops/check_stops.ts
@@ -12,6 +12,7 @@
 /** Status codes that guarantee that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const SERVED_STATUS = 200;
+const REFUSAL_PERCENTILE = 0.95;
 
 /** What happened around a series of planned stops. */
 export interface StopRecords {
@@ -29,6 +30,8 @@
   readonly whole: number;
   /** Refused as not run. */
   readonly refused: number;
+  /** Time within which 95 in 100 of these were told, milliseconds. */
+  readonly refusedWithin: number;
   /** Failed with another status, after they may have run. */
   readonly failed: number;
   readonly notConnected: number;
@@ -62,6 +65,10 @@
     sent: attempts.length,
     whole: whole.length,
     refused: refused.length,
+    refusedWithin: percentile(
+      refused.map(({ sentAt, endedAt }) => endedAt - sentAt),
+      REFUSAL_PERCENTILE,
+    ),
     failed:
       attempts.filter((attempt) =>
         attempt.isWhole && attempt.status !== SERVED_STATUS &&
@@ -84,6 +91,11 @@
   };
 }
 
+function percentile(values: readonly number[], share: number): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  return Math.round(sorted[Math.floor(sorted.length * share)] ?? 0);
+}
+
 function isLost(
   attempt: StopAttempt,
   runs: readonly RunnerRun[],
