Pass answer times on between daemons, and widen them while few are known

It knew a handful of answers, of which the short ones end first, and took over what one other daemon had seen in its own short life.

Change: daemons pass on the longest answer that they were told, for two minutes; the margin above the longest answer is the wider the fewer are known; and a daemon that was told nothing knows a route only after running twice as long as its answers last.

--- a/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
@@ -1,10 +1,14 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { test } from "node:test";
+import { ManualTimer } from "kelpspar-shared";
 import { AnswerTimes } from "../../lifecycle/answer_times.ts";
 
+/** Longer than twice the longest answer. */
+const STARTED_AGO_MILLISECONDS = 1_000_000;
+
 function boundOf(milliseconds: readonly number[]): number | undefined {
-  const times = new AnswerTimes();
+  const times = new AnswerTimes(new ManualTimer(), -STARTED_AGO_MILLISECONDS);
   for (const answer of milliseconds) times.record("r", answer);
   return times.bound("r");
 }
@@ -39,12 +43,42 @@
   expect((boundOf(answers) ?? 0) < 1_000).toEqual(true);
 });
 
-// Guards against a daemon that has just started and refuses all when it stops.
-test("a daemon takes over the times that another one has seen", () => {
-  const seen = new AnswerTimes();
-  for (let count = 0; count < 10; count++) seen.record("r", 6_000);
-  const started = new AnswerTimes();
-  started.merge(seen.page());
-  expect(started.bound("r")).toEqual(seen.bound("r"));
-  expect(started.page()).toEqual([]);
+// Guards against a daemon that has just started and trusts the first answers,
+// which were short ones.
+test("the bound of uneven answers is wide while few are known", () => {
+  const few = boundOf([1_000, 2_000, 1_500, 1_000]) ?? 0;
+  expect(few > 3_000).toEqual(true);
+  const uneven = [1_000, 2_000, 1_500, 1_000];
+  const many = boundOf(Array.from({ length: 25 }, () => uneven).flat()) ?? 0;
+  expect(many < 2_500).toEqual(true);
+});
+
+// Guards against answer times that are lost when all daemons restart in turn.
+test("times are passed on from daemon to daemon until they are old", async () => {
+  const timer = new ManualTimer();
+  const [first, second, third] = [1, 2, 3].map(() =>
+    new AnswerTimes(timer, -STARTED_AGO_MILLISECONDS)
+  );
+  if (!first || !second || !third) throw new Error("No daemons");
+  for (let count = 0; count < 10; count++) first.record("r", 6_000);
+  second.merge(first.page());
+  await timer.advance(60_000);
+  third.merge(second.page());
+  expect(third.bound("r")).toEqual(first.bound("r"));
+  for (let count = 0; count < 10; count++) third.record("r", 100);
+  expect((third.bound("r") ?? 0) > 6_000).toEqual(true);
+  await timer.advance(61_000);
+  expect((third.bound("r") ?? 0) < 1_000).toEqual(true);
+});
+
+// Guards against a daemon that has run for a moment and knows only the answers
+// that were short enough to end.
+test("the times of a route are unknown soon after the start", async () => {
+  const timer = new ManualTimer();
+  const times = new AnswerTimes(timer);
+  await timer.advance(1_000);
+  for (let count = 0; count < 10; count++) times.record("r", 1_000);
+  expect(times.bound("r")).toEqual(undefined);
+  await timer.advance(2_000);
+  expect((times.bound("r") ?? 0) >= 1_000).toEqual(true);
 });
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -119,7 +119,7 @@
   readonly #streamOrigins: StreamOrigins;
   readonly #lifecycle: DaemonLifecycle;
   readonly #exchanges = new OpenExchanges();
-  readonly #answerTimes = new AnswerTimes();
+  readonly #answerTimes: AnswerTimes;
   readonly #answerTimesSync: AnswerTimesSync;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
@@ -134,6 +134,7 @@
     const { configuration, registry, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#tablesConfirmedAt, Number.MAX_SAFE_INTEGER);
+    this.#answerTimes = new AnswerTimes(timer);
     const lifecycle = new DaemonLifecycle(options);
     this.#lifecycle = lifecycle;
     const isolation = new IsolationMonitor({ ...options, registry });
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
@@ -1,42 +1,53 @@
+import type { TimerService } from "kelpspar-shared";
 import type { RouteTimes } from "./route_times.ts";
+import type { RouteWindow } from "./route_window.ts";
+import { addAnswer, answersOf, longestOf } from "./route_window.ts";
 
-/** Answers after which the longest of the older ones is forgotten. */
-const WINDOW_ANSWERS = 100;
 /** Answers of a route from which its times are known. */
 const MINIMUM_ANSWERS = 4;
 /** Added to the longest time: for delays within the daemon, */
 const MINIMUM_MARGIN_MILLISECONDS = 100;
-/** and this share of its distance to the mean, for longer answers. */
+/** and this share of its distance to the mean, for longer answers, */
 const SPREAD_SHARE = 0.25;
-/** Weight of the newest answer in the mean. */
-const SMOOTHING_FACTOR = 0.05;
+/** which are the more likely the fewer answers are known. */
+const SPREAD_ANSWERS = 20;
+/** A daemon has seen long answers after running for this multiple of them. */
+const REPRESENTATIVE_FACTOR = 2;
+/** Age from which the longest answer of another daemon is forgotten, ms. */
+const EXPIRY_MILLISECONDS = 120_000;
 /** Routes that are remembered; the oldest are forgotten first. */
 const MAXIMUM_ROUTES = 1_000;
 
-/** Times of a route's answers, milliseconds. */
-interface RouteWindow {
-  readonly answers: number;
-  readonly meanMilliseconds: number;
-  readonly longestMilliseconds: number;
-  /** Longest of the window before; undefined without one. */
-  readonly formerLongestMilliseconds: number | undefined;
+/** Times that another daemon told. */
+interface ToldTimes extends Omit<RouteTimes, "ageMilliseconds"> {
+  /** When the longest answer ended; monotonic milliseconds. */
+  readonly at: number;
 }
 
 /**
  * How long the answers of each route take, from the arrival of the request
- * until the caller's connection has taken the last byte.
+ * until the caller's connection has taken the last byte. What daemons tell each
+ * other outlasts their restarts.
  */
 export class AnswerTimes {
-  readonly #routes = new Map<string, RouteWindow>();
-  /** Times that another daemon has seen. */
-  #otherTimes: ReadonlyMap<string, RouteTimes> = new Map();
+  readonly #timer: Pick<TimerService, "now">;
+  readonly #windows = new Map<string, RouteWindow>();
+  readonly #told = new Map<string, ToldTimes>();
+
+  readonly #startedAt: number;
+
+  /** `startedAt` is when the daemon started; monotonic milliseconds. */
+  constructor(timer: Pick<TimerService, "now">, startedAt = timer.now()) {
+    this.#timer = timer;
+    this.#startedAt = startedAt;
+  }
 
   /** Records a whole answer. */
   record(route: string, milliseconds: number): void {
-    this.#routes.set(route, addAnswer(this.#routes.get(route), milliseconds));
-    if (this.#routes.size <= MAXIMUM_ROUTES) return;
-    const [oldest] = this.#routes.keys();
-    if (oldest !== undefined) this.#routes.delete(oldest);
+    const window = this.#windows.get(route);
+    const now = this.#timer.now();
+    this.#windows.set(route, addAnswer(window, milliseconds, now));
+    removeOldest(this.#windows);
   }
 
   /**
@@ -44,71 +55,75 @@
    * undefined while too few are known.
    */
   bound(route: string): number | undefined {
-    const known = [this.#find(route), this.#otherTimes.get(route)].filter((
-      times,
-    ) => times !== undefined);
-    if (known.length === 0) return undefined;
-    return Math.max(
-      ...known.map(({ longestMilliseconds, meanMilliseconds }) =>
-        longestMilliseconds + Math.max(
-          MINIMUM_MARGIN_MILLISECONDS,
-          (longestMilliseconds - meanMilliseconds) * SPREAD_SHARE,
-        )
-      ),
+    const times = this.#find(route);
+    if (times === undefined || times.answers < MINIMUM_ANSWERS) {
+      return undefined;
+    }
+    const { answers, longestMilliseconds, meanMilliseconds } = times;
+    const share = SPREAD_SHARE + SPREAD_ANSWERS / answers;
+    const bound = longestMilliseconds + Math.max(
+      MINIMUM_MARGIN_MILLISECONDS,
+      (longestMilliseconds - meanMilliseconds) * share,
     );
+    // Soon after the start only the short answers have ended.
+    const isRepresentative = this.#told.has(route) ||
+      this.#timer.now() - this.#startedAt >= bound * REPRESENTATIVE_FACTOR;
+    return isRepresentative ? bound : undefined;
   }
 
-  /** The times that this daemon has seen itself. */
+  /** The times that are known here. */
   page(): readonly RouteTimes[] {
-    return [...this.#routes.keys()].flatMap((route) => this.#find(route) ?? []);
+    const routes = new Set([...this.#windows.keys(), ...this.#told.keys()]);
+    return [...routes].flatMap((route) => this.#find(route) ?? []);
   }
 
-  /** Takes over the times of another daemon, instead of earlier ones. */
+  /** Takes over the times of another daemon. */
   merge(page: readonly RouteTimes[]): void {
-    this.#otherTimes = new Map(page.map((times) => [times.route, times]));
+    const now = this.#timer.now();
+    for (const { ageMilliseconds, ...times } of page) {
+      const at = now - ageMilliseconds;
+      const known = this.#told.get(times.route);
+      const isReplaced = known === undefined ||
+        now - known.at > EXPIRY_MILLISECONDS ||
+        times.longestMilliseconds > known.longestMilliseconds;
+      if (isReplaced) this.#told.set(times.route, { ...times, at });
+    }
+    removeOldest(this.#told);
   }
 
+  /** The times of a route, as seen here and as told by others. */
   #find(route: string): RouteTimes | undefined {
-    const window = this.#routes.get(route);
-    if (window === undefined) return undefined;
-    const { answers, meanMilliseconds, formerLongestMilliseconds } = window;
-    const isKnown = answers >= MINIMUM_ANSWERS ||
-      formerLongestMilliseconds !== undefined;
-    if (!isKnown) return undefined;
-    const longestMilliseconds = Math.max(
-      window.longestMilliseconds,
-      formerLongestMilliseconds ?? 0,
-    );
-    return { route, meanMilliseconds, longestMilliseconds };
+    const now = this.#timer.now();
+    const window = this.#windows.get(route);
+    const told = this.#told.get(route);
+    if (window === undefined) {
+      return told === undefined ? undefined : toTimes(told, now);
+    }
+    const longest = longestOf(window);
+    const own = {
+      route,
+      answers: answersOf(window),
+      meanMilliseconds: window.meanMilliseconds,
+      longestMilliseconds: longest.milliseconds,
+      at: longest.at,
+    };
+    if (told === undefined || now - told.at > EXPIRY_MILLISECONDS) {
+      return toTimes(own, now);
+    }
+    const longer = told.longestMilliseconds > own.longestMilliseconds
+      ? told
+      : own;
+    const answers = Math.max(told.answers, own.answers);
+    return toTimes({ ...longer, answers }, now);
   }
 }
 
-function addAnswer(
-  known: RouteWindow | undefined,
-  milliseconds: number,
-): RouteWindow {
-  if (known === undefined) {
-    return {
-      answers: 1,
-      meanMilliseconds: milliseconds,
-      longestMilliseconds: milliseconds,
-      formerLongestMilliseconds: undefined,
-    };
-  }
-  const meanMilliseconds = known.meanMilliseconds +
-    SMOOTHING_FACTOR * (milliseconds - known.meanMilliseconds);
-  if (known.answers >= WINDOW_ANSWERS) {
-    return {
-      answers: 1,
-      meanMilliseconds,
-      longestMilliseconds: milliseconds,
-      formerLongestMilliseconds: known.longestMilliseconds,
-    };
-  }
-  return {
-    ...known,
-    answers: known.answers + 1,
-    meanMilliseconds,
-    longestMilliseconds: Math.max(known.longestMilliseconds, milliseconds),
-  };
+function toTimes({ at, ...times }: ToldTimes, now: number): RouteTimes {
+  return { ...times, ageMilliseconds: Math.max(0, now - at) };
+}
+
+function removeOldest(routes: Map<string, unknown>): void {
+  if (routes.size <= MAXIMUM_ROUTES) return;
+  const [oldest] = routes.keys();
+  if (oldest !== undefined) routes.delete(oldest);
 }
