--- a/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/front_server_test.ts
@@ -31,12 +31,16 @@
     decode: ({ url }, body) => request({ body, target: url ?? "/" }),
     isLeaving: () => isLeaving,
     exchanges,
-    serve: async ({ body, target }, reply) =>
-      reply.answer(
-        200,
-        [],
-        target === "/large" ? Buffer.alloc(LARGE_BYTES) : body,
-      ),
+    serve: async ({ body, target }, reply) => {
+      if (target !== "/cut") {
+        const answer = target === "/large" ? Buffer.alloc(LARGE_BYTES) : body;
+        reply.answer(200, [], answer);
+        return;
+      }
+      reply.begin(200, []);
+      await reply.write(Buffer.from("part"));
+      reply.abort();
+    },
   });
   server.limits = {
     headerBytes: 10_000,
@@ -122,6 +126,26 @@
   expect(exchanges.count).toEqual(0);
 });
 
+// Guards against a process that exits with open answers, since those that were
+// cut counted twice.
+test("an exchange that is cut ends once", async () => {
+  const open = connect(address.port, "127.0.0.1");
+  open.write(LARGE_ANSWER);
+  await once(open, "readable");
+  for (let count = 0; count < 3; count++) {
+    const cut = connect(address.port, "127.0.0.1");
+    cut.on("error", () => {});
+    cut.resume();
+    cut.write("GET /cut HTTP/1.1\r\nHost: a\r\n\r\n");
+    await once(cut, "close");
+  }
+  await setTimeoutPromise(50);
+  expect(exchanges.count).toEqual(1);
+  open.destroy();
+  await setTimeoutPromise(50);
+  expect(exchanges.count).toEqual(0);
+});
+
 // Guards against an answer that is cut because its caller reads slowly.
 test("an answer that isn't read yet stays open when the server closes", async () => {
   const socket = connect(address.port, "127.0.0.1");
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -517,7 +517,8 @@
     const { timer } = this.#options;
     await this.#lifecycle.stop({
       isBusy: () =>
-        this.#exchanges.count > 0 || this.#coordinator.openChains > 0,
+        this.#exchanges.count > 0 || this.#requestService.open > 0 ||
+        this.#coordinator.openChains > 0,
       isReplaced: () => this.#membership.serving(timer.now()).length > 0,
     });
     this.#requestService.failOpenRequests();
