--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -35,7 +35,9 @@
   const command = /^run = "node (.*) target\/start_daemon\.cjs"$/m.exec(
     systemConfiguration,
   );
-  if (command === null) throw new Error("No daemon command in deploy/system.toml");
+  if (command === null) {
+    throw new Error("No daemon command in deploy/system.toml");
+  }
   return command[1].split(" ");
 }
 
