--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -82,4 +82,5 @@
   MAXIMUM_FIRST_RETRY_DELAY_MILLISECONDS,
   MAXIMUM_RETRY_DELAY_MILLISECONDS,
 } from "./tables/table_feed.ts";
+export { TableMirror } from "./tables/table_mirror.ts";
 export { StoreCallError } from "./tables/table_store.ts";
--- a/packages/kelpspar-gateway/src/tables/table_mirror.ts
+++ b/packages/kelpspar-gateway/src/tables/table_mirror.ts
@@ -78,13 +78,21 @@
     this.#generation++;
   }
 
-  /** Replaces the rows by a table that was read whole. */
+  /**
+   * Replaces the rows by a table that was read whole. Its rows may be newer than
+   * its version, if it was read in pages.
+   */
   applyTable(page: TablePage): void {
     const newer = [...this.#rows.values()].filter(({ version }) =>
       version > page.version
     );
     this.#rows.clear();
-    for (const row of [...page.rows, ...newer]) this.#rows.set(row.key, row);
+    for (const row of [...newer, ...page.rows]) {
+      const known = this.#rows.get(row.key);
+      if (known === undefined || row.version >= known.version) {
+        this.#rows.set(row.key, row);
+      }
+    }
     this.#version = page.version;
     this.#completeSince = page.version;
     this.#options.applyTable(page);
