--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from "node:util";
 import { runSoak } from "../soak/run_soak.ts";
 import { SOAK_FAULT_NAMES } from "../soak/soak_faults.ts";
+import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
@@ -57,12 +58,6 @@
   process.exitCode = EXIT_USAGE;
 }
 
-function readCount(name: string, text: string): number {
-  const count = Number(text);
-  if (Number.isInteger(count) && count > 0) return count;
-  throw new TypeError(`--${name} takes a whole number above 0, not "${text}"`);
-}
-
 function readFaults(text: string): readonly SoakFaultName[] {
   const known: ReadonlyMap<string, SoakFaultName> = new Map(
     SOAK_FAULT_NAMES.map((name) => [name, name]),
--- a/packages/kelpspar-standins/src/programs/stops_main.ts
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -10,6 +10,7 @@
   STOP_SITUATION_NAMES,
   stopSituation,
 } from "../stops/stop_situations.ts";
+import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
@@ -59,12 +60,6 @@
   process.exitCode = EXIT_USAGE;
 }
 
-function readCount(name: string, text: string): number {
-  const count = Number(text);
-  if (Number.isInteger(count) && count > 0) return count;
-  throw new TypeError(`--${name} takes a whole number above 0, not "${text}"`);
-}
-
 function drawRuns(seed: number, seeds: number): readonly StopRun[] {
   return Array.from({ length: seeds }, (_, index) => {
     const drawn = drawSituation(new SeededRandom(seed + index));
