Trust uneven answer times only after watching for long

Cause: no answer that lasts longer than the time since the first request can have ended, so that the longest one known says little soon after the start of traffic. The check on the daemon's age didn't see that: the daemons had run for 12 s without traffic, and what others told counted as representative.

Change: the time since the first request of a route is kept and told with its times.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -57,8 +57,6 @@
 };
 
 const REFUSALS_PER_SECOND = 5;
-/** Longer than the answers of any test. */
-const STARTED_AGO_MILLISECONDS = 60_000;
 /** Time from the stop signal until the daemon is killed, milliseconds. */
 const GRACE = 8_000;
 
@@ -210,7 +208,7 @@
   };
   const brittle = new BrittleServices();
   const lifecycle = new DaemonLifecycle({ timer, graceMilliseconds: GRACE });
-  const answerTimes = new AnswerTimes(timer, -STARTED_AGO_MILLISECONDS);
+  const answerTimes = new AnswerTimes(timer);
   if (options.senders !== undefined) {
     brittle.record("model", REFUSALS_PER_SECOND, timer.now());
   }
--- a/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/answer_times_test.ts
@@ -4,12 +4,14 @@
 import { ManualTimer } from "kelpspar-shared";
 import { AnswerTimes } from "../../lifecycle/answer_times.ts";
 
-/** Longer than twice the longest answer. */
-const STARTED_AGO_MILLISECONDS = 1_000_000;
+/** Longer than any route must have been observed. */
+const OBSERVED_MILLISECONDS = 10_000_000;
 
 function boundOf(milliseconds: readonly number[]): number | undefined {
-  const times = new AnswerTimes(new ManualTimer(), -STARTED_AGO_MILLISECONDS);
+  const timer = new ManualTimer();
+  const times = new AnswerTimes(timer);
   for (const answer of milliseconds) times.record("r", answer);
+  timer.jump(OBSERVED_MILLISECONDS);
   return times.bound("r");
 }
 
@@ -56,29 +58,36 @@
 // Guards against answer times that are lost when all daemons restart in turn.
 test("times are passed on from daemon to daemon until they are old", async () => {
   const timer = new ManualTimer();
-  const [first, second, third] = [1, 2, 3].map(() =>
-    new AnswerTimes(timer, -STARTED_AGO_MILLISECONDS)
-  );
+  const [first, second, third] = [1, 2, 3].map(() => new AnswerTimes(timer));
   if (!first || !second || !third) throw new Error("No daemons");
   for (let count = 0; count < 10; count++) first.record("r", 6_000);
+  await timer.advance(10_000);
   second.merge(first.page());
   await timer.advance(60_000);
   third.merge(second.page());
   expect(third.bound("r")).toEqual(first.bound("r"));
   for (let count = 0; count < 10; count++) third.record("r", 100);
   expect((third.bound("r") ?? 0) > 6_000).toEqual(true);
-  await timer.advance(61_000);
+  await timer.advance(51_000);
   expect((third.bound("r") ?? 0) < 1_000).toEqual(true);
 });
 
-// Guards against a daemon that has run for a moment and knows only the answers
-// that were short enough to end.
-test("the times of a route are unknown soon after the start", async () => {
+// Guards against a daemon that knows only the answers which were short enough to
+// end since the first request.
+test("uneven times are unknown until they were observed for long", async () => {
   const timer = new ManualTimer();
   const times = new AnswerTimes(timer);
-  await timer.advance(1_000);
-  for (let count = 0; count < 10; count++) times.record("r", 1_000);
-  expect(times.bound("r")).toEqual(undefined);
   await timer.advance(2_000);
-  expect((times.bound("r") ?? 0) >= 1_000).toEqual(true);
+  for (let count = 0; count < 20; count++) {
+    times.record("uneven", count % 2 === 0 ? 1_000 : 2_000);
+    times.record("even", 1_900);
+  }
+  await timer.advance(500);
+  expect(times.bound("uneven")).toEqual(undefined);
+  expect(times.bound("even") === undefined).toEqual(false);
+  const other = new AnswerTimes(timer);
+  other.merge(times.page());
+  expect(other.bound("uneven")).toEqual(undefined);
+  await timer.advance(20_000);
+  expect(times.bound("uneven") === undefined).toEqual(false);
 });
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
@@ -11,8 +11,11 @@
 const SPREAD_SHARE = 0.25;
 /** which are the more likely the fewer answers are known. */
 const SPREAD_ANSWERS = 20;
-/** A daemon has seen long answers after running for this multiple of them. */
-const REPRESENTATIVE_FACTOR = 2;
+/**
+ * Uneven answers must have been observed for longer than they take, since the
+ * short ones end first. Multiplied with the spread as a share of the longest.
+ */
+const OBSERVED_SPREAD_FACTOR = 6;
 /** Age from which the longest answer of another daemon is forgotten, ms. */
 const EXPIRY_MILLISECONDS = 120_000;
 /** Routes that are remembered; the oldest are forgotten first. */
@@ -34,12 +37,8 @@
   readonly #windows = new Map<string, RouteWindow>();
   readonly #told = new Map<string, ToldTimes>();
 
-  readonly #startedAt: number;
-
-  /** `startedAt` is when the daemon started; monotonic milliseconds. */
-  constructor(timer: Pick<TimerService, "now">, startedAt = timer.now()) {
+  constructor(timer: Pick<TimerService, "now">) {
     this.#timer = timer;
-    this.#startedAt = startedAt;
   }
 
   /** Records a whole answer. */
@@ -60,15 +59,14 @@
       return undefined;
     }
     const { answers, longestMilliseconds, meanMilliseconds } = times;
-    const share = SPREAD_SHARE + SPREAD_ANSWERS / answers;
+    const spread = Math.max(0, longestMilliseconds - meanMilliseconds);
     const bound = longestMilliseconds + Math.max(
       MINIMUM_MARGIN_MILLISECONDS,
-      (longestMilliseconds - meanMilliseconds) * share,
+      spread * (SPREAD_SHARE + SPREAD_ANSWERS / answers),
     );
-    // Soon after the start only the short answers have ended.
-    const isRepresentative = this.#told.has(route) ||
-      this.#timer.now() - this.#startedAt >= bound * REPRESENTATIVE_FACTOR;
-    return isRepresentative ? bound : undefined;
+    const required = bound *
+      (1 + OBSERVED_SPREAD_FACTOR * spread / Math.max(1, longestMilliseconds));
+    return times.observedMilliseconds >= required ? bound : undefined;
   }
 
   /** The times that are known here. */
@@ -86,7 +84,12 @@
       const isReplaced = known === undefined ||
         now - known.at > EXPIRY_MILLISECONDS ||
         times.longestMilliseconds > known.longestMilliseconds;
-      if (isReplaced) this.#told.set(times.route, { ...times, at });
+      const observedMilliseconds = Math.max(
+        times.observedMilliseconds,
+        known?.observedMilliseconds ?? 0,
+      );
+      const longer = isReplaced ? { ...times, at } : known;
+      this.#told.set(times.route, { ...longer, observedMilliseconds });
     }
     removeOldest(this.#told);
   }
@@ -105,6 +108,7 @@
       answers: answersOf(window),
       meanMilliseconds: window.meanMilliseconds,
       longestMilliseconds: longest.milliseconds,
+      observedMilliseconds: now - window.startedAt,
       at: longest.at,
     };
     if (told === undefined || now - told.at > EXPIRY_MILLISECONDS) {
@@ -114,7 +118,11 @@
       ? told
       : own;
     const answers = Math.max(told.answers, own.answers);
-    return toTimes({ ...longer, answers }, now);
+    const observedMilliseconds = Math.max(
+      told.observedMilliseconds,
+      own.observedMilliseconds,
+    );
+    return toTimes({ ...longer, answers, observedMilliseconds }, now);
   }
 }
 
--- a/packages/kelpspar-gateway/src/lifecycle/route_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/route_times.ts
@@ -7,6 +7,8 @@
   answers: z.number().int().nonnegative(),
   meanMilliseconds: z.number().nonnegative(),
   longestMilliseconds: z.number().nonnegative(),
+  /** Time in which longer answers would have been seen, if they had ended. */
+  observedMilliseconds: z.number().nonnegative(),
   /** Time since the end of the longest answer. */
   ageMilliseconds: z.number().nonnegative(),
 });
--- a/packages/kelpspar-gateway/src/lifecycle/route_window.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/route_window.ts
@@ -15,6 +15,8 @@
   /** Number of answers in the current window. */
   readonly answers: number;
   readonly meanMilliseconds: number;
+  /** When the first request of the route arrived; monotonic milliseconds. */
+  readonly startedAt: number;
   readonly longest: LongestAnswer;
   /** Longest of the window before; undefined without one. */
   readonly formerLongest: LongestAnswer | undefined;
@@ -31,6 +33,7 @@
     return {
       answers: 1,
       meanMilliseconds: milliseconds,
+      startedAt: at - milliseconds,
       longest: answer,
       formerLongest: undefined,
     };
@@ -39,6 +42,7 @@
     SMOOTHING_FACTOR * (milliseconds - known.meanMilliseconds);
   if (known.answers >= WINDOW_ANSWERS) {
     return {
+      ...known,
       answers: 1,
       meanMilliseconds,
       longest: answer,
