Compute the end of a stopping daemon in one place

The time until a stopping daemon gives its requests up was worked out in DaemonLifecycle for this daemon and again in GatewayDaemon for others. Both ask DaemonLifecycle now. No behaviour changes. Checked with format, lint, types and 133 tests of 13 files (lifecycle, front, fleet, requests, soak, planned stops).

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -44,10 +44,7 @@
 import { IsolationMonitor } from "./isolation/isolation_monitor.ts";
 import { AnswerTimes } from "./lifecycle/answer_times.ts";
 import { AnswerTimesSync } from "./lifecycle/answer_times_sync.ts";
-import {
-  DaemonLifecycle,
-  STOP_MARGIN_MILLISECONDS,
-} from "./lifecycle/daemon_lifecycle.ts";
+import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
 import { waitUntil } from "./lifecycle/wait_until.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
@@ -444,16 +441,12 @@
     });
   }
 
-  /** Other daemons that leave. All have the same grace period. */
+  /** Other daemons that leave. */
   #otherLeaving(): readonly LeavingDaemon[] {
-    const { timer, graceMilliseconds } = this.#options;
-    const now = timer.now();
+    const now = this.#options.timer.now();
     return this.#membership.leaving(now).map(({ address, since }) => ({
       address,
-      endsIn: Math.max(
-        0,
-        since + graceMilliseconds - STOP_MARGIN_MILLISECONDS - now,
-      ),
+      endsIn: this.#lifecycle.remainingAfterStop(since),
     }));
   }
 
--- a/packages/kelpspar-gateway/src/lifecycle/daemon_lifecycle.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/daemon_lifecycle.ts
@@ -5,7 +5,7 @@
 import { PHASE_POLICIES } from "./phase_policy.ts";
 
 /** Open requests are given up this long before the process is killed, ms. */
-export const STOP_MARGIN_MILLISECONDS = 350;
+const STOP_MARGIN_MILLISECONDS = 350;
 const CHECK_INTERVAL_MILLISECONDS = 50;
 
 /** Dependencies of a `DaemonLifecycle`. */
@@ -56,7 +56,16 @@
   get remainingMilliseconds(): number {
     if (this.#stopRequestedAt === undefined) return Number.POSITIVE_INFINITY;
     if (this.policy.admission === "none") return 0;
-    return Math.max(0, this.#endsAt - this.#options.timer.now());
+    return this.remainingAfterStop(this.#stopRequestedAt);
+  }
+
+  /**
+   * Milliseconds until a daemon that was told to stop at `stopRequestedAt` gives
+   * its open requests up. All daemons have the same grace period.
+   */
+  remainingAfterStop(stopRequestedAt: number): number {
+    const now = this.#options.timer.now();
+    return Math.max(0, this.#endsAt(stopRequestedAt) - now);
   }
 
   /** Milliseconds until a daemon without requests ends; 0 while serving. */
@@ -94,7 +103,7 @@
           now: timer.now(),
           stopRequestedAt,
           graceMilliseconds,
-          endsAt: this.#endsAt,
+          endsAt: this.#endsAt(stopRequestedAt),
           isBusy: isBusy(),
           replacedSince: this.#replacedSince,
           admittedAt: this.#admittedAt,
@@ -107,9 +116,9 @@
     });
   }
 
-  get #endsAt(): number {
-    return (this.#stopRequestedAt ?? Number.POSITIVE_INFINITY) +
-      this.#options.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+  #endsAt(stopRequestedAt: number): number {
+    return stopRequestedAt + this.#options.graceMilliseconds -
+      STOP_MARGIN_MILLISECONDS;
   }
 
   #updateReplacement(isReplaced: boolean): void {
