--- a/packages/kelpspar-standins/src/soak/soak_faults.ts
+++ b/packages/kelpspar-standins/src/soak/soak_faults.ts
@@ -2,6 +2,7 @@
 import type { LoopbackProxy } from "../wire/loopback_proxy.ts";
 import type { WireSite } from "../wire/wire_site.ts";
 import type { DaemonProcess } from "../wire/daemon_process.ts";
+import { pickRandom } from "./pick_random.ts";
 
 /** The components that faults are injected into. */
 export interface SoakTargets {
@@ -180,10 +181,3 @@
   const milliseconds = targets.random.next() * MAXIMUM_FAULT_MILLISECONDS;
   targets.timer.registerTimeout(end, milliseconds);
 }
-
-function pickRandom<Value>(
-  values: readonly Value[],
-  random: RandomSource,
-): Value {
-  return values[random.nextInteger(values.length)] as Value;
-}
--- a/packages/kelpspar-standins/src/stops/check_stops.ts
+++ b/packages/kelpspar-standins/src/stops/check_stops.ts
@@ -110,7 +110,7 @@
   if (lasted >= deadlineMilliseconds - TIMER_SLACK_MILLISECONDS) return false;
   const stop = findStop(attempt, records);
   if (stop === undefined) return false;
-  const isOverdue = endedAt - sentAt > LOSS_SLACK_MILLISECONDS;
+  const isOverdue = lasted > LOSS_SLACK_MILLISECONDS;
   if (runs.length === 0 && !isOverdue) return false;
   const lastSixth = stop.signalledAt + graceMilliseconds * (1 - EXCUSED_SHARE);
   // The runner sees the cut a moment after the caller, or before it.
--- a/packages/kelpspar-standins/src/stops/draw_situation.ts
+++ b/packages/kelpspar-standins/src/stops/draw_situation.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from "kelpspar-shared";
 import type { ExtraSignal, StopSituation } from "./stop_situation.ts";
+import { pickRandom } from "../soak/pick_random.ts";
 import { DEFAULT_SITUATION } from "./stop_situation.ts";
 
 const GRACE_SECONDS = [3, 4, 6, 8, 12];
@@ -12,9 +13,7 @@
 
 /** Draws a situation whose longest answers last up to the grace period. */
 export function drawSituation(random: RandomSource): StopSituation {
-  const pick = <Value>(values: readonly Value[]): Value =>
-    values[random.nextInteger(values.length)] as Value;
-  const graceSeconds = pick(GRACE_SECONDS);
+  const graceSeconds = pickRandom(GRACE_SECONDS, random);
   const daemons = 2 + random.nextInteger(MAXIMUM_DAEMONS - 1);
   const longest = MINIMUM_ANSWER_MILLISECONDS +
     random.next() * graceSeconds * MILLISECONDS_PER_SECOND;
@@ -22,7 +21,7 @@
   const signals: ExtraSignal[] = [];
   if (random.next() < 1 / 3) {
     signals.push({
-      signal: pick(["SIGHUP", "SIGTERM"] as const),
+      signal: pickRandom(["SIGHUP", "SIGTERM"] as const, random),
       afterMilliseconds: random.next() * graceSeconds *
         MILLISECONDS_PER_SECOND / 2,
     });
@@ -32,16 +31,16 @@
     graceSeconds,
     daemons,
     stopped: random.next() < 2 / 3 ? daemons : 1 + random.nextInteger(daemons),
-    gapMilliseconds: pick(GAPS_MILLISECONDS),
+    gapMilliseconds: pickRandom(GAPS_MILLISECONDS, random),
     rounds: 2,
-    route: pick(ROUTES),
+    route: pickRandom(ROUTES, random),
     hasStages: random.next() < 1 / 4,
     answerMilliseconds: [isVarying ? longest / 10 : longest, longest],
     perSecond: 10 + random.nextInteger(40),
     slots: random.next() < 1 / 4 ? 2 + random.nextInteger(20) : undefined,
     signals,
     store: random.next() < 1 / 4
-      ? pick(["busy", "reset", "silent"] as const)
+      ? pickRandom(["busy", "reset", "silent"] as const, random)
       : "none",
   };
 }
