Record repeats beyond the budget, and play them with real processes

No logic of the product is changed. Change: npm run repeats counts at the endpoints what came again, judged by the users' rule on windows, in named situations; stand-ins draw faults by request, call or piece, and a stage endpoint can lose its results.

--- /dev/null
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -0,0 +1,90 @@
+import type { RepeatSituationName } from "../repeats/repeat_situation.ts";
+import { appendFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { REPEAT_SITUATIONS } from "../repeats/repeat_situation.ts";
+import { runRepeats } from "../repeats/run_repeats.ts";
+import { readCount } from "./read_count.ts";
+import { printText } from "./read_settings.ts";
+
+const EXIT_CHECK_FAILED = 1;
+const EXIT_USAGE = 64;
+const USAGE =
+  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--log FILE]";
+const PROGRAM = fileURLToPath(
+  new URL("../../../../target/start_daemon.cjs", import.meta.url),
+);
+const NAMES = Object.keys(REPEAT_SITUATIONS) as readonly RepeatSituationName[];
+
+try {
+  const { values } = parseArgs({
+    options: {
+      situations: { type: "string", default: "all" },
+      seed: { type: "string", default: "1" },
+      seeds: { type: "string", default: "1" },
+      daemons: { type: "string" },
+      log: { type: "string" },
+      help: { type: "boolean", default: false },
+    },
+  });
+  if (values.help) printText(USAGE);
+  else {
+    const names = readNames(values.situations);
+    const first = readCount("seed", values.seed);
+    const count = readCount("seeds", values.seeds);
+    const daemons = values.daemons === undefined
+      ? {}
+      : { daemons: readCount("daemons", values.daemons) };
+    for (let seed = first; seed < first + count; seed++) {
+      for (const name of names) {
+        await play(name, { seed, daemons, log: values.log });
+      }
+    }
+    process.exit();
+  }
+} catch (error) {
+  if (!(error instanceof TypeError)) throw error;
+  printText(`${error.message}. Usage: ${USAGE}`);
+  process.exitCode = EXIT_USAGE;
+}
+
+function readNames(text: string): readonly RepeatSituationName[] {
+  if (text === "all") return NAMES;
+  return text.split(",").map((name) => {
+    const known = NAMES.find((found) => found === name);
+    if (known !== undefined) return known;
+    throw new TypeError(
+      `--situations takes names out of ${
+        NAMES.join(", ")
+      } or "all", not "${name}"`,
+    );
+  });
+}
+
+async function play(
+  name: RepeatSituationName,
+  { seed, daemons, log }: {
+    readonly seed: number;
+    readonly daemons: { readonly daemons?: number };
+    readonly log?: string | undefined;
+  },
+): Promise<void> {
+  const { worst, sent, whole, answers } = await runRepeats({
+    seed,
+    situation: { ...REPEAT_SITUATIONS[name], ...daemons },
+    program: { path: PROGRAM, nodeArguments: [] },
+    ...(log === undefined
+      ? {}
+      : { onLine: (line) => appendFileSync(log, `${line}\n`) }),
+  });
+  const statuses = [...answers].sort().map(([status, count]) =>
+    `${status}: ${count}`
+  );
+  printText(
+    `${name}, seed ${seed}: ${worst.repeats} repeats of ` +
+      `${Math.floor(worst.allowed)} allowed in the worst window` +
+      `${worst.isExceeded ? " (EXCEEDED)" : ""}; ` +
+      `${whole} of ${sent} whole (${statuses.join(", ")})`,
+  );
+  if (worst.isExceeded) process.exitCode = EXIT_CHECK_FAILED;
+}
--- /dev/null
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -0,0 +1,101 @@
+import type { RunnerFault } from "../wire/runner_stand_in.ts";
+import type { StageFault } from "../wire/stage_runner_stand_in.ts";
+import type { StoreFault } from "../wire/store_stand_in.ts";
+
+/** What happens to daemons while endpoints fail. */
+export type DaemonFault =
+  | "none"
+  /** All are killed at once and start again. */
+  | "kill_all"
+  /** One after the other is stopped and starts again. */
+  | "stop_in_turn"
+  /** All but two are paused, others each time. */
+  | "pause_in_turn"
+  /** Two run at first, the others start one after the other. */
+  | "grow"
+  /** Any of these to random daemons, overlapping. */
+  | "drawn";
+
+/** Endpoints that fail a share of their requests while daemons have faults. */
+export interface RepeatSituation {
+  readonly route: "often" | "stream";
+  readonly daemons: number;
+  readonly perSecond: number;
+  readonly seconds: number;
+  /** Share of requests, calls or pieces that fail. */
+  readonly share: number;
+  readonly runnerFault: RunnerFault;
+  readonly stageFault: StageFault;
+  /** Interval at which a stage endpoint loses its results; 0 for never. */
+  readonly stageRestartMilliseconds: number;
+  readonly daemonFault: DaemonFault;
+  readonly faultIntervalMilliseconds: number;
+  readonly store: StoreFault;
+}
+
+const PLAIN: RepeatSituation = {
+  route: "often",
+  daemons: 12,
+  perSecond: 50,
+  seconds: 24,
+  share: 0.7,
+  runnerFault: "failing",
+  stageFault: "none",
+  stageRestartMilliseconds: 0,
+  daemonFault: "none",
+  faultIntervalMilliseconds: 3_000,
+  store: "none",
+};
+
+const STAGES: RepeatSituation = {
+  ...PLAIN,
+  route: "stream",
+  runnerFault: "none",
+  share: 0.6,
+  stageFault: "full",
+};
+
+/** Situations by name. */
+export const REPEAT_SITUATIONS = {
+  failing: PLAIN,
+  rejecting: { ...PLAIN, runnerFault: "full" },
+  closing: { ...PLAIN, runnerFault: "answer_lost" },
+  silent: { ...PLAIN, runnerFault: "mute" },
+  killed: { ...PLAIN, daemonFault: "kill_all" },
+  stopped: {
+    ...PLAIN,
+    daemonFault: "stop_in_turn",
+    faultIntervalMilliseconds: 500,
+  },
+  paused: {
+    ...PLAIN,
+    daemonFault: "pause_in_turn",
+    faultIntervalMilliseconds: 4_000,
+  },
+  grown: { ...PLAIN, daemonFault: "grow", faultIntervalMilliseconds: 700 },
+  "store-away-killed": { ...PLAIN, daemonFault: "kill_all", store: "reset" },
+  drawn: { ...PLAIN, daemonFault: "drawn", faultIntervalMilliseconds: 700 },
+  "stages-full": STAGES,
+  "stages-full-killed": { ...STAGES, daemonFault: "kill_all" },
+  "stages-full-paused": {
+    ...STAGES,
+    daemonFault: "pause_in_turn",
+    faultIntervalMilliseconds: 4_000,
+  },
+  "stages-failing": { ...STAGES, stageFault: "failing", share: 0.7 },
+  "stages-closing": { ...STAGES, stageFault: "closed" },
+  "stages-ending": {
+    ...STAGES,
+    stageFault: "none",
+    stageRestartMilliseconds: 350,
+  },
+  "stages-drawn": {
+    ...STAGES,
+    stageRestartMilliseconds: 1_500,
+    daemonFault: "drawn",
+    faultIntervalMilliseconds: 700,
+  },
+} as const satisfies Readonly<Record<string, RepeatSituation>>;
+
+/** The name of a situation. */
+export type RepeatSituationName = keyof typeof REPEAT_SITUATIONS;
--- /dev/null
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -0,0 +1,255 @@
+import type { BuiltProgram } from "../wire/build_program.ts";
+import type { RepeatSituation } from "./repeat_situation.ts";
+import type { WorstWindow } from "./find_worst_window.ts";
+import { SeededRandom } from "kelpspar-shared";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
+import { Agent, request as sendRequest } from "undici";
+import { DaemonProcess } from "../wire/daemon_process.ts";
+import { WireSite } from "../wire/wire_site.ts";
+import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
+import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
+
+const LIMITS = { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 };
+const PLAIN_RUNNERS = 8;
+const STAGE_RUNNERS = 6;
+const STAGE_BATCH = 16;
+const STAGE_ROOM = 4_000;
+const ATTEMPTS = 3;
+/** Daemons that a caller tries to connect to. */
+const MAXIMUM_ADDRESSES = 4;
+const DEADLINE_MILLISECONDS = 2_500;
+/** Time for daemons to start and discover each other. */
+const STARTUP_MILLISECONDS = 3_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const SERVED_STATUS = 200;
+
+/** Options of `runRepeats`. */
+export interface RunRepeatsOptions {
+  readonly seed: number;
+  readonly situation: RepeatSituation;
+  /** The daemon's program. */
+  readonly program: Pick<BuiltProgram, "nodeArguments"> & {
+    readonly path: string;
+  };
+  /** Receives the daemons' log lines. */
+  readonly onLine?: (line: string) => void;
+}
+
+/** What callers and endpoints saw. */
+export interface RepeatResult {
+  readonly sent: number;
+  /** Answers by status; "none" if the connection ended without one. */
+  readonly answers: ReadonlyMap<string, number>;
+  readonly whole: number;
+  readonly worst: WorstWindow;
+}
+
+/** One attempt of a caller. */
+interface Attempt {
+  readonly at: number;
+  readonly status: number | undefined;
+}
+
+/**
+ * Sends requests to daemons whose endpoints fail, while daemons have faults, and
+ * counts at the endpoints how often requests, or pieces of stages, came again.
+ */
+export async function runRepeats(
+  options: RunRepeatsOptions,
+): Promise<RepeatResult> {
+  const { situation } = options;
+  const random = new SeededRandom(options.seed);
+  const site = new WireSite({
+    plainRunners: PLAIN_RUNNERS,
+    modelRunners: PLAIN_RUNNERS,
+    stageRunners: STAGE_RUNNERS,
+    batch: STAGE_BATCH,
+    room: STAGE_ROOM,
+    hasEngines: false,
+    retrySlack: LIMITS.slack,
+    attempts: ATTEMPTS,
+  });
+  const folder = mkdtempSync(join(tmpdir(), "kelpspar-repeats-"));
+  await site.start();
+  const daemons = await createDaemons(site, folder, options);
+  const timers: NodeJS.Timeout[] = [];
+  const agent = new Agent({ pipelining: 1 });
+  try {
+    const { daemonFault, faultIntervalMilliseconds } = situation;
+    const isGrown = daemonFault === "grow";
+    for (const daemon of isGrown ? daemons.slice(0, FIRST_DAEMONS) : daemons) {
+      daemon.start();
+    }
+    await setTimeoutPromise(STARTUP_MILLISECONDS);
+    setEndpointFaults(site, situation, random);
+    site.store.fault = situation.store;
+    let number = 0;
+    timers.push(setInterval(() => {
+      FAULT_STEPS[daemonFault](daemons, { number: number++, random });
+    }, faultIntervalMilliseconds));
+    if (situation.stageRestartMilliseconds > 0) {
+      let stage = 0;
+      timers.push(setInterval(() => {
+        const restarted = site.stages[stage++ % site.stages.length];
+        if (restarted !== undefined) site.restartStage(restarted);
+      }, situation.stageRestartMilliseconds));
+    }
+    const attempts = await sendLoad(
+      { site, daemons, agent, random },
+      situation,
+    );
+    return judge(site, situation, attempts);
+  } finally {
+    timers.forEach(clearInterval);
+    await Promise.all(daemons.map((daemon) => daemon.end()));
+    await agent.destroy();
+    site.stop();
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+async function createDaemons(
+  site: WireSite,
+  folder: string,
+  { situation, program, onLine }: RunRepeatsOptions,
+): Promise<readonly DaemonProcess[]> {
+  const daemons: DaemonProcess[] = [];
+  for (let index = 0; index < situation.daemons; index++) {
+    const name = `daemon-${index}`;
+    const seeds = daemons.slice(0, 3).map(({ options }) =>
+      (options.settings["listen"] as Record<string, string>)["control"] ?? ""
+    );
+    const daemon = new DaemonProcess({
+      name,
+      program: program.path,
+      nodeArguments: program.nodeArguments,
+      settingsPath: join(folder, `${name}.json`),
+      settings: await site.createSettings(name, seeds),
+    });
+    if (onLine !== undefined) daemon.registerLine(onLine);
+    daemons.push(daemon);
+  }
+  return daemons;
+}
+
+function setEndpointFaults(
+  site: WireSite,
+  { share, runnerFault, stageFault }: RepeatSituation,
+  random: SeededRandom,
+): void {
+  const isHit = (): boolean => random.next() < share;
+  for (const runner of site.plain) {
+    runner.drawFault = () => isHit() ? runnerFault : "none";
+  }
+  for (const stage of site.stages) {
+    stage.drawFault = () => isHit() ? stageFault : "none";
+  }
+}
+
+/** Sends requests at a steady rate to daemons in turn. */
+async function sendLoad(
+  { site, daemons, agent, random }: {
+    readonly site: WireSite;
+    readonly daemons: readonly DaemonProcess[];
+    readonly agent: Agent;
+    readonly random: SeededRandom;
+  },
+  { route, perSecond, seconds }: RepeatSituation,
+): Promise<readonly Attempt[]> {
+  const startedAt = performance.now();
+  const attempts: Promise<Attempt>[] = [];
+  const count = seconds * perSecond;
+  for (let number = 0; number < count; number++) {
+    const due = startedAt + number * MILLISECONDS_PER_SECOND / perSecond;
+    await setTimeoutPromise(Math.max(0, due - performance.now()));
+    const running = daemons.filter(({ processId }) => processId !== undefined);
+    const first = random.nextInteger(Math.max(1, running.length));
+    const addresses = [...running.slice(first), ...running.slice(0, first)]
+      .slice(0, MAXIMUM_ADDRESSES).map(({ front }) => front);
+    const at = performance.now();
+    attempts.push(
+      sendToFirst(addresses, {
+        path: `/${route}/x`,
+        site,
+        agent,
+        attemptId: `a${number}`,
+        isGet: route === "often",
+      }).then((status) => ({ at, status })),
+    );
+  }
+  return await Promise.all(attempts);
+}
+
+/** One request of a caller. */
+interface AttemptOptions {
+  readonly path: string;
+  readonly site: WireSite;
+  readonly agent: Agent;
+  readonly attemptId: string;
+  readonly isGet: boolean;
+}
+
+/** Sends to the first address that accepts a connection. */
+async function sendToFirst(
+  addresses: readonly string[],
+  options: AttemptOptions,
+): Promise<number | undefined> {
+  for (const address of addresses) {
+    try {
+      return await sendAttempt(address, options);
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== "ECONNREFUSED") break;
+    }
+  }
+  return undefined;
+}
+
+/** Resolves to the status of a whole answer. */
+async function sendAttempt(
+  address: string,
+  { path, site, agent, attemptId, isGet }: AttemptOptions,
+): Promise<number> {
+  const { statusCode, body } = await sendRequest(`http://${address}${path}`, {
+    method: isGet ? "GET" : "POST",
+    dispatcher: agent,
+    signal: AbortSignal.timeout(DEADLINE_MILLISECONDS),
+    headers: {
+      host: site.host,
+      "x-attempt-id": attemptId,
+      "x-deadline-ms": String(DEADLINE_MILLISECONDS),
+      "x-api-key": "key-1",
+      "x-pieces": "2,3",
+      "x-piece-key": attemptId,
+    },
+    body: isGet ? null : "body",
+  });
+  await body.text();
+  return statusCode;
+}
+
+function judge(
+  site: WireSite,
+  { route }: RepeatSituation,
+  attempts: readonly Attempt[],
+): RepeatResult {
+  const isPlain = route === "often";
+  const arrivals = (isPlain ? site.plain : site.stages)
+    .flatMap((runner) => runner.arrivals);
+  const requests = isPlain
+    ? attempts.map(({ at }) => at)
+    : firstArrivals(arrivals);
+  const answers = new Map<string, number>();
+  for (const { status } of attempts) {
+    const name = String(status ?? "none");
+    answers.set(name, (answers.get(name) ?? 0) + 1);
+  }
+  return {
+    sent: attempts.length,
+    answers,
+    whole: answers.get(String(SERVED_STATUS)) ?? 0,
+    worst: findWorstWindow(LIMITS, { requests, arrivals }),
+  };
+}
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -55,6 +55,14 @@
   endedAt?: number;
 }
 
+/** A send that reached a runner, whether or not the runner executed it. */
+export interface RunnerArrival {
+  /** Identical for all sends of the same request or piece. */
+  readonly key: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
 /** How a runner responds. */
 export interface RunnerStandInOptions {
   readonly id: string;
@@ -97,6 +105,9 @@
 /** A stand-in for a request runner; speaks the published protocol. */
 export class RunnerStandIn {
   fault: RunnerFault = "none";
+  /** Draws the fault of each request; replaces `fault` while set. */
+  drawFault: (() => RunnerFault) | undefined;
+  readonly arrivals: RunnerArrival[] = [];
   streamFraming: StreamFraming = "chunked";
   streamLineEnd: StreamLineEnd = "\n";
   /** Whether all responses carry `Server-Leaving`. */
@@ -194,7 +205,9 @@
       return;
     }
     this.limit.recordArrival();
-    if (this.fault === "full" || this.brittle?.tryAccept() === false) {
+    this.arrivals.push({ key: attemptId, at: performance.now() });
+    const fault = this.drawFault?.() ?? this.fault;
+    if (fault === "full" || this.brittle?.tryAccept() === false) {
       this.refusals++;
       const headers = {
         "X-Not-Executed": "1",
@@ -228,7 +241,7 @@
         response.writeHead(500, this.#responseHeaders(attemptId)).end("failed");
       },
     };
-    const handler = handlers[this.fault];
+    const handler = handlers[fault];
     if (
       target.endsWith(CRASHING_PATH_SUFFIX) || this.#hasCrashingPart(headers)
     ) {
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -1,10 +1,22 @@
 import type { Server, ServerResponse } from "node:http";
 import { createTextServer } from "./create_text_server.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
+import type { RunnerArrival } from "./runner_stand_in.ts";
 import { AdvertisedLimit } from "./advertised_limit.ts";
 
 /** How a stage runner handles calls while a fault is set. */
-export type StageFault = "none" | "mute" | "slow" | "no_room" | "gone";
+export type StageFault =
+  | "none"
+  | "mute"
+  | "slow"
+  | "no_room"
+  | "gone"
+  /** Refuses each call with 503 as overloaded. */
+  | "full"
+  /** Closes the connection without a response. */
+  | "closed"
+  /** Answers each piece with an error. */
+  | "failing";
 
 interface StageEntry {
   readonly id: string;
@@ -32,6 +44,10 @@
 /** A stand-in for a stage runner; runs one call at a time. */
 export class StageRunnerStandIn {
   fault: StageFault = "none";
+  /** Draws the fault of each call, or of each piece for `failing`. */
+  drawFault: (() => StageFault) | undefined;
+  /** Pieces of all calls, refused or not. */
+  readonly arrivals: RunnerArrival[] = [];
   /** Whether all responses carry `Server-Leaving`. */
   isLeaving = false;
   readonly limit = new AdvertisedLimit();
@@ -48,18 +64,33 @@
   readonly #options: StageRunnerStandInOptions;
   readonly #server: Server;
   #address = "";
+  #incarnation = 1;
   #callQueue: Promise<void> = Promise.resolve();
   #resultCount = 0;
 
   constructor(options: StageRunnerStandInOptions) {
     this.#options = options;
     this.#server = createTextServer((message, text, response) => {
-      if (message.headers["x-expect-instance"] === options.id) {
+      if (message.headers["x-expect-instance"] === this.id) {
         this.#handle(message.url ?? "", text, response);
       } else response.writeHead(421).end();
     });
   }
 
+  /** Changes with each restart. */
+  get id(): string {
+    const { id } = this.#options;
+    return this.#incarnation === 1 ? id : `${id}-life-${this.#incarnation}`;
+  }
+
+  /** Loses all results and calls, and continues under a new id. */
+  restart(): void {
+    this.#incarnation++;
+    this.heldHandles.clear();
+    this.#callQueue = Promise.resolve();
+    this.#server.closeAllConnections();
+  }
+
   /** Listens on loopback; resolves to `address:port`. */
   async start(): Promise<string> {
     this.#address = await listenOnLoopback(this.#server);
@@ -109,7 +140,21 @@
 
   #run(entries: readonly StageEntry[], response: ServerResponse): void {
     this.limit.recordArrival();
-    if (this.fault === "mute") return;
+    for (const { id, stage, piece } of entries) {
+      const key = `${id}/${stage}/${piece}`;
+      this.arrivals.push({ key, at: performance.now() });
+    }
+    const fault = this.drawFault?.() ?? this.fault;
+    if (fault === "mute") return;
+    if (fault === "closed") {
+      response.destroy();
+      return;
+    }
+    if (fault === "full") {
+      this.refusals++;
+      response.writeHead(503, { "X-Not-Executed": "1" }).end();
+      return;
+    }
     if (this.retryAfter !== undefined) {
       this.refusals++;
       response.setHeader("Retry-After", this.retryAfter);
@@ -127,6 +172,8 @@
   }
 
   #createResult(entry: StageEntry): object {
+    const fault = this.drawFault?.() ?? this.fault;
+    if (fault === "failing") return { reason: "error" };
     if (this.fault === "gone" && entry.inputs !== undefined) {
       return { reason: "gone" };
     }
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -31,6 +31,10 @@
   readonly timeoutMilliseconds?: number;
   /** Time from SIGTERM until a daemon is killed, seconds. */
   readonly graceSeconds?: number;
+  /** Additional retries that the fleet may make within 10 s. */
+  readonly retrySlack?: number;
+  /** Number of endpoints that an idempotent request may run at. */
+  readonly attempts?: number;
   /** Whether a fault-injecting proxy precedes each runner and the store. */
   readonly hasProxies?: boolean;
 }
@@ -59,6 +63,8 @@
   #version = 1;
   /** Rows written by the operator and the runners, by table and key. */
   readonly #written = new Map<string, readonly [string, string, object]>();
+  /** Writes the row of a stage runner under its current id. */
+  readonly #writeStages = new Map<StageRunnerStandIn, () => void>();
   /** API keys in the configuration. */
   keys: readonly string[] = ["key-1", "key-2"];
 
@@ -78,6 +84,8 @@
       restartMilliseconds: 500,
       timeoutMilliseconds: 3_000,
       graceSeconds: 3,
+      retrySlack: 50,
+      attempts: 2,
       hasProxies: false,
       ...options,
     };
@@ -210,7 +218,7 @@
       bounds: {
         graceS: this.#options.graceSeconds,
         retryBudgetRatio: 0.2,
-        budgetSlack: 50,
+        budgetSlack: this.#options.retrySlack,
         budgetWindowS: 10,
         ttl_max_s: 5,
       },
@@ -253,11 +261,21 @@
         });
       };
       write(`${service}-${index}`);
+      if (runner instanceof StageRunnerStandIn) {
+        this.#writeStages.set(runner, () => write(runner.id));
+      }
       if (!(runner instanceof RunnerStandIn)) continue;
       this.#restartOnCrash(runner, { proxy, write });
     }
   }
 
+  /** Restarts a stage runner under a new id, without its results. */
+  restartStage(stage: StageRunnerStandIn): void {
+    this.#remove("servers", stage.id);
+    stage.restart();
+    this.#writeStages.get(stage)?.();
+  }
+
   /** Restarts a runner after each crash, under a new id. */
   #restartOnCrash(
     runner: RunnerStandIn,
@@ -288,7 +306,7 @@
   #configuration(version: number): object {
     const { batch, callMilliseconds, room, coldPerSecond, hasEngines } =
       this.#options;
-    const { timeoutMilliseconds } = this.#options;
+    const { timeoutMilliseconds, attempts } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
@@ -309,7 +327,7 @@
       version,
       routes: [
         route("once", "non_idempotent", {}),
-        route("often", "idempotent", { attempts: 2 }),
+        route("often", "idempotent", { attempts }),
         route("stream", "streaming", { service: "model", stages }),
         route("resumed", "streaming", {
           service: "model",
