Count and log retries by service and cause

Change: kelpspar_retries_total by service, cause (failed, rejected, hedge) and outcome, and one line a second for each service while anything is sent again or refused, with the budget's state. No decision changes.

--- a/packages/kelpspar-gateway/src/__tests__/unit/service_retry_budget_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/service_retry_budget_test.ts
@@ -12,7 +12,9 @@
 
 function spendAll(budget: ServiceRetryBudget, senderCount: number): number {
   let spent = 0;
-  while (budget.trySpend("s", { count: 1, senderCount, now: 1_000 })) spent++;
+  while (
+    budget.trySpend("s", { count: 1, cause: "failed", senderCount, now: 1_000 })
+  ) spent++;
   return spent;
 }
 
@@ -32,8 +34,22 @@
 test("spent retries are available again only after the window", () => {
   const budget = createBudget();
   const spent = spendAll(budget, 1);
-  expect(budget.trySpend("s", { count: 1, senderCount: 1, now: 9_000 }))
+  expect(
+    budget.trySpend("s", {
+      count: 1,
+      cause: "failed",
+      senderCount: 1,
+      now: 9_000,
+    }),
+  )
     .toEqual(false);
-  expect(budget.trySpend("s", { count: spent, senderCount: 1, now: 13_000 }))
+  expect(
+    budget.trySpend("s", {
+      count: spent,
+      cause: "failed",
+      senderCount: 1,
+      now: 13_000,
+    }),
+  )
     .toEqual(true);
 });
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -57,6 +57,7 @@
 import { FirstByteEstimates } from "./requests/first_byte_estimates.ts";
 import { createQuarantineParts } from "./quarantine/quarantine_parts.ts";
 import { RequestService } from "./requests/request_service.ts";
+import { RetryReport } from "./retries/retry_report.ts";
 import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
 import { StreamOrigins } from "./streams/stream_origins.ts";
 import { planReading } from "./tables/reading_plan.ts";
@@ -139,10 +140,18 @@
     const membership = new FleetMembership(options);
     const peers = new PeerClient(timer);
     this.followClient = peers;
-    const budget = new ServiceRetryBudget({
+    const budget: ServiceRetryBudget = new ServiceRetryBudget({
       ratio: options.retryRatio,
       slack: options.retrySlack,
       windowMilliseconds: options.retryWindowMilliseconds,
+      report: new RetryReport({
+        ...options,
+        metrics: this.metrics,
+        describe: (service) => ({
+          ...budget.describe(service, timer.now()),
+          daemons: this.fleetSize(),
+        }),
+      }),
     });
     const crashes = createQuarantineParts({
       ...options,
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ["service", "outcome"],
     registers: [this.#registry],
   });
+  readonly #retries = new Counter({
+    name: "kelpspar_retries_total",
+    help: "Requests and pieces to be sent again, by service, cause and outcome",
+    labelNames: ["service", "cause", "outcome"],
+    registers: [this.#registry],
+  });
   readonly #anomalies = new Counter({
     name: "kelpspar_anomalies_total",
     help: "What should not happen and harms nothing, by kind",
@@ -90,6 +96,16 @@
     this.#endpointCalls.inc({ service, outcome });
   }
 
+  countRetries({ count, ...labels }: {
+    readonly service: string;
+    readonly cause: string;
+    /** `allowed` or `refused`. */
+    readonly outcome: string;
+    readonly count: number;
+  }): void {
+    this.#retries.inc(labels, count);
+  }
+
   setState(what: string, value: number): void {
     this.#stateGauge.set({ what }, value);
   }
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from "kelpspar-shared";
+import type { RetryCause } from "../retries/retry_cause.ts";
 import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceQueue } from "./piece_queue.ts";
@@ -43,14 +44,14 @@
   /** Queues pieces of calls still in flight, if the budget allows it. */
   hedge(tasks: readonly PieceTask[]): void {
     const open = tasks.filter((task) => this.isNeeded(task));
-    if (open.length > 0 && this.#spendBudget(open.length)) {
+    if (open.length > 0 && this.#spendBudget(open.length, "hedge")) {
       this.#options.queue.add(open);
     }
   }
 
   /** Queues pieces that an endpoint rejected, even if the budget is spent. */
   requeueRejected(tasks: readonly PieceTask[]): void {
-    this.#spendBudget(tasks.length);
+    this.#spendBudget(tasks.length, "rejected");
     for (const task of tasks) this.#requeue(task);
   }
 
@@ -60,7 +61,7 @@
       if (!this.isNeeded(task) || task.calls > 0) continue;
       if (cause === "failed") task.failures++;
       const isLost = task.failures >= MAX_FAILURES ||
-        (cause === "failed" && !this.#spendBudget(1));
+        (cause === "failed" && !this.#spendBudget(1, "failed"));
       if (isLost) this.#options.failed(task.chain);
       else this.#requeue(task);
     }
@@ -70,10 +71,11 @@
     if (this.isNeeded(task)) this.#options.queue.add([task]);
   }
 
-  #spendBudget(count: number): boolean {
+  #spendBudget(count: number, cause: RetryCause): boolean {
     const { budget, service, timer } = this.#options;
     return budget.trySpend(service, {
       count,
+      cause,
       senderCount: 1,
       now: timer.now(),
     });
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -1,6 +1,7 @@
 import type { EndpointAnswer } from "./endpoint_call.ts";
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
+import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -88,12 +89,12 @@
    * Reserves one send; false if the retry budget or the maximum number of sends
    * is used up. Sends are free until one was delivered to an endpoint.
    */
-  tryReserveSend(): boolean {
+  tryReserveSend(cause: RetryCause = "failed"): boolean {
     const { dependencies, service } = this.#run.options;
     const now = dependencies.timer.now();
     if (this.#run.sends >= MAXIMUM_SENDS) return false;
     if (this.#run.sends === 0) dependencies.budget.recordRequest(service, now);
-    return this.#run.tryReserveRetry();
+    return this.#run.tryReserveRetry(cause);
   }
 
   /** Sends the request; a repeatable call that is slow is hedged once. */
@@ -119,7 +120,9 @@
     // work that is done twice without an answer that comes sooner.
     const isSooner = second !== undefined &&
       this.#expectedCallTime(second.endpoint) < wait;
-    if (!isSooner || !this.tryReserveSend()) return await first;
+    if (!isSooner || !this.tryReserveSend("hedge")) {
+      return await first;
+    }
     return await firstSuccessful([first, this.#sendTo(second)]);
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -74,7 +74,9 @@
   async #relayTo(peer: DaemonAddress | undefined): Promise<RelayStep> {
     const { run } = this.#options;
     const { relay, configuration, log, timer } = run.options.dependencies;
-    if (peer === undefined || !run.tryReserveRetry()) return this.#fail();
+    if (peer === undefined || !run.tryReserveRetry("failed")) {
+      return this.#fail();
+    }
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
     const attemptsLeft = Math.max(1, run.attemptsLeft);
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -6,6 +6,7 @@
 import type { ReaderPlace } from "../placement/reader_place.ts";
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
+import type { RetryCause } from "../retries/retry_cause.ts";
 import type { QuarantinedSubject } from "../quarantine/quarantined_subject.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
@@ -182,11 +183,12 @@
    * Reserves one more send; false if the retry budget is used up. Sends are free
    * until one was delivered.
    */
-  tryReserveRetry(): boolean {
+  tryReserveRetry(cause: RetryCause): boolean {
     if (this.deliveries === 0) return true;
     const { dependencies, service } = this.options;
     return dependencies.budget.trySpend(service, {
       count: 1,
+      cause,
       senderCount: dependencies.senderCount(),
       now: this.now(),
     });
--- a/packages/kelpspar-gateway/src/retries/service_retry_budget.ts
+++ b/packages/kelpspar-gateway/src/retries/service_retry_budget.ts
@@ -1,3 +1,5 @@
+import type { RetryCause } from "./retry_cause.ts";
+import type { BudgetState, RetryReport } from "./retry_report.ts";
 import { SlidingWindowCounter } from "kelpspar-decisions/retries";
 
 /** Limits for the retries of all daemons together. */
@@ -7,6 +9,8 @@
   /** Additional retries that the fleet may make in a window. */
   readonly slack: number;
   readonly windowMilliseconds: number;
+  /** Receives each decision; default none. */
+  readonly report?: Pick<RetryReport, "record"> | undefined;
 }
 
 /**
@@ -48,18 +52,26 @@
     service: string,
     options: {
       readonly count: number;
+      readonly cause: RetryCause;
       readonly senderCount: number;
       readonly now: number;
     },
   ): boolean {
-    const { count, senderCount, now } = options;
+    const { count, cause, senderCount, now } = options;
     const { requests, retries } = this.#countersOf(service);
     const slack = ALLOCATED_SLACK_SHARE * this.#options.slack /
       Math.max(1, senderCount);
     const allowed = slack + this.#options.ratio * requests.sum(now);
-    if (retries.sum(now) + count > allowed) return false;
-    retries.add(count, now);
-    return true;
+    const isAllowed = retries.sum(now) + count <= allowed;
+    if (isAllowed) retries.add(count, now);
+    this.#options.report?.record({ service, cause, count, isAllowed });
+    return isAllowed;
+  }
+
+  /** Requests and retries of this daemon in the last window. */
+  describe(service: string, now: number): BudgetState {
+    const { requests, retries } = this.#countersOf(service);
+    return { requests: requests.sum(now), retries: retries.sum(now) };
   }
 
   #countersOf(service: string): ServiceCounters {
