Add a retry gate whose slack is lent from a ledger in the store

Change: retries are earned by requests in a token bucket that starts empty, or lent from the fleet's slack. All loans of a window are recorded in one row a service of the platform's store, written only if unchanged, by the store's clock. In any window the fleet spends at most what buckets hold at its start, what requests earn within it, and the loans recorded at its end; no daemon has to know what others, or its own predecessor, have spent. Not used yet.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -0,0 +1,114 @@
+import { expect } from "earl";
+import { ManualTimer } from "kelpspar-shared";
+import { test } from "node:test";
+import { createRetryGate } from "../support/create_retry_gate.ts";
+import { MemoryRowStore } from "../support/memory_row_store.ts";
+
+const START_MILLISECONDS = 100_000;
+
+function createTimer(): ManualTimer {
+  return new ManualTimer({ startAt: START_MILLISECONDS });
+}
+
+/** Spends until the gate refuses; returns how many were allowed. */
+async function spendAll(
+  gate: ReturnType<typeof createRetryGate>,
+): Promise<number> {
+  for (let spent = 0;; spent++) {
+    const outcome = await gate.spend({
+      service: "s",
+      cause: "failed",
+      priority: 0,
+      deadlineAt: Number.POSITIVE_INFINITY,
+    });
+    if (outcome === "refused") return spent;
+  }
+}
+
+// Guards against daemons that each spend the whole slack.
+test("six daemons together stay within the fleet's slack", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  let spent = 0;
+  for (let daemon = 0; daemon < 6; daemon++) {
+    spent += await spendAll(createRetryGate(timer, { store, daemons: 6 }));
+  }
+  expect(spent).toBeLessThanOrEqual(50);
+  expect(spent).toBeGreaterThanOrEqual(24);
+});
+
+// Guards against retries of services that get requests and never fail at once.
+test("each request earns its share of a retry", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  const gate = createRetryGate(timer, { store, daemons: 6 });
+  await spendAll(gate);
+  let spent = 0;
+  for (let count = 0; count < 100; count++) {
+    gate.recordRequests("s");
+    spent += await spendAll(gate);
+  }
+  expect(spent).toEqual(20);
+});
+
+// Guards against retries that expire before their window has passed.
+test("lent retries are available again only after the window", async () => {
+  const timer = createTimer();
+  const gate = createRetryGate(timer);
+  const spent = await spendAll(gate);
+  timer.jump(9_900);
+  expect(await spendAll(gate)).toEqual(0);
+  timer.jump(2_000);
+  expect(await spendAll(gate)).toEqual(spent);
+});
+
+// Guards against processes that spend the slack of their predecessors again.
+test("a daemon that starts finds the slack that was spent before", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  await spendAll(createRetryGate(timer, { store }));
+  expect(await spendAll(createRetryGate(timer, { store }))).toEqual(0);
+});
+
+// Guards against loans that a restored store has forgotten.
+test("nothing is lent for a window after the store was restored", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  await spendAll(createRetryGate(timer, { store, slack: 20 }));
+  const backup = store.backup();
+  timer.jump(12_000);
+  const spent = await spendAll(createRetryGate(timer, { store }));
+  expect(spent).toBeGreaterThan(0);
+  store.restore(backup);
+  const young = createRetryGate(timer, { store });
+  expect(await spendAll(young)).toEqual(0);
+  timer.jump(12_000);
+  expect(await spendAll(young)).toBeGreaterThan(0);
+});
+
+// Guards against requests that wait for a store that is away.
+test("retries without a store are limited to what requests earn", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  store.isAway = true;
+  const gate = createRetryGate(timer, { store });
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  timer.jump(100);
+  expect(await spendAll(gate)).toEqual(1);
+  const { calls } = store;
+  expect(await spendAll(gate)).toEqual(0);
+  expect(store.calls).toEqual(calls);
+  expect(gate.retryAfterMilliseconds("s")).toBeGreaterThan(0);
+});
+
+// Guards against credits for requests that waited while the process was paused.
+test("requests read after a pause earn nothing", () => {
+  const timer = createTimer();
+  const gate = createRetryGate(timer);
+  gate.handlePause();
+  for (let count = 0; count < 50; count++) gate.recordRequests("s");
+  expect(gate.available("s")).toEqual(0);
+  timer.jump(1_000);
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  expect(gate.available("s")).toEqual(1);
+});
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -1,3 +1,4 @@
+export type { RowAnswer, RowStore } from "./tables/row_store.ts";
 export type { ListTiming } from "./endpoints/list_timing.ts";
 export type {
   CallerLimits,
--- /dev/null
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -0,0 +1,297 @@
+import type { RetryLimits } from "kelpspar-decisions/retries";
+import type { TimerService } from "kelpspar-shared";
+import type { RetryCause } from "./retry_cause.ts";
+import type { BudgetState, RetryReport } from "./retry_report.ts";
+import type { SlackBorrower } from "./slack_borrower.ts";
+import {
+  creditCapacity,
+  EarnedCredits,
+  LoanPool,
+  SlidingWindowCounter,
+} from "kelpspar-decisions/retries";
+import { GRANT_MILLISECONDS } from "./slack_grant.ts";
+
+/** Longest time that a request waits for a loan, milliseconds. */
+const MAXIMUM_WAIT_MILLISECONDS = 800;
+/** Requests that arrived while the process was paused are read within it. */
+const BACKLOG_MILLISECONDS = 300;
+/** Time over which the rate of requests is measured, milliseconds. */
+const RATE_WINDOW_MILLISECONDS = 2_000;
+/** Retries borrowed at once by one daemon at most. */
+const MAXIMUM_BORROWED = 64;
+/** Retry delay sent to callers if nobody knows when there is room again. */
+const MAXIMUM_RETRY_MILLISECONDS = 2_000;
+const MINIMUM_RETRY_MILLISECONDS = 300;
+
+/** Dependencies of a `RetryGate`. */
+export interface RetryGateOptions {
+  readonly limits: RetryLimits;
+  readonly slack: Pick<SlackBorrower, "borrow">;
+  /** Number of known daemons, including this one. */
+  readonly fleetSize: () => number;
+  readonly timer: TimerService;
+  /** Receives each decision; default none. */
+  readonly report?: Pick<RetryReport, "record"> | undefined;
+}
+
+/** A request to send something again. */
+export interface RetryRequest {
+  readonly service: string;
+  readonly cause: RetryCause;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number;
+}
+
+/** Whether something may be sent again, and whether that took time. */
+export type RetryOutcome = "allowed" | "allowed_after_wait" | "refused";
+
+interface Waiter {
+  readonly request: RetryRequest;
+  readonly resolve: (isAllowed: boolean) => void;
+}
+
+interface ServiceBudget {
+  readonly credits: EarnedCredits;
+  readonly loans: LoanPool;
+  readonly requests: SlidingWindowCounter;
+  readonly retries: SlidingWindowCounter;
+  readonly waiters: Set<Waiter>;
+  borrowing: Promise<void> | undefined;
+  /** The fleet has nothing to lend before; monotonic milliseconds. */
+  emptyUntil: number;
+}
+
+/**
+ * Decides what is sent to an endpoint again. Everything that has reached an
+ * endpoint of a service before needs a retry of this gate, whatever the path.
+ * Without a limit a failing service would receive each call several times and
+ * couldn't recover.
+ *
+ * A retry comes from a credit earned by this daemon's requests, or from the
+ * fleet's slack, which is lent. Neither depends on what this daemon knows of
+ * other daemons' retries or of those before its start.
+ */
+export class RetryGate {
+  readonly #options: RetryGateOptions;
+  readonly #budgets = new Map<string, ServiceBudget>();
+  #earnsFrom = Number.NEGATIVE_INFINITY;
+
+  constructor(options: RetryGateOptions) {
+    this.#options = options;
+  }
+
+  /** Counts requests of callers for a service, or first sends of pieces. */
+  recordRequests(service: string, count = 1): void {
+    const now = this.#now();
+    const budget = this.#budgetOf(service);
+    budget.requests.add(count, now);
+    if (now < this.#earnsFrom) return;
+    const { limits, fleetSize } = this.#options;
+    const capacity = creditCapacity(limits.slack, fleetSize());
+    budget.credits.earn(limits.ratio * count, { capacity, now });
+  }
+
+  /**
+   * To be called when this process continues after a pause. What is read next
+   * was sent at an unknown time, and windows that count its retries may not
+   * count it.
+   */
+  handlePause(): void {
+    this.#earnsFrom = this.#now() + BACKLOG_MILLISECONDS;
+  }
+
+  /** Number of retries that can be spent now without waiting. */
+  available(service: string): number {
+    const { loans, credits } = this.#budgetOf(service);
+    const now = this.#now();
+    return loans.available(now) + credits.available(now);
+  }
+
+  /** Spends `count` retries if that many are available now. */
+  trySpend(service: string, cause: RetryCause, count = 1): boolean {
+    const isAllowed = this.available(service) >= count;
+    if (isAllowed) this.#take(service, count);
+    this.#record(service, cause, { count, isAllowed });
+    return isAllowed;
+  }
+
+  /**
+   * Spends one retry; waits shortly for a loan if none is available. Answers at
+   * once otherwise, so that an endpoint that was chosen before still has its
+   * place.
+   */
+  spend(request: RetryRequest): RetryOutcome | Promise<RetryOutcome> {
+    const { service, cause } = request;
+    const budget = this.#budgetOf(service);
+    const isAvailable = budget.waiters.size === 0 &&
+      this.available(service) > 0;
+    if (isAvailable || budget.emptyUntil > this.#now()) {
+      return this.trySpend(service, cause) ? "allowed" : "refused";
+    }
+    return this.#wait(request, budget);
+  }
+
+  /**
+   * Borrows up to `count` retries for `trySpend`; resolves to whether there are
+   * any.
+   */
+  async borrow(service: string, count: number): Promise<boolean> {
+    const budget = this.#budgetOf(service);
+    if (budget.emptyUntil <= this.#now()) {
+      budget.borrowing ??= this.#borrow(service, count, budget);
+      await budget.borrowing;
+    }
+    return budget.loans.available(this.#now()) > 0;
+  }
+
+  /**
+   * Time until `count` retries will have been earned at the current rate of
+   * requests, milliseconds.
+   */
+  waitFor(service: string, count: number): number {
+    const missing = count - this.available(service);
+    if (missing <= 0) return 0;
+    const { requests } = this.#budgetOf(service);
+    const rate = this.#options.limits.ratio * requests.sum(this.#now()) /
+      RATE_WINDOW_MILLISECONDS;
+    return missing / rate;
+  }
+
+  /** Time after which a service's budget will have room, milliseconds. */
+  retryAfterMilliseconds(service: string): number {
+    const budget = this.#budgetOf(service);
+    const wait = Math.min(
+      this.waitFor(service, 1),
+      Math.max(0, budget.emptyUntil - this.#now()),
+      MAXIMUM_RETRY_MILLISECONDS,
+    );
+    return Math.round(Math.max(MINIMUM_RETRY_MILLISECONDS, wait));
+  }
+
+  /** State of a service's budget, for the log. */
+  describe(service: string): BudgetState {
+    const now = this.#now();
+    const { requests, retries, loans, credits, emptyUntil } = this.#budgetOf(
+      service,
+    );
+    return {
+      requestsPerSecond: requests.sum(now) * 1_000 / RATE_WINDOW_MILLISECONDS,
+      retriesInWindow: retries.sum(now),
+      credits: credits.available(now),
+      loans: loans.available(now),
+      emptyMilliseconds: Math.max(0, Math.round(emptyUntil - now)),
+      daemons: this.#options.fleetSize(),
+    };
+  }
+
+  #now(): number {
+    return this.#options.timer.now();
+  }
+
+  #record(
+    service: string,
+    cause: RetryCause,
+    decision: { readonly count: number; readonly isAllowed: boolean },
+  ): void {
+    this.#options.report?.record({ service, cause, ...decision });
+  }
+
+  #take(service: string, count: number): void {
+    const now = this.#now();
+    const { loans, credits, retries } = this.#budgetOf(service);
+    // Loans expire soon.
+    credits.take(count - loans.take(count, now), now);
+    retries.add(count, now);
+  }
+
+  #wait(
+    request: RetryRequest,
+    budget: ServiceBudget,
+  ): Promise<RetryOutcome> {
+    const { service, cause } = request;
+    return new Promise((resolve) => {
+      const waiter: Waiter = {
+        request,
+        resolve: (isAllowed) => {
+          stopTimer();
+          budget.waiters.delete(waiter);
+          if (isAllowed) this.#take(service, 1);
+          this.#record(service, cause, { count: 1, isAllowed });
+          resolve(isAllowed ? "allowed_after_wait" : "refused");
+        },
+      };
+      const stopTimer = this.#options.timer.registerTimeout(
+        () => waiter.resolve(false),
+        MAXIMUM_WAIT_MILLISECONDS,
+      );
+      budget.waiters.add(waiter);
+      budget.borrowing ??= this.#borrow(service, 1, budget);
+    });
+  }
+
+  /** Borrows until no request waits; the most urgent requests go first. */
+  async #borrow(
+    service: string,
+    count: number,
+    budget: ServiceBudget,
+  ): Promise<void> {
+    const { slack, timer } = this.#options;
+    // Requests that fail together share a question.
+    await Promise.resolve();
+    const wanted = Math.min(
+      MAXIMUM_BORROWED,
+      Math.max(count, budget.waiters.size),
+    );
+    const askedAt = timer.now();
+    try {
+      const { granted, retryAfterMilliseconds } = await slack.borrow(
+        service,
+        wanted,
+      );
+      budget.loans.add(granted, askedAt + GRANT_MILLISECONDS);
+      if (retryAfterMilliseconds > 0) {
+        budget.emptyUntil = timer.now() + retryAfterMilliseconds;
+      }
+    } finally {
+      budget.borrowing = undefined;
+      this.#serveWaiters(service, budget);
+    }
+  }
+
+  #serveWaiters(service: string, budget: ServiceBudget): void {
+    const waiters = [...budget.waiters].sort((left, right) =>
+      left.request.priority - right.request.priority ||
+      left.request.deadlineAt - right.request.deadlineAt
+    );
+    const isEmpty = budget.emptyUntil > this.#now();
+    for (const waiter of waiters) {
+      if (this.available(service) > 0) waiter.resolve(true);
+      else if (isEmpty) waiter.resolve(false);
+    }
+    if (budget.waiters.size > 0) {
+      budget.borrowing ??= this.#borrow(service, 1, budget);
+    }
+  }
+
+  #budgetOf(service: string): ServiceBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget: ServiceBudget = {
+      credits: new EarnedCredits(),
+      loans: new LoanPool(),
+      requests: new SlidingWindowCounter({
+        windowMilliseconds: RATE_WINDOW_MILLISECONDS,
+      }),
+      retries: new SlidingWindowCounter({
+        windowMilliseconds: this.#options.limits.windowMilliseconds,
+      }),
+      waiters: new Set(),
+      borrowing: undefined,
+      emptyUntil: Number.NEGATIVE_INFINITY,
+    };
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
--- a/packages/kelpspar-gateway/src/tables/store_era.ts
+++ b/packages/kelpspar-gateway/src/tables/store_era.ts
@@ -37,8 +37,8 @@
   readonly #options: StoreEraOptions;
   readonly #listeners = new Set<EraListener>();
   #current: number | undefined;
-  /** When the current era became known; monotonic milliseconds. */
   #knownSince = Number.NEGATIVE_INFINITY;
+  #changedAt = Number.NEGATIVE_INFINITY;
   /** Eras up to this one are rejected from daemons: the store's is lower. */
   #rejectedUpTo = Number.NEGATIVE_INFINITY;
 
@@ -51,6 +51,19 @@
     return this.#current;
   }
 
+  /**
+   * When the current era became known, monotonic milliseconds; minus infinity
+   * while none is.
+   */
+  get knownSince(): number {
+    return this.#knownSince;
+  }
+
+  /** When the era last changed; minus infinity if it never did. */
+  get changedAt(): number {
+    return this.#changedAt;
+  }
+
   /**
    * Processes the era of a store answer to a call that began at `startedAt`;
    * returns `late` when the answer must be discarded.
@@ -103,6 +116,7 @@
     this.#current = after;
     this.#knownSince = this.#options.timer.now();
     if (before === undefined) return;
+    this.#changedAt = this.#knownSince;
     for (const listener of this.#listeners) {
       listener({ before, after, source });
     }
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -30,7 +30,11 @@
 export { ProcessGroup } from "./process/process_group.ts";
 export { InMemoryTable } from "./table/in_memory_table.ts";
 export { LaggingVmList } from "./vm/lagging_vm_list.ts";
-export type { RunnerFault, RunnerRun } from "./wire/runner_stand_in.ts";
+export type {
+  RunnerArrival,
+  RunnerFault,
+  RunnerRun,
+} from "./wire/runner_stand_in.ts";
 export type { StageFault } from "./wire/stage_runner_stand_in.ts";
 export type { StoreFault } from "./wire/store_stand_in.ts";
 export type { PartitionMode } from "./wire/network_partition.ts";
@@ -46,6 +50,8 @@
 export type { BuiltProgram } from "./wire/build_program.ts";
 export { buildProgram } from "./wire/build_program.ts";
 export { DaemonProcess } from "./wire/daemon_process.ts";
+export type { WorstWindow } from "./repeats/find_worst_window.ts";
+export { findWorstWindow } from "./repeats/find_worst_window.ts";
 export type { RepeatSituation } from "./repeats/repeat_situation.ts";
 export { REPEAT_SITUATIONS } from "./repeats/repeat_situation.ts";
 export { runRepeats } from "./repeats/run_repeats.ts";
--- a/packages/kelpspar-standins/src/repeats/find_worst_window.ts
+++ b/packages/kelpspar-standins/src/repeats/find_worst_window.ts
@@ -51,7 +51,7 @@
       return countBetween(requests, end - windowMilliseconds, end);
     }));
     const allowed = ratio * sent + slack;
-    if (counted - allowed <= worst.repeats - worst.allowed) continue;
+    if (counted / allowed <= worst.repeats / worst.allowed) continue;
     const isExceeded = counted > allowed;
     worst = { at, repeats: counted, allowed, isExceeded };
   }
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -6,8 +6,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
-import { Agent, request as sendRequest } from "undici";
+import { Agent } from "undici";
 import { DaemonProcess } from "../wire/daemon_process.ts";
+import { sendToFirst } from "../wire/send_to_first.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
 import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
@@ -173,63 +174,17 @@
     attempts.push(
       sendToFirst(addresses, {
         path: `/${route}/x`,
-        site,
+        host: site.host,
         agent,
         attemptId: `a${number}`,
         isGet: route === "often",
+        deadlineMilliseconds: DEADLINE_MILLISECONDS,
       }).then((status) => ({ at, status })),
     );
   }
   return await Promise.all(attempts);
 }
 
-/** One request of a caller. */
-interface AttemptOptions {
-  readonly path: string;
-  readonly site: WireSite;
-  readonly agent: Agent;
-  readonly attemptId: string;
-  readonly isGet: boolean;
-}
-
-/** Sends to the first address that accepts a connection. */
-async function sendToFirst(
-  addresses: readonly string[],
-  options: AttemptOptions,
-): Promise<number | undefined> {
-  for (const address of addresses) {
-    try {
-      return await sendAttempt(address, options);
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code !== "ECONNREFUSED") break;
-    }
-  }
-  return undefined;
-}
-
-/** Resolves to the status of a whole answer. */
-async function sendAttempt(
-  address: string,
-  { path, site, agent, attemptId, isGet }: AttemptOptions,
-): Promise<number> {
-  const { statusCode, body } = await sendRequest(`http://${address}${path}`, {
-    method: isGet ? "GET" : "POST",
-    dispatcher: agent,
-    signal: AbortSignal.timeout(DEADLINE_MILLISECONDS),
-    headers: {
-      host: site.host,
-      "x-attempt-id": attemptId,
-      "x-deadline-ms": String(DEADLINE_MILLISECONDS),
-      "x-api-key": "key-1",
-      "x-pieces": "2,3",
-      "x-piece-key": attemptId,
-    },
-    body: isGet ? null : "body",
-  });
-  await body.text();
-  return statusCode;
-}
-
 function judge(
   site: WireSite,
   { route }: RepeatSituation,
--- /dev/null
+++ b/packages/kelpspar-standins/src/wire/send_to_first.ts
@@ -0,0 +1,54 @@
+import type { Agent } from "undici";
+import { request as sendRequest } from "undici";
+
+/** One request of a caller. */
+export interface AttemptOptions {
+  readonly path: string;
+  readonly host: string;
+  readonly agent: Agent;
+  readonly attemptId: string;
+  readonly isGet: boolean;
+  readonly deadlineMilliseconds: number;
+}
+
+/**
+ * Sends to the first address that accepts a connection; resolves to the status of
+ * a whole answer, or undefined without one.
+ */
+export async function sendToFirst(
+  addresses: readonly string[],
+  options: AttemptOptions,
+): Promise<number | undefined> {
+  for (const address of addresses) {
+    try {
+      return await sendAttempt(address, options);
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== "ECONNREFUSED") break;
+    }
+  }
+  return undefined;
+}
+
+/** Resolves to the status of a whole answer. */
+async function sendAttempt(
+  address: string,
+  options: AttemptOptions,
+): Promise<number> {
+  const { path, host, agent, attemptId, isGet, deadlineMilliseconds } = options;
+  const { statusCode, body } = await sendRequest(`http://${address}${path}`, {
+    method: isGet ? "GET" : "POST",
+    dispatcher: agent,
+    signal: AbortSignal.timeout(deadlineMilliseconds),
+    headers: {
+      host,
+      "x-attempt-id": attemptId,
+      "x-deadline-ms": String(deadlineMilliseconds),
+      "x-api-key": "key-1",
+      "x-pieces": "2,3",
+      "x-piece-key": attemptId,
+    },
+    body: isGet ? null : "body",
+  });
+  await body.text();
+  return statusCode;
+}
--- a/packages/kelpspar-standins/src/wire/store_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/store_stand_in.ts
@@ -128,10 +128,16 @@
   }
 
   #transact(body: string, response: ServerResponse): void {
-    const { puts = [], remove = [] } = JSON.parse(body) as {
+    const { expect = [], puts = [], remove = [] } = JSON.parse(body) as {
+      readonly expect?: readonly Omit<Row, "value" | "tombstone">[];
       readonly puts?: readonly Omit<Row, "ver" | "tombstone">[];
       readonly remove?: readonly Omit<Row, "ver" | "tombstone" | "value">[];
     };
+    const isExpected = expect.every((row) => this.#versionOf(row) === row.ver);
+    if (!isExpected) {
+      response.writeHead(412, this.#headers()).end("{}");
+      return;
+    }
     for (const row of puts) this.#write({ ...row, tombstone: false });
     for (const row of remove) {
       this.#write({ ...row, value: "", tombstone: true });
@@ -139,10 +145,18 @@
     this.#send(response, {});
   }
 
+  /** 0 if the row doesn't exist. */
+  #versionOf(key: Pick<Row, "table" | "part" | "key">): number {
+    const row = this.#rows.get(rowId(key));
+    return row === undefined || row.tombstone ? 0 : row.ver;
+  }
+
   #read(url: URL, response: ServerResponse): void {
     const table = url.searchParams.get("table");
-    const rows = [...this.#rows.values()]
-      .filter((row) => row.table === table && !row.tombstone);
+    const from = url.searchParams.get("from") ?? "";
+    const rows = [...this.#rows.values()].filter((row) =>
+      row.table === table && row.key >= from && !row.tombstone
+    );
     this.#send(response, { rows, morePages: false });
   }
 
@@ -186,7 +200,8 @@
   #send(response: ServerResponse, fields: object): void {
     if (response.destroyed) return;
     response.writeHead(200, this.#headers());
-    response.end(JSON.stringify({ ...fields, ver: this.#version, nowMs: 0 }));
+    const nowMs = Math.round(performance.now());
+    response.end(JSON.stringify({ ...fields, ver: this.#version, nowMs }));
   }
 
   #headers(): Readonly<Record<string, string>> {
