--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -12,7 +12,7 @@
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
-import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+import { createRetryGate } from "./create_retry_gate.ts";
 import { SimulatedStages } from "./simulated_stages.ts";
 
 /** A kind of request of a load. */
@@ -118,11 +118,7 @@
     }),
     timer,
     log,
-    budget: new ServiceRetryBudget({
-      ratio: 0.2,
-      slack: 52,
-      windowMilliseconds: 10_000,
-    }),
+    retryGate: createRetryGate(timer, { slack: 52 }),
   });
   configuration.applyIfNewer({
     version: 1,
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -34,7 +34,7 @@
 import { Quarantine } from "../../quarantine/quarantine.ts";
 import { FirstByteEstimates } from "../../requests/first_byte_estimates.ts";
 import { RequestService } from "../../requests/request_service.ts";
-import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+import { createRetryGate } from "./create_retry_gate.ts";
 
 /** Answers one endpoint call. */
 export type ScriptedAnswer = (
@@ -267,11 +267,7 @@
       },
       find: () => Promise.resolve(options.origin ?? { type: "any" }),
     },
-    budget: new ServiceRetryBudget({
-      ratio: 0.2,
-      slack: 50,
-      windowMilliseconds: 10_000,
-    }),
+    retryGate: createRetryGate(timer, { slack: 50 }),
     firstByteEstimates: new FirstByteEstimates(),
     lifecycle,
     answerTimes,
@@ -286,7 +282,6 @@
     log,
     metrics: new GatewayMetrics(),
     zone: "a",
-    senderCount: () => 1,
   });
   return {
     timer,
--- a/packages/kelpspar-gateway/src/__tests__/unit/crossing_bytes_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/crossing_bytes_test.ts
@@ -39,7 +39,7 @@
   // of them, and results of 60 kB cause 0.44 of 0.63 GB of cross-zone traffic.
   const run = chain();
   const [first, second] = start(run);
-  run.recordSend((first as PieceTask).stage, "a");
+  run.recordSend(first as PieceTask, "a");
   expect(crossingBytes(second as PieceTask, "a")).toEqual(0);
   expect(crossingBytes(second as PieceTask, "b")).toEqual(600_000);
 });
@@ -69,7 +69,7 @@
   const [first, second] = start(run);
   expect(crossingBytes(first as PieceTask, "a")).toEqual(0);
   expect(crossingBytes(first as PieceTask, "b")).toEqual(3_000_000);
-  run.recordSend((first as PieceTask).stage, "b");
+  run.recordSend(first as PieceTask, "b");
   expect(crossingBytes(second as PieceTask, "b")).toEqual(0);
 });
 
--- a/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
@@ -9,7 +9,7 @@
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { maxPlacementWait } from "../../pieces/max_placement_wait.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
-import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+import { createRetryGate } from "../support/create_retry_gate.ts";
 import { configurationOf } from "../support/configuration_of.ts";
 import { maximumInWindow } from "../support/play_limited_load.ts";
 
@@ -90,11 +90,7 @@
       freeResults: () => Promise.resolve(true),
       readRoom: () => Promise.resolve(undefined),
     },
-    budget: new ServiceRetryBudget({
-      ratio: 0.2,
-      slack: 50,
-      windowMilliseconds: 10_000,
-    }),
+    retryGate: createRetryGate(timer, { slack: 50 }),
     log: { info: () => {}, warn: () => {} },
   });
   coordinator.register();
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -66,6 +66,7 @@
     return DONE;
   },
   release: () => {},
+  lendRetries: () => Promise.resolve({ granted: 0, retryAfterMilliseconds: 0 }),
   holdStreams: () => {},
   answerOrigin: () => ({ recent: [] }),
 });
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -12,7 +12,7 @@
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
-import { ServiceRetryBudget } from "../../retries/service_retry_budget.ts";
+import { createRetryGate } from "../support/create_retry_gate.ts";
 
 interface OpenCall {
   readonly call: PieceCall;
@@ -83,7 +83,7 @@
   readonly outcomes: ReadonlyMap<string, string>;
 }
 
-function createWorld(room = 10_000): World {
+function createWorld(room = 10_000, slack = 50): World {
   const timer = new ManualTimer();
   const client = new ManualPieceClient();
   const registry = new EndpointRegistry();
@@ -117,11 +117,7 @@
     }, 0);
   }
   const log = { info: () => {}, warn: () => {} };
-  const budget = new ServiceRetryBudget({
-    ratio: 0.2,
-    slack: 50,
-    windowMilliseconds: 10_000,
-  });
+  const retryGate = createRetryGate(timer, { slack });
   const coordinator = new PieceCoordinator({
     isIsolated: () => false,
     freeElsewhere: () => {},
@@ -136,7 +132,7 @@
       senderCount: () => 1,
     }),
     timer,
-    budget,
+    retryGate,
     log,
   });
   coordinator.register();
@@ -278,3 +274,23 @@
   await timer.advance(10);
   expect(outcomes.get("served")).toEqual("done");
 });
+
+// Guards against pieces that are made again without spending the retry budget.
+test("pieces whose results are gone spend the retry budget", async () => {
+  const { client, registry, run, timer, outcomes } = createWorld(10_000, 3);
+  run("a", [1, 1]);
+  await timer.settle();
+  let sends = 0;
+  for (let restarts = 0; restarts < 4 && outcomes.size === 0; restarts++) {
+    const maker = client.open[0]?.call.endpoint.id ?? "";
+    sends += client.open.filter(({ call }) => call.pieces[0]?.stage === 0)
+      .length;
+    client.make(maker);
+    await timer.settle();
+    const entry = registry.find(maker)?.entry;
+    if (entry !== undefined) registry.retire(entry);
+    await timer.settle();
+  }
+  // The first send is free, and the slack of 3 lends one retry.
+  expect(sends).toBeLessThanOrEqual(2);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -37,6 +37,7 @@
   follow: notUsed,
   runChain: notUsed,
   release: (release) => void released.push(release),
+  lendRetries: notUsed,
   holdStreams: notUsed,
   answerOrigin: notUsed,
 }));
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -65,6 +65,7 @@
   readonly #recordsByKey = new Map<DaemonKey, MemberRecord>();
   readonly #unresolved = new Map<DaemonKey, UnresolvedHeartbeat>();
   readonly #ownKey: DaemonKey;
+  readonly #pauseListeners = new Set<() => void>();
   readonly #rankings = new RankingCache();
   #view: FleetView | undefined;
   #silenceCountsFrom = 0;
@@ -76,6 +77,12 @@
     this.#ownKey = daemonKey(options.self.daemonId);
   }
 
+  /** Calls `listener` after a pause of this process; returns the teardown. */
+  registerPauseListener(listener: () => void): () => void {
+    this.#pauseListeners.add(listener);
+    return () => this.#pauseListeners.delete(listener);
+  }
+
   /** Adds or updates the address of a daemon. */
   add(address: DaemonAddress, now: number): void {
     const { daemonId } = address;
@@ -401,6 +408,7 @@
   #countSilenceFrom(now: number): void {
     this.#silenceCountsFrom = now;
     this.#view = undefined;
+    for (const listener of this.#pauseListeners) listener();
   }
 
   #timeouts(): HeartbeatTimeouts {
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -7,6 +7,7 @@
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
+import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/stream_origins.ts";
 import type { BegunStream } from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
@@ -26,6 +27,7 @@
 } from "../quarantine/crash_message.ts";
 import { routeTimesPageSchema } from "../lifecycle/route_times.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
+import { slackGrantSchema } from "../retries/slack_grant.ts";
 import { originAnswerSchema } from "../streams/origin_answer.ts";
 import { followAnswerSchema } from "../tables/table_changes.ts";
 import { PeerTimeoutError } from "./peer_timeout_error.ts";
@@ -39,6 +41,8 @@
  * anyway, and so would the next ones.
  */
 const CONFIGURATION_TIMEOUT_MILLISECONDS = 2_500;
+/** Requests wait for what is lent. */
+const LEND_TIMEOUT_MILLISECONDS = 400;
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 /**
  * Longer than the time between two exchanges with the same partner, so that
@@ -163,6 +167,19 @@
     );
   }
 
+  /** Borrows part of a service's retry slack from a peer. */
+  async lendRetries(
+    peer: string,
+    request: { readonly service: string; readonly count: number },
+  ): Promise<SlackGrant> {
+    const answer = await this.#callWithTimeout(
+      peer,
+      LEND_TIMEOUT_MILLISECONDS,
+      (client) => client.lendRetries.mutate(request),
+    );
+    return slackGrantSchema.parse(answer);
+  }
+
   /** Tells a peer which software began streams. */
   tellStreams(peer: string, streams: readonly BegunStream[]): Promise<null> {
     return this.#callWithShortTimeout(
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -6,6 +6,7 @@
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
+import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/stream_origins.ts";
 import type { BegunStream } from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
@@ -54,6 +55,8 @@
     signal: AbortSignal,
   ): Promise<PeerChainAnswer>;
   release(release: ChainRelease): void;
+  /** Lends part of a service's retry slack. */
+  lendRetries(service: string, count: number): Promise<SlackGrant>;
   /** Remembers streams that the peer has begun. */
   holdStreams(streams: readonly BegunStream[]): void;
   /** Tells which software began a stream. */
@@ -87,10 +90,16 @@
   }).optional(),
   tailMilliseconds: z.number(),
   priority: z.number(),
+  earlierRunMilliseconds: z.number().optional(),
   /** Daemons of the previous version don't send it. */
   mayRedirect: z.boolean().default(false),
 });
 
+const lendSchema = z.object({
+  service: z.string(),
+  count: z.number().int().min(1),
+});
+
 const findSchema = z.object({
   attemptId: z.string(),
   services: z.array(z.string()),
@@ -142,6 +151,9 @@
     ctx.handlers.release(input);
     return null;
   }),
+  lendRetries: trpc.procedure.input(lendSchema).mutation(({ ctx, input }) =>
+    ctx.handlers.lendRetries(input.service, input.count)
+  ),
   tellStreams: trpc.procedure.input(begunStreamsSchema).mutation((
     { ctx, input },
   ) => {
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -17,6 +17,7 @@
 import type { QuarantineParts } from "./quarantine/quarantine_parts.ts";
 import type { EndpointClient } from "./requests/endpoint_call.ts";
 import type { PollIntervals, ReadingPlan } from "./tables/reading_plan.ts";
+import type { RowStore } from "./tables/row_store.ts";
 import type { SharedTables } from "./tables/shared_tables.ts";
 import type { FollowClient } from "./tables/table_follower.ts";
 import { createServer } from "node:http";
@@ -57,8 +58,7 @@
 import { FirstByteEstimates } from "./requests/first_byte_estimates.ts";
 import { createQuarantineParts } from "./quarantine/quarantine_parts.ts";
 import { RequestService } from "./requests/request_service.ts";
-import { RetryReport } from "./retries/retry_report.ts";
-import { ServiceRetryBudget } from "./retries/service_retry_budget.ts";
+import { createRetryParts } from "./retries/create_retry_parts.ts";
 import { StreamOrigins } from "./streams/stream_origins.ts";
 import { planReading } from "./tables/reading_plan.ts";
 import { StoreEra } from "./tables/store_era.ts";
@@ -120,6 +120,7 @@
   readonly #answerTimes: AnswerTimes;
   readonly #answerTimesSync: AnswerTimesSync;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
+  #rowStore: RowStore | undefined;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
   #plannedAt = Number.NEGATIVE_INFINITY;
@@ -140,19 +141,6 @@
     const membership = new FleetMembership(options);
     const peers = new PeerClient(timer);
     this.followClient = peers;
-    const budget: ServiceRetryBudget = new ServiceRetryBudget({
-      ratio: options.retryRatio,
-      slack: options.retrySlack,
-      windowMilliseconds: options.retryWindowMilliseconds,
-      report: new RetryReport({
-        ...options,
-        metrics: this.metrics,
-        describe: (service) => ({
-          ...budget.describe(service, timer.now()),
-          daemons: this.fleetSize(),
-        }),
-      }),
-    });
     const crashes = createQuarantineParts({
       ...options,
       isolation,
@@ -215,13 +203,30 @@
         random: options.random,
         senderCount: () => senderCounts[chooser](),
       });
+    const retries = createRetryParts({
+      ...options,
+      limits: {
+        ratio: options.retryRatio,
+        slack: options.retrySlack,
+        windowMilliseconds: options.retryWindowMilliseconds,
+      },
+      membership,
+      peers,
+      era,
+      metrics: this.metrics,
+      store: () => this.#rowStore,
+      lender: () => {
+        const id = chains.coordinator;
+        return id === self.daemonId ? self : membership.findAddress(id ?? "");
+      },
+    });
     const coordinator = new PieceCoordinator({
       configuration,
       registry,
       rateLimiter: createRateLimiter("coordinator"),
       client: options.pieces,
       timer,
-      budget,
+      retryGate: retries.gate,
       isIsolated: () => isolation.isIsolated,
       freeElsewhere: (results) => chains.releaseElsewhere(results),
       log,
@@ -273,7 +278,7 @@
       endpoints: options.endpoints,
       rateLimiter: createRateLimiter("daemon"),
       chainRunner: chains,
-      budget,
+      retryGate: retries.gate,
       crashes: crashes.detector,
       quarantine: crashes.quarantine,
       firstByteEstimates: new FirstByteEstimates(),
@@ -285,7 +290,6 @@
       log,
       metrics: this.metrics,
       zone: self.zone,
-      senderCount: () => this.fleetSize(),
     });
     this.#streamOrigins = streamOrigins;
     this.quarantine = crashes.quarantine;
@@ -317,6 +321,7 @@
       shareSpeeds: (page) => speedSync.answer(page),
       runChain: (request, signal) => chains.runForPeer(request, signal),
       release: (release) => coordinator.release(release),
+      lendRetries: (service, count) => retries.lender.lend(service, count),
       holdStreams: (streams) => streamOrigins.hold(streams),
       answerOrigin: (question) => streamOrigins.answer(question),
     });
@@ -383,6 +388,14 @@
     this.#fleet.exchangeWithAll(peers.filter((peer) => peer !== self.peer));
   }
 
+  /** Sets the store that keeps the ledgers of lent retries. */
+  registerRowStore(store: RowStore): () => void {
+    this.#rowStore = store;
+    return () => {
+      if (this.#rowStore === store) this.#rowStore = undefined;
+    };
+  }
+
   /** Records that the endpoint list matched the store at `at`. */
   confirmTables(at: number): void {
     this.#tablesConfirmedAt = Math.max(this.#tablesConfirmedAt, at);
--- a/packages/kelpspar-gateway/src/pieces/call_target.ts
+++ b/packages/kelpspar-gateway/src/pieces/call_target.ts
@@ -6,6 +6,8 @@
 import { piecesPerMillisecond } from "./service_capacity.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Fewer pieces would split the stages of most requests. */
+const MINIMUM_TRIAL_PIECES = 4;
 
 interface KeptResult {
   readonly bytes: number;
@@ -18,6 +20,8 @@
   readonly calls = new Set<RunningCall>();
   /** No calls until then because it was full; monotonic milliseconds. */
   pausedUntil = 0;
+  /** Calls in succession that it refused as full. */
+  refusals = 0;
   /** Room taken by results of other daemons, bytes. */
   foreignBytes = 0;
   /** True while its room is being queried or the last report is valid. */
@@ -39,6 +43,12 @@
       this.#rateLimiter.isWithinLimit(this.endpoint, now);
   }
 
+  /** Pieces in its next call at most: few while it refuses calls. */
+  batch(terms: PieceTerms): number {
+    const pieces = Math.floor(terms.batch / 2 ** this.refusals);
+    return Math.max(Math.min(terms.batch, MINIMUM_TRIAL_PIECES), pieces);
+  }
+
   /** Time until another call may start, milliseconds. */
   waitFor(
     terms: PieceTerms,
--- a/packages/kelpspar-gateway/src/pieces/chain_outcome.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_outcome.ts
@@ -24,6 +24,8 @@
   | "over_limit"
   | "too_late"
   | "failing"
+  /** Pieces must be sent again and the fleet's retry budget is spent. */
+  | "retry_budget"
   /** The coordinator reaches no endpoint. */
   | "isolated";
 
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -31,6 +31,11 @@
   readonly tailMilliseconds: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /**
+   * How long an earlier run of the chain may have lasted, at any daemon;
+   * undefined if there was none.
+   */
+  readonly earlierRunMilliseconds?: number | undefined;
   /** Whether another daemon may name the coordinator instead of running it. */
   readonly mayRedirect?: boolean | undefined;
 }
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -15,6 +15,8 @@
   readonly now: number;
   /** Zone of the endpoint that has cached most of the request's prompt. */
   readonly readerZone?: string | undefined;
+  /** Stages that an earlier run of the chain may have begun; default none. */
+  readonly repeatedStages?: ReadonlySet<number> | undefined;
   readonly settle: (outcome: ChainOutcome) => void;
 }
 
@@ -36,6 +38,9 @@
   readonly #started = new Set<number>();
   readonly #freed = new Set<number>();
   readonly #begun = new Set<number>();
+  /** Pieces that were sent at least once, by stage. */
+  readonly #sent: readonly Set<number>[];
+  readonly #repeatedStages: ReadonlySet<number>;
   /** Number of pieces sent, by stage and zone. */
   readonly #sentByZone = new Map<number, Map<string, number>>();
 
@@ -45,6 +50,8 @@
     this.deadlineAt = now + request.remainingMilliseconds;
     this.objectiveAt = now + request.objectiveMilliseconds;
     this.readerZone = options.readerZone;
+    this.#sent = request.stages.map(() => new Set<number>());
+    this.#repeatedStages = options.repeatedStages ?? new Set();
     this.#settle = options.settle;
     this.#results = request.stages.map(({ pieces }) =>
       new Array<PieceResult | undefined>(pieces).fill(undefined)
@@ -75,6 +82,14 @@
     );
   }
 
+  /** Number of pieces that have a result. */
+  get madeCount(): number {
+    return this.request.stages.reduce(
+      (sum, { pieces }, number) => sum + pieces - (this.#missing[number] ?? 0),
+      0,
+    );
+  }
+
   isPieceDone(stage: number, piece: number): boolean {
     return this.#results[stage]?.[piece] !== undefined;
   }
@@ -135,11 +150,21 @@
     return this.#begun.has(number);
   }
 
-  /** Records that a piece of a stage was sent to an endpoint in `zone`. */
-  recordSend(number: number, zone: string): void {
-    this.#begun.add(number);
-    const pieces = this.#sentByZone.get(number) ?? new Map<string, number>();
-    this.#sentByZone.set(number, pieces.set(zone, (pieces.get(zone) ?? 0) + 1));
+  /** Records that a piece was sent to an endpoint in `zone`. */
+  recordSend(
+    { stage, piece }: Pick<PieceTask, "stage" | "piece">,
+    zone: string,
+  ): void {
+    this.#begun.add(stage);
+    this.#sent[stage]?.add(piece);
+    const pieces = this.#sentByZone.get(stage) ?? new Map<string, number>();
+    this.#sentByZone.set(stage, pieces.set(zone, (pieces.get(zone) ?? 0) + 1));
+  }
+
+  /** Whether a piece may have been sent before, by this daemon or another. */
+  wasSent(stage: number, piece: number): boolean {
+    return this.#repeatedStages.has(stage) ||
+      this.#sent[stage]?.has(piece) === true;
   }
 
   /** Zone to which most pieces of a stage were sent; undefined if none was. */
@@ -275,6 +300,7 @@
           calls: 0,
           isQueued: false,
           failures: this.restarts,
+          retryCause: "restart" as const,
         }]
         : []
     );
--- a/packages/kelpspar-gateway/src/pieces/describe_load.ts
+++ b/packages/kelpspar-gateway/src/pieces/describe_load.ts
@@ -13,15 +13,16 @@
   readonly queue: PieceQueue;
   readonly targets: readonly CallTarget[];
   readonly terms: PieceTerms;
+  readonly repeats: number;
   readonly now: number;
 }): LogFields {
-  const { queue, targets, terms, now } = options;
+  const { queue, targets, terms, repeats, now } = options;
   const sum = (of: (target: CallTarget) => number): number =>
     targets.reduce((total, target) => total + of(target), 0);
   const room = sum((target) => target.room(terms, now));
   return {
     queued: queue.length,
-    startable: queue.startable(totalRoom(targets, terms, now)).length,
+    startable: queue.startable(totalRoom(targets, terms, now), repeats).length,
     endpoints: targets.length,
     calls: sum((target) => target.calls.size),
     pieces: sum((target) =>
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -6,7 +6,6 @@
 } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRateLimiter } from "../endpoints/endpoint_rate_limiter.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
-import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { Placement } from "../placement/reader_place.ts";
 import type { StageForecast } from "./admit_chain.ts";
 import type {
@@ -16,11 +15,13 @@
 } from "./chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "./chain_request.ts";
 import type { PieceClient } from "./piece_call.ts";
+import type { PieceRetryGate } from "./piece_retries.ts";
 import type { PieceTask } from "./piece_task.ts";
 import { ReaderPlacement } from "../placement/reader_placement.ts";
 import { admitChain } from "./admit_chain.ts";
 import { backlogOf } from "./backlog.ts";
 import { ChainRun } from "./chain_run.ts";
+import { findRepeatedStages } from "./find_repeated_stages.ts";
 import { StarvationMonitor } from "./starvation_monitor.ts";
 import { maxPlacementWait } from "./max_placement_wait.ts";
 import { RefusedCallers } from "./refused_callers.ts";
@@ -46,7 +47,7 @@
   /** For endpoints of stages and for those at which it places requests. */
   readonly rateLimiter: EndpointRateLimiter;
   readonly timer: TimerService;
-  readonly budget: ServiceRetryBudget;
+  readonly retryGate: PieceRetryGate;
   /** True while this daemon reaches no endpoint. */
   readonly isIsolated: () => boolean;
   /** Frees results whose makers this daemon doesn't reach, at another one. */
@@ -114,7 +115,14 @@
     return new Promise((resolve) => {
       const now = this.#options.timer.now();
       const readerZone = this.#placement.zoneOfCachedPrompt(request.reader);
-      const chain = new ChainRun({ request, now, readerZone, settle: resolve });
+      const repeatedStages = this.#findRepeatedStages(request);
+      const chain = new ChainRun({
+        request,
+        now,
+        readerZone,
+        repeatedStages,
+        settle: resolve,
+      });
       this.#chains.add(chain);
       this.#startTimers();
       signal.addEventListener(
@@ -238,6 +246,17 @@
     return { backlog, work: 0, after, turn: 0 };
   }
 
+  /** Stages that an earlier run of the chain may have begun. */
+  #findRepeatedStages(request: ChainRequest): ReadonlySet<number> {
+    const { configuration } = this.#options;
+    return findRepeatedStages(
+      request,
+      (service) =>
+        configuration.table?.findService(service)?.pieces?.callMilliseconds ??
+          0,
+    );
+  }
+
   #schedulerOf(service: string): StageScheduler | undefined {
     const known = this.#schedulers.get(service);
     if (known !== undefined) return known;
@@ -253,8 +272,12 @@
         made: (task) => this.#pieceMade(task),
         inputsGone: (task) =>
           this.#restart(task.chain, task.chain.invalidateInputs(task.stage)),
-        failed: (chain, reason) =>
-          this.#fail(chain, refuse(reason, FAILED_RETRY_MILLISECONDS)),
+        failed: (chain, reason) => {
+          const wait = reason === "retry_budget"
+            ? parts.retryGate.retryAfterMilliseconds(service)
+            : FAILED_RETRY_MILLISECONDS;
+          this.#fail(chain, refuse(reason, wait));
+        },
       },
     });
     this.#schedulers.set(service, scheduler);
--- a/packages/kelpspar-gateway/src/pieces/piece_queue.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_queue.ts
@@ -1,5 +1,6 @@
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceTask } from "./piece_task.ts";
+import { isRepeat } from "./is_repeat.ts";
 import { StageCache } from "./stage_cache.ts";
 import { startablePieces } from "./startable_pieces.ts";
 
@@ -71,8 +72,27 @@
     );
   }
 
-  /** Pieces, by rank, that can start without a deadlock over room. */
-  startable(room: number): readonly PieceTask[] {
-    return startablePieces(this.#tasks, room);
+  /**
+   * Pieces, by rank, that can start without a deadlock over room; at most
+   * `repeats` of them were sent before.
+   */
+  startable(room: number, repeats: number): readonly PieceTask[] {
+    const startable = startablePieces(this.#tasks, room);
+    const again = startable.filter(isRepeat);
+    if (again.length <= repeats) return startable;
+    const allowed = new Set(byProgress(again).slice(0, repeats));
+    return startable.filter((task) => !isRepeat(task) || allowed.has(task));
   }
+
+  /** Pieces that were sent before, without the `count` that go first. */
+  repeatsBeyond(count: number): readonly PieceTask[] {
+    return byProgress(this.#tasks.filter(isRepeat)).slice(count);
+  }
+}
+
+/** Puts pieces first whose chains would waste the most results. */
+function byProgress(tasks: readonly PieceTask[]): readonly PieceTask[] {
+  return tasks.toSorted((left, right) =>
+    right.chain.madeCount - left.chain.madeCount
+  );
 }
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -1,58 +1,91 @@
 import type { TimerService } from "kelpspar-shared";
 import type { RetryCause } from "../retries/retry_cause.ts";
-import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { RetryGate } from "../retries/retry_gate.ts";
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceQueue } from "./piece_queue.ts";
 import type { PieceTask } from "./piece_task.ts";
+import { isRepeat } from "./is_repeat.ts";
 
 /** A chain fails when one of its pieces has failed this often. */
 const MAX_FAILURES = 4;
 
+/** What pieces need of the retry gate. */
+export type PieceRetryGate = Pick<
+  RetryGate,
+  | "available"
+  | "trySpend"
+  | "borrow"
+  | "waitFor"
+  | "recordRequests"
+  | "retryAfterMilliseconds"
+>;
+
 /** Dependencies of `PieceRetries`, for one service. */
 export interface PieceRetriesOptions {
   readonly service: string;
   readonly queue: PieceQueue;
-  readonly budget: ServiceRetryBudget;
+  readonly retryGate: PieceRetryGate;
   readonly timer: TimerService;
   /** Called when a chain can't be completed. */
-  readonly failed: (chain: ChainRun) => void;
+  readonly failed: (
+    chain: ChainRun,
+    reason: "failing" | "retry_budget",
+  ) => void;
+  /** Called when more pieces may be sent again. */
+  readonly dispatch: () => void;
 }
 
-/** Decides which pieces are retried, within the fleet's retry budget. */
+/**
+ * Decides which pieces are sent again, within the fleet's retry budget. Pieces
+ * wait in the queue for the budget and spend it when they are sent.
+ */
 export class PieceRetries {
   readonly #options: PieceRetriesOptions;
+  #isBorrowing = false;
 
   constructor(options: PieceRetriesOptions) {
     this.#options = options;
   }
 
-  /** Counts pieces that are sent for the first time towards the budget. */
-  recordFirstAttempts(tasks: readonly PieceTask[]): void {
-    const { budget, service, timer } = this.#options;
-    for (const task of tasks) {
-      const isFirst = task.failures === 0 && task.calls === 1;
-      if (isFirst) budget.recordRequest(service, timer.now());
-    }
-  }
-
   /** True while a piece is still to be made and isn't queued. */
   isNeeded(task: PieceTask): boolean {
     return task.chain.isOpen && !task.isQueued &&
       !task.chain.isPieceDone(task.stage, task.piece);
   }
 
-  /** Queues pieces of calls still in flight, if the budget allows it. */
+  /** Number of queued pieces that may be sent again now. */
+  get available(): number {
+    return this.#options.retryGate.available(this.#options.service);
+  }
+
+  /** Spends the budget for the pieces of a call that is sent now. */
+  recordSends(tasks: readonly PieceTask[], zone: string): void {
+    const { retryGate, service } = this.#options;
+    const causes = new Map<RetryCause, number>();
+    let first = 0;
+    for (const task of tasks) {
+      if (isRepeat(task)) {
+        causes.set(task.retryCause, (causes.get(task.retryCause) ?? 0) + 1);
+      } else first++;
+      task.chain.recordSend(task, zone);
+    }
+    for (const [cause, count] of causes) {
+      retryGate.trySpend(service, cause, count);
+    }
+    if (first > 0) retryGate.recordRequests(service, first);
+  }
+
+  /** Queues pieces of calls still in flight, if the budget allows it now. */
   hedge(tasks: readonly PieceTask[]): void {
     const open = tasks.filter((task) => this.isNeeded(task));
-    if (open.length > 0 && this.#spendBudget(open.length, "hedge")) {
-      this.#options.queue.add(open);
-    }
+    if (open.length === 0) return;
+    if (this.available >= open.length) this.#queue(open, "hedge");
+    else this.#borrow(open.length, () => this.#hedgeWithLoan(open));
   }
 
-  /** Queues pieces that an endpoint rejected, even if the budget is spent. */
+  /** Queues pieces that an endpoint rejected. */
   requeueRejected(tasks: readonly PieceTask[]): void {
-    this.#spendBudget(tasks.length, "rejected");
-    for (const task of tasks) this.#requeue(task);
+    this.#queue(tasks.filter((task) => this.isNeeded(task)), "rejected");
   }
 
   /** Queues failed pieces again, or fails their chains. */
@@ -60,24 +93,52 @@
     for (const task of tasks) {
       if (!this.isNeeded(task) || task.calls > 0) continue;
       if (cause === "failed") task.failures++;
-      const isLost = task.failures >= MAX_FAILURES ||
-        (cause === "failed" && !this.#spendBudget(1, "failed"));
-      if (isLost) this.#options.failed(task.chain);
-      else this.#requeue(task);
+      if (task.failures >= MAX_FAILURES) {
+        this.#options.failed(task.chain, "failing");
+      } else this.#queue([task], "failed");
     }
   }
 
-  #requeue(task: PieceTask): void {
-    if (this.isNeeded(task)) this.#options.queue.add([task]);
+  /**
+   * Borrows for the pieces that wait for the budget, in order of rank. Fails the
+   * chains of those that would wait beyond their deadline.
+   */
+  handleWaiting(
+    tasks: readonly PieceTask[],
+    options: { readonly workMilliseconds: number },
+  ): void {
+    const { retryGate, service, timer, failed } = this.#options;
+    if (tasks.length === 0) return;
+    this.#borrow(tasks.length, () => {});
+    const now = timer.now();
+    const available = this.available;
+    for (const [index, { chain }] of tasks.entries()) {
+      if (!chain.isOpen) continue;
+      const wait = retryGate.waitFor(service, available + index + 1);
+      const rest = options.workMilliseconds + chain.request.tailMilliseconds;
+      if (now + wait + rest > chain.deadlineAt) failed(chain, "retry_budget");
+    }
+  }
+
+  #queue(tasks: readonly PieceTask[], cause: RetryCause): void {
+    for (const task of tasks) task.retryCause = cause;
+    this.#options.queue.add(tasks);
+  }
+
+  #hedgeWithLoan(tasks: readonly PieceTask[]): void {
+    const open = tasks.filter((task) => this.isNeeded(task) && task.calls > 0);
+    if (this.available >= open.length) this.#queue(open, "hedge");
   }
 
-  #spendBudget(count: number, cause: RetryCause): boolean {
-    const { budget, service, timer } = this.#options;
-    return budget.trySpend(service, {
-      count,
-      cause,
-      senderCount: 1,
-      now: timer.now(),
+  #borrow(count: number, then: () => void): void {
+    if (this.#isBorrowing) return;
+    this.#isBorrowing = true;
+    const { retryGate, service, dispatch } = this.#options;
+    void retryGate.borrow(service, count).then((hasLoan) => {
+      this.#isBorrowing = false;
+      if (!hasLoan) return;
+      then();
+      dispatch();
     });
   }
 }
--- a/packages/kelpspar-gateway/src/pieces/piece_task.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_task.ts
@@ -1,3 +1,4 @@
+import type { RetryCause } from "../retries/retry_cause.ts";
 import type { ChainRun } from "./chain_run.ts";
 
 /** A piece that is queued or being made. */
@@ -10,4 +11,6 @@
   isQueued: boolean;
   /** Number of failed calls. */
   failures: number;
+  /** Why it would be sent again. */
+  retryCause: RetryCause;
 }
--- a/packages/kelpspar-gateway/src/pieces/plan_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/plan_call.ts
@@ -17,6 +17,8 @@
   readonly queue: PieceQueue;
   readonly targets: readonly CallTarget[];
   readonly terms: PieceTerms;
+  /** Number of pieces that may be sent again. */
+  readonly repeats: number;
   readonly now: number;
 }
 
@@ -38,10 +40,10 @@
 
 /** Plans a call for the first piece that can be placed; undefined if none can. */
 export function planCall(options: PlanCallOptions): CallPlan | undefined {
-  const { queue, targets, terms, now } = options;
+  const { queue, targets, terms, repeats, now } = options;
   if (!targets.some((target) => target.isFree(terms, now))) return undefined;
   const states = targets.map((target) => toTargetState(target, options));
-  const startable = queue.startable(totalRoom(targets, terms, now));
+  const startable = queue.startable(totalRoom(targets, terms, now), repeats);
   const work = singleCallTime(terms, queue.length);
   const queueTime = singleEndpointTime(options);
   let previous: PieceTask | undefined;
@@ -128,7 +130,7 @@
   const hasHighBacklog =
     singleEndpointTime(options) / targets.length > HIGH_BACKLOG_MILLISECONDS;
   return fillCall([first, ...near, ...(hasHighBacklog ? far : [])], {
-    batch: terms.batch,
+    batch: state.target.batch(terms),
     room: state.room,
     isEmpty: state.room >= terms.resultBytes,
   });
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -25,6 +25,7 @@
 
 /** Pause before the next call to a full endpoint. */
 const FULL_PAUSE_MILLISECONDS = 60;
+const MAXIMUM_BACKOFF_DOUBLINGS = 2;
 
 /**
  * Schedules the pieces of all requests for one stage service. Pieces queue here
@@ -45,7 +46,8 @@
     this.#retries = new PieceRetries({
       ...options,
       queue: this.#queue,
-      failed: (chain) => options.events.failed(chain, "failing"),
+      failed: (chain, reason) => options.events.failed(chain, reason),
+      dispatch: () => this.dispatch(),
     });
     this.#terms = options.terms;
   }
@@ -138,7 +140,8 @@
   #planOptions(): PlanCallOptions {
     const now = this.#now();
     const targets = this.#targets.usable(now);
-    return { queue: this.#queue, targets, terms: this.#terms, now };
+    const repeats = this.#retries.available;
+    return { queue: this.#queue, targets, terms: this.#terms, repeats, now };
   }
 
   #dispatchNow(): void {
@@ -150,9 +153,11 @@
     this.#queue.pruneAndSort((task) => rankTask(task, { work, now }));
     for (;;) {
       const plan = planCall(this.#planOptions());
-      if (plan === undefined) return;
+      if (plan === undefined) break;
       this.#startCall(plan.target, plan.tasks);
     }
+    const waiting = this.#queue.repeatsBeyond(this.#retries.available);
+    this.#retries.handleWaiting(waiting, { workMilliseconds: work });
   }
 
   #startCall(target: CallTarget, tasks: readonly PieceTask[]): void {
@@ -164,12 +169,9 @@
       now,
     });
     this.#queue.remove(tasks);
-    for (const task of tasks) {
-      task.calls++;
-      task.chain.recordSend(task.stage, target.endpoint.entry.zone);
-    }
+    for (const task of tasks) task.calls++;
     target.startCall(call, now);
-    this.#retries.recordFirstAttempts(tasks);
+    this.#retries.recordSends(tasks, target.endpoint.entry.zone);
     const stopWatching = watchCall({
       call,
       slowness: target.endpoint.expectedSlowness(now),
@@ -241,6 +243,7 @@
   ): void {
     const now = this.#now();
     const ratio = (now - call.startedAt) / call.expectedCallTime;
+    target.refusals = 0;
     target.endpoint.succeeded(ratio, now);
     const { reportedSlowdown } = call;
     target.endpoint.load.observe(ratio, { now, reportedSlowdown });
@@ -313,9 +316,13 @@
     });
   }
 
-  /** Another daemon's calls fill the endpoint; pauses calls to it. */
+  /**
+   * Another daemon's calls fill the endpoint, or it can't run any; pauses calls
+   * to it, longer each time.
+   */
   #endpointFull(target: CallTarget, call: RunningCall): void {
-    target.pausedUntil = this.#now() + FULL_PAUSE_MILLISECONDS;
+    const backoff = 2 ** Math.min(target.refusals++, MAXIMUM_BACKOFF_DOUBLINGS);
+    target.pausedUntil = this.#now() + FULL_PAUSE_MILLISECONDS * backoff;
     this.#retries.requeueRejected(call.tasks);
   }
 
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler_options.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler_options.ts
@@ -3,17 +3,20 @@
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRateLimiter } from "../endpoints/endpoint_rate_limiter.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
-import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceClient } from "./piece_call.ts";
+import type { PieceRetryGate } from "./piece_retries.ts";
 import type { PieceTask } from "./piece_task.ts";
 
 /** Callbacks for the outcome of pieces. */
 export interface StageSchedulerEvents {
   made(task: PieceTask): void;
   inputsGone(task: PieceTask): void;
-  failed(chain: ChainRun, reason: "too_late" | "failing"): void;
+  failed(
+    chain: ChainRun,
+    reason: "too_late" | "failing" | "retry_budget",
+  ): void;
 }
 
 /** Dependencies of `StageScheduler`. */
@@ -24,7 +27,7 @@
   readonly rateLimiter: EndpointRateLimiter;
   readonly client: PieceClient;
   readonly timer: TimerService;
-  readonly budget: ServiceRetryBudget;
+  readonly retryGate: PieceRetryGate;
   readonly log: GatewayLog;
   readonly events: StageSchedulerEvents;
   /** Frees results that are no longer needed. */
--- a/packages/kelpspar-gateway/src/relay/relay_message.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_message.ts
@@ -9,6 +9,8 @@
   /** Endpoints that may still run a repeatable request. */
   attemptsLeft: z.number().int().min(1),
   streamOrigin: streamOriginSchema.optional(),
+  /** Daemons of the previous version don't send it. */
+  earlierStagesMilliseconds: z.number().optional(),
   request: z.object({
     attemptId: z.string(),
     method: z.string(),
@@ -34,6 +36,8 @@
   readonly attemptsLeft: number;
   /** Software that began the stream, if the sender knows it. */
   readonly streamOrigin?: StreamOrigin | undefined;
+  /** How long ago the sender began the stages; undefined if it didn't. */
+  readonly earlierStagesMilliseconds?: number | undefined;
   readonly request: ServingRequest;
 }
 
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -63,6 +63,9 @@
   readonly recheckCoordinator: () => void;
 }
 
+/** Why a daemon gave no outcome; `lost` if it may have begun the chain. */
+type RemoteFailure = "not_begun" | "lost";
+
 /** Counts since the start of a `ChainClient`. */
 export interface ChainClientCounts {
   /** How often this daemon used another coordinator than before. */
@@ -161,21 +164,33 @@
     const startedAt = timer.now();
     await this.#waitForMembership();
     this.#noteCoordinator();
-    for (const daemonId of this.#candidates()) {
+    let mayHaveBegun = false;
+    const remainingRequest = (): ChainRequest => {
       const elapsed = timer.now() - startedAt;
-      const rest = {
+      return {
         ...request,
         remainingMilliseconds: request.remainingMilliseconds - elapsed,
         objectiveMilliseconds: request.objectiveMilliseconds - elapsed,
+        earlierRunMilliseconds: mayHaveBegun
+          ? (request.earlierRunMilliseconds ?? 0) + elapsed
+          : request.earlierRunMilliseconds,
       };
+    };
+    for (const daemonId of this.#candidates()) {
+      const rest = remainingRequest();
       if (daemonId === this.#options.daemonId) return local.run(rest, signal);
       const outcome = await this.#runOrFollow(daemonId, rest, signal);
-      if (outcome !== undefined || signal.aborted) {
-        return outcome ??
-          { type: "refused", reason: "too_late", retryAfterMilliseconds: 0 };
+      if (typeof outcome !== "string") return outcome;
+      if (signal.aborted) {
+        return {
+          type: "refused",
+          reason: "too_late",
+          retryAfterMilliseconds: 0,
+        };
       }
+      mayHaveBegun ||= outcome === "lost";
     }
-    return local.run(request, signal);
+    return local.run(remainingRequest(), signal);
   }
 
   /** Frees results through the coordinator, which accounts for their room. */
@@ -268,14 +283,14 @@
     daemonId: string,
     request: ChainRequest,
     signal: AbortSignal,
-  ): Promise<ChainOutcome | undefined> {
+  ): Promise<ChainOutcome | RemoteFailure> {
     const { membership, probe, timer, log } = this.#options;
     const answer = await this.#runRemote(
       daemonId,
       { ...request, mayRedirect: true },
       signal,
     );
-    if (answer?.type !== "moved") return answer;
+    if (typeof answer === "string" || answer.type !== "moved") return answer;
     const now = timer.now();
     const { coordinator } = answer;
     const newId = coordinator.daemonId;
@@ -300,17 +315,19 @@
       { ...request, mayRedirect: false },
       signal,
     );
-    return next?.type === "moved" ? undefined : next;
+    return typeof next !== "string" && next.type === "moved"
+      ? "not_begun"
+      : next;
   }
 
   async #runRemote(
     daemonId: string,
     request: ChainRequest,
     signal: AbortSignal,
-  ): Promise<PeerChainAnswer | undefined> {
+  ): Promise<PeerChainAnswer | RemoteFailure> {
     const { membership, peers, timer, log } = this.#options;
     const address = membership.findAddress(daemonId);
-    if (address === undefined) return undefined;
+    if (address === undefined) return "not_begun";
     const abortController = new AbortController();
     const stop = (): void => abortController.abort();
     signal.addEventListener("abort", stop, { once: true });
@@ -337,9 +354,10 @@
         abortController.signal,
       );
     } catch (error) {
+      const isRefused = isConnectionRefused(error);
       if (!signal.aborted) {
         membership.reportFailedCall(address.peer, {
-          isRefused: isConnectionRefused(error),
+          isRefused,
           now: timer.now(),
         });
         log.warn("coordinator lost", {
@@ -348,7 +366,7 @@
           reason: error instanceof Error ? error.message : String(error),
         });
       }
-      return undefined;
+      return isRefused ? "not_begun" : "lost";
     } finally {
       stopSilenceCheck();
       signal.removeEventListener("abort", stop);
--- a/packages/kelpspar-gateway/src/requests/create_chain_request.ts
+++ b/packages/kelpspar-gateway/src/requests/create_chain_request.ts
@@ -45,5 +45,6 @@
       route.kind === "stream",
     ),
     priority: run.priority,
+    earlierRunMilliseconds: run.earlierStagesMilliseconds,
   };
 }
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -1,7 +1,6 @@
 import type { EndpointAnswer } from "./endpoint_call.ts";
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
-import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -85,16 +84,9 @@
     return chooseRequestEndpoint(this.#run, this.#triedEndpointIds);
   }
 
-  /**
-   * Reserves one send; false if the retry budget or the maximum number of sends
-   * is used up. Sends are free until one was delivered to an endpoint.
-   */
-  tryReserveSend(cause: RetryCause = "failed"): boolean {
-    const { dependencies, service } = this.#run.options;
-    const now = dependencies.timer.now();
-    if (this.#run.sends >= MAXIMUM_SENDS) return false;
-    if (this.#run.sends === 0) dependencies.budget.recordRequest(service, now);
-    return this.#run.tryReserveRetry(cause);
+  /** True once the request was sent to as many endpoints as it may be. */
+  get hasSentOften(): boolean {
+    return this.#run.sends >= MAXIMUM_SENDS;
   }
 
   /** Sends the request; a repeatable call that is slow is hedged once. */
@@ -120,10 +112,16 @@
     // work that is done twice without an answer that comes sooner.
     const isSooner = second !== undefined &&
       this.#expectedCallTime(second.endpoint) < wait;
-    if (!isSooner || !this.tryReserveSend("hedge")) {
-      return await first;
-    }
-    return await firstSuccessful([first, this.#sendTo(second)]);
+    if (!isSooner || this.hasSentOften) return await first;
+    const outcome = await run.reserveSend("hedge");
+    // The endpoint's place, or the first answer, may have come and gone.
+    const hedge = outcome === "allowed_after_wait"
+      ? this.chooseEndpoint()
+      : second;
+    const isUseless = outcome === "refused" || hedge === undefined ||
+      !run.isOpen;
+    if (isUseless) return await first;
+    return await firstSuccessful([first, this.#sendTo(hedge)]);
   }
 
   /**
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -12,7 +12,7 @@
 import type { StopForecastOptions } from "../lifecycle/stop_forecast.ts";
 import type { PeerRelay } from "../relay/peer_relay.ts";
 import type { StreamOrigins } from "../streams/stream_origins.ts";
-import type { ServiceRetryBudget } from "../retries/service_retry_budget.ts";
+import type { RetryGate } from "../retries/retry_gate.ts";
 import type { ChainRunner } from "./chain_runner.ts";
 import type { EndpointClient } from "./endpoint_call.ts";
 import type { FirstByteEstimates } from "./first_byte_estimates.ts";
@@ -39,7 +39,11 @@
     "isNeeded" | "verified" | "choosePeer" | "send"
   >;
   readonly streamOrigins: Pick<StreamOrigins, "begin" | "find">;
-  readonly budget: ServiceRetryBudget;
+  /** Decides what is sent to an endpoint again. */
+  readonly retryGate: Pick<
+    RetryGate,
+    "recordRequests" | "spend" | "retryAfterMilliseconds" | "describe"
+  >;
   readonly crashes: Pick<CrashDetector, "checkEndpoint">;
   readonly quarantine: Pick<
     Quarantine,
@@ -62,6 +66,4 @@
   readonly metrics: GatewayMetrics;
   /** Availability zone of this daemon. */
   readonly zone: string;
-  /** Number of daemons that share the fleet's retry budget. */
-  readonly senderCount: () => number;
 }
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,5 +1,6 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
+import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
 import { describeSoftware } from "../streams/software_of.ts";
@@ -14,6 +15,7 @@
   NO_ENDPOINT_RETRY_MILLISECONDS,
 } from "./retry_waits.ts";
 import { QUEUE_SHARE } from "./queue_share.ts";
+import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 import { closeAnswer, isStreamed } from "./send_result.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
@@ -56,6 +58,8 @@
   readonly #streamForwarder: StreamForwarder;
   readonly #continuation: StreamContinuation;
   readonly #relayer: RequestRelayer;
+  /** Why the request would be sent again. */
+  #retryCause: RetryCause = "failed";
   /** Last error answer of an endpoint, returned if all retries fail too. */
   #fallback: BufferedAnswer | undefined;
 
@@ -113,8 +117,20 @@
         await this.#chooseAfterWait();
       if (!run.isOpen) return "ended";
       if (choice === undefined) return await this.#failWithoutEndpoint();
-      if (!sender.tryReserveSend()) return await this.#failWithoutReserve();
-      const result = await sender.send(choice);
+      if (sender.hasSentOften) return await this.#failAfterAllSends();
+      const reservation = run.reserveSend(this.#retryCause);
+      const outcome = typeof reservation === "string"
+        ? reservation
+        : await reservation;
+      if (!run.isOpen) return "ended";
+      if (outcome === "refused") return await this.#failWithoutBudget();
+      // Another request may have taken the endpoint's last place meanwhile.
+      const current = outcome === "allowed_after_wait"
+        ? sender.chooseEndpoint()
+        : choice;
+      if (current === undefined) continue;
+      this.#retryCause = "failed";
+      const result = await sender.send(current);
       if (!run.isOpen) closeAnswer(result);
       else {
         const end = await this.#handleResult(result);
@@ -150,9 +166,25 @@
     return this.#run.isOpen && this.#isIsolated;
   }
 
-  async #failWithoutReserve(): Promise<DispatchOutcome> {
+  async #failAfterAllSends(): Promise<DispatchOutcome> {
+    if (await this.#verifyIsolation()) return "isolated";
+    return this.#failAndEnd("sent too often");
+  }
+
+  async #failWithoutBudget(): Promise<DispatchOutcome> {
     if (await this.#verifyIsolation()) return "isolated";
-    return this.#failAndEnd("repeats used up");
+    const { dependencies, service, request } = this.#run.options;
+    const { retryGate, log } = dependencies;
+    const retryAfterMilliseconds = retryGate.retryAfterMilliseconds(service);
+    log.info("retry refused", {
+      attempt: request.attemptId,
+      service,
+      sends: this.#run.sends,
+      retryAfterMilliseconds,
+      ...retryGate.describe(service),
+    });
+    this.fail(SPENT_BUDGET_REASON, retryAfterMilliseconds);
+    return "ended";
   }
 
   #failAndEnd(reason: string): DispatchOutcome {
@@ -257,6 +289,7 @@
       full: () => {
         const { concurrency } = this.#run.options.dependencies;
         concurrency.recordRefusal(result.endpoint);
+        this.#retryCause = "rejected";
         return "again";
       },
       replaced: () => {
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -7,6 +7,7 @@
 import type { StreamRelay } from "./stream_relay.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
 import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
+import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 import { isStreamed } from "./send_result.ts";
 
 /** Daemons that one request is relayed to at most. */
@@ -74,9 +75,11 @@
   async #relayTo(peer: DaemonAddress | undefined): Promise<RelayStep> {
     const { run } = this.#options;
     const { relay, configuration, log, timer } = run.options.dependencies;
-    if (peer === undefined || !run.tryReserveRetry("failed")) {
-      return this.#fail();
+    if (peer === undefined) return this.#fail();
+    if (await run.reserveSend("failed") === "refused") {
+      return this.#failWithoutBudget();
     }
+    if (!run.isOpen) return "ended";
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
     const attemptsLeft = Math.max(1, run.attemptsLeft);
@@ -88,6 +91,7 @@
         configurationVersion: configuration.version,
         attemptsLeft,
         streamOrigin: run.streamOrigin,
+        earlierStagesMilliseconds: run.earlierStagesMilliseconds,
         request: this.#createRequest(),
       },
       isRepeatable: run.hasAttemptsLeft,
@@ -186,6 +190,16 @@
     return "ended";
   }
 
+  #failWithoutBudget(): RelayStep {
+    const { run, fail } = this.#options;
+    const { dependencies, service } = run.options;
+    fail(
+      SPENT_BUDGET_REASON,
+      dependencies.retryGate.retryAfterMilliseconds(service),
+    );
+    return "ended";
+  }
+
   #fail(): RelayStep {
     const reason = this.#quotaHolders === undefined
       ? "no daemon reaches an endpoint"
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -7,6 +7,7 @@
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
+import type { RetryOutcome } from "../retries/retry_gate.ts";
 import type { QuarantinedSubject } from "../quarantine/quarantined_subject.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
@@ -42,6 +43,8 @@
   readonly relayedAttempts: number | undefined;
   /** Software that began the stream, if the relaying daemon knows it. */
   readonly streamOrigin?: StreamOrigin | undefined;
+  /** How long ago the relaying daemon began the stages; undefined if never. */
+  readonly earlierStagesMilliseconds?: number | undefined;
 }
 
 /**
@@ -63,6 +66,8 @@
   sends = 0;
   /** Number of sends that reached an endpoint, including refused ones. */
   deliveries = 0;
+  /** When its stages were first begun; undefined if never. */
+  stagesBegunAt: number | undefined;
   /** Value of `sends` when the coordinator was last asked for a place. */
   sendsAtPlacementRequest: number | undefined;
   firstByteAt: number | undefined;
@@ -84,6 +89,9 @@
       this.continueAt(options.streamOrigin);
     }
     const { request, route, arrivedAt, dependencies, reply, account } = options;
+    this.stagesBegunAt = options.earlierStagesMilliseconds === undefined
+      ? undefined
+      : arrivedAt - options.earlierStagesMilliseconds;
     this.fingerprint = requestFingerprint({
       caller: account?.name ?? request.callerKey ?? "",
       ...request,
@@ -180,17 +188,17 @@
   }
 
   /**
-   * Reserves one more send; false if the retry budget is used up. Sends are free
-   * until one was delivered.
+   * Reserves one more send, to be made at once. Sends are free until one was
+   * delivered.
    */
-  tryReserveRetry(cause: RetryCause): boolean {
-    if (this.deliveries === 0) return true;
+  reserveSend(cause: RetryCause): RetryOutcome | Promise<RetryOutcome> {
+    if (this.deliveries === 0) return "allowed";
     const { dependencies, service } = this.options;
-    return dependencies.budget.trySpend(service, {
-      count: 1,
+    return dependencies.retryGate.spend({
+      service,
       cause,
-      senderCount: dependencies.senderCount(),
-      now: this.now(),
+      priority: this.priority,
+      deadlineAt: this.deadlineAt,
     });
   }
 
@@ -217,6 +225,13 @@
     return route.objectiveMilliseconds - (this.now() - arrivedAt);
   }
 
+  /** How long ago its stages were first begun; undefined if never. */
+  get earlierStagesMilliseconds(): number | undefined {
+    return this.stagesBegunAt === undefined
+      ? undefined
+      : this.now() - this.stagesBegunAt;
+  }
+
   /** Stores results that are freed after the request has read them or ended. */
   holdResults(results: readonly PieceResult[], place?: ReaderPlace): void {
     this.releaseResults();
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -39,12 +39,13 @@
   "isolated",
   "no_endpoint",
   "failing",
+  "retry_budget",
 ]);
 
 /** What another daemon relays beside a request. */
 type RelayedState = Pick<
   RequestRunOptions,
-  "relayedAttempts" | "streamOrigin"
+  "relayedAttempts" | "streamOrigin" | "earlierStagesMilliseconds"
 >;
 
 const NOT_RELAYED: RelayedState = { relayedAttempts: undefined };
@@ -99,6 +100,7 @@
     await this.#serve(message.request, reply, {
       relayedAttempts: message.attemptsLeft,
       streamOrigin: message.streamOrigin,
+      earlierStagesMilliseconds: message.earlierStagesMilliseconds,
     });
   }
 
@@ -177,6 +179,9 @@
       });
     }
     const service = chooseTarget(route.targets, random);
+    if (service !== undefined && relayed.relayedAttempts === undefined) {
+      this.#dependencies.retryGate.recordRequests(service);
+    }
     if (service === undefined || request.attemptId === undefined) {
       return this.#refuse(request, reply, {
         status: service === undefined ? 503 : 400,
@@ -270,6 +275,7 @@
       stages,
       reader: createChainReader(run),
     });
+    run.stagesBegunAt ??= run.now();
     const outcome = await this.#dependencies.chainRunner.run(
       request,
       run.stop.signal,
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -2,6 +2,7 @@
 
 const GATEWAY = "packages/kelpspar-gateway/src";
 const GATEWAY_TESTS = `${GATEWAY}/__tests__/unit`;
+const DECISIONS = "packages/kelpspar-decisions/src";
 const PLATFORM_TESTS = "platform/src/__tests__/unit";
 
 /** Guards of the gateway, each with the test that fails without it. */
@@ -157,10 +158,31 @@
   },
   {
     name: "repeats come out of a budget",
-    file: `${GATEWAY}/retries/service_retry_budget.ts`,
-    code: "if (retries.sum(now) + count > allowed) return false;",
+    file: `${GATEWAY}/retries/retry_gate.ts`,
+    code: "const isAllowed = this.available(service) >= count;",
+    without: "const isAllowed = true;",
+    noticedBy: `${GATEWAY_TESTS}/retry_gate_test.ts`,
+  },
+  {
+    name: "lent slack is recorded for all daemons",
+    file: `${DECISIONS}/retries/slack_ledger.ts`,
+    code: "const lent = loans.reduce((sum, { amount }) => sum + amount, 0);",
+    without: "const lent = 0;",
+    noticedBy: `${GATEWAY_TESTS}/fleet_retry_replay_test.ts`,
+  },
+  {
+    name: "requests that waited during a pause earn no retries",
+    file: `${GATEWAY}/retries/retry_gate.ts`,
+    code: "if (now < this.#earnsFrom) return;",
     without: "",
-    noticedBy: `${GATEWAY_TESTS}/service_retry_budget_test.ts`,
+    noticedBy: `${GATEWAY_TESTS}/retry_gate_test.ts`,
+  },
+  {
+    name: "a piece that was sent before needs a retry",
+    file: `${GATEWAY}/pieces/piece_queue.ts`,
+    code: "if (again.length <= repeats) return startable;",
+    without: "return startable;",
+    noticedBy: `${GATEWAY_TESTS}/piece_coordinator_test.ts`,
   },
   {
     name: "a piece is sent with all its inputs only",
