--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -9,11 +9,11 @@
 import { Agent } from "undici";
 import { DaemonProcess } from "../wire/daemon_process.ts";
 import { sendToFirst } from "../wire/send_to_first.ts";
-import { WireSite } from "../wire/wire_site.ts";
+import { RETRY_LIMITS, WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
 import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
 
-const LIMITS = { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 };
+const LIMITS = { ...RETRY_LIMITS, slack: 60 };
 const PLAIN_RUNNERS = 8;
 const STAGE_RUNNERS = 6;
 const STAGE_BATCH = 16;
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -1,10 +1,15 @@
-import type { RunnerRun } from "../wire/runner_stand_in.ts";
+import type { RunnerArrival, RunnerRun } from "../wire/runner_stand_in.ts";
 import type { AdvertisedLimit } from "../wire/advertised_limit.ts";
 import type { WireAnswer } from "../wire/wire_caller.ts";
+import {
+  findWorstWindow,
+  firstArrivals,
+} from "../repeats/find_worst_window.ts";
 import {
   CRASHING_PATH_SUFFIX,
   hasPromptPart,
 } from "../wire/runner_stand_in.ts";
+import { RETRY_LIMITS } from "../wire/wire_site.ts";
 
 /** The result of a soak test. */
 export interface SoakVerdict {
@@ -47,6 +52,7 @@
   answers: readonly WireAnswer[],
   runs: readonly RunnerRun[],
   limits: readonly AdvertisedLimit[] = [],
+  arrivals: readonly (readonly RunnerArrival[])[] = [],
 ): SoakVerdict {
   const runsOf = new Map<string, number>();
   for (const { attemptId } of runs) {
@@ -66,6 +72,7 @@
       PART_CRASH_LIMIT,
     ),
     ...limits.flatMap(checkAdvertisedLimit),
+    ...arrivals.flatMap(checkRepeats),
     ...[...runsOf.keys()].filter((id) => !sent.has(id))
       .map((id) => `${id}: run, but no caller sent it`),
   ];
@@ -108,6 +115,16 @@
   return [`${what}: sent ${late} times after it was known`];
 }
 
+/** Checks how often requests or pieces reached the runners of a service again. */
+function checkRepeats(arrivals: readonly RunnerArrival[]): readonly string[] {
+  const { isExceeded, repeats, allowed } = findWorstWindow(RETRY_LIMITS, {
+    requests: firstArrivals(arrivals),
+    arrivals,
+  });
+  if (!isExceeded) return [];
+  return [`${repeats} repeats in a window of ${Math.floor(allowed)} allowed`];
+}
+
 /** Checks the highest request count in a window against each limit. */
 function checkAdvertisedLimit(
   { changes, arrivals }: AdvertisedLimit,
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -111,6 +111,9 @@
       callers.flatMap((caller) => caller.answers),
       runners.flatMap((runner) => runner.runs),
       [...runners, ...site.stages].map(({ limit }) => limit),
+      [site.plain, site.models, site.stages].map((ofService) =>
+        ofService.flatMap((runner) => runner.arrivals)
+      ),
     );
   } finally {
     await Promise.all(daemons.map((daemon) => daemon.end()));
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -39,10 +39,17 @@
   readonly hasProxies?: boolean;
 }
 
+/** Limits for the retries of all daemons of a site. */
+export const RETRY_LIMITS = {
+  ratio: 0.2,
+  slack: 50,
+  windowMilliseconds: 10_000,
+};
 const HOST = "site.example";
 const PIECE_MILLISECONDS = 1;
 const RESULT_BYTES = 1_000;
 const BYTES_PER_MEGABYTE = 1_000_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
  * A complete platform on loopback: a store, runners of a plain service, of a
@@ -84,7 +91,7 @@
       restartMilliseconds: 500,
       timeoutMilliseconds: 3_000,
       graceSeconds: 3,
-      retrySlack: 50,
+      retrySlack: RETRY_LIMITS.slack,
       attempts: 2,
       hasProxies: false,
       ...options,
@@ -217,9 +224,10 @@
       },
       bounds: {
         graceS: this.#options.graceSeconds,
-        retryBudgetRatio: 0.2,
+        retryBudgetRatio: RETRY_LIMITS.ratio,
         budgetSlack: this.#options.retrySlack,
-        budgetWindowS: 10,
+        budgetWindowS: RETRY_LIMITS.windowMilliseconds /
+          MILLISECONDS_PER_SECOND,
         ttl_max_s: 5,
       },
       provider: { address: this.#storeAddress },
