Create the daemons of soak, stops and repeats in one place

The three programs repeated the loop; a test names the two files that may send to endpoints, so that no path goes round the retry gate.

--- a/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
+++ b/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
@@ -52,6 +52,8 @@
 
 const CLOCK_ACCESS =
   /\b(setTimeout|setInterval|Date\.now|performance\.now|Math\.random|hrtime)\b/;
+/** Calls of the gateway's ports to endpoints. */
+const ENDPOINT_SENDS = /\bendpoints\.send\(|\.runPieces\(/;
 const PROCESS_ACCESS =
   /child_process|worker_threads|SharedArrayBuffer|node:cluster/;
 
@@ -135,6 +137,14 @@
   expect(wrong).toEqual([]);
 });
 
+// Guards against a path that sends to endpoints without asking the retry gate.
+test("requests and pieces are sent to endpoints in one place each", () => {
+  expect(findProductFiles(ENDPOINT_SENDS)).toEqual([
+    "kelpspar-gateway/src/pieces/stage_scheduler.ts",
+    "kelpspar-gateway/src/requests/endpoint_sender.ts",
+  ]);
+});
+
 test("the platform's folder uses clocks and timers only through the timer service", () => {
   const folder = fileURLToPath(
     new URL("../platform/src", `file://${PACKAGES}`),
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -1,4 +1,5 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
+import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { RepeatSituation } from "./repeat_situation.ts";
 import type { WorstWindow } from "./find_worst_window.ts";
 import { SeededRandom } from "kelpspar-shared";
@@ -7,7 +8,7 @@
 import { join } from "node:path";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { Agent } from "undici";
-import { DaemonProcess } from "../wire/daemon_process.ts";
+import { createDaemons } from "../wire/create_daemons.ts";
 import { sendToFirst } from "../wire/send_to_first.ts";
 import { RETRY_LIMITS, WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
@@ -75,7 +76,13 @@
   });
   const folder = mkdtempSync(join(tmpdir(), "kelpspar-repeats-"));
   await site.start();
-  const daemons = await createDaemons(site, folder, options);
+  const daemons = await createDaemons(site, {
+    count: situation.daemons,
+    folder,
+    program: options.program.path,
+    nodeArguments: options.program.nodeArguments,
+    onLine: options.onLine,
+  });
   const timers: NodeJS.Timeout[] = [];
   const agent = new Agent({ pipelining: 1 });
   try {
@@ -112,30 +119,6 @@
   }
 }
 
-async function createDaemons(
-  site: WireSite,
-  folder: string,
-  { situation, program, onLine }: RunRepeatsOptions,
-): Promise<readonly DaemonProcess[]> {
-  const daemons: DaemonProcess[] = [];
-  for (let index = 0; index < situation.daemons; index++) {
-    const name = `daemon-${index}`;
-    const seeds = daemons.slice(0, 3).map(({ options }) =>
-      (options.settings["listen"] as Record<string, string>)["control"] ?? ""
-    );
-    const daemon = new DaemonProcess({
-      name,
-      program: program.path,
-      nodeArguments: program.nodeArguments,
-      settingsPath: join(folder, `${name}.json`),
-      settings: await site.createSettings(name, seeds),
-    });
-    if (onLine !== undefined) daemon.registerLine(onLine);
-    daemons.push(daemon);
-  }
-  return daemons;
-}
-
 function setEndpointFaults(
   site: WireSite,
   { share, runnerFault, stageFault }: RepeatSituation,
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -8,7 +8,7 @@
 import { checkSoak, CRASHING_PART } from "./check_soak.ts";
 import { CRASHING_PATH_SUFFIX } from "../wire/runner_stand_in.ts";
 import { WireCaller } from "../wire/wire_caller.ts";
-import { DaemonProcess } from "../wire/daemon_process.ts";
+import { createDaemons } from "../wire/create_daemons.ts";
 import { SOAK_FAULTS } from "./soak_faults.ts";
 
 /** Settings of a soak test. */
@@ -61,7 +61,12 @@
     runner.crashingParts = new Set([CRASHING_PART]);
   }
   await site.start();
-  const daemons = await startDaemons(site, { folder, ...options });
+  const daemons = await createDaemons(site, {
+    ...options,
+    count: options.daemons,
+    folder,
+  });
+  for (const daemon of daemons) daemon.start();
   const sleep = (milliseconds: number): Promise<void> =>
     new Promise((resolve) => timer.registerTimeout(resolve, milliseconds));
   try {
@@ -121,32 +126,3 @@
     rmSync(folder, { recursive: true, force: true });
   }
 }
-
-async function startDaemons(
-  site: WireSite,
-  options: Pick<SoakOptions, "daemons" | "program" | "partitionHook"> & {
-    readonly folder: string;
-  },
-): Promise<readonly DaemonProcess[]> {
-  const daemons: DaemonProcess[] = [];
-  for (let index = 0; index < options.daemons; index++) {
-    const name = `daemon-${index}`;
-    const seeds = daemons.map((seed) =>
-      (seed.options.settings["listen"] as Record<string, string>)["control"] ??
-        ""
-    );
-    const daemon = new DaemonProcess({
-      name,
-      program: options.program,
-      settingsPath: join(options.folder, `${name}.json`),
-      settings: await site.createSettings(name, seeds),
-      partition: {
-        hook: options.partitionHook,
-        addresses: site.runnerAddresses,
-      },
-    });
-    daemon.start();
-    daemons.push(daemon);
-  }
-  return daemons;
-}
--- a/packages/kelpspar-standins/src/stops/run_stops.ts
+++ b/packages/kelpspar-standins/src/stops/run_stops.ts
@@ -1,4 +1,5 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
+import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { PlannedStop } from "./stop_attempt.ts";
 import type { StopRecords } from "./check_stops.ts";
 import type { StopSituation } from "./stop_situation.ts";
@@ -8,7 +9,7 @@
 import { tmpdir } from "node:os";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { BrittleCapacity } from "../wire/brittle_capacity.ts";
-import { DaemonProcess } from "../wire/daemon_process.ts";
+import { createDaemons } from "../wire/create_daemons.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { DirectoryCaller } from "../wire/directory_caller.ts";
 
@@ -60,7 +61,14 @@
     });
   }
   await site.start();
-  const daemons = await startDaemons(site, folder, options);
+  const daemons = await createDaemons(site, {
+    count: situation.daemons,
+    folder,
+    program: options.program.path,
+    nodeArguments: options.program.nodeArguments,
+    onLine: options.onLine,
+  });
+  for (const daemon of daemons) daemon.start();
   try {
     await setTimeoutPromise(STARTUP_MILLISECONDS);
     let isOver = false;
@@ -107,31 +115,6 @@
   }
 }
 
-async function startDaemons(
-  site: WireSite,
-  folder: string,
-  { situation, program, onLine }: RunStopsOptions,
-): Promise<readonly DaemonProcess[]> {
-  const daemons: DaemonProcess[] = [];
-  for (let index = 0; index < situation.daemons; index++) {
-    const name = `daemon-${index}`;
-    const seeds = daemons.slice(0, 3).map(({ options }) =>
-      (options.settings["listen"] as Record<string, string>)["control"] ?? ""
-    );
-    const daemon = new DaemonProcess({
-      name,
-      program: program.path,
-      nodeArguments: program.nodeArguments,
-      settingsPath: join(folder, `${name}.json`),
-      settings: await site.createSettings(name, seeds),
-    });
-    if (onLine !== undefined) daemon.registerLine(onLine);
-    daemon.start();
-    daemons.push(daemon);
-  }
-  return daemons;
-}
-
 async function playRound(
   daemons: readonly DaemonProcess[],
   { situation, graceMilliseconds, stops }: {
