Ask for slack before chains fail for want of a retry

Cause: a chain whose piece had to be sent again failed at once if the requests of the last two seconds wouldn't earn a retry in time, although the fleet's slack wasn't asked for yet; a queued hedge could fail its chain too. Change: chains wait while the fleet may have slack to lend, and only pieces without a call in progress fail their chain. Figures: the new test fails before (outcome retry_budget at once).

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -78,7 +78,12 @@
   readonly timer: ManualTimer;
   readonly client: ManualPieceClient;
   readonly registry: EndpointRegistry;
-  readonly run: (attemptId: string, pieces: readonly number[]) => void;
+  readonly run: (
+    attemptId: string,
+    pieces: readonly number[],
+    /** Time until the deadline, milliseconds. */
+    remaining?: number,
+  ) => void;
   /** Outcomes of chains by attempt. */
   readonly outcomes: ReadonlyMap<string, string>;
 }
@@ -137,7 +142,7 @@
   });
   coordinator.register();
   const outcomes = new Map<string, string>();
-  const run = (attemptId: string, pieces: readonly number[]): void => {
+  const run: World["run"] = (attemptId, pieces, remaining = 60_000) => {
     void coordinator.run({
       attemptId,
       pieceKey: "k",
@@ -155,8 +160,8 @@
           pieces: pieces[1] ?? 0,
         },
       ],
-      remainingMilliseconds: 60_000,
-      objectiveMilliseconds: 30_000,
+      remainingMilliseconds: remaining,
+      objectiveMilliseconds: remaining / 2,
       kind: "model",
       tailMilliseconds: 100,
       priority: 0,
@@ -294,3 +299,15 @@
   // The first send is free, and the slack of 3 lends one retry.
   expect(sends).toBeLessThanOrEqual(2);
 });
+
+// Guards against chains that fail before the fleet was asked for its slack.
+test("a piece whose endpoint fails is sent again without earlier requests", async () => {
+  const { client, run, timer, outcomes } = createWorld();
+  run("a", [1, 1], 2_000);
+  await timer.settle();
+  const [first] = client.open.splice(0, 1);
+  first?.answer({ type: "failed", isCertain: false, reason: "cut" });
+  await timer.settle();
+  expect(outcomes.size).toEqual(0);
+  expect(client.open.length).toEqual(1);
+});
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -112,8 +112,9 @@
     this.#borrow(tasks.length, () => {});
     const now = timer.now();
     const available = this.available;
-    for (const [index, { chain }] of tasks.entries()) {
-      if (!chain.isOpen) continue;
+    for (const [index, { chain, calls }] of tasks.entries()) {
+      // A hedge that isn't sent leaves the call that it hedges.
+      if (!chain.isOpen || calls > 0) continue;
       const wait = retryGate.waitFor(service, available + index + 1);
       const rest = options.workMilliseconds + chain.request.tailMilliseconds;
       if (now + wait + rest > chain.deadlineAt) failed(chain, "retry_budget");
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -148,12 +148,12 @@
 
   /**
    * Time until `count` retries will have been earned at the current rate of
-   * requests, milliseconds.
+   * requests, milliseconds; 0 while the fleet may have slack to lend.
    */
   waitFor(service: string, count: number): number {
+    const { requests, emptyUntil } = this.#budgetOf(service);
     const missing = count - this.available(service);
-    if (missing <= 0) return 0;
-    const { requests } = this.#budgetOf(service);
+    if (missing <= 0 || emptyUntil <= this.#now()) return 0;
     const rate = this.#options.limits.ratio * requests.sum(this.#now()) /
       RATE_WINDOW_MILLISECONDS;
     return missing / rate;
