Keep the ports of processes with successive ids apart

Cause: a process looked for free ports 61 after the one with the previous id. A site with more daemons reached those of the next one, and a port of a daemon that is down looks free, so that callers of one site came to daemons of another. Change: 1,021 ports apart. Figures: the new test fails before (61 where 300 are needed).

--- a/packages/kelpspar-standins/src/__tests__/unit/free_ports_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/free_ports_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
-import { findFreePorts } from "../../wire/free_ports.ts";
+import { findFreePorts, firstPortOffset } from "../../wire/free_ports.ts";
 
 test("allocates no port twice", async () => {
   // A port looks free until its process listens. If a daemon that is still
@@ -19,3 +19,12 @@
   const ports = await findFreePorts(50);
   expect(Math.max(...ports) < firstAssigned).toEqual(true);
 });
+
+// Guards against daemons that start again at a port that another site has taken.
+test("processes with successive ids don't use each other's ports", () => {
+  const portsOfSite = 300;
+  for (let distance = 1; distance <= 20; distance++) {
+    const offset = firstPortOffset(distance) - firstPortOffset(0);
+    expect(offset).toBeGreaterThanOrEqual(portsOfSite);
+  }
+});
--- a/packages/kelpspar-standins/src/wire/free_ports.ts
+++ b/packages/kelpspar-standins/src/wire/free_ports.ts
@@ -6,10 +6,19 @@
  */
 const FIRST_PORT = 10_000;
 const PORT_COUNT = 22_000;
-/** Distance between the first ports of processes with successive ids. */
-const PROCESS_PORT_COUNT = 61;
+/**
+ * Distance between the first ports of processes with successive ids: more than a
+ * site uses. A port of a daemon that is down looks free to another process, whose
+ * daemon would then receive the first one's requests.
+ */
+const PROCESS_PORT_COUNT = 1_021;
 
-let nextOffset = process.pid * PROCESS_PORT_COUNT % PORT_COUNT;
+let nextOffset = firstPortOffset(process.pid);
+
+/** Where a process begins to look for ports, from the lowest one. */
+export function firstPortOffset(processId: number): number {
+  return processId * PROCESS_PORT_COUNT % PORT_COUNT;
+}
 
 /**
  * Finds `count` loopback ports that are free now and weren't returned by an
