Mark pieces that were sent before instead of looking them up

Each plan of a call looked up each queued piece twice. The task keeps the mark; the chain still decides when a piece is sent whether it is a repeat.

--- a/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/startable_pieces_test.ts
@@ -36,7 +36,7 @@
   // pieces of three requests fill the room, and each waits for room for its last
   // piece until the results expire after four seconds.
   const begun = pieces("a", 3);
-  begun[0]?.chain.recordSend({ stage: 0, piece: 0 }, "a");
+  begun[0]?.chain.recordSend(begun[0] as PieceTask, "a");
   const rest = begun.slice(1);
   const other = pieces("b", 3);
   expect(names(startablePieces([...rest, ...other], 400)))
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -150,21 +150,22 @@
     return this.#begun.has(number);
   }
 
-  /** Records that a piece was sent to an endpoint in `zone`. */
+  /**
+   * Records that a piece was sent to an endpoint in `zone`; returns whether it
+   * may have been sent before.
+   */
   recordSend(
-    { stage, piece }: Pick<PieceTask, "stage" | "piece">,
+    task: Pick<PieceTask, "stage" | "piece" | "isRepeat">,
     zone: string,
-  ): void {
+  ): boolean {
+    const { stage, piece } = task;
+    const isRepeat = this.#wasSent(stage, piece);
+    task.isRepeat = true;
     this.#begun.add(stage);
     this.#sent[stage]?.add(piece);
     const pieces = this.#sentByZone.get(stage) ?? new Map<string, number>();
     this.#sentByZone.set(stage, pieces.set(zone, (pieces.get(zone) ?? 0) + 1));
-  }
-
-  /** Whether a piece may have been sent before, by this daemon or another. */
-  wasSent(stage: number, piece: number): boolean {
-    return this.#repeatedStages.has(stage) ||
-      this.#sent[stage]?.has(piece) === true;
+    return isRepeat;
   }
 
   /** Zone to which most pieces of a stage were sent; undefined if none was. */
@@ -272,6 +273,12 @@
     );
   }
 
+  /** Whether a piece may have been sent before, by this daemon or another. */
+  #wasSent(stage: number, piece: number): boolean {
+    return this.#repeatedStages.has(stage) ||
+      this.#sent[stage]?.has(piece) === true;
+  }
+
   #finalStages(): readonly number[] {
     return this.request.stages.map((_, number) => number).filter((number) =>
       this.stage(number).pieces > 0 && this.#readersOf(number).length === 0
@@ -300,6 +307,7 @@
           calls: 0,
           isQueued: false,
           failures: this.restarts,
+          isRepeat: this.#wasSent(stage, piece),
           retryCause: "restart" as const,
         }]
         : []
--- a/packages/kelpspar-gateway/src/pieces/piece_queue.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_queue.ts
@@ -1,6 +1,5 @@
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceTask } from "./piece_task.ts";
-import { isRepeat } from "./is_repeat.ts";
 import { StageCache } from "./stage_cache.ts";
 import { startablePieces } from "./startable_pieces.ts";
 
@@ -78,15 +77,16 @@
    */
   startable(room: number, repeats: number): readonly PieceTask[] {
     const startable = startablePieces(this.#tasks, room);
-    const again = startable.filter(isRepeat);
+    const again = startable.filter((task) => task.isRepeat);
     if (again.length <= repeats) return startable;
     const allowed = new Set(byProgress(again).slice(0, repeats));
-    return startable.filter((task) => !isRepeat(task) || allowed.has(task));
+    return startable.filter((task) => !task.isRepeat || allowed.has(task));
   }
 
   /** Pieces that were sent before, without the `count` that go first. */
   repeatsBeyond(count: number): readonly PieceTask[] {
-    return byProgress(this.#tasks.filter(isRepeat)).slice(count);
+    const again = this.#tasks.filter((task) => task.isRepeat);
+    return again.length <= count ? [] : byProgress(again).slice(count);
   }
 }
 
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -4,7 +4,6 @@
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceQueue } from "./piece_queue.ts";
 import type { PieceTask } from "./piece_task.ts";
-import { isRepeat } from "./is_repeat.ts";
 
 /** A chain fails when one of its pieces has failed this often. */
 const MAX_FAILURES = 4;
@@ -64,10 +63,9 @@
     const causes = new Map<RetryCause, number>();
     let first = 0;
     for (const task of tasks) {
-      if (isRepeat(task)) {
+      if (task.chain.recordSend(task, zone)) {
         causes.set(task.retryCause, (causes.get(task.retryCause) ?? 0) + 1);
       } else first++;
-      task.chain.recordSend(task, zone);
     }
     for (const [cause, count] of causes) {
       retryGate.trySpend(service, cause, count);
--- a/packages/kelpspar-gateway/src/pieces/piece_task.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_task.ts
@@ -11,6 +11,8 @@
   isQueued: boolean;
   /** Number of failed calls. */
   failures: number;
+  /** Whether it may have reached an endpoint before. */
+  isRepeat: boolean;
   /** Why it would be sent again. */
   retryCause: RetryCause;
 }
