--- a/packages/kelpspar-decisions/src/retries/loan_pool.ts
+++ b/packages/kelpspar-decisions/src/retries/loan_pool.ts
@@ -30,13 +30,4 @@
     this.#loans = this.#loans.filter(({ amount }) => amount > 0);
     return taken;
   }
-
-  /** Time until the last of the retries expires, milliseconds. */
-  remaining(now: number): number {
-    return Math.max(0, ...this.#loans.map(({ expiresAt }) => expiresAt - now));
-  }
-
-  clear(): void {
-    this.#loans = [];
-  }
 }
