Judge the era of a ledger's answers by the start of their call

Cause: found on reading the diff. The lender passed the time of the answer where the start of the call is asked, so that a late answer of the store's previous era would count as a fall of the era.

--- a/packages/kelpspar-gateway/src/retries/slack_lender.ts
+++ b/packages/kelpspar-gateway/src/retries/slack_lender.ts
@@ -154,8 +154,9 @@
     const { limits, era, fleetSize, timer } = this.#options;
     const store = this.#options.store();
     if (store === undefined) throw new Error("The store isn't known yet");
+    const readAt = timer.now();
     const row = await store.readRow(LEDGER_TABLE, service);
-    this.#checkEra(row.era, timer.now());
+    this.#checkEra(row.era, readAt);
     const usedEra = era.current;
     const ledger = decodeLedger(row.text);
     const daemons = fleetSize();
@@ -172,12 +173,13 @@
       isEraRecent: this.#isEraRecent(ledger),
     });
     if (reservation.ledger === undefined) return reservation;
+    const writtenAt = timer.now();
     const { isWritten, era: writtenEra } = await store.writeRow(
       LEDGER_TABLE,
       service,
       { text: JSON.stringify(reservation.ledger), version: row.version },
     );
-    this.#checkEra(writtenEra, timer.now());
+    this.#checkEra(writtenEra, writtenAt);
     if (era.current !== usedEra) throw new Error("The store was restored");
     return isWritten ? reservation : undefined;
   }
