Close connections that carry bytes without end and no answer

What callers saw: one endpoint of four that sends the digits of a chunk's size without end takes the fleet down.

Cause: the parsers of Node.js and undici limit heads, but not empty lines before them, digits of a chunk's size or informational answers, undici neither status lines nor chunk extensions. A daemon parses such a connection until the request is given up and serves nothing else meanwhile. Health wasn't touched.

Change: ProgressGuard counts what a parser consumes between signs of progress and closes the connection after 16 KB. kelpspar-http has the agents, pools and clients that use it; exchangeHttp does so for node:http. All clients of the product go through one of them. Each closed connection has a log line and a counter with sender and reason; the endpoint's call fails and its health with it.

Tests: eleven kinds of bytes at seven clients.

--- a/packages/kelpspar-backends/src/endpoint/http_endpoint_client.ts
+++ b/packages/kelpspar-backends/src/endpoint/http_endpoint_client.ts
@@ -9,14 +9,14 @@
   TimerService,
 } from "kelpspar-shared";
 import type { EndpointClient, StageCallOptions } from "./endpoint_client.ts";
-import type { Dispatcher } from "undici";
+import type { Client, Dispatcher, Pool } from "undici";
 import {
   formatHost,
   KelpsparError,
   parseJsonLines,
   readJsonLines,
 } from "kelpspar-shared";
-import { Client, Pool } from "undici";
+import { createGuardedPool, GuardedClient } from "kelpspar-http";
 import { isConnectFailure } from "../http/json_http_client.ts";
 
 const DEFAULT_CONNECTIONS = 128;
@@ -187,7 +187,7 @@
     const origin = originOf(endpoint);
     const existing = this.#pools.get(origin);
     if (existing !== undefined) return existing;
-    const pool = new Pool(origin, {
+    const pool = createGuardedPool(origin, {
       connections: this.#connections,
       connect: { timeout: this.#connectTimeoutMilliseconds },
       headersTimeout: 0,
@@ -198,7 +198,7 @@
   }
 
   #createClient(endpoint: EndpointAddress): Client {
-    return new Client(originOf(endpoint), {
+    return new GuardedClient(originOf(endpoint), {
       connect: { timeout: this.#connectTimeoutMilliseconds },
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/kelpspar-backends/src/http/json_http_client.ts
+++ b/packages/kelpspar-backends/src/http/json_http_client.ts
@@ -1,6 +1,7 @@
 import type { PlatformClientOptions } from "./platform_client_options.ts";
 import type { TimerService } from "kelpspar-shared";
-import { Agent } from "undici";
+import type { Agent } from "undici";
+import { createGuardedAgent } from "kelpspar-http";
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 1_000;
 const DEFAULT_CONNECTIONS = 4;
@@ -99,7 +100,7 @@
   }
 
   #createAgent(): Agent {
-    return new Agent({
+    return createGuardedAgent({
       connections: this.#connections,
       connect: { timeout: this.#timeoutMilliseconds },
     });
--- a/packages/kelpspar-cli/src/operator/exchange_json.ts
+++ b/packages/kelpspar-cli/src/operator/exchange_json.ts
@@ -1,7 +1,7 @@
 import type { JsonAnswer, JsonExchange } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import { ExchangeError, isConnectFailure } from "kelpspar-backends";
-import { Client } from "undici";
+import { GuardedClient } from "kelpspar-http";
 
 /** Options of `exchangeJson`. */
 export interface ExchangeJsonOptions {
@@ -30,9 +30,9 @@
     () => abort.abort(new Error("timed out")),
     options.timeoutMilliseconds,
   );
-  let client: Client | undefined;
+  let client: GuardedClient | undefined;
   try {
-    client = new Client(`http://${place}`, {
+    client = new GuardedClient(`http://${place}`, {
       connect: { timeout: options.timeoutMilliseconds },
     });
     const answer = await client.request({
--- a/packages/kelpspar-client/src/transport/daemon_transport.ts
+++ b/packages/kelpspar-client/src/transport/daemon_transport.ts
@@ -1,6 +1,7 @@
 import type { DaemonAddress } from "kelpspar-shared";
+import type { Client, Pool } from "undici";
 import type { DaemonExchange, OpenExchange } from "./daemon_exchange.ts";
-import { Client, Pool } from "undici";
+import { createGuardedPool, GuardedClient } from "kelpspar-http";
 import { toHostPort } from "../addresses/daemon_address.ts";
 import { ExchangeFailure } from "./exchange_failure.ts";
 import { TrackingConnector } from "./tracking_connector.ts";
@@ -58,7 +59,7 @@
     exchange: DaemonExchange,
   ): Promise<OpenExchange> {
     const connector = this.#createConnector();
-    const client = new Client(originOf(daemon), {
+    const client = new GuardedClient(originOf(daemon), {
       connect: connector.connect,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -117,7 +118,7 @@
     const place = toHostPort(daemon);
     const known = this.#pools.get(place);
     if (known !== undefined) return known;
-    const pool = new Pool(originOf(daemon), {
+    const pool = createGuardedPool(originOf(daemon), {
       connections: this.#options.connections,
       connect: this.#connector.connect,
       headersTimeout: 0,
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -9,6 +9,7 @@
 import { connect, createServer as createTcpServer } from "node:net";
 import { after, before, beforeEach, test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
+import { MalformedAnswers } from "../../exchange/malformed_answers.ts";
 import { PeerClient } from "../../fleet/peer_client.ts";
 import { createPeerListener } from "../../fleet/peer_listener.ts";
 
@@ -103,7 +104,10 @@
   // is destroyed" without an outage: the coordinator was busy for 0.6 s, an
   // exchange of digests timed out, and the overdue answer was taken for a dead
   // connection, so that all connections to it were destroyed.
-  const client = new PeerClient(new SystemTimer());
+  const client = new PeerClient({
+    timer: new SystemTimer(),
+    malformedAnswers: new MalformedAnswers(),
+  });
   const chain = client.runChain(peer, CHAIN, new AbortController().signal);
   await pause(100);
   busyUntil = performance.now() + BUSY_MILLISECONDS;
@@ -117,7 +121,10 @@
 test("a chain on a dead connection fails once the peer answers on another one", async () => {
   // Otherwise the caller would wait until the deadline, because the peer is
   // live.
-  const client = new PeerClient(new SystemTimer());
+  const client = new PeerClient({
+    timer: new SystemTimer(),
+    malformedAnswers: new MalformedAnswers(),
+  });
   const startedAt = performance.now();
   const chain = failed(
     client.runChain(peer, CHAIN, new AbortController().signal),
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -5,6 +5,7 @@
 import { SystemTimer } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { after, before, test } from "node:test";
+import { MalformedAnswers } from "../../exchange/malformed_answers.ts";
 import { PeerClient } from "../../fleet/peer_client.ts";
 import { createPeerListener, PEER_PATH } from "../../fleet/peer_listener.ts";
 
@@ -56,7 +57,10 @@
 });
 
 test("a release carries the load to the coordinator, and none if unknown", async () => {
-  const client = new PeerClient(new SystemTimer());
+  const client = new PeerClient({
+    timer: new SystemTimer(),
+    malformedAnswers: new MalformedAnswers(),
+  });
   await client.release(peer, { attemptId: "1", results: RESULTS, load: LOAD });
   await client.release(peer, { attemptId: "2", results: [] });
   expect(released.splice(0)).toEqual([
--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -1,9 +1,13 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { TimerService } from "kelpspar-shared";
+import type { MalformedReason } from "kelpspar-http";
 import type { BodyFraming } from "./body_framing.ts";
+import { MAXIMUM_OVERHEAD_BYTES, ProgressGuard } from "kelpspar-http";
 import { parseHost } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
 import { bodyFraming } from "./body_framing.ts";
+import { countSurplusBytes } from "./count_surplus_bytes.ts";
+import { watchBody } from "./watch_body.ts";
 import { watchHangUp } from "./watch_hang_up.ts";
 
 /** A request on a dedicated connection. */
@@ -23,6 +27,11 @@
    * Called when the connection opens or fails, but not when `signal` aborts it.
    */
   readonly onConnection?: (isConnected: boolean) => void;
+  /**
+   * Called when the connection was closed for what came on it. The exchange has
+   * failed then, unless these bytes came after a whole answer.
+   */
+  readonly onMalformed?: (reason: MalformedReason, hasFailed: boolean) => void;
 }
 
 /** Outcome of an exchange up to the head of the answer. */
@@ -79,6 +88,8 @@
           : { type: "unreachable", reason, isRefused },
       );
     };
+    const { onMalformed = (): void => {} } = options;
+    const guard = new ProgressGuard(({ reason }) => onMalformed(reason, true));
     let outgoing: ClientRequest;
     try {
       outgoing = sendRequest({
@@ -108,6 +119,7 @@
     let cutBody = (_: Error): void => {};
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
+      guard.watch(socket, "data");
       watchHangUp(socket, () => cutBody(new Error("connection reset")));
       socket.once("connect", () => {
         isConnected = true;
@@ -115,7 +127,12 @@
         stopConnecting();
       });
     });
+    outgoing.on("information", () => guard.recordInformational());
+    let isComplete = (): boolean => false;
     outgoing.on("response", (message) => {
+      guard.recordProgress();
+      watchBody(message, () => guard.recordProgress());
+      isComplete = () => message.complete;
       signal.removeEventListener("abort", onAbort);
       // Errors reach the reader of the body; without a reader they are ignored.
       message.on("error", () => {});
@@ -130,6 +147,9 @@
       resolve({ type: "answered", message, framing, close });
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      const isSurplus = isComplete() &&
+        countSurplusBytes(error) >= MAXIMUM_OVERHEAD_BYTES;
+      if (isSurplus) onMalformed("surplus_bytes", false);
       cutBody(error);
       fail(error.message, error.code === "ECONNREFUSED");
     });
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -3,6 +3,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
+import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { RouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
@@ -51,11 +52,18 @@
 const IDLE_TIMEOUT_MILLISECONDS = 8_000;
 export const PEER_IDLE_TIMEOUT_MILLISECONDS = IDLE_TIMEOUT_MILLISECONDS + 2_000;
 
+/** Dependencies of a `PeerClient`. */
+export interface PeerClientOptions {
+  readonly timer: TimerService;
+  readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
+}
+
 type PeerCall<Answer> = (client: TRPCClient<PeerRouter>) => Promise<Answer>;
 
 /** Calls other daemons over tRPC; each method throws when its call fails. */
 export class PeerClient implements FollowClient {
   readonly #timer: TimerService;
+  readonly #malformedAnswers: PeerClientOptions["malformedAnswers"];
   readonly #silentConnections: SilentConnectionDetector<TRPCClient<PeerRouter>>;
   readonly #connections = new PeerConnections({
     createClient: (peer, agent) =>
@@ -70,11 +78,16 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+      onMalformed: (origin, { reason }) => {
+        const sender = new URL(origin).host;
+        this.#malformedAnswers.publish({ sender, reason, hasFailedCall: true });
+      },
     },
   });
 
-  constructor(timer: TimerService) {
+  constructor({ timer, malformedAnswers }: PeerClientOptions) {
     this.#timer = timer;
+    this.#malformedAnswers = malformedAnswers;
     this.#silentConnections = new SilentConnectionDetector(
       this.#connections,
       timer,
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -8,6 +8,7 @@
   CallerAddresses,
   LeavingDaemon,
 } from "./front/choose_caller_addresses.ts";
+import type { MalformedAnswers } from "./exchange/malformed_answers.ts";
 import type { ConnectionAttempts } from "./isolation/connection_attempts.ts";
 import type { DaemonPhase } from "./lifecycle/daemon_phase.ts";
 import type { GatewayLog } from "./log/gateway_log.ts";
@@ -57,6 +58,7 @@
 import { ChainClient } from "./requests/chain_client.ts";
 import { FirstByteEstimates } from "./requests/first_byte_estimates.ts";
 import { createQuarantineParts } from "./quarantine/quarantine_parts.ts";
+import { createMalformedAnswerListener } from "./exchange/create_malformed_answer_listener.ts";
 import { RequestService } from "./requests/request_service.ts";
 import { createRetryParts } from "./retries/create_retry_parts.ts";
 import { StreamOrigins } from "./streams/stream_origins.ts";
@@ -84,6 +86,8 @@
   readonly notices: EndpointNotices;
   /** Connection attempts of both clients. */
   readonly attempts: ConnectionAttempts;
+  /** Malformed answers of endpoints, the store and other daemons. */
+  readonly malformedAnswers: MalformedAnswers;
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
@@ -139,7 +143,7 @@
     const isolation = new IsolationMonitor({ ...options, registry });
     this.#isolation = isolation;
     const membership = new FleetMembership(options);
-    const peers = new PeerClient(timer);
+    const peers = new PeerClient(options);
     this.followClient = peers;
     const crashes = createQuarantineParts({
       ...options,
@@ -341,6 +345,13 @@
       if (isIsolated) coordinator.abandonChains();
       else registry.forgetFailures();
     });
+    options.malformedAnswers.registerListener(
+      createMalformedAnswerListener({
+        ...options,
+        registry,
+        metrics: this.metrics,
+      }),
+    );
     options.notices.registerListener(
       createNoticeListener({
         ...options,
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -70,6 +70,12 @@
     labelNames: ["anomaly"],
     registers: [this.#registry],
   });
+  readonly #malformedAnswers = new Counter({
+    name: "kelpspar_malformed_answers_total",
+    help: "Connections closed for bytes that are no answer",
+    labelNames: ["sender", "reason"],
+    registers: [this.#registry],
+  });
   readonly #stateGauge = new Gauge({
     name: "kelpspar_state",
     help: "Configuration version, endpoints, daemons and chains known now",
@@ -106,6 +112,10 @@
     this.#retries.inc(labels, count);
   }
 
+  countMalformedAnswer(sender: string, reason: string): void {
+    this.#malformedAnswers.inc({ sender, reason });
+  }
+
   setState(what: string, value: number): void {
     this.#stateGauge.set({ what }, value);
   }
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -65,6 +65,7 @@
 export { checkListening } from "./exchange/check_listening.ts";
 export type { HttpExchangeResult } from "./exchange/http_exchange.ts";
 export { exchangeHttp } from "./exchange/http_exchange.ts";
+export { MalformedAnswers } from "./exchange/malformed_answers.ts";
 export { ConnectionAttempts } from "./isolation/connection_attempts.ts";
 export { listen } from "./front/listen.ts";
 export { createTextServer } from "./front/text_server.ts";
--- a/packages/kelpspar-gateway/src/relay/peer_relay.ts
+++ b/packages/kelpspar-gateway/src/relay/peer_relay.ts
@@ -1,4 +1,5 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { DaemonAddress } from "../fleet/fleet_digest.ts";
 import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { IsolationMonitor } from "../isolation/isolation_monitor.ts";
@@ -21,6 +22,7 @@
   readonly coordinator: () => string | undefined;
   readonly timer: TimerService;
   readonly random: RandomSource;
+  readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
 }
 
 /** One relayed request. */
@@ -79,7 +81,7 @@
 
   /** Never throws. The answer's body may still be arriving when it resolves. */
   async send(call: PeerRelayCall): Promise<RelayAnswer> {
-    const { membership, timer } = this.#options;
+    const { membership, timer, malformedAnswers } = this.#options;
     const { peer, message, isRepeatable, signal } = call;
     const { daemonId } = peer;
     const abortController = new AbortController();
@@ -95,6 +97,7 @@
         peer: peer.peer,
         message,
         timer,
+        malformedAnswers,
         signal: abortController.signal,
       });
       if (answer.type === "unreachable" && !signal.aborted) {
--- a/packages/kelpspar-gateway/src/relay/relay_client.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_client.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from "kelpspar-shared";
 import type { HttpExchangeResult } from "../exchange/http_exchange.ts";
+import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { RelayAnswer } from "./relay_answer.ts";
 import type { RelayMessage } from "./relay_message.ts";
 import {
@@ -24,6 +25,7 @@
   readonly peer: string;
   readonly message: RelayMessage;
   readonly timer: TimerService;
+  readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
   readonly signal: AbortSignal;
 }
 
@@ -32,7 +34,7 @@
  * through with backpressure and close like those of an endpoint. Never throws.
  */
 export async function relayRequest(
-  { peer, message, timer, signal }: RelayCall,
+  { peer, message, timer, malformedAnswers, signal }: RelayCall,
 ): Promise<RelayAnswer> {
   const body = encodeRelayMessage(message);
   const result = await exchangeHttp({
@@ -53,6 +55,8 @@
     connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
     timer,
     signal,
+    onMalformed: (reason, hasFailedCall) =>
+      malformedAnswers.publish({ sender: peer, reason, hasFailedCall }),
   });
   switch (result.type) {
     case "answered":
--- /dev/null
+++ b/packages/kelpspar-http/src/mod.ts
@@ -0,0 +1,10 @@
+export type { GuardedAgentOptions } from "./create_guarded_agent.ts";
+export type { GuardedPoolOptions } from "./create_guarded_pool.ts";
+export type { ConnectOptions, GuardedClientOptions } from "./guarded_client.ts";
+export type { MalformedReason } from "./malformed_answer_error.ts";
+export type { MalformedListener, ReadEvent } from "./progress_guard.ts";
+export { createGuardedAgent } from "./create_guarded_agent.ts";
+export { createGuardedPool } from "./create_guarded_pool.ts";
+export { GuardedClient } from "./guarded_client.ts";
+export { MalformedAnswerError } from "./malformed_answer_error.ts";
+export { MAXIMUM_OVERHEAD_BYTES, ProgressGuard } from "./progress_guard.ts";
--- a/packages/kelpspar-peers/src/peer_connections.ts
+++ b/packages/kelpspar-peers/src/peer_connections.ts
@@ -1,11 +1,13 @@
+import type { GuardedAgentOptions } from "kelpspar-http";
+import type { Agent } from "undici";
 import type { PeerConnection } from "./peer_connection.ts";
-import { Agent } from "undici";
+import { createGuardedAgent } from "kelpspar-http";
 
 /** Options of `PeerConnections`. */
 export interface PeerConnectionsOptions<Client> {
   /** Creates a client for `peer` (`address:port`) that sends over `agent`. */
   readonly createClient: (peer: string, agent: Agent) => Client;
-  readonly agent: Agent.Options;
+  readonly agent: GuardedAgentOptions;
 }
 
 /** Above this number, the oldest peer's connection is destroyed. */
@@ -29,7 +31,7 @@
     const existing = this.#connections.get(peer);
     if (existing !== undefined) return existing;
     if (this.#connections.size >= MAXIMUM_PEERS) this.#dropOldest();
-    const agent = new Agent(this.#options.agent);
+    const agent = createGuardedAgent(this.#options.agent);
     const client = this.#options.createClient(peer, agent);
     const connection = { client, agent };
     this.#connections.set(peer, connection);
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -47,6 +47,10 @@
 export { StageRunnerStandIn } from "./wire/stage_runner_stand_in.ts";
 export { StoreStandIn } from "./wire/store_stand_in.ts";
 export { BrittleCapacity } from "./wire/brittle_capacity.ts";
+export type { EndlessBytes } from "./wire/endless_bytes.ts";
+export { ENDLESS_BYTES } from "./wire/endless_bytes.ts";
+export type { EndlessCall } from "./wire/endless_server.ts";
+export { EndlessServer } from "./wire/endless_server.ts";
 export type { BuiltProgram } from "./wire/build_program.ts";
 export { buildProgram } from "./wire/build_program.ts";
 export { DaemonProcess } from "./wire/daemon_process.ts";
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -6,7 +6,9 @@
 } from "node:http";
 import type { AnswerPlan } from "./answer_plan.ts";
 import type { BrittleCapacity } from "./brittle_capacity.ts";
+import type { EndlessBytes } from "./endless_bytes.ts";
 import { createTextServer } from "./create_text_server.ts";
+import { sendEndlessBytes } from "./endless_bytes.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
 import { readAnswerPlan } from "./answer_plan.ts";
 import { AdvertisedLimit } from "./advertised_limit.ts";
@@ -33,7 +35,9 @@
   /** Responds without a content length and resets the connection midway. */
   | "unframed_reset"
   /** Responds with status 500. */
-  | "failing";
+  | "failing"
+  /** Sends `endlessBytes` until the connection is closed. */
+  | "endless";
 
 /** How a runner marks the end of its streams. */
 export type StreamFraming = "chunked" | "close_delimited";
@@ -107,6 +111,7 @@
   fault: RunnerFault = "none";
   /** Draws the fault of each request; replaces `fault` while set. */
   drawFault: (() => RunnerFault) | undefined;
+  endlessBytes: EndlessBytes = { start: "", repeated: "x" };
   readonly arrivals: RunnerArrival[] = [];
   streamFraming: StreamFraming = "chunked";
   streamLineEnd: StreamLineEnd = "\n";
@@ -236,6 +241,7 @@
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
       mute: () => {},
+      endless: () => this.#sendEndless(attemptId, response),
       unframed_reset: () => this.#resetMidway(attemptId, response),
       failing: () => {
         response.writeHead(500, this.#responseHeaders(attemptId)).end("failed");
@@ -268,6 +274,14 @@
     if (this.#server.listening) this.onCrash();
   }
 
+  #sendEndless(attemptId: string, response: ServerResponse): void {
+    const { socket } = response;
+    if (socket === null) return;
+    const lines = Object.entries(this.#responseHeaders(attemptId))
+      .map(([name, value]) => `${name}: ${value}`);
+    sendEndlessBytes(socket, this.endlessBytes, lines);
+  }
+
   #resetMidway(attemptId: string, response: ServerResponse): void {
     const { socket } = response;
     const head = Object.entries(this.#responseHeaders(attemptId))
