List the imports of kelpspar-http and where connections are opened

The conventions test failed on (npm test on a clone): it didn't know the new package. It also checks now that HTTP connections of the product are opened only where their progress is guarded.

--- a/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
+++ b/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
@@ -10,12 +10,13 @@
   shared: [],
   decisions: ["shared"],
   configuration: ["shared"],
-  backends: ["shared"],
-  peers: [],
-  gateway: ["shared", "decisions", "peers"],
+  http: [],
+  backends: ["shared", "http"],
+  peers: ["http"],
+  gateway: ["shared", "decisions", "http", "peers"],
   daemon: ["shared", "decisions", "configuration", "backends", "peers"],
-  client: ["shared"],
-  cli: ["shared", "configuration", "backends"],
+  client: ["shared", "http"],
+  cli: ["shared", "configuration", "backends", "http"],
   standins: [
     "shared",
     "decisions",
@@ -42,6 +43,7 @@
   "shared",
   "decisions",
   "configuration",
+  "http",
   "backends",
   "peers",
   "gateway",
@@ -52,6 +54,9 @@
 
 const CLOCK_ACCESS =
   /\b(setTimeout|setInterval|Date\.now|performance\.now|Math\.random|hrtime)\b/;
+/** Connections that no `ProgressGuard` watches. */
+const UNGUARDED_CLIENTS =
+  /\bnew (Agent|Pool|Client)\(|\b(request|get)\b.* from "node:https?"/;
 /** Calls of the gateway's ports to endpoints. */
 const ENDPOINT_SENDS = /\bendpoints\.send\(|\.runPieces\(/;
 const PROCESS_ACCESS =
@@ -124,6 +129,15 @@
   ]);
 });
 
+// Guards against a client that reads bytes without end.
+test("HTTP connections are opened only where their progress is guarded", () => {
+  expect(findProductFiles(UNGUARDED_CLIENTS)).toEqual([
+    "kelpspar-http/src/create_guarded_agent.ts",
+    "kelpspar-http/src/create_guarded_pool.ts",
+    "kelpspar-gateway/src/exchange/http_exchange.ts",
+  ]);
+});
+
 test("the product starts no process and shares no memory", () => {
   expect(findProductFiles(PROCESS_ACCESS)).toEqual([]);
 });
