Give retries back whose connection wasn't opened

Cause: a send was counted when it was started. A piece whose connection was refused was a repeat from then on and spent a retry for each endpoint that was down; requests and hedges spent theirs likewise, and lost those of sends that were reserved and not made.

Change: a call of which nothing left the daemon (refused connections, connects given up) is withdrawn: the piece's first send is still its first, what it earned is taken back, its retry goes back to the gate with the end of its loan. A piece counts sends, so that one that was sent by another call stays a repeat.

Tests, which fail without the change: pieces (0 calls open of 1), requests (503 instead of 200); gate: given back once, not after a loan's end, earnings of withdrawn pieces.

--- a/packages/kelpspar-decisions/src/retries/mod.ts
+++ b/packages/kelpspar-decisions/src/retries/mod.ts
@@ -11,7 +11,8 @@
   SlackReservation,
 } from "./slack_ledger.ts";
 export { EarnedCredits } from "./earned_credits.ts";
-export { LoanPool } from "./loan_pool.ts";
+export type { Loan } from "./loan_pool.ts";
+export { LoanPool, sumLoans } from "./loan_pool.ts";
 export { creditCapacity, lendableSlack, reserveSlack } from "./slack_ledger.ts";
 export { retryDelayMilliseconds } from "./retry_delay.ts";
 export { RetryBudget } from "./retry_budget.ts";
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -154,6 +154,8 @@
     readonly origin?: OriginLookup;
     /** Settles when other daemons know of a stream. */
     readonly told?: Promise<void>;
+    /** The fleet's retry slack; default 50. */
+    readonly slack?: number;
     /** Software version of each endpoint. */
     readonly versions?: readonly string[];
   } = {},
@@ -267,7 +269,7 @@
       },
       find: () => Promise.resolve(options.origin ?? { type: "any" }),
     },
-    retryGate: createRetryGate(timer, { slack: 50 }),
+    retryGate: createRetryGate(timer, { slack: options.slack ?? 50 }),
     firstByteEstimates: new FirstByteEstimates(),
     lifecycle,
     answerTimes,
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -131,7 +131,13 @@
     return new Promise((resolve) => {
       call.signal.addEventListener(
         "abort",
-        () => resolve({ type: "failed", isCertain: false, reason: "given up" }),
+        () =>
+          resolve({
+            type: "failed",
+            isCertain: false,
+            isSent: true,
+            reason: "given up",
+          }),
       );
       if (!Number.isFinite(work)) return;
       const start = Math.max(now, maker.freeAt);
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -31,7 +31,13 @@
       this.open.push({ call, answer });
       call.signal.addEventListener(
         "abort",
-        () => answer({ type: "failed", isCertain: false, reason: "given up" }),
+        () =>
+          answer({
+            type: "failed",
+            isCertain: false,
+            isSent: true,
+            reason: "given up",
+          }),
       );
     });
   }
@@ -306,8 +312,50 @@
   run("a", [1, 1], 2_000);
   await timer.settle();
   const [first] = client.open.splice(0, 1);
-  first?.answer({ type: "failed", isCertain: false, reason: "cut" });
+  first?.answer({
+    type: "failed",
+    isCertain: false,
+    isSent: true,
+    reason: "cut",
+  });
   await timer.settle();
   expect(outcomes.size).toEqual(0);
   expect(client.open.length).toEqual(1);
 });
+
+const REFUSED: PieceCallAnswer = {
+  type: "failed",
+  isCertain: true,
+  isSent: false,
+  reason: "connect ECONNREFUSED",
+};
+
+// Guards against answers lost for want of a retry that no endpoint has seen.
+test("a piece whose connection was refused is still sent for the first time", async () => {
+  const { client, run, timer, outcomes } = createWorld(10_000, 0);
+  run("a", [1, 0], 2_000);
+  await timer.settle();
+  const [refused] = client.open.splice(0, 1);
+  refused?.answer(REFUSED);
+  await timer.settle();
+  expect(outcomes.size).toEqual(0);
+  expect(client.open.length).toEqual(1);
+});
+
+// Guards against pieces that are sent for the first time twice.
+test("a piece that was sent is a repeat although a later connection was refused", async () => {
+  const { client, run, timer, outcomes } = createWorld(10_000, 3);
+  run("a", [1, 0], 2_000);
+  for (const answer of [{ ...REFUSED, isSent: true }, REFUSED, REFUSED]) {
+    await timer.advance(800);
+    const [call] = client.open.splice(0, 1);
+    call?.answer(answer);
+  }
+  await timer.settle();
+  const [last] = client.open.splice(0, 1);
+  last?.answer({ ...REFUSED, isSent: true });
+  await timer.settle();
+  // The slack of 3 lends one retry, which the last call has spent.
+  expect(client.open.length).toEqual(0);
+  expect(outcomes.get("a")).toEqual("retry_budget");
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/request_service_test.ts
@@ -76,6 +76,21 @@
     .toEqual(3);
 });
 
+// Guards against answers lost for want of a retry that no endpoint has seen.
+test("a retry whose connection is refused is spent at the next endpoint", async () => {
+  const world = createWorld([
+    () => ({ type: "not_run", refusal: "full" }),
+    () => ({ type: "unreachable", reason: "refused", isRefused: true }),
+    () => wholeAnswer(200, "done"),
+  ], {
+    route: { kind: "non_idempotent", stages: [], attempts: 1 },
+    // Lends one retry.
+    slack: 3,
+  });
+  await serve(world);
+  expect([world.reply.status, world.reply.text]).toEqual([200, "done"]);
+});
+
 test("a request is refused at once with a retry delay when all endpoints are full", async () => {
   const full = (): EndpointAnswer => ({ type: "not_run", refusal: "full" });
   const world = createWorld([full, full, full], {
--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -112,3 +112,41 @@
   for (let count = 0; count < 5; count++) gate.recordRequests("s");
   expect(gate.available("s")).toEqual(1);
 });
+
+// Guards against retries that are lost although nothing was sent.
+test("retries that are given back are spent once more", async () => {
+  const timer = createTimer();
+  const gate = createRetryGate(timer);
+  await gate.borrow("s", 10);
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  const count = gate.available("s");
+  const spent = gate.spendNow("s", "failed", count);
+  expect(gate.available("s")).toEqual(0);
+  if (spent !== undefined) gate.giveBack(spent);
+  expect(gate.available("s")).toEqual(count);
+  expect(gate.trySpend("s", "failed", count)).toEqual(true);
+});
+
+// Guards against loans that are spent after their end.
+test("a loan that is given back after its end isn't available", async () => {
+  const timer = createTimer();
+  const gate = createRetryGate(timer);
+  await gate.borrow("s", 1);
+  const spent = gate.spendNow("s", "failed");
+  timer.jump(1_000);
+  if (spent !== undefined) gate.giveBack(spent);
+  expect(gate.available("s")).toEqual(0);
+});
+
+// Guards against credits of pieces that never reached an endpoint.
+test("what withdrawn requests have earned is taken back, also once it is spent", () => {
+  const timer = createTimer();
+  const gate = createRetryGate(timer);
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  expect(gate.trySpend("s", "failed")).toEqual(true);
+  gate.withdrawRequests("s", 5);
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  expect(gate.trySpend("s", "failed")).toEqual(false);
+  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  expect(gate.trySpend("s", "failed")).toEqual(true);
+});
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -38,8 +38,8 @@
   readonly #started = new Set<number>();
   readonly #freed = new Set<number>();
   readonly #begun = new Set<number>();
-  /** Pieces that were sent at least once, by stage. */
-  readonly #sent: readonly Set<number>[];
+  /** Number of sends of each piece, by stage. */
+  readonly #sends: readonly Map<number, number>[];
   readonly #repeatedStages: ReadonlySet<number>;
   /** Number of pieces sent, by stage and zone. */
   readonly #sentByZone = new Map<number, Map<string, number>>();
@@ -50,7 +50,7 @@
     this.deadlineAt = now + request.remainingMilliseconds;
     this.objectiveAt = now + request.objectiveMilliseconds;
     this.readerZone = options.readerZone;
-    this.#sent = request.stages.map(() => new Set<number>());
+    this.#sends = request.stages.map(() => new Map<number, number>());
     this.#repeatedStages = options.repeatedStages ?? new Set();
     this.#settle = options.settle;
     this.#results = request.stages.map(({ pieces }) =>
@@ -162,12 +162,24 @@
     const isRepeat = this.#wasSent(stage, piece);
     task.isRepeat = true;
     this.#begun.add(stage);
-    this.#sent[stage]?.add(piece);
+    this.#addSends(stage, piece, 1);
     const pieces = this.#sentByZone.get(stage) ?? new Map<string, number>();
     this.#sentByZone.set(stage, pieces.set(zone, (pieces.get(zone) ?? 0) + 1));
     return isRepeat;
   }
 
+  /** Takes back a send that left nothing at an endpoint. */
+  withdrawSend(
+    task: Pick<PieceTask, "stage" | "piece" | "isRepeat">,
+    zone: string,
+  ): void {
+    const { stage, piece } = task;
+    this.#addSends(stage, piece, -1);
+    task.isRepeat = this.#wasSent(stage, piece);
+    const pieces = this.#sentByZone.get(stage);
+    pieces?.set(zone, (pieces.get(zone) ?? 0) - 1);
+  }
+
   /** Zone to which most pieces of a stage were sent; undefined if none was. */
   zoneOf(number: number): string | undefined {
     let most: string | undefined;
@@ -276,7 +288,12 @@
   /** Whether a piece may have been sent before, by this daemon or another. */
   #wasSent(stage: number, piece: number): boolean {
     return this.#repeatedStages.has(stage) ||
-      this.#sent[stage]?.has(piece) === true;
+      (this.#sends[stage]?.get(piece) ?? 0) > 0;
+  }
+
+  #addSends(stage: number, piece: number, count: number): void {
+    const sends = this.#sends[stage];
+    sends?.set(piece, (sends.get(piece) ?? 0) + count);
   }
 
   #finalStages(): readonly number[] {
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -41,10 +41,12 @@
   | { readonly type: "full" }
   /** Another endpoint has this address now. */
   | { readonly type: "replaced" }
-  /** The call failed; `isCertain` when no process listens there. */
   | {
     readonly type: "failed";
+    /** True if no process listens there. */
     readonly isCertain: boolean;
+    /** False if nothing left this daemon. */
+    readonly isSent: boolean;
     readonly reason: string;
   };
 
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -4,6 +4,7 @@
 import type { ChainRun } from "./chain_run.ts";
 import type { PieceQueue } from "./piece_queue.ts";
 import type { PieceTask } from "./piece_task.ts";
+import type { SentPieces } from "./sent_pieces.ts";
 
 /** A chain fails when one of its pieces has failed this often. */
 const MAX_FAILURES = 4;
@@ -12,7 +13,9 @@
 export type PieceRetryGate = Pick<
   RetryGate,
   | "available"
-  | "trySpend"
+  | "spendNow"
+  | "giveBack"
+  | "withdrawRequests"
   | "borrow"
   | "waitFor"
   | "recordRequests"
@@ -58,7 +61,7 @@
   }
 
   /** Spends the budget for the pieces of a call that is sent now. */
-  recordSends(tasks: readonly PieceTask[], zone: string): void {
+  recordSends(tasks: readonly PieceTask[], zone: string): SentPieces {
     const { retryGate, service } = this.#options;
     const causes = new Map<RetryCause, number>();
     let first = 0;
@@ -67,10 +70,19 @@
         causes.set(task.retryCause, (causes.get(task.retryCause) ?? 0) + 1);
       } else first++;
     }
-    for (const [cause, count] of causes) {
-      retryGate.trySpend(service, cause, count);
-    }
+    const spent = [...causes].flatMap(([cause, count]) =>
+      retryGate.spendNow(service, cause, count) ?? []
+    );
     if (first > 0) retryGate.recordRequests(service, first);
+    return { tasks, zone, first, spent };
+  }
+
+  /** Takes back the sends of a call of which nothing left this daemon. */
+  withdrawSends({ tasks, zone, first, spent }: SentPieces): void {
+    const { retryGate, service } = this.#options;
+    for (const task of tasks) task.chain.withdrawSend(task, zone);
+    if (first > 0) retryGate.withdrawRequests(service, first);
+    for (const retries of spent) retryGate.giveBack(retries);
   }
 
   /** Queues pieces of calls still in flight, if the budget allows it now. */
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -171,7 +171,7 @@
     this.#queue.remove(tasks);
     for (const task of tasks) task.calls++;
     target.startCall(call, now);
-    this.#retries.recordSends(tasks, target.endpoint.entry.zone);
+    const sent = this.#retries.recordSends(tasks, target.endpoint.entry.zone);
     const stopWatching = watchCall({
       call,
       slowness: target.endpoint.expectedSlowness(now),
@@ -185,6 +185,8 @@
       signal: call.abort.signal,
     }).then((answer) => {
       stopWatching();
+      const isSent = answer.type !== "failed" || answer.isSent;
+      if (!isSent) this.#retries.withdrawSends(sent);
       this.#callEnded(target, call, answer);
     });
   }
@@ -329,7 +331,7 @@
   #callFailed(
     target: CallTarget,
     call: RunningCall,
-    options: { readonly isCertain: boolean; readonly reason: string },
+    options: Extract<PieceCallAnswer, { type: "failed" }>,
   ): void {
     const needed = call.tasks.filter((task) => this.#retries.isNeeded(task));
     if (needed.length === 0 && !options.isCertain && !call.isHedged) return;
@@ -337,7 +339,7 @@
     this.#log(`piece call failed: ${options.reason}`, target, call);
     this.#retries.retryOrFail(
       needed,
-      options.isCertain ? "not_sent" : "failed",
+      options.isSent ? "failed" : "not_sent",
     );
   }
 
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -120,7 +120,10 @@
       : second;
     const isUseless = outcome === "refused" || hedge === undefined ||
       !run.isOpen;
-    if (isUseless) return await first;
+    if (isUseless) {
+      run.cancelReservedSend();
+      return await first;
+    }
     return await firstSuccessful([first, this.#sendTo(hedge)]);
   }
 
@@ -182,6 +185,7 @@
     const { dependencies, request, service, account } = run.options;
     const { endpoint, home } = choice;
     const sentAt = dependencies.timer.now();
+    const retry = run.takeReservedRetry();
     this.#triedEndpointIds.add(endpoint.entry.id);
     this.#logSend(choice);
     run.sends++;
@@ -223,7 +227,10 @@
     if (!isStream) release();
     endLoadCall(answer, isSample);
     if (didNotRun) run.runs--;
-    if (answer.type === "unreachable") run.deliveries--;
+    if (answer.type === "unreachable") {
+      run.deliveries--;
+      if (retry !== undefined) dependencies.retryGate.giveBack(retry);
+    }
     dependencies.metrics.countEndpointCall(service, answer.type);
     const answeredAt = answer.type === "answered"
       ? dependencies.timer.now()
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -42,7 +42,11 @@
   /** Decides what is sent to an endpoint again. */
   readonly retryGate: Pick<
     RetryGate,
-    "recordRequests" | "spend" | "retryAfterMilliseconds" | "describe"
+    | "recordRequests"
+    | "spend"
+    | "giveBack"
+    | "retryAfterMilliseconds"
+    | "describe"
   >;
   readonly crashes: Pick<CrashDetector, "checkEndpoint">;
   readonly quarantine: Pick<
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -122,13 +122,17 @@
       const outcome = typeof reservation === "string"
         ? reservation
         : await reservation;
-      if (!run.isOpen) return "ended";
-      if (outcome === "refused") return await this.#failWithoutBudget();
+      if (outcome === "refused") {
+        return run.isOpen ? await this.#failWithoutBudget() : "ended";
+      }
       // Another request may have taken the endpoint's last place meanwhile.
       const current = outcome === "allowed_after_wait"
         ? sender.chooseEndpoint()
         : choice;
-      if (current === undefined) continue;
+      if (current === undefined || !run.isOpen) {
+        run.cancelReservedSend();
+        continue;
+      }
       this.#retryCause = "failed";
       const result = await sender.send(current);
       if (!run.isOpen) closeAnswer(result);
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -8,6 +8,7 @@
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RetryOutcome } from "../retries/retry_gate.ts";
+import type { SpentRetries } from "../retries/spent_retries.ts";
 import type { QuarantinedSubject } from "../quarantine/quarantined_subject.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
@@ -77,6 +78,7 @@
   releaseLoad: ReleaseLoad | undefined;
   #outcome: RequestOutcome | undefined;
   #results: readonly PieceResult[] = [];
+  #reservedRetry: SpentRetries | undefined;
   #place: ReaderPlace | undefined;
   #placementRetryMilliseconds: number | undefined;
   /** True while the place must still be released at the coordinator. */
@@ -199,9 +201,26 @@
       cause,
       priority: this.priority,
       deadlineAt: this.deadlineAt,
+      onSpent: (spent) => {
+        this.#reservedRetry = spent;
+      },
     });
   }
 
+  /** Returns the retry of a send that was reserved and isn't made. */
+  cancelReservedSend(): void {
+    const retry = this.takeReservedRetry();
+    if (retry === undefined) return;
+    this.options.dependencies.retryGate.giveBack(retry);
+  }
+
+  /** Hands over the retry of the send that was reserved last, if it needed one. */
+  takeReservedRetry(): SpentRetries | undefined {
+    const retry = this.#reservedRetry;
+    this.#reservedRetry = undefined;
+    return retry;
+  }
+
   get #quarantinedSubject(): QuarantinedSubject | undefined {
     return this.options.dependencies.quarantine.find(this);
   }
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -1,13 +1,19 @@
 import type { RetryLimits } from "kelpspar-decisions/retries";
 import type { TimerService } from "kelpspar-shared";
 import type { RetryCause } from "./retry_cause.ts";
-import type { BudgetState, RetryReport } from "./retry_report.ts";
+import type {
+  BudgetState,
+  RetryDecision,
+  RetryReport,
+} from "./retry_report.ts";
 import type { SlackBorrower } from "./slack_borrower.ts";
+import type { SpentRetries } from "./spent_retries.ts";
 import {
   creditCapacity,
   EarnedCredits,
   LoanPool,
   SlidingWindowCounter,
+  sumLoans,
 } from "kelpspar-decisions/retries";
 import { GRANT_MILLISECONDS } from "./slack_grant.ts";
 
@@ -42,6 +48,8 @@
   readonly priority: number;
   /** Monotonic milliseconds. */
   readonly deadlineAt: number;
+  /** Receives the retry if it is spent, for `giveBack`. */
+  readonly onSpent?: (spent: SpentRetries) => void;
 }
 
 /** Whether something may be sent again, and whether that took time. */
@@ -102,6 +110,13 @@
     this.#earnsFrom = this.#now() + BACKLOG_MILLISECONDS;
   }
 
+  /** Takes back what pieces earned that weren't sent for the first time. */
+  withdrawRequests(service: string, count: number): void {
+    const { requests, credits } = this.#budgetOf(service);
+    requests.add(-count, this.#now());
+    credits.revoke(this.#options.limits.ratio * count);
+  }
+
   /** Number of retries that can be spent now without waiting. */
   available(service: string): number {
     const { loans, credits } = this.#budgetOf(service);
@@ -111,10 +126,33 @@
 
   /** Spends `count` retries if that many are available now. */
   trySpend(service: string, cause: RetryCause, count = 1): boolean {
-    const isAllowed = this.available(service) >= count;
-    if (isAllowed) this.#take(service, count);
-    this.#record(service, cause, { count, isAllowed });
-    return isAllowed;
+    return this.spendNow(service, cause, count) !== undefined;
+  }
+
+  /** Like `trySpend`; returns what was spent, for `giveBack`. */
+  spendNow(
+    service: string,
+    cause: RetryCause,
+    count = 1,
+  ): SpentRetries | undefined {
+    if (this.available(service) >= count) {
+      return this.#take(service, cause, count);
+    }
+    this.#record(service, cause, { count, outcome: "refused" });
+    return undefined;
+  }
+
+  /** Returns retries for which nothing was sent. */
+  giveBack({ service, cause, count, credits, loans }: SpentRetries): void {
+    const now = this.#now();
+    const budget = this.#budgetOf(service);
+    for (const { amount, expiresAt } of loans) {
+      budget.loans.add(amount, expiresAt);
+    }
+    budget.credits.giveBack(credits, now);
+    budget.retries.add(-count, now);
+    this.#record(service, cause, { count, outcome: "returned" });
+    this.#serveWaiters(service, budget);
   }
 
   /**
@@ -128,7 +166,10 @@
     const isAvailable = budget.waiters.size === 0 &&
       this.available(service) > 0;
     if (isAvailable || budget.emptyUntil > this.#now()) {
-      return this.trySpend(service, cause) ? "allowed" : "refused";
+      const spent = this.spendNow(service, cause);
+      if (spent === undefined) return "refused";
+      request.onSpent?.(spent);
+      return "allowed";
     }
     return this.#wait(request, budget);
   }
@@ -193,17 +234,20 @@
   #record(
     service: string,
     cause: RetryCause,
-    decision: { readonly count: number; readonly isAllowed: boolean },
+    decision: Pick<RetryDecision, "count" | "outcome">,
   ): void {
     this.#options.report?.record({ service, cause, ...decision });
   }
 
-  #take(service: string, count: number): void {
+  #take(service: string, cause: RetryCause, count: number): SpentRetries {
     const now = this.#now();
-    const { loans, credits, retries } = this.#budgetOf(service);
+    const budget = this.#budgetOf(service);
     // Loans expire soon.
-    credits.take(count - loans.take(count, now), now);
-    retries.add(count, now);
+    const loans = budget.loans.takeLoans(count, now);
+    const credits = budget.credits.take(count - sumLoans(loans), now);
+    budget.retries.add(count, now);
+    this.#record(service, cause, { count, outcome: "allowed" });
+    return { service, cause, count, credits, loans };
   }
 
   #wait(
@@ -217,8 +261,10 @@
         resolve: (isAllowed) => {
           stopTimer();
           budget.waiters.delete(waiter);
-          if (isAllowed) this.#take(service, 1);
-          this.#record(service, cause, { count: 1, isAllowed });
+          if (isAllowed) {
+            const spent = this.#take(service, cause, 1);
+            request.onSpent?.(spent);
+          } else this.#record(service, cause, { count: 1, outcome: "refused" });
           resolve(isAllowed ? "allowed_after_wait" : "refused");
         },
       };
--- a/packages/kelpspar-gateway/src/retries/retry_report.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_report.ts
@@ -6,13 +6,20 @@
 /** How often the retries of each service are logged, milliseconds. */
 const REPORT_INTERVAL_MILLISECONDS = 1_000;
 
+/** What became of retries. */
+export type RetryDecisionOutcome =
+  | "allowed"
+  | "refused"
+  /** Nothing was sent. */
+  | "returned";
+
 /** A decision whether something is sent again. */
 export interface RetryDecision {
   readonly service: string;
   readonly cause: RetryCause;
   /** Number of requests or pieces. */
   readonly count: number;
-  readonly isAllowed: boolean;
+  readonly outcome: RetryDecisionOutcome;
 }
 
 /** State of a service's budget, for the log. */
@@ -37,9 +44,8 @@
     this.#options = options;
   }
 
-  record({ service, cause, count, isAllowed }: RetryDecision): void {
+  record({ service, cause, count, outcome }: RetryDecision): void {
     const { metrics, timer } = this.#options;
-    const outcome = isAllowed ? "allowed" : "refused";
     metrics.countRetries({ service, cause, outcome, count });
     if (this.#counts.size === 0) {
       timer.registerTimeout(() => this.#log(), REPORT_INTERVAL_MILLISECONDS);
--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -28,6 +28,8 @@
   readonly stageFault: StageFault;
   /** Interval at which a stage endpoint loses its results; 0 for never. */
   readonly stageRestartMilliseconds: number;
+  /** How long it refuses connections then. */
+  readonly stageDownMilliseconds: number;
   readonly daemonFault: DaemonFault;
   readonly faultIntervalMilliseconds: number;
   readonly store: StoreFault;
@@ -42,6 +44,7 @@
   runnerFault: "failing",
   stageFault: "none",
   stageRestartMilliseconds: 0,
+  stageDownMilliseconds: 0,
   daemonFault: "none",
   faultIntervalMilliseconds: 3_000,
   store: "none",
@@ -89,6 +92,19 @@
     stageFault: "none",
     stageRestartMilliseconds: 350,
   },
+  "stages-down": {
+    ...STAGES,
+    stageFault: "none",
+    stageRestartMilliseconds: 350,
+    stageDownMilliseconds: 1_500,
+  },
+  "stages-down-killed": {
+    ...STAGES,
+    stageFault: "none",
+    stageRestartMilliseconds: 350,
+    stageDownMilliseconds: 1_500,
+    daemonFault: "kill_all",
+  },
   "stages-drawn": {
     ...STAGES,
     stageRestartMilliseconds: 1_500,
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -101,8 +101,16 @@
     if (situation.stageRestartMilliseconds > 0) {
       let stage = 0;
       timers.push(setInterval(() => {
-        const restarted = site.stages[stage++ % site.stages.length];
-        if (restarted !== undefined) site.restartStage(restarted);
+        const ended = site.stages[stage++ % site.stages.length];
+        if (ended === undefined) return;
+        if (situation.stageDownMilliseconds === 0) site.restartStage(ended);
+        else {
+          ended.crash();
+          timers.push(setTimeout(
+            () => site.restartStage(ended),
+            situation.stageDownMilliseconds,
+          ));
+        }
       }, situation.stageRestartMilliseconds));
     }
     const attempts = await sendLoad(
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -83,8 +83,17 @@
     return this.#incarnation === 1 ? id : `${id}-life-${this.#incarnation}`;
   }
 
+  /** Closes all connections and refuses new ones until `restart`. */
+  crash(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
   /** Loses all results and calls, and continues under a new id. */
   restart(): void {
+    if (!this.#server.listening) {
+      this.#server.listen(Number(this.#address.split(":")[1]), "127.0.0.1");
+    }
     this.#incarnation++;
     this.heldHandles.clear();
     this.#callQueue = Promise.resolve();
