Earn the retries of pieces once their connection is open

Cause: a piece earned its share of a retry when its call was started. If the connection was refused, took that back as a debt of the bucket; other pieces could spend it meanwhile, in advance of sends that endpoints never saw.

--- a/packages/kelpspar-decisions/src/retries/earned_credits.ts
+++ b/packages/kelpspar-decisions/src/retries/earned_credits.ts
@@ -32,14 +32,13 @@
   available(now: number): number {
     this.#endBurst(now);
     // With a lower capacity, bursts would be all that is ever spent.
-    if (this.#capacity < 1) return 0;
-    return Math.max(0, Math.floor(this.#credits + EPSILON));
+    return this.#capacity < 1 ? 0 : Math.floor(this.#credits + EPSILON);
   }
 
   /** Spends up to `count` retries; returns how many. */
   take(count: number, now: number): number {
     const taken = Math.min(count, this.available(now));
-    if (taken > 0) this.#credits = Math.max(0, this.#credits - taken);
+    this.#credits = Math.max(0, this.#credits - taken);
     return taken;
   }
 
@@ -49,14 +48,6 @@
     this.#credits += count;
   }
 
-  /**
-   * Takes back what requests have earned that weren't sent. If it is spent
-   * already, later requests earn it again first.
-   */
-  revoke(credits: number): void {
-    this.#credits -= credits;
-  }
-
   #endBurst(now: number): void {
     if (now < this.#burstEndsAt) return;
     this.#burstEndsAt = now + BURST_MILLISECONDS;
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -122,6 +122,7 @@
   }
 
   runPieces(call: PieceCall): Promise<PieceCallAnswer> {
+    call.onConnected();
     const maker = this.#makers.get(call.endpoint.id) as Maker;
     const now = this.#timer.now();
     const slowness = this.#slownessOf(call.endpoint.id, now);
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -27,6 +27,7 @@
   freeing: Promise<boolean> = Promise.resolve(true);
 
   runPieces(call: PieceCall): Promise<PieceCallAnswer> {
+    call.onConnected();
     return new Promise((answer) => {
       this.open.push({ call, answer });
       call.signal.addEventListener(
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -17,6 +17,8 @@
   readonly endpoint: EndpointEntry;
   readonly pieces: readonly PieceRequest[];
   readonly signal: AbortSignal;
+  /** Called when the connection is open, so that the call is being sent. */
+  readonly onConnected: () => void;
 }
 
 /** Why an endpoint didn't make a piece. */
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -15,7 +15,6 @@
   | "available"
   | "spendNow"
   | "giveBack"
-  | "withdrawRequests"
   | "borrow"
   | "waitFor"
   | "recordRequests"
@@ -73,16 +72,19 @@
     const spent = [...causes].flatMap(([cause, count]) =>
       retryGate.spendNow(service, cause, count) ?? []
     );
-    if (first > 0) retryGate.recordRequests(service, first);
     return { tasks, zone, first, spent };
   }
 
-  /** Takes back the sends of a call of which nothing left this daemon. */
-  withdrawSends({ tasks, zone, first, spent }: SentPieces): void {
+  /** Counts the first sends of a call whose connection is open. */
+  recordConnection({ first }: SentPieces): void {
     const { retryGate, service } = this.#options;
+    if (first > 0) retryGate.recordRequests(service, first);
+  }
+
+  /** Takes back the sends of a call of which nothing left this daemon. */
+  withdrawSends({ tasks, zone, spent }: SentPieces): void {
     for (const task of tasks) task.chain.withdrawSend(task, zone);
-    if (first > 0) retryGate.withdrawRequests(service, first);
-    for (const retries of spent) retryGate.giveBack(retries);
+    for (const retries of spent) this.#options.retryGate.giveBack(retries);
   }
 
   /** Queues pieces of calls still in flight, if the budget allows it now. */
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -183,6 +183,7 @@
       endpoint: target.endpoint.entry,
       pieces,
       signal: call.abort.signal,
+      onConnected: () => this.#retries.recordConnection(sent),
     }).then((answer) => {
       stopWatching();
       const isSent = answer.type !== "failed" || answer.isSent;
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -110,13 +110,6 @@
     this.#earnsFrom = this.#now() + BACKLOG_MILLISECONDS;
   }
 
-  /** Takes back what pieces earned that weren't sent for the first time. */
-  withdrawRequests(service: string, count: number): void {
-    const { requests, credits } = this.#budgetOf(service);
-    requests.add(-count, this.#now());
-    credits.revoke(this.#options.limits.ratio * count);
-  }
-
   /** Number of retries that can be spent now without waiting. */
   available(service: string): number {
     const { loans, credits } = this.#budgetOf(service);
