Leave endpoints that refuse connections alone for a while

Cause: an endpoint that refused a connection is set aside, but endpoints that are set aside get calls if all are.

The end of an isolation of the daemon ends the pause.

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -360,3 +360,21 @@
   expect(client.open.length).toEqual(0);
   expect(outcomes.get("a")).toEqual("retry_budget");
 });
+
+// Guards against a flood of connections to endpoints that are down.
+test("endpoints that refuse connections are left alone for a while", async () => {
+  const { client, run, timer } = createWorld();
+  run("a", [1, 0], 5_000);
+  await timer.settle();
+  let calls = 0;
+  for (let waited = 0; waited < 600; waited += 50) {
+    for (const { answer } of client.open.splice(0)) {
+      calls++;
+      answer(REFUSED);
+    }
+    await timer.advance(50);
+  }
+  expect(calls).toEqual(2);
+  await timer.advance(200);
+  expect(client.open.length).toEqual(1);
+});
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -23,6 +23,9 @@
 /** Ratio to the expected time up to which a call's time is normal. */
 const NORMAL_RATIO = 2;
 
+/** Pause of an endpoint that refused a connection. */
+const REFUSED_PAUSE_MILLISECONDS = 700;
+
 /** Upper bound for the cold time that an endpoint reports. */
 const MAXIMUM_COLD_MILLISECONDS = 60_000;
 
@@ -51,6 +54,7 @@
   #failureShare = 0;
   #setAsideUntil = 0;
   #pausedUntil = 0;
+  #refusedUntil = 0;
   #coldUntil = 0;
   #presumedColdUntil = 0;
   #setAsideMilliseconds = INITIAL_SET_ASIDE_MILLISECONDS;
@@ -121,9 +125,12 @@
     this.#pausedUntil = Math.max(this.#pausedUntil, until);
   }
 
-  /** Remaining pause, milliseconds; 0 when calls are allowed now. */
+  /**
+   * Remaining time without calls, because the endpoint requested it or refused
+   * a connection, milliseconds; 0 when calls are allowed now.
+   */
   remainingPauseMilliseconds(now: number): number {
-    return Math.max(0, this.#pausedUntil - now);
+    return Math.max(0, this.#pausedUntil - now, this.#refusedUntil - now);
   }
 
   /**
@@ -188,9 +195,11 @@
 
   /**
    * Records a failed call. If `isCertain`, the endpoint can't take calls now
-   * (nothing listens there), and one failure is enough to set it aside.
+   * (nothing listens there): one failure is enough to set it aside, and it gets
+   * no calls for a while even if all others are set aside too.
    */
   failed(isCertain: boolean, now: number): void {
+    if (isCertain) this.#refusedUntil = now + REFUSED_PAUSE_MILLISECONDS;
     this.#failureShare += NEWEST_WEIGHT * (1 - this.#failureShare);
     if (!isCertain && this.#failureShare < FAILURE_SHARE_THRESHOLD) return;
     if (this.isSetAside(now)) return;
@@ -214,6 +223,7 @@
   #clearFailures(): void {
     this.#failureShare = 0;
     this.#setAsideUntil = 0;
+    this.#refusedUntil = 0;
     this.#setAsideMilliseconds = INITIAL_SET_ASIDE_MILLISECONDS;
   }
 
