--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -120,11 +120,11 @@
   await gate.borrow("s", 10);
   for (let count = 0; count < 5; count++) gate.recordRequests("s");
   const count = gate.available("s");
-  const spent = gate.spendNow("s", "failed", count);
+  const spent = gate.trySpend("s", "failed", count);
   expect(gate.available("s")).toEqual(0);
   if (spent !== undefined) gate.giveBack(spent);
   expect(gate.available("s")).toEqual(count);
-  expect(gate.trySpend("s", "failed", count)).toEqual(true);
+  expect(gate.trySpend("s", "failed", count)).not.toEqual(undefined);
 });
 
 // Guards against loans that are spent after their end.
@@ -132,7 +132,7 @@
   const timer = createTimer();
   const gate = createRetryGate(timer);
   await gate.borrow("s", 1);
-  const spent = gate.spendNow("s", "failed");
+  const spent = gate.trySpend("s", "failed");
   timer.jump(1_000);
   if (spent !== undefined) gate.giveBack(spent);
   expect(gate.available("s")).toEqual(0);
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -13,7 +13,7 @@
 export type PieceRetryGate = Pick<
   RetryGate,
   | "available"
-  | "spendNow"
+  | "trySpend"
   | "giveBack"
   | "borrow"
   | "waitFor"
@@ -70,7 +70,7 @@
       } else first++;
     }
     const spent = [...causes].flatMap(([cause, count]) =>
-      retryGate.spendNow(service, cause, count) ?? []
+      retryGate.trySpend(service, cause, count) ?? []
     );
     return { tasks, zone, first, spent };
   }
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -117,13 +117,11 @@
     return loans.available(now) + credits.available(now);
   }
 
-  /** Spends `count` retries if that many are available now. */
-  trySpend(service: string, cause: RetryCause, count = 1): boolean {
-    return this.spendNow(service, cause, count) !== undefined;
-  }
-
-  /** Like `trySpend`; returns what was spent, for `giveBack`. */
-  spendNow(
+  /**
+   * Spends `count` retries if that many are available now; returns what was
+   * spent, for `giveBack`.
+   */
+  trySpend(
     service: string,
     cause: RetryCause,
     count = 1,
@@ -159,7 +157,7 @@
     const isAvailable = budget.waiters.size === 0 &&
       this.available(service) > 0;
     if (isAvailable || budget.emptyUntil > this.#now()) {
-      const spent = this.spendNow(service, cause);
+      const spent = this.trySpend(service, cause);
       if (spent === undefined) return "refused";
       request.onSpent?.(spent);
       return "allowed";
