--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -103,8 +103,8 @@
   {
     name: "a body that a reset ended is cut",
     file: `${GATEWAY}/exchange/http_exchange.ts`,
-    code: "if (!isFramed(message)) cutBody",
-    without: "if (false) cutBody",
+    code: 'if (framing === "close_delimited") {',
+    without: "if (false) {",
     noticedBy: `${GATEWAY_TESTS}/http_exchange_test.ts`,
   },
   {
@@ -117,7 +117,7 @@
   {
     name: "what may run once isn't repeated",
     file: `${GATEWAY}/requests/request_run.ts`,
-    code: "return isRepeatable && this.runs < attempts;",
+    code: "return this.isRepeatable && this.attemptsLeft > 0;",
     without: "return this.runs < 2;",
     noticedBy: `${PLATFORM_TESTS}/platform_path_test.ts`,
   },
@@ -152,17 +152,39 @@
   {
     name: "a stream goes on after the last event let through",
     file: `${GATEWAY}/requests/stream_relay.ts`,
-    code: "ids.at(-1)?.[1]?.trim() ?? this.#lastEventId",
+    code: "lastIdOf(completeEvents) ?? this.#lastEventId",
     without: "this.#lastEventId",
     noticedBy: `${GATEWAY_TESTS}/stream_relay_test.ts`,
   },
   {
     name: "repeats come out of a budget",
     file: `${GATEWAY}/retries/retry_gate.ts`,
-    code: "const isAllowed = this.available(service) >= count;",
-    without: "const isAllowed = true;",
+    code: "if (this.available(service) >= count) {",
+    without: "if (true) {",
     noticedBy: `${GATEWAY_TESTS}/retry_gate_test.ts`,
   },
+  {
+    name: "a retry whose connection is refused goes back",
+    file: `${GATEWAY}/requests/endpoint_sender.ts`,
+    code: "if (retry !== undefined) dependencies.retryGate.giveBack(retry);",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/request_service_test.ts`,
+  },
+  {
+    name: "a piece whose connection is refused wasn't sent",
+    file: `${GATEWAY}/pieces/stage_scheduler.ts`,
+    code: "if (!isSent) this.#retries.withdrawSends(sent);",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/piece_coordinator_test.ts`,
+  },
+  {
+    name: "an endpoint that refuses connections is left alone",
+    file: `${GATEWAY}/endpoints/endpoint_state.ts`,
+    code:
+      "if (isCertain) this.#refusedUntil = now + REFUSED_PAUSE_MILLISECONDS;",
+    without: "",
+    noticedBy: `${GATEWAY_TESTS}/piece_coordinator_test.ts`,
+  },
   {
     name: "lent slack is recorded for all daemons",
     file: `${DECISIONS}/retries/slack_ledger.ts`,
--- a/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
@@ -22,8 +22,8 @@
   {
     name: "isolated daemons aren't listed for callers",
     file: `${GATEWAY}/front/choose_caller_addresses.ts`,
-    code: "withoutIsolated([...own, ...others], isIsolated)",
-    without: "[...own, ...others]",
+    code: "withoutIsolated(usable.length > 0 ? usable : [self], isIsolated)",
+    without: "usable.length > 0 ? usable : [self]",
     noticedBy: `${TESTS}/choose_caller_addresses_test.ts`,
   },
   {
