Use a client, not a pool, for agents of one connection

Cause: createGuardedAgent made a pool also for agents of one connection, where undici's own agent makes a client. Why the pool keeps calls after connects that time out isn't traced; three calls that wait for a refused connection fail with both.

Change: the same choice as undici's agent.

--- a/packages/kelpspar-http/src/create_guarded_agent.ts
+++ b/packages/kelpspar-http/src/create_guarded_agent.ts
@@ -2,6 +2,7 @@
 import type { MalformedAnswerError } from "./malformed_answer_error.ts";
 import { Agent } from "undici";
 import { createGuardedPool } from "./create_guarded_pool.ts";
+import { GuardedClient } from "./guarded_client.ts";
 
 /** Options of `createGuardedAgent`. */
 export interface GuardedAgentOptions
@@ -18,11 +19,17 @@
   const { connect, onMalformed, ...agentOptions } = options;
   return new Agent({
     ...agentOptions,
-    factory: (origin, poolOptions) =>
-      createGuardedPool(origin, {
+    factory: (origin, poolOptions) => {
+      const guardedOptions = {
         ...poolOptions,
         connect,
-        onMalformed: (error) => onMalformed?.(String(origin), error),
-      }),
+        onMalformed: (error: MalformedAnswerError): void =>
+          onMalformed?.(String(origin), error),
+      };
+      // As undici's agent does by itself.
+      return agentOptions.connections === 1
+        ? new GuardedClient(origin, guardedOptions)
+        : createGuardedPool(origin, guardedOptions);
+    },
   });
 }
