Play repeats at the size of a site with chains of three stage services

Cause: npm run repeats had one stage service with two stages of two and three pieces, one availability zone, no partitions and two windows. The users saw repeats beyond the budget on a site with 1, 6 and 16 pieces a request.

Change: seventeen situations before three stage services in a chain, eight daemons in two zones and four windows: streams that are cut, lost inputs, callers that repeat at once, load that ends, daemons partitioned from endpoints, from each other and from the store.

Conclusion: no logic of the product is changed.

--- a/packages/kelpspar-standins/src/programs/repeats_main.ts
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -10,10 +10,13 @@
 const EXIT_CHECK_FAILED = 1;
 const EXIT_USAGE = 64;
 const USAGE =
-  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--log FILE]";
+  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--program FILE] [--log FILE]";
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
+const PARTITION_HOOK = fileURLToPath(
+  new URL("../wire/partition_hook.js", import.meta.url),
+);
 const NAMES = Object.keys(REPEAT_SITUATIONS) as readonly RepeatSituationName[];
 
 try {
@@ -23,6 +26,7 @@
       seed: { type: "string", default: "1" },
       seeds: { type: "string", default: "1" },
       daemons: { type: "string" },
+      program: { type: "string", default: PROGRAM },
       log: { type: "string" },
       help: { type: "boolean", default: false },
     },
@@ -37,7 +41,7 @@
       : { daemons: readCount("daemons", values.daemons) };
     for (let seed = first; seed < first + count; seed++) {
       for (const name of names) {
-        await play(name, { seed, daemons, log: values.log });
+        await play(name, { ...values, seed, daemons });
       }
     }
     process.exit();
@@ -63,16 +67,19 @@
 
 async function play(
   name: RepeatSituationName,
-  { seed, daemons, log }: {
+  { seed, daemons, program, log }: {
     readonly seed: number;
+    /** Path of the daemon's program. */
+    readonly program: string;
     readonly daemons: { readonly daemons?: number };
     readonly log?: string | undefined;
   },
 ): Promise<void> {
-  const { worst, sent, whole, answers } = await runRepeats({
+  const { services, sent, whole, answers } = await runRepeats({
     seed,
     situation: { ...REPEAT_SITUATIONS[name], ...daemons },
-    program: { path: PROGRAM, nodeArguments: [] },
+    program: { path: program, nodeArguments: [] },
+    partitionHook: PARTITION_HOOK,
     ...(log === undefined
       ? {}
       : { onLine: (line) => appendFileSync(log, `${line}\n`) }),
@@ -81,10 +88,15 @@
     `${status}: ${count}`
   );
   printText(
-    `${name}, seed ${seed}: ${worst.repeats} repeats of ` +
-      `${Math.floor(worst.allowed)} allowed in the worst window` +
-      `${worst.isExceeded ? " (EXCEEDED)" : ""}; ` +
+    `${name}, seed ${seed}: ` +
       `${whole} of ${sent} whole (${statuses.join(", ")})`,
   );
-  if (worst.isExceeded) process.exitCode = EXIT_CHECK_FAILED;
+  for (const { service, basis, worst } of services) {
+    printText(
+      `  ${service}, by ${basis}: ${worst.repeats} repeats of ` +
+        `${Math.floor(worst.allowed)} allowed in the worst window` +
+        `${worst.isExceeded ? " (EXCEEDED)" : ""}`,
+    );
+    if (worst.isExceeded) process.exitCode = EXIT_CHECK_FAILED;
+  }
 }
--- a/packages/kelpspar-standins/src/repeats/daemon_faults.ts
+++ b/packages/kelpspar-standins/src/repeats/daemon_faults.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from "kelpspar-shared";
 import type { DaemonProcess } from "../wire/daemon_process.ts";
+import type { PartitionMode } from "../wire/network_partition.ts";
 import type { DaemonFault } from "./repeat_situation.ts";
 
 /** One step of a series of faults; `number` counts from 0. */
@@ -8,6 +9,11 @@
   options: { readonly number: number; readonly random: RandomSource },
 ) => void;
 
+const PARTITION_MODES: readonly PartitionMode[] = [
+  "silent",
+  "reset",
+  "refused",
+];
 const PAUSE_MILLISECONDS = 3_500;
 /** Daemons that run at first in a fleet that grows. */
 export const FIRST_DAEMONS = 2;
@@ -24,6 +30,11 @@
       if (turn >= FIRST_DAEMONS) pause(daemon);
     }),
   grow: (daemons, { number }) => daemons[FIRST_DAEMONS + number]?.start(),
+  partition_in_turn: (daemons, { number }) =>
+    daemons.forEach((daemon, index) => {
+      const mode = PARTITION_MODES[number % PARTITION_MODES.length];
+      daemon.partition((index + number) % 2 === 0 ? mode : undefined);
+    }),
   drawn: (daemons, { random }) => {
     const steps = [restart, restartGracefully, pause];
     const step = steps[random.nextInteger(steps.length)] ?? pause;
--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -1,5 +1,7 @@
 import type { RunnerFault } from "../wire/runner_stand_in.ts";
+import type { PartitionTarget } from "../wire/create_daemons.ts";
 import type { StageFault } from "../wire/stage_runner_stand_in.ts";
+import type { StageServiceOptions } from "../wire/wire_site.ts";
 import type { StoreFault } from "../wire/store_stand_in.ts";
 
 /** What happens to daemons while endpoints fail. */
@@ -13,12 +15,47 @@
   | "pause_in_turn"
   /** Two run at first, the others start one after the other. */
   | "grow"
+  /** Half of them are partitioned, others and in another way each time. */
+  | "partition_in_turn"
   /** Any of these to random daemons, overlapping. */
   | "drawn";
 
+/** The endpoints of a site and the limits of its retries. */
+export interface RepeatSite {
+  readonly stageServices: readonly StageServiceOptions[];
+  /** Number of pieces of each stage of a request. */
+  readonly pieces: readonly number[];
+  readonly zones: readonly string[];
+  readonly retrySlack: number;
+}
+
+/** Sites by name. */
+export const REPEAT_SITES = {
+  one_stage_service: {
+    stageServices: [{ name: "stage", runners: 6, batch: 16 }],
+    pieces: [2, 3],
+    zones: ["a"],
+    retrySlack: 60,
+  },
+  three_stage_services: {
+    stageServices: [
+      { name: "first", runners: 3, batch: 8 },
+      { name: "second", runners: 4, batch: 8 },
+      { name: "third", runners: 5, batch: 18 },
+    ],
+    pieces: [1, 6, 16],
+    zones: ["a", "b"],
+    retrySlack: 56,
+  },
+} as const satisfies Readonly<Record<string, RepeatSite>>;
+
+/** The name of a site. */
+export type RepeatSiteName = keyof typeof REPEAT_SITES;
+
 /** Endpoints that fail a share of their requests while daemons have faults. */
 export interface RepeatSituation {
-  readonly route: "often" | "stream";
+  readonly route: "often" | "stream" | "resumed";
+  readonly site: RepeatSiteName;
   readonly daemons: number;
   readonly perSecond: number;
   readonly seconds: number;
@@ -32,11 +69,17 @@
   readonly stageDownMilliseconds: number;
   readonly daemonFault: DaemonFault;
   readonly faultIntervalMilliseconds: number;
+  readonly partitionTarget: PartitionTarget;
+  /** Load ends after this time, seconds; the run goes on. */
+  readonly loadSeconds: number;
+  /** Number of times that a refused caller sends again at once. */
+  readonly callerRetries: number;
   readonly store: StoreFault;
 }
 
 const PLAIN: RepeatSituation = {
   route: "often",
+  site: "one_stage_service",
   daemons: 12,
   perSecond: 50,
   seconds: 24,
@@ -47,6 +90,9 @@
   stageDownMilliseconds: 0,
   daemonFault: "none",
   faultIntervalMilliseconds: 3_000,
+  partitionTarget: "endpoints",
+  loadSeconds: Number.POSITIVE_INFINITY,
+  callerRetries: 0,
   store: "none",
 };
 
@@ -58,6 +104,18 @@
   stageFault: "full",
 };
 
+/** Several windows before a chain of three stage services. */
+const CHAINS: RepeatSituation = {
+  ...PLAIN,
+  route: "resumed",
+  site: "three_stage_services",
+  daemons: 8,
+  perSecond: 24,
+  seconds: 42,
+  runnerFault: "none",
+  share: 0.6,
+};
+
 /** Situations by name. */
 export const REPEAT_SITUATIONS = {
   failing: PLAIN,
@@ -111,6 +169,66 @@
     daemonFault: "drawn",
     faultIntervalMilliseconds: 700,
   },
+  "chains-failing": { ...CHAINS, runnerFault: "failing", share: 0.7 },
+  "chains-rejecting-killed": {
+    ...CHAINS,
+    runnerFault: "full",
+    share: 0.7,
+    daemonFault: "kill_all",
+  },
+  "chains-inputs-gone": { ...CHAINS, runnerFault: "inputs_gone", share: 0.7 },
+  "chains-cut": { ...CHAINS, runnerFault: "cut", share: 0.7 },
+  "chains-cut-killed": {
+    ...CHAINS,
+    runnerFault: "cut",
+    share: 0.7,
+    daemonFault: "kill_all",
+  },
+  "chains-full": { ...CHAINS, stageFault: "full" },
+  "chains-full-killed": {
+    ...CHAINS,
+    stageFault: "full",
+    daemonFault: "kill_all",
+  },
+  "chains-full-retried": { ...CHAINS, stageFault: "full", callerRetries: 3 },
+  "chains-full-ended": { ...CHAINS, stageFault: "full", loadSeconds: 14 },
+  "chains-closing": { ...CHAINS, stageFault: "closed" },
+  "chains-ending": { ...CHAINS, stageRestartMilliseconds: 350 },
+  "chains-cut-ending": {
+    ...CHAINS,
+    runnerFault: "cut",
+    share: 0.7,
+    stageRestartMilliseconds: 350,
+  },
+  "chains-partitioned": {
+    ...CHAINS,
+    runnerFault: "failing",
+    daemonFault: "partition_in_turn",
+  },
+  "chains-full-partitioned": {
+    ...CHAINS,
+    stageFault: "full",
+    daemonFault: "partition_in_turn",
+  },
+  "chains-peers-partitioned": {
+    ...CHAINS,
+    runnerFault: "failing",
+    daemonFault: "partition_in_turn",
+    partitionTarget: "daemons",
+  },
+  "chains-store-partitioned": {
+    ...CHAINS,
+    runnerFault: "failing",
+    daemonFault: "partition_in_turn",
+    partitionTarget: "store",
+  },
+  "chains-drawn": {
+    ...CHAINS,
+    runnerFault: "failing",
+    stageRestartMilliseconds: 1_500,
+    daemonFault: "drawn",
+    faultIntervalMilliseconds: 700,
+  },
 } as const satisfies Readonly<Record<string, RepeatSituation>>;
 
 /** The name of a situation. */
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -1,6 +1,7 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
 import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { RepeatSituation } from "./repeat_situation.ts";
+import type { RunnerArrival } from "../wire/runner_stand_in.ts";
 import type { WorstWindow } from "./find_worst_window.ts";
 import { SeededRandom } from "kelpspar-shared";
 import { mkdtempSync, rmSync } from "node:fs";
@@ -12,12 +13,10 @@
 import { sendToFirst } from "../wire/send_to_first.ts";
 import { RETRY_LIMITS, WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
+import { REPEAT_SITES } from "./repeat_situation.ts";
 import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
 
-const LIMITS = { ...RETRY_LIMITS, slack: 60 };
 const PLAIN_RUNNERS = 8;
-const STAGE_RUNNERS = 6;
-const STAGE_BATCH = 16;
 const STAGE_ROOM = 4_000;
 const ATTEMPTS = 3;
 /** Daemons that a caller tries to connect to. */
@@ -36,6 +35,8 @@
   readonly program: Pick<BuiltProgram, "nodeArguments"> & {
     readonly path: string;
   };
+  /** Path of the compiled `partition_hook.ts`, for partitions. */
+  readonly partitionHook?: string;
   /** Receives the daemons' log lines. */
   readonly onLine?: (line: string) => void;
 }
@@ -46,6 +47,16 @@
   /** Answers by status; "none" if the connection ended without one. */
   readonly answers: ReadonlyMap<string, number>;
   readonly whole: number;
+  readonly services: readonly ServiceRepeats[];
+}
+
+/** What earns repeats: requests of callers, or first sends of pieces. */
+export type RepeatBasis = "requests" | "pieces";
+
+/** What the endpoints of one service saw. */
+export interface ServiceRepeats {
+  readonly service: string;
+  readonly basis: RepeatBasis;
   readonly worst: WorstWindow;
 }
 
@@ -64,14 +75,15 @@
 ): Promise<RepeatResult> {
   const { situation } = options;
   const random = new SeededRandom(options.seed);
+  const { stageServices, zones, retrySlack } = REPEAT_SITES[situation.site];
   const site = new WireSite({
     plainRunners: PLAIN_RUNNERS,
     modelRunners: PLAIN_RUNNERS,
-    stageRunners: STAGE_RUNNERS,
-    batch: STAGE_BATCH,
+    stageServices,
+    zones,
+    retrySlack,
     room: STAGE_ROOM,
     hasEngines: false,
-    retrySlack: LIMITS.slack,
     attempts: ATTEMPTS,
   });
   const folder = mkdtempSync(join(tmpdir(), "kelpspar-repeats-"));
@@ -81,6 +93,11 @@
     folder,
     program: options.program.path,
     nodeArguments: options.program.nodeArguments,
+    ...(options.partitionHook === undefined
+      ? {}
+      : { partitionHook: options.partitionHook }),
+    partitionTarget: situation.partitionTarget,
+    zones,
     onLine: options.onLine,
   });
   const timers: NodeJS.Timeout[] = [];
@@ -133,7 +150,7 @@
   random: SeededRandom,
 ): void {
   const isHit = (): boolean => random.next() < share;
-  for (const runner of site.plain) {
+  for (const runner of [...site.plain, ...site.models]) {
     runner.drawFault = () => isHit() ? runnerFault : "none";
   }
   for (const stage of site.stages) {
@@ -149,44 +166,54 @@
     readonly agent: Agent;
     readonly random: SeededRandom;
   },
-  { route, perSecond, seconds }: RepeatSituation,
+  situation: RepeatSituation,
 ): Promise<readonly Attempt[]> {
+  const { route, perSecond, seconds, loadSeconds, callerRetries } = situation;
+  const { pieces } = REPEAT_SITES[situation.site];
   const startedAt = performance.now();
-  const attempts: Promise<Attempt>[] = [];
-  const count = seconds * perSecond;
-  for (let number = 0; number < count; number++) {
-    const due = startedAt + number * MILLISECONDS_PER_SECOND / perSecond;
-    await setTimeoutPromise(Math.max(0, due - performance.now()));
+  const attempts: Attempt[] = [];
+  const callers: Promise<void>[] = [];
+  const sendAttempt = async (attemptId: string): Promise<Attempt> => {
     const running = daemons.filter(({ processId }) => processId !== undefined);
     const first = random.nextInteger(Math.max(1, running.length));
     const addresses = [...running.slice(first), ...running.slice(0, first)]
       .slice(0, MAXIMUM_ADDRESSES).map(({ front }) => front);
     const at = performance.now();
-    attempts.push(
-      sendToFirst(addresses, {
-        path: `/${route}/x`,
-        host: site.host,
-        agent,
-        attemptId: `a${number}`,
-        isGet: route === "often",
-        deadlineMilliseconds: DEADLINE_MILLISECONDS,
-      }).then((status) => ({ at, status })),
-    );
+    const status = await sendToFirst(addresses, {
+      path: `/${route}/x`,
+      host: site.host,
+      agent,
+      attemptId,
+      pieces,
+      isGet: route === "often",
+      deadlineMilliseconds: DEADLINE_MILLISECONDS,
+    });
+    return { at, status };
+  };
+  const call = async (number: number): Promise<void> => {
+    for (let retries = 0; retries <= callerRetries; retries++) {
+      const attempt = await sendAttempt(`a${number}-${retries}`);
+      attempts.push(attempt);
+      if (attempt.status === SERVED_STATUS) return;
+    }
+  };
+  const count = Math.min(seconds, loadSeconds) * perSecond;
+  for (let number = 0; number < count; number++) {
+    const due = startedAt + number * MILLISECONDS_PER_SECOND / perSecond;
+    await setTimeoutPromise(Math.max(0, due - performance.now()));
+    callers.push(call(number));
   }
-  return await Promise.all(attempts);
+  await Promise.all(callers);
+  const end = startedAt + seconds * MILLISECONDS_PER_SECOND;
+  await setTimeoutPromise(Math.max(0, end - performance.now()));
+  return attempts;
 }
 
 function judge(
   site: WireSite,
-  { route }: RepeatSituation,
+  situation: RepeatSituation,
   attempts: readonly Attempt[],
 ): RepeatResult {
-  const isPlain = route === "often";
-  const arrivals = (isPlain ? site.plain : site.stages)
-    .flatMap((runner) => runner.arrivals);
-  const requests = isPlain
-    ? attempts.map(({ at }) => at)
-    : firstArrivals(arrivals);
   const answers = new Map<string, number>();
   for (const { status } of attempts) {
     const name = String(status ?? "none");
@@ -196,6 +223,49 @@
     sent: attempts.length,
     answers,
     whole: answers.get(String(SERVED_STATUS)) ?? 0,
-    worst: findWorstWindow(LIMITS, { requests, arrivals }),
+    services: judgeServices(site, situation, attempts.map(({ at }) => at)),
   };
 }
+
+function judgeServices(
+  site: WireSite,
+  situation: RepeatSituation,
+  requests: readonly number[],
+): readonly ServiceRepeats[] {
+  const slack = REPEAT_SITES[situation.site].retrySlack;
+  const limits = { ...RETRY_LIMITS, slack };
+  const arrivalsAt = (
+    runners: readonly { readonly arrivals: readonly RunnerArrival[] }[],
+  ): readonly RunnerArrival[] => runners.flatMap(({ arrivals }) => arrivals);
+  const [target, runners] = situation.route === "often"
+    ? ["plain", site.plain] as const
+    : ["model", site.models] as const;
+  const arrivals = arrivalsAt(runners);
+  const stages = [...site.stagesOf].flatMap(([service, stageRunners]) => {
+    const pieces = arrivalsAt(stageRunners);
+    const firstSends = firstArrivals(pieces);
+    return [
+      {
+        service,
+        basis: "requests" as const,
+        worst: findWorstWindow(limits, { requests, arrivals: pieces }),
+      },
+      {
+        service,
+        basis: "pieces" as const,
+        worst: findWorstWindow(limits, {
+          requests: firstSends,
+          arrivals: pieces,
+        }),
+      },
+    ];
+  });
+  return [
+    {
+      service: target,
+      basis: "requests",
+      worst: findWorstWindow(limits, { requests, arrivals }),
+    },
+    ...(situation.route === "often" ? [] : stages),
+  ];
+}
--- a/packages/kelpspar-standins/src/wire/create_daemons.ts
+++ b/packages/kelpspar-standins/src/wire/create_daemons.ts
@@ -6,6 +6,11 @@
 /** Seeds of each daemon: the daemons created before it, up to this number. */
 const MAXIMUM_SEEDS = 3;
 
+/** What partitioned daemons don't reach. */
+export type PartitionTarget = "endpoints" | "store" | "daemons";
+
+type Settings = Readonly<Record<string, unknown>>;
+
 /** Options of `createDaemons`. */
 export interface CreateDaemonsOptions
   extends Pick<DaemonProcessOptions, "program" | "nodeArguments"> {
@@ -14,6 +19,10 @@
   readonly folder: string;
   /** Path of the compiled `partition_hook.ts`, to partition daemons. */
   readonly partitionHook?: string;
+  /** What daemons are partitioned from; default endpoints. */
+  readonly partitionTarget?: PartitionTarget;
+  /** Availability zones, assigned to daemons in rotation; default one. */
+  readonly zones?: readonly string[];
   /** Receives the daemons' log lines. */
   readonly onLine?: ((line: string) => void) | undefined;
 }
@@ -24,26 +33,41 @@
   options: CreateDaemonsOptions,
 ): Promise<readonly DaemonProcess[]> {
   const { count, folder, program, nodeArguments = [] } = options;
-  const { partitionHook, onLine } = options;
-  const daemons: DaemonProcess[] = [];
+  const { partitionHook, onLine, zones = ["a"] } = options;
+  const { partitionTarget = "endpoints" } = options;
+  const settings: Settings[] = [];
   for (let index = 0; index < count; index++) {
-    const name = `daemon-${index}`;
-    const seeds = daemons.slice(0, MAXIMUM_SEEDS).map((seed) =>
-      (seed.options.settings["listen"] as Record<string, string>)["control"] ??
-        ""
-    );
+    const seeds = settings.slice(0, MAXIMUM_SEEDS).map(controlAddress);
+    const zone = zones[index % zones.length];
+    settings.push(await site.createSettings(nameOf(index), seeds, zone));
+  }
+  const targets: Readonly<Record<PartitionTarget, readonly string[]>> = {
+    endpoints: site.runnerAddresses,
+    store: [site.storeAddress],
+    daemons: settings.map(controlAddress),
+  };
+  return settings.map((daemonSettings, index) => {
+    const name = nameOf(index);
     const daemon = new DaemonProcess({
       name,
       program,
       nodeArguments,
       settingsPath: join(folder, `${name}.json`),
-      settings: await site.createSettings(name, seeds),
+      settings: daemonSettings,
       ...(partitionHook === undefined ? {} : {
-        partition: { hook: partitionHook, addresses: site.runnerAddresses },
+        partition: { hook: partitionHook, addresses: targets[partitionTarget] },
       }),
     });
     if (onLine !== undefined) daemon.registerLine(onLine);
-    daemons.push(daemon);
-  }
-  return daemons;
+    return daemon;
+  });
+}
+
+function nameOf(index: number): string {
+  return `daemon-${index}`;
+}
+
+function controlAddress(settings: Settings): string {
+  const listen = settings["listen"] as Readonly<Record<string, string>>;
+  return listen["control"] ?? "";
 }
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -36,6 +36,8 @@
   | "unframed_reset"
   /** Responds with status 500. */
   | "failing"
+  /** Refuses each request with 409, as if its inputs were gone. */
+  | "inputs_gone"
   /** Sends `endlessBytes` until the connection is closed. */
   | "endless";
 
@@ -87,6 +89,7 @@
 }
 
 interface StreamOptions extends AnswerOptions {
+  readonly fault: RunnerFault;
   readonly lastEventId: string | undefined;
 }
 
@@ -224,6 +227,10 @@
       response.writeHead(503, headers).end();
       return;
     }
+    if (fault === "inputs_gone") {
+      response.writeHead(409, { "X-Not-Executed": "1" }).end();
+      return;
+    }
     const lastEventId = message.headers["last-event-id"] as string | undefined;
     const { headers, url: target = "" } = message;
     const at = performance.now();
@@ -254,7 +261,7 @@
       void this.#crashMidway(attemptId, response);
     } else if (handler !== undefined) handler();
     else if (this.#options.isStream) {
-      void this.#stream({ attemptId, lastEventId, response, plan });
+      void this.#stream({ attemptId, fault, lastEventId, response, plan });
     } else void this.#answer({ attemptId, response, plan });
   }
 
@@ -340,7 +347,7 @@
   }
 
   async #sendEvents(
-    { attemptId, lastEventId, response, plan }: StreamOptions,
+    { attemptId, fault, lastEventId, response, plan }: StreamOptions,
   ): Promise<void> {
     const { version } = this.#options;
     const { events, delayMilliseconds } = plan;
@@ -355,13 +362,15 @@
       if (response.destroyed) return;
       const lines = [`id: ${id}`, `data: ${attemptId} ${id}${mark}`, "", ""];
       const event = lines.join(this.streamLineEnd);
-      const isCut = this.fault === "cut" ||
-        (this.fault === "cut_new" && lastEventId === undefined);
+      // A fault that was set may end during the stream; one that was drawn stays.
+      const current = this.drawFault === undefined ? this.fault : fault;
+      const isCut = current === "cut" ||
+        (current === "cut_new" && lastEventId === undefined);
       if (isCut && id > events / 2) {
         response.write(event.slice(0, 6), () => response.destroy());
         return;
       }
-      if (this.fault === "ended_midway" && id > events / 2) {
+      if (current === "ended_midway" && id > events / 2) {
         response.end(event.slice(0, 6));
         return;
       }
--- a/packages/kelpspar-standins/src/wire/send_to_first.ts
+++ b/packages/kelpspar-standins/src/wire/send_to_first.ts
@@ -1,6 +1,8 @@
 import type { Agent } from "undici";
 import { request as sendRequest } from "undici";
 
+const DEFAULT_PIECES = [2, 3];
+
 /** One request of a caller. */
 export interface AttemptOptions {
   readonly path: string;
@@ -8,6 +10,8 @@
   readonly agent: Agent;
   readonly attemptId: string;
   readonly isGet: boolean;
+  /** Number of pieces of each stage. */
+  readonly pieces?: readonly number[] | undefined;
   readonly deadlineMilliseconds: number;
 }
 
@@ -35,6 +39,7 @@
   options: AttemptOptions,
 ): Promise<number> {
   const { path, host, agent, attemptId, isGet, deadlineMilliseconds } = options;
+  const { pieces = DEFAULT_PIECES } = options;
   const { statusCode, body } = await sendRequest(`http://${address}${path}`, {
     method: isGet ? "GET" : "POST",
     dispatcher: agent,
@@ -44,7 +49,7 @@
       "x-attempt-id": attemptId,
       "x-deadline-ms": String(deadlineMilliseconds),
       "x-api-key": "key-1",
-      "x-pieces": "2,3",
+      "x-pieces": pieces.join(","),
       "x-piece-key": attemptId,
     },
     body: isGet ? null : "body",
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -4,6 +4,14 @@
 import { StageRunnerStandIn } from "./stage_runner_stand_in.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
+/** A stage service, with one stage on the streaming routes. */
+export interface StageServiceOptions {
+  readonly name: string;
+  readonly runners: number;
+  /** Maximum number of pieces in a call. */
+  readonly batch: number;
+}
+
 /** Size, timing and limits of a site. */
 export interface WireSiteOptions {
   readonly plainRunners?: number;
@@ -15,6 +23,11 @@
   readonly batch?: number;
   /** Number of results that a stage runner's memory holds. */
   readonly room?: number;
+  /**
+   * Stage services of the streaming routes, each of which reads the results of
+   * the one before; default one service with two stages.
+   */
+  readonly stageServices?: readonly StageServiceOptions[];
   /** Software versions, assigned to model runners in rotation. */
   readonly modelVersions?: readonly string[];
   /** Whether the coordinator places requests at model runners. */
@@ -61,6 +74,8 @@
   readonly plain: readonly RunnerStandIn[];
   readonly models: readonly RunnerStandIn[];
   readonly stages: readonly StageRunnerStandIn[];
+  /** Stage runners by service. */
+  readonly stagesOf: ReadonlyMap<string, readonly StageRunnerStandIn[]>;
   /** Empty unless `hasProxies` is set. */
   readonly proxies: LoopbackProxy[] = [];
   readonly #options: Required<WireSiteOptions>;
@@ -83,6 +98,7 @@
       callMilliseconds: 20,
       batch: 6,
       room: 40,
+      stageServices: [],
       modelVersions: [],
       hasEngines: true,
       eventMilliseconds: 5,
@@ -96,7 +112,7 @@
       hasProxies: false,
       ...options,
     };
-    const { plainRunners, modelRunners, stageRunners } = this.#options;
+    const { plainRunners, modelRunners } = this.#options;
     const { modelVersions, eventMilliseconds } = this.#options;
     this.plain = Array.from(
       { length: plainRunners },
@@ -113,24 +129,22 @@
           version: modelVersions[index % Math.max(1, modelVersions.length)],
         }),
     );
-    this.stages = Array.from(
-      { length: stageRunners },
-      (_, index) =>
-        new StageRunnerStandIn({
-          id: `stage-${index}`,
-          callMilliseconds: this.#options.callMilliseconds,
-          pieceMilliseconds: PIECE_MILLISECONDS,
-          room: this.#options.room,
-          resultBytes: RESULT_BYTES,
-        }),
+    this.stagesOf = new Map(
+      this.#stageServices.map(({ name, runners }) => [
+        name,
+        this.#createStageRunners(name, runners),
+      ]),
     );
+    this.stages = [...this.stagesOf.values()].flat();
   }
 
   async start(): Promise<void> {
     this.#storeAddress = await this.#exposeAddress(await this.store.start());
     await this.#registerRunners("plain", this.plain);
     await this.#registerRunners("model", this.models);
-    await this.#registerRunners("stage", this.stages);
+    for (const [name, runners] of this.stagesOf) {
+      await this.#registerRunners(name, runners);
+    }
     this.publish();
   }
 
@@ -191,13 +205,44 @@
 
   /** Addresses of all runners as daemons know them, `address:port`. */
   get runnerAddresses(): readonly string[] {
-    return ["plain", "model", "stage"].flatMap((service) =>
+    const services = ["plain", "model", ...this.stagesOf.keys()];
+    return services.flatMap((service) =>
       this.runnerRowsOf(service).map(({ value }) =>
         (value as { readonly address: string }).address
       )
     );
   }
 
+  /** Address of the store as daemons know it, `address:port`. */
+  get storeAddress(): string {
+    return this.#storeAddress;
+  }
+
+  get #stageServices(): readonly StageServiceOptions[] {
+    const { stageServices, stageRunners, batch } = this.#options;
+    return stageServices.length > 0
+      ? stageServices
+      : [{ name: "stage", runners: stageRunners, batch }];
+  }
+
+  #createStageRunners(
+    name: string,
+    count: number,
+  ): readonly StageRunnerStandIn[] {
+    const { callMilliseconds, room } = this.#options;
+    return Array.from(
+      { length: count },
+      (_, index) =>
+        new StageRunnerStandIn({
+          id: `${name}-${index}`,
+          callMilliseconds,
+          pieceMilliseconds: PIECE_MILLISECONDS,
+          room,
+          resultBytes: RESULT_BYTES,
+        }),
+    );
+  }
+
   #write(table: string, key: string, value: object): void {
     this.#written.set(`${table}/${key}`, [table, key, value]);
     this.store.put(table, key, value);
@@ -312,8 +357,7 @@
   }
 
   #configuration(version: number): object {
-    const { batch, callMilliseconds, room, coldPerSecond, hasEngines } =
-      this.#options;
+    const { callMilliseconds, room, coldPerSecond, hasEngines } = this.#options;
     const { timeoutMilliseconds, attempts } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
@@ -327,10 +371,14 @@
       service: "plain",
       ...fields,
     });
-    const stages = [
-      { service: "stage", after: [], bytes: RESULT_BYTES },
-      { service: "stage", after: [0], bytes: RESULT_BYTES },
-    ];
+    const services = this.#stageServices.map(({ name }) => name);
+    const [only] = services;
+    const stages = (services.length === 1 ? [only, only] : services)
+      .map((service, number) => ({
+        service,
+        after: number === 0 ? [] : [number - 1],
+        bytes: RESULT_BYTES,
+      }));
     return {
       version,
       routes: [
@@ -357,8 +405,8 @@
           maxConns: 100,
           ...(hasEngines ? { engine: { slots: 8 } } : {}),
         },
-        {
-          name: "stage",
+        ...this.#stageServices.map(({ name, batch }) => ({
+          name,
           healthPath: "/health",
           maxConns: 100,
           pieces: {
@@ -370,7 +418,7 @@
             headroomMb: room * RESULT_BYTES / BYTES_PER_MEGABYTE,
             handleS: 4,
           },
-        },
+        })),
       ],
       limits: {
         headerBytes: 16_384,
