Count requests and first sends of pieces by service

Cause: logs and metrics counted what is sent again, but not what the limit is compared with. Whether a stage service exceeds its budget by callers' requests or by pieces couldn't be told from them.

Change: kelpspar_first_sends_total by service and kind (request, piece), and requestsInWindow and piecesInWindow in the log line retries. A chain counts as one request at each service, once its first piece is connected; not if an earlier run may have reached the service. Nothing else earns than before.

--- a/packages/kelpspar-gateway/src/__tests__/support/replay_fleet_retries.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/replay_fleet_retries.ts
@@ -234,7 +234,7 @@
   /** Sends a request until it is served, refused or its daemon is killed. */
   async #serve(daemon: Daemon, number: number): Promise<void> {
     const { life } = daemon;
-    life.gate.recordRequests(SERVICE);
+    life.gate.recordRequest(SERVICE);
     for (let sends = 0; sends < MAXIMUM_SENDS; sends++) {
       this.#arrivals.push({ key: String(number), at: this.#now() });
       if (this.#random.next() >= this.#options.share) return;
--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -45,7 +45,7 @@
   await spendAll(gate);
   let spent = 0;
   for (let count = 0; count < 100; count++) {
-    gate.recordRequests("s");
+    gate.recordRequest("s");
     spent += await spendAll(gate);
   }
   expect(spent).toEqual(20);
@@ -92,7 +92,7 @@
   const store = new MemoryRowStore(timer);
   store.isAway = true;
   const gate = createRetryGate(timer, { store });
-  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  for (let count = 0; count < 5; count++) gate.recordRequest("s");
   timer.jump(100);
   expect(await spendAll(gate)).toEqual(1);
   const { calls } = store;
@@ -106,10 +106,10 @@
   const timer = createTimer();
   const gate = createRetryGate(timer);
   gate.handlePause();
-  for (let count = 0; count < 50; count++) gate.recordRequests("s");
+  for (let count = 0; count < 50; count++) gate.recordRequest("s");
   expect(gate.available("s")).toEqual(0);
   timer.jump(1_000);
-  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  for (let count = 0; count < 5; count++) gate.recordRequest("s");
   expect(gate.available("s")).toEqual(1);
 });
 
@@ -118,7 +118,7 @@
   const timer = createTimer();
   const gate = createRetryGate(timer);
   await gate.borrow("s", 10);
-  for (let count = 0; count < 5; count++) gate.recordRequests("s");
+  for (let count = 0; count < 5; count++) gate.recordRequest("s");
   const count = gate.available("s");
   const spent = gate.trySpend("s", "failed", count);
   expect(gate.available("s")).toEqual(0);
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -64,6 +64,12 @@
     labelNames: ["service", "cause", "outcome"],
     registers: [this.#registry],
   });
+  readonly #firstSends = new Counter({
+    name: "kelpspar_first_sends_total",
+    help: "Requests of callers and first sends of pieces, by service",
+    labelNames: ["service", "kind"],
+    registers: [this.#registry],
+  });
   readonly #anomalies = new Counter({
     name: "kelpspar_anomalies_total",
     help: "What should not happen and harms nothing, by kind",
@@ -112,6 +118,14 @@
     this.#retries.inc(labels, count);
   }
 
+  countFirstSends({ count, ...labels }: {
+    readonly service: string;
+    readonly kind: "request" | "piece";
+    readonly count: number;
+  }): void {
+    if (count > 0) this.#firstSends.inc(labels, count);
+  }
+
   countMalformedAnswer(sender: string, reason: string): void {
     this.#malformedAnswers.inc({ sender, reason });
   }
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -41,6 +41,7 @@
   /** Number of sends of each piece, by stage. */
   readonly #sends: readonly Map<number, number>[];
   readonly #repeatedStages: ReadonlySet<number>;
+  readonly #reachedServices = new Set<string>();
   /** Number of pieces sent, by stage and zone. */
   readonly #sentByZone = new Map<number, Map<string, number>>();
 
@@ -180,6 +181,18 @@
     pieces?.set(zone, (pieces.get(zone) ?? 0) - 1);
   }
 
+  /**
+   * Records that the request reached a service; returns whether it is the first
+   * time, in this run and in earlier ones.
+   */
+  recordRequestAt(service: string): boolean {
+    if (this.#reachedServices.has(service)) return false;
+    this.#reachedServices.add(service);
+    return ![...this.#repeatedStages].some((number) =>
+      this.stage(number).service === service
+    );
+  }
+
   /** Zone to which most pieces of a stage were sent; undefined if none was. */
   zoneOf(number: number): string | undefined {
     let most: string | undefined;
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -17,7 +17,7 @@
   | "giveBack"
   | "borrow"
   | "waitFor"
-  | "recordRequests"
+  | "recordPieces"
   | "retryAfterMilliseconds"
 >;
 
@@ -76,9 +76,13 @@
   }
 
   /** Counts the first sends of a call whose connection is open. */
-  recordConnection({ first }: SentPieces): void {
+  recordConnection({ tasks, first }: SentPieces): void {
     const { retryGate, service } = this.#options;
-    if (first > 0) retryGate.recordRequests(service, first);
+    if (first === 0) return;
+    const chains = new Set(tasks.map(({ chain }) => chain));
+    const requests =
+      [...chains].filter((chain) => chain.recordRequestAt(service)).length;
+    retryGate.recordPieces(service, { requests, pieces: first });
   }
 
   /** Takes back the sends of a call of which nothing left this daemon. */
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -42,7 +42,7 @@
   /** Decides what is sent to an endpoint again. */
   readonly retryGate: Pick<
     RetryGate,
-    | "recordRequests"
+    | "recordRequest"
     | "spend"
     | "giveBack"
     | "retryAfterMilliseconds"
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -180,7 +180,7 @@
     }
     const service = chooseTarget(route.targets, random);
     if (service !== undefined && relayed.relayedAttempts === undefined) {
-      this.#dependencies.retryGate.recordRequests(service);
+      this.#dependencies.retryGate.recordRequest(service);
     }
     if (service === undefined || request.attemptId === undefined) {
       return this.#refuse(request, reply, {
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -7,6 +7,7 @@
   RetryReport,
 } from "./retry_report.ts";
 import type { SlackBorrower } from "./slack_borrower.ts";
+import type { RetrySources } from "./retry_sources.ts";
 import type { SpentRetries } from "./spent_retries.ts";
 import {
   creditCapacity,
@@ -37,7 +38,7 @@
   readonly fleetSize: () => number;
   readonly timer: TimerService;
   /** Receives each decision; default none. */
-  readonly report?: Pick<RetryReport, "record"> | undefined;
+  readonly report?: Pick<RetryReport, "record" | "recordSources"> | undefined;
 }
 
 /** A request to send something again. */
@@ -63,7 +64,10 @@
 interface ServiceBudget {
   readonly credits: EarnedCredits;
   readonly loans: LoanPool;
+  /** What earned credits, over the time of the rate. */
+  readonly earning: SlidingWindowCounter;
   readonly requests: SlidingWindowCounter;
+  readonly pieces: SlidingWindowCounter;
   readonly retries: SlidingWindowCounter;
   readonly waiters: Set<Waiter>;
   borrowing: Promise<void> | undefined;
@@ -90,15 +94,16 @@
     this.#options = options;
   }
 
-  /** Counts requests of callers for a service, or first sends of pieces. */
-  recordRequests(service: string, count = 1): void {
-    const now = this.#now();
-    const budget = this.#budgetOf(service);
-    budget.requests.add(count, now);
-    if (now < this.#earnsFrom) return;
-    const { limits, fleetSize } = this.#options;
-    const capacity = creditCapacity(limits.slack, fleetSize());
-    budget.credits.earn(limits.ratio * count, { capacity, now });
+  /** Counts a request of a caller for a service. */
+  recordRequest(service: string): void {
+    this.#recordSources(service, { requests: 1, pieces: 0 });
+    this.#earn(service, 1);
+  }
+
+  /** Counts first sends of pieces to a stage service. */
+  recordPieces(service: string, sources: RetrySources): void {
+    this.#recordSources(service, sources);
+    this.#earn(service, sources.pieces);
   }
 
   /**
@@ -183,10 +188,10 @@
    * requests, milliseconds; 0 while the fleet may have slack to lend.
    */
   waitFor(service: string, count: number): number {
-    const { requests, emptyUntil } = this.#budgetOf(service);
+    const { earning, emptyUntil } = this.#budgetOf(service);
     const missing = count - this.available(service);
     if (missing <= 0 || emptyUntil <= this.#now()) return 0;
-    const rate = this.#options.limits.ratio * requests.sum(this.#now()) /
+    const rate = this.#options.limits.ratio * earning.sum(this.#now()) /
       RATE_WINDOW_MILLISECONDS;
     return missing / rate;
   }
@@ -205,11 +210,13 @@
   /** State of a service's budget, for the log. */
   describe(service: string): BudgetState {
     const now = this.#now();
-    const { requests, retries, loans, credits, emptyUntil } = this.#budgetOf(
-      service,
-    );
+    const budget = this.#budgetOf(service);
+    const { earning, requests, pieces, retries } = budget;
+    const { loans, credits, emptyUntil } = budget;
     return {
-      requestsPerSecond: requests.sum(now) * 1_000 / RATE_WINDOW_MILLISECONDS,
+      requestsPerSecond: earning.sum(now) * 1_000 / RATE_WINDOW_MILLISECONDS,
+      requestsInWindow: requests.sum(now),
+      piecesInWindow: pieces.sum(now),
       retriesInWindow: retries.sum(now),
       credits: credits.available(now),
       loans: loans.available(now),
@@ -222,6 +229,24 @@
     return this.#options.timer.now();
   }
 
+  #recordSources(service: string, sources: RetrySources): void {
+    const now = this.#now();
+    const budget = this.#budgetOf(service);
+    budget.requests.add(sources.requests, now);
+    budget.pieces.add(sources.pieces, now);
+    this.#options.report?.recordSources(service, sources);
+  }
+
+  #earn(service: string, count: number): void {
+    const now = this.#now();
+    const budget = this.#budgetOf(service);
+    budget.earning.add(count, now);
+    if (now < this.#earnsFrom) return;
+    const { limits, fleetSize } = this.#options;
+    const capacity = creditCapacity(limits.slack, fleetSize());
+    budget.credits.earn(limits.ratio * count, { capacity, now });
+  }
+
   #record(
     service: string,
     cause: RetryCause,
@@ -315,15 +340,16 @@
   #budgetOf(service: string): ServiceBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
+    const { windowMilliseconds } = this.#options.limits;
     const budget: ServiceBudget = {
       credits: new EarnedCredits(),
       loans: new LoanPool(),
-      requests: new SlidingWindowCounter({
+      earning: new SlidingWindowCounter({
         windowMilliseconds: RATE_WINDOW_MILLISECONDS,
       }),
-      retries: new SlidingWindowCounter({
-        windowMilliseconds: this.#options.limits.windowMilliseconds,
-      }),
+      requests: new SlidingWindowCounter({ windowMilliseconds }),
+      pieces: new SlidingWindowCounter({ windowMilliseconds }),
+      retries: new SlidingWindowCounter({ windowMilliseconds }),
       waiters: new Set(),
       borrowing: undefined,
       emptyUntil: Number.NEGATIVE_INFINITY,
--- a/packages/kelpspar-gateway/src/retries/retry_report.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_report.ts
@@ -2,6 +2,7 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { RetryCause } from "./retry_cause.ts";
+import type { RetrySources } from "./retry_sources.ts";
 
 /** How often the retries of each service are logged, milliseconds. */
 const REPORT_INTERVAL_MILLISECONDS = 1_000;
@@ -27,7 +28,7 @@
 
 /** Dependencies of a `RetryReport`. */
 export interface RetryReportOptions {
-  readonly metrics: Pick<GatewayMetrics, "countRetries">;
+  readonly metrics: Pick<GatewayMetrics, "countRetries" | "countFirstSends">;
   readonly log: GatewayLog;
   readonly timer: TimerService;
   /** State of a service's budget now. */
@@ -44,6 +45,13 @@
     this.#options = options;
   }
 
+  /** Counts first sends, which bound the retries. */
+  recordSources(service: string, { requests, pieces }: RetrySources): void {
+    const { metrics } = this.#options;
+    metrics.countFirstSends({ service, kind: "request", count: requests });
+    metrics.countFirstSends({ service, kind: "piece", count: pieces });
+  }
+
   record({ service, cause, count, outcome }: RetryDecision): void {
     const { metrics, timer } = this.#options;
     metrics.countRetries({ service, cause, outcome, count });
