Let requests, not pieces, earn the repeats of pieces

Cause: first sends of pieces earned retries at a stage service. A request of 16 pieces allowed 16 times as many repeats as a request at the model service.

Change: a request earns once at each service, when its first piece reached an endpoint. So the limit by first sends of pieces holds as well, since each request has at least one piece there.

--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -100,10 +100,13 @@
     this.#earn(service, 1);
   }
 
-  /** Counts first sends of pieces to a stage service. */
+  /**
+   * Counts first sends of pieces to a stage service. Only requests earn: the
+   * limit is a share of what callers send, however many pieces that makes.
+   */
   recordPieces(service: string, sources: RetrySources): void {
     this.#recordSources(service, sources);
-    this.#earn(service, sources.pieces);
+    this.#earn(service, sources.requests);
   }
 
   /**
