Tell the next daemon that another one has begun a request's stages

What callers saw: nothing; stage endpoints got pieces again beyond the budget while daemons lost their endpoints.

Cause: an isolated daemon relays its requests. If the daemon that takes one runs its stages and then loses its endpoints too, it refuses, and the request goes to the next daemon, or back to the first one. That one took the stages for new: their pieces spent no retry, and the request earned once more.

In a dump of arrivals with the log all six requests looked at took this way.

Change: a refusal of a relayed request says how long ago its stages were begun; an answer that is lost counts as begun with the relay.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -72,6 +72,8 @@
   readonly #disconnect = new AbortController();
   status: number | undefined;
   refusal: DaemonAnswer | undefined;
+  /** How long ago the stages of a refused request were begun. */
+  refusalStages: number | undefined;
   text = "";
   endState: "open" | "ended" | "broken" = "open";
   readonly sent = Promise.resolve(true);
@@ -84,7 +86,8 @@
     this.#disconnect.abort();
   }
 
-  refuse(answer: DaemonAnswer): void {
+  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void {
+    this.refusalStages = stagesMilliseconds;
     this.status = answer.status;
     this.refusal = answer;
     this.endState = "ended";
--- a/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
@@ -29,9 +29,12 @@
   return { type: "answered", answer };
 }
 
-function refused(isUnable: boolean): RelayAnswer {
+function refused(isUnable: boolean, stagesMilliseconds?: number): RelayAnswer {
   const refusal = { status: 503, retryAfterMilliseconds: 250, message: "no" };
-  return { type: "refused", refusal: { ...refusal, isUnable } };
+  return {
+    type: "refused",
+    refusal: { ...refusal, isUnable, stagesMilliseconds },
+  };
 }
 
 /** Serves a request at an isolated daemon whose peers answer by a script. */
@@ -128,6 +131,36 @@
   expect(reply.endState).toEqual("ended");
 });
 
+// Guards against pieces that count as sent for the first time at each daemon.
+test("a request tells the next daemon that another one has begun its stages", async () => {
+  const { messages } = await relayTo([
+    refused(true),
+    refused(true, 120),
+    answered(wholeAnswer(200, "done")),
+  ], {});
+  const earlier = messages.map((message) => message.earlierStagesMilliseconds);
+  expect(earlier).toEqual([undefined, undefined, 120]);
+});
+
+// Guards against the same when the answer of the first daemon was lost.
+test("stages may have begun at a daemon whose relayed answer is cut", async () => {
+  const { messages } = await relayTo([
+    { type: "unknown", reason: "reset" },
+    { type: "unknown", reason: "reset" },
+  ], {});
+  expect(messages.map((message) => message.earlierStagesMilliseconds))
+    .toEqual([undefined, 0]);
+});
+
+// Guards against a refusal that hides how far the request got.
+test("a daemon that refuses a relayed request tells that it began the stages", async () => {
+  const world = createWorld([], {
+    chain: { type: "refused", reason: "failing", retryAfterMilliseconds: 400 },
+  });
+  await serve(world);
+  expect(world.reply.refusalStages).toEqual(0);
+});
+
 // Guards against requests that travel from one isolated daemon to the next.
 test("an isolated daemon refuses requests that are relayed to it", async () => {
   let choices = 0;
--- a/packages/kelpspar-gateway/src/relay/relay_refusal.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_refusal.ts
@@ -5,6 +5,8 @@
 export interface RelayRefusal extends DaemonAnswer {
   /** True if the daemon itself is unable to serve; another one may be able. */
   readonly isUnable: boolean;
+  /** How long ago it began the request's stages; undefined if it didn't. */
+  readonly stagesMilliseconds?: number | undefined;
 }
 
 const refusalSchema = z.object({
@@ -12,6 +14,8 @@
   retryAfterMilliseconds: z.number().nonnegative().optional(),
   message: z.string(),
   isUnable: z.boolean(),
+  /** Daemons of the previous version don't send it. */
+  stagesMilliseconds: z.number().nonnegative().optional(),
 });
 
 export function encodeRelayRefusal(refusal: RelayRefusal): Buffer {
--- a/packages/kelpspar-gateway/src/relay/relay_reply.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_reply.ts
@@ -23,11 +23,12 @@
     return this.#reply.sent;
   }
 
-  refuse(answer: DaemonAnswer): void {
+  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void {
+    const isUnable = this.#isUnable();
     this.#reply.answer(
       answer.status,
       markOrigin("daemon", []),
-      encodeRelayRefusal({ ...answer, isUnable: this.#isUnable() }),
+      encodeRelayRefusal({ ...answer, isUnable, stagesMilliseconds }),
     );
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -104,6 +104,11 @@
       reason: describe(answer),
       tookMilliseconds: Math.round(timer.now() - startedAt),
     });
+    const stagesBegunAt = findStagesBegin(answer, {
+      startedAt,
+      now: run.now(),
+    });
+    if (stagesBegunAt !== undefined) run.recordEarlierStages(stagesBegunAt);
     if (!run.isOpen) {
       if (answer.type === "answered") answer.answer.close();
       return "ended";
@@ -142,7 +147,8 @@
     }
   }
 
-  #handleRefusal({ isUnable, ...refusal }: RelayRefusal): RelayStep {
+  #handleRefusal(received: RelayRefusal): RelayStep {
+    const { isUnable, stagesMilliseconds: _, ...refusal } = received;
     const { run, fail } = this.#options;
     const { status, message } = refusal;
     if (NOT_RUN_STATUSES.has(status)) {
@@ -213,6 +219,19 @@
   }
 }
 
+/** When a daemon may have begun the stages; undefined if it didn't. */
+function findStagesBegin(
+  answer: RelayAnswer,
+  { startedAt, now }: { readonly startedAt: number; readonly now: number },
+): number | undefined {
+  if (answer.type === "unreachable") return undefined;
+  if (answer.type !== "refused") return startedAt;
+  const { stagesMilliseconds } = answer.refusal;
+  return stagesMilliseconds === undefined
+    ? undefined
+    : now - stagesMilliseconds;
+}
+
 function describe(answer: RelayAnswer): string | undefined {
   if (answer.type === "answered") return undefined;
   return answer.type === "refused"
--- a/packages/kelpspar-gateway/src/requests/request_reply.ts
+++ b/packages/kelpspar-gateway/src/requests/request_reply.ts
@@ -19,7 +19,11 @@
    * was closed before that (false).
    */
   readonly sent: Promise<boolean>;
-  refuse(answer: DaemonAnswer): void;
+  /**
+   * Sends the daemon's own answer. `stagesMilliseconds` tells a daemon that
+   * relayed the request how long ago its stages were begun here.
+   */
+  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void;
   /** Sends a whole answer of an endpoint. */
   answer(
     status: number,
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -244,6 +244,14 @@
     return route.objectiveMilliseconds - (this.now() - arrivedAt);
   }
 
+  /**
+   * Records that another daemon has begun its stages. Pieces that reach an
+   * endpoint after that may have been sent before.
+   */
+  recordEarlierStages(begunAt: number): void {
+    this.stagesBegunAt = Math.min(begunAt, this.stagesBegunAt ?? begunAt);
+  }
+
   /** How long ago its stages were first begun; undefined if never. */
   get earlierStagesMilliseconds(): number | undefined {
     return this.stagesBegunAt === undefined
@@ -312,7 +320,7 @@
     const answer: DaemonAnswer = this.runs === 0
       ? { status: 503, retryAfterMilliseconds, message: reason }
       : { status: unknownStatus, message: reason };
-    this.options.reply.refuse(answer);
+    this.#reply(answer);
     this.finish(this.runs === 0 ? "refused" : "failed", {
       reason,
       status: answer.status,
@@ -327,7 +335,7 @@
       this.abort(answer.message);
       return;
     }
-    this.options.reply.refuse(answer);
+    this.#reply(answer);
     const { status, message: reason } = answer;
     this.finish("refused", { reason, status });
   }
@@ -347,10 +355,14 @@
       return;
     }
     const status = QUARANTINED_STATUS;
-    this.options.reply.refuse({ status, message: reason });
+    this.#reply({ status, message: reason });
     this.finish("refused", { reason, status });
   }
 
+  #reply(answer: DaemonAnswer): void {
+    this.options.reply.refuse(answer, this.earlierStagesMilliseconds);
+  }
+
   /** Aborts an answer that has begun and can't be completed. */
   abort(reason: string): void {
     if (!this.isOpen) return;
