Refuse chains at once whose retries would come too late

Their results took the room of others meanwhile.

Cause: a chain that waits for a retry was failed only if the wait would pass its deadline, up to 15 s away; results are kept for 4 s. Then their inputs are gone and all of the stages before are to be made again. The wait was counted by piece, behind pieces of chains that had just been failed.

Change: the wait is compared with the first end of the results that a chain needs too, counted by chain, without what failed chains would have taken.

Figures: two tests fail before.

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -378,3 +378,30 @@
   await timer.advance(200);
   expect(client.open.length).toEqual(1);
 });
+
+const FULL: PieceCallAnswer = { type: "full" };
+
+// Guards against chains that hold room until their results have expired.
+test("a chain whose results expire before its retry is refused at once", async () => {
+  const { client, run, timer, outcomes } = createWorld(10_000, 0);
+  run("a", [1, 1]);
+  await timer.settle();
+  client.make("encode-0");
+  await timer.settle();
+  client.open.splice(0, 1)[0]?.answer(FULL);
+  // One request in two seconds earns a retry in ten, and results last for four.
+  await timer.advance(500);
+  expect(outcomes.get("a")).toEqual("retry_budget");
+});
+
+// Guards against a chain that waits behind pieces of one that can't go on.
+test("a chain that can't afford its retries doesn't delay another", async () => {
+  const { client, run, timer, outcomes } = createWorld(10_000, 0);
+  run("large", [0, 5], 20_000);
+  run("small", [0, 1], 21_000);
+  await timer.settle();
+  client.open.splice(0, 1)[0]?.answer(FULL);
+  // Two requests in two seconds earn one retry in five, so five in 25.
+  await timer.advance(300);
+  expect([...outcomes]).toEqual([["large", "retry_budget"]]);
+});
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -42,6 +42,7 @@
   readonly #sends: readonly Map<number, number>[];
   readonly #repeatedStages: ReadonlySet<number>;
   readonly #reachedServices = new Set<string>();
+  readonly #expiries = new WeakMap<PieceResult, number>();
   /** Number of pieces sent, by stage and zone. */
   readonly #sentByZone = new Map<number, Map<string, number>>();
 
@@ -83,6 +84,17 @@
     );
   }
 
+  /** When the first of the results of a stage and of its inputs expires. */
+  resultsExpireAt(number: number): number {
+    return Math.min(
+      ...[number, ...this.inputsOf(number)].flatMap((stage) =>
+        this.#completedResults(stage).map((result) =>
+          this.#expiries.get(result) ?? Number.POSITIVE_INFINITY
+        )
+      ),
+    );
+  }
+
   /** Number of pieces that have a result. */
   get madeCount(): number {
     return this.request.stages.reduce(
@@ -114,11 +126,19 @@
     return missing;
   }
 
-  /** Records a result; false if the piece already has one. */
-  recordResult(task: PieceTask, result: PieceResult): boolean {
+  /**
+   * Records a result that is kept until `expiresAt`; false if the piece already
+   * has one.
+   */
+  recordResult(
+    task: PieceTask,
+    result: PieceResult,
+    expiresAt = Number.POSITIVE_INFINITY,
+  ): boolean {
     const stage = this.#results[task.stage];
     if (stage === undefined || stage[task.piece] !== undefined) return false;
     stage[task.piece] = result;
+    this.#expiries.set(result, expiresAt);
     this.#missing[task.stage] = (this.#missing[task.stage] ?? 0) - 1;
     return true;
   }
--- a/packages/kelpspar-gateway/src/pieces/piece_queue.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_queue.ts
@@ -90,9 +90,13 @@
   }
 }
 
-/** Puts pieces first whose chains would waste the most results. */
+/**
+ * Puts pieces first whose chains would waste the most results. Those of one
+ * chain stay together, since a part of them is of no use.
+ */
 function byProgress(tasks: readonly PieceTask[]): readonly PieceTask[] {
   return tasks.toSorted((left, right) =>
-    right.chain.madeCount - left.chain.madeCount
+    right.chain.madeCount - left.chain.madeCount ||
+    left.chain.deadlineAt - right.chain.deadlineAt
   );
 }
--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -117,7 +117,8 @@
 
   /**
    * Borrows for the pieces that wait for the budget, in order of rank. Fails the
-   * chains of those that would wait beyond their deadline.
+   * chains of those that would wait beyond their deadline, or until results that
+   * they need have expired. Such a chain takes nothing from those behind it.
    */
   handleWaiting(
     tasks: readonly PieceTask[],
@@ -127,13 +128,20 @@
     if (tasks.length === 0) return;
     this.#borrow(tasks.length, () => {});
     const now = timer.now();
-    const available = this.available;
-    for (const [index, { chain, calls }] of tasks.entries()) {
+    const rest = options.workMilliseconds;
+    let ahead = this.available;
+    for (const [chain, ofChain] of groupByChain(tasks)) {
       // A hedge that isn't sent leaves the call that it hedges.
-      if (!chain.isOpen || calls > 0) continue;
-      const wait = retryGate.waitFor(service, available + index + 1);
-      const rest = options.workMilliseconds + chain.request.tailMilliseconds;
-      if (now + wait + rest > chain.deadlineAt) failed(chain, "retry_budget");
+      const waiting = ofChain.filter(({ calls }) => calls === 0);
+      const [first] = waiting;
+      if (!chain.isOpen || first === undefined) continue;
+      const wait = retryGate.waitFor(service, ahead + waiting.length);
+      const latest = Math.min(
+        chain.deadlineAt - rest - chain.request.tailMilliseconds,
+        chain.resultsExpireAt(first.stage) - rest,
+      );
+      if (now + wait > latest) failed(chain, "retry_budget");
+      else ahead += waiting.length;
     }
   }
 
@@ -159,3 +167,15 @@
     });
   }
 }
+
+function groupByChain(
+  tasks: readonly PieceTask[],
+): ReadonlyMap<ChainRun, readonly PieceTask[]> {
+  const groups = new Map<ChainRun, PieceTask[]>();
+  for (const task of tasks) {
+    const group = groups.get(task.chain) ?? [];
+    groups.set(task.chain, group);
+    group.push(task);
+  }
+  return groups;
+}
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -259,15 +259,17 @@
 
   #pieceMade(target: CallTarget, task: PieceTask, handle: string): void {
     const result = target.resultOf(handle);
+    const expiresAt = this.#now() + this.#terms.keptMilliseconds;
     target.addResult(handle, {
       bytes: task.chain.stage(task.stage).resultBytes,
-      expiresAt: this.#now() + this.#terms.keptMilliseconds,
+      expiresAt,
     });
     if (target.isGone) {
       this.#retries.retryOrFail([task], "failed");
       return;
     }
-    const isNew = task.chain.isOpen && task.chain.recordResult(task, result);
+    const isNew = task.chain.isOpen &&
+      task.chain.recordResult(task, result, expiresAt);
     if (isNew) this.#options.events.made(task);
     else this.#options.free([result]);
   }
