Let calls end whose chains have failed, and free their results

What callers saw: refusals and late answers, since stage endpoints had no room.

Cause: when all chains of a call had failed, the call was aborted. An endpoint completes a call that it works on, and keeps the results for 4 s; their handles are only in its answer. So up to 18 results took an endpoint's room that nobody could free, and the next calls were answered with no room. The retry limit made failed chains frequent.

Change: such a call is aborted only once it is overdue. Its results are freed when it answers.

Figures: results_of_a_chain_that_failed fails before.

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -405,3 +405,28 @@
   await timer.advance(300);
   expect([...outcomes]).toEqual([["large", "retry_budget"]]);
 });
+
+// Guards against room taken by results that nobody can free.
+test("results of a chain that failed during a call are freed", async () => {
+  const { client, run, timer, outcomes } = createWorld(10_000, 0);
+  run("a", [2, 0], 2_000);
+  await timer.settle();
+  client.open.splice(0, 1)[0]?.answer(FULL);
+  await timer.advance(200);
+  expect(outcomes.get("a")).toEqual("retry_budget");
+  client.make("encode-1");
+  await timer.advance(50);
+  expect(client.freed).toEqual(["encode-1/a.0.1"]);
+});
+
+// Guards against calls that occupy an endpoint for good.
+test("a call that is overdue is aborted once its chain has failed", async () => {
+  const { client, run, timer } = createWorld(10_000, 0);
+  run("a", [2, 0], 2_000);
+  await timer.settle();
+  client.open.splice(0, 1)[0]?.answer(FULL);
+  await timer.advance(200);
+  const [call] = client.open;
+  await timer.advance(5_000);
+  expect(call?.call.signal.aborted).toEqual(true);
+});
--- a/packages/kelpspar-gateway/src/pieces/call_targets.ts
+++ b/packages/kelpspar-gateway/src/pieces/call_targets.ts
@@ -4,6 +4,7 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import { preferHealthy } from "../endpoints/prefer_healthy.ts";
+import type { RunningCall } from "./running_call.ts";
 import { CallTarget } from "./call_target.ts";
 
 /** Dependencies of `CallTargets`. */
@@ -54,11 +55,15 @@
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
-  /** Aborts calls whose pieces are all of closed chains. */
+  /**
+   * Aborts overdue calls whose pieces are all of closed chains. Others end
+   * soon: an endpoint completes a call that it works on, and only the answer
+   * tells which results to free.
+   */
   abortUnneeded(): void {
     for (const target of this.#targets.values()) {
       for (const call of target.calls) {
-        if (call.tasks.every((task) => !task.chain.isOpen)) call.abort.abort();
+        if (call.isHedged && !isNeeded(call)) call.abort.abort();
       }
     }
   }
@@ -81,3 +86,7 @@
     this.#targets.get(result.makerId)?.removeResult(result.handle);
   }
 }
+
+function isNeeded({ tasks }: RunningCall): boolean {
+  return tasks.some(({ chain }) => chain.isOpen);
+}
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -200,6 +200,7 @@
     target.endpoint.overdue(ratio, now);
     target.endpoint.load.overdue(ratio, now);
     this.#log("piece call overdue", target, call);
+    this.#targets.abortUnneeded();
     this.#retries.hedge(call.tasks);
     this.dispatch();
   }
