Judge repeats of pieces in the soak by requests

Cause: the soak allowed a share of first sends of pieces, as the budget did.

Change: its check counts each request once at a service.

Figures: its new test fails with the check before.

--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -54,6 +54,20 @@
   expect(verdict.served > verdict.submitted / 2).toEqual(true);
 });
 
+// Guards against a check that allows more repeats to requests of many pieces.
+test("the soak judges repeats of pieces by requests", () => {
+  const sends = [0, 1].flatMap((round) =>
+    Array.from({ length: 600 }, (_, piece) => ({
+      key: `a${piece % 10}/0/${piece}`,
+      at: round * 1_000 + piece,
+    }))
+  ).slice(0, 660);
+  const { violations } = checkSoak([], [], [], [sends]);
+  expect([...violations]).toEqual([
+    "60 repeats in a window of 52 allowed",
+  ]);
+});
+
 // Guards against losing the quarantine when all daemons are killed.
 test("the quarantine survives when all daemons are killed twice", async () => {
   const site = new WireSite({ modelRunners: 6 });
--- a/packages/kelpspar-standins/src/repeats/find_worst_window.ts
+++ b/packages/kelpspar-standins/src/repeats/find_worst_window.ts
@@ -69,6 +69,18 @@
   return [...first.values()];
 }
 
+/**
+ * Times at which each request first reached a runner; the key of a piece begins
+ * with its request and a slash.
+ */
+export function firstRequestArrivals(
+  arrivals: readonly RunnerArrival[],
+): readonly number[] {
+  return firstArrivals(
+    arrivals.map(({ key, at }) => ({ key: key.split("/", 1)[0] ?? key, at })),
+  );
+}
+
 function findRepeats(arrivals: readonly RunnerArrival[]): readonly number[] {
   const known = new Set<string>();
   const ordered = [...arrivals].sort((left, right) => left.at - right.at);
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -3,7 +3,7 @@
 import type { WireAnswer } from "../wire/wire_caller.ts";
 import {
   findWorstWindow,
-  firstArrivals,
+  firstRequestArrivals,
 } from "../repeats/find_worst_window.ts";
 import {
   CRASHING_PATH_SUFFIX,
@@ -118,7 +118,7 @@
 /** Checks how often requests or pieces reached the runners of a service again. */
 function checkRepeats(arrivals: readonly RunnerArrival[]): readonly string[] {
   const { isExceeded, repeats, allowed } = findWorstWindow(RETRY_LIMITS, {
-    requests: firstArrivals(arrivals),
+    requests: firstRequestArrivals(arrivals),
     arrivals,
   });
   if (!isExceeded) return [];
