Name guards of the repeats of pieces, with tests that notice each

Cause: the changes for repeats of pieces had no guards, and the counting of requests only tests of whole fleets.

--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
@@ -4,8 +4,12 @@
 import { test } from "node:test";
 import { ChainRun } from "../../pieces/chain_run.ts";
 
-function createChain(pieces: readonly number[] = [1, 2, 2]): ChainRun {
+function createChain(
+  pieces: readonly number[] = [1, 2, 2],
+  repeatedStages?: ReadonlySet<number>,
+): ChainRun {
   return new ChainRun({
+    repeatedStages,
     request: {
       attemptId: "a1",
       pieceKey: "key",
@@ -142,3 +146,13 @@
   make(chain, [task], "m2");
   expect(chain.resultsOf(0).map((result) => result.makerId)).toEqual(["m1"]);
 });
+
+// Guards against a request that earns retries at each daemon that runs it.
+test("a chain counts once at a service, in all of its runs", () => {
+  const chain = createChain();
+  expect(["s0", "s0", "s1"].map((service) => chain.recordRequestAt(service)))
+    .toEqual([true, false, true]);
+  const again = createChain([1, 2, 2], new Set([0, 1]));
+  expect(["s0", "s1", "s2"].map((service) => again.recordRequestAt(service)))
+    .toEqual([false, false, true]);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -51,6 +51,20 @@
   expect(spent).toEqual(20);
 });
 
+// Guards against a budget that grows with the number of pieces of a request.
+test("a request earns the same however many pieces it has", async () => {
+  const timer = createTimer();
+  const store = new MemoryRowStore(timer);
+  const gate = createRetryGate(timer, { store, daemons: 6 });
+  await spendAll(gate);
+  let spent = 0;
+  for (let count = 0; count < 100; count++) {
+    gate.recordPieces("s", { requests: 1, pieces: 16 });
+    spent += await spendAll(gate);
+  }
+  expect(spent).toEqual(20);
+});
+
 // Guards against retries that expire before their window has passed.
 test("lent retries are available again only after the window", async () => {
   const timer = createTimer();
--- a/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
@@ -40,6 +40,14 @@
     without: "",
     noticedBy: `${TESTS}/relayed_request_test.ts`,
   },
+  {
+    name: "stages that another daemon has begun aren't new",
+    file: `${GATEWAY}/requests/request_relayer.ts`,
+    code:
+      "if (stagesBegunAt !== undefined) run.recordEarlierStages(stagesBegunAt);",
+    without: "",
+    noticedBy: `${TESTS}/relayed_request_test.ts`,
+  },
   {
     name: "a refusal of an able daemon is final",
     file: `${GATEWAY}/requests/request_relayer.ts`,
