--- a/packages/kelpspar-gateway/src/retries/retry_sources.ts
+++ b/packages/kelpspar-gateway/src/retries/first_sends.ts
@@ -1,5 +1,5 @@
-/** What reached the endpoints of a service for the first time. */
-export interface RetrySources {
+/** First sends to a service, with which its retries are compared. */
+export interface FirstSends {
   /** Number of requests of callers. */
   readonly requests: number;
   /** Number of pieces of stages. */
--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -7,7 +7,7 @@
   RetryReport,
 } from "./retry_report.ts";
 import type { SlackBorrower } from "./slack_borrower.ts";
-import type { RetrySources } from "./retry_sources.ts";
+import type { FirstSends } from "./first_sends.ts";
 import type { SpentRetries } from "./spent_retries.ts";
 import {
   creditCapacity,
@@ -38,7 +38,9 @@
   readonly fleetSize: () => number;
   readonly timer: TimerService;
   /** Receives each decision; default none. */
-  readonly report?: Pick<RetryReport, "record" | "recordSources"> | undefined;
+  readonly report?:
+    | Pick<RetryReport, "record" | "recordFirstSends">
+    | undefined;
 }
 
 /** A request to send something again. */
@@ -96,7 +98,7 @@
 
   /** Counts a request of a caller for a service. */
   recordRequest(service: string): void {
-    this.#recordSources(service, { requests: 1, pieces: 0 });
+    this.#recordFirstSends(service, { requests: 1, pieces: 0 });
     this.#earn(service, 1);
   }
 
@@ -104,9 +106,9 @@
    * Counts first sends of pieces to a stage service. Only requests earn: the
    * limit is a share of what callers send, however many pieces that makes.
    */
-  recordPieces(service: string, sources: RetrySources): void {
-    this.#recordSources(service, sources);
-    this.#earn(service, sources.requests);
+  recordPieces(service: string, sends: FirstSends): void {
+    this.#recordFirstSends(service, sends);
+    this.#earn(service, sends.requests);
   }
 
   /**
@@ -232,12 +234,12 @@
     return this.#options.timer.now();
   }
 
-  #recordSources(service: string, sources: RetrySources): void {
+  #recordFirstSends(service: string, sends: FirstSends): void {
     const now = this.#now();
     const budget = this.#budgetOf(service);
-    budget.requests.add(sources.requests, now);
-    budget.pieces.add(sources.pieces, now);
-    this.#options.report?.recordSources(service, sources);
+    budget.requests.add(sends.requests, now);
+    budget.pieces.add(sends.pieces, now);
+    this.#options.report?.recordFirstSends(service, sends);
   }
 
   #earn(service: string, count: number): void {
--- a/packages/kelpspar-gateway/src/retries/retry_report.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_report.ts
@@ -2,7 +2,7 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { RetryCause } from "./retry_cause.ts";
-import type { RetrySources } from "./retry_sources.ts";
+import type { FirstSends } from "./first_sends.ts";
 
 /** How often the retries of each service are logged, milliseconds. */
 const REPORT_INTERVAL_MILLISECONDS = 1_000;
@@ -46,7 +46,7 @@
   }
 
   /** Counts first sends, which bound the retries. */
-  recordSources(service: string, { requests, pieces }: RetrySources): void {
+  recordFirstSends(service: string, { requests, pieces }: FirstSends): void {
     const { metrics } = this.#options;
     metrics.countFirstSends({ service, kind: "request", count: requests });
     metrics.countFirstSends({ service, kind: "piece", count: pieces });
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -202,8 +202,8 @@
   {
     name: "requests earn retries, not pieces",
     file: `${GATEWAY}/retries/retry_gate.ts`,
-    code: "this.#earn(service, sources.requests);",
-    without: "this.#earn(service, sources.pieces);",
+    code: "this.#earn(service, sends.requests);",
+    without: "this.#earn(service, sends.pieces);",
     noticedBy: `${GATEWAY_TESTS}/retry_gate_test.ts`,
   },
   {
