Judge the services of a repeat situation in a file of its own

Cause: run_repeats judged, sent load and injected faults; two tests of the gate repeated their set-up.

--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -1,3 +1,4 @@
+import type { RetryGate } from "../../retries/retry_gate.ts";
 import { expect } from "earl";
 import { ManualTimer } from "kelpspar-shared";
 import { test } from "node:test";
@@ -37,32 +38,33 @@
   expect(spent).toBeGreaterThanOrEqual(24);
 });
 
-// Guards against retries of services that get requests and never fail at once.
-test("each request earns its share of a retry", async () => {
+/** Counts the retries that 100 requests earn beside a slack that is spent. */
+async function countEarned(
+  recordRequest: (gate: RetryGate) => void,
+): Promise<number> {
   const timer = createTimer();
   const store = new MemoryRowStore(timer);
   const gate = createRetryGate(timer, { store, daemons: 6 });
   await spendAll(gate);
   let spent = 0;
   for (let count = 0; count < 100; count++) {
-    gate.recordRequest("s");
+    recordRequest(gate);
     spent += await spendAll(gate);
   }
-  expect(spent).toEqual(20);
+  return spent;
+}
+
+// Guards against retries of services that get requests and never fail at once.
+test("each request earns its share of a retry", async () => {
+  expect(await countEarned((gate) => gate.recordRequest("s"))).toEqual(20);
 });
 
 // Guards against a budget that grows with the number of pieces of a request.
 test("a request earns the same however many pieces it has", async () => {
-  const timer = createTimer();
-  const store = new MemoryRowStore(timer);
-  const gate = createRetryGate(timer, { store, daemons: 6 });
-  await spendAll(gate);
-  let spent = 0;
-  for (let count = 0; count < 100; count++) {
-    gate.recordPieces("s", { requests: 1, pieces: 16 });
-    spent += await spendAll(gate);
-  }
-  expect(spent).toEqual(20);
+  const earned = await countEarned((gate) =>
+    gate.recordPieces("s", { requests: 1, pieces: 16 })
+  );
+  expect(earned).toEqual(20);
 });
 
 // Guards against retries that expire before their window has passed.
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -56,11 +56,7 @@
 export { DaemonProcess } from "./wire/daemon_process.ts";
 export type { WorstWindow } from "./repeats/find_worst_window.ts";
 export { findWorstWindow } from "./repeats/find_worst_window.ts";
-export type {
-  RepeatBasis,
-  RepeatResult,
-  ServiceRepeats,
-} from "./repeats/run_repeats.ts";
+export type { RepeatBasis, ServiceRepeats } from "./repeats/judge_services.ts";
 export type { RepeatSituation } from "./repeats/repeat_situation.ts";
 export { REPEAT_SITUATIONS } from "./repeats/repeat_situation.ts";
 export { runRepeats } from "./repeats/run_repeats.ts";
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -1,8 +1,7 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
 import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { RepeatSituation } from "./repeat_situation.ts";
-import type { RunnerArrival } from "../wire/runner_stand_in.ts";
-import type { WorstWindow } from "./find_worst_window.ts";
+import type { ServiceRepeats } from "./judge_services.ts";
 import { SeededRandom } from "kelpspar-shared";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -11,10 +10,10 @@
 import { Agent } from "undici";
 import { createDaemons } from "../wire/create_daemons.ts";
 import { sendToFirst } from "../wire/send_to_first.ts";
-import { RETRY_LIMITS, WireSite } from "../wire/wire_site.ts";
+import { WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
-import { REPEAT_SITES } from "./repeat_situation.ts";
-import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
+import { REPEAT_SITES } from "./repeat_site.ts";
+import { judgeServices } from "./judge_services.ts";
 
 const PLAIN_RUNNERS = 8;
 const STAGE_ROOM = 4_000;
@@ -50,16 +49,6 @@
   readonly services: readonly ServiceRepeats[];
 }
 
-/** What earns repeats: requests of callers, or first sends of pieces. */
-export type RepeatBasis = "requests" | "pieces";
-
-/** What the endpoints of one service saw. */
-export interface ServiceRepeats {
-  readonly service: string;
-  readonly basis: RepeatBasis;
-  readonly worst: WorstWindow;
-}
-
 /** One attempt of a caller. */
 interface Attempt {
   readonly at: number;
@@ -226,46 +215,3 @@
     services: judgeServices(site, situation, attempts.map(({ at }) => at)),
   };
 }
-
-function judgeServices(
-  site: WireSite,
-  situation: RepeatSituation,
-  requests: readonly number[],
-): readonly ServiceRepeats[] {
-  const slack = REPEAT_SITES[situation.site].retrySlack;
-  const limits = { ...RETRY_LIMITS, slack };
-  const arrivalsAt = (
-    runners: readonly { readonly arrivals: readonly RunnerArrival[] }[],
-  ): readonly RunnerArrival[] => runners.flatMap(({ arrivals }) => arrivals);
-  const [target, runners] = situation.route === "often"
-    ? ["plain", site.plain] as const
-    : ["model", site.models] as const;
-  const arrivals = arrivalsAt(runners);
-  const stages = [...site.stagesOf].flatMap(([service, stageRunners]) => {
-    const pieces = arrivalsAt(stageRunners);
-    const firstSends = firstArrivals(pieces);
-    return [
-      {
-        service,
-        basis: "requests" as const,
-        worst: findWorstWindow(limits, { requests, arrivals: pieces }),
-      },
-      {
-        service,
-        basis: "pieces" as const,
-        worst: findWorstWindow(limits, {
-          requests: firstSends,
-          arrivals: pieces,
-        }),
-      },
-    ];
-  });
-  return [
-    {
-      service: target,
-      basis: "requests",
-      worst: findWorstWindow(limits, { requests, arrivals }),
-    },
-    ...(situation.route === "often" ? [] : stages),
-  ];
-}
