--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_run_test.ts
@@ -6,7 +6,7 @@
 
 function createChain(
   pieces: readonly number[] = [1, 2, 2],
-  repeatedStages?: ReadonlySet<number>,
+  repeatedStages: ReadonlySet<number> = new Set(),
 ): ChainRun {
   return new ChainRun({
     repeatedStages,
