Count requests and what they earn in one place of the retry gate

Cause: since requests alone earn, both entry points of the gate counted first sends and then earned by the same number; the counter of their rate was named after what earns.

Change: counting first sends earns; the counter is recentRequests. Behaviour stays.

--- a/packages/kelpspar-gateway/src/retries/retry_gate.ts
+++ b/packages/kelpspar-gateway/src/retries/retry_gate.ts
@@ -66,8 +66,8 @@
 interface ServiceBudget {
   readonly credits: EarnedCredits;
   readonly loans: LoanPool;
-  /** What earned credits, over the time of the rate. */
-  readonly earning: SlidingWindowCounter;
+  /** Requests in the time over which their rate is measured. */
+  readonly recentRequests: SlidingWindowCounter;
   readonly requests: SlidingWindowCounter;
   readonly pieces: SlidingWindowCounter;
   readonly retries: SlidingWindowCounter;
@@ -99,7 +99,6 @@
   /** Counts a request of a caller for a service. */
   recordRequest(service: string): void {
     this.#recordFirstSends(service, { requests: 1, pieces: 0 });
-    this.#earn(service, 1);
   }
 
   /**
@@ -108,7 +107,6 @@
    */
   recordPieces(service: string, sends: FirstSends): void {
     this.#recordFirstSends(service, sends);
-    this.#earn(service, sends.requests);
   }
 
   /**
@@ -193,10 +191,10 @@
    * requests, milliseconds; 0 while the fleet may have slack to lend.
    */
   waitFor(service: string, count: number): number {
-    const { earning, emptyUntil } = this.#budgetOf(service);
+    const { recentRequests, emptyUntil } = this.#budgetOf(service);
     const missing = count - this.available(service);
     if (missing <= 0 || emptyUntil <= this.#now()) return 0;
-    const rate = this.#options.limits.ratio * earning.sum(this.#now()) /
+    const rate = this.#options.limits.ratio * recentRequests.sum(this.#now()) /
       RATE_WINDOW_MILLISECONDS;
     return missing / rate;
   }
@@ -216,10 +214,11 @@
   describe(service: string): BudgetState {
     const now = this.#now();
     const budget = this.#budgetOf(service);
-    const { earning, requests, pieces, retries } = budget;
+    const { recentRequests, requests, pieces, retries } = budget;
     const { loans, credits, emptyUntil } = budget;
     return {
-      requestsPerSecond: earning.sum(now) * 1_000 / RATE_WINDOW_MILLISECONDS,
+      requestsPerSecond: recentRequests.sum(now) * 1_000 /
+        RATE_WINDOW_MILLISECONDS,
       requestsInWindow: requests.sum(now),
       piecesInWindow: pieces.sum(now),
       retriesInWindow: retries.sum(now),
@@ -240,12 +239,13 @@
     budget.requests.add(sends.requests, now);
     budget.pieces.add(sends.pieces, now);
     this.#options.report?.recordFirstSends(service, sends);
+    this.#earn(service, sends.requests);
   }
 
   #earn(service: string, count: number): void {
     const now = this.#now();
     const budget = this.#budgetOf(service);
-    budget.earning.add(count, now);
+    budget.recentRequests.add(count, now);
     if (now < this.#earnsFrom) return;
     const { limits, fleetSize } = this.#options;
     const capacity = creditCapacity(limits.slack, fleetSize());
@@ -349,7 +349,7 @@
     const budget: ServiceBudget = {
       credits: new EarnedCredits(),
       loans: new LoanPool(),
-      earning: new SlidingWindowCounter({
+      recentRequests: new SlidingWindowCounter({
         windowMilliseconds: RATE_WINDOW_MILLISECONDS,
       }),
       requests: new SlidingWindowCounter({ windowMilliseconds }),
