--- a/review/common-2/case.mjs
+++ b/review/common-2/case.mjs
@@ -85,6 +85,11 @@
 export async function runCase(folder, play) {
   const record = new Record(folder);
   const site = new Site();
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => {
+      void site.end().finally(() => process.exit(EXIT.notRun));
+    });
+  }
   let outcome = EXIT.notRun;
   try {
     await site.store.start();
