--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -37,7 +37,7 @@
 const MINIMUM_LATE = 8;
 const LATE_SHARE = 0.25;
 
-await runCase(new URL(".", import.meta.url), play);
+await runCase(new URL("record.txt", import.meta.url), play);
 
 async function play(site, record) {
   const trouble = { isOn: false, runner: undefined, answers: 0 };
@@ -122,9 +122,7 @@
         `${endedAt} status ${status ?? "none"} ${error ?? ""}`,
     );
   }
-  for (const runner of site.runners) {
-    record.add(`${runner.id} ran ${runner.runs.length} requests`);
-  }
+  record.addRuns(site.runners);
   const took = ({ sentAt, endedAt }) => endedAt - sentAt;
   const long = bookings.filter((attempt) =>
     took(attempt) > BOOKING_TIMEOUT_MILLISECONDS
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -25,7 +25,7 @@
 /** RULES.md and the news pages, ORDER: more than two streams. */
 const ALLOWED_STREAMS = 2;
 
-await runCase(new URL(".", import.meta.url), play);
+await runCase(new URL("record.txt", import.meta.url), play);
 
 async function play(site, record) {
   const run = createStream({ events: EVENTS, gap: GAP_MILLISECONDS });
@@ -92,14 +92,7 @@
 
 function judge(site, record, streams) {
   for (const stream of streams) record.add(describeStream(stream));
-  for (const { id, version, runs } of site.runners) {
-    for (const { attemptId, at, lastEventId } of runs) {
-      record.add(
-        `${id} of version ${version} ran ${attemptId} at ${at}, after event ` +
-          `${lastEventId ?? "none"}`,
-      );
-    }
-  }
+  record.addRuns(site.runners);
   const began = streams.filter(({ events }) => events[0]?.version === "v1");
   const mixed = streams.filter(({ events }) =>
     new Set(events.map(({ version }) => version)).size > 1
--- a/review/common-2/case.mjs
+++ b/review/common-2/case.mjs
@@ -1,5 +1,6 @@
 // What all cases share: a record, a site to start and end, and the exit code.
 import { writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 import { Daemon, now, Store } from "./platform.mjs";
 
 export const EXIT = { held: 0, broken: 1, notRun: 2 };
@@ -7,13 +8,13 @@
 /** False if the case is played without its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
-/** A log of what was sent, answered and run, written as `record.txt`. */
+/** A log of what was sent, answered and run, written to the file at `url`. */
 export class Record {
   #lines = [];
   #path;
 
-  constructor(folder) {
-    this.#path = new URL("record.txt", folder).pathname;
+  constructor(url) {
+    this.#path = fileURLToPath(url);
     this.add(HAS_TROUBLE ? "with the disruption" : "without the disruption");
   }
 
@@ -21,6 +22,19 @@
     this.#lines.push(`${String(now()).padStart(6)} ms  ${text}`);
   }
 
+  /** Adds each request that the runners began to run. */
+  addRuns(runners) {
+    for (const { id, version, runs } of runners) {
+      for (const { attemptId, url, at, lastEventId } of runs) {
+        const what = attemptId ?? url;
+        const after = lastEventId === undefined
+          ? ""
+          : ` after event ${lastEventId}`;
+        this.add(`${id} of version ${version} ran ${what} at ${at}${after}`);
+      }
+    }
+  }
+
   /** Adds a line that is printed too. */
   tell(text) {
     this.add(text);
@@ -80,11 +94,19 @@
 
 /**
  * Plays a case: `play(site, record)` resolves to a value of `EXIT`. Writes the
- * record and ends the process.
+ * record to the file at `recordUrl` and ends the process.
  */
-export async function runCase(folder, play) {
-  const record = new Record(folder);
+export async function runCase(recordUrl, play) {
+  const record = new Record(recordUrl);
   const site = new Site();
+  // Node's own exit code for an error would read as a broken rule.
+  for (const event of ["uncaughtException", "unhandledRejection"]) {
+    process.once(event, (error) => {
+      record.tell(`the case couldn't run: ${error?.stack ?? error}`);
+      record.write();
+      void site.end().finally(() => process.exit(EXIT.notRun));
+    });
+  }
   for (const signal of ["SIGINT", "SIGTERM"]) {
     process.once(signal, () => {
       void site.end().finally(() => process.exit(EXIT.notRun));
--- a/review/common-2/client.mjs
+++ b/review/common-2/client.mjs
@@ -2,6 +2,9 @@
 import { Agent, request } from "node:http";
 import { now } from "./platform.mjs";
 
+/** Why an attempt ended that its client gave up at its deadline. */
+export const DEADLINE_ERROR = "the client's deadline";
+
 let attempts = 0;
 
 export function nextAttemptId() {
@@ -81,8 +84,8 @@
       });
       const timer = setTimeout(() => {
         outgoing.destroy();
-        end("client's deadline");
-      }, deadline + 1_000);
+        end(DEADLINE_ERROR);
+      }, deadline);
       outgoing.on("error", (error) => end(error.message));
       outgoing.end(body);
     });
