Log which versions a resumed stream can be of, and whether all are known

Cause: `origin of a stream asked for` with `outcome: any` doesn't tell a fleet that knows one version from one that has just started and sees one version. Change: the line has `candidates` and `isComplete`.

--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -10,6 +10,7 @@
 import { collectAnswers } from "./collect_answers.ts";
 import { hasSeveralVersions } from "./has_several_versions.ts";
 import { rankOriginHolders } from "./rank_origin_holders.ts";
+import { describeSoftware } from "./software_of.ts";
 import { VersionHistory } from "./version_history.ts";
 
 /** Daemons that remember a stream, beside the one that began it. */
@@ -110,15 +111,15 @@
     if (!mayDiffer && this.#history.isComplete) return { type: "any" };
     const startedAt = timer.now();
     const { origin, recent, asked } = await this.#ask(options);
-    const lookup = toLookup(origin, [
-      ...this.#history.recent(services),
-      ...recent,
-    ]);
+    const candidates = [...this.#history.recent(services), ...recent];
+    const lookup = toLookup(origin, candidates);
     log.info("origin of a stream asked for", {
       resumedAttempt: attemptId,
       outcome: lookup.type,
       service: origin?.service,
       version: origin?.version,
+      candidates: [...new Set(candidates.map(describeSoftware))].join(),
+      isComplete: this.#history.isComplete,
       asked,
       tookMilliseconds: Math.round(timer.now() - startedAt),
     });
