Add situations in which all daemons are killed while streams run

No program played streams of several software versions over a loss of all daemons as real processes. npm run losses does: fourteen situations of version changes, kills and outages of the store, judged by what callers and endpoints see. repeats and losses read their options in one place.

--- /dev/null
+++ b/packages/kelpspar-standins/src/losses/loss_situation.ts
@@ -0,0 +1,76 @@
+import type { KillSeries } from "./kill_series.ts";
+import type { VersionChange } from "./version_changes.ts";
+
+/** When the store is away: its connections are reset. */
+export type StoreOutage = "none" | "before_kill" | "from_kill";
+
+/** What happens while streams of one service run. */
+export interface LossSituation {
+  /** Software versions of the endpoints at first. */
+  readonly versions: readonly string[];
+  readonly change: VersionChange;
+  /** Whether the versions change before the kill or while no daemon runs. */
+  readonly changeTime: "before_kill" | "while_down";
+  /** Time from the change, or the start of an outage, to the kill. */
+  readonly leadMilliseconds: number;
+  readonly kill: KillSeries;
+  /** Time from the end of a daemon to its start. */
+  readonly downMilliseconds: number;
+  readonly storeOutage: StoreOutage;
+  /** Whether streams have to go on where two endpoints of their version serve. */
+  readonly hasToGoOn: boolean;
+}
+
+/** Two endpoints of each version. */
+const BOTH_VERSIONS = ["v1", "v1", "v1.2", "v1.2"];
+
+const BOTH_SERVE: LossSituation = {
+  versions: BOTH_VERSIONS,
+  change: "none",
+  changeTime: "before_kill",
+  leadMilliseconds: 100,
+  kill: "all",
+  downMilliseconds: 300,
+  storeOutage: "none",
+  hasToGoOn: true,
+};
+
+const OLD_DRAINS: LossSituation = { ...BOTH_SERVE, change: "drain_old" };
+
+/** Situations by name. */
+export const LOSS_SITUATIONS = {
+  "old-drains": OLD_DRAINS,
+  "old-unlisted": { ...BOTH_SERVE, change: "unlist_old" },
+  "old-left": { ...BOTH_SERVE, change: "end_old", leadMilliseconds: 2_000 },
+  "old-drains-store-away": { ...OLD_DRAINS, storeOutage: "from_kill" },
+  "replaced-while-down": {
+    ...BOTH_SERVE,
+    versions: ["v1", "v1"],
+    change: "replace_old",
+    changeTime: "while_down",
+    downMilliseconds: 1_500,
+  },
+  "joined-while-down": {
+    ...BOTH_SERVE,
+    versions: ["v1", "v1"],
+    change: "add_new",
+    changeTime: "while_down",
+    downMilliseconds: 1_500,
+    hasToGoOn: false,
+  },
+  "both-serve": BOTH_SERVE,
+  "both-serve-killed-twice": { ...BOTH_SERVE, kill: "all_twice" },
+  "both-serve-store-away": { ...BOTH_SERVE, storeOutage: "from_kill" },
+  "both-serve-store-away-before": {
+    ...BOTH_SERVE,
+    leadMilliseconds: 2_000,
+    storeOutage: "before_kill",
+  },
+  "old-drains-one-left": { ...OLD_DRAINS, kill: "all_but_one" },
+  "old-drains-in-turn": { ...OLD_DRAINS, kill: "one_after_another" },
+  "both-serve-in-turn": { ...BOTH_SERVE, kill: "one_after_another" },
+  "patch-replaces-one": { ...BOTH_SERVE, change: "replace_one_by_patch" },
+} as const satisfies Readonly<Record<string, LossSituation>>;
+
+/** The name of a situation. */
+export type LossSituationName = keyof typeof LOSS_SITUATIONS;
--- /dev/null
+++ b/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
@@ -0,0 +1,97 @@
+import type { Agent } from "node:http";
+import type { StreamAttempt, StreamEvent } from "./stream_record.ts";
+import { request as sendRequest } from "node:http";
+
+/** One attempt of a caller at one daemon. */
+export interface SendStreamOptions {
+  /** Address of the daemon, `address:port`. */
+  readonly address: string;
+  readonly path: string;
+  readonly host: string;
+  readonly agent: Agent;
+  readonly attemptId: string;
+  /** Number of pieces of each stage. */
+  readonly pieces: readonly number[];
+  readonly deadlineMilliseconds: number;
+  /** The stream to take up; none begins a new one. */
+  readonly resumed?: {
+    readonly firstAttemptId: string;
+    readonly lastEventId: number;
+  } | undefined;
+  /** Leaves after this many events; default never. */
+  readonly maximumEvents?: number;
+}
+
+/** An attempt, or the reason why no connection was made. */
+export interface SentAttempt extends StreamAttempt {
+  readonly isConnected: boolean;
+}
+
+const EVENT = /id: (\d+)\ndata: \S+ \d+ (\S+)\n\n/g;
+
+/** Never rejects; a broken stream has its whole events. */
+export function sendStreamAttempt(
+  options: SendStreamOptions,
+): Promise<SentAttempt> {
+  const { address, path, host, agent, attemptId, resumed } = options;
+  const { deadlineMilliseconds, maximumEvents = Number.POSITIVE_INFINITY } =
+    options;
+  let status: number | undefined;
+  let acceptedAt: number | undefined;
+  let statusMilliseconds = 0;
+  let text = "";
+  return new Promise((resolve) => {
+    const end = (): void => {
+      clearTimeout(timeout);
+      request.destroy();
+      resolve({
+        attemptId,
+        status,
+        statusMilliseconds,
+        events: status === 200 ? readEvents(text) : [],
+        isResumed: resumed !== undefined,
+        isConnected: acceptedAt !== undefined,
+      });
+    };
+    const request = sendRequest(`http://${address}${path}`, {
+      method: "POST",
+      agent,
+      headers: {
+        host,
+        "x-attempt-id": attemptId,
+        "x-deadline-ms": String(Math.floor(deadlineMilliseconds)),
+        "x-api-key": "key-1",
+        "x-pieces": options.pieces.join(","),
+        "x-piece-key": attemptId,
+        ...(resumed === undefined ? {} : {
+          "resumes": resumed.firstAttemptId,
+          "last-event-id": String(resumed.lastEventId),
+        }),
+      },
+    });
+    const timeout = setTimeout(end, deadlineMilliseconds);
+    request.on("socket", (socket) => {
+      if (!socket.connecting) acceptedAt = performance.now();
+      else socket.once("connect", () => acceptedAt = performance.now());
+    });
+    request.on("error", end);
+    request.on("response", (response) => {
+      status = response.statusCode;
+      statusMilliseconds = performance.now() - (acceptedAt ?? 0);
+      response.on("data", (chunk: Buffer) => {
+        text += chunk.toString();
+        if (readEvents(text).length >= maximumEvents) end();
+      });
+      response.on("close", end);
+      response.on("error", end);
+    });
+    request.end("body");
+  });
+}
+
+function readEvents(text: string): readonly StreamEvent[] {
+  return [...text.matchAll(EVENT)].map(([, id, version = ""]) => ({
+    id: Number(id),
+    version,
+  }));
+}
--- a/packages/kelpspar-standins/src/programs/repeats_main.ts
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -1,94 +1,38 @@
 import type { RepeatSituationName } from "../repeats/repeat_situation.ts";
-import { appendFileSync } from "node:fs";
+import type { SituationRun } from "./play_situations.ts";
 import { fileURLToPath } from "node:url";
-import { parseArgs } from "node:util";
 import { REPEAT_SITUATIONS } from "../repeats/repeat_situation.ts";
 import { runRepeats } from "../repeats/run_repeats.ts";
-import { readCount } from "./read_count.ts";
+import { playSituations } from "./play_situations.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
-const EXIT_USAGE = 64;
-const USAGE =
-  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--program FILE] [--log FILE]";
-const PROGRAM = fileURLToPath(
-  new URL("../../../../target/start_daemon.cjs", import.meta.url),
-);
 const PARTITION_HOOK = fileURLToPath(
   new URL("../wire/partition_hook.js", import.meta.url),
 );
-const NAMES = Object.keys(REPEAT_SITUATIONS) as readonly RepeatSituationName[];
-
-try {
-  const { values } = parseArgs({
-    options: {
-      situations: { type: "string", default: "all" },
-      seed: { type: "string", default: "1" },
-      seeds: { type: "string", default: "1" },
-      daemons: { type: "string" },
-      program: { type: "string", default: PROGRAM },
-      log: { type: "string" },
-      help: { type: "boolean", default: false },
-    },
-  });
-  if (values.help) printText(USAGE);
-  else {
-    const names = readNames(values.situations);
-    const first = readCount("seed", values.seed);
-    const count = readCount("seeds", values.seeds);
-    const daemons = values.daemons === undefined
-      ? {}
-      : { daemons: readCount("daemons", values.daemons) };
-    for (let seed = first; seed < first + count; seed++) {
-      for (const name of names) {
-        await play(name, { ...values, seed, daemons });
-      }
-    }
-    process.exit();
-  }
-} catch (error) {
-  if (!(error instanceof TypeError)) throw error;
-  printText(`${error.message}. Usage: ${USAGE}`);
-  process.exitCode = EXIT_USAGE;
-}
 
-function readNames(text: string): readonly RepeatSituationName[] {
-  if (text === "all") return NAMES;
-  return text.split(",").map((name) => {
-    const known = NAMES.find((found) => found === name);
-    if (known !== undefined) return known;
-    throw new TypeError(
-      `--situations takes names out of ${
-        NAMES.join(", ")
-      } or "all", not "${name}"`,
-    );
-  });
-}
+await playSituations({
+  script: "repeats",
+  names: Object.keys(REPEAT_SITUATIONS) as readonly RepeatSituationName[],
+  play,
+});
 
 async function play(
-  name: RepeatSituationName,
-  { seed, daemons, program, log }: {
-    readonly seed: number;
-    /** Path of the daemon's program. */
-    readonly program: string;
-    readonly daemons: { readonly daemons?: number };
-    readonly log?: string | undefined;
-  },
+  { name, daemons, ...run }: SituationRun<RepeatSituationName>,
 ): Promise<void> {
   const { services, sent, whole, answers } = await runRepeats({
-    seed,
-    situation: { ...REPEAT_SITUATIONS[name], ...daemons },
-    program: { path: program, nodeArguments: [] },
+    ...run,
+    situation: {
+      ...REPEAT_SITUATIONS[name],
+      ...(daemons === undefined ? {} : { daemons }),
+    },
     partitionHook: PARTITION_HOOK,
-    ...(log === undefined
-      ? {}
-      : { onLine: (line) => appendFileSync(log, `${line}\n`) }),
   });
   const statuses = [...answers].sort().map(([status, count]) =>
     `${status}: ${count}`
   );
   printText(
-    `${name}, seed ${seed}: ` +
+    `${name}, seed ${run.seed}: ` +
       `${whole} of ${sent} whole (${statuses.join(", ")})`,
   );
   for (const { service, basis, worst } of services) {
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -30,6 +30,8 @@
   readonly stageServices?: readonly StageServiceOptions[];
   /** Software versions, assigned to model runners in rotation. */
   readonly modelVersions?: readonly string[];
+  /** Number of requests that a runner says it runs at the same time. */
+  readonly slots?: number;
   /** Whether the coordinator places requests at model runners. */
   readonly hasEngines?: boolean;
   /** Time between two events of a stream. */
@@ -52,6 +54,12 @@
   readonly hasProxies?: boolean;
 }
 
+/** A runner that can be listed. */
+interface RegisteredRunner {
+  readonly version?: string;
+  start(): Promise<string>;
+}
+
 /** Limits for the retries of all daemons of a site. */
 export const RETRY_LIMITS = {
   ratio: 0.2,
@@ -72,7 +80,7 @@
   readonly host = HOST;
   readonly store = new StoreStandIn();
   readonly plain: readonly RunnerStandIn[];
-  readonly models: readonly RunnerStandIn[];
+  readonly models: RunnerStandIn[];
   readonly stages: readonly StageRunnerStandIn[];
   /** Stage runners by service. */
   readonly stagesOf: ReadonlyMap<string, readonly StageRunnerStandIn[]>;
@@ -100,6 +108,7 @@
       room: 40,
       stageServices: [],
       modelVersions: [],
+      slots: 4,
       hasEngines: true,
       eventMilliseconds: 5,
       zones: ["a"],
@@ -113,7 +122,7 @@
       ...options,
     };
     const { plainRunners, modelRunners } = this.#options;
-    const { modelVersions, eventMilliseconds } = this.#options;
+    const { modelVersions } = this.#options;
     this.plain = Array.from(
       { length: plainRunners },
       (_, index) =>
@@ -122,12 +131,10 @@
     this.models = Array.from(
       { length: modelRunners },
       (_, index) =>
-        new RunnerStandIn({
-          id: `model-${index}`,
-          isStream: true,
-          delayMilliseconds: eventMilliseconds,
-          version: modelVersions[index % Math.max(1, modelVersions.length)],
-        }),
+        this.#createModel(
+          index,
+          modelVersions[index % Math.max(1, modelVersions.length)],
+        ),
     );
     this.stagesOf = new Map(
       this.#stageServices.map(({ name, runners }) => [
@@ -177,6 +184,19 @@
     this.#write("servers", runnerId, { ...entry, state: "draining" });
   }
 
+  /** Removes a runner's entry; the runner itself goes on. */
+  removeEntry(runnerId: string): void {
+    this.#remove("servers", runnerId);
+  }
+
+  /** Starts another model runner while the site runs. */
+  async addModel(version: string): Promise<void> {
+    const index = this.models.length;
+    const model = this.#createModel(index, version);
+    this.models.push(model);
+    await this.#registerRunner("model", model, index);
+  }
+
   /** Marks a runner as cold for this time. */
   setCold(runnerId: string, coldLeftMs: number): void {
     const [, , entry] = this.#written.get(`servers/${runnerId}`) ?? [];
@@ -225,6 +245,15 @@
       : [{ name: "stage", runners: stageRunners, batch }];
   }
 
+  #createModel(index: number, version: string | undefined): RunnerStandIn {
+    return new RunnerStandIn({
+      id: `model-${index}`,
+      isStream: true,
+      delayMilliseconds: this.#options.eventMilliseconds,
+      version,
+    });
+  }
+
   #createStageRunners(
     name: string,
     count: number,
@@ -290,34 +319,40 @@
 
   async #registerRunners(
     service: string,
-    runners: readonly {
-      readonly version?: string;
-      start(): Promise<string>;
-    }[],
+    runners: readonly RegisteredRunner[],
   ): Promise<void> {
-    const { zones } = this.#options;
     for (const [index, runner] of runners.entries()) {
-      const zone = zones[index % zones.length] ?? "a";
-      const runnerAddress = await runner.start();
-      const address = await this.#exposeAddress(runnerAddress);
-      const proxy = address === runnerAddress ? undefined : this.proxies.at(-1);
-      const write = (id: string): void => {
-        this.#write("servers", id, {
-          service,
-          address,
-          zone,
-          version: runner.version ?? "v1",
-          slots: 4,
-          state: "ready",
-          coldLeftMs: 0,
-          seq: 1,
-        });
-      };
-      write(`${service}-${index}`);
-      if (runner instanceof StageRunnerStandIn) {
-        this.#writeStages.set(runner, () => write(runner.id));
-      }
-      if (!(runner instanceof RunnerStandIn)) continue;
+      await this.#registerRunner(service, runner, index);
+    }
+  }
+
+  async #registerRunner(
+    service: string,
+    runner: RegisteredRunner,
+    index: number,
+  ): Promise<void> {
+    const { zones, slots } = this.#options;
+    const zone = zones[index % zones.length] ?? "a";
+    const runnerAddress = await runner.start();
+    const address = await this.#exposeAddress(runnerAddress);
+    const proxy = address === runnerAddress ? undefined : this.proxies.at(-1);
+    const write = (id: string): void => {
+      this.#write("servers", id, {
+        service,
+        address,
+        zone,
+        version: runner.version ?? "v1",
+        slots,
+        state: "ready",
+        coldLeftMs: 0,
+        seq: 1,
+      });
+    };
+    write(`${service}-${index}`);
+    if (runner instanceof StageRunnerStandIn) {
+      this.#writeStages.set(runner, () => write(runner.id));
+    }
+    if (runner instanceof RunnerStandIn) {
       this.#restartOnCrash(runner, { proxy, write });
     }
   }
