--- a/packages/kelpspar-standins/src/losses/find_broken_targets.ts
+++ b/packages/kelpspar-standins/src/losses/find_broken_targets.ts
@@ -28,7 +28,7 @@
     isForResumed: true,
   },
   {
-    text: "streams are refused at once",
+    text: "streams that can't go on are refused at once",
     isMissed: ({ slowRefusals }) => slowRefusals > 0,
   },
   {
--- a/packages/kelpspar-standins/src/losses/loss_situation.ts
+++ b/packages/kelpspar-standins/src/losses/loss_situation.ts
@@ -8,6 +8,9 @@
 export interface LossSituation {
   /** Software versions of the endpoints at first. */
   readonly versions: readonly string[];
+  readonly daemons: number;
+  /** Number of events in a complete stream. */
+  readonly events: number;
   readonly change: VersionChange;
   /** Whether the versions change before the kill or while no daemon runs. */
   readonly changeTime: "before_kill" | "while_down";
@@ -26,6 +29,8 @@
 
 const BOTH_SERVE: LossSituation = {
   versions: BOTH_VERSIONS,
+  daemons: 6,
+  events: 40,
   change: "none",
   changeTime: "before_kill",
   leadMilliseconds: 100,
@@ -37,6 +42,13 @@
 
 const OLD_DRAINS: LossSituation = { ...BOTH_SERVE, change: "drain_old" };
 
+/** All daemons are replaced within the life of a stream. */
+const IN_TURN = {
+  kill: "one_after_another",
+  daemons: 4,
+  events: 50,
+} as const;
+
 /** Situations by name. */
 export const LOSS_SITUATIONS = {
   "old-drains": OLD_DRAINS,
@@ -67,8 +79,8 @@
     storeOutage: "before_kill",
   },
   "old-drains-one-left": { ...OLD_DRAINS, kill: "all_but_one" },
-  "old-drains-in-turn": { ...OLD_DRAINS, kill: "one_after_another" },
-  "both-serve-in-turn": { ...BOTH_SERVE, kill: "one_after_another" },
+  "old-drains-in-turn": { ...OLD_DRAINS, ...IN_TURN },
+  "both-serve-in-turn": { ...BOTH_SERVE, ...IN_TURN },
   "patch-replaces-one": { ...BOTH_SERVE, change: "replace_one_by_patch" },
 } as const satisfies Readonly<Record<string, LossSituation>>;
 
--- a/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
+++ b/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
@@ -23,7 +23,7 @@
 }
 
 /** An attempt, or the reason why no connection was made. */
-export interface SentAttempt extends StreamAttempt {
+export interface SentAttempt extends Omit<StreamAttempt, "readyMilliseconds"> {
   readonly isConnected: boolean;
 }
 
--- a/packages/kelpspar-standins/src/losses/stream_record.ts
+++ b/packages/kelpspar-standins/src/losses/stream_record.ts
@@ -12,6 +12,11 @@
   readonly status: number | undefined;
   /** Time from the accepted connection to the status. */
   readonly statusMilliseconds: number;
+  /**
+   * Time of an answer without work that the daemon was asked for beside it; 0
+   * without one.
+   */
+  readonly readyMilliseconds: number;
   readonly events: readonly StreamEvent[];
   /** Whether it took the stream up after its first event. */
   readonly isResumed: boolean;
--- a/packages/kelpspar-standins/src/wire/daemon_process.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -62,6 +62,11 @@
     return this.#listenAddress("front");
   }
 
+  /** Address that tells whether it is ready, `address:port`. */
+  get ready(): string {
+    return this.#listenAddress("ready");
+  }
+
   get directory(): string {
     return this.#listenAddress("directory");
   }
