--- a/packages/kelpspar-standins/src/losses/judge_losses.ts
+++ b/packages/kelpspar-standins/src/losses/judge_losses.ts
@@ -80,7 +80,7 @@
     others: count(others),
     answers,
     slowRefusals:
-      refusals.filter((attempt) =>
+      others.flatMap(resumedOf).filter(isRefused).filter((attempt) =>
         attempt.statusMilliseconds - attempt.readyMilliseconds >
           REFUSAL_MILLISECONDS
       ).length,
