--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -1,20 +1,57 @@
+import type { ServingConfiguration } from "../../configuration/serving_configuration.ts";
 import type { DaemonAddress } from "../../fleet/fleet_digest.ts";
 import type { BegunStream } from "../../streams/stream_origin.ts";
 import type {
   FindOptions,
   OriginLookup,
+  StreamRoute,
 } from "../../streams/stream_origins.ts";
-import { ManualTimer } from "kelpspar-shared";
+import { ManualTimer, SeededRandom } from "kelpspar-shared";
+import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
 import { StreamOrigins } from "../../streams/stream_origins.ts";
+import { StoreEra } from "../../tables/store_era.ts";
+import { RowTable } from "./row_table.ts";
 
 /** Service of the endpoints. */
 export const SERVICE = "model";
-const SERVICES = [SERVICE];
+const ROUTE = "route";
 const DEADLINE_MILLISECONDS = 15_000;
 /** Round trip between two daemons. */
 const ROUND_TRIP_MILLISECONDS = 2;
 
+/** A resumable route to a service. */
+function configurationOf(
+  service: string,
+  version: number,
+): ServingConfiguration {
+  return {
+    version,
+    routes: [{
+      name: ROUTE,
+      host: "host",
+      prefix: "/",
+      kind: "stream",
+      timeoutMilliseconds: DEADLINE_MILLISECONDS,
+      objectiveMilliseconds: 1_000,
+      attempts: 2,
+      priority: 0,
+      targets: [{ service, weight: 1 }],
+      isPublic: true,
+      isResumable: true,
+      stages: [],
+    }],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    accounts: undefined,
+  };
+}
+
 /** How a daemon answers others: not any more, or not at all. */
 export type DaemonFault = "none" | "refused" | "silent";
 
@@ -22,6 +59,10 @@
   readonly address: DaemonAddress;
   readonly registry: EndpointRegistry;
   readonly origins: StreamOrigins;
+  readonly era: StoreEra;
+  readonly configuration: ActiveConfiguration;
+  /** Ends the process: its calls to the store have no effect any more. */
+  readonly kill: () => void;
   fault: DaemonFault;
   /** Members that it lists; all that are in the fleet by default. */
   view: readonly string[] | undefined;
@@ -31,38 +72,107 @@
 export class OriginFleet {
   readonly timer = new ManualTimer();
   readonly daemons = new Map<string, FleetDaemon>();
+  readonly store = new RowTable(this.timer);
   /** Calls between daemons. */
   calls = 0;
+  #starts = 0;
+  #service = SERVICE;
+  #configurationVersion = 1;
 
   /** Adds a daemon that lists one endpoint of each version. */
   add(daemonId: string, zone: string, versions: readonly string[]): void {
     const { timer } = this;
     const registry = new EndpointRegistry();
+    const configuration = new ActiveConfiguration();
     const address = { daemonId, zone, peer: daemonId, front: "", cores: 1 };
+    const era = new StoreEra({ timer, anomalies: { note: () => {} } });
+    let isRunning = true;
     const origins = new StreamOrigins({
+      self: address,
+      incarnation: `start-${++this.#starts}`,
       registry,
+      configuration,
+      store: () => isRunning ? this.store : undefined,
+      era,
       timer,
+      random: new SeededRandom(this.#starts),
       log: { info: () => {}, warn: () => {} },
-      membership: { liveMembers: () => this.#membersSeenBy(daemonId) },
+      membership: {
+        liveMembers: () => this.#membersSeenBy(daemonId),
+        contacts: () =>
+          this.#membersSeenBy(daemonId).map(({ address }) => address),
+      },
       peers: {
+        recordStreams: (peer, streams) =>
+          this.#call(peer, (daemon) => {
+            daemon.origins.record(streams);
+            return null;
+          }),
         tellStreams: (peer, streams) =>
           this.#call(peer, (daemon) => {
             daemon.origins.hold(streams);
             return null;
           }),
+        findRecorded: async (peer, attemptId) =>
+          await await this.#call(
+            peer,
+            (daemon) => daemon.origins.findRecorded(attemptId),
+          ),
         askOrigin: (peer, options) =>
           this.#call(peer, (daemon) => daemon.origins.answer(options)),
       },
     });
-    origins.register();
+    const stop = origins.register();
+    const kill = (): void => {
+      isRunning = false;
+      stop();
+    };
     const fault = "none";
-    const daemon = { address, registry, origins, fault, view: undefined };
+    const view = undefined;
+    const daemon = {
+      address,
+      registry,
+      origins,
+      era,
+      configuration,
+      kill,
+      fault,
+      view,
+    };
     this.daemons.set(daemonId, daemon as FleetDaemon);
+    configuration.applyIfNewer(
+      configurationOf(this.#service, this.#configurationVersion),
+    );
     for (const version of versions) this.list(daemonId, version);
   }
 
+  /** Moves the route to another service. */
+  moveRoute(service: string): void {
+    this.#service = service;
+    this.#configurationVersion++;
+    for (const { configuration } of this.daemons.values()) {
+      configuration.applyIfNewer(
+        configurationOf(service, this.#configurationVersion),
+      );
+    }
+  }
+
+  /** Kills all daemons and starts them again with these versions listed. */
+  restartAll(versions: readonly string[]): void {
+    const killed = [...this.daemons.values()];
+    this.daemons.clear();
+    for (const { kill } of killed) kill();
+    for (const { address } of killed) {
+      this.add(address.daemonId, address.zone, versions);
+    }
+  }
+
   /** Lists an endpoint of this version at one daemon. */
-  list(daemonId: string, version: string): void {
+  list(
+    daemonId: string,
+    version: string,
+    { isDraining = false }: { readonly isDraining?: boolean } = {},
+  ): void {
     this.#daemon(daemonId).registry.upsert({
       id: `endpoint-${version}`,
       bornAt: 0,
@@ -71,7 +181,7 @@
       zone: "a",
       version,
       slots: 4,
-      isDraining: false,
+      isDraining,
     }, this.timer.now());
   }
 
@@ -96,7 +206,7 @@
     stream: { readonly attemptId: string; readonly version: string },
   ): Promise<number> {
     const begun: BegunStream = {
-      service: SERVICE,
+      service: this.#service,
       remainingMilliseconds: DEADLINE_MILLISECONDS,
       sends: 1,
       ...stream,
@@ -106,9 +216,11 @@
     await this.#settle(
       this.#daemon(daemonId).origins.begin({
         stream: begun,
-        services: SERVICES,
+        ...this.#route,
       }).then(() => endedAt = this.timer.now()),
     );
+    const { attemptId } = stream;
+    this.#daemon(daemonId).origins.begun({ attemptId, ...this.#route });
     return endedAt - startedAt;
   }
 
@@ -117,7 +229,7 @@
     daemonId: string,
     attemptId: string,
   ): Promise<OriginLookup & { readonly tookMilliseconds: number }> {
-    const options: FindOptions = { attemptId, services: SERVICES };
+    const options: FindOptions = { attemptId, ...this.#route };
     const startedAt = this.timer.now();
     let endedAt = startedAt;
     const lookup = this.#daemon(daemonId).origins.find(options);
@@ -125,6 +237,10 @@
     return { ...await lookup, tookMilliseconds: endedAt - startedAt };
   }
 
+  get #route(): StreamRoute {
+    return { route: ROUTE, services: [this.#service] };
+  }
+
   #daemon(daemonId: string): FleetDaemon {
     const daemon = this.daemons.get(daemonId);
     if (daemon === undefined) throw new Error(`No daemon "${daemonId}"`);
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -191,6 +191,10 @@
       isDraining: false,
     }, 0);
   }
+  const onlySoftware: OriginLookup = {
+    type: "known",
+    origin: { service: "model", version: options.versions?.[0] ?? "" },
+  };
   const endpointCalls: EndpointCall[] = [];
   const begunStreams: BegunStream[] = [];
   const releasedHandles: string[] = [];
@@ -270,7 +274,8 @@
         begunStreams.push(stream);
         return options.told ?? Promise.resolve();
       },
-      find: () => Promise.resolve(options.origin ?? { type: "any" }),
+      begun: () => {},
+      find: () => Promise.resolve(options.origin ?? onlySoftware),
     },
     retryGate: createRetryGate(timer, { slack: options.slack ?? 50 }),
     firstByteEstimates: new FirstByteEstimates(),
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -69,6 +69,8 @@
   release: () => {},
   lendRetries: () => Promise.resolve({ granted: 0, retryAfterMilliseconds: 0 }),
   holdStreams: () => {},
+  recordStreams: () => {},
+  findRecorded: () => Promise.resolve(undefined),
   answerOrigin: () => ({ recent: [] }),
 });
 
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -40,6 +40,8 @@
   release: (release) => void released.push(release),
   lendRetries: notUsed,
   holdStreams: notUsed,
+  recordStreams: notUsed,
+  findRecorded: notUsed,
   answerOrigin: notUsed,
 }));
 let peer = "";
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_registry.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_registry.ts
@@ -23,6 +23,9 @@
 /** Called when an endpoint is added that may get new work. */
 export type EndpointListedListener = (entry: EndpointEntry) => void;
 
+/** Called when an endpoint is found that is leaving already. */
+export type EndpointLeavingFoundListener = (entry: EndpointEntry) => void;
+
 /** Called when the evacuated availability zones are set. */
 export type EvacuationListener = () => void;
 
@@ -69,6 +72,7 @@
   readonly #returning = new ReturnTracker();
   readonly #goneListeners = new Set<EndpointGoneListener>();
   readonly #listedListeners = new Set<EndpointListedListener>();
+  readonly #leavingFoundListeners = new Set<EndpointLeavingFoundListener>();
   readonly #evacuationListeners = new Set<EvacuationListener>();
   readonly #missingListeners = new Set<MissingListener>();
   #evacuatedZones: ReadonlySet<string> = new Set();
@@ -151,7 +155,7 @@
       this.retire(known.entry);
     }
     if (entry.isDraining) {
-      this.retire(entry, "leaving");
+      this.#retireLeaving(entry);
       return "leaving";
     }
     if (this.#states.has(id)) {
@@ -274,6 +278,18 @@
     return () => this.#goneListeners.delete(listener);
   }
 
+  registerLeavingFound(listener: EndpointLeavingFoundListener): () => void {
+    this.#leavingFoundListeners.add(listener);
+    return () => this.#leavingFoundListeners.delete(listener);
+  }
+
+  #retireLeaving(entry: EndpointEntry): void {
+    const isKnown = this.#states.has(entry.id);
+    this.retire(entry, "leaving");
+    if (isKnown) return;
+    for (const listener of this.#leavingFoundListeners) listener(entry);
+  }
+
   #upsertRetired(entry: EndpointEntry, now: number): EndpointUpsertOutcome {
     if (entry.isDraining) this.#returning.untrack(entry.id);
     else if (this.#returning.recordListed(entry, now)) return "listed_again";
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -10,7 +10,8 @@
 import type { OriginAnswer } from "../streams/origin_answer.ts";
 import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/stream_origins.ts";
-import type { BegunStream } from "../streams/stream_origin.ts";
+import type { BegunStream, StreamOrigin } from "../streams/stream_origin.ts";
+import type { RecordedStream } from "../streams/stream_row.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { FollowClient } from "../tables/table_follower.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
@@ -29,6 +30,7 @@
 import { routeTimesPageSchema } from "../lifecycle/route_times.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
 import { slackGrantSchema } from "../retries/slack_grant.ts";
+import { streamOriginSchema } from "../streams/stream_origin.ts";
 import { originAnswerSchema } from "../streams/origin_answer.ts";
 import { followAnswerSchema } from "../tables/table_changes.ts";
 import { PeerTimeoutError } from "./peer_timeout_error.ts";
@@ -201,15 +203,38 @@
     );
   }
 
+  /** Asks a peer to record begun streams in the store. */
+  recordStreams(
+    peer: string,
+    streams: readonly RecordedStream[],
+  ): Promise<null> {
+    return this.#callWithShortTimeout(
+      peer,
+      (client) => client.recordStreams.mutate([...streams]),
+    );
+  }
+
+  /** Asks a peer to find a stream in the store; undefined if it isn't there. */
+  async findRecorded(
+    peer: string,
+    attemptId: string,
+  ): Promise<StreamOrigin | undefined> {
+    const answer = await this.#callWithShortTimeout(
+      peer,
+      (client) => client.findRecorded.mutate(attemptId),
+    );
+    return streamOriginSchema.nullable().parse(answer) ?? undefined;
+  }
+
   /** Asks a peer which software began a stream. */
   async askOrigin(
     peer: string,
-    { attemptId, services }: FindOptions,
+    { attemptId, route, services }: FindOptions,
   ): Promise<OriginAnswer> {
+    const question = { attemptId, route, services: [...services] };
     const answer = await this.#callWithShortTimeout(
       peer,
-      (client) =>
-        client.askOrigin.mutate({ attemptId, services: [...services] }),
+      (client) => client.askOrigin.mutate(question),
     );
     return originAnswerSchema.parse(answer);
   }
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -8,7 +8,8 @@
 import type { OriginAnswer } from "../streams/origin_answer.ts";
 import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/stream_origins.ts";
-import type { BegunStream } from "../streams/stream_origin.ts";
+import type { BegunStream, StreamOrigin } from "../streams/stream_origin.ts";
+import type { RecordedStream } from "../streams/stream_row.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
@@ -25,6 +26,7 @@
 } from "../quarantine/crash_message.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
 import { begunStreamsSchema } from "../streams/stream_origin.ts";
+import { recordedStreamsSchema } from "../streams/stream_row.ts";
 import { releaseLoadSchema } from "../load/release_load.ts";
 import { followRequestSchema } from "../tables/table_changes.ts";
 import { fleetDigestSchema } from "./fleet_digest.ts";
@@ -59,6 +61,10 @@
   lendRetries(service: string, count: number): Promise<SlackGrant>;
   /** Remembers streams that the peer has begun. */
   holdStreams(streams: readonly BegunStream[]): void;
+  /** Records streams that the peer has begun in the store. */
+  recordStreams(streams: readonly RecordedStream[]): void;
+  /** Finds a stream in the store; throws if the store doesn't answer. */
+  findRecorded(attemptId: string): Promise<StreamOrigin | undefined>;
   /** Tells which software began a stream. */
   answerOrigin(options: FindOptions): OriginAnswer;
 }
@@ -102,6 +108,8 @@
 
 const findSchema = z.object({
   attemptId: z.string(),
+  /** Daemons of the previous version don't send it. */
+  route: z.string().default(""),
   services: z.array(z.string()),
 });
 
@@ -160,6 +168,15 @@
     ctx.handlers.holdStreams(input);
     return null;
   }),
+  recordStreams: trpc.procedure.input(recordedStreamsSchema).mutation((
+    { ctx, input },
+  ) => {
+    ctx.handlers.recordStreams(input);
+    return null;
+  }),
+  findRecorded: trpc.procedure.input(z.string()).mutation(async (
+    { ctx, input },
+  ) => await ctx.handlers.findRecorded(input) ?? null),
   askOrigin: trpc.procedure.input(findSchema).mutation(({ ctx, input }) =>
     ctx.handlers.answerOrigin(input)
   ),
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -18,6 +18,7 @@
 import type { QuarantineParts } from "./quarantine/quarantine_parts.ts";
 import type { EndpointClient } from "./requests/endpoint_call.ts";
 import type { PollIntervals, ReadingPlan } from "./tables/reading_plan.ts";
+import type { RowRangeStore } from "./tables/row_range_store.ts";
 import type { RowStore } from "./tables/row_store.ts";
 import type { SharedTables } from "./tables/shared_tables.ts";
 import type { FollowClient } from "./tables/table_follower.ts";
@@ -124,7 +125,7 @@
   readonly #answerTimes: AnswerTimes;
   readonly #answerTimesSync: AnswerTimesSync;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
-  #rowStore: RowStore | undefined;
+  #rowStore: RowStore & RowRangeStore | undefined;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
   #plan: ReadingPlan | undefined;
   #plannedAt = Number.NEGATIVE_INFINITY;
@@ -270,8 +271,11 @@
     const streamOrigins = new StreamOrigins({
       ...options,
       registry,
+      configuration,
       peers,
       membership,
+      store: () => this.#rowStore,
+      era,
     });
     const service = new RequestService({
       relay,
@@ -327,6 +331,8 @@
       release: (release) => coordinator.release(release),
       lendRetries: (service, count) => retries.lender.lend(service, count),
       holdStreams: (streams) => streamOrigins.hold(streams),
+      recordStreams: (streams) => streamOrigins.record(streams),
+      findRecorded: (attemptId) => streamOrigins.findRecorded(attemptId),
       answerOrigin: (question) => streamOrigins.answer(question),
     });
     this.#peerServer = createServer(createRelayListener({
@@ -399,8 +405,8 @@
     this.#fleet.exchangeWithAll(peers.filter((peer) => peer !== self.peer));
   }
 
-  /** Sets the store that keeps the ledgers of lent retries. */
-  registerRowStore(store: RowStore): () => void {
+  /** Sets the store that keeps what outlives all daemons. */
+  registerRowStore(store: RowStore & RowRangeStore): () => void {
     this.#rowStore = store;
     return () => {
       if (this.#rowStore === store) this.#rowStore = undefined;
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -1,3 +1,12 @@
+export type {
+  KeyRange,
+  RowChanges,
+  RowPut,
+  RowRangeStore,
+  RowsWritten,
+  StoredRow,
+  StoredRows,
+} from "./tables/row_range_store.ts";
 export type { RowAnswer, RowStore } from "./tables/row_store.ts";
 export type { ListTiming } from "./endpoints/list_timing.ts";
 export type {
--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -36,13 +36,14 @@
   };
 }
 
-/** False if the request continues a stream of another software version. */
+/** False if the request continues a stream of other software. */
 export function mayContinue(
   { streamOrigin }: RequestRun,
   { entry }: EndpointState,
 ): boolean {
-  return streamOrigin === undefined ||
-    softwareOf(entry).version === streamOrigin.version;
+  if (streamOrigin === undefined) return true;
+  const { service, version } = softwareOf(entry);
+  return service === streamOrigin.service && version === streamOrigin.version;
 }
 
 /** Affinity key of the prompt, for services whose endpoints cache prompts. */
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -38,7 +38,7 @@
     PeerRelay,
     "isNeeded" | "verified" | "choosePeer" | "send"
   >;
-  readonly streamOrigins: Pick<StreamOrigins, "begin" | "find">;
+  readonly streamOrigins: Pick<StreamOrigins, "begin" | "begun" | "find">;
   /** Decides what is sent to an endpoint again. */
   readonly retryGate: Pick<
     RetryGate,
--- a/packages/kelpspar-gateway/src/requests/stream_continuation.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_continuation.ts
@@ -1,9 +1,10 @@
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
 import type { RequestRun } from "./request_run.ts";
+import type { StreamRoute } from "../streams/stream_origins.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import { mayContinue } from "./choose_request_endpoint.ts";
 import { softwareOf } from "../streams/software_of.ts";
-import { STREAM_LIFETIME_MILLISECONDS } from "../streams/version_history.ts";
+import { STREAM_LIFETIME_MILLISECONDS } from "../streams/recent_members.ts";
 
 /** Why a stream can't go on; undefined if it can. */
 export type ContinuationFailure =
@@ -31,12 +32,12 @@
     if (run.streamOrigin !== undefined) return this.failure;
     const lookup = await run.options.dependencies.streamOrigins.find({
       attemptId: this.#firstAttemptId,
-      services: this.#services,
+      ...this.#route,
     });
     if (lookup.type === "unknown") {
       return "the stream's software version isn't known";
     }
-    if (lookup.type === "known") run.continueAt(lookup.origin);
+    run.continueAt(lookup.origin);
     return this.failure;
   }
 
@@ -70,13 +71,18 @@
         remainingMilliseconds,
         sends,
       },
-      services: this.#services,
+      ...this.#route,
     });
   }
 
   /** Pins the stream to the software whose first event reaches the caller. */
   begun(endpoint: EndpointEntry): void {
-    if (this.#run.isResumableStream) this.#run.continueAt(softwareOf(endpoint));
+    if (!this.#run.isResumableStream) return;
+    this.#run.continueAt(softwareOf(endpoint));
+    this.#run.options.dependencies.streamOrigins.begun({
+      attemptId: this.#firstAttemptId,
+      ...this.#route,
+    });
   }
 
   /** The attempt that brought the caller's first event. */
@@ -88,7 +94,8 @@
       : resumedAttemptId ?? attemptId;
   }
 
-  get #services(): readonly string[] {
-    return this.#run.options.route.targets.map(({ service }) => service);
+  get #route(): StreamRoute {
+    const { name, targets } = this.#run.options.route;
+    return { route: name, services: targets.map(({ service }) => service) };
   }
 }
--- a/packages/kelpspar-gateway/src/streams/begun_streams.ts
+++ b/packages/kelpspar-gateway/src/streams/begun_streams.ts
@@ -12,6 +12,8 @@
   readonly expiresAt: number;
   /** Whether this daemon began it. */
   readonly isOwn: boolean;
+  /** Whether its first event has reached the caller from this daemon. */
+  readonly hasBegun: boolean;
 }
 
 /** Options of `BegunStreams.add`. */
@@ -36,7 +38,15 @@
     if (known !== undefined && known.stream.sends > sends) return;
     this.#streams.delete(attemptId);
     const expiresAt = now + remainingMilliseconds + EXPIRY_MARGIN_MILLISECONDS;
-    this.#streams.set(attemptId, { stream, expiresAt, isOwn });
+    const hasBegun = known?.hasBegun ?? false;
+    this.#streams.set(attemptId, { stream, expiresAt, isOwn, hasBegun });
+  }
+
+  /** Records that the first event of a stream has reached the caller. */
+  markBegun(attemptId: string): void {
+    const known = this.#streams.get(attemptId);
+    if (known === undefined) return;
+    this.#streams.set(attemptId, { ...known, hasBegun: true });
   }
 
   find(attemptId: string, now: number): BegunStream | undefined {
@@ -48,14 +58,20 @@
 
   /** Live streams that this daemon began, with the time that is left to each. */
   ownStreams(now: number): readonly BegunStream[] {
-    return [...this.#streams.values()].flatMap(
-      ({ stream, expiresAt, isOwn }) => {
-        const remaining = expiresAt - EXPIRY_MARGIN_MILLISECONDS - now;
-        return isOwn && remaining > 0
-          ? [{ ...stream, remainingMilliseconds: remaining }]
-          : [];
-      },
-    );
+    return [...this.#streams.values()].filter(({ isOwn }) => isOwn)
+      .flatMap((remembered) => toLiveStream(remembered, now));
+  }
+
+  /** Live streams whose first event has reached the caller from this daemon. */
+  begunStreams(now: number): readonly BegunStream[] {
+    return [...this.#streams.values()].filter(({ hasBegun }) => hasBegun)
+      .flatMap((remembered) => toLiveStream(remembered, now));
+  }
+
+  /** One of `begunStreams`. */
+  findBegun(attemptId: string, now: number): BegunStream | undefined {
+    const known = this.#streams.get(attemptId);
+    return known?.hasBegun === true ? toLiveStream(known, now)[0] : undefined;
   }
 
   #removeOldest(now: number): void {
@@ -68,3 +84,11 @@
     }
   }
 }
+
+function toLiveStream(
+  { stream, expiresAt }: RememberedStream,
+  now: number,
+): readonly BegunStream[] {
+  const remaining = expiresAt - EXPIRY_MARGIN_MILLISECONDS - now;
+  return remaining > 0 ? [{ ...stream, remainingMilliseconds: remaining }] : [];
+}
--- a/packages/kelpspar-gateway/src/streams/origin_answer.ts
+++ b/packages/kelpspar-gateway/src/streams/origin_answer.ts
@@ -8,10 +8,14 @@
   readonly origin?: StreamOrigin | undefined;
   /** Recent software versions of the services that the stream may be of. */
   readonly recent: readonly StreamOrigin[];
+  /** True if `recent` lacks no version as far as the daemon can know. */
+  readonly isComplete?: boolean | undefined;
 }
 
 /** Schema of an `OriginAnswer`. */
 export const originAnswerSchema = z.object({
   origin: streamOriginSchema.optional(),
   recent: z.array(streamOriginSchema),
+  /** Daemons of the previous version don't send it. */
+  isComplete: z.boolean().optional(),
 });
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -1,17 +1,28 @@
-import type { TimerService } from "kelpspar-shared";
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { ActiveConfiguration } from "../configuration/active_configuration.ts";
 import type { DaemonAddress } from "../fleet/fleet_digest.ts";
 import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { PeerClient } from "../fleet/peer_client.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
+import type { RowRangeStore } from "../tables/row_range_store.ts";
+import type { StoreEra } from "../tables/store_era.ts";
 import type { OriginAnswer } from "./origin_answer.ts";
 import type { BegunStream, StreamOrigin } from "./stream_origin.ts";
-import type { VersionHistoryOptions } from "./version_history.ts";
+import type { RecordedStream } from "./stream_row.ts";
+import type { VersionSource } from "./version_history.ts";
+import { StoreClock } from "../tables/store_clock.ts";
 import { BegunStreams } from "./begun_streams.ts";
 import { collectAnswers } from "./collect_answers.ts";
-import { hasSeveralVersions } from "./has_several_versions.ts";
+import { groupOfRoute, groupOfService } from "./history_group.ts";
 import { rankOriginHolders } from "./rank_origin_holders.ts";
+import { RecentMembers } from "./recent_members.ts";
+import { RouteHistory } from "./route_history.ts";
 import { describeSoftware } from "./software_of.ts";
-import { VersionHistory } from "./version_history.ts";
+import { StreamRecorder } from "./stream_recorder.ts";
+import { StreamRowReader } from "./stream_row_reader.ts";
+import { StreamRowWriter } from "./stream_row_writer.ts";
+import { registerVersionHistory } from "./version_history.ts";
+import { VersionTable } from "./version_table.ts";
 
 /** Daemons that remember a stream, beside the one that began it. */
 const HOLDERS = 3;
@@ -26,55 +37,109 @@
 
 /** Outcome of `StreamOrigins.find`. */
 export type OriginLookup =
+  /** Also if only this software can have begun the stream. */
   | { readonly type: "known"; readonly origin: StreamOrigin }
-  /** Only one software version can have begun the stream. */
-  | { readonly type: "any" }
-  /** Several can have, and no daemon that answered knows which one did. */
   | { readonly type: "unknown" };
 
 /** Dependencies of `StreamOrigins`. */
 export interface StreamOriginsOptions {
-  readonly registry: VersionHistoryOptions["registry"];
-  readonly peers: Pick<PeerClient, "tellStreams" | "askOrigin">;
-  readonly membership: Pick<FleetMembership, "liveMembers">;
+  readonly self: DaemonAddress;
+  /** Unique for each start of this daemon. */
+  readonly incarnation: string;
+  readonly registry: VersionSource;
+  readonly configuration: Pick<ActiveConfiguration, "registerListener">;
+  readonly peers: Pick<
+    PeerClient,
+    "tellStreams" | "askOrigin" | "recordStreams" | "findRecorded"
+  >;
+  readonly membership: Pick<FleetMembership, "liveMembers" | "contacts">;
+  /** Undefined until this daemon knows the store. */
+  readonly store: () => RowRangeStore | undefined;
+  readonly era: StoreEra;
   readonly timer: TimerService;
+  readonly random: RandomSource;
   readonly log: GatewayLog;
 }
 
-/** A stream that begins, and the services that its route may send it to. */
-export interface BeginOptions {
-  readonly stream: BegunStream;
+/** A route, and the services that it sends requests to now. */
+export interface StreamRoute {
+  readonly route: string;
   readonly services: readonly string[];
 }
 
-/** The attempt that began a stream, and the services that it may be of. */
-export interface FindOptions {
+/** A stream that begins. */
+export interface BeginOptions extends StreamRoute {
+  readonly stream: BegunStream;
+}
+
+/** A stream, by the attempt that brought its first event. */
+export interface FindOptions extends StreamRoute {
   readonly attemptId: string;
-  readonly services: readonly string[];
+}
+
+/** What other daemons and the store answered about a stream. */
+interface SearchResult extends OriginAnswer {
+  readonly asked: number;
 }
 
 /**
  * Knows which software version began a stream, for daemons that take it up.
- * While endpoints of a service have several versions, the daemon that begins a
- * stream tells some others before its first event leaves; a daemon that takes a
- * stream up asks them. With a single version nothing is sent.
+ * While several can have, the daemon that begins a stream tells some others
+ * before its first event leaves, and records it in the store after that, in case
+ * all daemons end at once. A daemon that takes a stream up asks the others and
+ * the store. With a single version nothing is sent or recorded, apart from the
+ * version itself.
  */
 export class StreamOrigins {
   readonly #options: StreamOriginsOptions;
-  readonly #history: VersionHistory;
+  readonly #history: RecentMembers;
+  readonly #routes: RouteHistory;
+  readonly #versions: VersionTable;
+  readonly #writer: StreamRowWriter;
+  readonly #reader: StreamRowReader;
+  readonly #recorder: StreamRecorder;
   readonly #streams = new BegunStreams();
 
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
-    this.#history = new VersionHistory({
+    const clock = new StoreClock(options.timer);
+    this.#history = new RecentMembers({
+      ...options,
+      onNewMember: (group) => this.#handleNewMember(group),
+      onChange: () => this.#versions.update(),
+    });
+    this.#routes = new RouteHistory(this.#history);
+    this.#versions = new VersionTable({
       ...options,
-      onNewVersion: (service) => this.#tellOwnStreams(service),
+      history: this.#history,
+      groups: () => this.#routes.groups,
+      clock,
+      recorderRank: () => this.#recorder.rank,
+      fleetSize: () => options.membership.contacts().length + 1,
+    });
+    this.#writer = new StreamRowWriter({ ...options, clock });
+    this.#reader = new StreamRowReader({
+      ...options,
+      clock,
+      readers: () => this.#recorder.size,
+    });
+    this.#recorder = new StreamRecorder({
+      ...options,
+      writer: this.#writer,
+      reader: this.#reader,
     });
   }
 
-  /** Subscribes to the endpoint list; returns the teardown. */
+  /** Subscribes to the endpoint list and the configuration. */
   register(): () => void {
-    return this.#history.register();
+    const { configuration, registry } = this.#options;
+    const teardowns = [
+      registerVersionHistory(registry, this.#history),
+      this.#routes.register(configuration),
+      this.#versions.register(),
+      this.#writer.register(),
+    ];
+    return () => teardowns.forEach((teardown) => teardown());
   }
 
   /** Number of streams that are remembered. */
@@ -86,10 +151,10 @@
    * Remembers which software begins a stream; resolves when enough other daemons
    * do, at most after `TELL_TIMEOUT_MILLISECONDS`. Never rejects.
    */
-  async begin({ stream, services }: BeginOptions): Promise<void> {
+  async begin({ stream, ...route }: BeginOptions): Promise<void> {
     const { peers, timer } = this.#options;
     this.#streams.add(stream, { isOwn: true, now: timer.now() });
-    if (!this.#mayDiffer(services)) return;
+    if (this.#candidates(route).length <= 1) return;
     const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
     await collectAnswers(
       holders.map(({ peer }) => peers.tellStreams(peer, [stream])),
@@ -101,25 +166,50 @@
     );
   }
 
+  /** Records a stream whose first event reaches the caller. */
+  begun({ attemptId, ...route }: FindOptions): void {
+    this.#streams.markBegun(attemptId);
+    if (this.#candidates(route).length <= 1) return;
+    const stream = this.#streams.findBegun(
+      attemptId,
+      this.#options.timer.now(),
+    );
+    if (stream !== undefined) this.#recorder.record([stream]);
+  }
+
+  /** Records streams for another daemon. */
+  record(streams: readonly RecordedStream[]): void {
+    this.#writer.add(streams);
+  }
+
+  /** Finds a stream in the store for another daemon; throws if that fails. */
+  findRecorded(attemptId: string): Promise<StreamOrigin | undefined> {
+    return this.#reader.find(attemptId);
+  }
+
   /** Finds the software that began a stream. Never rejects. */
   async find(options: FindOptions): Promise<OriginLookup> {
     const { timer, log } = this.#options;
-    const { attemptId, services } = options;
+    const { attemptId } = options;
     const known = this.#streams.find(attemptId, timer.now());
     if (known !== undefined) return { type: "known", origin: known };
-    const mayDiffer = this.#mayDiffer(services);
-    if (!mayDiffer && this.#history.isComplete) return { type: "any" };
+    const software = this.#candidates(options);
+    if (software.length === 1 && this.#isRecorded(options)) {
+      return toLookup(software);
+    }
     const startedAt = timer.now();
-    const { origin, recent, asked } = await this.#ask(options);
-    const candidates = [...this.#history.recent(services), ...recent];
-    const lookup = toLookup(origin, candidates);
+    const { origin, recent, isComplete, asked } = await this.#search(options);
+    const candidates = [...this.#candidates(options), ...recent];
+    const lookup = isComplete || origin !== undefined
+      ? toLookup(origin === undefined ? candidates : [origin])
+      : toLookup([]);
     log.info("origin of a stream asked for", {
       resumedAttempt: attemptId,
       outcome: lookup.type,
-      service: origin?.service,
-      version: origin?.version,
+      ...(lookup.type === "known" ? lookup.origin : {}),
+      isFound: origin !== undefined,
       candidates: [...new Set(candidates.map(describeSoftware))].join(),
-      isComplete: this.#history.isComplete,
+      isComplete,
       asked,
       tookMilliseconds: Math.round(timer.now() - startedAt),
     });
@@ -135,18 +225,43 @@
   }
 
   /** Answers another daemon that takes up a stream. */
-  answer({ attemptId, services }: FindOptions): OriginAnswer {
-    const known = this.#streams.find(attemptId, this.#options.timer.now());
+  answer(options: FindOptions): OriginAnswer {
+    const { timer } = this.#options;
+    const known = this.#streams.find(options.attemptId, timer.now());
     return {
       origin: known === undefined
         ? undefined
         : { service: known.service, version: known.version },
-      recent: this.#history.recent(services),
+      recent: this.#candidates(options),
+      isComplete: this.#isComplete(options),
     };
   }
 
-  #mayDiffer(services: readonly string[]): boolean {
-    return hasSeveralVersions(this.#history.recent(services));
+  /** Software that can have begun a stream of the route. */
+  #candidates(route: StreamRoute): readonly StreamOrigin[] {
+    return this.#servicesOf(route).flatMap((service) =>
+      this.#history.recent(groupOfService(service))
+        .map((version) => ({ service, version }))
+    );
+  }
+
+  /** Services of the route now, or when a stream began. */
+  #servicesOf({ route, services }: StreamRoute): readonly string[] {
+    const earlier = this.#history.recent(groupOfRoute(route));
+    return [...new Set([...services, ...earlier])];
+  }
+
+  /** True if this daemon knows all software of a stream's lifetime. */
+  #isRecorded(route: StreamRoute): boolean {
+    return this.#history.isComplete([
+      groupOfRoute(route.route),
+      ...this.#servicesOf(route).map(groupOfService),
+    ]);
+  }
+
+  /** The same, also if the store has no record: then there was none before. */
+  #isComplete(route: StreamRoute): boolean {
+    return this.#versions.isRead || this.#isRecorded(route);
   }
 
   #rank(attemptId: string): readonly DaemonAddress[] {
@@ -158,15 +273,23 @@
   }
 
   /**
-   * Tells the streams that began while their service had a single version, when
-   * it gets another one.
+   * Tells and records the streams that began while only one software could have
+   * begun them, when there is another one.
    */
-  #tellOwnStreams(service: string): void {
-    if (!this.#mayDiffer([service])) return;
+  #handleNewMember(group: string): void {
+    if (this.#history.recent(group).length <= 1) return;
+    const now = this.#options.timer.now();
+    const mayDiffer = ({ service }: StreamOrigin): boolean =>
+      group === groupOfService(service) ||
+      this.#history.recent(group).includes(service);
+    this.#recorder.scheduleCleanup();
+    this.#tellHolders(this.#streams.ownStreams(now).filter(mayDiffer));
+    this.#recorder.record(this.#streams.begunStreams(now).filter(mayDiffer));
+  }
+
+  #tellHolders(streams: readonly BegunStream[]): void {
     const streamsByPeer = new Map<string, BegunStream[]>();
-    const streams = this.#streams.ownStreams(this.#options.timer.now());
     for (const stream of streams) {
-      if (stream.service !== service) continue;
       const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
       for (const { peer } of holders) {
         const told = streamsByPeer.get(peer);
@@ -181,13 +304,23 @@
     }
   }
 
-  async #ask(
-    options: FindOptions,
-  ): Promise<OriginAnswer & { readonly asked: number }> {
+  /** Asks other daemons and the store at the same time. */
+  async #search(options: FindOptions): Promise<SearchResult> {
     const { peers, timer } = this.#options;
-    const daemons = this.#rank(options.attemptId).slice(0, ASKED_DAEMONS);
-    const answers = await collectAnswers(
-      daemons.map(({ peer }) => peers.askOrigin(peer, options)),
+    const { attemptId } = options;
+    const daemons = this.#rank(attemptId).slice(0, ASKED_DAEMONS);
+    const stored = this.#recorder.find(attemptId).then((origin) => ({
+      origin,
+      recent: [],
+    }));
+    // A daemon that has just started is about to read the versions.
+    const recalled = this.#versions.whenRead().then(() => ({ recent: [] }));
+    const answers = await collectAnswers<OriginAnswer>(
+      [
+        stored,
+        recalled,
+        ...daemons.map(({ peer }) => peers.askOrigin(peer, options)),
+      ],
       {
         isEnough: (received) => received.some(hasOrigin),
         timeoutMilliseconds: ASK_TIMEOUT_MILLISECONDS,
@@ -197,6 +330,8 @@
     return {
       origin: answers.find(hasOrigin)?.origin,
       recent: answers.flatMap(({ recent }) => recent),
+      isComplete: this.#isComplete(options) ||
+        answers.some(({ isComplete }) => isComplete === true),
       asked: daemons.length,
     };
   }
@@ -206,13 +341,14 @@
   return origin !== undefined;
 }
 
-function toLookup(
-  origin: StreamOrigin | undefined,
-  recent: readonly StreamOrigin[],
-): OriginLookup {
-  if (origin !== undefined) {
-    const { service, version } = origin;
-    return { type: "known", origin: { service, version } };
-  }
-  return { type: hasSeveralVersions(recent) ? "unknown" : "any" };
+/** Concludes from all software that can have begun a stream. */
+function toLookup(candidates: readonly StreamOrigin[]): OriginLookup {
+  const [origin, ...others] = candidates;
+  const isOnly = others.every(({ service, version }) =>
+    service === origin?.service && version === origin.version
+  );
+  // The software is kept even if it leaves before the stream goes on.
+  return origin === undefined || !isOnly
+    ? { type: "unknown" }
+    : { type: "known", origin };
 }
--- /dev/null
+++ b/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
@@ -0,0 +1,214 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { RowRangeStore } from "../tables/row_range_store.ts";
+import type { StoreClock } from "../tables/store_clock.ts";
+import type { StoreEra } from "../tables/store_era.ts";
+import type { RecordedStream } from "./stream_row.ts";
+import { MAXIMUM_ROW_CHANGES } from "../tables/row_range_store.ts";
+import { StreamChunk } from "./stream_chunk.ts";
+import { shardOf, STREAMS_TABLE } from "./stream_shards.ts";
+import { decodeStreamRow } from "./stream_row.ts";
+
+/** Streams that begin within this time share a write, milliseconds. */
+const WRITE_INTERVAL_MILLISECONDS = 200;
+/** Delay after a failed write, milliseconds. */
+const RETRY_DELAY_MILLISECONDS = 500;
+/** How long streams are added to a row, which is written anew with each. */
+const CHUNK_MILLISECONDS = 1_000;
+/** Rows that a restored store lost are rewritten within this time, ms. */
+const REWRITE_JITTER_MILLISECONDS = 500;
+/** Rows of other writers are removed this long after their streams ended. */
+const FOREIGN_ROW_MARGIN_MILLISECONDS = 10_000;
+
+/** Dependencies of a `StreamRowWriter`. */
+export interface StreamRowWriterOptions {
+  /** Unique for each start of a daemon; part of the keys of its rows. */
+  readonly incarnation: string;
+  /** Undefined until this daemon knows the store. */
+  readonly store: () => RowRangeStore | undefined;
+  readonly clock: StoreClock;
+  readonly era: StoreEra;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: GatewayLog;
+}
+
+/** A row that may exist under a key that is no longer used. */
+interface AbandonedRow {
+  readonly key: string;
+  /** Monotonic milliseconds. */
+  readonly expiresAt: number;
+}
+
+/** Writes begun streams to the store in batches, and removes ended ones. */
+export class StreamRowWriter {
+  readonly #options: StreamRowWriterOptions;
+  /** Chunks to which streams are added, by shard. */
+  readonly #openChunks = new Map<string, StreamChunk>();
+  readonly #chunks = new Set<StreamChunk>();
+  #abandoned: readonly AbandonedRow[] = [];
+  #chunkNumber = 0;
+  #isWriting = false;
+  #stopTimer: (() => void) | undefined;
+  #writeAt = Number.POSITIVE_INFINITY;
+
+  constructor(options: StreamRowWriterOptions) {
+    this.#options = options;
+  }
+
+  /** Writes lost rows again after a restore; returns the teardown. */
+  register(): () => void {
+    const { era, random } = this.#options;
+    const unregister = era.registerListener(() => {
+      for (const chunk of this.#chunks) chunk.isChanged = true;
+      this.#schedule(random.next() * REWRITE_JITTER_MILLISECONDS);
+    });
+    return () => {
+      unregister();
+      this.#stopTimer?.();
+    };
+  }
+
+  add(streams: readonly RecordedStream[]): void {
+    const now = this.#options.timer.now();
+    for (const stream of streams) this.#chunkFor(stream, now).add(stream, now);
+    this.#schedule(WRITE_INTERVAL_MILLISECONDS);
+  }
+
+  /** Removes rows of daemons that ended before the streams in them. */
+  async removeEndedRows(): Promise<void> {
+    const { clock, era, timer } = this.#options;
+    const startedAt = timer.now();
+    const answer = await this.#store().readRows(STREAMS_TABLE);
+    const { rows, clockMilliseconds } = answer;
+    if (era.checkAnswer(answer.era, startedAt) === "late") return;
+    clock.observe(clockMilliseconds);
+    const removed = rows.filter(({ text }) => {
+      const { expiresAt = 0 } = decodeStreamRow(text) ?? {};
+      return expiresAt + FOREIGN_ROW_MARGIN_MILLISECONDS < clockMilliseconds;
+    }).map(({ key }) => key);
+    for (let from = 0; from < removed.length; from += MAXIMUM_ROW_CHANGES) {
+      await this.#store().writeRows(STREAMS_TABLE, {
+        removed: removed.slice(from, from + MAXIMUM_ROW_CHANGES),
+      });
+    }
+  }
+
+  #chunkFor({ attemptId }: RecordedStream, now: number): StreamChunk {
+    const shard = shardOf(attemptId);
+    const open = this.#openChunks.get(shard);
+    const isUsable = open !== undefined && !open.isFull &&
+      now - open.createdAt < CHUNK_MILLISECONDS;
+    if (isUsable) return open;
+    const chunk = new StreamChunk({
+      key: this.#createKey(shard),
+      shard,
+      createdAt: now,
+    });
+    this.#openChunks.set(shard, chunk);
+    this.#chunks.add(chunk);
+    return chunk;
+  }
+
+  #createKey(shard: string): string {
+    return `${shard}/${this.#options.incarnation}/${this.#chunkNumber++}`;
+  }
+
+  /** Writes after `milliseconds` at the latest. */
+  #schedule(milliseconds: number): void {
+    const { timer } = this.#options;
+    const writeAt = timer.now() + milliseconds;
+    if (this.#isWriting || writeAt >= this.#writeAt) return;
+    this.#stopTimer?.();
+    this.#writeAt = writeAt;
+    this.#stopTimer = timer.registerTimeout(() => {
+      this.#writeAt = Number.POSITIVE_INFINITY;
+      void this.#write();
+    }, milliseconds);
+  }
+
+  async #write(): Promise<void> {
+    this.#isWriting = true;
+    let delay = WRITE_INTERVAL_MILLISECONDS;
+    try {
+      await this.#writeOnce();
+    } catch (error) {
+      delay = RETRY_DELAY_MILLISECONDS;
+      this.#options.log.warn("failed to record begun streams", {
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
+    this.#isWriting = false;
+    this.#scheduleNext(delay);
+  }
+
+  async #writeOnce(): Promise<void> {
+    const { timer, era, clock } = this.#options;
+    const startedAt = timer.now();
+    const ended = this.#takeEnded(startedAt);
+    const changed = [...this.#chunks].filter(({ isChanged }) => isChanged)
+      .slice(0, MAXIMUM_ROW_CHANGES - ended.length);
+    if (changed.length === 0 && ended.length === 0) return;
+    for (const chunk of changed) chunk.isChanged = false;
+    try {
+      const clockNow = clock.now;
+      if (clockNow === undefined) throw new Error("The clock isn't known yet");
+      const answer = await this.#store().writeRows(STREAMS_TABLE, {
+        puts: changed.map((chunk) => chunk.toRow(clockNow - startedAt)),
+        removed: ended.map(({ key }) => key),
+      });
+      if (era.checkAnswer(answer.era, startedAt) === "late") {
+        throw new Error("The store answered from an earlier era");
+      }
+    } catch (error) {
+      this.#abandoned = [...this.#abandoned, ...ended];
+      for (const chunk of changed) this.#abandonKey(chunk);
+      throw error;
+    }
+  }
+
+  /**
+   * Gives a chunk another key: a failed write may still be applied, after a
+   * later one of more streams.
+   */
+  #abandonKey(chunk: StreamChunk): void {
+    const { key, expiresAt } = chunk;
+    this.#abandoned = [...this.#abandoned, { key, expiresAt }];
+    chunk.key = this.#createKey(chunk.shard);
+    chunk.isChanged = true;
+  }
+
+  /** Takes out rows whose streams have ended, as many as a call may remove. */
+  #takeEnded(now: number): readonly AbandonedRow[] {
+    for (const chunk of this.#chunks) {
+      if (chunk.expiresAt > now) continue;
+      this.#chunks.delete(chunk);
+      if (this.#openChunks.get(chunk.shard) === chunk) {
+        this.#openChunks.delete(chunk.shard);
+      }
+      this.#abandoned = [...this.#abandoned, chunk];
+    }
+    const ended = this.#abandoned.filter(({ expiresAt }) => expiresAt <= now)
+      .slice(0, MAXIMUM_ROW_CHANGES / 2);
+    this.#abandoned = this.#abandoned.filter((row) => !ended.includes(row));
+    return ended;
+  }
+
+  #scheduleNext(delayMilliseconds: number): void {
+    const rows = [...this.#chunks, ...this.#abandoned];
+    if (rows.length === 0) return;
+    if ([...this.#chunks].some(({ isChanged }) => isChanged)) {
+      this.#schedule(delayMilliseconds);
+      return;
+    }
+    const lastEnd = Math.max(...rows.map(({ expiresAt }) => expiresAt));
+    const wait = lastEnd - this.#options.timer.now();
+    this.#schedule(Math.max(delayMilliseconds, wait));
+  }
+
+  #store(): RowRangeStore {
+    const store = this.#options.store();
+    if (store === undefined) throw new Error("The store isn't known yet");
+    return store;
+  }
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/streams/version_table.ts
@@ -0,0 +1,254 @@
+import type { RandomSource, TimerService } from "kelpspar-shared";
+import type { GatewayLog } from "../log/gateway_log.ts";
+import type { RowRangeStore, StoredRow } from "../tables/row_range_store.ts";
+import type { StoreClock } from "../tables/store_clock.ts";
+import type { StoreEra } from "../tables/store_era.ts";
+import type { RecentMembers, RecordedGroup } from "./recent_members.ts";
+import { mergeMembers } from "kelpspar-decisions/history";
+import { z } from "zod";
+import { MAXIMUM_ROW_CHANGES } from "../tables/row_range_store.ts";
+import { retryUntilSuccess } from "../tables/retry_until_success.ts";
+import { STREAM_LIFETIME_MILLISECONDS } from "./recent_members.ts";
+
+/** kelpspar's own table of software versions, a row for each group. */
+const VERSIONS_TABLE = "versions";
+/** Delay after a failed call, milliseconds. */
+const RETRY_DELAY_MILLISECONDS = 300;
+/** Between the checks of the daemons that write first, milliseconds. */
+const RECORDER_DELAY_MILLISECONDS = 100;
+/** The others check after the recorders, milliseconds. */
+const OTHERS_DELAY_MILLISECONDS = 1_000;
+/** The others' checks are spread over this time for each daemon, milliseconds. */
+const OTHERS_SPREAD_MILLISECONDS = 10;
+
+/** Keys are limited to 200 bytes; groups with longer names aren't recorded. */
+const MAXIMUM_KEY_BYTES = 200;
+
+const groupSchema = z.object({
+  members: z.array(z.object({
+    name: z.string(),
+    leftAt: z.number().nullable(),
+  })),
+});
+
+/** A record that is to be written. */
+interface ChangedGroup extends RecordedGroup {
+  /** Version of the row that it replaces; 0 if there is none. */
+  readonly rowVersion: number;
+}
+
+/** Dependencies of `VersionTable`. */
+export interface VersionTableOptions {
+  readonly history: Pick<RecentMembers, "seen" | "recall">;
+  /** Groups that matter to streams that may be resumed. */
+  readonly groups: () => ReadonlySet<string>;
+  /** Undefined until this daemon knows the store. */
+  readonly store: () => RowRangeStore | undefined;
+  readonly clock: StoreClock;
+  readonly era: StoreEra;
+  /** Place of this daemon among those that write first; -1 if it has none. */
+  readonly recorderRank: () => number;
+  /** Number of known daemons, including this one. */
+  readonly fleetSize: () => number;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+  readonly log: GatewayLog;
+}
+
+/**
+ * The software versions of services, and the services of routes, in the store,
+ * for daemons that start when no other daemon knows them any more. Read once at
+ * the start; a row is written when a member of its group comes or goes.
+ */
+export class VersionTable {
+  readonly #options: VersionTableOptions;
+  /** Aborted by the teardown; stops retries. */
+  readonly #stop = new AbortController();
+  readonly #read: Promise<void>;
+  #resolveRead = (): void => {};
+  #isStarted = false;
+  #isRead = false;
+  #isCheckDue = false;
+  /** The rows as last read or written. */
+  #rows: readonly StoredRow[] = [];
+
+  constructor(options: VersionTableOptions) {
+    this.#options = options;
+    this.#read = new Promise((resolve) => this.#resolveRead = resolve);
+  }
+
+  /** True once the table was read, whether or not it had rows. */
+  get isRead(): boolean {
+    return this.#isRead;
+  }
+
+  /** Resolves once the table was read. */
+  whenRead(): Promise<void> {
+    return this.#read;
+  }
+
+  /** Checks the rows again after the store was restored; returns the teardown. */
+  register(): () => void {
+    const { era } = this.#options;
+    const unregister = era.registerListener(() => this.#scheduleCheck());
+    return () => {
+      unregister();
+      this.#stop.abort();
+    };
+  }
+
+  /** Reads the table once there are streams that may be resumed. */
+  #start(): void {
+    const { groups, store } = this.#options;
+    const mayRead = groups().size > 0 && store() !== undefined;
+    if (!mayRead || this.#isStarted) return;
+    this.#isStarted = true;
+    this.#retry("failed to read software versions", async () => {
+      this.#rows = await this.#readRows();
+      const changed = this.#recall();
+      this.#isRead = true;
+      this.#resolveRead();
+      this.#registerExpiryCheck();
+      this.#options.log.info("software versions read", {
+        changed: changed.length,
+      });
+      if (changed.length > 0) this.#scheduleCheck();
+    });
+  }
+
+  /** To be called when groups or their members have come or gone. */
+  update(): void {
+    if (!this.#isStarted) this.#start();
+    else if (this.#isRead && this.#recall().length > 0) this.#scheduleCheck();
+  }
+
+  /** Compares the rows with this daemon's list soon, and corrects them. */
+  #scheduleCheck(): void {
+    if (!this.#isRead || this.#isCheckDue) return;
+    this.#isCheckDue = true;
+    const { timer } = this.#options;
+    timer.registerTimeout(() => {
+      this.#isCheckDue = false;
+      this.#retry("failed to check software versions", () => this.#check());
+    }, this.#checkDelay());
+  }
+
+  /** Recorders write one after the other, and the rest only reads. */
+  #checkDelay(): number {
+    const { recorderRank, fleetSize, random } = this.#options;
+    const rank = recorderRank();
+    return rank >= 0
+      ? rank * RECORDER_DELAY_MILLISECONDS
+      : OTHERS_DELAY_MILLISECONDS +
+        random.next() * fleetSize() * OTHERS_SPREAD_MILLISECONDS;
+  }
+
+  /** Versions that left while no daemon ran are recorded once they expire. */
+  #registerExpiryCheck(): void {
+    const { timer } = this.#options;
+    const stopTimer = timer.registerTimeout(
+      () => this.update(),
+      STREAM_LIFETIME_MILLISECONDS,
+    );
+    this.#stop.signal.addEventListener("abort", stopTimer, { once: true });
+  }
+
+  async #check(): Promise<void> {
+    this.#rows = await this.#readRows();
+    const changed = this.#recall().slice(0, MAXIMUM_ROW_CHANGES);
+    if (changed.length === 0) return;
+    const { timer, era, log, history } = this.#options;
+    const startedAt = timer.now();
+    const puts = changed.map(({ group, members, rowVersion }) => ({
+      key: group,
+      text: JSON.stringify({ members }),
+      version: rowVersion,
+    }));
+    const answer = await this.#store().writeRows(VERSIONS_TABLE, { puts });
+    if (era.checkAnswer(answer.era, startedAt) === "late") {
+      throw new Error("The store answered from an earlier era");
+    }
+    // Another daemon wrote meanwhile, or there were too many for one call.
+    if (!answer.isWritten || changed.length === MAXIMUM_ROW_CHANGES) {
+      this.#scheduleCheck();
+    }
+    if (!answer.isWritten) return;
+    this.#rows = [
+      ...this.#rows.filter(({ key }) => !puts.some((put) => put.key === key)),
+      ...puts,
+    ];
+    for (const record of changed) history.recall(record);
+    log.info("software versions recorded", {
+      groups: changed.map(({ group, members }) =>
+        `${group}: ${members.map(({ name }) => name).join(" ")}`
+      ).join(),
+    });
+  }
+
+  async #readRows(): Promise<readonly StoredRow[]> {
+    const { timer, era, clock } = this.#options;
+    const startedAt = timer.now();
+    const answer = await this.#store().readRows(VERSIONS_TABLE);
+    if (era.checkAnswer(answer.era, startedAt) === "late") {
+      throw new Error("The store answered from an earlier era");
+    }
+    clock.observe(answer.clockMilliseconds);
+    return answer.rows;
+  }
+
+  /** Adds recorded members to the known ones; returns what is to be written. */
+  #recall(): readonly ChangedGroup[] {
+    const { history, groups, clock } = this.#options;
+    const clockMilliseconds = clock.now ?? 0;
+    const rows = new Map(this.#rows.map((row) => [row.key, row]));
+    const recorded = new Map(
+      this.#rows.map((row) => [row.key, this.#decode(row)]),
+    );
+    for (const [group, found] of recorded) {
+      if (found === undefined) continue;
+      history.recall({ group, members: found, clockMilliseconds });
+    }
+    return [...groups()].flatMap((group) => {
+      if (Buffer.byteLength(group) > MAXIMUM_KEY_BYTES) return [];
+      const merged = mergeMembers({
+        recorded: recorded.get(group) ?? [],
+        seen: history.seen(group),
+        now: clockMilliseconds,
+        keptMilliseconds: STREAM_LIFETIME_MILLISECONDS,
+      });
+      if (merged === undefined) return [];
+      const rowVersion = rows.get(group)?.version ?? 0;
+      return [{ group, members: merged, clockMilliseconds, rowVersion }];
+    });
+  }
+
+  /** Undefined if another writer overwrote the row. */
+  #decode({ key, text }: StoredRow): RecordedGroup["members"] | undefined {
+    try {
+      return groupSchema.parse(JSON.parse(text)).members;
+    } catch (error) {
+      this.#options.log.warn("invalid row of software versions", {
+        group: key,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+      return undefined;
+    }
+  }
+
+  #store(): RowRangeStore {
+    const store = this.#options.store();
+    if (store === undefined) throw new Error("The store isn't known yet");
+    return store;
+  }
+
+  /** Retries `operation` until it succeeds. */
+  #retry(message: string, operation: () => Promise<void>): void {
+    void retryUntilSuccess({
+      ...this.#options,
+      operation,
+      message,
+      retryDelayMilliseconds: RETRY_DELAY_MILLISECONDS,
+      signal: this.#stop.signal,
+    });
+  }
+}
