Record a begun stream at once when none was recorded just before

Cause: the first stream of a batch waited 200 ms for others, and 100 ms more at a daemon that sends its streams to a recorder. Change: the interval counts from the last write or message, so that only streams that follow others wait. The most calls a second stay the same.

--- a/packages/kelpspar-gateway/src/__tests__/unit/recorded_streams_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/recorded_streams_test.ts
@@ -86,6 +86,16 @@
   });
 }
 
+// Guards against a stream that waits for others before it is recorded.
+test("a stream that began just before a loss of all daemons is found", async () => {
+  const fleet = await startFleet(8);
+  await fleet.begin("d0", { attemptId: "s", version: "v1" });
+  await fleet.timer.advance(20);
+  fleet.restartAll(VERSIONS);
+  await fleet.timer.advance(1_500);
+  expect(await find(fleet, "d1", "s")).toEqual("v1");
+});
+
 // Guards against the versions that are listed now being taken for all that were.
 test("a version that left while no daemon ran may have begun a stream", async () => {
   const fleet = await startFleet(6, ["v1"]);
--- a/packages/kelpspar-gateway/src/streams/stream_recorder.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_recorder.ts
@@ -11,7 +11,7 @@
 import { rankRecorders } from "./recorder_rank.ts";
 import { STREAM_LIFETIME_MILLISECONDS } from "./recent_members.ts";
 
-/** Streams that begin within this time share a message, milliseconds. */
+/** Time between two messages; streams that begin meanwhile share the second. */
 const SEND_INTERVAL_MILLISECONDS = 100;
 /** Daemons that remove rows of daemons that have ended. */
 const CLEANERS = 2;
@@ -36,6 +36,8 @@
 export class StreamRecorder {
   readonly #options: StreamRecorderOptions;
   #unsent: RecordedStream[] = [];
+  /** When the last message was sent, monotonic milliseconds. */
+  #sentAt = Number.NEGATIVE_INFINITY;
   #isCleanupDue = false;
 
   constructor(options: StreamRecorderOptions) {
@@ -61,7 +63,11 @@
       return;
     }
     if (this.#unsent.length === 0) {
-      timer.registerTimeout(() => this.#send(), SEND_INTERVAL_MILLISECONDS);
+      const nextSendAt = this.#sentAt + SEND_INTERVAL_MILLISECONDS;
+      timer.registerTimeout(
+        () => this.#send(),
+        Math.max(0, nextSendAt - timer.now()),
+      );
     }
     this.#unsent.push(...streams);
   }
@@ -103,7 +109,8 @@
   }
 
   #send(): void {
-    const { self, peers, writer } = this.#options;
+    const { self, peers, writer, timer } = this.#options;
+    this.#sentAt = timer.now();
     const streams = this.#unsent;
     this.#unsent = [];
     const recorder = this.#recorderFor(self.daemonId);
--- a/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
@@ -9,7 +9,7 @@
 import { shardOf, STREAMS_TABLE } from "./stream_shards.ts";
 import { decodeStreamRow } from "./stream_row.ts";
 
-/** Streams that begin within this time share a write, milliseconds. */
+/** Time between two writes; streams that begin meanwhile share the second one. */
 const WRITE_INTERVAL_MILLISECONDS = 200;
 /** Delay after a failed write, milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 500;
@@ -51,6 +51,8 @@
   #isWriting = false;
   #stopTimer: (() => void) | undefined;
   #writeAt = Number.POSITIVE_INFINITY;
+  /** Start of the last write, monotonic milliseconds. */
+  #writtenAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: StreamRowWriterOptions) {
     this.#options = options;
@@ -72,7 +74,8 @@
   add(streams: readonly RecordedStream[]): void {
     const now = this.#options.timer.now();
     for (const stream of streams) this.#chunkFor(stream, now).add(stream, now);
-    this.#schedule(WRITE_INTERVAL_MILLISECONDS);
+    const nextWriteAt = this.#writtenAt + WRITE_INTERVAL_MILLISECONDS;
+    this.#schedule(Math.max(0, nextWriteAt - now));
   }
 
   /** Removes rows of daemons that ended before the streams in them. */
@@ -129,6 +132,7 @@
 
   async #write(): Promise<void> {
     this.#isWriting = true;
+    this.#writtenAt = this.#options.timer.now();
     let delay = WRITE_INTERVAL_MILLISECONDS;
     try {
       await this.#writeOnce();
