--- a/packages/kelpspar-standins/src/losses/find_broken_targets.ts
+++ b/packages/kelpspar-standins/src/losses/find_broken_targets.ts
@@ -1,53 +1,46 @@
 import type { LossResult } from "./judge_losses.ts";
-import type { LossSituation } from "./loss_situation.ts";
+
+/** A target of the users. */
+export type TargetName =
+  /** No stream has events of two versions. */
+  | "one_version"
+  /** No stream has a gap or a repeat. */
+  | "consecutive_events"
+  /** Streams go on where two endpoints of their version serve. */
+  | "goes_on"
+  /** Streams that can't go on are refused at once. */
+  | "refused_at_once"
+  | "refused_with_503"
+  /** Refused streams don't reach stages. */
+  | "refused_before_stages";
 
 /** The users' target: share of resumed streams that go on. */
 const REQUIRED_SHARE = 0.9;
 
-/** A target, and whether a result misses it. */
-interface Target {
-  readonly text: string;
-  readonly isMissed: (result: LossResult) => boolean;
-  /** Whether it is judged only where streams have to go on. */
-  readonly isForResumed?: boolean;
-}
+/** Whether a result misses a target. */
+const IS_MISSED: Readonly<
+  Record<TargetName, (result: LossResult) => boolean>
+> = {
+  one_version: ({ mixed }) => mixed > 0,
+  consecutive_events: ({ broken }) => broken > 0,
+  goes_on: ({ resumable }) =>
+    resumable.wentOn < REQUIRED_SHARE * resumable.cameBack,
+  refused_at_once: ({ slowRefusals }) => slowRefusals > 0,
+  refused_with_503: ({ otherRefusals }) => otherRefusals > 0,
+  refused_before_stages: ({ refusedPieces }) => refusedPieces > 0,
+};
 
-const TARGETS: readonly Target[] = [
-  {
-    text: "no stream has events of two versions",
-    isMissed: ({ mixed }) => mixed > 0,
-  },
-  {
-    text: "no stream has a gap or a repeat",
-    isMissed: ({ broken }) => broken > 0,
-  },
-  {
-    text: "nine in ten go on where two endpoints of their version serve",
-    isMissed: ({ resumable }) =>
-      resumable.wentOn < REQUIRED_SHARE * resumable.cameBack,
-    isForResumed: true,
-  },
-  {
-    text: "streams that can't go on are refused at once",
-    isMissed: ({ slowRefusals }) => slowRefusals > 0,
-  },
-  {
-    text: "streams are refused with 503",
-    isMissed: ({ otherRefusals }) => otherRefusals > 0,
-  },
-  {
-    text: "refused streams don't reach stages",
-    isMissed: ({ refusedPieces }) => refusedPieces > 0,
-  },
-];
+export const ALL_TARGETS = Object.keys(IS_MISSED) as readonly TargetName[];
+/** What holds for each stream, whatever happens. */
+export const STREAM_TARGETS = [
+  "one_version",
+  "consecutive_events",
+] as const satisfies readonly TargetName[];
 
-/** The targets that a result misses. */
+/** Those of the targets that a result misses. */
 export function findBrokenTargets(
   result: LossResult,
-  { hasToGoOn }: Pick<LossSituation, "hasToGoOn">,
-): readonly string[] {
-  return TARGETS
-    .filter(({ isForResumed = false }) => hasToGoOn || !isForResumed)
-    .filter(({ isMissed }) => isMissed(result))
-    .map(({ text }) => text);
+  targets: readonly TargetName[],
+): readonly TargetName[] {
+  return targets.filter((name) => IS_MISSED[name](result));
 }
--- a/packages/kelpspar-standins/src/losses/loss_situation.ts
+++ b/packages/kelpspar-standins/src/losses/loss_situation.ts
@@ -1,16 +1,14 @@
 import type { KillSeries } from "./kill_series.ts";
+import type { SiteSize } from "./play_on_site.ts";
+import type { TargetName } from "./find_broken_targets.ts";
 import type { VersionChange } from "./version_changes.ts";
+import { ALL_TARGETS, STREAM_TARGETS } from "./find_broken_targets.ts";
 
 /** When the store is away: its connections are reset. */
 export type StoreOutage = "none" | "before_kill" | "from_kill";
 
 /** What happens while streams of one service run. */
-export interface LossSituation {
-  /** Software versions of the endpoints at first. */
-  readonly versions: readonly string[];
-  readonly daemons: number;
-  /** Number of events in a complete stream. */
-  readonly events: number;
+export interface LossSituation extends SiteSize {
   readonly change: VersionChange;
   /** Whether the versions change before the kill or while no daemon runs. */
   readonly changeTime: "before_kill" | "while_down";
@@ -20,8 +18,8 @@
   /** Time from the end of a daemon to its start. */
   readonly downMilliseconds: number;
   readonly storeOutage: StoreOutage;
-  /** Whether streams have to go on where two endpoints of their version serve. */
-  readonly hasToGoOn: boolean;
+  /** The targets that are judged. */
+  readonly targets: readonly TargetName[];
 }
 
 /** Two endpoints of each version. */
@@ -37,7 +35,7 @@
   kill: "all",
   downMilliseconds: 300,
   storeOutage: "none",
-  hasToGoOn: true,
+  targets: ALL_TARGETS,
 };
 
 const OLD_DRAINS: LossSituation = { ...BOTH_SERVE, change: "drain_old" };
@@ -68,7 +66,7 @@
     change: "add_new",
     changeTime: "while_down",
     downMilliseconds: 1_500,
-    hasToGoOn: false,
+    targets: STREAM_TARGETS,
   },
   "both-serve": BOTH_SERVE,
   "both-serve-killed-twice": { ...BOTH_SERVE, kill: "all_twice" },
--- a/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
+++ b/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
@@ -18,6 +18,8 @@
     readonly firstAttemptId: string;
     readonly lastEventId: number;
   } | undefined;
+  /** Leaves when nothing arrives for this time. */
+  readonly idleMilliseconds: number;
   /** Leaves after this many events; default never. */
   readonly maximumEvents?: number;
 }
@@ -70,6 +72,7 @@
       },
     });
     const timeout = setTimeout(end, deadlineMilliseconds);
+    request.setTimeout(options.idleMilliseconds, end);
     request.on("socket", (socket) => {
       if (!socket.connecting) acceptedAt = performance.now();
       else socket.once("connect", () => acceptedAt = performance.now());
--- a/packages/kelpspar-standins/src/losses/stream_caller.ts
+++ b/packages/kelpspar-standins/src/losses/stream_caller.ts
@@ -9,17 +9,24 @@
 const PAUSE_MILLISECONDS = 400;
 const DEFAULT_MAXIMUM_TRIES = 10;
 const DEADLINE_MILLISECONDS = 14_000;
+/** A caller leaves a daemon that sends nothing for this time. */
+const IDLE_MILLISECONDS = 3_500;
 const PATH = "/resumed/x";
 
 /** Options of a `StreamCaller`. */
 export interface StreamCallerOptions {
+  /** Start of its attempt ids. */
+  readonly name?: string;
   readonly host: string;
   readonly daemons: readonly DaemonProcess[];
   readonly random: RandomSource;
   /** Number of events in a complete stream. */
   readonly events: number;
   readonly pieces: readonly number[];
-  /** Whether connections stay open between attempts. */
+  /**
+   * Whether it keeps connections open, and uses a daemon until that accepts no
+   * more.
+   */
   readonly isKeptOpen?: boolean;
 }
 
@@ -37,6 +44,8 @@
   readonly #options: StreamCallerOptions;
   readonly #agent: Agent;
   #attemptCount = 0;
+  /** Index of the daemon that accepted the last connection. */
+  #lastDaemon: number | undefined;
 
   constructor(options: StreamCallerOptions) {
     this.#options = options;
@@ -78,11 +87,11 @@
       readonly maximumEvents?: number;
     },
   ): Promise<StreamAttempt> {
-    const { host, daemons, random, pieces, events } = this.#options;
+    const { name = "s", host, daemons, pieces, events } = this.#options;
     const begun = attempts.filter((attempt) => attempt.events.length > 0);
     const lastEvent = begun.at(-1)?.events.at(-1);
-    const attemptId = `s${this.#attemptCount++}`;
-    const first = random.nextInteger(daemons.length);
+    const attemptId = `${name}${this.#attemptCount++}`;
+    const first = this.#chooseFirst();
     const ordered = [...daemons.slice(first), ...daemons.slice(0, first)];
     let attempt: StreamAttempt | undefined;
     for (const daemon of ordered) {
@@ -95,6 +104,7 @@
         agent: this.#agent,
         attemptId,
         pieces,
+        idleMilliseconds: IDLE_MILLISECONDS,
         ...(begun[0] === undefined || lastEvent === undefined ? {} : {
           resumed: {
             firstAttemptId: begun[0].attemptId,
@@ -103,9 +113,17 @@
         }),
       });
       attempt = { ...sent, readyMilliseconds: await ready };
-      if (sent.isConnected) break;
+      if (!sent.isConnected) continue;
+      this.#lastDaemon = daemons.indexOf(daemon);
+      break;
     }
     if (attempt === undefined) throw new TypeError("There is no daemon");
     return attempt;
   }
+
+  #chooseFirst(): number {
+    const { daemons, random, isKeptOpen = false } = this.#options;
+    const kept = isKeptOpen ? this.#lastDaemon : undefined;
+    return kept ?? random.nextInteger(daemons.length);
+  }
 }
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -60,13 +60,17 @@
 export type { RepeatSituation } from "./repeats/repeat_situation.ts";
 export { REPEAT_SITUATIONS } from "./repeats/repeat_situation.ts";
 export { runRepeats } from "./repeats/run_repeats.ts";
-export { findBrokenTargets } from "./losses/find_broken_targets.ts";
+export {
+  findBrokenTargets,
+  STREAM_TARGETS,
+} from "./losses/find_broken_targets.ts";
 export type { LossResult } from "./losses/judge_losses.ts";
 export type {
   LossSituation,
   LossSituationName,
 } from "./losses/loss_situation.ts";
 export { LOSS_SITUATIONS } from "./losses/loss_situation.ts";
+export { runDrawnLosses } from "./losses/run_drawn_losses.ts";
 export { runLosses } from "./losses/run_losses.ts";
 export { checkStops } from "./stops/check_stops.ts";
 export { runStops } from "./stops/run_stops.ts";
--- a/packages/kelpspar-standins/src/process/started_process.ts
+++ b/packages/kelpspar-standins/src/process/started_process.ts
@@ -6,6 +6,13 @@
 
 const MAXIMUM_KEPT_LINES = 100;
 
+const running = new Set<StartedProcess>();
+
+/** Kills all processes that were started and have not ended. */
+export function killStartedProcesses(): void {
+  for (const started of running) started.signal("SIGKILL");
+}
+
 /** A child process and its recent output. */
 export class StartedProcess implements RunningProcess {
   readonly name: string;
@@ -28,6 +35,8 @@
         resolve({ code: null, signal: null });
       });
     });
+    running.add(this);
+    void this.exited.then(() => running.delete(this));
     this.#readLines();
   }
 
--- a/packages/kelpspar-standins/src/programs/losses_main.ts
+++ b/packages/kelpspar-standins/src/programs/losses_main.ts
@@ -1,28 +1,41 @@
 import type { LossSituationName } from "../losses/loss_situation.ts";
 import type { ResumedCount } from "../losses/judge_losses.ts";
 import type { SituationRun } from "./play_situations.ts";
-import { findBrokenTargets } from "../losses/find_broken_targets.ts";
+import {
+  findBrokenTargets,
+  STREAM_TARGETS,
+} from "../losses/find_broken_targets.ts";
 import { LOSS_SITUATIONS } from "../losses/loss_situation.ts";
+import { runDrawnLosses } from "../losses/run_drawn_losses.ts";
 import { runLosses } from "../losses/run_losses.ts";
 import { playSituations } from "./play_situations.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
 
-await playSituations({
+/** A situation, or a drawn series of faults. */
+type PlayedName = LossSituationName | "drawn";
+
+await playSituations<PlayedName>({
   script: "losses",
-  names: Object.keys(LOSS_SITUATIONS) as readonly LossSituationName[],
+  names: [
+    ...Object.keys(LOSS_SITUATIONS) as readonly LossSituationName[],
+    "drawn",
+  ],
   play,
 });
 
 async function play(
-  { name, daemons, ...run }: SituationRun<LossSituationName>,
+  { name, daemons, ...run }: SituationRun<PlayedName>,
 ): Promise<void> {
-  const situation = {
-    ...LOSS_SITUATIONS[name],
-    ...(daemons === undefined ? {} : { daemons }),
-  };
-  const result = await runLosses({ ...run, situation });
+  const size = daemons === undefined ? {} : { daemons };
+  const situation = name === "drawn"
+    ? undefined
+    : { ...LOSS_SITUATIONS[name], ...size };
+  const result = situation === undefined
+    ? await runDrawnLosses({ ...run, ...size })
+    : await runLosses({ ...run, situation });
+  const targets = situation?.targets ?? STREAM_TARGETS;
   const { streams, mixed, broken, resumable, others, newStreams } = result;
   const answers = [...result.answers].sort().map(([status, count]) =>
     `${status}: ${count}`
@@ -40,7 +53,7 @@
       `${result.otherRefusals} refused without 503; ` +
       `${result.refusedPieces} pieces of refused ones reached stages`,
   );
-  for (const target of findBrokenTargets(result, situation)) {
+  for (const target of findBrokenTargets(result, targets)) {
     printText(`  BROKEN: ${target}`);
     process.exitCode = EXIT_CHECK_FAILED;
   }
--- a/packages/kelpspar-standins/src/programs/play_situations.ts
+++ b/packages/kelpspar-standins/src/programs/play_situations.ts
@@ -1,10 +1,15 @@
 import { appendFileSync } from "node:fs";
+import { constants } from "node:os";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
+import { killStartedProcesses } from "../process/started_process.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_USAGE = 64;
+/** Added to the number of a signal in the exit code. */
+const EXIT_SIGNAL = 128;
+const SIGNALS = ["SIGINT", "SIGTERM"] as const;
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
@@ -57,6 +62,7 @@
       printText(usage);
       return;
     }
+    endDaemonsOnSignals();
     const { log } = values;
     const chosen = readNames(values.situations, names);
     const first = readCount("seed", values.seed);
@@ -85,6 +91,17 @@
   }
 }
 
+/** Daemons would outlive a program that is ended by a signal. */
+function endDaemonsOnSignals(): void {
+  process.once("exit", killStartedProcesses);
+  for (const signal of SIGNALS) {
+    process.once(
+      signal,
+      () => process.exit(EXIT_SIGNAL + constants.signals[signal]),
+    );
+  }
+}
+
 function readNames<Name extends string>(
   text: string,
   names: readonly Name[],
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -190,11 +190,12 @@
   }
 
   /** Starts another model runner while the site runs. */
-  async addModel(version: string): Promise<void> {
+  async addModel(version: string): Promise<RunnerStandIn> {
     const index = this.models.length;
     const model = this.#createModel(index, version);
     this.models.push(model);
     await this.#registerRunner("model", model, index);
+    return model;
   }
 
   /** Marks a runner as cold for this time. */
