--- a/packages/kelpspar-standins/src/losses/loss_steps.ts
+++ b/packages/kelpspar-standins/src/losses/loss_steps.ts
@@ -102,22 +102,30 @@
 }
 
 async function kill(daemon: DaemonProcess): Promise<void> {
+  const { processId, exited } = daemon;
   daemon.signal("SIGKILL");
-  await restart(daemon);
+  await exited;
+  await restart(daemon, processId);
 }
 
 async function stop(daemon: DaemonProcess): Promise<void> {
+  const { processId, exited } = daemon;
   // A paused process doesn't handle SIGTERM until it continues.
   daemon.signal("SIGCONT");
   daemon.signal("SIGTERM");
-  const timer = setTimeout(() => daemon.signal("SIGKILL"), GRACE_MILLISECONDS);
-  await daemon.exited;
+  const timer = setTimeout(() => {
+    if (daemon.processId === processId) daemon.signal("SIGKILL");
+  }, GRACE_MILLISECONDS);
+  await exited;
   clearTimeout(timer);
-  await restart(daemon);
+  await restart(daemon, processId);
 }
 
-async function restart(daemon: DaemonProcess): Promise<void> {
-  await daemon.exited;
+/** Starts a daemon again unless another step has done so. */
+async function restart(
+  daemon: DaemonProcess,
+  endedId: number | undefined,
+): Promise<void> {
   await setTimeoutPromise(DOWN_MILLISECONDS);
-  await daemon.restartAfterExit();
+  if (daemon.processId === endedId) await daemon.restartAfterExit();
 }
