--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -64,6 +64,7 @@
   findBrokenTargets,
   STREAM_TARGETS,
 } from "./losses/find_broken_targets.ts";
+export type { TargetName } from "./losses/find_broken_targets.ts";
 export type { LossResult } from "./losses/judge_losses.ts";
 export type {
   LossSituation,
