--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -52,6 +52,12 @@
   };
 }
 
+/** Options of `OriginFleet.add`. */
+export interface AddDaemonOptions {
+  /** False for a daemon that keeps nothing in the store. */
+  readonly usesStore?: boolean;
+}
+
 /** How a daemon answers others: not any more, or not at all. */
 export type DaemonFault = "none" | "refused" | "silent";
 
@@ -80,7 +86,12 @@
   #configurationVersion = 1;
 
   /** Adds a daemon that lists one endpoint of each version. */
-  add(daemonId: string, zone: string, versions: readonly string[]): void {
+  add(
+    daemonId: string,
+    zone: string,
+    versions: readonly string[],
+    { usesStore = true }: AddDaemonOptions = {},
+  ): void {
     const { timer } = this;
     const registry = new EndpointRegistry();
     const configuration = new ActiveConfiguration();
@@ -92,7 +103,7 @@
       incarnation: `start-${++this.#starts}`,
       registry,
       configuration,
-      store: () => isRunning ? this.store : undefined,
+      store: () => isRunning && usesStore ? this.store : undefined,
       era,
       timer,
       random: new SeededRandom(this.#starts),
@@ -185,6 +196,12 @@
     }, this.timer.now());
   }
 
+  /** Kills a daemon; it isn't a member of the fleet any more. */
+  kill(daemonId: string): void {
+    this.#daemon(daemonId).kill();
+    this.daemons.delete(daemonId);
+  }
+
   unlist(daemonId: string, version: string): void {
     this.#daemon(daemonId).registry.retire({
       id: `endpoint-${version}`,
@@ -203,7 +220,11 @@
   /** Begins a stream; returns how long its first event waited, milliseconds. */
   async begin(
     daemonId: string,
-    stream: { readonly attemptId: string; readonly version: string },
+    stream: {
+      readonly attemptId: string;
+      readonly version: string;
+      readonly sends?: number;
+    },
   ): Promise<number> {
     const begun: BegunStream = {
       service: this.#service,
@@ -252,7 +273,7 @@
   ): ReturnType<
     ConstructorParameters<typeof StreamOrigins>[0]["membership"]["liveMembers"]
   > {
-    const { view } = this.#daemon(daemonId);
+    const view = this.daemons.get(daemonId)?.view;
     const heartbeat = {
       isLeaving: false,
       isReady: true,
@@ -272,8 +293,12 @@
     answer: (daemon: FleetDaemon) => Answer,
   ): Promise<Answer> {
     this.calls++;
-    const daemon = this.#daemon(peer);
+    const daemon = this.daemons.get(peer);
     return new Promise((resolve, reject) => {
+      if (daemon === undefined) {
+        reject(new Error("Killed"));
+        return;
+      }
       if (daemon.fault === "silent") return;
       this.timer.registerTimeout(() => {
         if (daemon.fault === "refused") reject(new Error("Refused"));
