--- a/packages/kelpspar-standins/src/losses/run_drawn_losses.ts
+++ b/packages/kelpspar-standins/src/losses/run_drawn_losses.ts
@@ -14,9 +14,15 @@
   events: 30,
 };
 const STREAM_INTERVAL_MILLISECONDS = 125;
-const MAXIMUM_STEP_MILLISECONDS = 1_400;
+const MAXIMUM_STEP_MILLISECONDS = 1_000;
 const MILLISECONDS_PER_SECOND = 1_000;
-const STEPS = Object.keys(LOSS_STEPS) as readonly LossStep[];
+/** Streams are at risk where versions change and all daemons are lost. */
+const STEPS: readonly LossStep[] = [
+  ...Object.keys(LOSS_STEPS) as readonly LossStep[],
+  "kill_all",
+  "add_version",
+  "retire_version",
+];
 
 /** Options of `runDrawnLosses`. */
 export interface RunDrawnLossesOptions extends PlayOptions {
