Judge pieces of refused streams from the drain bound on

Cause: the check counted any piece of a refused attempt. A daemon may take a leaving endpoint for available within the drain bound (2 s). Change: pieces count from 2 s after the last endpoint began to leave.

--- a/packages/kelpspar-standins/src/losses/play_on_site.ts
+++ b/packages/kelpspar-standins/src/losses/play_on_site.ts
@@ -109,6 +109,7 @@
       streams,
       events,
       resumableVersions: resumableVersionsOf(site),
+      lastLeavingAt: site.lastLeavingAt,
       stageArrivals: site.stages.flatMap(({ arrivals }) => arrivals),
     });
   } finally {
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -92,6 +92,8 @@
   #storeAddress = "";
   #version = 1;
   /** Rows written by the operator and the runners, by table and key. */
+  /** When an entry was last drained or removed, monotonic milliseconds. */
+  lastLeavingAt = Number.NEGATIVE_INFINITY;
   readonly #written = new Map<string, readonly [string, string, object]>();
   /** Writes the row of a stage runner under its current id. */
   readonly #writeStages = new Map<StageRunnerStandIn, () => void>();
@@ -180,12 +182,14 @@
 
   /** Reports that a runner leaves. */
   drain(runnerId: string): void {
+    this.lastLeavingAt = performance.now();
     const [, , entry] = this.#written.get(`servers/${runnerId}`) ?? [];
     this.#write("servers", runnerId, { ...entry, state: "draining" });
   }
 
   /** Removes a runner's entry; the runner itself goes on. */
   removeEntry(runnerId: string): void {
+    this.lastLeavingAt = performance.now();
     this.#remove("servers", runnerId);
   }
 
