Tell other daemons of a stream with its first event, not with an answer's head

Cause: an answer that was cut after its head and before its first event had already told its version to three holders; the next send told another one. Change: the version is told when the first event was received, and the event waits for that, so that each attempt is told under one version.

--- a/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
@@ -145,6 +145,21 @@
   ])).toEqual([["a1", "v1"]]);
 });
 
+// Guards against others that know the version of a send that brought no event.
+test("a stream is told once, with the version that brings its first event", async () => {
+  for (let run = 0; run < 10; run++) {
+    const world = createWorld([() => stream(CUT), () => stream(FIRST)], {
+      route: { stages: [], attempts: 3 },
+      versions: ["v1", "v2", "v3"],
+    });
+    await serve(world);
+    const [, second] = world.endpointCalls;
+    expect(world.begunStreams.map(({ version }) => version)).toEqual(
+      [second?.endpoint.version ?? ""],
+    );
+  }
+});
+
 // Guards against a second try that becomes the name of a stream.
 test("a resumed stream is told under the attempt that began it", async () => {
   const world = createWorld([() => stream(SECOND)], {
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -369,7 +369,6 @@
       (firstEventAt) => this.#recordSoundAnswer(result, firstEventAt),
     );
     try {
-      const beforeFirstEvent = this.#continuation.begin(endpoint.entry);
       const onFirstEvent = (): void => {
         this.#sender.recordFirstByte(result);
         this.#continuation.begun(endpoint.entry);
@@ -379,7 +378,7 @@
       await this.#streamForwarder.forward({
         answer,
         endpoint,
-        beforeFirstEvent,
+        beforeFirstEvent: () => this.#continuation.begin(endpoint.entry),
         onFirstEvent,
         onEvents: () => progress.advance(),
       });
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -16,8 +16,11 @@
   readonly answer: ReceivedAnswer;
   /** Undefined for a stream that another daemon relays. */
   readonly endpoint?: EndpointState;
-  /** Settles when the first event may leave. */
-  readonly beforeFirstEvent?: Promise<void>;
+  /**
+   * Called once, when the first event of all streams of the request was received;
+   * resolves when it may leave.
+   */
+  readonly beforeFirstEvent?: () => Promise<void>;
   /** Called once, at the first event of all streams of the request. */
   readonly onFirstEvent?: () => void;
   /** Called for each chunk of this stream that completes events. */
@@ -80,7 +83,7 @@
         if (events.length > 0) {
           stream.onEvents?.();
           if (run.firstByteAt === undefined) {
-            await beforeFirstEvent;
+            await beforeFirstEvent?.();
             if (!run.isOpen) return;
             run.firstByteAt = dependencies.timer.now();
             onFirstEvent?.();
