Bind the attempt that began a stream to its client account

Cause: begun streams were kept under the attempt's id alone. Change: they are kept under the account's name and the id. During a rolling upgrade beside several versions, daemons of the two builds don't find each other's streams and refuse them.

--- a/packages/kelpspar-gateway/src/requests/stream_continuation.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_continuation.ts
@@ -85,13 +85,17 @@
     });
   }
 
-  /** The attempt that brought the caller's first event. */
+  /**
+   * The attempt that brought the caller's first event. Another client account
+   * may use the same id.
+   */
   get #firstAttemptId(): string {
-    const { attemptId = "", resumedAttemptId, lastEventId } =
-      this.#run.options.request;
-    return lastEventId === undefined
+    const { account, request } = this.#run.options;
+    const { attemptId = "", resumedAttemptId, lastEventId } = request;
+    const first = lastEventId === undefined
       ? attemptId
       : resumedAttemptId ?? attemptId;
+    return `${account?.name ?? ""}/${first}`;
   }
 
   get #route(): StreamRoute {
