Conclude a stream's version only where no daemon can know of another

Change: resumable streams begin at a version once it is on record and has been listed for 3.5 s, longer than lists differ, while an endpoint of another such version is healthy. A daemon concludes by itself only with a list that was confirmed within 2.5 s; otherwise it asks. Only rows that were read at the start count as a record of the time before. Versions are marked as left after 3 s without them, and by daemons that have a list. Two daemons remove old rows while any may come.

--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -61,12 +61,20 @@
 /** How a daemon answers others: not any more, or not at all. */
 export type DaemonFault = "none" | "refused" | "silent";
 
+/** Whether a daemon's endpoint list is that of the store. */
+interface EndpointListState {
+  isRead: boolean;
+  /** Since when it isn't compared any more, monotonic milliseconds. */
+  staleSince: number | undefined;
+}
+
 interface FleetDaemon {
   readonly address: DaemonAddress;
   readonly registry: EndpointRegistry;
   readonly origins: StreamOrigins;
   readonly era: StoreEra;
   readonly configuration: ActiveConfiguration;
+  readonly endpointList: EndpointListState;
   /** Ends the process: its calls to the store have no effect any more. */
   readonly kill: () => void;
   fault: DaemonFault;
@@ -97,12 +105,20 @@
     const configuration = new ActiveConfiguration();
     const address = { daemonId, zone, peer: daemonId, front: "", cores: 1 };
     const era = new StoreEra({ timer, anomalies: { note: () => {} } });
+    const endpointList: EndpointListState = {
+      isRead: versions.length > 0,
+      staleSince: undefined,
+    };
     let isRunning = true;
     const origins = new StreamOrigins({
       self: address,
       incarnation: `start-${++this.#starts}`,
       registry,
       configuration,
+      listConfirmedAt: () =>
+        endpointList.isRead
+          ? endpointList.staleSince ?? timer.now()
+          : Number.NEGATIVE_INFINITY,
       store: () => isRunning && usesStore ? this.store : undefined,
       era,
       timer,
@@ -146,6 +162,7 @@
       origins,
       era,
       configuration,
+      endpointList,
       kill,
       fault,
       view,
@@ -184,7 +201,9 @@
     version: string,
     { isDraining = false }: { readonly isDraining?: boolean } = {},
   ): void {
-    this.#daemon(daemonId).registry.upsert({
+    const { registry, endpointList } = this.#daemon(daemonId);
+    endpointList.isRead = true;
+    registry.upsert({
       id: `endpoint-${version}`,
       bornAt: 0,
       service: SERVICE,
@@ -213,6 +232,17 @@
     this.#daemon(daemonId).fault = fault;
   }
 
+  /** Stops comparing a daemon's list with the store's. */
+  makeListStale(daemonId: string): void {
+    this.#daemon(daemonId).endpointList.staleSince = this.timer.now();
+  }
+
+  /** Whether a daemon may begin streams at a version, though it has others. */
+  isSettled(daemonId: string, version: string): boolean {
+    const { origins } = this.#daemon(daemonId);
+    return origins.isSettled({ service: this.#service, version });
+  }
+
   setView(daemonId: string, view: readonly string[]): void {
     this.#daemon(daemonId).view = view;
   }
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -18,7 +18,7 @@
 } from "../../requests/request_dependencies.ts";
 import type { ServingRequest } from "../../requests/serving_request.ts";
 import type { OriginLookup } from "../../streams/stream_origins.ts";
-import type { BegunStream } from "../../streams/stream_origin.ts";
+import type { BegunStream, StreamOrigin } from "../../streams/stream_origin.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { Readable } from "node:stream";
 import { AnswerTimes } from "../../lifecycle/answer_times.ts";
@@ -155,6 +155,8 @@
     readonly senders?: readonly string[];
     /** What is known of a stream that a caller resumes. */
     readonly origin?: OriginLookup;
+    /** Whether all daemons know of software; default true. */
+    readonly isSettled?: (software: StreamOrigin) => boolean;
     /** Settles when other daemons know of a stream. */
     readonly told?: Promise<void>;
     /** The fleet's retry slack; default 50. */
@@ -275,6 +277,7 @@
         return options.told ?? Promise.resolve();
       },
       begun: () => {},
+      isSettled: options.isSettled ?? (() => true),
       find: () => Promise.resolve(options.origin ?? onlySoftware),
     },
     retryGate: createRetryGate(timer, { slack: options.slack ?? 50 }),
--- a/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/continued_stream_test.ts
@@ -160,6 +160,22 @@
   }
 });
 
+// Guards against a stream that begins where others continue it at another version.
+test("a stream doesn't begin at a version that others may not know of", async () => {
+  for (const unhealthy of [[], ["i1", "i2"]]) {
+    const world = createWorld([() => stream(FIRST)], {
+      route: { stages: [] },
+      versions: ["v1", "v1", "v2"],
+      isSettled: ({ version }) => version === "v1",
+    });
+    for (const id of unhealthy) world.registry.retire({ id, bornAt: 0 });
+    await serve(world);
+    const [call] = world.endpointCalls;
+    const expected = unhealthy.length > 0 ? "v2" : "v1";
+    expect(call?.endpoint.version).toEqual(expected);
+  }
+});
+
 // Guards against a second try that becomes the name of a stream.
 test("a resumed stream is told under the attempt that began it", async () => {
   const world = createWorld([() => stream(SECOND)], {
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -274,6 +274,7 @@
       configuration,
       peers,
       membership,
+      listConfirmedAt: () => this.#tablesConfirmedAt,
       store: () => this.#rowStore,
       era,
     });
--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -3,6 +3,7 @@
 import type { RequestRun } from "./request_run.ts";
 import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
 import { createChainReader } from "./create_chain_request.ts";
+import { preferSettled } from "../streams/prefer_settled.ts";
 import { preferResumable } from "../streams/prefer_resumable.ts";
 import { softwareOf } from "../streams/software_of.ts";
 import { promptAffinity } from "./prompt_affinity.ts";
@@ -20,7 +21,9 @@
     return found?.isHealthy(timer.now()) === true ? found : undefined;
   };
   const endpoint = find(place.endpointId);
-  if (endpoint === undefined || !mayContinue(run, endpoint)) return undefined;
+  if (endpoint === undefined || !candidatesOf(run).includes(endpoint)) {
+    return undefined;
+  }
   // The coordinator may not have read the endpoint's limit yet, or may have an
   // older one than this daemon.
   const limit = rateLimiter.limitOf(endpoint, timer.now());
@@ -46,6 +49,20 @@
   return service === streamOrigin.service && version === streamOrigin.version;
 }
 
+/** Endpoints whose software may begin or continue the request's stream. */
+function candidatesOf(run: RequestRun): readonly EndpointState[] {
+  const { dependencies, service } = run.options;
+  const { endpointRegistry, streamOrigins, timer } = dependencies;
+  const endpoints = endpointRegistry.availableFor(service).filter((endpoint) =>
+    mayContinue(run, endpoint)
+  );
+  if (!run.beginsResumableStream) return endpoints;
+  return preferSettled(endpoints, {
+    isSettled: (software) => streamOrigins.isSettled(software),
+    now: timer.now(),
+  });
+}
+
 /** Affinity key of the prompt, for services whose endpoints cache prompts. */
 function affinityOf(run: RequestRun): string | undefined {
   const reader = createChainReader(run);
@@ -64,8 +81,8 @@
   run: RequestRun,
   tried: ReadonlySet<string>,
 ): EndpointChoice | undefined {
-  const { dependencies, service } = run.options;
-  const { endpointRegistry, rateLimiter } = dependencies;
+  const { dependencies } = run.options;
+  const { rateLimiter } = dependencies;
   const now = dependencies.timer.now();
   const choose = (
     endpoints: readonly EndpointState[],
@@ -81,9 +98,7 @@
         rateLimiter.isWithinLimit(endpoint, now) &&
         dependencies.concurrency.mayStart(endpoint),
     });
-  const endpoints = endpointRegistry.availableFor(service).filter((endpoint) =>
-    mayContinue(run, endpoint)
-  );
+  const endpoints = candidatesOf(run);
   const preferred = run.beginsResumableStream
     ? preferResumable(endpoints, now)
     : endpoints;
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -38,7 +38,10 @@
     PeerRelay,
     "isNeeded" | "verified" | "choosePeer" | "send"
   >;
-  readonly streamOrigins: Pick<StreamOrigins, "begin" | "begun" | "find">;
+  readonly streamOrigins: Pick<
+    StreamOrigins,
+    "begin" | "begun" | "find" | "isSettled"
+  >;
   /** Decides what is sent to an endpoint again. */
   readonly retryGate: Pick<
     RetryGate,
--- a/packages/kelpspar-gateway/src/streams/recent_members.ts
+++ b/packages/kelpspar-gateway/src/streams/recent_members.ts
@@ -4,8 +4,22 @@
 /** Longer than callers wait for a stream, over all of their attempts. */
 export const STREAM_LIFETIME_MILLISECONDS = 60_000;
 
+/** Longer than the lists of daemons that reach the store differ, milliseconds. */
+const SETTLING_MILLISECONDS = 3_500;
+/** Time in which the first list is applied, milliseconds. */
+const FIRST_LIST_MILLISECONDS = 100;
+/** A list older than this may lack members that another daemon uses, ms. */
+const MAXIMUM_LIST_AGE_MILLISECONDS = 2_500;
+/** Members that are gone for less are recorded as present, milliseconds. */
+export const ABSENCE_MILLISECONDS = 3_000;
+
 /** Options of `RecentMembers`. */
 export interface RecentMembersOptions {
+  /**
+   * When the endpoint list was last known to match the store, monotonic
+   * milliseconds; minus infinity if never.
+   */
+  readonly listConfirmedAt: () => number;
   readonly timer: TimerService;
   /** Called when a group has a member that it didn't have recently. */
   readonly onNewMember: (group: string) => void;
@@ -23,9 +37,11 @@
 
 interface KnownMember {
   /** How often it is present, such as endpoints of a version. */
-  count: number;
+  readonly count: number;
+  /** When it came, monotonic milliseconds. */
+  readonly cameAt: number;
   /** When it left, monotonic milliseconds. */
-  leftAt: number;
+  readonly leftAt: number;
 }
 
 /**
@@ -36,22 +52,56 @@
 export class RecentMembers {
   readonly #options: RecentMembersOptions;
   readonly #groups = new Map<string, Map<string, KnownMember>>();
+  /** Groups that were on record when this daemon started. */
   readonly #recordedGroups = new Set<string>();
-  readonly #startedAt: number;
+  /** Members that are on record, by group. */
+  readonly #recordedNames = new Map<string, ReadonlySet<string>>();
+  /** When the first member of each group came, monotonic milliseconds. */
+  readonly #firstCameAt = new Map<string, number>();
 
   constructor(options: RecentMembersOptions) {
     this.#options = options;
-    this.#startedAt = options.timer.now();
   }
 
   /**
-   * True if this daemon knows all members of that time: it ran all the while, or
-   * the store had a record of each of the groups.
+   * True if this daemon knows all members of that time: the store had a record
+   * of each of the groups, or it has had the list all the while; and its list
+   * isn't older than those of others may be.
    */
   isComplete(groups: readonly string[]): boolean {
-    const age = this.#options.timer.now() - this.#startedAt;
-    return age >= STREAM_LIFETIME_MILLISECONDS ||
-      groups.every((group) => this.#recordedGroups.has(group));
+    const { timer, listConfirmedAt } = this.#options;
+    const now = timer.now();
+    const isRecent = now - listConfirmedAt() <= MAXIMUM_LIST_AGE_MILLISECONDS;
+    return isRecent && groups.every((group) => {
+      const since = this.#firstCameAt.get(group) ?? Number.POSITIVE_INFINITY;
+      return this.#recordedGroups.has(group) ||
+        now - since >= STREAM_LIFETIME_MILLISECONDS;
+    });
+  }
+
+  /**
+   * True if all daemons know of a member: it is on record, and other daemons
+   * have listed it too.
+   */
+  isSettled(group: string, name: string): boolean {
+    const known = this.#groups.get(group)?.get(name);
+    if (known === undefined) return false;
+    const age = this.#options.timer.now() - known.cameAt;
+    // Members of the first list came before it.
+    const firstCameAt = this.#firstCameAt.get(group) ?? known.cameAt;
+    const isListed = age >= SETTLING_MILLISECONDS ||
+      known.cameAt - firstCameAt <= FIRST_LIST_MILLISECONDS;
+    return isListed && this.#recordedNames.get(group)?.has(name) === true;
+  }
+
+  /** Records which members of a group the store has on record. */
+  setRecorded(group: string, names: ReadonlySet<string>): void {
+    this.#recordedNames.set(group, names);
+  }
+
+  /** Records that a group was on record when this daemon started. */
+  markRecorded(group: string): void {
+    this.#recordedGroups.add(group);
   }
 
   /** Members that are present or left recently. */
@@ -61,25 +111,37 @@
       .map(([name]) => name);
   }
 
-  /** All known members, for the store's record. */
+  /**
+   * Known members, for the store's record. A member that is missing for a short
+   * time may only be missing here.
+   */
   seen(group: string): readonly SeenMember[] {
-    const now = this.#options.timer.now();
-    return [...this.#groups.get(group) ?? []].map((
-      [name, { count, leftAt }],
-    ) => ({ name, leftMilliseconds: count > 0 ? undefined : now - leftAt }));
+    const { timer, listConfirmedAt } = this.#options;
+    const now = timer.now();
+    const hasList = Number.isFinite(listConfirmedAt());
+    return [...this.#groups.get(group) ?? []]
+      .map(([name, { count, leftAt }]) => ({
+        name,
+        leftMilliseconds: count > 0 ? undefined : now - leftAt,
+      }))
+      .filter(({ leftMilliseconds }) =>
+        leftMilliseconds === undefined ||
+        (hasList && leftMilliseconds >= ABSENCE_MILLISECONDS)
+      );
   }
 
   /** Adds what the store has on record; members may have left meanwhile. */
   recall({ group, members, clockMilliseconds }: RecordedGroup): void {
-    this.#recordedGroups.add(group);
     const now = this.#options.timer.now();
+    this.setRecorded(group, new Set(members.map(({ name }) => name)));
     for (const { name, leftAt } of members) {
       const age = leftAt === null ? 0 : clockMilliseconds - leftAt;
       const known = this.#groups.get(group)?.get(name);
       if (known === undefined) {
         this.#setLeft(group, { name, leftAt: now - age });
       } else if (leftAt !== null) {
-        known.leftAt = Math.max(known.leftAt, now - age);
+        const latest = Math.max(known.leftAt, now - age);
+        this.#membersOf(group).set(name, { ...known, leftAt: latest });
       }
     }
   }
@@ -90,7 +152,10 @@
     const known = members.get(name);
     const isNew = known === undefined || !this.#isRecent(known);
     const count = (known?.count ?? 0) + 1;
-    members.set(name, { count, leftAt: Number.NEGATIVE_INFINITY });
+    const now = this.#options.timer.now();
+    if (!this.#firstCameAt.has(group)) this.#firstCameAt.set(group, now);
+    const cameAt = known !== undefined && known.count > 0 ? known.cameAt : now;
+    members.set(name, { count, cameAt, leftAt: Number.NEGATIVE_INFINITY });
     if (isNew) this.#options.onNewMember(group);
     if (count === 1) this.#options.onChange();
   }
@@ -99,9 +164,10 @@
   remove(group: string, name: string): void {
     const known = this.#groups.get(group)?.get(name);
     if (known === undefined) return;
-    known.count--;
-    known.leftAt = this.#options.timer.now();
-    if (known.count === 0) this.#options.onChange();
+    const count = known.count - 1;
+    const leftAt = this.#options.timer.now();
+    this.#membersOf(group).set(name, { ...known, count, leftAt });
+    if (count === 0) this.#options.onChange();
   }
 
   /** Records a member that is about to leave and wasn't known. */
@@ -118,7 +184,7 @@
     const members = this.#membersOf(group);
     const known = members.get(name);
     const isNew = known === undefined || !this.#isRecent(known);
-    const added: KnownMember = { count: 0, leftAt };
+    const added: KnownMember = { count: 0, cameAt: leftAt, leftAt };
     if (!this.#isRecent(added)) return;
     members.set(name, added);
     if (isNew) this.#options.onNewMember(group);
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -53,6 +53,8 @@
     "tellStreams" | "askOrigin" | "recordStreams" | "findRecorded"
   >;
   readonly membership: Pick<FleetMembership, "liveMembers" | "contacts">;
+  /** When the endpoint list last matched the store, monotonic milliseconds. */
+  readonly listConfirmedAt: () => number;
   /** Undefined until this daemon knows the store. */
   readonly store: () => RowRangeStore | undefined;
   readonly era: StoreEra;
@@ -127,6 +129,10 @@
       ...options,
       writer: this.#writer,
       reader: this.#reader,
+      mayRecord: () =>
+        [...this.#routes.groups].some((group) =>
+          this.#history.recent(group).length > 1
+        ),
     });
   }
 
@@ -147,6 +153,11 @@
     return this.#streams.size;
   }
 
+  /** False for software that other daemons may not know of yet. */
+  isSettled({ service, version }: StreamOrigin): boolean {
+    return this.#history.isSettled(groupOfService(service), version);
+  }
+
   /**
    * Remembers which software begins a stream; resolves when enough other daemons
    * do, at most after `TELL_TIMEOUT_MILLISECONDS`. Never rejects.
--- a/packages/kelpspar-gateway/src/streams/stream_recorder.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_recorder.ts
@@ -23,6 +23,8 @@
   readonly peers: Pick<PeerClient, "recordStreams" | "findRecorded">;
   readonly writer: Pick<StreamRowWriter, "add" | "removeEndedRows">;
   readonly reader: Pick<StreamRowReader, "find">;
+  /** True while daemons may record streams. */
+  readonly mayRecord: () => boolean;
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly log: GatewayLog;
@@ -124,12 +126,15 @@
   }
 
   async #cleanUp(): Promise<void> {
+    const { writer, mayRecord, log } = this.#options;
     const { rank } = this;
-    if (rank < 0 || rank >= CLEANERS) return;
+    const isCleaner = rank >= 0 && rank < CLEANERS;
     try {
-      await this.#options.writer.removeEndedRows();
+      const remaining = isCleaner ? await writer.removeEndedRows() : 0;
+      if (remaining > 0 || mayRecord()) this.scheduleCleanup();
     } catch (error) {
-      this.#options.log.warn("failed to remove ended streams", {
+      this.scheduleCleanup();
+      log.warn("failed to remove ended streams", {
         reason: error instanceof Error ? error.message : String(error),
       });
     }
--- a/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
@@ -5,6 +5,7 @@
 import type { StoreEra } from "../tables/store_era.ts";
 import type { RecordedStream } from "./stream_row.ts";
 import { MAXIMUM_ROW_CHANGES } from "../tables/row_range_store.ts";
+import { StoreCallError } from "../tables/table_store.ts";
 import { StreamChunk } from "./stream_chunk.ts";
 import { shardOf, STREAMS_TABLE } from "./stream_shards.ts";
 import { decodeStreamRow } from "./stream_row.ts";
@@ -15,6 +16,9 @@
 const RETRY_DELAY_MILLISECONDS = 500;
 /** How long streams are added to a row, which is written anew with each. */
 const CHUNK_MILLISECONDS = 1_000;
+/** A full chunk may have 50 KB, and a call at most 1 MB. */
+const MAXIMUM_WRITTEN_CHUNKS = 16;
+const MAXIMUM_REMOVED_ROWS = MAXIMUM_ROW_CHANGES - MAXIMUM_WRITTEN_CHUNKS;
 /** Rows that a restored store lost are rewritten within this time, ms. */
 const REWRITE_JITTER_MILLISECONDS = 500;
 /** Rows of other writers are removed this long after their streams ended. */
@@ -46,9 +50,10 @@
   /** Chunks to which streams are added, by shard. */
   readonly #openChunks = new Map<string, StreamChunk>();
   readonly #chunks = new Set<StreamChunk>();
-  #abandoned: readonly AbandonedRow[] = [];
+  readonly #abandoned = new Set<AbandonedRow>();
   #chunkNumber = 0;
   #isWriting = false;
+  #isStopped = false;
   #stopTimer: (() => void) | undefined;
   #writeAt = Number.POSITIVE_INFINITY;
   /** Start of the last write, monotonic milliseconds. */
@@ -67,6 +72,7 @@
     });
     return () => {
       unregister();
+      this.#isStopped = true;
       this.#stopTimer?.();
     };
   }
@@ -78,13 +84,18 @@
     this.#schedule(Math.max(0, nextWriteAt - now));
   }
 
-  /** Removes rows of daemons that ended before the streams in them. */
-  async removeEndedRows(): Promise<void> {
+  /**
+   * Removes rows of daemons that ended before the streams in them; returns how
+   * many rows remain.
+   */
+  async removeEndedRows(): Promise<number> {
     const { clock, era, timer } = this.#options;
     const startedAt = timer.now();
     const answer = await this.#store().readRows(STREAMS_TABLE);
     const { rows, clockMilliseconds } = answer;
-    if (era.checkAnswer(answer.era, startedAt) === "late") return;
+    if (era.checkAnswer(answer.era, startedAt) === "late") {
+      return answer.rows.length;
+    }
     clock.observe(clockMilliseconds);
     const removed = rows.filter(({ text }) => {
       const { expiresAt = 0 } = decodeStreamRow(text) ?? {};
@@ -95,6 +106,7 @@
         removed: removed.slice(from, from + MAXIMUM_ROW_CHANGES),
       });
     }
+    return rows.length - removed.length;
   }
 
   #chunkFor({ attemptId }: RecordedStream, now: number): StreamChunk {
@@ -121,7 +133,8 @@
   #schedule(milliseconds: number): void {
     const { timer } = this.#options;
     const writeAt = timer.now() + milliseconds;
-    if (this.#isWriting || writeAt >= this.#writeAt) return;
+    const isWaiting = this.#isWriting || writeAt >= this.#writeAt;
+    if (this.#isStopped || isWaiting) return;
     this.#stopTimer?.();
     this.#writeAt = writeAt;
     this.#stopTimer = timer.registerTimeout(() => {
@@ -149,24 +162,33 @@
   async #writeOnce(): Promise<void> {
     const { timer, era, clock } = this.#options;
     const startedAt = timer.now();
-    const ended = this.#takeEnded(startedAt);
+    this.#endChunks(startedAt);
+    const ended = [...this.#abandoned]
+      .filter(({ expiresAt }) => expiresAt <= startedAt)
+      .slice(0, MAXIMUM_REMOVED_ROWS);
     const changed = [...this.#chunks].filter(({ isChanged }) => isChanged)
-      .slice(0, MAXIMUM_ROW_CHANGES - ended.length);
+      .slice(0, MAXIMUM_WRITTEN_CHUNKS);
     if (changed.length === 0 && ended.length === 0) return;
+    const store = this.#store();
+    const clockNow = clock.now;
+    if (clockNow === undefined) throw new Error("The clock isn't known yet");
     for (const chunk of changed) chunk.isChanged = false;
     try {
-      const clockNow = clock.now;
-      if (clockNow === undefined) throw new Error("The clock isn't known yet");
-      const answer = await this.#store().writeRows(STREAMS_TABLE, {
+      const answer = await store.writeRows(STREAMS_TABLE, {
         puts: changed.map((chunk) => chunk.toRow(clockNow - startedAt)),
         removed: ended.map(({ key }) => key),
       });
       if (era.checkAnswer(answer.era, startedAt) === "late") {
         throw new Error("The store answered from an earlier era");
       }
+      for (const row of ended) this.#abandoned.delete(row);
     } catch (error) {
-      this.#abandoned = [...this.#abandoned, ...ended];
-      for (const chunk of changed) this.#abandonKey(chunk);
+      // An answer, such as a rejection, proves that nothing was written.
+      const isRejected = error instanceof StoreCallError;
+      for (const chunk of changed) {
+        if (isRejected) chunk.isChanged = true;
+        else this.#abandonKey(chunk);
+      }
       throw error;
     }
   }
@@ -177,25 +199,21 @@
    */
   #abandonKey(chunk: StreamChunk): void {
     const { key, expiresAt } = chunk;
-    this.#abandoned = [...this.#abandoned, { key, expiresAt }];
+    this.#abandoned.add({ key, expiresAt });
     chunk.key = this.#createKey(chunk.shard);
     chunk.isChanged = true;
   }
 
-  /** Takes out rows whose streams have ended, as many as a call may remove. */
-  #takeEnded(now: number): readonly AbandonedRow[] {
+  /** Stops keeping chunks whose streams have ended; their rows are removed. */
+  #endChunks(now: number): void {
     for (const chunk of this.#chunks) {
       if (chunk.expiresAt > now) continue;
       this.#chunks.delete(chunk);
       if (this.#openChunks.get(chunk.shard) === chunk) {
         this.#openChunks.delete(chunk.shard);
       }
-      this.#abandoned = [...this.#abandoned, chunk];
+      this.#abandoned.add({ key: chunk.key, expiresAt: chunk.expiresAt });
     }
-    const ended = this.#abandoned.filter(({ expiresAt }) => expiresAt <= now)
-      .slice(0, MAXIMUM_ROW_CHANGES / 2);
-    this.#abandoned = this.#abandoned.filter((row) => !ended.includes(row));
-    return ended;
   }
 
   #scheduleNext(delayMilliseconds: number): void {
--- a/packages/kelpspar-gateway/src/streams/version_table.ts
+++ b/packages/kelpspar-gateway/src/streams/version_table.ts
@@ -8,12 +8,17 @@
 import { z } from "zod";
 import { MAXIMUM_ROW_CHANGES } from "../tables/row_range_store.ts";
 import { retryUntilSuccess } from "../tables/retry_until_success.ts";
-import { STREAM_LIFETIME_MILLISECONDS } from "./recent_members.ts";
+import {
+  ABSENCE_MILLISECONDS,
+  STREAM_LIFETIME_MILLISECONDS,
+} from "./recent_members.ts";
 
 /** kelpspar's own table of software versions, a row for each group. */
 const VERSIONS_TABLE = "versions";
 /** Delay after a failed call, milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 300;
+/** Time in which a daemon that starts learns of the others, milliseconds. */
+const DISCOVERY_MILLISECONDS = 1_000;
 /** Between the checks of the daemons that write first, milliseconds. */
 const RECORDER_DELAY_MILLISECONDS = 100;
 /** The others check after the recorders, milliseconds. */
@@ -39,7 +44,7 @@
 
 /** Dependencies of `VersionTable`. */
 export interface VersionTableOptions {
-  readonly history: Pick<RecentMembers, "seen" | "recall">;
+  readonly history: Pick<RecentMembers, "seen" | "recall" | "markRecorded">;
   /** Groups that matter to streams that may be resumed. */
   readonly groups: () => ReadonlySet<string>;
   /** Undefined until this daemon knows the store. */
@@ -69,11 +74,14 @@
   #isStarted = false;
   #isRead = false;
   #isCheckDue = false;
+  #isAbsenceDue = false;
+  readonly #startedAt: number;
   /** The rows as last read or written. */
   #rows: readonly StoredRow[] = [];
 
   constructor(options: VersionTableOptions) {
     this.#options = options;
+    this.#startedAt = options.timer.now();
     this.#read = new Promise((resolve) => this.#resolveRead = resolve);
   }
 
@@ -106,6 +114,11 @@
     this.#retry("failed to read software versions", async () => {
       this.#rows = await this.#readRows();
       const changed = this.#recall();
+      for (const row of this.#rows) {
+        if (this.#decode(row) !== undefined) {
+          this.#options.history.markRecorded(row.key);
+        }
+      }
       this.#isRead = true;
       this.#resolveRead();
       this.#registerExpiryCheck();
@@ -119,18 +132,43 @@
   /** To be called when groups or their members have come or gone. */
   update(): void {
     if (!this.#isStarted) this.#start();
-    else if (this.#isRead && this.#recall().length > 0) this.#scheduleCheck();
+    this.#scheduleChange();
+    if (this.#isAbsenceDue) return;
+    this.#isAbsenceDue = true;
+    this.#after(ABSENCE_MILLISECONDS, () => {
+      this.#isAbsenceDue = false;
+      this.#scheduleChange();
+    });
+  }
+
+  /** Schedules a check if the rows as known here are to be changed. */
+  #scheduleChange(): void {
+    if (this.#isRead && this.#recall().length > 0) this.#scheduleCheck();
   }
 
   /** Compares the rows with this daemon's list soon, and corrects them. */
   #scheduleCheck(): void {
     if (!this.#isRead || this.#isCheckDue) return;
     this.#isCheckDue = true;
-    const { timer } = this.#options;
-    timer.registerTimeout(() => {
-      this.#isCheckDue = false;
-      this.#retry("failed to check software versions", () => this.#check());
-    }, this.#checkDelay());
+    const discovery = this.#startedAt + DISCOVERY_MILLISECONDS -
+      this.#options.timer.now();
+    this.#after(discovery, () =>
+      this.#after(this.#checkDelay(), () => {
+        this.#isCheckDue = false;
+        this.#retry("failed to check software versions", () => this.#check());
+      }));
+  }
+
+  /** Calls `listener` after `milliseconds`, unless torn down before. */
+  #after(milliseconds: number, listener: () => void): void {
+    const { signal } = this.#stop;
+    if (signal.aborted) return;
+    const onStop = (): void => stopTimer();
+    const stopTimer = this.#options.timer.registerTimeout(() => {
+      signal.removeEventListener("abort", onStop);
+      listener();
+    }, Math.max(0, milliseconds));
+    signal.addEventListener("abort", onStop, { once: true });
   }
 
   /** Recorders write one after the other, and the rest only reads. */
@@ -145,12 +183,7 @@
 
   /** Versions that left while no daemon ran are recorded once they expire. */
   #registerExpiryCheck(): void {
-    const { timer } = this.#options;
-    const stopTimer = timer.registerTimeout(
-      () => this.update(),
-      STREAM_LIFETIME_MILLISECONDS,
-    );
-    this.#stop.signal.addEventListener("abort", stopTimer, { once: true });
+    this.#after(STREAM_LIFETIME_MILLISECONDS, () => this.update());
   }
 
   async #check(): Promise<void> {
