Refuse a path or a number that can't be read instead of ending the process

An error while the front decodes or begins to serve a request was a rejection that nobody awaits, which ends the process too.

--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -3,8 +3,10 @@
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { ServingRequest } from "../requests/serving_request.ts";
+import { KelpsparError } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { Server as NetServer } from "node:net";
+import { describeRefusal } from "./describe_refusal.ts";
 import { discardBody } from "./discard_body.ts";
 import { HttpReply } from "./http_reply.ts";
 import { listen } from "./listen.ts";
@@ -27,7 +29,7 @@
 /** Idle connections stay open this much longer than callers reuse them, ms. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 1_000;
 
-/** Decodes a caller's request. */
+/** Decodes a caller's request. Throws `KelpsparError` for one it can't read. */
 export type RequestDecoder = (
   message: IncomingMessage,
   body: Uint8Array,
@@ -61,12 +63,12 @@
       requestTimeout: 0,
     });
     this.#server.on("request", (message, response) => {
-      void this.#handle(message, response);
+      this.#answer(message, response);
     });
     // Without this a caller that sends `Expect: 100-continue` waits forever.
     this.#server.on("checkContinue", (message, response) => {
       response.writeContinue();
-      void this.#handle(message, response);
+      this.#answer(message, response);
     });
   }
 
@@ -94,6 +96,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** An error fails the request that causes it, not those of other callers. */
+  #answer(message: IncomingMessage, response: ServerResponse): void {
+    this.#handle(message, response).catch(() => response.destroy());
+  }
+
   async #handle(
     message: IncomingMessage,
     response: ServerResponse,
@@ -119,6 +126,14 @@
       return;
     }
     if (body === "cut") return;
-    await this.#options.serve(this.#options.decode(message, body), reply);
+    let request: ServingRequest;
+    try {
+      request = this.#options.decode(message, body);
+    } catch (error) {
+      if (!(error instanceof KelpsparError)) throw error;
+      reply.refuse(describeRefusal(error));
+      return;
+    }
+    await this.#options.serve(request, reply);
   }
 }
