Limit the size and time of every body that a daemon reads whole

Cause: `ProgressGuard` takes each part of a body for progress, and the readers of reports, of the store's pages and feeds and of other daemons' answers had no limit of their own.

Change: `readBody` of kelpspar-http reads them all, with a limit in bytes and, where no signal or deadline closes the exchange, in time; `BodyLimitError` says which one was exceeded, and `malformed answer` is logged with it as reason. All unfinished bodies of a process hold 64 MiB at most: beyond, the largest is given up. They are collected in one growing buffer, since a list of chunks of one byte holds a hundred times their size.

--- a/packages/kelpspar-backends/src/endpoint/http_endpoint_client.ts
+++ b/packages/kelpspar-backends/src/endpoint/http_endpoint_client.ts
@@ -16,12 +16,14 @@
   parseJsonLines,
   readJsonLines,
 } from "kelpspar-shared";
-import { createGuardedPool, GuardedClient } from "kelpspar-http";
+import { createGuardedPool, GuardedClient, readBody } from "kelpspar-http";
 import { isConnectFailure } from "../http/json_http_client.ts";
 
 const DEFAULT_CONNECTIONS = 128;
 const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 500;
 const DEFAULT_CONTROL_TIMEOUT_MILLISECONDS = 1_000;
+/** Read of the body of an error answer, which goes into a message. */
+const MAXIMUM_ERROR_BYTES = 64 * 1024;
 const STATUS_OK = 200;
 const STATUS_CONFLICT = 409;
 const JSON_HEADERS = { "content-type": "application/json" };
@@ -80,7 +82,7 @@
         throw await readStatusError(endpoint, answer);
       }
       const records = options.isStream === false
-        ? parseJsonLines(await answer.body.text())
+        ? parseJsonLines((await readBody(answer.body)).toString("utf8"))
         : readJsonLines(answer.body);
       for await (const record of records) yield record as StageRecord;
     } catch (cause) {
@@ -174,7 +176,7 @@
       if (answer.statusCode !== STATUS_OK) {
         throw await readStatusError(endpoint, answer);
       }
-      return await answer.body.json();
+      return JSON.parse((await readBody(answer.body)).toString("utf8"));
     } catch (cause) {
       throw toEndpointError(endpoint, cause);
     } finally {
@@ -214,7 +216,10 @@
   endpoint: EndpointAddress,
   answer: Dispatcher.ResponseData,
 ): Promise<KelpsparError> {
-  const text = await answer.body.text();
+  const body = await readBody(answer.body, {
+    maximumBytes: MAXIMUM_ERROR_BYTES,
+  });
+  const text = body.toString("utf8");
   const message =
     `Endpoint "${endpoint.endpointId}" answered status ${answer.statusCode}: ${text}`;
   if (answer.statusCode === STATUS_CONFLICT) {
--- a/packages/kelpspar-backends/src/http/json_http_client.ts
+++ b/packages/kelpspar-backends/src/http/json_http_client.ts
@@ -1,7 +1,7 @@
 import type { PlatformClientOptions } from "./platform_client_options.ts";
 import type { TimerService } from "kelpspar-shared";
 import type { Agent } from "undici";
-import { createGuardedAgent } from "kelpspar-http";
+import { createGuardedAgent, readBody } from "kelpspar-http";
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 1_000;
 const DEFAULT_CONNECTIONS = 4;
@@ -80,7 +80,8 @@
           ? null
           : JSON.stringify(exchange.body),
       });
-      const body = await answer.body.json();
+      const bytes = await readBody(answer.body);
+      const body: unknown = JSON.parse(bytes.toString("utf8"));
       return { status: answer.statusCode, body };
     } catch (cause) {
       if (abort.signal.aborted && this.#agent === agent) {
--- a/packages/kelpspar-cli/src/operator/exchange_json.ts
+++ b/packages/kelpspar-cli/src/operator/exchange_json.ts
@@ -1,7 +1,7 @@
 import type { JsonAnswer, JsonExchange } from "kelpspar-backends";
 import type { TimerService } from "kelpspar-shared";
 import { ExchangeError, isConnectFailure } from "kelpspar-backends";
-import { GuardedClient } from "kelpspar-http";
+import { GuardedClient, readBody } from "kelpspar-http";
 
 /** Options of `exchangeJson`. */
 export interface ExchangeJsonOptions {
@@ -45,7 +45,11 @@
       },
       body: body === undefined ? null : JSON.stringify(body),
     });
-    return { status: answer.statusCode, body: await answer.body.json() };
+    const bytes = await readBody(answer.body);
+    return {
+      status: answer.statusCode,
+      body: JSON.parse(bytes.toString("utf8")),
+    };
   } catch (cause) {
     const reason = cause instanceof Error ? cause.message : String(cause);
     throw new ExchangeError(
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -29,6 +29,8 @@
 import { EndpointRateLimiter } from "../../endpoints/endpoint_rate_limiter.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
+import { createMalformedAnswerListener } from "../../exchange/create_malformed_answer_listener.ts";
+import { MalformedAnswers } from "../../exchange/malformed_answers.ts";
 import { GatewayMetrics } from "../../metrics/gateway_metrics.ts";
 import { CrashDetector } from "../../quarantine/crash_detector.ts";
 import { Quarantine } from "../../quarantine/quarantine.ts";
@@ -217,6 +219,15 @@
   if (options.senders !== undefined) {
     brittle.record("model", REFUSALS_PER_SECOND, timer.now());
   }
+  const malformedAnswers = new MalformedAnswers();
+  malformedAnswers.registerListener(
+    createMalformedAnswerListener({
+      registry: endpointRegistry,
+      metrics: new GatewayMetrics(),
+      log,
+      timer,
+    }),
+  );
   const service = new RequestService({
     configuration,
     endpointRegistry,
@@ -274,6 +285,7 @@
     },
     retryGate: createRetryGate(timer, { slack: options.slack ?? 50 }),
     firstByteEstimates: new FirstByteEstimates(),
+    malformedAnswers,
     lifecycle,
     answerTimes,
     others: () => ({
--- a/packages/kelpspar-gateway/src/__tests__/unit/endless_peer_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endless_peer_test.ts
@@ -1,5 +1,6 @@
 import type { RelayMessage } from "../../relay/relay_message.ts";
 import { expect } from "earl";
+import { MAXIMUM_BODY_BYTES } from "kelpspar-http";
 import { SystemTimer } from "kelpspar-shared";
 import { ENDLESS_BYTES, EndlessServer } from "kelpspar-standins";
 import { after, before, test } from "node:test";
@@ -9,6 +10,7 @@
 
 /** The limit, and the rest of a read of the socket that begins within it. */
 const MAXIMUM_BYTES_READ = (64 + 64) * 1024;
+const MAXIMUM_REFUSAL_BYTES = 64 * 1024;
 /** Processor time, below the timeouts of all calls. */
 const MAXIMUM_MILLISECONDS = 400;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
@@ -73,3 +75,26 @@
     });
   }
 }
+
+// Guards against a body without end that fills a daemon's memory.
+for (
+  const [client, maximumBytes] of [
+    ["a daemon", MAXIMUM_BODY_BYTES],
+    ["a daemon to which a request is relayed", MAXIMUM_REFUSAL_BYTES],
+  ] as const
+) {
+  test(`${client} that sends a body without end is cut off`, async () => {
+    const measured = await server.measure(
+      {
+        start: "HTTP/1.1 200 OK\r\n\r\n",
+        repeated: "x",
+        maximumBytes: 3 * MAXIMUM_BODY_BYTES,
+      },
+      async (peer) => await CALLS[client]?.(peer),
+    );
+    expect(measured.bytesRead).toBeLessThanOrEqual(
+      maximumBytes + 2 * MAXIMUM_BYTES_READ,
+    );
+    expect(measured.isClosed).toEqual(true);
+  });
+}
--- a/packages/kelpspar-gateway/src/__tests__/unit/http_exchange_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/http_exchange_test.ts
@@ -4,7 +4,7 @@
 import { createServer } from "node:net";
 import { test } from "node:test";
 import { exchangeHttp } from "../../exchange/http_exchange.ts";
-import { readBody } from "../../requests/read_body.ts";
+import { readBody } from "kelpspar-http";
 
 const HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 const TRIES = 40;
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -31,6 +31,7 @@
 import { slackGrantSchema } from "../retries/slack_grant.ts";
 import { originAnswerSchema } from "../streams/origin_answer.ts";
 import { followAnswerSchema } from "../tables/table_changes.ts";
+import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { PeerTimeoutError } from "./peer_timeout_error.ts";
 import { PEER_PATH } from "./peer_listener.ts";
 import { SilentConnectionDetector } from "./silent_connection_detector.ts";
@@ -42,6 +43,8 @@
  * anyway, and so would the next ones.
  */
 const CONFIGURATION_TIMEOUT_MILLISECONDS = 2_500;
+/** From an answer's head to its end; a call that waits for it ends before. */
+const BODY_TIMEOUT_MILLISECONDS = CONFIGURATION_TIMEOUT_MILLISECONDS;
 /** Requests wait for what is lent. */
 const LEND_TIMEOUT_MILLISECONDS = 400;
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
@@ -69,7 +72,20 @@
     createClient: (peer, agent) =>
       createTRPCClient<PeerRouter>({
         links: [
-          createPeerLink({ origin: `http://${peer}`, path: PEER_PATH, agent }),
+          createPeerLink({
+            origin: `http://${peer}`,
+            path: PEER_PATH,
+            agent,
+            bodyTime: {
+              timer: this.#timer,
+              milliseconds: BODY_TIMEOUT_MILLISECONDS,
+            },
+            onBodyLimit: (error) =>
+              reportBodyLimit(this.#malformedAnswers, error, {
+                sender: peer,
+                hasFailedCall: true,
+              }),
+          }),
         ],
       }),
     agent: {
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -286,6 +286,7 @@
       crashes: crashes.detector,
       quarantine: crashes.quarantine,
       firstByteEstimates: new FirstByteEstimates(),
+      malformedAnswers: options.malformedAnswers,
       lifecycle,
       answerTimes: this.#answerTimes,
       others: () => this.#otherDaemons(),
--- a/packages/kelpspar-gateway/src/relay/relay_client.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_client.ts
@@ -3,18 +3,23 @@
 import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { RelayAnswer } from "./relay_answer.ts";
 import type { RelayMessage } from "./relay_message.ts";
+import { readBody } from "kelpspar-http";
 import {
   endToEndHeaders,
   headerValue,
 } from "../exchange/connection_headers.ts";
 import { exchangeHttp } from "../exchange/http_exchange.ts";
-import { readBody } from "../requests/read_body.ts";
+import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { encodeRelayMessage } from "./relay_message.ts";
 import { RELAY_ORIGIN_HEADER } from "./relay_origin.ts";
 import { RELAY_PATH } from "./relay_path.ts";
 import { decodeRelayRefusal } from "./relay_refusal.ts";
 
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
+/** A refusal has a status, two numbers and a message. */
+const MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+/** From a refusal's head to its end; its daemon sends both at once. */
+const REFUSAL_TIMEOUT_MILLISECONDS = 600;
 const OWN_HEADERS: ReadonlySet<string> = new Set([RELAY_ORIGIN_HEADER]);
 
 type AnsweredExchange = Extract<HttpExchangeResult, { type: "answered" }>;
@@ -60,7 +65,7 @@
   });
   switch (result.type) {
     case "answered":
-      return await readAnswer(result);
+      return await readAnswer(result, { peer, timer, malformedAnswers });
     case "unreachable":
       return { type: "unreachable", reason: result.reason };
     case "unsendable":
@@ -71,6 +76,10 @@
 
 async function readAnswer(
   { message, framing, close }: AnsweredExchange,
+  { peer, timer, malformedAnswers }: Pick<
+    RelayCall,
+    "peer" | "timer" | "malformedAnswers"
+  >,
 ): Promise<RelayAnswer> {
   const raw = message.rawHeaders;
   const origin = headerValue(raw, RELAY_ORIGIN_HEADER);
@@ -90,9 +99,16 @@
     };
   }
   try {
-    const refusal = decodeRelayRefusal(await readBody(message));
-    return { type: "refused", refusal };
+    const body = await readBody(message, {
+      maximumBytes: MAXIMUM_REFUSAL_BYTES,
+      time: { timer, milliseconds: REFUSAL_TIMEOUT_MILLISECONDS },
+    });
+    return { type: "refused", refusal: decodeRelayRefusal(body) };
   } catch (error) {
+    reportBodyLimit(malformedAnswers, error, {
+      sender: peer,
+      hasFailedCall: true,
+    });
     return { type: "unknown", reason: String(error) };
   } finally {
     close();
--- a/packages/kelpspar-gateway/src/requests/read_answer_body.ts
+++ b/packages/kelpspar-gateway/src/requests/read_answer_body.ts
@@ -1,12 +1,13 @@
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
+import { readBody } from "kelpspar-http";
 import { endOfLastEvent, isPartialEvent } from "./event_stream.ts";
 import { isEventStream } from "./media_type.ts";
-import { readBody } from "./read_body.ts";
 
 /**
  * Reads the whole body and closes the answer, at once when the run stops. Throws
- * if the body is cut or is an event stream that ends inside an event.
+ * if the body is cut, exceeds a limit or is an event stream that ends inside an
+ * event.
  */
 export async function readAnswerBody(
   run: RequestRun,
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -3,6 +3,7 @@
 import type { ConcurrencyLimiter } from "../endpoints/concurrency_limiter.ts";
 import type { EndpointRateLimiter } from "../endpoints/endpoint_rate_limiter.ts";
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { CrashDetector } from "../quarantine/crash_detector.ts";
@@ -54,6 +55,7 @@
     "find" | "isSuspect" | "crashesInSuccession" | "served" | "answered"
   >;
   readonly firstByteEstimates: FirstByteEstimates;
+  readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
   readonly lifecycle: Pick<
     DaemonLifecycle,
     | "remainingMilliseconds"
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -3,6 +3,7 @@
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
+import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { describeSoftware } from "../streams/software_of.ts";
 import { shortestPause } from "../endpoints/shortest_pause.ts";
 import { AnswerProgress } from "./answer_progress.ts";
@@ -411,6 +412,10 @@
     firstEventAt: number | undefined,
   ): Promise<DispatchOutcome | "again"> {
     const reason = error instanceof Error ? error.message : String(error);
+    reportBodyLimit(this.#run.options.dependencies.malformedAnswers, error, {
+      sender: result.endpoint.entry.id,
+      hasFailedCall: true,
+    });
     this.#recordFailure(result, `answer cut: ${reason}`);
     await this.#reportPossibleCrash(result, firstEventAt);
     return this.#run.isOpen ? this.#retryOrFail("answer cut") : "ended";
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -5,6 +5,7 @@
 import type { ReceivedAnswer } from "./send_result.ts";
 import type { StreamForwarder } from "./stream_forwarder.ts";
 import type { StreamRelay } from "./stream_relay.ts";
+import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
 import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
@@ -113,7 +114,7 @@
       if (answer.type === "answered") answer.answer.close();
       return "ended";
     }
-    return await this.#handle(answer);
+    return await this.#handle(answer, peer);
   }
 
   #createRequest(): RequestRun["options"]["request"] {
@@ -130,12 +131,15 @@
     };
   }
 
-  #handle(answer: RelayAnswer): Promise<RelayStep> | RelayStep {
+  #handle(
+    answer: RelayAnswer,
+    peer: DaemonAddress,
+  ): Promise<RelayStep> | RelayStep {
     const { run } = this.#options;
     switch (answer.type) {
       case "answered":
         run.deliveries++;
-        return this.#forward(answer.answer);
+        return this.#forward(answer.answer, peer);
       case "refused":
         return this.#handleRefusal(answer.refusal);
       case "unreachable":
@@ -164,7 +168,10 @@
     return "ended";
   }
 
-  async #forward(answer: ReceivedAnswer): Promise<RelayStep> {
+  async #forward(
+    answer: ReceivedAnswer,
+    peer: DaemonAddress,
+  ): Promise<RelayStep> {
     const { run, streamForwarder } = this.#options;
     try {
       if (isStreamed(answer, run.options.route)) {
@@ -172,6 +179,10 @@
       } else await this.#forwardBuffered(answer);
     } catch (error) {
       if (!run.isOpen) return "ended";
+      reportBodyLimit(run.options.dependencies.malformedAnswers, error, {
+        sender: peer.peer,
+        hasFailedCall: true,
+      });
       const reason = error instanceof Error ? error.message : String(error);
       return this.#retryOrFail(`relayed answer cut: ${reason}`);
     }
--- /dev/null
+++ b/packages/kelpspar-http/src/body_limit_error.ts
@@ -0,0 +1,19 @@
+/** Which limit of a body or an event was exceeded. */
+export type BodyLimitReason =
+  /** A body that is read whole has too many bytes. */
+  | "oversized_body"
+  /** A body that is read whole takes too long. */
+  | "slow_body"
+  /** The largest of all unfinished bodies, which hold too much. */
+  | "memory";
+
+/** An answer was given up since it exceeds a limit; its connection is closed. */
+export class BodyLimitError extends Error {
+  override readonly name = "BodyLimitError";
+  readonly reason: BodyLimitReason;
+
+  constructor(reason: BodyLimitReason) {
+    super(`Answer given up: it exceeds a limit (${reason})`);
+    this.reason = reason;
+  }
+}
--- a/packages/kelpspar-http/src/malformed_answer_error.ts
+++ b/packages/kelpspar-http/src/malformed_answer_error.ts
@@ -1,3 +1,5 @@
+import type { BodyLimitReason } from "./body_limit_error.ts";
+
 /** What is wrong with the bytes of a connection. */
 export type MalformedReason =
   /** Many bytes, without the head of an answer or a part of its body. */
@@ -5,7 +7,8 @@
   /** Many informational answers (1xx) instead of a final one. */
   | "informational_answers"
   /** Many bytes after the end of the only answer. */
-  | "surplus_bytes";
+  | "surplus_bytes"
+  | BodyLimitReason;
 
 /** The connection was closed because of what the other side sent on it. */
 export class MalformedAnswerError extends Error {
--- a/packages/kelpspar-http/src/mod.ts
+++ b/packages/kelpspar-http/src/mod.ts
@@ -1,10 +1,18 @@
+export type { BodyLimitReason } from "./body_limit_error.ts";
 export type { GuardedAgentOptions } from "./create_guarded_agent.ts";
 export type { GuardedPoolOptions } from "./create_guarded_pool.ts";
 export type { ConnectOptions, GuardedClientOptions } from "./guarded_client.ts";
 export type { MalformedReason } from "./malformed_answer_error.ts";
 export type { MalformedListener, ReadEvent } from "./progress_guard.ts";
+export type { BodyTimeLimit, ReadBodyOptions } from "./read_body.ts";
+export type { ReadHolding } from "./read_holding.ts";
+export { BodyLimitError } from "./body_limit_error.ts";
 export { createGuardedAgent } from "./create_guarded_agent.ts";
 export { createGuardedPool } from "./create_guarded_pool.ts";
+export { GrowingBuffer } from "./growing_buffer.ts";
 export { GuardedClient } from "./guarded_client.ts";
 export { MalformedAnswerError } from "./malformed_answer_error.ts";
 export { MAXIMUM_OVERHEAD_BYTES, ProgressGuard } from "./progress_guard.ts";
+export { MAXIMUM_BODY_BYTES, readBody } from "./read_body.ts";
+export { PROCESS_READ_BUDGET } from "./process_read_budget.ts";
+export { ReadBudget } from "./read_budget.ts";
--- a/packages/kelpspar-peers/src/peer_fetch.ts
+++ b/packages/kelpspar-peers/src/peer_fetch.ts
@@ -1,4 +1,5 @@
 import type { Agent } from "undici";
+import { readBody } from "kelpspar-http";
 
 /** The fields of a request that tRPC's links set. */
 export interface PeerRequest {
@@ -42,7 +43,7 @@
     return {
       ok: statusCode >= MINIMUM_SUCCESS_STATUS &&
         statusCode < MINIMUM_REDIRECT_STATUS,
-      json: () => body.json(),
+      json: async () => JSON.parse((await readBody(body)).toString("utf8")),
     };
   };
 }
--- a/packages/kelpspar-peers/src/peer_link.ts
+++ b/packages/kelpspar-peers/src/peer_link.ts
@@ -1,7 +1,9 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import type { TRPCLink } from "@trpc/client";
+import type { BodyTimeLimit } from "kelpspar-http";
 import type { Agent } from "undici";
 import { TRPCClientError } from "@trpc/client";
+import { BodyLimitError, readBody } from "kelpspar-http";
 import { observable } from "@trpc/server/observable";
 
 /** Options of `createPeerLink`. */
@@ -13,6 +15,10 @@
   readonly agent: Agent;
   /** Headers of each call. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** Time from the head of an answer to its end; by default none. */
+  readonly bodyTime?: BodyTimeLimit | undefined;
+  /** Called when an answer exceeds a limit; by default nothing happens. */
+  readonly onBodyLimit?: ((error: BodyLimitError) => void) | undefined;
 }
 
 type Envelope = Parameters<typeof TRPCClientError.from>[0];
@@ -55,7 +61,7 @@
   | { readonly error: unknown };
 
 async function call(
-  { origin, path, agent, headers }: PeerLinkOptions,
+  { origin, path, agent, headers, bodyTime, onBodyLimit }: PeerLinkOptions,
   { path: procedure, input, signal }: Operation,
 ): Promise<PeerEnvelope> {
   const { body } = await agent.request({
@@ -66,7 +72,13 @@
     body: JSON.stringify(input ?? null),
     signal: signal ?? null,
   });
-  const envelope: unknown = JSON.parse(await body.text());
+  const bytes = await readBody(body, { time: bodyTime }).catch(
+    (error: unknown) => {
+      if (error instanceof BodyLimitError) onBodyLimit?.(error);
+      throw error;
+    },
+  );
+  const envelope: unknown = JSON.parse(bytes.toString("utf8"));
   if (isEnvelope(envelope)) return envelope;
   throw new Error(
     `Peer ${origin} gave an answer that is none of tRPC's`,
--- a/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
+++ b/packages/kelpspar-shared/src/__tests__/unit/conventions_test.ts
@@ -59,6 +59,8 @@
   /\bnew (Agent|Pool|Client)\(|\b(request|get)\b.* from "node:https?"/;
 /** Calls of the gateway's ports to endpoints. */
 const ENDPOINT_SENDS = /\bendpoints\.send\(|\.runPieces\(/;
+/** Bodies that are read whole other than by `readBody`. */
+const UNLIMITED_BODIES = /\bbody\.(json|text|arrayBuffer|blob|bytes|dump)\(/;
 const PROCESS_ACCESS =
   /child_process|worker_threads|SharedArrayBuffer|node:cluster/;
 
@@ -138,6 +140,11 @@
   ]);
 });
 
+// Guards against a body without end that fills a process's memory.
+test("answers are read whole only where their size is limited", () => {
+  expect(findProductFiles(UNLIMITED_BODIES)).toEqual([]);
+});
+
 test("the product starts no process and shares no memory", () => {
   expect(findProductFiles(PROCESS_ACCESS)).toEqual([]);
 });
@@ -159,7 +166,7 @@
   ]);
 });
 
-test("the platform's folder uses clocks and timers only through the timer service", () => {
+test("the platform's folder uses clocks and timers only through the timer service, and limits bodies", () => {
   const folder = fileURLToPath(
     new URL("../platform/src", `file://${PACKAGES}`),
   );
@@ -167,7 +174,8 @@
     .filter((path) => path.endsWith(".ts") && !path.includes("__tests__"))
     .filter((path) => {
       const text = readFileSync(`${folder}/${path}`, "utf8");
-      return CLOCK_ACCESS.test(text) || PROCESS_ACCESS.test(text);
+      return CLOCK_ACCESS.test(text) || PROCESS_ACCESS.test(text) ||
+        UNLIMITED_BODIES.test(text);
     });
   expect(wrong).toEqual([]);
 });
--- a/packages/kelpspar-standins/src/wire/endless_bytes.ts
+++ b/packages/kelpspar-standins/src/wire/endless_bytes.ts
@@ -8,6 +8,10 @@
   /** Precedes the repeated text; headers may be added after its first line. */
   readonly start: string;
   readonly repeated: string;
+  /** Ends the connection after about so many bytes; default never. */
+  readonly maximumBytes?: number;
+  /** Pause between two single bytes; default as fast as they are read. */
+  readonly intervalMilliseconds?: number;
 }
 
 /** Kinds of endless bytes, by name. */
@@ -34,17 +38,26 @@
 /** Sends the bytes, with additional header lines, until the other side closes. */
 export function sendEndlessBytes(
   stream: Duplex,
-  { start, repeated }: EndlessBytes,
+  { start, repeated, maximumBytes = Infinity, intervalMilliseconds }:
+    EndlessBytes,
   headerLines: readonly string[] = [],
 ): void {
   const lines = headerLines.map((line) => `${line}\r\n`).join("");
   const piece = Buffer.alloc(PIECE_BYTES, repeated);
+  let sent = 0;
   const send = (): void => {
     if (stream.destroyed) return;
-    while (stream.write(piece));
-    stream.once("drain", () => setImmediate(send));
+    while (sent < maximumBytes) {
+      sent += PIECE_BYTES;
+      if (!stream.write(piece)) break;
+    }
+    if (sent >= maximumBytes) stream.end();
+    else stream.once("drain", () => setImmediate(send));
   };
   stream.on("error", () => {});
   if (start !== "") stream.write(start.replace("OK\r\n", `OK\r\n${lines}`));
-  send();
+  if (intervalMilliseconds === undefined) return send();
+  const byte = piece.subarray(0, 1);
+  const interval = setInterval(() => stream.write(byte), intervalMilliseconds);
+  stream.once("close", () => clearInterval(interval));
 }
