Limit events without end, and search only new bytes for the end of one

Cause: `StreamRelay` kept the bytes since the last whole event without a limit, and joined and searched all of them for each chunk. Each chunk started the idle timeout anew.

Change: `PartialEvent` searches new bytes and the five before them, which decide where an event ends. An event of more than 1 MiB, or of a resumable stream that takes longer from its first byte than twice its route's objective, is given up: the endpoint has failed, its connection is closed, `malformed answer` tells `endless_event` or `slow_event`, and the stream goes on like one that broke off. Partial events count in the budget of the process. Event streams that are read whole are searched from their end.

--- a/packages/kelpspar-gateway/src/requests/read_answer_body.ts
+++ b/packages/kelpspar-gateway/src/requests/read_answer_body.ts
@@ -1,7 +1,7 @@
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
 import { readBody } from "kelpspar-http";
-import { endOfLastEvent, isPartialEvent } from "./event_stream.ts";
+import { endsWithWholeEvent } from "./event_stream.ts";
 import { isEventStream } from "./media_type.ts";
 
 /**
@@ -26,6 +26,6 @@
 }
 
 function assertWholeEvents(body: Buffer): void {
-  if (!isPartialEvent(body.subarray(endOfLastEvent(body)))) return;
+  if (endsWithWholeEvent(body)) return;
   throw new Error("the event stream ended inside an event");
 }
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -1,15 +1,10 @@
+import type { BodyLimitReason } from "kelpspar-http";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
-
-/**
- * Silence after which a resumable stream fails over. It is several times the
- * longest pause of a healthy endpoint, so that slow endpoints are kept.
- */
-const STREAM_IDLE_TIMEOUT_MILLISECONDS = 1_500;
-/** Longer for a relayed stream, since the other daemon fails over by itself. */
-const RELAYED_IDLE_TIMEOUT_MILLISECONDS = 3_000;
+import { BodyLimitError, PROCESS_READ_BUDGET } from "kelpspar-http";
+import { StreamTimeouts } from "./stream_timeouts.ts";
 
 /** A stream to forward. */
 export interface ForwardedStream {
@@ -39,8 +34,9 @@
   }
 
   /**
-   * Forwards the stream of one endpoint. If it is cut or ends inside an event,
-   * drops the partial event and throws; the caller's stream stays open.
+   * Forwards the stream of one endpoint. If it is cut, ends inside an event or
+   * has one that exceeds a limit, drops the partial event and throws; the
+   * caller's stream stays open.
    */
   async forward(stream: ForwardedStream): Promise<void> {
     const { answer, endpoint } = stream;
@@ -69,15 +65,29 @@
     const run = this.#run;
     const { answer, beforeFirstEvent, onFirstEvent } = stream;
     const { reply, dependencies } = run.options;
-    let stopIdleTimeout = this.#registerIdleTimeout(stream);
+    let limitError: BodyLimitError | undefined;
+    const giveUp = (reason: BodyLimitReason): void => {
+      limitError = new BodyLimitError(reason);
+      answer.close();
+    };
+    const holding = PROCESS_READ_BUDGET.open(() => giveUp("memory"));
+    const timeouts = new StreamTimeouts({
+      run,
+      isRelayed: stream.endpoint === undefined,
+      onSilence: () => answer.close(),
+      onSlowEvent: () => giveUp("slow_event"),
+    });
+    timeouts.wait(false);
     this.#hasAnswerBytes = false;
     try {
       for await (const chunk of answer.body) {
         if (!run.isOpen) return;
-        stopIdleTimeout();
+        timeouts.received();
         this.#hasAnswerBytes = true;
         const events = this.#relay.push(chunk as Buffer);
+        holding.set(this.#relay.heldBytes);
         if (events.length > 0) {
+          timeouts.stop();
           stream.onEvents?.();
           if (run.firstByteAt === undefined) {
             await beforeFirstEvent;
@@ -88,11 +98,15 @@
           this.#beginReply(answer);
           await reply.write(events);
         }
-        stopIdleTimeout = this.#registerIdleTimeout(stream);
+        timeouts.wait(this.#relay.isInsideEvent);
       }
+    } catch (error) {
+      throw limitError ?? error;
     } finally {
-      stopIdleTimeout();
+      timeouts.stop();
+      holding.end();
     }
+    if (limitError !== undefined) throw limitError;
   }
 
   /** Throws if the stream was broken off, although its body ended regularly. */
@@ -131,14 +145,4 @@
     this.#hasBegun = true;
     this.#run.options.reply.begin(answer.status, answer.headers);
   }
-
-  #registerIdleTimeout({ answer, endpoint }: ForwardedStream): () => void {
-    if (!this.#run.hasAttemptsLeft) return () => {};
-    return this.#run.options.dependencies.timer.registerTimeout(
-      () => answer.close(),
-      endpoint === undefined
-        ? RELAYED_IDLE_TIMEOUT_MILLISECONDS
-        : STREAM_IDLE_TIMEOUT_MILLISECONDS,
-    );
-  }
 }
--- a/packages/kelpspar-gateway/src/requests/stream_relay.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_relay.ts
@@ -1,4 +1,12 @@
-import { endOfLastEvent, isPartialEvent, lastIdOf } from "./event_stream.ts";
+import { BodyLimitError } from "kelpspar-http";
+import { lastIdOf } from "./event_stream.ts";
+import { PartialEvent } from "./partial_event.ts";
+
+/**
+ * Largest event, up to one chunk more. Unfinished events of an endpoint with 64
+ * slots stay within the memory that a daemon has beside its heap.
+ */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
 /**
  * Splits a stream into whole events and tracks the id of the last one. An
@@ -7,7 +15,7 @@
  * the two into an event that no endpoint sent.
  */
 export class StreamRelay {
-  #partialEvent: Buffer = Buffer.alloc(0);
+  readonly #partialEvent = new PartialEvent();
   #lastEventId: string | undefined;
   #hasReceivedBytes = false;
 
@@ -22,7 +30,12 @@
 
   /** True after bytes of an event whose end hasn't been received. */
   get isInsideEvent(): boolean {
-    return isPartialEvent(this.#partialEvent);
+    return this.#partialEvent.hasContent;
+  }
+
+  /** Bytes of memory that a partial event holds. */
+  get heldBytes(): number {
+    return this.#partialEvent.capacity;
   }
 
   /** True once any bytes were received, from whichever endpoint. */
@@ -30,32 +43,27 @@
     return this.#hasReceivedBytes;
   }
 
-  /** Adds bytes and returns the events that are now complete. */
-  push(chunk: Uint8Array): Buffer {
+  /**
+   * Adds bytes and returns the events that are now complete. Throws
+   * `BodyLimitError` if there is none in 1 MiB.
+   */
+  push(chunk: Buffer): Buffer {
     this.#hasReceivedBytes = true;
-    const bytes = this.#partialEvent.length === 0
-      ? Buffer.from(chunk)
-      : Buffer.concat([this.#partialEvent, chunk]);
-    const end = endOfLastEvent(bytes);
-    if (end === 0) {
-      this.#partialEvent = bytes;
-      return Buffer.alloc(0);
+    const completeEvents = this.#partialEvent.push(chunk);
+    if (this.#partialEvent.length > MAXIMUM_EVENT_BYTES) {
+      throw new BodyLimitError("endless_event");
     }
-    const completeEvents = bytes.subarray(0, end);
-    this.#partialEvent = bytes.subarray(end);
     this.#lastEventId = lastIdOf(completeEvents) ?? this.#lastEventId;
     return completeEvents;
   }
 
   /** Returns and clears blank lines after the last event, at a regular end. */
   flush(): Buffer {
-    const rest = this.#partialEvent;
-    this.#partialEvent = Buffer.alloc(0);
-    return rest;
+    return this.#partialEvent.take();
   }
 
   /** Drops a partial event before another endpoint resumes the stream. */
   dropPartialEvent(): void {
-    this.#partialEvent = Buffer.alloc(0);
+    this.#partialEvent.clear();
   }
 }
--- a/packages/kelpspar-http/src/body_limit_error.ts
+++ b/packages/kelpspar-http/src/body_limit_error.ts
@@ -4,7 +4,11 @@
   | "oversized_body"
   /** A body that is read whole takes too long. */
   | "slow_body"
-  /** The largest of all unfinished bodies, which hold too much. */
+  /** An event of a stream has too many bytes without its end. */
+  | "endless_event"
+  /** An event of a stream takes too long from its first byte to its end. */
+  | "slow_event"
+  /** The largest of all unfinished bodies and events, which hold too much. */
   | "memory";
 
 /** An answer was given up since it exceeds a limit; its connection is closed. */
