End the daemons of a play when its program is ended by a signal

Cause: soak, stops and repeats start daemons by DaemonProcess, and only ProcessGroup killed its processes when the program exits. SIGTERM and SIGINT end Node.js without exit hooks, so that 12 daemons went on.

Change: each started process is killed by its id when the program exits, in owned_processes.ts; the programs exit on both signals.

--- /dev/null
+++ b/packages/kelpspar-standins/src/__tests__/support/idle_process.ts
@@ -0,0 +1,3 @@
+const LIFETIME_MILLISECONDS = 60_000;
+
+setTimeout(() => {}, LIFETIME_MILLISECONDS);
--- a/packages/kelpspar-standins/src/process/process_group.ts
+++ b/packages/kelpspar-standins/src/process/process_group.ts
@@ -30,9 +30,6 @@
 export class ProcessGroup {
   readonly #timer: TimerService;
   readonly #processes = new Set<StartedProcess>();
-  readonly #killAll = (): void => {
-    for (const started of this.#processes) started.signal("SIGKILL");
-  };
 
   constructor(options: { readonly timer: TimerService }) {
     this.#timer = options.timer;
@@ -46,10 +43,6 @@
     start: ProgramStart,
     options: { readonly limitMilliseconds?: number } = {},
   ): Promise<RunningProcess> {
-    // Without the exit hook, child processes keep running and occupy ports when
-    // the parent exits by an error.
-    process.off("exit", this.#killAll);
-    process.on("exit", this.#killAll);
     const started = new StartedProcess(start);
     this.#processes.add(started);
     void started.exited.then(() => this.#processes.delete(started));
@@ -84,7 +77,6 @@
     }, limit);
     await Promise.all([...this.#processes].map((started) => started.stop()));
     stopTimer();
-    process.off("exit", this.#killAll);
     return killed;
   }
 }
--- a/packages/kelpspar-standins/src/process/started_process.ts
+++ b/packages/kelpspar-standins/src/process/started_process.ts
@@ -3,6 +3,7 @@
 import type { ProcessExit, RunningProcess } from "./running_process.ts";
 import { spawn } from "node:child_process";
 import { createInterface } from "node:readline";
+import { ownProcess } from "./owned_processes.ts";
 
 const MAXIMUM_KEPT_LINES = 100;
 
@@ -28,6 +29,7 @@
         resolve({ code: null, signal: null });
       });
     });
+    ownProcess(this);
     this.#readLines();
   }
 
--- a/packages/kelpspar-standins/src/programs/demo_main.ts
+++ b/packages/kelpspar-standins/src/programs/demo_main.ts
@@ -1,6 +1,7 @@
 import { SystemTimer } from "kelpspar-shared";
 import { DEMO_SITES } from "../demo/demo_site.ts";
 import { runDemo } from "../demo/run_demo.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_FAILED = 1;
@@ -12,6 +13,7 @@
   printText(`Usage: demo [${Object.keys(DEMO_SITES).join("|")}]`);
   process.exit(EXIT_USAGE);
 }
+exitOnSignals();
 try {
   await runDemo(demo, { timer: new SystemTimer(), print: printText });
 } catch (thrown) {
--- a/packages/kelpspar-standins/src/programs/experiment_main.ts
+++ b/packages/kelpspar-standins/src/programs/experiment_main.ts
@@ -6,10 +6,10 @@
 import { EXPERIMENTS } from "../experiments/experiments.ts";
 import { renderFigures } from "../experiments/render_figures.ts";
 import { runExperiment } from "../experiments/run_experiment.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { printLine, printText } from "./read_settings.ts";
 
 const USAGE_EXIT_CODE = 64;
-const INTERRUPTED_EXIT_CODE = 130;
 
 const { values, positionals } = parseArgs({
   allowPositionals: true,
@@ -22,12 +22,7 @@
   },
 });
 
-// Exits explicitly, because the hook that ends the site's child processes runs
-// only on `process.exit`. Without it, an interrupted run would leave processes
-// behind that load the machine.
-for (const signal of ["SIGINT", "SIGTERM"] as const) {
-  process.once(signal, () => process.exit(INTERRUPTED_EXIT_CODE));
-}
+exitOnSignals();
 
 const experiment = EXPERIMENTS.get(positionals[0] ?? "");
 const arms = ARMS.filter((arm) => values.arm === "both" || values.arm === arm);
--- a/packages/kelpspar-standins/src/programs/repeats_main.ts
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -2,6 +2,7 @@
 import { appendFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { REPEAT_SITUATIONS } from "../repeats/repeat_situation.ts";
 import { runRepeats } from "../repeats/run_repeats.ts";
 import { readCount } from "./read_count.ts";
@@ -19,6 +20,7 @@
 );
 const NAMES = Object.keys(REPEAT_SITUATIONS) as readonly RepeatSituationName[];
 
+exitOnSignals();
 try {
   const { values } = parseArgs({
     options: {
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from "node:util";
 import { runSoak } from "../soak/run_soak.ts";
 import { SOAK_FAULT_NAMES } from "../soak/soak_faults.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
@@ -27,6 +28,7 @@
   readonly faults: readonly SoakFaultName[];
 }
 
+exitOnSignals();
 try {
   const { values } = parseArgs({
     options: {
--- a/packages/kelpspar-standins/src/programs/stops_main.ts
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -10,6 +10,7 @@
   STOP_SITUATION_NAMES,
   stopSituation,
 } from "../stops/stop_situations.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
@@ -28,6 +29,7 @@
   readonly situation: StopSituation;
 }
 
+exitOnSignals();
 try {
   const { values } = parseArgs({
     options: {
