Play repeats with mixed routes, replaced endpoints and streams taken up

Two kinds of arrivals weren't counted: sends that an endpoint answers with 421, and first calls of stages that are made for a run that is itself a repeat.

Change: two sites with a mix of routes, which any situation can be played at (--site); callers that take up streams; endpoints replaced at their address; twelve situations. The judge counts both kinds and, by service, the requests that need it.

--- a/packages/kelpspar-standins/src/programs/repeats_main.ts
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -1,17 +1,22 @@
-import type { RepeatSituationName } from "../repeats/repeat_situation.ts";
+import type { RepeatSiteName } from "../repeats/repeat_site.ts";
+import type {
+  RepeatSituation,
+  RepeatSituationName,
+} from "../repeats/repeat_situation.ts";
 import { appendFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
-import { exitOnSignals } from "../process/owned_processes.ts";
+import { REPEAT_SITES } from "../repeats/repeat_site.ts";
 import { REPEAT_SITUATIONS } from "../repeats/repeat_situation.ts";
 import { runRepeats } from "../repeats/run_repeats.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
 const EXIT_USAGE = 64;
 const USAGE =
-  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--program FILE] [--log FILE]";
+  "npm run repeats -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--site NAME] [--program FILE] [--log FILE]";
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
@@ -28,6 +33,7 @@
       seed: { type: "string", default: "1" },
       seeds: { type: "string", default: "1" },
       daemons: { type: "string" },
+      site: { type: "string" },
       program: { type: "string", default: PROGRAM },
       log: { type: "string" },
       help: { type: "boolean", default: false },
@@ -41,9 +47,12 @@
     const daemons = values.daemons === undefined
       ? {}
       : { daemons: readCount("daemons", values.daemons) };
+    const site = values.site === undefined
+      ? {}
+      : { site: readSite(values.site), route: "mixed" as const };
     for (let seed = first; seed < first + count; seed++) {
       for (const name of names) {
-        await play(name, { ...values, seed, daemons });
+        await play(name, { ...values, seed, changes: { ...daemons, ...site } });
       }
     }
     process.exit();
@@ -67,19 +76,29 @@
   });
 }
 
+function readSite(text: string): RepeatSiteName {
+  const names = Object.keys(REPEAT_SITES) as readonly RepeatSiteName[];
+  const mixed = names.filter((name) => REPEAT_SITES[name].mix.length > 0);
+  const known = mixed.find((found) => found === text);
+  if (known !== undefined) return known;
+  throw new TypeError(
+    `--site takes one of ${mixed.join(", ")}, not "${text}"`,
+  );
+}
+
 async function play(
   name: RepeatSituationName,
-  { seed, daemons, program, log }: {
+  { seed, changes, program, log }: {
     readonly seed: number;
     /** Path of the daemon's program. */
     readonly program: string;
-    readonly daemons: { readonly daemons?: number };
+    readonly changes: Partial<RepeatSituation>;
     readonly log?: string | undefined;
   },
 ): Promise<void> {
-  const { services, sent, whole, answers } = await runRepeats({
+  const { services, sent, whole, answers, resuming } = await runRepeats({
     seed,
-    situation: { ...REPEAT_SITUATIONS[name], ...daemons },
+    situation: { ...REPEAT_SITUATIONS[name], ...changes },
     program: { path: program, nodeArguments: [] },
     partitionHook: PARTITION_HOOK,
     ...(log === undefined
@@ -91,7 +110,8 @@
   );
   printText(
     `${name}, seed ${seed}: ` +
-      `${whole} of ${sent} whole (${statuses.join(", ")})`,
+      `${whole} of ${sent} whole (${statuses.join(", ")})` +
+      (resuming > 0 ? `, ${resuming} take up a stream` : ""),
   );
   for (const { service, basis, worst } of services) {
     printText(
--- a/packages/kelpspar-standins/src/repeats/find_worst_window.ts
+++ b/packages/kelpspar-standins/src/repeats/find_worst_window.ts
@@ -33,11 +33,16 @@
     /** When each request was sent, monotonic milliseconds. */
     readonly requests: readonly number[];
     readonly arrivals: readonly RunnerArrival[];
+    /**
+     * When each request first reached the service that it is for: later calls of
+     * its stages are made for a run that is a repeat, and count as repeats.
+     */
+    readonly runs?: ReadonlyMap<string, number>;
   },
 ): WorstWindow {
   const { ratio, slack, windowMilliseconds } = limits;
   const requests = sorted(records.requests);
-  const repeats = findRepeats(records.arrivals);
+  const repeats = findRepeats(records.arrivals, records.runs);
   let worst: WorstWindow = {
     at: 0,
     repeats: 0,
@@ -62,11 +67,18 @@
 export function firstArrivals(
   arrivals: readonly RunnerArrival[],
 ): readonly number[] {
+  return [...firstArrivalOfEach(arrivals).values()];
+}
+
+/** Time of the first arrival of each request, monotonic milliseconds. */
+export function firstArrivalOfEach(
+  arrivals: readonly RunnerArrival[],
+): ReadonlyMap<string, number> {
   const first = new Map<string, number>();
   for (const { key, at } of arrivals) {
     first.set(key, Math.min(at, first.get(key) ?? at));
   }
-  return [...first.values()];
+  return first;
 }
 
 /**
@@ -77,15 +89,23 @@
   arrivals: readonly RunnerArrival[],
 ): readonly number[] {
   return firstArrivals(
-    arrivals.map(({ key, at }) => ({ key: key.split("/", 1)[0] ?? key, at })),
+    arrivals.map(({ key, at }) => ({ key: requestOf(key), at })),
   );
 }
 
-function findRepeats(arrivals: readonly RunnerArrival[]): readonly number[] {
+function requestOf(key: string): string {
+  return key.split("/", 1)[0] ?? key;
+}
+
+function findRepeats(
+  arrivals: readonly RunnerArrival[],
+  runs: ReadonlyMap<string, number> = new Map(),
+): readonly number[] {
   const known = new Set<string>();
   const ordered = [...arrivals].sort((left, right) => left.at - right.at);
   return ordered.flatMap(({ key, at }) => {
-    if (known.has(key)) return [at];
+    const runAt = runs.get(requestOf(key)) ?? Number.POSITIVE_INFINITY;
+    if (known.has(key) || at > runAt) return [at];
     known.add(key);
     return [];
   });
--- a/packages/kelpspar-standins/src/repeats/judge_services.ts
+++ b/packages/kelpspar-standins/src/repeats/judge_services.ts
@@ -3,7 +3,11 @@
 import type { RepeatSituation } from "./repeat_situation.ts";
 import type { WorstWindow } from "./find_worst_window.ts";
 import { RETRY_LIMITS } from "../wire/wire_site.ts";
-import { findWorstWindow, firstArrivals } from "./find_worst_window.ts";
+import {
+  findWorstWindow,
+  firstArrivalOfEach,
+  firstArrivals,
+} from "./find_worst_window.ts";
 import { REPEAT_SITES } from "./repeat_site.ts";
 
 /** What earns repeats: requests of callers, or first sends of pieces. */
@@ -16,34 +20,51 @@
   readonly worst: WorstWindow;
 }
 
-/**
- * Judges what reached the endpoints of each service of the situation's route.
- * `requests` are the times at which callers sent, monotonic milliseconds.
- */
+/** A request of a caller. */
+export interface SentRequest {
+  /** When it was sent, monotonic milliseconds. */
+  readonly at: number;
+  /** The services that it needs. */
+  readonly services: ReadonlySet<string>;
+}
+
+/** Judges what reached the endpoints of each service that callers need. */
 export function judgeServices(
   site: WireSite,
   situation: RepeatSituation,
-  requests: readonly number[],
+  sent: readonly SentRequest[],
 ): readonly ServiceRepeats[] {
   const slack = REPEAT_SITES[situation.site].retrySlack;
   const limits = { ...RETRY_LIMITS, slack };
   const judge = (
     service: string,
     arrivals: readonly RunnerArrival[],
-    basis: RepeatBasis = "requests",
+    { basis, runs }: {
+      readonly basis: RepeatBasis;
+      readonly runs?: ReadonlyMap<string, number>;
+    },
   ): ServiceRepeats => {
-    const allowing = basis === "requests" ? requests : firstArrivals(arrivals);
-    const worst = findWorstWindow(limits, { requests: allowing, arrivals });
-    return { service, basis, worst };
+    const requests = basis === "requests"
+      ? sent.filter(({ services }) => services.has(service)).map(({ at }) => at)
+      : firstArrivals(arrivals);
+    const records = { requests, arrivals, ...(runs ? { runs } : {}) };
+    return { service, basis, worst: findWorstWindow(limits, records) };
   };
-  if (situation.route === "often") {
-    return [judge("plain", arrivalsAt(site.plain))];
-  }
-  const stages = [...site.stagesOf].flatMap(([service, runners]) => [
-    judge(service, arrivalsAt(runners), "requests"),
-    judge(service, arrivalsAt(runners), "pieces"),
-  ]);
-  return [judge("model", arrivalsAt(site.models)), ...stages];
+  const runs = firstArrivalOfEach(arrivalsAt(site.models));
+  const needed = new Set(sent.flatMap(({ services }) => [...services]));
+  return [
+    judge("plain", arrivalsAt(site.plain), { basis: "requests" }),
+    ...[...site.modelsOf].map(([service, runners]) =>
+      judge(service, arrivalsAt(runners), { basis: "requests" })
+    ),
+    ...[...site.stagesOf].flatMap(([service, runners]) => {
+      const arrivals = arrivalsAt(runners);
+      return [
+        judge(service, arrivals, { basis: "requests", runs }),
+        judge(service, arrivals, { basis: "pieces", runs }),
+      ];
+    }),
+  ].filter(({ service }) => needed.has(service));
 }
 
 function arrivalsAt(
--- a/packages/kelpspar-standins/src/repeats/repeat_site.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_site.ts
@@ -1,23 +1,40 @@
-import type { StageServiceOptions } from "../wire/wire_site.ts";
+import type {
+  ModelServiceOptions,
+  StageServiceOptions,
+} from "../wire/wire_site.ts";
+import type { MixedRoute } from "./mixed_route.ts";
+import { MOSTLY_RESUMABLE, SEVERAL_MODELS } from "./mixed_routes.ts";
 
 /** The endpoints of a site and the limits of its retries. */
 export interface RepeatSite {
+  readonly plainRunners: number;
+  readonly modelServices: readonly ModelServiceOptions[];
   readonly stageServices: readonly StageServiceOptions[];
-  /** Number of pieces of each stage of a request. */
+  /** Number of pieces of each stage of a request, on routes without a mix. */
   readonly pieces: readonly number[];
   readonly zones: readonly string[];
   readonly retrySlack: number;
+  /** Routes of a situation whose route is `mixed`. */
+  readonly mix: readonly MixedRoute[];
 }
 
+const MODELS: Pick<RepeatSite, "plainRunners" | "modelServices" | "mix"> = {
+  plainRunners: 8,
+  modelServices: [{ name: "model", runners: 8 }],
+  mix: [],
+};
+
 /** Sites by name. */
 export const REPEAT_SITES = {
   one_stage_service: {
+    ...MODELS,
     stageServices: [{ name: "stage", runners: 6, batch: 16 }],
     pieces: [2, 3],
     zones: ["a"],
     retrySlack: 60,
   },
   three_stage_services: {
+    ...MODELS,
     stageServices: [
       { name: "first", runners: 3, batch: 8 },
       { name: "second", runners: 4, batch: 8 },
@@ -27,6 +44,35 @@
     zones: ["a", "b"],
     retrySlack: 56,
   },
+  mostly_resumable: {
+    plainRunners: 3,
+    modelServices: [{ name: "model", runners: 9 }],
+    stageServices: [
+      { name: "first", runners: 3, batch: 8 },
+      { name: "second", runners: 5, batch: 18 },
+      { name: "third", runners: 5, batch: 30 },
+    ],
+    pieces: [],
+    zones: ["a", "b", "c"],
+    retrySlack: 56,
+    mix: MOSTLY_RESUMABLE,
+  },
+  several_models: {
+    plainRunners: 4,
+    modelServices: [
+      { name: "model", runners: 12 },
+      { name: "light-model", runners: 8 },
+    ],
+    stageServices: [
+      { name: "first", runners: 6, batch: 16 },
+      { name: "second", runners: 5, batch: 60 },
+      { name: "third", runners: 6, batch: 96 },
+    ],
+    pieces: [],
+    zones: ["a", "b", "c", "d"],
+    retrySlack: 162,
+    mix: SEVERAL_MODELS,
+  },
 } as const satisfies Readonly<Record<string, RepeatSite>>;
 
 /** The name of a site. */
--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -22,7 +22,8 @@
 
 /** Endpoints that fail a share of their requests while daemons have faults. */
 export interface RepeatSituation {
-  readonly route: "often" | "stream" | "resumed";
+  /** A route of all sites, or `mixed` for the routes of the site's mix. */
+  readonly route: "often" | "stream" | "resumed" | "mixed";
   readonly site: RepeatSiteName;
   readonly daemons: number;
   readonly perSecond: number;
@@ -38,6 +39,18 @@
   readonly daemonFault: DaemonFault;
   readonly faultIntervalMilliseconds: number;
   readonly partitionTarget: PartitionTarget;
+  /** Interval at which an endpoint is replaced at its address; 0 for never. */
+  readonly replacementMilliseconds: number;
+  /** Time until the replacing endpoint's entry is written. */
+  readonly entryMilliseconds: number;
+  /** Software versions of model endpoints, in rotation; none by default. */
+  readonly modelVersions: readonly string[];
+  /** Number of events of a stream. */
+  readonly events: number;
+  readonly eventMilliseconds: number;
+  readonly deadlineMilliseconds: number;
+  /** Number of times that a caller takes up a resumable stream. */
+  readonly callerResumes: number;
   /** Load ends after this time, seconds; the run goes on. */
   readonly loadSeconds: number;
   /** Number of times that a refused caller sends again at once. */
@@ -59,6 +72,13 @@
   daemonFault: "none",
   faultIntervalMilliseconds: 3_000,
   partitionTarget: "endpoints",
+  replacementMilliseconds: 0,
+  entryMilliseconds: 1_500,
+  modelVersions: [],
+  events: 5,
+  eventMilliseconds: 5,
+  deadlineMilliseconds: 2_500,
+  callerResumes: 0,
   loadSeconds: Number.POSITIVE_INFINITY,
   callerRetries: 0,
   store: "none",
@@ -84,6 +104,22 @@
   share: 0.6,
 };
 
+/** Streams of two versions that callers take up after they broke. */
+const TAKEN_UP: RepeatSituation = {
+  ...CHAINS,
+  seconds: 30,
+  perSecond: 16,
+  modelVersions: ["v1", "v1", "v1.2"],
+  events: 30,
+  eventMilliseconds: 50,
+  deadlineMilliseconds: 6_000,
+  callerResumes: 10,
+  runnerFault: "full",
+  share: 0.5,
+  daemonFault: "kill_all",
+  faultIntervalMilliseconds: 4_500,
+};
+
 /** Situations by name. */
 export const REPEAT_SITUATIONS = {
   failing: PLAIN,
@@ -197,6 +233,63 @@
     daemonFault: "drawn",
     faultIntervalMilliseconds: 700,
   },
+  "taken-up-rejecting-killed": TAKEN_UP,
+  "taken-up-cut-killed": { ...TAKEN_UP, runnerFault: "cut" },
+  "taken-up-full-killed": {
+    ...TAKEN_UP,
+    runnerFault: "none",
+    stageFault: "full",
+  },
+  "taken-up-drawn": {
+    ...TAKEN_UP,
+    daemonFault: "drawn",
+    faultIntervalMilliseconds: 700,
+  },
+  replaced: { ...PLAIN, runnerFault: "none", replacementMilliseconds: 200 },
+  "replaced-killed": {
+    ...PLAIN,
+    runnerFault: "none",
+    replacementMilliseconds: 200,
+    daemonFault: "kill_all",
+  },
+  "chains-replaced": {
+    ...CHAINS,
+    seconds: 30,
+    replacementMilliseconds: 120,
+  },
+  "chains-replaced-killed": {
+    ...CHAINS,
+    seconds: 30,
+    replacementMilliseconds: 120,
+    daemonFault: "kill_all",
+  },
+  "relayed-lost": {
+    ...PLAIN,
+    runnerFault: "answer_lost",
+    daemonFault: "partition_in_turn",
+  },
+  "chains-relayed-lost": {
+    ...CHAINS,
+    seconds: 30,
+    runnerFault: "answer_lost",
+    share: 0.7,
+    daemonFault: "partition_in_turn",
+  },
+  "chains-cut-ending-killed": {
+    ...CHAINS,
+    seconds: 30,
+    runnerFault: "cut",
+    share: 0.7,
+    stageRestartMilliseconds: 350,
+    daemonFault: "kill_all",
+  },
+  "chains-cut-partitioned": {
+    ...CHAINS,
+    seconds: 30,
+    runnerFault: "cut",
+    share: 0.7,
+    daemonFault: "partition_in_turn",
+  },
 } as const satisfies Readonly<Record<string, RepeatSituation>>;
 
 /** The name of a situation. */
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -1,7 +1,7 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
-import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { RepeatSituation } from "./repeat_situation.ts";
 import type { ServiceRepeats } from "./judge_services.ts";
+import type { Attempt } from "./send_load.ts";
 import { SeededRandom } from "kelpspar-shared";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -9,21 +9,17 @@
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { Agent } from "undici";
 import { createDaemons } from "../wire/create_daemons.ts";
-import { sendToFirst } from "../wire/send_to_first.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { FAULT_STEPS, FIRST_DAEMONS } from "./daemon_faults.ts";
 import { REPEAT_SITES } from "./repeat_site.ts";
 import { judgeServices } from "./judge_services.ts";
+import { sendLoad } from "./send_load.ts";
 
-const PLAIN_RUNNERS = 8;
 const STAGE_ROOM = 4_000;
 const ATTEMPTS = 3;
-/** Daemons that a caller tries to connect to. */
-const MAXIMUM_ADDRESSES = 4;
-const DEADLINE_MILLISECONDS = 2_500;
+const MINIMUM_TIMEOUT_MILLISECONDS = 3_000;
 /** Time for daemons to start and discover each other. */
 const STARTUP_MILLISECONDS = 3_000;
-const MILLISECONDS_PER_SECOND = 1_000;
 const SERVED_STATUS = 200;
 
 /** Options of `runRepeats`. */
@@ -46,15 +42,11 @@
   /** Answers by status; "none" if the connection ended without one. */
   readonly answers: ReadonlyMap<string, number>;
   readonly whole: number;
+  /** Attempts that took up a stream. */
+  readonly resuming: number;
   readonly services: readonly ServiceRepeats[];
 }
 
-/** One attempt of a caller. */
-interface Attempt {
-  readonly at: number;
-  readonly status: number | undefined;
-}
-
 /**
  * Sends requests to daemons whose endpoints fail, while daemons have faults, and
  * counts at the endpoints how often requests, or pieces of stages, came again.
@@ -64,13 +56,21 @@
 ): Promise<RepeatResult> {
   const { situation } = options;
   const random = new SeededRandom(options.seed);
-  const { stageServices, zones, retrySlack } = REPEAT_SITES[situation.site];
+  const { mix, zones, ...parts } = REPEAT_SITES[situation.site];
+  const { modelVersions, eventMilliseconds } = situation;
   const site = new WireSite({
-    plainRunners: PLAIN_RUNNERS,
-    modelRunners: PLAIN_RUNNERS,
-    stageServices,
+    plainRunners: parts.plainRunners,
+    modelServices: parts.modelServices,
+    stageServices: parts.stageServices,
+    routes: mix,
     zones,
-    retrySlack,
+    retrySlack: parts.retrySlack,
+    modelVersions,
+    eventMilliseconds,
+    timeoutMilliseconds: Math.max(
+      MINIMUM_TIMEOUT_MILLISECONDS,
+      situation.deadlineMilliseconds,
+    ),
     room: STAGE_ROOM,
     hasEngines: false,
     attempts: ATTEMPTS,
@@ -119,6 +119,16 @@
         }
       }, situation.stageRestartMilliseconds));
     }
+    if (situation.replacementMilliseconds > 0) {
+      const runners = [...site.plain, ...site.models, ...site.stages];
+      let replaced = 0;
+      timers.push(setInterval(() => {
+        const runner = runners[replaced++ % runners.length];
+        if (runner !== undefined) {
+          site.replace(runner, situation.entryMilliseconds);
+        }
+      }, situation.replacementMilliseconds));
+    }
     const attempts = await sendLoad(
       { site, daemons, agent, random },
       situation,
@@ -147,57 +157,6 @@
   }
 }
 
-/** Sends requests at a steady rate to daemons in turn. */
-async function sendLoad(
-  { site, daemons, agent, random }: {
-    readonly site: WireSite;
-    readonly daemons: readonly DaemonProcess[];
-    readonly agent: Agent;
-    readonly random: SeededRandom;
-  },
-  situation: RepeatSituation,
-): Promise<readonly Attempt[]> {
-  const { route, perSecond, seconds, loadSeconds, callerRetries } = situation;
-  const { pieces } = REPEAT_SITES[situation.site];
-  const startedAt = performance.now();
-  const attempts: Attempt[] = [];
-  const callers: Promise<void>[] = [];
-  const sendAttempt = async (attemptId: string): Promise<Attempt> => {
-    const running = daemons.filter(({ processId }) => processId !== undefined);
-    const first = random.nextInteger(Math.max(1, running.length));
-    const addresses = [...running.slice(first), ...running.slice(0, first)]
-      .slice(0, MAXIMUM_ADDRESSES).map(({ front }) => front);
-    const at = performance.now();
-    const status = await sendToFirst(addresses, {
-      path: `/${route}/x`,
-      host: site.host,
-      agent,
-      attemptId,
-      pieces,
-      isGet: route === "often",
-      deadlineMilliseconds: DEADLINE_MILLISECONDS,
-    });
-    return { at, status };
-  };
-  const call = async (number: number): Promise<void> => {
-    for (let retries = 0; retries <= callerRetries; retries++) {
-      const attempt = await sendAttempt(`a${number}-${retries}`);
-      attempts.push(attempt);
-      if (attempt.status === SERVED_STATUS) return;
-    }
-  };
-  const count = Math.min(seconds, loadSeconds) * perSecond;
-  for (let number = 0; number < count; number++) {
-    const due = startedAt + number * MILLISECONDS_PER_SECOND / perSecond;
-    await setTimeoutPromise(Math.max(0, due - performance.now()));
-    callers.push(call(number));
-  }
-  await Promise.all(callers);
-  const end = startedAt + seconds * MILLISECONDS_PER_SECOND;
-  await setTimeoutPromise(Math.max(0, end - performance.now()));
-  return attempts;
-}
-
 function judge(
   site: WireSite,
   situation: RepeatSituation,
@@ -212,6 +171,7 @@
     sent: attempts.length,
     answers,
     whole: answers.get(String(SERVED_STATUS)) ?? 0,
-    services: judgeServices(site, situation, attempts.map(({ at }) => at)),
+    resuming: attempts.filter(({ isResuming }) => isResuming).length,
+    services: judgeServices(site, situation, attempts),
   };
 }
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -115,6 +115,7 @@
   /** Draws the fault of each request; replaces `fault` while set. */
   drawFault: (() => RunnerFault) | undefined;
   endlessBytes: EndlessBytes = { start: "", repeated: "x" };
+  /** Requests that arrived, refused or not, and for whichever id. */
   readonly arrivals: RunnerArrival[] = [];
   streamFraming: StreamFraming = "chunked";
   streamLineEnd: StreamLineEnd = "\n";
@@ -192,6 +193,12 @@
     this.#server.listen(port, "127.0.0.1");
   }
 
+  /** Is another runner from now on: under a new id, without connections. */
+  replace(): void {
+    this.#incarnation++;
+    this.#server.closeAllConnections();
+  }
+
   stop(): void {
     this.#server.closeAllConnections();
     this.#server.close();
@@ -209,11 +216,15 @@
   ): void {
     const attemptId = String(message.headers["x-attempt-id"]);
     if (message.headers["x-expect-instance"] !== this.id) {
+      // Probes have no attempt id.
+      if (message.headers["x-attempt-id"] !== undefined) {
+        this.#recordArrival(attemptId);
+      }
       response.writeHead(421).end();
       return;
     }
     this.limit.recordArrival();
-    this.arrivals.push({ key: attemptId, at: performance.now() });
+    this.#recordArrival(attemptId);
     const fault = this.drawFault?.() ?? this.fault;
     if (fault === "full" || this.brittle?.tryAccept() === false) {
       this.refusals++;
@@ -265,6 +276,10 @@
     } else void this.#answer({ attemptId, response, plan });
   }
 
+  #recordArrival(key: string): void {
+    this.arrivals.push({ key, at: performance.now() });
+  }
+
   #hasCrashingPart(headers: IncomingHttpHeaders): boolean {
     return [...this.crashingParts].some((id) => hasPromptPart({ headers }, id));
   }
--- a/packages/kelpspar-standins/src/wire/send_to_first.ts
+++ b/packages/kelpspar-standins/src/wire/send_to_first.ts
@@ -2,6 +2,7 @@
 import { request as sendRequest } from "undici";
 
 const DEFAULT_PIECES = [2, 3];
+const SERVED_STATUS = 200;
 
 /** One request of a caller. */
 export interface AttemptOptions {
@@ -13,6 +14,15 @@
   /** Number of pieces of each stage. */
   readonly pieces?: readonly number[] | undefined;
   readonly deadlineMilliseconds: number;
+  /** Identical for attempts that share results; default the attempt's id. */
+  readonly pieceKey?: string | undefined;
+  /** The stream that the attempt takes up. */
+  readonly resumed?: {
+    readonly attemptId: string;
+    readonly lastEventId: string;
+  } | undefined;
+  /** Receives the parts of an answer with status 200. */
+  readonly onText?: ((text: string) => void) | undefined;
 }
 
 /**
@@ -39,7 +49,8 @@
   options: AttemptOptions,
 ): Promise<number> {
   const { path, host, agent, attemptId, isGet, deadlineMilliseconds } = options;
-  const { pieces = DEFAULT_PIECES } = options;
+  const { pieces = DEFAULT_PIECES, pieceKey = attemptId } = options;
+  const { resumed, onText } = options;
   const { statusCode, body } = await sendRequest(`http://${address}${path}`, {
     method: isGet ? "GET" : "POST",
     dispatcher: agent,
@@ -50,10 +61,17 @@
       "x-deadline-ms": String(deadlineMilliseconds),
       "x-api-key": "key-1",
       "x-pieces": pieces.join(","),
-      "x-piece-key": attemptId,
+      "x-piece-key": pieceKey,
+      ...(resumed === undefined ? {} : {
+        resumes: resumed.attemptId,
+        "last-event-id": resumed.lastEventId,
+      }),
     },
     body: isGet ? null : "body",
   });
-  await body.text();
+  body.setEncoding("utf8");
+  for await (const text of body as AsyncIterable<string>) {
+    if (statusCode === SERVED_STATUS) onText?.(text);
+  }
   return statusCode;
 }
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -37,6 +37,7 @@
 }
 
 const BYTES_PER_MEGABYTE = 1_000_000;
+const RUN_PATH = "/-/stage-run";
 
 /** Factor by which the `slow` fault lengthens each call. */
 const SLOW_FACTOR = 6;
@@ -46,7 +47,7 @@
   fault: StageFault = "none";
   /** Draws the fault of each call, or of each piece for `failing`. */
   drawFault: (() => StageFault) | undefined;
-  /** Pieces of all calls, refused or not. */
+  /** Pieces of all calls, refused or not, and for whichever id. */
   readonly arrivals: RunnerArrival[] = [];
   /** Whether all responses carry `Server-Leaving`. */
   isLeaving = false;
@@ -73,7 +74,10 @@
     this.#server = createTextServer((message, text, response) => {
       if (message.headers["x-expect-instance"] === this.id) {
         this.#handle(message.url ?? "", text, response);
-      } else response.writeHead(421).end();
+      } else {
+        if (message.url === RUN_PATH) this.#recordArrivals(readEntries(text));
+        response.writeHead(421).end();
+      }
     });
   }
 
@@ -100,6 +104,11 @@
     this.#server.closeAllConnections();
   }
 
+  /** Is another runner from now on: under a new id, without results. */
+  replace(): void {
+    this.restart();
+  }
+
   /** Listens on loopback; resolves to `address:port`. */
   async start(): Promise<string> {
     this.#address = await listenOnLoopback(this.#server);
@@ -115,12 +124,7 @@
     const handlers: Readonly<Record<string, () => void>> = {
       "/-/report": () => this.#report(response),
       "/-/stage-free": () => this.#free(JSON.parse(text) as object, response),
-      "/-/stage-run": () => {
-        const { entries } = JSON.parse(text) as {
-          readonly entries: readonly StageEntry[];
-        };
-        this.#run(entries, response);
-      },
+      [RUN_PATH]: () => this.#run(readEntries(text), response),
     };
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     if (this.limit.text !== undefined) {
@@ -149,10 +153,7 @@
 
   #run(entries: readonly StageEntry[], response: ServerResponse): void {
     this.limit.recordArrival();
-    for (const { id, stage, piece } of entries) {
-      const key = `${id}/${stage}/${piece}`;
-      this.arrivals.push({ key, at: performance.now() });
-    }
+    this.#recordArrivals(entries);
     const fault = this.drawFault?.() ?? this.fault;
     if (fault === "mute") return;
     if (fault === "closed") {
@@ -180,6 +181,13 @@
     });
   }
 
+  #recordArrivals(entries: readonly StageEntry[]): void {
+    for (const { id, stage, piece } of entries) {
+      const key = `${id}/${stage}/${piece}`;
+      this.arrivals.push({ key, at: performance.now() });
+    }
+  }
+
   #createResult(entry: StageEntry): object {
     const fault = this.drawFault?.() ?? this.fault;
     if (fault === "failing") return { reason: "error" };
@@ -202,3 +210,10 @@
     return new Promise((resolve) => setTimeout(resolve, time));
   }
 }
+
+function readEntries(text: string): readonly StageEntry[] {
+  const { entries } = JSON.parse(text) as {
+    readonly entries: readonly StageEntry[];
+  };
+  return entries;
+}
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -1,3 +1,4 @@
+import type { WireRouteOptions } from "./wire_route_options.ts";
 import { findFreePorts } from "./free_ports.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import { RunnerStandIn } from "./runner_stand_in.ts";
@@ -12,10 +13,19 @@
   readonly batch: number;
 }
 
+/** A service of model runners. */
+export interface ModelServiceOptions {
+  readonly name: string;
+  readonly runners: number;
+}
+
 /** Size, timing and limits of a site. */
 export interface WireSiteOptions {
   readonly plainRunners?: number;
+  /** Model runners of the service `model`, unless `modelServices` is set. */
   readonly modelRunners?: number;
+  /** Default one service named `model`, which the streaming routes need. */
+  readonly modelServices?: readonly ModelServiceOptions[];
   readonly stageRunners?: number;
   /** Fixed time of a stage call, milliseconds. */
   readonly callMilliseconds?: number;
@@ -28,6 +38,8 @@
    * the one before; default one service with two stages.
    */
   readonly stageServices?: readonly StageServiceOptions[];
+  /** Routes besides those that every site has; default none. */
+  readonly routes?: readonly WireRouteOptions[];
   /** Software versions, assigned to model runners in rotation. */
   readonly modelVersions?: readonly string[];
   /** Whether the coordinator places requests at model runners. */
@@ -73,20 +85,25 @@
   readonly store = new StoreStandIn();
   readonly plain: readonly RunnerStandIn[];
   readonly models: readonly RunnerStandIn[];
+  /** Model runners by service. */
+  readonly modelsOf: ReadonlyMap<string, readonly RunnerStandIn[]>;
   readonly stages: readonly StageRunnerStandIn[];
   /** Stage runners by service. */
   readonly stagesOf: ReadonlyMap<string, readonly StageRunnerStandIn[]>;
   /** Empty unless `hasProxies` is set. */
   readonly proxies: LoopbackProxy[] = [];
   readonly #options: Required<WireSiteOptions>;
-  /** Pending restarts of crashed runners. */
+  /** Pending restarts of crashed runners, and entries to be written. */
   readonly #restarts = new Set<NodeJS.Timeout>();
   #storeAddress = "";
   #version = 1;
   /** Rows written by the operator and the runners, by table and key. */
   readonly #written = new Map<string, readonly [string, string, object]>();
-  /** Writes the row of a stage runner under its current id. */
-  readonly #writeStages = new Map<StageRunnerStandIn, () => void>();
+  /** Writes the row of a runner under its current id. */
+  readonly #writeRows = new Map<
+    RunnerStandIn | StageRunnerStandIn,
+    () => void
+  >();
   /** API keys in the configuration. */
   keys: readonly string[] = ["key-1", "key-2"];
 
@@ -94,11 +111,13 @@
     this.#options = {
       plainRunners: 2,
       modelRunners: 2,
+      modelServices: [],
       stageRunners: 2,
       callMilliseconds: 20,
       batch: 6,
       room: 40,
       stageServices: [],
+      routes: [],
       modelVersions: [],
       hasEngines: true,
       eventMilliseconds: 5,
@@ -112,23 +131,19 @@
       hasProxies: false,
       ...options,
     };
-    const { plainRunners, modelRunners } = this.#options;
-    const { modelVersions, eventMilliseconds } = this.#options;
+    const { plainRunners } = this.#options;
     this.plain = Array.from(
       { length: plainRunners },
       (_, index) =>
         new RunnerStandIn({ id: `plain-${index}`, isStream: false }),
     );
-    this.models = Array.from(
-      { length: modelRunners },
-      (_, index) =>
-        new RunnerStandIn({
-          id: `model-${index}`,
-          isStream: true,
-          delayMilliseconds: eventMilliseconds,
-          version: modelVersions[index % Math.max(1, modelVersions.length)],
-        }),
+    this.modelsOf = new Map(
+      this.#modelServices.map(({ name, runners }) => [
+        name,
+        this.#createModelRunners(name, runners),
+      ]),
     );
+    this.models = [...this.modelsOf.values()].flat();
     this.stagesOf = new Map(
       this.#stageServices.map(({ name, runners }) => [
         name,
@@ -141,8 +156,7 @@
   async start(): Promise<void> {
     this.#storeAddress = await this.#exposeAddress(await this.store.start());
     await this.#registerRunners("plain", this.plain);
-    await this.#registerRunners("model", this.models);
-    for (const [name, runners] of this.stagesOf) {
+    for (const [name, runners] of [...this.modelsOf, ...this.stagesOf]) {
       await this.#registerRunners(name, runners);
     }
     this.publish();
@@ -205,7 +219,11 @@
 
   /** Addresses of all runners as daemons know them, `address:port`. */
   get runnerAddresses(): readonly string[] {
-    const services = ["plain", "model", ...this.stagesOf.keys()];
+    const services = [
+      "plain",
+      ...this.modelsOf.keys(),
+      ...this.stagesOf.keys(),
+    ];
     return services.flatMap((service) =>
       this.runnerRowsOf(service).map(({ value }) =>
         (value as { readonly address: string }).address
@@ -225,6 +243,27 @@
       : [{ name: "stage", runners: stageRunners, batch }];
   }
 
+  get #modelServices(): readonly ModelServiceOptions[] {
+    const { modelServices, modelRunners } = this.#options;
+    return modelServices.length > 0
+      ? modelServices
+      : [{ name: "model", runners: modelRunners }];
+  }
+
+  #createModelRunners(name: string, count: number): readonly RunnerStandIn[] {
+    const { modelVersions, eventMilliseconds } = this.#options;
+    return Array.from(
+      { length: count },
+      (_, index) =>
+        new RunnerStandIn({
+          id: `${name}-${index}`,
+          isStream: true,
+          delayMilliseconds: eventMilliseconds,
+          version: modelVersions[index % Math.max(1, modelVersions.length)],
+        }),
+    );
+  }
+
   #createStageRunners(
     name: string,
     count: number,
@@ -290,10 +329,7 @@
 
   async #registerRunners(
     service: string,
-    runners: readonly {
-      readonly version?: string;
-      start(): Promise<string>;
-    }[],
+    runners: readonly (RunnerStandIn | StageRunnerStandIn)[],
   ): Promise<void> {
     const { zones } = this.#options;
     for (const [index, runner] of runners.entries()) {
@@ -306,7 +342,7 @@
           service,
           address,
           zone,
-          version: runner.version ?? "v1",
+          version: runner instanceof RunnerStandIn ? runner.version : "v1",
           slots: 4,
           state: "ready",
           coldLeftMs: 0,
@@ -314,9 +350,7 @@
         });
       };
       write(`${service}-${index}`);
-      if (runner instanceof StageRunnerStandIn) {
-        this.#writeStages.set(runner, () => write(runner.id));
-      }
+      this.#writeRows.set(runner, () => write(runner.id));
       if (!(runner instanceof RunnerStandIn)) continue;
       this.#restartOnCrash(runner, { proxy, write });
     }
@@ -326,7 +360,25 @@
   restartStage(stage: StageRunnerStandIn): void {
     this.#remove("servers", stage.id);
     stage.restart();
-    this.#writeStages.get(stage)?.();
+    this.#writeRows.get(stage)?.();
+  }
+
+  /**
+   * Replaces a runner by another one at the same address, which daemons know
+   * under the former id until its entry is written.
+   */
+  replace(
+    runner: RunnerStandIn | StageRunnerStandIn,
+    entryMilliseconds: number,
+  ): void {
+    const formerId = runner.id;
+    runner.replace();
+    const write = setTimeout(() => {
+      this.#restarts.delete(write);
+      this.#remove("servers", formerId);
+      this.#writeRows.get(runner)?.();
+    }, entryMilliseconds);
+    this.#restarts.add(write);
   }
 
   /** Restarts a runner after each crash, under a new id. */
@@ -358,7 +410,7 @@
 
   #configuration(version: number): object {
     const { callMilliseconds, room, coldPerSecond, hasEngines } = this.#options;
-    const { timeoutMilliseconds, attempts } = this.#options;
+    const { timeoutMilliseconds, attempts, routes } = this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
@@ -391,6 +443,20 @@
           resumable: true,
           stages,
         }),
+        ...routes.map(({ name, kind, ...fields }) =>
+          route(name, kind, {
+            service: fields.service,
+            attempts: fields.attempts,
+            resumable: fields.isResumable,
+            priority: fields.priority,
+            sloMs: fields.objectiveMilliseconds,
+            stages: fields.stages.map(({ service, after }) => ({
+              service,
+              after,
+              bytes: RESULT_BYTES,
+            })),
+          })
+        ),
       ],
       services: [
         {
@@ -399,12 +465,12 @@
           maxConns: 100,
           coldPerS: coldPerSecond,
         },
-        {
-          name: "model",
+        ...this.#modelServices.map(({ name }) => ({
+          name,
           healthPath: "/health",
           maxConns: 100,
           ...(hasEngines ? { engine: { slots: 8 } } : {}),
-        },
+        })),
         ...this.#stageServices.map(({ name, batch }) => ({
           name,
           healthPath: "/health",
