Play relayed requests whose endpoints reject or are replaced

Cause: no situation had daemons lose their endpoints while these rejected requests that other daemons had relayed.

Change: relayed-rejecting and relayed-replaced.

--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -268,6 +268,19 @@
     runnerFault: "answer_lost",
     daemonFault: "partition_in_turn",
   },
+  "relayed-rejecting": {
+    ...PLAIN,
+    runnerFault: "full",
+    daemonFault: "partition_in_turn",
+    faultIntervalMilliseconds: 900,
+  },
+  "relayed-replaced": {
+    ...PLAIN,
+    runnerFault: "none",
+    replacementMilliseconds: 200,
+    daemonFault: "partition_in_turn",
+    faultIntervalMilliseconds: 900,
+  },
   "chains-relayed-lost": {
     ...CHAINS,
     seconds: 30,
