Reproduce sends that count as first at each daemon that a request is relayed to

Cause: a daemon that takes a relayed request, is rejected by an endpoint (503, 421 or 409) and then loses its endpoints refuses it as unable. The refusal tells when the stages were begun, and not that an endpoint got the request. The daemon that relays it sends it to the next one without a retry.

No change of logic.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -10,6 +10,7 @@
 } from "../../requests/endpoint_call.ts";
 import type {
   DaemonAnswer,
+  RefusedProgress,
   RequestReply,
 } from "../../requests/request_reply.ts";
 import type {
@@ -72,8 +73,8 @@
   readonly #disconnect = new AbortController();
   status: number | undefined;
   refusal: DaemonAnswer | undefined;
-  /** How long ago the stages of a refused request were begun. */
-  refusalStages: number | undefined;
+  /** How far a refused request got. */
+  refusalProgress: RefusedProgress | undefined;
   text = "";
   endState: "open" | "ended" | "broken" = "open";
   readonly sent = Promise.resolve(true);
@@ -86,8 +87,8 @@
     this.#disconnect.abort();
   }
 
-  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void {
-    this.refusalStages = stagesMilliseconds;
+  refuse(answer: DaemonAnswer, progress?: RefusedProgress): void {
+    this.refusalProgress = progress;
     this.status = answer.status;
     this.refusal = answer;
     this.endState = "ended";
--- a/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
@@ -1,7 +1,8 @@
 import type { ServiceRoute } from "../../configuration/service_route.ts";
 import type { RelayAnswer } from "../../relay/relay_answer.ts";
 import type { RelayMessage } from "../../relay/relay_message.ts";
-import type { World } from "../support/request_world.ts";
+import type { RefusedProgress } from "../../requests/request_reply.ts";
+import type { ScriptedAnswer, World } from "../support/request_world.ts";
 import { expect } from "earl";
 import { test } from "node:test";
 import {
@@ -29,22 +30,24 @@
   return { type: "answered", answer };
 }
 
-function refused(isUnable: boolean, stagesMilliseconds?: number): RelayAnswer {
+function refused(
+  isUnable: boolean,
+  progress: RefusedProgress = {},
+): RelayAnswer {
   const refusal = { status: 503, retryAfterMilliseconds: 250, message: "no" };
-  return {
-    type: "refused",
-    refusal: { ...refusal, isUnable, stagesMilliseconds },
-  };
+  return { type: "refused", refusal: { ...refusal, isUnable, ...progress } };
 }
 
 /** Serves a request at an isolated daemon whose peers answer by a script. */
 async function relayTo(
   script: readonly RelayAnswer[],
   route: Partial<ServiceRoute>,
+  slack = 50,
 ): Promise<World & { readonly messages: readonly RelayMessage[] }> {
   const messages: RelayMessage[] = [];
   const world = createWorld([], {
     route,
+    slack,
     relay: {
       isNeeded: true,
       verified: () => Promise.resolve(true),
@@ -135,7 +138,7 @@
 test("a request tells the next daemon that another one has begun its stages", async () => {
   const { messages } = await relayTo([
     refused(true),
-    refused(true, 120),
+    refused(true, { stagesMilliseconds: 120 }),
     answered(wholeAnswer(200, "done")),
   ], {});
   const earlier = messages.map((message) => message.earlierStagesMilliseconds);
@@ -158,7 +161,33 @@
     chain: { type: "refused", reason: "failing", retryAfterMilliseconds: 400 },
   });
   await serve(world);
-  expect(world.reply.refusalStages).toEqual(0);
+  expect(world.reply.refusalProgress?.stagesMilliseconds).toEqual(0);
+});
+
+// Guards against sends that count as the first one at each daemon.
+test("a request that endpoints of another daemon rejected spends a retry", async () => {
+  for (const isDelivered of [true, false]) {
+    const { reply, messages } = await relayTo(
+      [refused(true, { isDelivered }), answered(wholeAnswer(200, "done"))],
+      OFTEN,
+      0,
+    );
+    expect(messages.length).toEqual(isDelivered ? 1 : 2);
+    expect(reply.status).toEqual(isDelivered ? 503 : 200);
+  }
+});
+
+// Guards against a refusal that hides that endpoints got the request.
+test("a daemon that refuses a relayed request tells that it sent it", async () => {
+  const full: ScriptedAnswer = () => ({ type: "not_run", refusal: "full" });
+  const sent = createWorld([full], { route: OFTEN, slack: 0 });
+  await serve(sent);
+  expect(sent.reply.refusalProgress?.isDelivered).toEqual(true);
+  const unsent = createWorld([], {
+    chain: { type: "refused", reason: "failing", retryAfterMilliseconds: 400 },
+  });
+  await serve(unsent);
+  expect(unsent.reply.refusalProgress?.isDelivered).toEqual(false);
 });
 
 // Guards against requests that travel from one isolated daemon to the next.
--- a/packages/kelpspar-gateway/src/relay/relay_refusal.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_refusal.ts
@@ -1,12 +1,13 @@
-import type { DaemonAnswer } from "../requests/request_reply.ts";
+import type {
+  DaemonAnswer,
+  RefusedProgress,
+} from "../requests/request_reply.ts";
 import { z } from "zod";
 
 /** A daemon's own answer to a relayed request. */
-export interface RelayRefusal extends DaemonAnswer {
+export interface RelayRefusal extends DaemonAnswer, RefusedProgress {
   /** True if the daemon itself is unable to serve; another one may be able. */
   readonly isUnable: boolean;
-  /** How long ago it began the request's stages; undefined if it didn't. */
-  readonly stagesMilliseconds?: number | undefined;
 }
 
 const refusalSchema = z.object({
@@ -14,8 +15,9 @@
   retryAfterMilliseconds: z.number().nonnegative().optional(),
   message: z.string(),
   isUnable: z.boolean(),
-  /** Daemons of the previous version don't send it. */
+  /** Daemons of an earlier version don't send these. */
   stagesMilliseconds: z.number().nonnegative().optional(),
+  isDelivered: z.boolean().optional(),
 });
 
 export function encodeRelayRefusal(refusal: RelayRefusal): Buffer {
--- a/packages/kelpspar-gateway/src/relay/relay_reply.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_reply.ts
@@ -1,5 +1,9 @@
 import type { HttpReply } from "../front/http_reply.ts";
-import type { DaemonAnswer, RequestReply } from "../requests/request_reply.ts";
+import type {
+  DaemonAnswer,
+  RefusedProgress,
+  RequestReply,
+} from "../requests/request_reply.ts";
 import type { RelayOrigin } from "./relay_origin.ts";
 import { RELAY_ORIGIN_HEADER } from "./relay_origin.ts";
 import { encodeRelayRefusal } from "./relay_refusal.ts";
@@ -23,12 +27,12 @@
     return this.#reply.sent;
   }
 
-  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void {
+  refuse(answer: DaemonAnswer, progress: RefusedProgress = {}): void {
     const isUnable = this.#isUnable();
     this.#reply.answer(
       answer.status,
       markOrigin("daemon", []),
-      encodeRelayRefusal({ ...answer, isUnable, stagesMilliseconds }),
+      encodeRelayRefusal({ ...answer, ...progress, isUnable }),
     );
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_reply.ts
+++ b/packages/kelpspar-gateway/src/requests/request_reply.ts
@@ -7,6 +7,14 @@
   readonly message: string;
 }
 
+/** How far a request got that is refused. */
+export interface RefusedProgress {
+  /** How long ago its stages were begun; undefined if they weren't. */
+  readonly stagesMilliseconds?: number | undefined;
+  /** Whether it reached an endpoint, which may have rejected it. */
+  readonly isDelivered?: boolean | undefined;
+}
+
 /**
  * Writes the answer to one request. Only one of `refuse`, `answer` and `begin`
  * may be called, and only once.
@@ -20,10 +28,10 @@
    */
   readonly sent: Promise<boolean>;
   /**
-   * Sends the daemon's own answer. `stagesMilliseconds` tells a daemon that
-   * relayed the request how long ago its stages were begun here.
+   * Sends the daemon's own answer. `progress` tells a daemon that relayed the
+   * request how far it got here.
    */
-  refuse(answer: DaemonAnswer, stagesMilliseconds?: number): void;
+  refuse(answer: DaemonAnswer, progress?: RefusedProgress): void;
   /** Sends a whole answer of an endpoint. */
   answer(
     status: number,
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -360,7 +360,8 @@
   }
 
   #reply(answer: DaemonAnswer): void {
-    this.options.reply.refuse(answer, this.earlierStagesMilliseconds);
+    const { earlierStagesMilliseconds: stagesMilliseconds } = this;
+    this.options.reply.refuse(answer, { stagesMilliseconds });
   }
 
   /** Aborts an answer that has begun and can't be completed. */
