Count a relayed request as sent if endpoints of another daemon rejected it

Cause: the refusal of a relayed request didn't tell that an endpoint had got it, so that the next daemon's first send spent no retry.

Change: the refusal tells it, and the daemon that relays counts a delivery. Its next relay then spends a retry.

--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -148,11 +148,13 @@
   }
 
   #handleRefusal(received: RelayRefusal): RelayStep {
-    const { isUnable, stagesMilliseconds: _, ...refusal } = received;
+    const { isUnable, isDelivered, stagesMilliseconds: _, ...refusal } =
+      received;
     const { run, fail } = this.#options;
     const { status, message } = refusal;
     if (NOT_RUN_STATUSES.has(status)) {
       run.runs--;
+      if (isDelivered === true) run.deliveries++;
       this.#retryAfterMilliseconds = refusal.retryAfterMilliseconds;
       if (isUnable) return "again";
       fail(message, this.#retryMilliseconds);
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -361,7 +361,8 @@
 
   #reply(answer: DaemonAnswer): void {
     const { earlierStagesMilliseconds: stagesMilliseconds } = this;
-    this.options.reply.refuse(answer, { stagesMilliseconds });
+    const isDelivered = this.deliveries > 0;
+    this.options.reply.refuse(answer, { stagesMilliseconds, isDelivered });
   }
 
   /** Aborts an answer that has begun and can't be completed. */
