Let the demonstration crash no endpoints, and print refusals by reason

Cause: demo:platform is a soak without faults, but two of its twelve callers send what crashes endpoints, so that up to all four model endpoints are down and others are refused with "no endpoint left" (all 18 refusals of a run, 60 of 63 in the log of another). The refusals were printed as a number alone.

Change: those callers take part only if there are faults; refusals are printed by status and reason.

--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -94,6 +94,9 @@
         `${refused} refused, ${resumed} of ${resumes} streams taken up, ` +
         `${violations.length} promises broken`,
     );
+    for (const [reason, count] of verdict.refusals) {
+      printText(`  ${count} refused: ${reason}`);
+    }
     for (const line of violations) printText(`  BROKEN ${line}`);
     if (violations.length > 0) process.exitCode = EXIT_CHECK_FAILED;
   }
--- a/packages/kelpspar-standins/src/soak/check_soak.ts
+++ b/packages/kelpspar-standins/src/soak/check_soak.ts
@@ -16,6 +16,8 @@
   readonly submitted: number;
   readonly served: number;
   readonly refused: number;
+  /** Number of refusals by status and the daemon's reason. */
+  readonly refusals: ReadonlyMap<string, number>;
   /** Attempts that took up a broken stream, and those that brought events. */
   readonly resumes: number;
   readonly resumed: number;
@@ -76,12 +78,14 @@
     ...[...runsOf.keys()].filter((id) => !sent.has(id))
       .map((id) => `${id}: run, but no caller sent it`),
   ];
+  const refused = answers.filter(({ status }) =>
+    NOT_RUN_STATUSES.has(status ?? 0)
+  );
   return {
     submitted: answers.length,
     served: answers.filter((answer) => answer.status === SERVED_STATUS).length,
-    refused:
-      answers.filter((answer) => NOT_RUN_STATUSES.has(answer.status ?? 0))
-        .length,
+    refused: refused.length,
+    refusals: countRefusals(refused),
     resumes: answers.reduce(
       (sum, { resumingIds = [] }) => sum + resumingIds.length,
       0,
@@ -94,6 +98,17 @@
   };
 }
 
+function countRefusals(
+  refused: readonly WireAnswer[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { status, reason = "" } of refused) {
+    const name = `${status} ${reason.trim()}`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
 function attemptIdsOf(
   { attemptId, resumingIds = [] }: WireAnswer,
 ): readonly string[] {
--- a/packages/kelpspar-standins/src/soak/run_soak.ts
+++ b/packages/kelpspar-standins/src/soak/run_soak.ts
@@ -82,7 +82,8 @@
           sharedParts: [SHARED_PART],
         }),
     );
-    callers.push(
+    // Their requests end endpoints, which others are refused for.
+    const crashingCallers = (): readonly WireCaller[] => [
       new WireCaller({
         name: random.nextHexadecimal(CALLER_NAME_BYTES),
         daemons,
@@ -99,7 +100,8 @@
         sharedParts: [SHARED_PART, CRASHING_PART],
         pauseMilliseconds: CRASHING_REQUEST_PAUSE_MILLISECONDS,
       }),
-    );
+    ];
+    if (options.faults.length > 0) callers.push(...crashingCallers());
     const calls = callers.map((caller) =>
       caller.run(() => timer.now() >= endsAt)
     );
