--- a/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/isolation_guards.ts
@@ -48,6 +48,20 @@
     without: "",
     noticedBy: `${TESTS}/relayed_request_test.ts`,
   },
+  {
+    name: "a request that another daemon sent is sent again by a retry",
+    file: `${GATEWAY}/requests/request_relayer.ts`,
+    code: "if (isDelivered === true) run.deliveries++;",
+    without: "",
+    noticedBy: `${TESTS}/relayed_request_test.ts`,
+  },
+  {
+    name: "a refusal tells that endpoints got the request",
+    file: `${GATEWAY}/requests/request_run.ts`,
+    code: "const isDelivered = this.deliveries > 0;",
+    without: "const isDelivered = false;",
+    noticedBy: `${TESTS}/relayed_request_test.ts`,
+  },
   {
     name: "a refusal of an able daemon is final",
     file: `${GATEWAY}/requests/request_relayer.ts`,
