--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -245,6 +245,14 @@
     daemonFault: "drawn",
     faultIntervalMilliseconds: 700,
   },
+  "taken-up-replaced-drawn": {
+    ...TAKEN_UP,
+    share: 0.4,
+    stageFault: "full",
+    replacementMilliseconds: 300,
+    daemonFault: "drawn",
+    faultIntervalMilliseconds: 1_500,
+  },
   replaced: { ...PLAIN, runnerFault: "none", replacementMilliseconds: 200 },
   "replaced-killed": {
     ...PLAIN,
