--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -360,7 +360,9 @@
   }
 
   #reply(answer: DaemonAnswer): void {
-    this.options.reply.refuse(answer, this.earlierStagesMilliseconds);
+    const { earlierStagesMilliseconds: stagesMilliseconds } = this;
+    const isDelivered = this.deliveries > 0;
+    this.options.reply.refuse(answer, { stagesMilliseconds, isDelivered });
   }
 
   /** Aborts an answer that has begun and can't be completed. */
--- a/packages/kelpspar-standins/src/process/started_process.ts
+++ b/packages/kelpspar-standins/src/process/started_process.ts
@@ -3,16 +3,10 @@
 import type { ProcessExit, RunningProcess } from "./running_process.ts";
 import { spawn } from "node:child_process";
 import { createInterface } from "node:readline";
+import { ownProcess } from "./owned_processes.ts";
 
 const MAXIMUM_KEPT_LINES = 100;
 
-const running = new Set<StartedProcess>();
-
-/** Kills all processes that were started and have not ended. */
-export function killStartedProcesses(): void {
-  for (const started of running) started.signal("SIGKILL");
-}
-
 /** A child process and its recent output. */
 export class StartedProcess implements RunningProcess {
   readonly name: string;
@@ -35,8 +29,7 @@
         resolve({ code: null, signal: null });
       });
     });
-    running.add(this);
-    void this.exited.then(() => running.delete(this));
+    ownProcess(this);
     this.#readLines();
   }
 
--- a/packages/kelpspar-standins/src/programs/play_situations.ts
+++ b/packages/kelpspar-standins/src/programs/play_situations.ts
@@ -1,15 +1,11 @@
 import { appendFileSync } from "node:fs";
-import { constants } from "node:os";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
-import { killStartedProcesses } from "../process/started_process.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_USAGE = 64;
-/** Added to the number of a signal in the exit code. */
-const EXIT_SIGNAL = 128;
-const SIGNALS = ["SIGINT", "SIGTERM"] as const;
 const PROGRAM = fileURLToPath(
   new URL("../../../../target/start_daemon.cjs", import.meta.url),
 );
@@ -20,6 +16,8 @@
   readonly seed: number;
   /** Number of daemons; undefined for that of the situation. */
   readonly daemons: number | undefined;
+  /** Name of the site; undefined for that of the situation. */
+  readonly site: string | undefined;
   /** The daemon's program. */
   readonly program: {
     readonly path: string;
@@ -34,6 +32,8 @@
   /** The npm script, for the usage text. */
   readonly script: string;
   readonly names: readonly Name[];
+  /** Names of sites that a situation can be played at; default none. */
+  readonly sites?: readonly string[];
   readonly play: (run: SituationRun<Name>) => Promise<void>;
 }
 
@@ -42,10 +42,11 @@
  * `process.exitCode`.
  */
 export async function playSituations<Name extends string>(
-  { script, names, play }: PlaySituationsOptions<Name>,
+  { script, names, sites = [], play }: PlaySituationsOptions<Name>,
 ): Promise<void> {
+  const siteUsage = sites.length === 0 ? "" : " [--site NAME]";
   const usage =
-    `npm run ${script} -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N] [--program FILE] [--log FILE]`;
+    `npm run ${script} -- [--situations NAME,...|all] [--seed N] [--seeds COUNT] [--daemons N]${siteUsage} [--program FILE] [--log FILE]`;
   try {
     const { values } = parseArgs({
       options: {
@@ -53,6 +54,7 @@
         seed: { type: "string", default: "1" },
         seeds: { type: "string", default: "1" },
         daemons: { type: "string" },
+        ...(sites.length === 0 ? {} : { site: { type: "string" } }),
         program: { type: "string", default: PROGRAM },
         log: { type: "string" },
         help: { type: "boolean", default: false },
@@ -62,7 +64,7 @@
       printText(usage);
       return;
     }
-    endDaemonsOnSignals();
+    exitOnSignals();
     const { log } = values;
     const chosen = readNames(values.situations, names);
     const first = readCount("seed", values.seed);
@@ -70,12 +72,14 @@
     const daemons = values.daemons === undefined
       ? undefined
       : readCount("daemons", values.daemons);
+    const site = readSite(values, sites);
     for (let seed = first; seed < first + count; seed++) {
       for (const name of chosen) {
         await play({
           name,
           seed,
           daemons,
+          site,
           program: { path: values.program, nodeArguments: [] },
           ...(log === undefined
             ? {}
@@ -91,17 +95,6 @@
   }
 }
 
-/** Daemons would outlive a program that is ended by a signal. */
-function endDaemonsOnSignals(): void {
-  process.once("exit", killStartedProcesses);
-  for (const signal of SIGNALS) {
-    process.once(
-      signal,
-      () => process.exit(EXIT_SIGNAL + constants.signals[signal]),
-    );
-  }
-}
-
 function readNames<Name extends string>(
   text: string,
   names: readonly Name[],
@@ -117,3 +110,15 @@
     );
   });
 }
+
+function readSite(
+  { site }: { readonly site?: unknown },
+  sites: readonly string[],
+): string | undefined {
+  if (site === undefined) return undefined;
+  const known = sites.find((found) => found === site);
+  if (known !== undefined) return known;
+  throw new TypeError(
+    `--site takes one of ${sites.join(", ")}, not "${String(site)}"`,
+  );
+}
--- a/packages/kelpspar-standins/src/programs/soak_main.ts
+++ b/packages/kelpspar-standins/src/programs/soak_main.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from "node:util";
 import { runSoak } from "../soak/run_soak.ts";
 import { SOAK_FAULT_NAMES } from "../soak/soak_faults.ts";
+import { exitOnSignals } from "../process/owned_processes.ts";
 import { readCount } from "./read_count.ts";
 import { printText } from "./read_settings.ts";
 
@@ -27,6 +28,7 @@
   readonly faults: readonly SoakFaultName[];
 }
 
+exitOnSignals();
 try {
   const { values } = parseArgs({
     options: {
@@ -92,6 +94,9 @@
         `${refused} refused, ${resumed} of ${resumes} streams taken up, ` +
         `${violations.length} promises broken`,
     );
+    for (const [reason, count] of verdict.refusals) {
+      printText(`  ${count} refused: ${reason}`);
+    }
     for (const line of violations) printText(`  BROKEN ${line}`);
     if (violations.length > 0) process.exitCode = EXIT_CHECK_FAILED;
   }
