Decode the rows of versions once, and compare them apart from applying them

Cause: each change of the endpoint list decoded and applied all rows again to find out whether one is to be written, in a method whose name said neither. Change: rows are decoded and applied when they are read; comparing them reads nothing.

--- a/packages/kelpspar-gateway/src/streams/recent_members.ts
+++ b/packages/kelpspar-gateway/src/streams/recent_members.ts
@@ -94,11 +94,6 @@
     return isListed && this.#recordedNames.get(group)?.has(name) === true;
   }
 
-  /** Records which members of a group the store has on record. */
-  setRecorded(group: string, names: ReadonlySet<string>): void {
-    this.#recordedNames.set(group, names);
-  }
-
   /** Records that a group was on record when this daemon started. */
   markRecorded(group: string): void {
     this.#recordedGroups.add(group);
@@ -133,7 +128,7 @@
   /** Adds what the store has on record; members may have left meanwhile. */
   recall({ group, members, clockMilliseconds }: RecordedGroup): void {
     const now = this.#options.timer.now();
-    this.setRecorded(group, new Set(members.map(({ name }) => name)));
+    this.#recordedNames.set(group, new Set(members.map(({ name }) => name)));
     for (const { name, leftAt } of members) {
       const age = leftAt === null ? 0 : clockMilliseconds - leftAt;
       const known = this.#groups.get(group)?.get(name);
--- a/packages/kelpspar-gateway/src/streams/version_table.ts
+++ b/packages/kelpspar-gateway/src/streams/version_table.ts
@@ -36,10 +36,18 @@
   })),
 });
 
-/** A record that is to be written. */
-interface ChangedGroup extends RecordedGroup {
-  /** Version of the row that it replaces; 0 if there is none. */
-  readonly rowVersion: number;
+/** A group's row. */
+interface GroupRow {
+  /** Undefined if another writer overwrote the row. */
+  readonly members: RecordedGroup["members"] | undefined;
+  /** Version of the row; 0 if there is none. */
+  readonly version: number;
+}
+
+/** A row that is to be written. */
+interface ChangedRow extends GroupRow {
+  readonly group: string;
+  readonly members: RecordedGroup["members"];
 }
 
 /** Dependencies of `VersionTable`. */
@@ -76,8 +84,8 @@
   #isCheckDue = false;
   #isAbsenceDue = false;
   readonly #startedAt: number;
-  /** The rows as last read or written. */
-  #rows: readonly StoredRow[] = [];
+  /** The rows as last read or written, by group. */
+  #rows: ReadonlyMap<string, GroupRow> = new Map();
 
   constructor(options: VersionTableOptions) {
     this.#options = options;
@@ -112,38 +120,35 @@
     if (!mayRead || this.#isStarted) return;
     this.#isStarted = true;
     this.#retry("failed to read software versions", async () => {
-      this.#rows = await this.#readRows();
-      const changed = this.#recall();
-      for (const row of this.#rows) {
-        if (this.#decode(row) !== undefined) {
-          this.#options.history.markRecorded(row.key);
-        }
+      await this.#readRows();
+      const { history, log } = this.#options;
+      for (const [group, { members }] of this.#rows) {
+        if (members !== undefined) history.markRecorded(group);
       }
       this.#isRead = true;
       this.#resolveRead();
-      this.#registerExpiryCheck();
-      this.#options.log.info("software versions read", {
-        changed: changed.length,
-      });
-      if (changed.length > 0) this.#scheduleCheck();
+      log.info("software versions read", { groups: this.#rows.size });
+      // Members that left while no daemon ran are removed once they expire.
+      this.#after(STREAM_LIFETIME_MILLISECONDS, () => this.update());
+      this.update();
     });
   }
 
   /** To be called when groups or their members have come or gone. */
   update(): void {
-    if (!this.#isStarted) this.#start();
-    this.#scheduleChange();
+    this.#start();
+    this.#checkIfChanged();
     if (this.#isAbsenceDue) return;
     this.#isAbsenceDue = true;
     this.#after(ABSENCE_MILLISECONDS, () => {
       this.#isAbsenceDue = false;
-      this.#scheduleChange();
+      this.#checkIfChanged();
     });
   }
 
   /** Schedules a check if the rows as known here are to be changed. */
-  #scheduleChange(): void {
-    if (this.#isRead && this.#recall().length > 0) this.#scheduleCheck();
+  #checkIfChanged(): void {
+    if (this.#isRead && this.#findChanges().length > 0) this.#scheduleCheck();
   }
 
   /** Compares the rows with this daemon's list soon, and corrects them. */
@@ -181,23 +186,19 @@
         random.next() * fleetSize() * OTHERS_SPREAD_MILLISECONDS;
   }
 
-  /** Versions that left while no daemon ran are recorded once they expire. */
-  #registerExpiryCheck(): void {
-    this.#after(STREAM_LIFETIME_MILLISECONDS, () => this.update());
-  }
-
   async #check(): Promise<void> {
-    this.#rows = await this.#readRows();
-    const changed = this.#recall().slice(0, MAXIMUM_ROW_CHANGES);
+    await this.#readRows();
+    const changed = this.#findChanges().slice(0, MAXIMUM_ROW_CHANGES);
     if (changed.length === 0) return;
-    const { timer, era, log, history } = this.#options;
+    const { timer, era, log } = this.#options;
     const startedAt = timer.now();
-    const puts = changed.map(({ group, members, rowVersion }) => ({
-      key: group,
-      text: JSON.stringify({ members }),
-      version: rowVersion,
-    }));
-    const answer = await this.#store().writeRows(VERSIONS_TABLE, { puts });
+    const answer = await this.#store().writeRows(VERSIONS_TABLE, {
+      puts: changed.map(({ group, members, version }) => ({
+        key: group,
+        text: JSON.stringify({ members }),
+        version,
+      })),
+    });
     if (era.checkAnswer(answer.era, startedAt) === "late") {
       throw new Error("The store answered from an earlier era");
     }
@@ -206,11 +207,12 @@
       this.#scheduleCheck();
     }
     if (!answer.isWritten) return;
-    this.#rows = [
-      ...this.#rows.filter(({ key }) => !puts.some((put) => put.key === key)),
-      ...puts,
-    ];
-    for (const record of changed) history.recall(record);
+    this.#applyRows(
+      new Map([
+        ...this.#rows,
+        ...changed.map((row) => [row.group, row] as const),
+      ]),
+    );
     log.info("software versions recorded", {
       groups: changed.map(({ group, members }) =>
         `${group}: ${members.map(({ name }) => name).join(" ")}`
@@ -218,7 +220,7 @@
     });
   }
 
-  async #readRows(): Promise<readonly StoredRow[]> {
+  async #readRows(): Promise<void> {
     const { timer, era, clock } = this.#options;
     const startedAt = timer.now();
     const answer = await this.#store().readRows(VERSIONS_TABLE);
@@ -226,32 +228,41 @@
       throw new Error("The store answered from an earlier era");
     }
     clock.observe(answer.clockMilliseconds);
-    return answer.rows;
+    this.#applyRows(
+      new Map(
+        answer.rows.map((row) => [row.key, {
+          members: this.#decode(row),
+          version: row.version,
+        }]),
+      ),
+    );
   }
 
-  /** Adds recorded members to the known ones; returns what is to be written. */
-  #recall(): readonly ChangedGroup[] {
-    const { history, groups, clock } = this.#options;
+  /** Adds recorded members to those that are known. */
+  #applyRows(rows: ReadonlyMap<string, GroupRow>): void {
+    const { history, clock } = this.#options;
     const clockMilliseconds = clock.now ?? 0;
-    const rows = new Map(this.#rows.map((row) => [row.key, row]));
-    const recorded = new Map(
-      this.#rows.map((row) => [row.key, this.#decode(row)]),
-    );
-    for (const [group, found] of recorded) {
-      if (found === undefined) continue;
-      history.recall({ group, members: found, clockMilliseconds });
+    this.#rows = rows;
+    for (const [group, { members }] of rows) {
+      if (members === undefined) continue;
+      history.recall({ group, members, clockMilliseconds });
     }
+  }
+
+  /** Rows that differ from what this daemon sees. */
+  #findChanges(): readonly ChangedRow[] {
+    const { history, groups, clock } = this.#options;
     return [...groups()].flatMap((group) => {
       if (Buffer.byteLength(group) > MAXIMUM_KEY_BYTES) return [];
-      const merged = mergeMembers({
-        recorded: recorded.get(group) ?? [],
+      const row = this.#rows.get(group);
+      const members = mergeMembers({
+        recorded: row?.members ?? [],
         seen: history.seen(group),
-        now: clockMilliseconds,
+        now: clock.now ?? 0,
         keptMilliseconds: STREAM_LIFETIME_MILLISECONDS,
       });
-      if (merged === undefined) return [];
-      const rowVersion = rows.get(group)?.version ?? 0;
-      return [{ group, members: merged, clockMilliseconds, rowVersion }];
+      const version = row?.version ?? 0;
+      return members === undefined ? [] : [{ group, members, version }];
     });
   }
 
