--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -3,7 +3,6 @@
 import type { RequestRun } from "./request_run.ts";
 import { chooseEndpoint } from "../endpoints/choose_endpoint.ts";
 import { createChainReader } from "./create_chain_request.ts";
-import { preferSettled } from "../streams/prefer_settled.ts";
 import { preferResumable } from "../streams/prefer_resumable.ts";
 import { softwareOf } from "../streams/software_of.ts";
 import { promptAffinity } from "./prompt_affinity.ts";
@@ -21,9 +20,8 @@
     return found?.isHealthy(timer.now()) === true ? found : undefined;
   };
   const endpoint = find(place.endpointId);
-  if (endpoint === undefined || !candidatesOf(run).includes(endpoint)) {
-    return undefined;
-  }
+  if (endpoint === undefined || !mayContinue(run, endpoint)) return undefined;
+  if (isWithheld(run, { endpoint, tried })) return undefined;
   // The coordinator may not have read the endpoint's limit yet, or may have an
   // older one than this daemon.
   const limit = rateLimiter.limitOf(endpoint, timer.now());
@@ -49,18 +47,26 @@
   return service === streamOrigin.service && version === streamOrigin.version;
 }
 
-/** Endpoints whose software may begin or continue the request's stream. */
-function candidatesOf(run: RequestRun): readonly EndpointState[] {
-  const { dependencies, service } = run.options;
-  const { endpointRegistry, streamOrigins, timer } = dependencies;
-  const endpoints = endpointRegistry.availableFor(service).filter((endpoint) =>
-    mayContinue(run, endpoint)
+/** False for software that other daemons may not know of yet. */
+function isSettled(run: RequestRun, { entry }: EndpointState): boolean {
+  const { streamOrigins } = run.options.dependencies;
+  return streamOrigins.isSettled(softwareOf(entry));
+}
+
+/** True if the stream should begin at software that all daemons know of. */
+function isWithheld(
+  run: RequestRun,
+  { endpoint, tried }: {
+    readonly endpoint: EndpointState;
+    readonly tried: ReadonlySet<string>;
+  },
+): boolean {
+  if (!run.beginsResumableStream || isSettled(run, endpoint)) return false;
+  const { endpointRegistry, timer } = run.options.dependencies;
+  return endpointRegistry.availableFor(run.options.service).some((other) =>
+    !tried.has(other.entry.id) && other.isHealthy(timer.now()) &&
+    isSettled(run, other)
   );
-  if (!run.beginsResumableStream) return endpoints;
-  return preferSettled(endpoints, {
-    isSettled: (software) => streamOrigins.isSettled(software),
-    now: timer.now(),
-  });
 }
 
 /** Affinity key of the prompt, for services whose endpoints cache prompts. */
@@ -81,8 +87,8 @@
   run: RequestRun,
   tried: ReadonlySet<string>,
 ): EndpointChoice | undefined {
-  const { dependencies } = run.options;
-  const { rateLimiter } = dependencies;
+  const { dependencies, service } = run.options;
+  const { endpointRegistry, rateLimiter } = dependencies;
   const now = dependencies.timer.now();
   const choose = (
     endpoints: readonly EndpointState[],
@@ -98,12 +104,24 @@
         rateLimiter.isWithinLimit(endpoint, now) &&
         dependencies.concurrency.mayStart(endpoint),
     });
-  const endpoints = candidatesOf(run);
-  const preferred = run.beginsResumableStream
-    ? preferResumable(endpoints, now)
-    : endpoints;
-  const choice = choose(preferred) ??
-    (preferred === endpoints ? undefined : choose(endpoints));
+  const chooseFirst = (
+    groups: readonly (readonly EndpointState[])[],
+  ): EndpointChoice | undefined => {
+    for (const group of groups) {
+      const choice = choose(preferResumable(group, now)) ?? choose(group);
+      if (choice !== undefined) return choice;
+    }
+    return undefined;
+  };
+  const endpoints = endpointRegistry.availableFor(service).filter((endpoint) =>
+    mayContinue(run, endpoint)
+  );
+  const choice = run.beginsResumableStream
+    ? chooseFirst([
+      endpoints.filter((endpoint) => isSettled(run, endpoint)),
+      endpoints,
+    ])
+    : choose(endpoints);
   if (choice !== undefined) rateLimiter.recordRequest(choice.endpoint, now);
   return choice;
 }
