Confirm the endpoint list as of the start of the store's call

Cause: an answer that waited in the socket of a paused daemon confirmed the list as of the end of the pause. Change: the time at which a daemon's list matched the store counts from the call. What other daemons are told of its freshness is as before.

--- a/packages/kelpspar-gateway/src/tables/shared_tables.ts
+++ b/packages/kelpspar-gateway/src/tables/shared_tables.ts
@@ -185,9 +185,12 @@
       isUrgent,
       times: () => this.#timesOf(subscription),
       isNeeded: () => this.#isReader || (isRelayed && this.#isSourceLost),
-      onAnswer: () => {
+      onAnswer: (startedAt) => {
         subscription.answered?.();
-        if (isFreshnessProbe) this.#confirm(this.#options.timer.now());
+        if (!isFreshnessProbe) return;
+        this.#freshness.confirm(this.#options.timer.now());
+        // An answer may have waited while this process was paused.
+        this.#options.onConfirmed(startedAt);
       },
       onFailure: (startedAt) => {
         subscription.failed?.(startedAt);
@@ -222,12 +225,8 @@
       : undefined;
     for (const item of this.#subscriptions) item.confirmed?.(graceEndsAt);
     this.#isSourceLost = false;
-    this.#confirm(now - ageMilliseconds);
-  }
-
-  #confirm(at: number): void {
-    this.#freshness.confirm(at);
-    this.#options.onConfirmed(at);
+    this.#freshness.confirm(now - ageMilliseconds);
+    this.#options.onConfirmed(now - ageMilliseconds);
   }
 
   /** Reads the store itself soon, unless a source is found first. */
--- a/packages/kelpspar-gateway/src/tables/table_feed.ts
+++ b/packages/kelpspar-gateway/src/tables/table_feed.ts
@@ -34,7 +34,7 @@
   /** True while the next change is needed soon. */
   readonly isUrgent?: (() => boolean) | undefined;
   /** Called on an answer, before its rows are applied. */
-  readonly onAnswer: () => void;
+  readonly onAnswer: (startedAt: number) => void;
   /** Called when a call that began at `startedAt` failed. */
   readonly onFailure: (startedAt: number) => void;
 }
@@ -177,7 +177,7 @@
     if (isGone || mirror.generation !== generation) {
       return await this.#readTable(startedAt, signal);
     }
-    this.#options.onAnswer();
+    this.#options.onAnswer(startedAt);
     mirror.applyChanges(answer.page);
   }
 
@@ -197,7 +197,7 @@
       signal,
     );
     this.#checkEra(page.era, startedAt);
-    onAnswer();
+    onAnswer(startedAt);
     mirror.applyTable(page);
   }
 
