Settle versions by the time of their record, and don't conclude from one's own old list

Change: a row has the time of each member's record, by the store's clock; a version is settled 5 s after it, longer than the oldest list that a daemon may conclude from (2.5 s) and the calls that bring one. With an older list a daemon needs another one that knows all software, or, as in an outage of the store, answers of half of the daemons that it knows. Software that others name counts as recent. If a stream begins at software that isn't settled while an older one is, all daemons are told once, before its first event.

--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -80,6 +80,8 @@
   fault: DaemonFault;
   /** Members that it lists; all that are in the fleet by default. */
   view: readonly string[] | undefined;
+  /** Members that it hears from; all of its view by default. */
+  reachable: readonly string[] | undefined;
 }
 
 /** Daemons that begin streams and take them up, on one manual clock. */
@@ -125,7 +127,12 @@
       random: new SeededRandom(this.#starts),
       log: { info: () => {}, warn: () => {} },
       membership: {
-        liveMembers: () => this.#membersSeenBy(daemonId),
+        liveMembers: () =>
+          this.#membersSeenBy(daemonId).filter(({ address }) =>
+            this.daemons.get(daemonId)?.reachable?.includes(
+              address.daemonId,
+            ) ?? true
+          ),
         contacts: () =>
           this.#membersSeenBy(daemonId).map(({ address }) => address),
       },
@@ -166,6 +173,7 @@
       kill,
       fault,
       view,
+      reachable: undefined,
     };
     this.daemons.set(daemonId, daemon as FleetDaemon);
     configuration.applyIfNewer(
@@ -243,6 +251,11 @@
     return origins.isSettled({ service: this.#service, version });
   }
 
+  /** Sets which of the daemons that it knows a daemon hears from. */
+  setReachable(daemonId: string, reachable: readonly string[]): void {
+    this.#daemon(daemonId).reachable = reachable;
+  }
+
   setView(daemonId: string, view: readonly string[]): void {
     this.#daemon(daemonId).view = view;
   }
--- a/packages/kelpspar-gateway/src/streams/recent_members.ts
+++ b/packages/kelpspar-gateway/src/streams/recent_members.ts
@@ -1,15 +1,14 @@
 import type { RecordedMember, SeenMember } from "kelpspar-decisions/history";
 import type { TimerService } from "kelpspar-shared";
+import type { StoreClock } from "../tables/store_clock.ts";
 
 /** Longer than callers wait for a stream, over all of their attempts. */
 export const STREAM_LIFETIME_MILLISECONDS = 60_000;
 
-/** Longer than the lists of daemons that reach the store differ, milliseconds. */
-const SETTLING_MILLISECONDS = 3_500;
-/** Time in which the first list is applied, milliseconds. */
-const FIRST_LIST_MILLISECONDS = 100;
 /** A list older than this may lack members that another daemon uses, ms. */
 const MAXIMUM_LIST_AGE_MILLISECONDS = 2_500;
+/** Longer than that and the calls that bring a list, milliseconds. */
+const SETTLING_MILLISECONDS = 5_000;
 /** Members that are gone for less are recorded as present, milliseconds. */
 export const ABSENCE_MILLISECONDS = 3_000;
 
@@ -20,6 +19,7 @@
    * milliseconds; minus infinity if never.
    */
   readonly listConfirmedAt: () => number;
+  readonly clock: StoreClock;
   readonly timer: TimerService;
   /** Called when a group has a member that it didn't have recently. */
   readonly onNewMember: (group: string) => void;
@@ -38,8 +38,6 @@
 interface KnownMember {
   /** How often it is present, such as endpoints of a version. */
   readonly count: number;
-  /** When it came, monotonic milliseconds. */
-  readonly cameAt: number;
   /** When it left, monotonic milliseconds. */
   readonly leftAt: number;
 }
@@ -54,8 +52,8 @@
   readonly #groups = new Map<string, Map<string, KnownMember>>();
   /** Groups that were on record when this daemon started. */
   readonly #recordedGroups = new Set<string>();
-  /** Members that are on record, by group. */
-  readonly #recordedNames = new Map<string, ReadonlySet<string>>();
+  /** When members were recorded, by group and the store's clock. */
+  readonly #recordedAt = new Map<string, ReadonlyMap<string, number>>();
   /** When the first member of each group came, monotonic milliseconds. */
   readonly #firstCameAt = new Map<string, number>();
 
@@ -69,29 +67,26 @@
    * isn't older than those of others may be.
    */
   isComplete(groups: readonly string[]): boolean {
-    const { timer, listConfirmedAt } = this.#options;
-    const now = timer.now();
-    const isRecent = now - listConfirmedAt() <= MAXIMUM_LIST_AGE_MILLISECONDS;
-    return isRecent && groups.every((group) => {
+    const now = this.#options.timer.now();
+    return this.hasRecentList && groups.every((group) => {
       const since = this.#firstCameAt.get(group) ?? Number.POSITIVE_INFINITY;
       return this.#recordedGroups.has(group) ||
         now - since >= STREAM_LIFETIME_MILLISECONDS;
     });
   }
 
-  /**
-   * True if all daemons know of a member: it is on record, and other daemons
-   * have listed it too.
-   */
+  /** True if the list has all members that others may use beside others. */
+  get hasRecentList(): boolean {
+    const { timer, listConfirmedAt } = this.#options;
+    return timer.now() - listConfirmedAt() <= MAXIMUM_LIST_AGE_MILLISECONDS;
+  }
+
+  /** True if a member was recorded so long ago that all recent lists have it. */
   isSettled(group: string, name: string): boolean {
-    const known = this.#groups.get(group)?.get(name);
-    if (known === undefined) return false;
-    const age = this.#options.timer.now() - known.cameAt;
-    // Members of the first list came before it.
-    const firstCameAt = this.#firstCameAt.get(group) ?? known.cameAt;
-    const isListed = age >= SETTLING_MILLISECONDS ||
-      known.cameAt - firstCameAt <= FIRST_LIST_MILLISECONDS;
-    return isListed && this.#recordedNames.get(group)?.has(name) === true;
+    const recordedAt = this.#recordedAt.get(group)?.get(name);
+    const clockNow = this.#options.clock.now;
+    return recordedAt !== undefined && clockNow !== undefined &&
+      clockNow - recordedAt >= SETTLING_MILLISECONDS;
   }
 
   /** Records that a group was on record when this daemon started. */
@@ -128,7 +123,10 @@
   /** Adds what the store has on record; members may have left meanwhile. */
   recall({ group, members, clockMilliseconds }: RecordedGroup): void {
     const now = this.#options.timer.now();
-    this.#recordedNames.set(group, new Set(members.map(({ name }) => name)));
+    this.#recordedAt.set(
+      group,
+      new Map(members.map(({ name, cameAt }) => [name, cameAt])),
+    );
     for (const { name, leftAt } of members) {
       const age = leftAt === null ? 0 : clockMilliseconds - leftAt;
       const known = this.#groups.get(group)?.get(name);
@@ -149,8 +147,7 @@
     const count = (known?.count ?? 0) + 1;
     const now = this.#options.timer.now();
     if (!this.#firstCameAt.has(group)) this.#firstCameAt.set(group, now);
-    const cameAt = known !== undefined && known.count > 0 ? known.cameAt : now;
-    members.set(name, { count, cameAt, leftAt: Number.NEGATIVE_INFINITY });
+    members.set(name, { count, leftAt: Number.NEGATIVE_INFINITY });
     if (isNew) this.#options.onNewMember(group);
     if (count === 1) this.#options.onChange();
   }
@@ -165,8 +162,8 @@
     if (count === 0) this.#options.onChange();
   }
 
-  /** Records a member that is about to leave and wasn't known. */
-  addLeaving(group: string, name: string): void {
+  /** Records a member that is known from elsewhere, unless it is present. */
+  addAbsent(group: string, name: string): void {
     if ((this.#groups.get(group)?.get(name)?.count ?? 0) > 0) return;
     this.#setLeft(group, { name, leftAt: this.#options.timer.now() });
     this.#options.onChange();
@@ -179,7 +176,7 @@
     const members = this.#membersOf(group);
     const known = members.get(name);
     const isNew = known === undefined || !this.#isRecent(known);
-    const added: KnownMember = { count: 0, cameAt: leftAt, leftAt };
+    const added: KnownMember = { count: 0, leftAt };
     if (!this.#isRecent(added)) return;
     members.set(name, added);
     if (isNew) this.#options.onNewMember(group);
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -35,6 +35,9 @@
 /** Time after which a stream that nobody has found counts as unknown. */
 const ASK_TIMEOUT_MILLISECONDS = 150;
 
+/** Share of the known daemons that must answer if no list is recent. */
+const AGREEING_SHARE = 0.5;
+
 /** Outcome of `StreamOrigins.find`. */
 export type OriginLookup =
   /** Also if only this software can have begun the stream. */
@@ -101,12 +104,15 @@
   readonly #reader: StreamRowReader;
   readonly #recorder: StreamRecorder;
   readonly #streams = new BegunStreams();
+  /** Software that all daemons were told of before they knew it. */
+  readonly #announced = new Set<string>();
 
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
     const clock = new StoreClock(options.timer);
     this.#history = new RecentMembers({
       ...options,
+      clock,
       onNewMember: (group) => this.#handleNewMember(group),
       onChange: () => this.#versions.update(),
     });
@@ -165,16 +171,36 @@
   async begin({ stream, ...route }: BeginOptions): Promise<void> {
     const { peers, timer } = this.#options;
     this.#streams.add(stream, { isOwn: true, now: timer.now() });
-    if (this.#candidates(route).length <= 1) return;
-    const holders = this.#rank(stream.attemptId).slice(0, HOLDERS);
-    await collectAnswers(
+    const candidates = this.#candidates(route);
+    if (candidates.length <= 1) return;
+    const daemons = this.#rank(stream.attemptId);
+    const isNews = this.#isNews(stream, candidates);
+    const holders = isNews ? daemons : daemons.slice(0, HOLDERS);
+    const required = isNews ? daemons.length : REQUIRED_HOLDERS;
+    const answers = await collectAnswers(
       holders.map(({ peer }) => peers.tellStreams(peer, [stream])),
       {
-        isEnough: ({ length }) => length >= REQUIRED_HOLDERS,
+        isEnough: ({ length }) => length >= required,
         timeoutMilliseconds: TELL_TIMEOUT_MILLISECONDS,
         timer,
       },
     );
+    if (answers.length === daemons.length) {
+      this.#announced.add(describeSoftware(stream));
+    }
+  }
+
+  /**
+   * True if others may conclude an older version, since they don't know of this
+   * one yet; they are all told once.
+   */
+  #isNews(
+    software: StreamOrigin,
+    candidates: readonly StreamOrigin[],
+  ): boolean {
+    return !this.isSettled(software) &&
+      !this.#announced.has(describeSoftware(software)) &&
+      candidates.some((candidate) => this.isSettled(candidate));
   }
 
   /** Records a stream whose first event reaches the caller. */
@@ -205,7 +231,10 @@
     const known = this.#streams.find(attemptId, timer.now());
     if (known !== undefined) return { type: "known", origin: known };
     const software = this.#candidates(options);
-    if (software.length === 1 && this.#isRecorded(options)) {
+    if (
+      software.length === 1 &&
+      this.#history.isComplete(this.#groupsOf(options))
+    ) {
       return toLookup(software);
     }
     const startedAt = timer.now();
@@ -232,6 +261,8 @@
     const now = this.#options.timer.now();
     for (const stream of streams) {
       this.#streams.add(stream, { isOwn: false, now });
+      const { service, version } = stream;
+      this.#history.addAbsent(groupOfService(service), version);
     }
   }
 
@@ -244,7 +275,7 @@
         ? undefined
         : { service: known.service, version: known.version },
       recent: this.#candidates(options),
-      isComplete: this.#isComplete(options),
+      isComplete: this.#knowsAllSoftware(options),
     };
   }
 
@@ -262,17 +293,22 @@
     return [...new Set([...services, ...earlier])];
   }
 
-  /** True if this daemon knows all software of a stream's lifetime. */
-  #isRecorded(route: StreamRoute): boolean {
-    return this.#history.isComplete([
+  /** Groups of a route and of the services that its streams may be of. */
+  #groupsOf(route: StreamRoute): readonly string[] {
+    return [
       groupOfRoute(route.route),
       ...this.#servicesOf(route).map(groupOfService),
-    ]);
+    ];
   }
 
-  /** The same, also if the store has no record: then there was none before. */
-  #isComplete(route: StreamRoute): boolean {
-    return this.#versions.isRead || this.#isRecorded(route);
+  /**
+   * True if this daemon knows all software of a stream's lifetime, also if the
+   * store had no record of it: then there was none before.
+   */
+  #knowsAllSoftware(route: StreamRoute): boolean {
+    const groups = this.#groupsOf(route);
+    return this.#history.isComplete(groups) ||
+      (this.#history.hasRecentList && this.#versions.wasRead(groups));
   }
 
   #rank(attemptId: string): readonly DaemonAddress[] {
@@ -317,9 +353,15 @@
 
   /** Asks other daemons and the store at the same time. */
   async #search(options: FindOptions): Promise<SearchResult> {
-    const { peers, timer } = this.#options;
+    const { peers, timer, membership } = this.#options;
     const { attemptId } = options;
     const daemons = this.#rank(attemptId).slice(0, ASKED_DAEMONS);
+    let answered = 0;
+    const askPeer = async (peer: string): Promise<OriginAnswer> => {
+      const answer = await peers.askOrigin(peer, options);
+      answered++;
+      return answer;
+    };
     const stored = this.#recorder.find(attemptId).then((origin) => ({
       origin,
       recent: [],
@@ -327,21 +369,22 @@
     // A daemon that has just started is about to read the versions.
     const recalled = this.#versions.whenRead().then(() => ({ recent: [] }));
     const answers = await collectAnswers<OriginAnswer>(
-      [
-        stored,
-        recalled,
-        ...daemons.map(({ peer }) => peers.askOrigin(peer, options)),
-      ],
+      [stored, recalled, ...daemons.map(({ peer }) => askPeer(peer))],
       {
         isEnough: (received) => received.some(hasOrigin),
         timeoutMilliseconds: ASK_TIMEOUT_MILLISECONDS,
         timer,
       },
     );
+    // While no daemon reaches the store, none learns of new software. A part of
+    // the fleet that is cut off can't tell this from its own state.
+    const expected = Math.min(ASKED_DAEMONS, membership.contacts().length);
+    const isOutage = this.#versions.wasRead(this.#groupsOf(options)) &&
+      answered >= expected * AGREEING_SHARE;
     return {
       origin: answers.find(hasOrigin)?.origin,
       recent: answers.flatMap(({ recent }) => recent),
-      isComplete: this.#isComplete(options) ||
+      isComplete: this.#knowsAllSoftware(options) || isOutage ||
         answers.some(({ isComplete }) => isComplete === true),
       asked: daemons.length,
     };
--- a/packages/kelpspar-gateway/src/streams/version_history.ts
+++ b/packages/kelpspar-gateway/src/streams/version_history.ts
@@ -21,7 +21,7 @@
       members.remove(...memberOf(entry))
     ),
     registry.registerLeavingFound((entry) =>
-      members.addLeaving(...memberOf(entry))
+      members.addAbsent(...memberOf(entry))
     ),
   ];
   return () => teardowns.forEach((teardown) => teardown());
--- a/packages/kelpspar-gateway/src/streams/version_table.ts
+++ b/packages/kelpspar-gateway/src/streams/version_table.ts
@@ -32,6 +32,7 @@
 const groupSchema = z.object({
   members: z.array(z.object({
     name: z.string(),
+    cameAt: z.number(),
     leftAt: z.number().nullable(),
   })),
 });
@@ -93,9 +94,12 @@
     this.#read = new Promise((resolve) => this.#resolveRead = resolve);
   }
 
-  /** True once the table was read, whether or not it had rows. */
-  get isRead(): boolean {
-    return this.#isRead;
+  /** True once the table was read, whether or not it has rows of the groups. */
+  wasRead(groups: readonly string[]): boolean {
+    return this.#isRead && !groups.some((group) => {
+      const row = this.#rows.get(group);
+      return row !== undefined && row.members === undefined;
+    });
   }
 
   /** Resolves once the table was read. */
