Play take-ups of streams of one version after a loss of all daemons

Cause: with two versions in service nearly all take-ups after a loss of all daemons are refused (799 of 807 in a log), so that their sends aren't played.

Change: two situations with one version.

--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -235,6 +235,12 @@
   },
   "taken-up-rejecting-killed": TAKEN_UP,
   "taken-up-cut-killed": { ...TAKEN_UP, runnerFault: "cut" },
+  "taken-up-one-version-killed": { ...TAKEN_UP, modelVersions: ["v1"] },
+  "taken-up-one-version-cut-killed": {
+    ...TAKEN_UP,
+    modelVersions: ["v1"],
+    runnerFault: "cut",
+  },
   "taken-up-full-killed": {
     ...TAKEN_UP,
     runnerFault: "none",
