--- a/packages/kelpspar-standins/src/losses/stream_caller.ts
+++ b/packages/kelpspar-standins/src/losses/stream_caller.ts
@@ -3,7 +3,7 @@
 import type { StreamAttempt, StreamRecord } from "./stream_record.ts";
 import { Agent } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
-import { sendStreamAttempt } from "./send_stream_attempt.ts";
+import { sendStreamAttempt } from "../wire/send_stream_attempt.ts";
 import { timeReadyAnswer } from "./time_ready_answer.ts";
 
 const PAUSE_MILLISECONDS = 400;
--- a/packages/kelpspar-standins/src/losses/send_stream_attempt.ts
+++ b/packages/kelpspar-standins/src/wire/send_stream_attempt.ts
@@ -1,5 +1,5 @@
 import type { Agent } from "node:http";
-import type { StreamAttempt, StreamEvent } from "./stream_record.ts";
+import type { StreamAttempt, StreamEvent } from "../losses/stream_record.ts";
 import { request as sendRequest } from "node:http";
 
 /** One attempt of a caller at one daemon. */
