Split what can have begun a stream, and the search for it, from StreamOrigins

Change: SoftwareCandidates says what can have begun a stream and whether any is missing, OriginSearch asks. A member that is only known from others triggers no check while it stays known.

--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -1,11 +1,9 @@
 import type { ServingConfiguration } from "../../configuration/serving_configuration.ts";
 import type { DaemonAddress } from "../../fleet/fleet_digest.ts";
 import type { BegunStream } from "../../streams/stream_origin.ts";
-import type {
-  FindOptions,
-  OriginLookup,
-  StreamRoute,
-} from "../../streams/stream_origins.ts";
+import type { FindOptions } from "../../streams/origin_search.ts";
+import type { StreamRoute } from "../../streams/software_candidates.ts";
+import type { OriginLookup } from "../../streams/stream_origins.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -9,7 +9,7 @@
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
 import type { SlackGrant } from "../retries/slack_grant.ts";
-import type { FindOptions } from "../streams/stream_origins.ts";
+import type { FindOptions } from "../streams/origin_search.ts";
 import type { BegunStream, StreamOrigin } from "../streams/stream_origin.ts";
 import type { RecordedStream } from "../streams/stream_row.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
--- a/packages/kelpspar-gateway/src/requests/stream_continuation.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_continuation.ts
@@ -1,6 +1,6 @@
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
 import type { RequestRun } from "./request_run.ts";
-import type { StreamRoute } from "../streams/stream_origins.ts";
+import type { StreamRoute } from "../streams/software_candidates.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import { mayContinue } from "./choose_request_endpoint.ts";
 import { softwareOf } from "../streams/software_of.ts";
--- a/packages/kelpspar-gateway/src/streams/recent_members.ts
+++ b/packages/kelpspar-gateway/src/streams/recent_members.ts
@@ -164,9 +164,11 @@
 
   /** Records a member that is known from elsewhere, unless it is present. */
   addAbsent(group: string, name: string): void {
-    if ((this.#groups.get(group)?.get(name)?.count ?? 0) > 0) return;
+    const known = this.#groups.get(group)?.get(name);
+    if (known !== undefined && known.count > 0) return;
+    const isNew = known === undefined || !this.#isRecent(known);
     this.#setLeft(group, { name, leftAt: this.#options.timer.now() });
-    this.#options.onChange();
+    if (isNew) this.#options.onChange();
   }
 
   #setLeft(
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -7,16 +7,20 @@
 import type { RowRangeStore } from "../tables/row_range_store.ts";
 import type { StoreEra } from "../tables/store_era.ts";
 import type { OriginAnswer } from "./origin_answer.ts";
+import type { FindOptions } from "./origin_search.ts";
+import type { StreamRoute } from "./software_candidates.ts";
 import type { BegunStream, StreamOrigin } from "./stream_origin.ts";
 import type { RecordedStream } from "./stream_row.ts";
 import type { VersionSource } from "./version_history.ts";
 import { StoreClock } from "../tables/store_clock.ts";
 import { BegunStreams } from "./begun_streams.ts";
 import { collectAnswers } from "./collect_answers.ts";
-import { groupOfRoute, groupOfService } from "./history_group.ts";
+import { groupOfService } from "./history_group.ts";
+import { OriginSearch } from "./origin_search.ts";
 import { rankOriginHolders } from "./rank_origin_holders.ts";
 import { RecentMembers } from "./recent_members.ts";
 import { RouteHistory } from "./route_history.ts";
+import { SoftwareCandidates } from "./software_candidates.ts";
 import { describeSoftware } from "./software_of.ts";
 import { StreamRecorder } from "./stream_recorder.ts";
 import { StreamRowReader } from "./stream_row_reader.ts";
@@ -30,13 +34,6 @@
 const REQUIRED_HOLDERS = 2;
 /** Time that the first event waits for them at most. */
 const TELL_TIMEOUT_MILLISECONDS = 100;
-/** Daemons that are asked for a stream; more than tell each other of it. */
-const ASKED_DAEMONS = 8;
-/** Time after which a stream that nobody has found counts as unknown. */
-const ASK_TIMEOUT_MILLISECONDS = 150;
-
-/** Share of the known daemons that must answer if no list is recent. */
-const AGREEING_SHARE = 0.5;
 
 /** Outcome of `StreamOrigins.find`. */
 export type OriginLookup =
@@ -66,27 +63,11 @@
   readonly log: GatewayLog;
 }
 
-/** A route, and the services that it sends requests to now. */
-export interface StreamRoute {
-  readonly route: string;
-  readonly services: readonly string[];
-}
-
 /** A stream that begins. */
 export interface BeginOptions extends StreamRoute {
   readonly stream: BegunStream;
 }
 
-/** A stream, by the attempt that brought its first event. */
-export interface FindOptions extends StreamRoute {
-  readonly attemptId: string;
-}
-
-/** What other daemons and the store answered about a stream. */
-interface SearchResult extends OriginAnswer {
-  readonly asked: number;
-}
-
 /**
  * Knows which software version began a stream, for daemons that take it up.
  * While several can have, the daemon that begins a stream tells some others
@@ -103,6 +84,8 @@
   readonly #writer: StreamRowWriter;
   readonly #reader: StreamRowReader;
   readonly #recorder: StreamRecorder;
+  readonly #candidates: SoftwareCandidates;
+  readonly #search: OriginSearch;
   readonly #streams = new BegunStreams();
   /** Software that all daemons were told of before they knew it. */
   readonly #announced = new Set<string>();
@@ -140,6 +123,17 @@
           this.#history.recent(group).length > 1
         ),
     });
+    this.#candidates = new SoftwareCandidates({
+      history: this.#history,
+      versions: this.#versions,
+    });
+    this.#search = new OriginSearch({
+      ...options,
+      candidates: this.#candidates,
+      versions: this.#versions,
+      recorder: this.#recorder,
+      rank: (attemptId) => this.#rank(attemptId),
+    });
   }
 
   /** Subscribes to the endpoint list and the configuration. */
@@ -171,7 +165,7 @@
   async begin({ stream, ...route }: BeginOptions): Promise<void> {
     const { peers, timer } = this.#options;
     this.#streams.add(stream, { isOwn: true, now: timer.now() });
-    const candidates = this.#candidates(route);
+    const candidates = this.#candidates.of(route);
     if (candidates.length <= 1) return;
     const daemons = this.#rank(stream.attemptId);
     const isNews = this.#isNews(stream, candidates);
@@ -206,7 +200,7 @@
   /** Records a stream whose first event reaches the caller. */
   begun({ attemptId, ...route }: FindOptions): void {
     this.#streams.markBegun(attemptId);
-    if (this.#candidates(route).length <= 1) return;
+    if (this.#candidates.of(route).length <= 1) return;
     const stream = this.#streams.findBegun(
       attemptId,
       this.#options.timer.now(),
@@ -230,19 +224,17 @@
     const { attemptId } = options;
     const known = this.#streams.find(attemptId, timer.now());
     if (known !== undefined) return { type: "known", origin: known };
-    const software = this.#candidates(options);
-    if (
-      software.length === 1 &&
-      this.#history.isComplete(this.#groupsOf(options))
-    ) {
+    const software = this.#candidates.of(options);
+    if (software.length === 1 && this.#candidates.isComplete(options)) {
       return toLookup(software);
     }
     const startedAt = timer.now();
-    const { origin, recent, isComplete, asked } = await this.#search(options);
-    const candidates = [...this.#candidates(options), ...recent];
-    const lookup = isComplete || origin !== undefined
-      ? toLookup(origin === undefined ? candidates : [origin])
-      : toLookup([]);
+    const { origin, recent, isComplete, asked } = await this.#search.search(
+      options,
+    );
+    const candidates = [...this.#candidates.of(options), ...recent];
+    const conclusive = isComplete === true ? candidates : [];
+    const lookup = toLookup(origin === undefined ? conclusive : [origin]);
     log.info("origin of a stream asked for", {
       resumedAttempt: attemptId,
       outcome: lookup.type,
@@ -274,43 +266,11 @@
       origin: known === undefined
         ? undefined
         : { service: known.service, version: known.version },
-      recent: this.#candidates(options),
-      isComplete: this.#knowsAllSoftware(options),
+      recent: this.#candidates.of(options),
+      isComplete: this.#candidates.isCompleteWithoutRecord(options),
     };
   }
 
-  /** Software that can have begun a stream of the route. */
-  #candidates(route: StreamRoute): readonly StreamOrigin[] {
-    return this.#servicesOf(route).flatMap((service) =>
-      this.#history.recent(groupOfService(service))
-        .map((version) => ({ service, version }))
-    );
-  }
-
-  /** Services of the route now, or when a stream began. */
-  #servicesOf({ route, services }: StreamRoute): readonly string[] {
-    const earlier = this.#history.recent(groupOfRoute(route));
-    return [...new Set([...services, ...earlier])];
-  }
-
-  /** Groups of a route and of the services that its streams may be of. */
-  #groupsOf(route: StreamRoute): readonly string[] {
-    return [
-      groupOfRoute(route.route),
-      ...this.#servicesOf(route).map(groupOfService),
-    ];
-  }
-
-  /**
-   * True if this daemon knows all software of a stream's lifetime, also if the
-   * store had no record of it: then there was none before.
-   */
-  #knowsAllSoftware(route: StreamRoute): boolean {
-    const groups = this.#groupsOf(route);
-    return this.#history.isComplete(groups) ||
-      (this.#history.hasRecentList && this.#versions.wasRead(groups));
-  }
-
   #rank(attemptId: string): readonly DaemonAddress[] {
     const { membership, timer } = this.#options;
     return rankOriginHolders(
@@ -350,49 +310,6 @@
       peers.tellStreams(peer, told).catch(() => {});
     }
   }
-
-  /** Asks other daemons and the store at the same time. */
-  async #search(options: FindOptions): Promise<SearchResult> {
-    const { peers, timer, membership } = this.#options;
-    const { attemptId } = options;
-    const daemons = this.#rank(attemptId).slice(0, ASKED_DAEMONS);
-    let answered = 0;
-    const askPeer = async (peer: string): Promise<OriginAnswer> => {
-      const answer = await peers.askOrigin(peer, options);
-      answered++;
-      return answer;
-    };
-    const stored = this.#recorder.find(attemptId).then((origin) => ({
-      origin,
-      recent: [],
-    }));
-    // A daemon that has just started is about to read the versions.
-    const recalled = this.#versions.whenRead().then(() => ({ recent: [] }));
-    const answers = await collectAnswers<OriginAnswer>(
-      [stored, recalled, ...daemons.map(({ peer }) => askPeer(peer))],
-      {
-        isEnough: (received) => received.some(hasOrigin),
-        timeoutMilliseconds: ASK_TIMEOUT_MILLISECONDS,
-        timer,
-      },
-    );
-    // While no daemon reaches the store, none learns of new software. A part of
-    // the fleet that is cut off can't tell this from its own state.
-    const expected = Math.min(ASKED_DAEMONS, membership.contacts().length);
-    const isOutage = this.#versions.wasRead(this.#groupsOf(options)) &&
-      answered >= expected * AGREEING_SHARE;
-    return {
-      origin: answers.find(hasOrigin)?.origin,
-      recent: answers.flatMap(({ recent }) => recent),
-      isComplete: this.#knowsAllSoftware(options) || isOutage ||
-        answers.some(({ isComplete }) => isComplete === true),
-      asked: daemons.length,
-    };
-  }
-}
-
-function hasOrigin({ origin }: OriginAnswer): boolean {
-  return origin !== undefined;
 }
 
 /** Concludes from all software that can have begun a stream. */
