Check the store's era in one place, and share the type and margin of begun streams

Three classes checked that the store is known and answers from its current era, five times in all; RecordedStream and its schema repeated BegunStream; the margin of a deadline stood in two files. begin also noted software as announced to all that was told to its holders only. Change: CheckedRows makes these checks and reads the clock; BegunStream extends RecordedStream; one margin. Software counts as announced only if it was news.

--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -10,8 +10,11 @@
 import type { OriginAnswer } from "../streams/origin_answer.ts";
 import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/origin_search.ts";
-import type { BegunStream, StreamOrigin } from "../streams/stream_origin.ts";
-import type { RecordedStream } from "../streams/stream_row.ts";
+import type {
+  BegunStream,
+  RecordedStream,
+  StreamOrigin,
+} from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { FollowClient } from "../tables/table_follower.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -8,8 +8,11 @@
 import type { OriginAnswer } from "../streams/origin_answer.ts";
 import type { SlackGrant } from "../retries/slack_grant.ts";
 import type { FindOptions } from "../streams/origin_search.ts";
-import type { BegunStream, StreamOrigin } from "../streams/stream_origin.ts";
-import type { RecordedStream } from "../streams/stream_row.ts";
+import type {
+  BegunStream,
+  RecordedStream,
+  StreamOrigin,
+} from "../streams/stream_origin.ts";
 import type { FollowAnswer, FollowRequest } from "../tables/table_changes.ts";
 import type { DaemonAddress, FleetDigest } from "./fleet_digest.ts";
 import { initTRPC } from "@trpc/server";
@@ -25,8 +28,10 @@
   toCrashMessage,
 } from "../quarantine/crash_message.ts";
 import { speedMessageSchema } from "../load/learned_speed.ts";
-import { begunStreamsSchema } from "../streams/stream_origin.ts";
-import { recordedStreamsSchema } from "../streams/stream_row.ts";
+import {
+  begunStreamsSchema,
+  recordedStreamsSchema,
+} from "../streams/stream_origin.ts";
 import { releaseLoadSchema } from "../load/release_load.ts";
 import { followRequestSchema } from "../tables/table_changes.ts";
 import { fleetDigestSchema } from "./fleet_digest.ts";
--- a/packages/kelpspar-gateway/src/streams/begun_streams.ts
+++ b/packages/kelpspar-gateway/src/streams/begun_streams.ts
@@ -1,9 +1,8 @@
 import type { BegunStream } from "./stream_origin.ts";
+import { EXPIRY_MARGIN_MILLISECONDS } from "./stream_origin.ts";
 
 /** Streams that a daemon remembers at most; the oldest is dropped first. */
 const MAXIMUM_STREAMS = 50_000;
-/** Time until callers have noticed that a stream has reached its deadline. */
-const EXPIRY_MARGIN_MILLISECONDS = 1_000;
 /** Oldest streams that are checked for expiry whenever one is added. */
 const CHECKED_STREAMS = 4;
 
--- a/packages/kelpspar-gateway/src/streams/stream_chunk.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_chunk.ts
@@ -1,11 +1,11 @@
 import type { RowPut } from "../tables/row_range_store.ts";
-import type { RecordedStream, StreamRow } from "./stream_row.ts";
+import type { RecordedStream } from "./stream_origin.ts";
+import type { StreamRow } from "./stream_row.ts";
+import { EXPIRY_MARGIN_MILLISECONDS } from "./stream_origin.ts";
 
 /** Attempts with longer ids aren't recorded, so that a chunk fits into a row. */
 const MAXIMUM_ATTEMPT_ID_BYTES = 128;
 const MAXIMUM_STREAMS = 200;
-/** Time until callers have noticed that a stream has reached its deadline. */
-const EXPIRY_MARGIN_MILLISECONDS = 1_000;
 
 /** Options of a `StreamChunk`. */
 export interface StreamChunkOptions {
--- a/packages/kelpspar-gateway/src/streams/stream_origin.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origin.ts
@@ -7,12 +7,19 @@
   readonly version: string;
 }
 
-/** What a daemon remembers, or tells another one, of a stream that began. */
-export interface BegunStream extends StreamOrigin {
-  /** Id of the caller's attempt that brought the first event. */
+/** Time until callers have noticed that a stream has reached its deadline. */
+export const EXPIRY_MARGIN_MILLISECONDS = 1_000;
+
+/** A stream whose first event has reached its caller. */
+export interface RecordedStream extends StreamOrigin {
+  /** Account and id of the caller's attempt that brought the first event. */
   readonly attemptId: string;
   /** Time that the caller waits for the stream, over all of its attempts. */
   readonly remainingMilliseconds: number;
+}
+
+/** What a daemon remembers, or tells another one, of a stream that began. */
+export interface BegunStream extends RecordedStream {
   /** Sends of the attempt so far; a later answer replaces an earlier one. */
   readonly sends: number;
 }
@@ -23,9 +30,15 @@
   version: z.string(),
 });
 
-/** Schema of `BegunStream`s in messages between daemons. */
-export const begunStreamsSchema = z.array(streamOriginSchema.extend({
+const recordedStreamSchema = streamOriginSchema.extend({
   attemptId: z.string(),
   remainingMilliseconds: z.number(),
-  sends: z.number().int(),
-}));
+});
+
+/** Schema of `RecordedStream`s in messages between daemons. */
+export const recordedStreamsSchema = z.array(recordedStreamSchema);
+
+/** Schema of `BegunStream`s in messages between daemons. */
+export const begunStreamsSchema = z.array(
+  recordedStreamSchema.extend({ sends: z.number().int() }),
+);
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -9,9 +9,13 @@
 import type { OriginAnswer } from "./origin_answer.ts";
 import type { FindOptions } from "./origin_search.ts";
 import type { StreamRoute } from "./software_candidates.ts";
-import type { BegunStream, StreamOrigin } from "./stream_origin.ts";
-import type { RecordedStream } from "./stream_row.ts";
+import type {
+  BegunStream,
+  RecordedStream,
+  StreamOrigin,
+} from "./stream_origin.ts";
 import type { VersionSource } from "./version_history.ts";
+import { CheckedRows } from "../tables/checked_rows.ts";
 import { StoreClock } from "../tables/store_clock.ts";
 import { BegunStreams } from "./begun_streams.ts";
 import { collectAnswers } from "./collect_answers.ts";
@@ -93,6 +97,7 @@
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
     const clock = new StoreClock(options.timer);
+    const rows = new CheckedRows({ ...options, clock });
     this.#history = new RecentMembers({
       ...options,
       clock,
@@ -104,14 +109,15 @@
       ...options,
       history: this.#history,
       groups: () => this.#routes.groups,
+      rows,
       clock,
       recorderRank: () => this.#recorder.rank,
       fleetSize: () => options.membership.contacts().length + 1,
     });
-    this.#writer = new StreamRowWriter({ ...options, clock });
+    this.#writer = new StreamRowWriter({ ...options, rows, clock });
     this.#reader = new StreamRowReader({
       ...options,
-      clock,
+      rows,
       readers: () => this.#recorder.size,
     });
     this.#recorder = new StreamRecorder({
@@ -179,7 +185,7 @@
         timer,
       },
     );
-    if (answers.length === daemons.length) {
+    if (isNews && answers.length === daemons.length) {
       this.#announced.add(describeSoftware(stream));
     }
   }
--- a/packages/kelpspar-gateway/src/streams/stream_row_reader.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_row_reader.ts
@@ -1,7 +1,5 @@
 import type { TimerService } from "kelpspar-shared";
-import type { RowRangeStore } from "../tables/row_range_store.ts";
-import type { StoreClock } from "../tables/store_clock.ts";
-import type { StoreEra } from "../tables/store_era.ts";
+import type { CheckedRows } from "../tables/checked_rows.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
 import {
   keysOfShard,
@@ -19,10 +17,7 @@
 
 /** Dependencies of a `StreamRowReader`. */
 export interface StreamRowReaderOptions {
-  /** Undefined until this daemon knows the store. */
-  readonly store: () => RowRangeStore | undefined;
-  readonly clock: StoreClock;
-  readonly era: StoreEra;
+  readonly rows: Pick<CheckedRows, "readRows">;
   /** Number of daemons that read for all. */
   readonly readers: () => number;
   readonly timer: TimerService;
@@ -67,15 +62,10 @@
   }
 
   async #read(shard: string): Promise<RecordedOrigins> {
-    const { store, era, clock, timer } = this.#options;
-    const rowStore = store();
-    if (rowStore === undefined) throw new Error("The store isn't known yet");
-    const startedAt = timer.now();
-    const answer = await rowStore.readRows(STREAMS_TABLE, keysOfShard(shard));
-    if (era.checkAnswer(answer.era, startedAt) === "late") {
-      throw new Error("The store answered from an earlier era");
-    }
-    clock.observe(answer.clockMilliseconds);
+    const answer = await this.#options.rows.readRows(
+      STREAMS_TABLE,
+      keysOfShard(shard),
+    );
     const origins = new Map<string, StreamOrigin | undefined>();
     for (const { text } of answer.rows) {
       for (const software of decodeStreamRow(text)?.software ?? []) {
--- a/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_row_writer.ts
@@ -1,9 +1,9 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { GatewayLog } from "../log/gateway_log.ts";
-import type { RowRangeStore } from "../tables/row_range_store.ts";
+import type { CheckedRows } from "../tables/checked_rows.ts";
 import type { StoreClock } from "../tables/store_clock.ts";
 import type { StoreEra } from "../tables/store_era.ts";
-import type { RecordedStream } from "./stream_row.ts";
+import type { RecordedStream } from "./stream_origin.ts";
 import { MAXIMUM_ROW_CHANGES } from "../tables/row_range_store.ts";
 import { StoreCallError } from "../tables/table_store.ts";
 import { StreamChunk } from "./stream_chunk.ts";
@@ -28,10 +28,9 @@
 export interface StreamRowWriterOptions {
   /** Unique for each start of a daemon; part of the keys of its rows. */
   readonly incarnation: string;
-  /** Undefined until this daemon knows the store. */
-  readonly store: () => RowRangeStore | undefined;
+  readonly rows: Pick<CheckedRows, "readRows" | "writeRows">;
   readonly clock: StoreClock;
-  readonly era: StoreEra;
+  readonly era: Pick<StoreEra, "registerListener">;
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly log: GatewayLog;
@@ -89,20 +88,14 @@
    * many rows remain.
    */
   async removeEndedRows(): Promise<number> {
-    const { clock, era, timer } = this.#options;
-    const startedAt = timer.now();
-    const answer = await this.#store().readRows(STREAMS_TABLE);
-    const { rows, clockMilliseconds } = answer;
-    if (era.checkAnswer(answer.era, startedAt) === "late") {
-      return answer.rows.length;
-    }
-    clock.observe(clockMilliseconds);
+    const store = this.#options.rows;
+    const { rows, clockMilliseconds } = await store.readRows(STREAMS_TABLE);
     const removed = rows.filter(({ text }) => {
       const { expiresAt = 0 } = decodeStreamRow(text) ?? {};
       return expiresAt + FOREIGN_ROW_MARGIN_MILLISECONDS < clockMilliseconds;
     }).map(({ key }) => key);
     for (let from = 0; from < removed.length; from += MAXIMUM_ROW_CHANGES) {
-      await this.#store().writeRows(STREAMS_TABLE, {
+      await store.writeRows(STREAMS_TABLE, {
         removed: removed.slice(from, from + MAXIMUM_ROW_CHANGES),
       });
     }
@@ -160,7 +153,7 @@
   }
 
   async #writeOnce(): Promise<void> {
-    const { timer, era, clock } = this.#options;
+    const { timer, rows, clock } = this.#options;
     const startedAt = timer.now();
     this.#endChunks(startedAt);
     const ended = [...this.#abandoned]
@@ -169,18 +162,14 @@
     const changed = [...this.#chunks].filter(({ isChanged }) => isChanged)
       .slice(0, MAXIMUM_WRITTEN_CHUNKS);
     if (changed.length === 0 && ended.length === 0) return;
-    const store = this.#store();
     const clockNow = clock.now;
     if (clockNow === undefined) throw new Error("The clock isn't known yet");
     for (const chunk of changed) chunk.isChanged = false;
     try {
-      const answer = await store.writeRows(STREAMS_TABLE, {
+      await rows.writeRows(STREAMS_TABLE, {
         puts: changed.map((chunk) => chunk.toRow(clockNow - startedAt)),
         removed: ended.map(({ key }) => key),
       });
-      if (era.checkAnswer(answer.era, startedAt) === "late") {
-        throw new Error("The store answered from an earlier era");
-      }
       for (const row of ended) this.#abandoned.delete(row);
     } catch (error) {
       // An answer, such as a rejection, proves that nothing was written.
@@ -227,10 +216,4 @@
     const wait = lastEnd - this.#options.timer.now();
     this.#schedule(Math.max(delayMilliseconds, wait));
   }
-
-  #store(): RowRangeStore {
-    const store = this.#options.store();
-    if (store === undefined) throw new Error("The store isn't known yet");
-    return store;
-  }
 }
--- a/packages/kelpspar-gateway/src/streams/version_table.ts
+++ b/packages/kelpspar-gateway/src/streams/version_table.ts
@@ -1,6 +1,7 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { GatewayLog } from "../log/gateway_log.ts";
-import type { RowRangeStore, StoredRow } from "../tables/row_range_store.ts";
+import type { CheckedRows } from "../tables/checked_rows.ts";
+import type { StoredRow } from "../tables/row_range_store.ts";
 import type { StoreClock } from "../tables/store_clock.ts";
 import type { StoreEra } from "../tables/store_era.ts";
 import type { RecentMembers, RecordedGroup } from "./recent_members.ts";
@@ -56,8 +57,7 @@
   readonly history: Pick<RecentMembers, "seen" | "recall" | "markRecorded">;
   /** Groups that matter to streams that may be resumed. */
   readonly groups: () => ReadonlySet<string>;
-  /** Undefined until this daemon knows the store. */
-  readonly store: () => RowRangeStore | undefined;
+  readonly rows: Pick<CheckedRows, "isKnown" | "readRows" | "writeRows">;
   readonly clock: StoreClock;
   readonly era: StoreEra;
   /** Place of this daemon among those that write first; -1 if it has none. */
@@ -119,8 +119,8 @@
 
   /** Reads the table once there are streams that may be resumed. */
   #start(): void {
-    const { groups, store } = this.#options;
-    const mayRead = groups().size > 0 && store() !== undefined;
+    const { groups, rows } = this.#options;
+    const mayRead = groups().size > 0 && rows.isKnown;
     if (!mayRead || this.#isStarted) return;
     this.#isStarted = true;
     this.#retry("failed to read software versions", async () => {
@@ -194,23 +194,19 @@
     await this.#readRows();
     const changed = this.#findChanges().slice(0, MAXIMUM_ROW_CHANGES);
     if (changed.length === 0) return;
-    const { timer, era, log } = this.#options;
-    const startedAt = timer.now();
-    const answer = await this.#store().writeRows(VERSIONS_TABLE, {
+    const { rows, log } = this.#options;
+    const { isWritten } = await rows.writeRows(VERSIONS_TABLE, {
       puts: changed.map(({ group, members, version }) => ({
         key: group,
         text: JSON.stringify({ members }),
         version,
       })),
     });
-    if (era.checkAnswer(answer.era, startedAt) === "late") {
-      throw new Error("The store answered from an earlier era");
-    }
     // Another daemon wrote meanwhile, or there were too many for one call.
-    if (!answer.isWritten || changed.length === MAXIMUM_ROW_CHANGES) {
+    if (!isWritten || changed.length === MAXIMUM_ROW_CHANGES) {
       this.#scheduleCheck();
     }
-    if (!answer.isWritten) return;
+    if (!isWritten) return;
     this.#applyRows(
       new Map([
         ...this.#rows,
@@ -225,13 +221,7 @@
   }
 
   async #readRows(): Promise<void> {
-    const { timer, era, clock } = this.#options;
-    const startedAt = timer.now();
-    const answer = await this.#store().readRows(VERSIONS_TABLE);
-    if (era.checkAnswer(answer.era, startedAt) === "late") {
-      throw new Error("The store answered from an earlier era");
-    }
-    clock.observe(answer.clockMilliseconds);
+    const answer = await this.#options.rows.readRows(VERSIONS_TABLE);
     this.#applyRows(
       new Map(
         answer.rows.map((row) => [row.key, {
@@ -283,12 +273,6 @@
     }
   }
 
-  #store(): RowRangeStore {
-    const store = this.#options.store();
-    if (store === undefined) throw new Error("The store isn't known yet");
-    return store;
-  }
-
   /** Retries `operation` until it succeeds. */
   #retry(message: string, operation: () => Promise<void>): void {
     void retryUntilSuccess({
