--- a/packages/kelpspar-scenarios/src/guards/stream_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/stream_guards.ts
@@ -64,8 +64,8 @@
   {
     name: "a stream begins where another endpoint could go on",
     file: `${GATEWAY}/requests/choose_request_endpoint.ts`,
-    code: "const preferred = run.beginsResumableStream",
-    without: "const preferred = run.beginsResumableStream && false",
+    code: "choose(preferResumable(group, now)) ?? choose(group);",
+    without: "choose(group);",
     noticedBy: CONTINUED,
   },
   {
@@ -85,7 +85,7 @@
   {
     name: "the first event waits for other daemons",
     file: `${GATEWAY}/requests/stream_forwarder.ts`,
-    code: "await beforeFirstEvent;",
+    code: "await beforeFirstEvent?.();",
     without: "",
     noticedBy: CONTINUED,
   },
@@ -98,7 +98,7 @@
   },
   {
     name: "versions that left recently count",
-    file: `${GATEWAY}/streams/version_history.ts`,
+    file: `${GATEWAY}/streams/recent_members.ts`,
     code: "now - leftAt < STREAM_LIFETIME_MILLISECONDS",
     without: "false",
     noticedBy: ORIGINS,
@@ -106,8 +106,9 @@
   {
     name: "a daemon that just started asks for the versions before",
     file: `${GATEWAY}/streams/stream_origins.ts`,
-    code: "if (!mayDiffer && this.#history.isComplete)",
-    without: "if (!mayDiffer)",
+    code:
+      "if (software.length === 1 && this.#candidates.isComplete(options)) {",
+    without: "if (software.length === 1) {",
     noticedBy: ORIGINS,
   },
   {
