Relay rows that were removed and added again

What callers saw: a daemon that follows another one's tables sent nothing to an endpoint that had come back, for as long as its entry didn't change.

Cause: relayed changes hold the newest row of each key, so a removal between two writes of the same row is left out. The daemon that received them compared the row with its own copy, found nothing new and kept the old version, so it didn't relay the row to followers that had read the removal from the store themselves.

Change: only pages of the store's feed, which lists every change, are compared for new information. Relayed rows are taken with their versions.

'a row that was removed and added again is relayed on' fails without the change.

--- a/packages/kelpspar-gateway/src/__tests__/unit/table_mirror_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/table_mirror_test.ts
@@ -90,6 +90,25 @@
   expect([changes, mirror.changesSince(3)?.rows]).toEqual([3, [row("a", 4)]]);
 });
 
+// Guards against endpoints that a follower never lists again because it alone saw their rows removed.
+test("a row that was removed and added again is relayed on", () => {
+  const options = {
+    applyTable: (): void => {},
+    applyChanges: (): void => {},
+    isSameRow: (): boolean => true,
+  };
+  const [reader, relaying] = [1, 2].map(() => new TableMirror("t", options));
+  if (reader === undefined || relaying === undefined) return;
+  for (const mirror of [reader, relaying]) {
+    mirror.applyTable({ rows: [row("a", 1)], version: 1 });
+  }
+  reader.applyChanges({ rows: [row("a", 2, true), row("a", 3)], version: 3 });
+  const relayed = reader.changesSince(1);
+  expect(relayed?.rows).toEqual([row("a", 3)]);
+  if (relayed !== undefined) relaying.merge(relayed);
+  expect(relaying.changesSince(2)?.rows).toEqual([row("a", 3)]);
+});
+
 test("a whole table leaves out rows that the follower has", () => {
   // Guards against a configuration of 600 KB that each daemon receives twice
   // when all start together: those that read the tables before their reader did
--- a/packages/kelpspar-gateway/src/tables/table_mirror.ts
+++ b/packages/kelpspar-gateway/src/tables/table_mirror.ts
@@ -101,16 +101,7 @@
 
   /** Applies all changes after a version that was known. */
   applyChanges(page: TablePage): void {
-    let isChanged = false;
-    for (const row of page.rows) {
-      if (!this.#isNewInformation(row)) continue;
-      this.#rows.set(row.key, row);
-      isChanged = true;
-    }
-    this.#version = Math.max(this.#version ?? 0, page.version);
-    this.#dropOldRemovals();
-    this.#options.applyChanges(page);
-    if (isChanged) this.#options.changed?.();
+    this.#applyRows(page, (row) => this.#isNewInformation(row));
   }
 
   /** Merges changes that another daemon relayed. */
@@ -125,7 +116,9 @@
     }
     if (changes.after > known) return "skips_versions";
     if (changes.version < known) return "known";
-    this.applyChanges(changes);
+    // Relayed changes omit removals of rows that returned. A follower that saw
+    // the removal needs the row again, even if this daemon has the same one.
+    this.#applyRows(changes, (row) => this.#isNewer(row));
     return "taken";
   }
 
@@ -169,10 +162,28 @@
     return own.length === unchanged.length ? [...own, ...rows] : undefined;
   }
 
+  #applyRows(page: TablePage, isNew: (row: TableRow) => boolean): void {
+    let isChanged = false;
+    for (const row of page.rows) {
+      if (!isNew(row)) continue;
+      this.#rows.set(row.key, row);
+      isChanged = true;
+    }
+    this.#version = Math.max(this.#version ?? 0, page.version);
+    this.#dropOldRemovals();
+    this.#options.applyChanges(page);
+    if (isChanged) this.#options.changed?.();
+  }
+
+  #isNewer({ key, version }: TableRow): boolean {
+    const known = this.#rows.get(key);
+    return known === undefined || version >= known.version;
+  }
+
   #isNewInformation(row: TableRow): boolean {
+    if (!this.#isNewer(row)) return false;
     const known = this.#rows.get(row.key);
     if (known === undefined) return true;
-    if (row.version < known.version) return false;
     const isSame = !row.isRemoved && !known.isRemoved &&
       this.#options.isSameRow?.(known, row) === true;
     return !isSame;
