Apply the operator's changes in time when connections to the store go silent

Cause: the call that waits up to 12 s for the operator's table had no detection of its own. It relied on the endpoint list's call, whose timeout replaced all connections; if only its own connection was silent, that call lived on and nothing told. Where evacuateMs is set the wait was shortened, elsewhere not. A call could also be sent on a connection that had rested and gone silent.

Change: answers about endpoints show by their versions, which all tables take from one counter, that another table changed; the operator's table is then read at once, beside the waiting call. Answers come at most a poll interval apart, and a call that timed out is repeated at once with a short timeout.

--- a/packages/kelpspar-gateway/src/endpoints/list_timing.ts
+++ b/packages/kelpspar-gateway/src/endpoints/list_timing.ts
@@ -8,6 +8,11 @@
   readonly sendMilliseconds: number;
   /** Longest backoff after a first failed call. */
   readonly backoffMilliseconds: number;
+  /**
+   * Time within which a change of the configuration must be applied, if there
+   * is such a bound; the list's answers show that there is one.
+   */
+  readonly applyMilliseconds?: number | undefined;
 }
 
 /** Timing of the calls that read the list. */
@@ -18,6 +23,10 @@
   readonly waitMilliseconds: number;
   /** Timeout of a call beyond `waitMilliseconds`. */
   readonly callTimeoutMilliseconds: number;
+  /** Timeout of the first call after one that timed out. */
+  readonly retryTimeoutMilliseconds: number;
+  /** Longest time between two answers while no connection is silent. */
+  readonly maximumAnswerIntervalMilliseconds: number;
 }
 
 /**
@@ -32,8 +41,15 @@
 const CALL_TIMEOUT_MILLISECONDS = 600;
 const MAXIMUM_WAIT_MILLISECONDS = 1_000;
 const MINIMUM_WAIT_MILLISECONDS = 100;
+const MINIMUM_POLL_INTERVAL_MILLISECONDS = 100;
+/** Timeout as a share of the bound for configurations, if that is short. */
+const CALL_TIMEOUT_SHARE = 0.3;
+const MINIMUM_CALL_TIMEOUT_MILLISECONDS = 150;
+const MAXIMUM_RETRY_TIMEOUT_MILLISECONDS = 150;
 /** Margin for the answer itself and for timers that fire late. */
 const ANSWER_MARGIN_MILLISECONDS = 100;
+/** From an answer that shows a change until the change was read. */
+const CHANGE_READ_MILLISECONDS = 50;
 
 /**
  * Computes when the list is read, so that all waits together end before the
@@ -46,15 +62,52 @@
  * meanwhile would get requests.
  */
 export function computeListTiming(bounds: ListTimingBounds): ListTiming {
-  const pollIntervalMilliseconds = bounds.drainMilliseconds * INTERVAL_SHARE;
+  const { applyMilliseconds = Number.POSITIVE_INFINITY } = bounds;
+  const callTimeoutMilliseconds = Math.min(
+    CALL_TIMEOUT_MILLISECONDS,
+    Math.max(
+      applyMilliseconds * CALL_TIMEOUT_SHARE,
+      MINIMUM_CALL_TIMEOUT_MILLISECONDS,
+    ),
+  );
+  const retryTimeoutMilliseconds = Math.min(
+    MAXIMUM_RETRY_TIMEOUT_MILLISECONDS,
+    callTimeoutMilliseconds / 2,
+  );
+  const pollIntervalMilliseconds = Math.min(
+    bounds.drainMilliseconds * INTERVAL_SHARE,
+    Math.max(
+      applyMilliseconds - callTimeoutMilliseconds - retryTimeoutMilliseconds -
+        CHANGE_READ_MILLISECONDS - ANSWER_MARGIN_MILLISECONDS,
+      MINIMUM_POLL_INTERVAL_MILLISECONDS,
+    ),
+  );
   const left = bounds.contactMilliseconds - bounds.sendMilliseconds -
-    pollIntervalMilliseconds - CALL_TIMEOUT_MILLISECONDS -
+    pollIntervalMilliseconds - callTimeoutMilliseconds -
     bounds.backoffMilliseconds -
     ANSWER_MARGIN_MILLISECONDS;
-  const wait = Math.min(left, MAXIMUM_WAIT_MILLISECONDS);
+  const wait = Math.min(
+    left,
+    pollIntervalMilliseconds,
+    MAXIMUM_WAIT_MILLISECONDS,
+  );
   return {
     pollIntervalMilliseconds,
     waitMilliseconds: Math.max(wait, MINIMUM_WAIT_MILLISECONDS),
-    callTimeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+    callTimeoutMilliseconds,
+    retryTimeoutMilliseconds,
+    maximumAnswerIntervalMilliseconds: pollIntervalMilliseconds,
   };
 }
+
+/**
+ * Returns the longest time until a change of the configuration is applied
+ * although connections to the store go silent, milliseconds: the list's next
+ * answer is lost, and that of the retry if they go silent again meanwhile.
+ */
+export function computeApplyMilliseconds(timing: ListTiming): number {
+  return timing.maximumAnswerIntervalMilliseconds +
+    timing.callTimeoutMilliseconds + timing.retryTimeoutMilliseconds +
+    CHANGE_READ_MILLISECONDS +
+    ANSWER_MARGIN_MILLISECONDS;
+}
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -53,7 +53,7 @@
 export type { PromptPart, ServingRequest } from "./requests/serving_request.ts";
 export type { PollIntervals, ReadingPlan } from "./tables/reading_plan.ts";
 export type { FollowAnswer, FollowRequest } from "./tables/table_changes.ts";
-export type { FeedTimes } from "./tables/table_feed.ts";
+export type { FeedTimes } from "./tables/feed_times.ts";
 export type { FollowClient } from "./tables/table_follower.ts";
 export type {
   CallTimes,
@@ -69,7 +69,10 @@
 export { EndpointRegistry } from "./endpoints/endpoint_registry.ts";
 export { EndpointNotices } from "./endpoints/endpoint_notices.ts";
 export { MissingEntryGracePeriod } from "./endpoints/missing_entry_grace_period.ts";
-export { computeListTiming } from "./endpoints/list_timing.ts";
+export {
+  computeApplyMilliseconds,
+  computeListTiming,
+} from "./endpoints/list_timing.ts";
 export { endToEndHeaders, headerValue } from "./exchange/connection_headers.ts";
 export { checkListening } from "./exchange/check_listening.ts";
 export type { HttpExchangeResult } from "./exchange/http_exchange.ts";
@@ -93,6 +96,6 @@
 export {
   MAXIMUM_FIRST_RETRY_DELAY_MILLISECONDS,
   MAXIMUM_RETRY_DELAY_MILLISECONDS,
-} from "./tables/table_feed.ts";
+} from "./tables/feed_pace.ts";
 export { TableMirror } from "./tables/table_mirror.ts";
-export { StoreCallError } from "./tables/table_store.ts";
+export { StoreCallError, StoreTimeoutError } from "./tables/table_store.ts";
--- a/packages/kelpspar-gateway/src/tables/relay_times.ts
+++ b/packages/kelpspar-gateway/src/tables/relay_times.ts
@@ -4,6 +4,8 @@
   readonly drainMilliseconds: number;
   /** From the choice of an endpoint until the request arrives, milliseconds. */
   readonly sendMilliseconds: number;
+  /** Time within which a configuration must be applied, if limited, ms. */
+  readonly applyMilliseconds?: number | undefined;
 }
 
 /** How often readers poll, and how long followers wait for their answers. */
@@ -14,6 +16,10 @@
   readonly waitMilliseconds: number;
   /** Timeout of a reader's call, in addition to that wait, milliseconds. */
   readonly callTimeoutMilliseconds: number;
+  /** Timeout of a reader's first call after one that timed out, ms. */
+  readonly retryTimeoutMilliseconds: number;
+  /** Longest time between two answers to a reader, milliseconds. */
+  readonly maximumAnswerIntervalMilliseconds: number;
   /** Long-poll wait: a reader then answers without changes, milliseconds. */
   readonly followWaitMilliseconds: number;
   /** Timeout of a follow call, in addition to that wait, milliseconds. */
@@ -24,6 +30,7 @@
 
 /** Timeout of a store call, milliseconds; a slow store still answers in it. */
 const STORE_CALL_TIMEOUT_MILLISECONDS = 600;
+const RETRY_TIMEOUT_MILLISECONDS = 150;
 /** Timeout of a call between daemons on a busy machine, milliseconds. */
 const FOLLOW_TIMEOUT_MILLISECONDS = 400;
 /** Keeps a fleet that lost its readers from calling all at once, ms. */
@@ -41,7 +48,7 @@
 
 /**
  * Computes when readers poll and when followers time out. Undefined when the
- * drain limit leaves no time for a second hop; each daemon then reads for
+ * limits leave no time for a second hop; each daemon then reads for
  * itself.
  *
  * Worst case: an endpoint leaves just as a reader loses its connection to the
@@ -55,15 +62,19 @@
 export function relayTimes(bounds: RelayBounds): RelayTimes | undefined {
   const ownCall = FALLBACK_JITTER_MILLISECONDS +
     STORE_CALL_TIMEOUT_MILLISECONDS;
-  const remaining = bounds.drainMilliseconds - bounds.sendMilliseconds -
-    ownCall -
-    PROCESSING_MARGIN_MILLISECONDS;
+  const bound = Math.min(
+    bounds.drainMilliseconds - bounds.sendMilliseconds,
+    bounds.applyMilliseconds ?? Number.POSITIVE_INFINITY,
+  );
+  const remaining = bound - ownCall - PROCESSING_MARGIN_MILLISECONDS;
   const cycle = remaining - STORE_CALL_TIMEOUT_MILLISECONDS;
   if (cycle < MINIMUM_CYCLE_MILLISECONDS) return undefined;
   return {
     pollIntervalMilliseconds: cycle - READER_WAIT_MILLISECONDS,
+    maximumAnswerIntervalMilliseconds: cycle - READER_WAIT_MILLISECONDS,
     waitMilliseconds: READER_WAIT_MILLISECONDS,
     callTimeoutMilliseconds: STORE_CALL_TIMEOUT_MILLISECONDS,
+    retryTimeoutMilliseconds: RETRY_TIMEOUT_MILLISECONDS,
     followWaitMilliseconds: remaining - FOLLOW_TIMEOUT_MILLISECONDS,
     followTimeoutMilliseconds: FOLLOW_TIMEOUT_MILLISECONDS,
     fallbackJitterMilliseconds: FALLBACK_JITTER_MILLISECONDS,
--- a/packages/kelpspar-gateway/src/tables/shared_tables.ts
+++ b/packages/kelpspar-gateway/src/tables/shared_tables.ts
@@ -6,12 +6,13 @@
 import type { RelayTimes } from "./relay_times.ts";
 import type { StoreEra } from "./store_era.ts";
 import type { FollowAnswer, FollowRequest } from "./table_changes.ts";
-import type { FeedTimes } from "./table_feed.ts";
+import type { FeedTimes } from "./feed_times.ts";
 import type { FollowClient } from "./table_follower.ts";
 import type { TableListener } from "./table_mirror.ts";
 import type { TableRow, TableStore } from "./table_store.ts";
 import { TableFreshness } from "./table_freshness.ts";
 import { RestoreReport } from "./restore_report.ts";
+import { TableCatchUp } from "./table_catch_up.ts";
 import { TableFeed } from "./table_feed.ts";
 import { TableFollower } from "./table_follower.ts";
 import { TableMirror } from "./table_mirror.ts";
@@ -27,6 +28,12 @@
    * the table that is read most often.
    */
   readonly isFreshnessProbe: boolean;
+  /**
+   * Whether it is read at once when the freshness probe's answers show that
+   * another table changed, so that a change is applied in time although the
+   * call that waits for it went silent. Default false.
+   */
+  readonly isReadPromptly?: boolean;
   /** When the store is polled, unless `isFreshnessProbe` and relayed. */
   readonly times: FeedTimes;
   readonly isUrgent?: () => boolean;
@@ -83,6 +90,7 @@
   readonly #mirrors = new Map<string, TableMirror>();
   readonly #relayed = new Map<string, TableMirror>();
   readonly #feeds: TableFeed[] = [];
+  readonly #catchUps: TableCatchUp[] = [];
   readonly #subscriptions: TableSubscription[] = [];
   readonly #freshness = new TableFreshness();
   readonly #relay: TableRelay;
@@ -123,13 +131,26 @@
     this.#mirrors.set(table, mirror);
     if (isRelayed) this.#relayed.set(table, mirror);
     this.#subscriptions.push(subscription);
-    this.#feeds.push(this.#createFeed(subscription, mirror));
+    const feed = this.#createFeed(subscription, mirror);
+    this.#feeds.push(feed);
+    if (subscription.isReadPromptly !== true) return;
+    this.#catchUps.push(
+      new TableCatchUp({
+        ...this.#options,
+        mirror,
+        isNeeded: () => this.#isRead(subscription),
+        abandonFeedCall: () => feed.abandonChanges(),
+      }),
+    );
   }
 
   /** Starts following the tables; returns the teardown. */
   register(): () => void {
     const { relayTimes } = this.#options;
-    const teardowns = this.#feeds.map((feed) => feed.register());
+    const teardowns = [
+      ...this.#feeds.map((feed) => feed.register()),
+      ...this.#catchUps.map((catchUp) => () => catchUp.stop()),
+    ];
     if (relayTimes !== undefined) {
       const follower = new TableFollower({
         ...this.#options,
@@ -178,13 +199,13 @@
     subscription: TableSubscription,
     mirror: TableMirror,
   ): TableFeed {
-    const { isRelayed, isFreshnessProbe, isUrgent } = subscription;
+    const { isFreshnessProbe, isUrgent } = subscription;
     return new TableFeed({
       ...this.#options,
       mirror,
       isUrgent,
       times: () => this.#timesOf(subscription),
-      isNeeded: () => this.#isReader || (isRelayed && this.#isSourceLost),
+      isNeeded: () => this.#isRead(subscription),
       onAnswer: (startedAt) => {
         subscription.answered?.();
         if (!isFreshnessProbe) return;
@@ -196,9 +217,19 @@
         subscription.failed?.(startedAt);
         if (isFreshnessProbe) this.#freshness.markStale();
       },
+      onOtherChange: isFreshnessProbe
+        ? (version) => {
+          for (const catchUp of this.#catchUps) catchUp.requireVersion(version);
+        }
+        : undefined,
     });
   }
 
+  /** Whether this daemon currently reads the table from the store. */
+  #isRead({ isRelayed }: TableSubscription): boolean {
+    return this.#isReader || (isRelayed && this.#isSourceLost);
+  }
+
   #timesOf({ isFreshnessProbe, times }: TableSubscription): FeedTimes {
     const { relayTimes, plan } = this.#options;
     const { isShared, isReader } = plan();
--- a/packages/kelpspar-gateway/src/tables/table_feed.ts
+++ b/packages/kelpspar-gateway/src/tables/table_feed.ts
@@ -1,24 +1,19 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { GatewayLog } from "../log/gateway_log.ts";
+import type { FeedTimes } from "./feed_times.ts";
 import type { StoreEra } from "./store_era.ts";
 import type { TableMirror } from "./table_mirror.ts";
-import type { CallTimes, ReportedEra, TableStore } from "./table_store.ts";
+import type {
+  CallTimes,
+  FeedAnswer,
+  ReportedEra,
+  TableStore,
+} from "./table_store.ts";
+import { FeedPace } from "./feed_pace.ts";
+import { findOtherChange } from "./find_other_change.ts";
 import { StoreCallError } from "./table_store.ts";
 import { InterruptedError, untilAborted } from "./until_aborted.ts";
 
-/** Timing of the calls of a feed. */
-export interface FeedTimes {
-  /** How long a call waits for a change, milliseconds. */
-  readonly waitMilliseconds: number;
-  /** Timeout beyond that wait, ms; the store client's default if absent. */
-  readonly callTimeoutMilliseconds?: number;
-  /** Least time between the starts of two calls, milliseconds. */
-  readonly pollIntervalMilliseconds: number;
-  /** Range of the delay after a failed call, milliseconds. */
-  readonly minimumRetryDelayMilliseconds?: number;
-  readonly maximumRetryDelayMilliseconds: number;
-}
-
 /** Options of `TableFeed`. */
 export interface TableFeedOptions {
   readonly mirror: TableMirror;
@@ -37,48 +32,23 @@
   readonly onAnswer: (startedAt: number) => void;
   /** Called when a call that began at `startedAt` failed. */
   readonly onFailure: (startedAt: number) => void;
+  /** Called when another table changed at `version`; see `findOtherChange`. */
+  readonly onOtherChange?: ((version: number) => void) | undefined;
 }
 
-/**
- * Delay after a failed call, milliseconds. Doubles up to the maximum, plus
- * jitter of up to half of it. Rejected calls cost the store as much as others.
- */
-const INITIAL_RETRY_DELAY_MILLISECONDS = 150;
-/** Upper end of the first retry delay with its jitter. */
-export const MAXIMUM_FIRST_RETRY_DELAY_MILLISECONDS =
-  INITIAL_RETRY_DELAY_MILLISECONDS * 1.5;
-/** Well below the two seconds in which entries return, milliseconds. */
-export const MAXIMUM_RETRY_DELAY_MILLISECONDS = 800;
-/** Poll interval while the next change is needed soon, milliseconds. */
-const URGENT_POLL_MILLISECONDS = 250;
-/**
- * Timeout of calls after a failure, milliseconds; they don't wait for a change.
- * A call sent during a network silence stays unanswered after the silence ends.
- * With the usual timeout the list would be read seconds after the store's
- * recovery, and endpoints that left meanwhile would get requests.
- */
-const PROBE_TIMEOUT_MILLISECONDS = 600;
-/**
- * Timeout of the first read of a table, milliseconds since the last part of its
- * answer. Other daemons are asked for the table after that.
- */
-const FIRST_READ_TIMEOUT_MILLISECONDS = 600;
-/** After this, calls use the usual timeout: the store may be slow, ms. */
-const PROBE_PHASE_MILLISECONDS = 8_000;
-
 /** Follows one table in the store: reads it whole, then its changes. */
 export class TableFeed {
   readonly #options: TableFeedOptions;
-  /** When the first of the current series of failed calls failed. */
-  #failingSince: number | undefined;
-  #retryDelay = INITIAL_RETRY_DELAY_MILLISECONDS;
+  readonly #pace: FeedPace;
   #isStopped = false;
   #isReadingFirst = false;
+  #isReadingChanges = false;
   /** Aborts the current wait or call. */
   #abort = new AbortController();
 
   constructor(options: TableFeedOptions) {
     this.#options = options;
+    this.#pace = new FeedPace(options);
   }
 
   /** Starts following the table; returns the teardown. */
@@ -95,7 +65,7 @@
    * that other daemons are asked for it.
    */
   get isReadingFirst(): boolean {
-    return this.#isReadingFirst && this.#failingSince === undefined;
+    return this.#isReadingFirst && this.#pace.failingSince === undefined;
   }
 
   /**
@@ -108,6 +78,14 @@
     if (!this.#isReadingFirst) this.#abort.abort();
   }
 
+  /**
+   * Abandons a call for changes, whose answer would be older than the copy, and
+   * makes the next one at once. Has no effect on other calls and on pauses.
+   */
+  abandonChanges(): void {
+    if (this.#isReadingChanges) this.#abort.abort();
+  }
+
   async #follow(): Promise<void> {
     const { timer, isNeeded } = this.#options;
     while (!this.#isStopped) {
@@ -125,48 +103,24 @@
 
   /** Makes one call; returns the delay before the next, milliseconds. */
   async #poll(startedAt: number, signal: AbortSignal): Promise<number> {
-    const { timer } = this.#options;
+    const allowedMilliseconds = this.#pace.waitOf(startedAt);
     try {
-      await this.#read(startedAt, signal);
-      this.#onRecovered();
-      return this.#pollInterval() - (timer.now() - startedAt);
+      const hasRows = await this.#read(startedAt, signal);
+      this.#onAnswered();
+      return this.#pace.pauseAfter({ startedAt, allowedMilliseconds, hasRows });
     } catch (error) {
       if (error instanceof InterruptedError || signal.aborted) return 0;
       this.#onFailed(error, startedAt);
-      return this.#nextRetryDelay();
+      return this.#pace.recordFailure(error);
     }
   }
 
-  #pollInterval(): number {
-    const { times, isUrgent } = this.#options;
-    const { pollIntervalMilliseconds } = times();
-    return isUrgent?.() === true
-      ? Math.min(pollIntervalMilliseconds, URGENT_POLL_MILLISECONDS)
-      : pollIntervalMilliseconds;
-  }
-
-  /** With jitter, so that daemons don't all retry a weak store at once. */
-  #nextRetryDelay(): number {
-    const { random, times } = this.#options;
-    const { minimumRetryDelayMilliseconds = 0, maximumRetryDelayMilliseconds } =
-      times();
-    const pause = Math.max(this.#retryDelay, minimumRetryDelayMilliseconds);
-    this.#retryDelay = Math.min(pause * 2, maximumRetryDelayMilliseconds);
-    return pause * (1 + random.next() / 2);
-  }
-
-  async #read(startedAt: number, signal: AbortSignal): Promise<void> {
-    const { mirror, store } = this.#options;
+  /** Makes one call; returns whether its answer has rows. */
+  async #read(startedAt: number, signal: AbortSignal): Promise<boolean> {
+    const { mirror } = this.#options;
     const { version, generation } = mirror;
     if (version === undefined) return await this.#readFirst(startedAt, signal);
-    const { waitMilliseconds } = this.#options.times();
-    const answer = await untilAborted(
-      store.readFeed(mirror.table, version, {
-        ...this.#callTimes(waitMilliseconds),
-        signal,
-      }),
-      signal,
-    );
+    const answer = await this.#readChanges(version, startedAt, signal);
     const isGone = answer.type === "history_gone";
     this.#checkEra(isGone ? answer.era : answer.page.era, startedAt);
     if (isGone) {
@@ -179,18 +133,45 @@
     }
     this.#options.onAnswer(startedAt);
     mirror.applyChanges(answer.page);
+    const otherVersion = findOtherChange(answer.page, version);
+    if (otherVersion !== undefined) this.#options.onOtherChange?.(otherVersion);
+    return answer.page.rows.length > 0;
+  }
+
+  async #readChanges(
+    version: number,
+    startedAt: number,
+    signal: AbortSignal,
+  ): Promise<FeedAnswer> {
+    const { mirror, store } = this.#options;
+    this.#isReadingChanges = true;
+    try {
+      const call = store.readFeed(mirror.table, version, {
+        ...this.#callTimes(this.#pace.waitOf(startedAt)),
+        signal,
+      });
+      return await untilAborted(call, signal);
+    } finally {
+      this.#isReadingChanges = false;
+    }
   }
 
-  async #readFirst(startedAt: number, signal: AbortSignal): Promise<void> {
+  async #readFirst(
+    startedAt: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
     this.#isReadingFirst = true;
     try {
-      await this.#readTable(startedAt, signal);
+      return await this.#readTable(startedAt, signal);
     } finally {
       this.#isReadingFirst = false;
     }
   }
 
-  async #readTable(startedAt: number, signal: AbortSignal): Promise<void> {
+  async #readTable(
+    startedAt: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
     const { mirror, store, onAnswer } = this.#options;
     const page = await untilAborted(
       store.readTable(mirror.table, { ...this.#callTimes(0), signal }),
@@ -199,6 +180,7 @@
     this.#checkEra(page.era, startedAt);
     onAnswer(startedAt);
     mirror.applyTable(page);
+    return page.rows.length > 0;
   }
 
   /** Throws when an answer is from before a restore of the store. */
@@ -208,43 +190,26 @@
   }
 
   #callTimes(waitMilliseconds: number): CallTimes {
-    const failingSince = this.#failingSince;
-    const { callTimeoutMilliseconds } = this.#options.times();
-    if (failingSince === undefined && this.#isReadingFirst) {
-      return { callTimeoutMilliseconds: FIRST_READ_TIMEOUT_MILLISECONDS };
-    }
-    if (failingSince === undefined) {
-      return {
-        waitMilliseconds,
-        ...(callTimeoutMilliseconds === undefined
-          ? {}
-          : { callTimeoutMilliseconds }),
-      };
-    }
-    const isLong =
-      this.#options.timer.now() - failingSince > PROBE_PHASE_MILLISECONDS;
-    return isLong
-      ? {}
-      : { callTimeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS };
+    const isFirstRead = this.#isReadingFirst;
+    return this.#pace.callTimes(waitMilliseconds, { isFirstRead });
   }
 
-  #onRecovered(): void {
-    if (this.#failingSince === undefined) return;
+  #onAnswered(): void {
+    const { failingSince } = this.#pace;
+    this.#pace.recordAnswer();
+    if (failingSince === undefined) return;
     const { mirror, timer, log } = this.#options;
     log.info("store regained", {
       table: mirror.table,
-      failedForMilliseconds: Math.round(timer.now() - this.#failingSince),
+      failedForMilliseconds: Math.round(timer.now() - failingSince),
     });
-    this.#failingSince = undefined;
-    this.#retryDelay = INITIAL_RETRY_DELAY_MILLISECONDS;
   }
 
   #onFailed(error: unknown, startedAt: number): void {
-    const { mirror, timer, log, era, onFailure } = this.#options;
+    const { mirror, log, era, onFailure } = this.#options;
     if (error instanceof StoreCallError) era.checkAnswer(error.era, startedAt);
     onFailure(startedAt);
-    if (this.#failingSince !== undefined) return;
-    this.#failingSince = timer.now();
+    if (this.#pace.failingSince !== undefined) return;
     log.warn("store lost", {
       table: mirror.table,
       reason: error instanceof Error ? error.message : String(error),
--- a/packages/kelpspar-gateway/src/tables/table_store.ts
+++ b/packages/kelpspar-gateway/src/tables/table_store.ts
@@ -70,3 +70,14 @@
     this.era = era;
   }
 }
+
+/**
+ * A call wasn't answered in time. This says nothing of the store, because its
+ * connection may have gone silent.
+ */
+export class StoreTimeoutError extends Error {
+  constructor() {
+    super("Call to the store timed out");
+    this.name = "StoreTimeoutError";
+  }
+}
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -38,6 +38,7 @@
 export type { StageFault } from "./wire/stage_runner_stand_in.ts";
 export type { StoreFault } from "./wire/store_stand_in.ts";
 export type { PartitionMode } from "./wire/network_partition.ts";
+export { LoopbackProxy } from "./wire/loopback_proxy.ts";
 export type { WireSiteOptions } from "./wire/wire_site.ts";
 export {
   CRASHING_PATH_SUFFIX,
@@ -77,4 +78,7 @@
 export { runStops } from "./stops/run_stops.ts";
 export type { StopSituation } from "./stops/stop_situation.ts";
 export { DEFAULT_SITUATION } from "./stops/stop_situation.ts";
-export { WireSite } from "./wire/wire_site.ts";
+export {
+  CONFIGURATION_APPLY_MILLISECONDS,
+  WireSite,
+} from "./wire/wire_site.ts";
--- a/packages/kelpspar-standins/src/wire/loopback_proxy.ts
+++ b/packages/kelpspar-standins/src/wire/loopback_proxy.ts
@@ -9,6 +9,8 @@
   /** The connection to the target. */
   readonly far: Socket;
   isSilent: boolean;
+  /** When data was last forwarded, monotonic milliseconds. */
+  usedAt: number;
 }
 
 /** A loopback proxy that injects connection faults between processes. */
@@ -65,6 +67,19 @@
     for (const pair of this.#pairs) pair.isSilent = true;
   }
 
+  /**
+   * Silences open connections that carried nothing for this long, as a firewall
+   * does that forgets idle flows; returns their number.
+   */
+  silenceResting(milliseconds: number): number {
+    const until = performance.now() - milliseconds;
+    const resting = [...this.#pairs].filter(({ isSilent, usedAt }) =>
+      !isSilent && usedAt <= until
+    );
+    for (const pair of resting) pair.isSilent = true;
+    return resting.length;
+  }
+
   /** Stops forwarding data to the caller on connections that are open now. */
   blockResponses(): void {
     for (const { far } of this.#pairs) far.pause();
@@ -77,6 +92,7 @@
       near,
       far,
       isSilent: false,
+      usedAt: performance.now(),
     };
     this.#pairs.add(pair);
     this.#pipe(pair, { from: far, to: near });
@@ -100,7 +116,9 @@
     direction: { readonly from: Socket; readonly to: Socket },
   ): void {
     direction.from.on("data", (chunk) => {
-      if (!pair.isSilent) direction.to.write(chunk);
+      if (pair.isSilent) return;
+      pair.usedAt = performance.now();
+      direction.to.write(chunk);
     });
     direction.from.on("end", () => {
       if (!pair.isSilent) direction.to.end();
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -78,6 +78,8 @@
   slack: 50,
   windowMilliseconds: 10_000,
 };
+/** Time within which an accepted configuration must be in force. */
+export const CONFIGURATION_APPLY_MILLISECONDS = 2_000;
 const HOST = "site.example";
 const DEFAULT_MODEL_SERVICE = "model";
 const PIECE_MILLISECONDS = 1;
@@ -348,6 +350,7 @@
         budgetWindowS: RETRY_LIMITS.windowMilliseconds /
           MILLISECONDS_PER_SECOND,
         ttl_max_s: 5,
+        configApplyMs: CONFIGURATION_APPLY_MILLISECONDS,
       },
       provider: { address: this.#storeAddress },
       metricsPort: metrics,
