Log processor time, loop delay, transit of chains and what limits admission

Cause: logs couldn't tell a coordinator without processor time from one that keeps a reserve: neither the time that a chain took to reach the coordinator nor the limit that it was compared with was written. Change: each daemon reports its share of the processor, the delay of its event loop and the connections accepted from others; answers to chains carry how long the coordinator had them; admission names its limit and what set it, refusals the on-time shares; the stages' load names queued pieces by class. No decision changed.

--- a/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
@@ -42,7 +42,11 @@
 });
 
 test("the backlog of a later stage drains while earlier stages run", () => {
-  expect(admit({ backlog: 170 })).toEqual({ type: "admitted", expected: 980 });
+  expect(admit({ backlog: 170 })).toEqual({
+    type: "admitted",
+    expected: 980,
+    limit: { milliseconds: 1_900, cause: "objective" },
+  });
 });
 
 test("a chain that would be late is refused on arrival", () => {
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -49,6 +49,7 @@
 import { AnswerTimesSync } from "./lifecycle/answer_times_sync.ts";
 import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
 import { waitUntil } from "./lifecycle/wait_until.ts";
+import { ProcessMonitor } from "./load/process_monitor.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
 import { AnomalyLog } from "./log/anomaly_log.ts";
@@ -94,6 +95,8 @@
   readonly retryWindowMilliseconds: number;
   /** Time from the stop signal until the process is killed. */
   readonly graceMilliseconds: number;
+  /** Processor time that this process has used, milliseconds. */
+  readonly processorMilliseconds: () => number;
 }
 
 /** A daemon between callers on one side, endpoints and peers on the other. */
@@ -124,6 +127,7 @@
   readonly #exchanges = new OpenExchanges();
   readonly #answerTimes: AnswerTimes;
   readonly #answerTimesSync: AnswerTimesSync;
+  #acceptedConnections = 0;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
   #rowStore: RowStore & RowRangeStore | undefined;
   #tables: Pick<SharedTables, "answer" | "isReadingFirst"> | undefined;
@@ -346,6 +350,7 @@
       otherwise: peerListener,
     }));
     this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
+    this.#peerServer.on("connection", () => this.#acceptedConnections++);
     coordinator.register();
     streamOrigins.register();
     isolation.registerListener((isIsolated) => {
@@ -383,6 +388,12 @@
     registerMissingEntrySweep({ ...this.#options, registry: this.registry });
     this.#quarantineParts.register();
     this.#isolation.register();
+    new ProcessMonitor({
+      ...this.#options,
+      cores: self.cores,
+      metrics: this.metrics,
+      acceptedConnections: () => this.#acceptedConnections,
+    }).register();
     await listen(this.#peerServer, self.peer);
     await this.#front.listen(self.front);
     this.#fleet.register();
--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -24,14 +24,29 @@
   readonly isUnderserved: boolean;
 }
 
+/** What limits the time with which a chain is admitted. */
+export type AdmissionLimitCause =
+  | "objective"
+  /** Part of the wait is left to more urgent work. */
+  | "urgent_work"
+  /** The share of the wait that is left to each chain. */
+  | "minimum_wait"
+  /** The chain is late; it must still end well before its deadline. */
+  | "deadline";
+
+/** The longest expected time with which a chain is admitted. */
+export interface AdmissionLimit {
+  readonly milliseconds: number;
+  readonly cause: AdmissionLimitCause;
+}
+
 /** Admits a chain, or refuses it with a time after which to retry. */
 export type ChainAdmission =
-  | { readonly type: "admitted"; readonly expected: number }
-  | {
-    readonly type: "refused";
-    readonly expected: number;
-    readonly retryAfterMilliseconds: number;
-  };
+  & { readonly expected: number; readonly limit: AdmissionLimit }
+  & (
+    | { readonly type: "admitted" }
+    | { readonly type: "refused"; readonly retryAfterMilliseconds: number }
+  );
 
 /** Share of the permitted wait lost per whole priority step (account). */
 const ACCOUNT_WAIT_SHARE = 0.05;
@@ -62,10 +77,11 @@
 export function admitChain(options: AdmitChainOptions): ChainAdmission {
   const expected = expectedTime(options);
   const limit = timeLimitOf(options);
-  if (expected <= limit) return { type: "admitted", expected };
-  const wait = Math.max(expected - limit, MIN_RETRY_MILLISECONDS);
+  const excess = expected - limit.milliseconds;
+  if (excess <= 0) return { type: "admitted", expected, limit };
+  const wait = Math.max(excess, MIN_RETRY_MILLISECONDS);
   const retryAfterMilliseconds = Math.min(wait, MAX_RETRY_MILLISECONDS);
-  return { type: "refused", expected, retryAfterMilliseconds };
+  return { type: "refused", expected, limit, retryAfterMilliseconds };
 }
 
 /** Time of the longest path through the stages plus the request itself. */
@@ -88,19 +104,26 @@
  * quarter is four turns, and the least urgent class gets a fifth of its requests
  * on time while it could have more and urgent work has slots.
  */
-function timeLimitOf(options: AdmitChainOptions): number {
+function timeLimitOf(options: AdmitChainOptions): AdmissionLimit {
   const { objective, remaining, priority } = options;
   const level = Math.floor(priority);
   const routeSteps = (priority - level) * 10;
   const least = unloadedTime(options);
-  if (objective <= least) return remaining * LATE_SHARE;
+  if (objective <= least) {
+    return { milliseconds: remaining * LATE_SHARE, cause: "deadline" };
+  }
   const wait = objective - least;
   const turns = options.stages.reduce((sum, { turn }) => sum + turn, 0);
   const quarter = wait * MAX_ROUTE_WAIT_SHARE;
   const perStep = options.isUnderserved ? Math.min(turns, quarter) : quarter;
   const reserved = perStep * routeSteps;
   const allowed = wait * (1 - ACCOUNT_WAIT_SHARE * level) - reserved;
-  return least + Math.max(wait * MIN_WAIT_SHARE, allowed);
+  const minimum = wait * MIN_WAIT_SHARE;
+  if (allowed < minimum) {
+    return { milliseconds: least + minimum, cause: "minimum_wait" };
+  }
+  const cause = allowed < wait ? "urgent_work" : "objective";
+  return { milliseconds: least + allowed, cause };
 }
 
 /** Time that the chain takes with empty queues. */
--- a/packages/kelpspar-gateway/src/pieces/chain_redirect.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_redirect.ts
@@ -7,5 +7,14 @@
   readonly coordinator: DaemonAddress;
 }
 
+/** Outcome of a chain that another daemon may have run. */
+export type PeerChainOutcome = ChainOutcome & {
+  /**
+   * From the arrival of the request in the other process to its answer; daemons
+   * of the previous version don't send it.
+   */
+  readonly heldMilliseconds?: number | undefined;
+};
+
 /** Answer of a daemon that was asked to run a chain for another one. */
-export type PeerChainAnswer = ChainOutcome | ChainRedirect;
+export type PeerChainAnswer = PeerChainOutcome | ChainRedirect;
--- a/packages/kelpspar-gateway/src/pieces/describe_load.ts
+++ b/packages/kelpspar-gateway/src/pieces/describe_load.ts
@@ -7,6 +7,8 @@
 
 /** Most attempt ids in one log line about a call. */
 const MAX_LOGGED_ATTEMPTS = 4;
+/** Most kinds of request in one log line about a queue. */
+const MAX_LOGGED_KINDS = 8;
 
 /** Log fields for queued and in-flight work. */
 export function describeLoad(options: {
@@ -22,6 +24,7 @@
   const room = sum((target) => target.room(terms, now));
   return {
     queued: queue.length,
+    queuedByKind: describeKinds(queue),
     startable: queue.startable(totalRoom(targets, terms, now), repeats).length,
     endpoints: targets.length,
     calls: sum((target) => target.calls.size),
@@ -37,6 +40,15 @@
   };
 }
 
+/** Queued pieces by kind of request, `NAME:COUNT,…`; the most come first. */
+function describeKinds(queue: PieceQueue): string {
+  return [...queue.countByKind()]
+    .sort(([, left], [, right]) => right - left)
+    .slice(0, MAX_LOGGED_KINDS)
+    .map(([kind, count]) => `${kind}:${count}`)
+    .join(",");
+}
+
 /** Log fields for a call to an endpoint. */
 export function describeCall(
   target: CallTarget,
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -7,7 +7,7 @@
 import type { EndpointRateLimiter } from "../endpoints/endpoint_rate_limiter.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { Placement } from "../placement/reader_place.ts";
-import type { StageForecast } from "./admit_chain.ts";
+import type { ChainAdmission, StageForecast } from "./admit_chain.ts";
 import type {
   ChainOutcome,
   ChainRefusal,
@@ -220,18 +220,34 @@
       priority: request.priority,
       isUnderserved,
     });
-    const isAdmitted = admission.type === "admitted";
-    this.#options.log.info(isAdmitted ? "chain admitted" : "chain refused", {
+    this.#logAdmission(request, admission);
+    if (admission.type === "admitted") return undefined;
+    this.#recordEnd(request, false);
+    this.#refused.record(request.pieceKey, this.#now());
+    return refuse("overloaded", admission.retryAfterMilliseconds);
+  }
+
+  #logAdmission(request: ChainRequest, admission: ChainAdmission): void {
+    const { log } = this.#options;
+    const fields = {
       attempt: request.attemptId,
       expectedMilliseconds: Math.round(admission.expected),
+      limitMilliseconds: Math.round(admission.limit.milliseconds),
+      limitCause: admission.limit.cause,
       objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
       openChains: this.#chains.size,
       priority: request.priority,
+    };
+    if (admission.type === "admitted") {
+      return log.info("chain admitted", fields);
+    }
+    const shares = this.#monitor.sharesOf(request.kind, this.#now());
+    log.info("chain refused", {
+      ...fields,
+      kind: request.kind,
+      onTimeShare: Number(shares.own.toFixed(2)),
+      onTimeShareOfAll: Number(shares.all.toFixed(2)),
     });
-    if (isAdmitted) return undefined;
-    this.#recordEnd(request, false);
-    this.#refused.record(request.pieceKey, this.#now());
-    return refuse("overloaded", admission.retryAfterMilliseconds);
   }
 
   /** Placement at endpoints with limits, as a stage after all others. */
--- a/packages/kelpspar-gateway/src/pieces/piece_queue.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_queue.ts
@@ -43,6 +43,16 @@
     return this.#tasks.some((task) => task.chain === chain);
   }
 
+  /** Number of queued pieces by the kind of their request. */
+  countByKind(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { chain } of this.#tasks) {
+      const { kind } = chain.request;
+      counts.set(kind, (counts.get(kind) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Open chains whose queued pieces can no longer meet their deadline. */
   expired(now: number): ReadonlySet<ChainRun> {
     const expired = new Set<ChainRun>();
--- a/packages/kelpspar-gateway/src/pieces/starvation_monitor.ts
+++ b/packages/kelpspar-gateway/src/pieces/starvation_monitor.ts
@@ -5,6 +5,12 @@
   countedAt: number;
 }
 
+/** On-time shares of one kind and of all requests. */
+export interface KindShares {
+  readonly own: number;
+  readonly all: number;
+}
+
 /**
  * A kind is starved when its on-time share is below this fraction of the share
  * of all requests. Relative to all requests, because with a fixed share of its
@@ -55,6 +61,16 @@
     return this.#isBelow(kind, { share: UNDERSERVED_SHARE, now });
   }
 
+  /** Decayed on-time shares of a kind and of all requests; 0 without any. */
+  sharesOf(kind: string, now: number): KindShares {
+    const { ended, onTime } = this.#decayed(kind, now);
+    const all = this.#all(now);
+    return {
+      own: ended === 0 ? 0 : onTime / ended,
+      all: all.ended === 0 ? 0 : all.onTime / all.ended,
+    };
+  }
+
   #isBelow(
     kind: string,
     { share, now }: { readonly share: number; readonly now: number },
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -6,7 +6,10 @@
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
-import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
+import type {
+  PeerChainAnswer,
+  PeerChainOutcome,
+} from "../pieces/chain_redirect.ts";
 import type { PieceCoordinator } from "../pieces/piece_coordinator.ts";
 import { isConnectionRefused } from "../fleet/is_connection_refused.ts";
 import { COORDINATOR_RANKING_KEY } from "../recovery/coordinator_ranking_key.ts";
@@ -101,11 +104,16 @@
     const { timer, log } = this.#options;
     const startedAt = timer.now();
     const outcome = await this.#runWithFailover(request, signal);
+    const tookMilliseconds = Math.round(timer.now() - startedAt);
+    const { heldMilliseconds } = outcome;
     log.info("stages ended", {
       attempt: request.attemptId,
       outcome: outcome.type === "done" ? "done" : outcome.reason,
       coordinator: this.coordinator,
-      tookMilliseconds: Math.round(timer.now() - startedAt),
+      tookMilliseconds,
+      transitMilliseconds: heldMilliseconds === undefined
+        ? undefined
+        : Math.round(tookMilliseconds - heldMilliseconds),
       objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
       priority: request.priority,
       reader: outcome.type === "done" ? outcome.place?.endpointId : undefined,
@@ -145,21 +153,22 @@
   async #runHereForPeer(
     request: ChainRequest,
     signal: AbortSignal,
-  ): Promise<ChainOutcome> {
-    const { localCoordinator, ownState } = this.#options;
+  ): Promise<PeerChainOutcome> {
+    const { localCoordinator, ownState, timer } = this.#options;
+    const startedAt = timer.now();
     const outcome = ownState().isIsolated
       ? undefined
       : await localCoordinator.run(request, signal);
     const isLost = outcome === undefined ||
       (outcome.type === "refused" && outcome.reason === "isolated");
     if (isLost) throw new Error("This daemon reaches no endpoint");
-    return outcome;
+    return { ...outcome, heldMilliseconds: timer.now() - startedAt };
   }
 
   async #runWithFailover(
     request: ChainRequest,
     signal: AbortSignal,
-  ): Promise<ChainOutcome> {
+  ): Promise<PeerChainOutcome> {
     const { localCoordinator: local, timer } = this.#options;
     const startedAt = timer.now();
     await this.#waitForMembership();
@@ -283,7 +292,7 @@
     daemonId: string,
     request: ChainRequest,
     signal: AbortSignal,
-  ): Promise<ChainOutcome | RemoteFailure> {
+  ): Promise<PeerChainOutcome | RemoteFailure> {
     const { membership, probe, timer, log } = this.#options;
     const answer = await this.#runRemote(
       daemonId,
