Add failing tests of an overloaded coordinator, and what told the hypotheses apart

Cause: each overdue call to another daemon retires all connections to it, and admission ignores how long a chain has waited for the coordinator.

--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -6,6 +6,7 @@
   SimulatedService,
   StageFigures,
 } from "./simulated_stages.ts";
+import type { ProcessorCost } from "./simulated_processor.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
 import { EndpointRateLimiter } from "../../endpoints/endpoint_rate_limiter.ts";
@@ -13,6 +14,7 @@
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { createRetryGate } from "./create_retry_gate.ts";
+import { SimulatedProcessor } from "./simulated_processor.ts";
 import { SimulatedStages } from "./simulated_stages.ts";
 
 /** A kind of request of a load. */
@@ -52,6 +54,8 @@
   /** Age of an endpoint's room report. */
   readonly roomLagMilliseconds?: number;
   readonly foreignResults?: ForeignResults;
+  /** Processor time of the coordinator; default none. */
+  readonly processorCost?: ProcessorCost;
   /** Whether endpoints report their load with answers; default: false. */
   readonly reportsLoad?: boolean;
 }
@@ -103,6 +107,8 @@
       stagesOf.get(attemptId)?.[stage]?.resultBytes ?? 0,
   });
   const log = { info: () => {}, warn: () => {} };
+  const processor = new SimulatedProcessor(timer);
+  const cost = load.processorCost ?? { chain: 0, refusal: 0 };
   const coordinator = new PieceCoordinator({
     isIsolated: () => false,
     freeElsewhere: () => {},
@@ -173,7 +179,9 @@
       const left = kind.deadlineMilliseconds - age;
       const attemptId = `a${ids++}`;
       stagesOf.set(attemptId, stages);
-      const outcome = await coordinator.run({
+      await processor.whenFree();
+      const open = coordinator.openChains;
+      const running = coordinator.run({
         attemptId,
         kind: kind.name,
         pieceKey,
@@ -183,6 +191,10 @@
         tailMilliseconds: kind.tailMilliseconds,
         priority: kind.priority,
       }, new AbortController().signal);
+      const isAdmitted = coordinator.openChains > open;
+      processor.use(isAdmitted ? cost.chain : cost.refusal);
+      const outcome = await running;
+      await processor.whenFree();
       if (outcome.type === "refused") {
         const wait = Math.min(
           outcome.retryAfterMilliseconds,
--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -38,6 +38,11 @@
 const sockets = new Set<Socket>();
 let chainsRun = 0;
 let busyUntil = 0;
+/** How late each request is answered, milliseconds. */
+let answerDelay = 0;
+let connectionsOpened = 0;
+let openRequests = 0;
+let mostOpenRequests = 0;
 let server: Server;
 /** Proxy in front of the server, so that connections can go dead. */
 let proxy: TcpServer;
@@ -47,7 +52,9 @@
   message: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const busy = busyUntil - performance.now();
+  mostOpenRequests = Math.max(mostOpenRequests, ++openRequests);
+  response.once("close", () => openRequests--);
+  const busy = Math.max(busyUntil - performance.now(), answerDelay);
   if (busy > 0) await pause(busy);
   listener(message, response);
 }
@@ -78,6 +85,7 @@
   server = createServer((message, response) => void answer(message, response));
   const { port } = await listening(server);
   proxy = createTcpServer((socket) => {
+    connectionsOpened++;
     const onward = connect(port, "127.0.0.1");
     socket.pipe(onward).pipe(socket);
     socket.on("error", () => onward.destroy());
@@ -90,6 +98,10 @@
 beforeEach(() => {
   chainsRun = 0;
   busyUntil = 0;
+  answerDelay = 0;
+  connectionsOpened = 0;
+  openRequests = 0;
+  mostOpenRequests = 0;
 });
 
 // The timer of an overdue call outlives the tests.
@@ -142,6 +154,24 @@
   expect(performance.now() - startedAt < 1_500).toEqual(true);
 });
 
+// Guards against an overloaded coordinator that must also accept a new
+// connection for each call to it.
+test("overdue calls to a busy peer don't open more connections", async () => {
+  const client = new PeerClient({
+    timer: new SystemTimer(),
+    malformedAnswers: new MalformedAnswers(),
+  });
+  answerDelay = BUSY_MILLISECONDS;
+  const calls: Promise<boolean>[] = [];
+  for (let call = 0; call < 30; call++) {
+    calls.push(failed(client.exchange(peer, DIGEST)));
+    await pause(100);
+  }
+  expect(await Promise.all(calls)).toEqual(calls.map(() => true));
+  const probes = 1;
+  expect(connectionsOpened <= mostOpenRequests + probes).toEqual(true);
+});
+
 // Guards against a crash of the daemon after two overdue calls to a peer.
 test("a connection that several overdue calls close is closed once", async () => {
   const connections = new PeerConnections({
