Probe a peer once before its connections are replaced

Callers: chains waited up to 2.7 s to reach a coordinator whose loop was 10 ms late; 1,037 releases of results timed out in 8 s and left the stages without room. Cause: each short call that timed out retired all connections to its peer, so that every later call opened a new one. Node.js accepts one connection in each turn of its loop: at 238 to 714 new ones a second they wait behind each other, time out, and cause more. Change: an overdue call starts one probe over one new connection. The old connections go on being used and are replaced only if the probe is answered and calls sent before it still are not. Calls wait up to 250 ms for the verdict, so that they don't use dead connections of a peer that isn't busy.

--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -41,8 +41,6 @@
 /** How late each request is answered, milliseconds. */
 let answerDelay = 0;
 let connectionsOpened = 0;
-let openRequests = 0;
-let mostOpenRequests = 0;
 let server: Server;
 /** Proxy in front of the server, so that connections can go dead. */
 let proxy: TcpServer;
@@ -52,8 +50,6 @@
   message: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  mostOpenRequests = Math.max(mostOpenRequests, ++openRequests);
-  response.once("close", () => openRequests--);
   const busy = Math.max(busyUntil - performance.now(), answerDelay);
   if (busy > 0) await pause(busy);
   listener(message, response);
@@ -100,8 +96,6 @@
   busyUntil = 0;
   answerDelay = 0;
   connectionsOpened = 0;
-  openRequests = 0;
-  mostOpenRequests = 0;
 });
 
 // The timer of an overdue call outlives the tests.
@@ -163,13 +157,12 @@
   });
   answerDelay = BUSY_MILLISECONDS;
   const calls: Promise<boolean>[] = [];
-  for (let call = 0; call < 30; call++) {
+  for (let call = 0; call < 40; call++) {
     calls.push(failed(client.exchange(peer, DIGEST)));
     await pause(100);
   }
   expect(await Promise.all(calls)).toEqual(calls.map(() => true));
-  const probes = 1;
-  expect(connectionsOpened <= mostOpenRequests + probes).toEqual(true);
+  expect(connectionsOpened <= calls.length / 2).toEqual(true);
 });
 
 // Guards against a crash of the daemon after two overdue calls to a peer.
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -109,10 +109,11 @@
   constructor({ timer, malformedAnswers }: PeerClientOptions) {
     this.#timer = timer;
     this.#malformedAnswers = malformedAnswers;
-    this.#silentConnections = new SilentConnectionDetector(
-      this.#connections,
+    this.#silentConnections = new SilentConnectionDetector({
+      connections: this.#connections,
       timer,
-    );
+      probe: (client) => client.ping.query(),
+    });
   }
 
   exchange(peer: string, digest: FleetDigest): Promise<FleetDigest> {
@@ -264,6 +265,7 @@
     request: ChainRequest,
     signal: AbortSignal,
   ): Promise<PeerChainAnswer> {
+    await this.#silentConnections.waitForVerdict(peer);
     const { client } = this.#connections.open(peer);
     const stages = request.stages.map((stage) => ({
       ...stage,
@@ -287,27 +289,31 @@
 
   /**
    * A timeout alone doesn't show whether the peer is busy or the connection is
-   * dead while new ones work. Later calls use a new connection;
-   * `SilentConnectionDetector` decides when to destroy the old one.
+   * dead while new ones work; `SilentConnectionDetector` finds out.
    */
   async #callWithTimeout<Answer>(
     peer: string,
     timeoutMilliseconds: number,
     call: PeerCall<Answer>,
   ): Promise<Answer> {
+    await this.#silentConnections.waitForVerdict(peer);
     const connection = this.#connections.open(peer);
+    const sentAt = this.#timer.now();
     const answer = call(connection.client);
     let stopTimer = (): void => {};
     const timeout = new Promise<never>((_, reject) => {
       stopTimer = this.#timer.registerTimeout(() => {
-        this.#silentConnections.reportOverdueCall(peer, connection, answer);
+        this.#silentConnections.reportOverdueCall({
+          peer,
+          connection,
+          sentAt,
+          answer,
+        });
         reject(new PeerTimeoutError());
       }, timeoutMilliseconds);
     });
     try {
-      const answered = await Promise.race([answer, timeout]);
-      this.#silentConnections.reportAnswer(peer, connection);
-      return answered;
+      return await Promise.race([answer, timeout]);
     } finally {
       stopTimer();
     }
--- a/packages/kelpspar-gateway/src/fleet/silent_connection_detector.ts
+++ b/packages/kelpspar-gateway/src/fleet/silent_connection_detector.ts
@@ -1,73 +1,158 @@
 import type { TimerService } from "kelpspar-shared";
 import type { PeerConnection, PeerConnections } from "kelpspar-peers";
 
-/** A connection on which a call is overdue. */
-interface OverdueConnection<Client> {
-  readonly peer: string;
-  readonly connection: PeerConnection<Client>;
-}
-
 /**
  * Time that an overdue answer is given after an answer on a newer connection,
  * because a busy peer answers on both at about the same time.
  */
 const OVERDUE_GRACE_MILLISECONDS = 250;
-/** An overdue connection is destroyed after this time in any case. */
-const MAXIMUM_OVERDUE_MILLISECONDS = 20_000;
+/** A probe that isn't answered by then tells nothing. */
+const PROBE_TIMEOUT_MILLISECONDS = 5_000;
+/** Time in which a peer that isn't busy answers a probe. */
+const PROMPT_ANSWER_MILLISECONDS = 250;
+
+/** Dependencies of a `SilentConnectionDetector`. */
+export interface SilentConnectionDetectorOptions<Client> {
+  readonly connections: PeerConnections<Client>;
+  readonly timer: TimerService;
+  /** Calls a peer; settles once it has answered in any way. */
+  readonly probe: (client: Client) => Promise<unknown>;
+}
+
+/** A call to a peer that wasn't answered in time. */
+export interface OverdueCall<Client> {
+  readonly peer: string;
+  readonly connection: PeerConnection<Client>;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+  /** May still arrive. */
+  readonly answer: Promise<unknown>;
+}
+
+/** A call over a new connection while calls over the present one are overdue. */
+interface Probe<Client> {
+  readonly suspect: PeerConnection<Client>;
+  readonly fresh: PeerConnection<Client>;
+  readonly startedAt: number;
+  /** Overdue calls sent before the probe that have no answer yet. */
+  readonly overdueCalls: Set<Promise<unknown>>;
+  readonly ended: Promise<void>;
+  readonly end: () => void;
+  isAnswered: boolean;
+  /** Until when calls wait for the verdict; monotonic milliseconds. */
+  verdictBy: number;
+}
 
 /**
- * Distinguishes dead connections from busy peers.
+ * Distinguishes dead connections from busy peers by one probe over a new
+ * connection. A connection is replaced if the probe is answered and overdue
+ * calls still are not.
  *
- * Destroying a connection at the first overdue call would abort the chains of
- * stages that run over it and send them again to a coordinator that is already
- * overloaded; the log then shows a burst of `coordinator lost … The client is
- * destroyed`. Therefore an overdue connection is only closed to new calls. It
- * is destroyed when the peer has answered on a newer connection but still not
- * on this one.
+ * Replacing it at the first overdue call would abort the chains that run over
+ * it, or have a peer that is overloaded accept a new connection for each call.
  */
 export class SilentConnectionDetector<Client> {
-  readonly #connections: PeerConnections<Client>;
-  readonly #timer: TimerService;
-  readonly #stale = new Set<OverdueConnection<Client>>();
+  readonly #options: SilentConnectionDetectorOptions<Client>;
+  readonly #probes = new Map<string, Probe<Client>>();
 
-  constructor(connections: PeerConnections<Client>, timer: TimerService) {
-    this.#connections = connections;
-    this.#timer = timer;
+  constructor(options: SilentConnectionDetectorOptions<Client>) {
+    this.#options = options;
   }
 
-  /** Records that a call is overdue; its `answer` may still arrive. */
-  reportOverdueCall(
-    peer: string,
-    connection: PeerConnection<Client>,
-    answer: Promise<unknown>,
-  ): void {
-    this.#connections.retire(peer, connection);
-    const entry = { peer, connection };
-    this.#stale.add(entry);
-    const stopTimer = this.#timer.registerTimeout(
-      () => this.#destroy(entry),
-      MAXIMUM_OVERDUE_MILLISECONDS,
-    );
-    const settled = (): void => {
+  /**
+   * Waits until a probe of the peer has told which connection to use, but not
+   * for a peer that is busy.
+   */
+  async waitForVerdict(peer: string): Promise<void> {
+    const { timer } = this.#options;
+    for (;;) {
+      const probe = this.#probes.get(peer);
+      if (probe === undefined) return;
+      const wait = probe.verdictBy - timer.now();
+      if (wait <= 0) return;
+      let stopTimer = (): void => {};
+      const waited = new Promise<void>((resolve) => {
+        stopTimer = timer.registerTimeout(resolve, wait);
+      });
+      await Promise.race([probe.ended, waited]);
       stopTimer();
-      if (this.#stale.delete(entry)) this.#connections.closeRetired(connection);
+    }
+  }
+
+  /** Probes the peer, or records another call that awaits the same probe. */
+  reportOverdueCall(call: OverdueCall<Client>): void {
+    const { peer, connection, sentAt, answer } = call;
+    if (this.#options.connections.open(peer) !== connection) return;
+    const probe = this.#probes.get(peer) ?? this.#startProbe(peer, connection);
+    if (sentAt > probe.startedAt) return;
+    probe.overdueCalls.add(answer);
+    const settled = (): void => {
+      probe.overdueCalls.delete(answer);
+      if (probe.overdueCalls.size === 0) this.#discard(peer, probe);
     };
     answer.then(settled, settled);
   }
 
-  /** Records that a peer answered on `connection`. */
-  reportAnswer(peer: string, connection: PeerConnection<Client>): void {
-    const others = [...this.#stale].filter((entry) =>
-      entry.peer === peer && entry.connection !== connection
+  #startProbe(
+    peer: string,
+    suspect: PeerConnection<Client>,
+  ): Probe<Client> {
+    const { connections, timer } = this.#options;
+    let end = (): void => {};
+    const ended = new Promise<void>((resolve) => {
+      end = resolve;
+    });
+    const startedAt = timer.now();
+    const probe: Probe<Client> = {
+      suspect,
+      fresh: connections.create(peer),
+      startedAt,
+      overdueCalls: new Set(),
+      ended,
+      end,
+      isAnswered: false,
+      verdictBy: startedAt + PROMPT_ANSWER_MILLISECONDS,
+    };
+    this.#probes.set(peer, probe);
+    const stopTimer = timer.registerTimeout(
+      () => this.#discard(peer, probe),
+      PROBE_TIMEOUT_MILLISECONDS,
+    );
+    this.#options.probe(probe.fresh.client).then(
+      () => this.#answered(peer, probe),
+      () => this.#discard(peer, probe),
+    ).finally(stopTimer);
+    return probe;
+  }
+
+  #answered(peer: string, probe: Probe<Client>): void {
+    if (this.#probes.get(peer) !== probe) return;
+    const { timer } = this.#options;
+    probe.isAnswered = true;
+    probe.verdictBy = timer.now() + OVERDUE_GRACE_MILLISECONDS;
+    timer.registerTimeout(
+      () => this.#replace(peer, probe),
+      OVERDUE_GRACE_MILLISECONDS,
     );
-    if (others.length === 0) return;
-    this.#timer.registerTimeout(() => {
-      for (const entry of others) this.#destroy(entry);
-    }, OVERDUE_GRACE_MILLISECONDS);
   }
 
-  #destroy(entry: OverdueConnection<Client>): void {
-    if (!this.#stale.delete(entry)) return;
-    this.#connections.drop(entry.peer, entry.connection);
+  /** Calls in flight over the silent connection fail. */
+  #replace(peer: string, probe: Probe<Client>): void {
+    if (this.#probes.get(peer) !== probe) return;
+    this.#probes.delete(peer);
+    const { connections } = this.#options;
+    connections.replace(peer, probe.suspect, probe.fresh);
+    connections.drop(peer, probe.suspect);
+    probe.end();
+  }
+
+  /** Keeps the present connection. */
+  #discard(peer: string, probe: Probe<Client>): void {
+    if (this.#probes.get(peer) !== probe) return;
+    this.#probes.delete(peer);
+    const { connections } = this.#options;
+    if (probe.isAnswered) connections.closeRetired(probe.fresh);
+    else connections.drop(peer, probe.fresh);
+    probe.end();
   }
 }
--- a/packages/kelpspar-peers/src/peer_connections.ts
+++ b/packages/kelpspar-peers/src/peer_connections.ts
@@ -31,13 +31,35 @@
     const existing = this.#connections.get(peer);
     if (existing !== undefined) return existing;
     if (this.#connections.size >= MAXIMUM_PEERS) this.#dropOldest();
-    const agent = createGuardedAgent(this.#options.agent);
-    const client = this.#options.createClient(peer, agent);
-    const connection = { client, agent };
+    const connection = this.create(peer);
     this.#connections.set(peer, connection);
     return connection;
   }
 
+  /** Creates a connection that calls don't use until it replaces another. */
+  create(peer: string): PeerConnection<Client> {
+    const agent = createGuardedAgent(this.#options.agent);
+    const client = this.#options.createClient(peer, agent);
+    return { client, agent };
+  }
+
+  /**
+   * Makes later calls use `next`; calls in flight over `previous` continue.
+   * Closes `next` if the connection has changed meanwhile.
+   */
+  replace(
+    peer: string,
+    previous: PeerConnection<Client>,
+    next: PeerConnection<Client>,
+  ): void {
+    if (this.#connections.get(peer) !== previous) {
+      this.closeRetired(next);
+      return;
+    }
+    this.retire(peer, previous);
+    this.#connections.set(peer, next);
+  }
+
   /** Destroys a connection; calls in flight on it fail. */
   drop(peer: string, connection: PeerConnection<Client>): void {
     if (this.#connections.get(peer) === connection) {
