Admit chains by the coordinator's own delay as well

Callers: a coordinator whose processor was used up admitted every chain as if it had no work, and all of them were late together. Cause: admission forecast only the stages. Nothing refused work by the delay of the process that runs it. Change: the coordinator samples how late its event loop is while chains are open. A chain's expected time has that delay for its arrival, the end of each stage and its answer; chains that are late already are refused at delays over 50 ms.

--- a/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/play_stage_load.ts
@@ -111,6 +111,7 @@
   const cost = load.processorCost ?? { chain: 0, refusal: 0 };
   const coordinator = new PieceCoordinator({
     isIsolated: () => false,
+    loopDelay: processor,
     freeElsewhere: () => {},
     configuration,
     registry,
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_processor.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_processor.ts
@@ -16,19 +16,24 @@
     this.#timer = timer;
   }
 
-  /** How late work that arrives now is begun, milliseconds. */
-  get delay(): number {
+  /** How late work that arrives now is begun. */
+  get milliseconds(): number {
     return Math.max(0, this.#freeAt - this.#timer.now());
   }
 
+  /** The delay is known at each moment. */
+  register(): () => void {
+    return () => {};
+  }
+
   /** Uses processor time from now on. */
   use(milliseconds: number): void {
-    this.#freeAt = this.#timer.now() + this.delay + milliseconds;
+    this.#freeAt = this.#timer.now() + this.milliseconds + milliseconds;
   }
 
   /** Resolves once the work that arrived earlier is done. */
   whenFree(): Promise<void> {
-    const { delay } = this;
+    const delay = this.milliseconds;
     if (delay === 0) return Promise.resolve();
     return new Promise((resolve) =>
       this.#timer.registerTimeout(resolve, delay)
--- a/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/admit_chain_test.ts
@@ -15,6 +15,7 @@
   readonly priority?: number;
   readonly turn?: number;
   readonly isUnderserved?: boolean;
+  readonly loopDelay?: number;
 }): ChainAdmission {
   return admitChain({
     stages: CHAIN.map((stage, number) => ({
@@ -26,6 +27,7 @@
     objective: options.objective ?? 1_900,
     remaining: 10_000,
     isUnderserved: options.isUnderserved ?? false,
+    loopDelay: options.loopDelay ?? 0,
     priority: options.priority ?? 0,
   });
 }
@@ -95,3 +97,19 @@
     .toEqual(true);
   expect(late.type === "refused" && late.retryAfterMilliseconds).toEqual(4_000);
 });
+
+// Guards against admitting chains that reach a busy coordinator too late.
+test("the delay of the coordinator counts for each event of a chain", () => {
+  const inTime = admit({ objective: 1_500, loopDelay: 100 });
+  expect([inTime.type, inTime.expected]).toEqual(["admitted", 1_480]);
+  expect(admit({ objective: 1_500, loopDelay: 110 }).type).toEqual("refused");
+});
+
+// Guards against late work that takes a busy coordinator's processor time.
+test("a chain that is already late is refused while the coordinator is busy", () => {
+  const refused = admit({ objective: -200, loopDelay: 60 });
+  expect([refused.type, refused.limit.cause]).toEqual([
+    "refused",
+    "loop_delay",
+  ]);
+});
--- a/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/limited_chains_test.ts
@@ -8,6 +8,7 @@
 import { EndpointRateLimiter } from "../../endpoints/endpoint_rate_limiter.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { maxPlacementWait } from "../../pieces/max_placement_wait.ts";
+import { LoopDelay } from "../../load/loop_delay.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { createRetryGate } from "../support/create_retry_gate.ts";
 import { configurationOf } from "../support/configuration_of.ts";
@@ -61,6 +62,7 @@
   const callsAt = new Map<string, number[]>();
   const placedAt = new Map<string, number[]>();
   const coordinator = new PieceCoordinator({
+    loopDelay: new LoopDelay(timer),
     isIsolated: () => false,
     freeElsewhere: () => {},
     configuration,
--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -11,6 +11,7 @@
 import { EndpointRateLimiter } from "../../endpoints/endpoint_rate_limiter.ts";
 import { EndpointLimits } from "../../endpoints/endpoint_limits.ts";
 import { EndpointRegistry } from "../../endpoints/endpoint_registry.ts";
+import { LoopDelay } from "../../load/loop_delay.ts";
 import { PieceCoordinator } from "../../pieces/piece_coordinator.ts";
 import { createRetryGate } from "../support/create_retry_gate.ts";
 
@@ -131,6 +132,7 @@
   const log = { info: () => {}, warn: () => {} };
   const retryGate = createRetryGate(timer, { slack });
   const coordinator = new PieceCoordinator({
+    loopDelay: new LoopDelay(timer),
     isIsolated: () => false,
     freeElsewhere: () => {},
     configuration,
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -49,6 +49,7 @@
 import { AnswerTimesSync } from "./lifecycle/answer_times_sync.ts";
 import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
 import { waitUntil } from "./lifecycle/wait_until.ts";
+import { LoopDelay } from "./load/loop_delay.ts";
 import { ProcessMonitor } from "./load/process_monitor.ts";
 import { SlowReportExchange } from "./load/slow_report_exchange.ts";
 import { SpeedSync } from "./load/speed_sync.ts";
@@ -237,6 +238,7 @@
       timer,
       retryGate: retries.gate,
       isIsolated: () => isolation.isIsolated,
+      loopDelay: new LoopDelay(timer),
       freeElsewhere: (results) => chains.releaseElsewhere(results),
       log,
     });
--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -20,6 +20,8 @@
   readonly remaining: number;
   /** 0 is the most urgent; whole steps rank accounts, tenths rank routes. */
   readonly priority: number;
+  /** How late the coordinator handles events. */
+  readonly loopDelay: number;
   /** Its class gets less than half of the on-time share of all. */
   readonly isUnderserved: boolean;
 }
@@ -32,7 +34,9 @@
   /** The share of the wait that is left to each chain. */
   | "minimum_wait"
   /** The chain is late; it must still end well before its deadline. */
-  | "deadline";
+  | "deadline"
+  /** The chain is late and the coordinator is busy. */
+  | "loop_delay";
 
 /** The longest expected time with which a chain is admitted. */
 export interface AdmissionLimit {
@@ -65,6 +69,13 @@
  * end: it earns less credit and must not be cut off by its deadline.
  */
 const LATE_SHARE = 0.5;
+/**
+ * Delay of the coordinator from which late chains are refused: they take
+ * processor time from those that can be on time.
+ */
+const MAX_LATE_LOOP_DELAY_MILLISECONDS = 50;
+/** Events of a chain besides the ends of its stages: its arrival and answer. */
+const CHAIN_EVENTS = 2;
 /** Bounds of the retry delay sent to refused callers. */
 const MIN_RETRY_MILLISECONDS = 250;
 const MAX_RETRY_MILLISECONDS = 4_000;
@@ -75,7 +86,7 @@
  * be late anyway fills queues and makes the work behind it late as well.
  */
 export function admitChain(options: AdmitChainOptions): ChainAdmission {
-  const expected = expectedTime(options);
+  const expected = expectedTime(options) + loopWait(options);
   const limit = timeLimitOf(options);
   const excess = expected - limit.milliseconds;
   if (excess <= 0) return { type: "admitted", expected, limit };
@@ -96,6 +107,16 @@
   return Math.max(0, ...ends) + options.tail;
 }
 
+/** Time that the events of a chain wait for the coordinator's event loop. */
+function loopWait({ stages, loopDelay }: AdmitChainOptions): number {
+  const depths: number[] = [];
+  for (const { work, after } of stages) {
+    const before = Math.max(0, ...after.map((stage) => depths[stage] ?? 0));
+    depths.push(before + (work > 0 ? 1 : 0));
+  }
+  return (Math.max(0, ...depths) + CHAIN_EVENTS) * loopDelay;
+}
+
 /**
  * The longest expected time with which a chain is admitted. Per priority step of
  * a route, a quarter of the wait is left for urgent work that arrives next. A
@@ -110,7 +131,10 @@
   const routeSteps = (priority - level) * 10;
   const least = unloadedTime(options);
   if (objective <= least) {
-    return { milliseconds: remaining * LATE_SHARE, cause: "deadline" };
+    const isDelayed = options.loopDelay > MAX_LATE_LOOP_DELAY_MILLISECONDS;
+    return isDelayed
+      ? { milliseconds: 0, cause: "loop_delay" }
+      : { milliseconds: remaining * LATE_SHARE, cause: "deadline" };
   }
   const wait = objective - least;
   const turns = options.stages.reduce((sum, { turn }) => sum + turn, 0);
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -5,6 +5,7 @@
   EndpointRegistry,
 } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRateLimiter } from "../endpoints/endpoint_rate_limiter.ts";
+import type { LoopDelay } from "../load/loop_delay.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { Placement } from "../placement/reader_place.ts";
 import type { ChainAdmission, StageForecast } from "./admit_chain.ts";
@@ -50,6 +51,8 @@
   readonly retryGate: PieceRetryGate;
   /** True while this daemon reaches no endpoint. */
   readonly isIsolated: () => boolean;
+  /** How late this process handles events; sampled while chains are open. */
+  readonly loopDelay: Pick<LoopDelay, "register" | "milliseconds">;
   /** Frees results whose makers this daemon doesn't reach, at another one. */
   readonly freeElsewhere: (results: readonly PieceResult[]) => void;
   readonly log: GatewayLog;
@@ -218,6 +221,7 @@
       objective: request.objectiveMilliseconds,
       remaining: request.remainingMilliseconds,
       priority: request.priority,
+      loopDelay: this.#options.loopDelay.milliseconds,
       isUnderserved,
     });
     this.#logAdmission(request, admission);
@@ -228,13 +232,14 @@
   }
 
   #logAdmission(request: ChainRequest, admission: ChainAdmission): void {
-    const { log } = this.#options;
+    const { log, loopDelay } = this.#options;
     const fields = {
       attempt: request.attemptId,
       expectedMilliseconds: Math.round(admission.expected),
       limitMilliseconds: Math.round(admission.limit.milliseconds),
       limitCause: admission.limit.cause,
       objectiveMilliseconds: Math.round(request.objectiveMilliseconds),
+      loopDelayMilliseconds: Math.round(loopDelay.milliseconds),
       openChains: this.#chains.size,
       priority: request.priority,
     };
@@ -417,8 +422,9 @@
   /** Timers run only while chains are open, as most daemons run none. */
   #startTimers(): void {
     if (this.#stopTimers !== undefined) return;
-    const { timer } = this.#options;
+    const { timer, loopDelay } = this.#options;
     const teardowns = [
+      loopDelay.register(),
       timer.registerInterval(() => this.#sweep(), SWEEP_MILLISECONDS),
       timer.registerInterval(() => this.#logLoad(), LOAD_LOG_MILLISECONDS),
     ];
