--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -80,6 +80,8 @@
   view: readonly string[] | undefined;
   /** Members that it hears from; all of its view by default. */
   reachable: readonly string[] | undefined;
+  /** True while its calls to the store fail. */
+  isCutFromStore: boolean;
 }
 
 /** Daemons that begin streams and take them up, on one manual clock. */
@@ -87,12 +89,17 @@
   readonly timer = new ManualTimer();
   readonly daemons = new Map<string, FleetDaemon>();
   readonly store = new RowTable(this.timer);
+  readonly #unreachableStore = new RowTable(this.timer);
   /** Calls between daemons. */
   calls = 0;
   #starts = 0;
   #service = SERVICE;
   #configurationVersion = 1;
 
+  constructor() {
+    this.#unreachableStore.isAway = true;
+  }
+
   /** Adds a daemon that lists one endpoint of each version. */
   add(
     daemonId: string,
@@ -119,7 +126,11 @@
         endpointList.isRead
           ? endpointList.staleSince ?? timer.now()
           : Number.NEGATIVE_INFINITY,
-      store: () => isRunning && usesStore ? this.store : undefined,
+      store: () => {
+        if (!isRunning || !usesStore) return undefined;
+        const isCut = this.daemons.get(daemonId)?.isCutFromStore === true;
+        return isCut ? this.#unreachableStore : this.store;
+      },
       era,
       timer,
       random: new SeededRandom(this.#starts),
@@ -172,6 +183,7 @@
       fault,
       view,
       reachable: undefined,
+      isCutFromStore: false,
     };
     this.daemons.set(daemonId, daemon as FleetDaemon);
     configuration.applyIfNewer(
@@ -243,6 +255,13 @@
     this.#daemon(daemonId).endpointList.staleSince = this.timer.now();
   }
 
+  /** Cuts a daemon off from the store, whose list it keeps, or ends that. */
+  setCutFromStore(daemonId: string, isCut: boolean): void {
+    const daemon = this.#daemon(daemonId);
+    daemon.isCutFromStore = isCut;
+    daemon.endpointList.staleSince = isCut ? this.timer.now() : undefined;
+  }
+
   /** Whether a daemon may begin streams at a version, though it has others. */
   isSettled(daemonId: string, version: string): boolean {
     const { origins } = this.#daemon(daemonId);
