Replace ledgers of lent retries that another writer has overwritten

Report: another writer left an odd row, and machines stopped following the table. Cause: a ledger of a service's slack that couldn't be decoded made every reservation fail for good, as did a loan that never ends; one with an amount below zero lent without limit, and one of a huge fleet less than it should. Change: such a ledger is replaced by one in which all of the slack is lent for a window, as after a restore of the store.

--- a/packages/kelpspar-decisions/src/retries/slack_ledger.ts
+++ b/packages/kelpspar-decisions/src/retries/slack_ledger.ts
@@ -63,6 +63,8 @@
  * cut off from the others for long knows none of them.
  */
 const FLEET_SIZE_MILLISECONDS = 600_000;
+/** Far above any fleet; larger ones come from another writer. */
+const MAXIMUM_DAEMONS = 100_000;
 
 /**
  * Credits that each daemon may hold. The credits that all hold when a window
@@ -81,16 +83,26 @@
 /**
  * Reserves part of the slack in a service's ledger. A loan counts until a window
  * after its lease, so that all loans spent within any window are recorded in the
- * ledger at the window's end.
+ * ledger at the window's end. A ledger of another writer is replaced by one in
+ * which all of the slack is lent.
  */
 export function reserveSlack(
-  ledger: SlackLedger | undefined,
+  ledger: SlackLedger | "unreadable" | undefined,
   request: SlackRequest,
 ): SlackReservation {
   const { limits, now, era, wanted } = request;
   const countedMilliseconds = limits.windowMilliseconds +
     request.leaseMilliseconds;
+  if (ledger === "unreadable") {
+    return blockLending(request, countedMilliseconds);
+  }
   const isCurrent = ledger?.era === era;
+  if (
+    isCurrent && ledger !== undefined &&
+    !isPlausible(ledger, { now, countedMilliseconds })
+  ) {
+    return blockLending(request, countedMilliseconds);
+  }
   if (!isCurrent && request.isEraRecent) {
     return blockLending(request, countedMilliseconds);
   }
@@ -122,6 +134,21 @@
   };
 }
 
+/** False for a ledger that no daemon can have written. */
+function isPlausible(
+  { daemons, daemonsUntil, loans }: SlackLedger,
+  { now, countedMilliseconds }: {
+    readonly now: number;
+    readonly countedMilliseconds: number;
+  },
+): boolean {
+  return daemons >= 0 && daemons <= MAXIMUM_DAEMONS &&
+    daemonsUntil <= now + FLEET_SIZE_MILLISECONDS &&
+    loans.every(({ amount, endsAt }) =>
+      amount >= 0 && endsAt <= now + countedMilliseconds
+    );
+}
+
 /** Records all of the slack as lent, since earlier loans are unknown. */
 function blockLending(
   { limits, daemons, now, era }: SlackRequest,
--- a/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retry_gate_test.ts
@@ -11,11 +11,15 @@
   return new ManualTimer({ startAt: START_MILLISECONDS });
 }
 
+/** Far more than any slack. */
+const MAXIMUM_SPENT = 1_000;
+
 /** Spends until the gate refuses; returns how many were allowed. */
 async function spendAll(
   gate: ReturnType<typeof createRetryGate>,
 ): Promise<number> {
   for (let spent = 0;; spent++) {
+    if (spent > MAXIMUM_SPENT) throw new Error("The gate never refuses");
     const outcome = await gate.spend({
       service: "s",
       cause: "failed",
@@ -102,6 +106,33 @@
   expect(await spendAll(young)).toBeGreaterThan(0);
 });
 
+/** Rows of the ledger that another writer left, as they change a valid one. */
+const ODD_LEDGERS: Readonly<Record<string, string>> = {
+  "that isn't JSON": "{",
+  "with an amount below zero":
+    '{"era":1,"daemons":1,"daemonsUntil":1,"loans":[{"amount":-1e6,"endsAt":1e12}]}',
+  "with a loan that never ends":
+    '{"era":1,"daemons":1,"daemonsUntil":1,"loans":[{"amount":1e308,"endsAt":1e308}]}',
+  "of a fleet without end":
+    '{"era":1,"daemons":1e308,"daemonsUntil":1e308,"loans":[]}',
+};
+
+// Guards against an odd row that lends more than the slack, or nothing for good.
+for (const [name, text] of Object.entries(ODD_LEDGERS)) {
+  test(`nothing is lent for a window after a ledger ${name}`, async () => {
+    const timer = createTimer();
+    const store = new MemoryRowStore(timer);
+    const fresh = await spendAll(createRetryGate(timer, { store }));
+    timer.jump(12_000);
+    const { version } = await store.readRow("retries", "s");
+    await store.writeRow("retries", "s", { text, version });
+    const gate = createRetryGate(timer, { store });
+    expect(await spendAll(gate)).toEqual(0);
+    timer.jump(12_000);
+    expect(await spendAll(gate)).toEqual(fresh);
+  });
+}
+
 // Guards against requests that wait for a store that is away.
 test("retries without a store are limited to what requests earn", async () => {
   const timer = createTimer();
--- a/packages/kelpspar-gateway/src/retries/slack_lender.ts
+++ b/packages/kelpspar-gateway/src/retries/slack_lender.ts
@@ -170,7 +170,7 @@
       daemons,
       now: row.clockMilliseconds,
       era: usedEra ?? null,
-      isEraRecent: this.#isEraRecent(ledger),
+      isEraRecent: this.#isEraRecent(ledger !== undefined),
     });
     if (reservation.ledger === undefined) return reservation;
     const writtenAt = timer.now();
@@ -194,15 +194,22 @@
    * Whether loans of an earlier era may still count. A daemon that starts can't
    * tell how old the era is, unless a ledger was written in it.
    */
-  #isEraRecent(ledger: SlackLedger | undefined): boolean {
+  #isEraRecent(hasLedger: boolean): boolean {
     const { era, limits, timer } = this.#options;
-    const since = ledger === undefined ? era.changedAt : era.knownSince;
+    const since = hasLedger ? era.knownSince : era.changedAt;
     return timer.now() - since <
       limits.windowMilliseconds + LEASE_MILLISECONDS;
   }
 }
 
-/** Undefined if there is no ledger; throws if the row isn't one. */
-function decodeLedger(text: string | undefined): SlackLedger | undefined {
-  return text === undefined ? undefined : ledgerSchema.parse(JSON.parse(text));
+/** Undefined if there is no ledger. */
+function decodeLedger(
+  text: string | undefined,
+): SlackLedger | "unreadable" | undefined {
+  if (text === undefined) return undefined;
+  try {
+    return ledgerSchema.parse(JSON.parse(text));
+  } catch {
+    return "unreadable";
+  }
 }
