--- a/packages/kelpspar-standins/src/wire/store_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/store_stand_in.ts
@@ -63,8 +63,13 @@
 
   /** Writes a row in place of the operator or a runner. */
   put(table: string, key: string, value: object): void {
-    const text = Buffer.from(JSON.stringify(value)).toString("base64");
-    this.#write({ table, part: "", key, value: text, tombstone: false });
+    this.putText(table, key, JSON.stringify(value));
+  }
+
+  /** Writes a row that may not be JSON. */
+  putText(table: string, key: string, text: string): void {
+    const value = Buffer.from(text).toString("base64");
+    this.#write({ table, part: "", key, value, tombstone: false });
   }
 
   remove(table: string, key: string): void {
