Guard admission by the coordinator's delay, single probes and odd ledgers

Cause: the guard of admission and its ablation named code that was renamed. Change: both follow it, and three guards name the new code.

--- a/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
+++ b/packages/kelpspar-scenarios/src/ablation/mechanisms.ts
@@ -37,8 +37,8 @@
   {
     name: "admission",
     file: `${GATEWAY}/pieces/admit_chain.ts`,
-    code: "if (expected <= limit) return",
-    without: "if (limit < Number.POSITIVE_INFINITY) return",
+    code: "if (excess <= 0) return",
+    without: "if (excess < Number.POSITIVE_INFINITY) return",
   },
   {
     name: "admission-by-what-goes-before",
--- a/packages/kelpspar-scenarios/src/guards/guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/guards.ts
@@ -251,10 +251,31 @@
   {
     name: "what can't be on time is refused at once",
     file: `${GATEWAY}/pieces/admit_chain.ts`,
-    code: "if (expected <= limit) return",
+    code: "if (excess <= 0) return",
     without: "if (expected >= 0) return",
     noticedBy: `${GATEWAY_TESTS}/admit_chain_test.ts`,
   },
+  {
+    name: "chains are admitted by the coordinator's own delay",
+    file: `${GATEWAY}/pieces/admit_chain.ts`,
+    code: "expectedTime(options) + loopWait(options)",
+    without: "expectedTime(options)",
+    noticedBy: `${GATEWAY_TESTS}/admit_chain_test.ts`,
+  },
+  {
+    name: "overdue calls share one probe of their peer",
+    file: `${GATEWAY}/fleet/silent_connection_detector.ts`,
+    code: "this.#probes.get(peer) ?? this.#startProbe(peer, connection)",
+    without: "this.#startProbe(peer, connection)",
+    noticedBy: `${GATEWAY_TESTS}/peer_client_test.ts`,
+  },
+  {
+    name: "a ledger that no daemon wrote is replaced",
+    file: "packages/kelpspar-decisions/src/retries/slack_ledger.ts",
+    code: "amount >= 0 && endsAt <= now + countedMilliseconds",
+    without: "amount >= 0 || endsAt <= now + countedMilliseconds",
+    noticedBy: `${GATEWAY_TESTS}/retry_gate_test.ts`,
+  },
   {
     name: "a life that ended isn't taken up again",
     file: `${GATEWAY}/fleet/fleet_membership.ts`,
