Count open pieces as they change, and forecast a stage once for several chains

Cause: each arrival, refused or not, walked through all open chains for each of its stages, and asked each endpoint of a stage twice; in an overload there are most arrivals and most open chains. Change: chains count their missing pieces by service and priority while they are open; a service's rate and wait are taken again after 5 ms; open requests of a model service are counted only if all of its endpoints have limits.

--- a/packages/kelpspar-gateway/src/pieces/backlog.ts
+++ b/packages/kelpspar-gateway/src/pieces/backlog.ts
@@ -1,4 +1,4 @@
-import type { ChainRun } from "./chain_run.ts";
+import type { OpenWork } from "./open_work.ts";
 import type { StageScheduler } from "./stage_scheduler.ts";
 
 /**
@@ -12,8 +12,8 @@
 /** Inputs of `backlogOf`. */
 export interface BacklogOptions {
   /** Undefined while the service has had no pieces. */
-  readonly scheduler: Pick<StageScheduler, "rate" | "slotWait"> | undefined;
-  readonly chains: Iterable<ChainRun>;
+  readonly scheduler: Pick<StageScheduler, "forecast"> | undefined;
+  readonly work: OpenWork;
   /** Priority of the request to admit. */
   readonly priority: number;
 }
@@ -23,15 +23,15 @@
 
 /** Time until all admitted pieces of a service are made, milliseconds. */
 export function backlogOf(service: string, options: BacklogOptions): number {
-  const { scheduler, chains, priority } = options;
+  const { scheduler, work, priority } = options;
   if (scheduler === undefined) return 0;
-  let pieces = 0;
-  for (const chain of chains) {
-    const share = chain.request.priority <= priority ? 1 : LESS_URGENT_SHARE;
-    pieces += chain.missingPieceCount(service) * share;
-  }
+  const pieces = work.sum(
+    service,
+    (other) => other <= priority ? 1 : LESS_URGENT_SHARE,
+  );
+  const { rate, slotWait } = scheduler.forecast();
   return Math.max(
-    scheduler.slotWait(),
-    pieces / Math.max(scheduler.rate(), MIN_PIECES_PER_MILLISECOND),
+    slotWait,
+    pieces / Math.max(rate, MIN_PIECES_PER_MILLISECOND),
   );
 }
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -1,5 +1,6 @@
 import type { ChainOutcome, PieceResult } from "./chain_outcome.ts";
 import type { ChainRequest, ChainStage } from "./chain_request.ts";
+import type { OpenWork } from "./open_work.ts";
 import type { ReaderInput } from "../placement/reader_placement.ts";
 import type { PieceTask } from "./piece_task.ts";
 
@@ -17,6 +18,8 @@
   readonly readerZone?: string | undefined;
   /** Stages that an earlier run of the chain may have begun; default none. */
   readonly repeatedStages?: ReadonlySet<number> | undefined;
+  /** Counts the pieces that are still to be made while the chain is open. */
+  readonly work?: OpenWork | undefined;
   readonly settle: (outcome: ChainOutcome) => void;
 }
 
@@ -35,6 +38,7 @@
   readonly #results: (PieceResult | undefined)[][];
   /** Number of pieces still to be made, by stage. */
   readonly #missing: number[];
+  readonly #work: OpenWork | undefined;
   readonly #started = new Set<number>();
   readonly #freed = new Set<number>();
   readonly #begun = new Set<number>();
@@ -59,6 +63,10 @@
       new Array<PieceResult | undefined>(pieces).fill(undefined)
     );
     this.#missing = request.stages.map(({ pieces }) => pieces);
+    this.#work = options.work;
+    for (const [number, { pieces }] of request.stages.entries()) {
+      this.#countWork(number, pieces);
+    }
   }
 
   stage(number: number): ChainStage {
@@ -111,21 +119,6 @@
     return (this.#missing[stage] ?? 0) === 0;
   }
 
-  /**
-   * Number of pieces of `service` that are still to be made. Admission asks this
-   * of all open chains for each arrival, so the counts are kept up to date
-   * rather than taken from the results.
-   */
-  missingPieceCount(service: string): number {
-    let missing = 0;
-    const { stages } = this.request;
-    for (let number = 0; number < stages.length; number++) {
-      if (stages[number]?.service !== service) continue;
-      missing += this.#missing[number] ?? 0;
-    }
-    return missing;
-  }
-
   /**
    * Records a result that is kept until `expiresAt`; false if the piece already
    * has one.
@@ -139,7 +132,7 @@
     if (stage === undefined || stage[task.piece] !== undefined) return false;
     stage[task.piece] = result;
     this.#expiries.set(result, expiresAt);
-    this.#missing[task.stage] = (this.#missing[task.stage] ?? 0) - 1;
+    this.#addMissing(task.stage, -1);
     return true;
   }
 
@@ -288,6 +281,9 @@
   /** Settles the chain; later outcomes are ignored. */
   settle(outcome: ChainOutcome): void {
     if (!this.isOpen) return;
+    for (const [number, missing] of this.#missing.entries()) {
+      this.#countWork(number, -missing);
+    }
     this.isOpen = false;
     this.#settle(outcome);
   }
@@ -318,6 +314,17 @@
     );
   }
 
+  #addMissing(stage: number, count: number): void {
+    this.#missing[stage] = (this.#missing[stage] ?? 0) + count;
+    this.#countWork(stage, count);
+  }
+
+  #countWork(stage: number, count: number): void {
+    if (!this.isOpen || count === 0) return;
+    const { priority } = this.request;
+    this.#work?.add(this.stage(stage).service, { priority, count });
+  }
+
   /** Whether a piece may have been sent before, by this daemon or another. */
   #wasSent(stage: number, piece: number): boolean {
     return this.#repeatedStages.has(stage) ||
@@ -390,7 +397,7 @@
     for (const [piece, result] of results.entries()) {
       if (result === undefined || !isLost(result)) continue;
       results[piece] = undefined;
-      this.#missing[stage] = (this.#missing[stage] ?? 0) + 1;
+      this.#addMissing(stage, 1);
     }
     this.#started.delete(stage);
     this.#begun.delete(stage);
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -25,6 +25,7 @@
 import { findRepeatedStages } from "./find_repeated_stages.ts";
 import { StarvationMonitor } from "./starvation_monitor.ts";
 import { maxPlacementWait } from "./max_placement_wait.ts";
+import { OpenWork } from "./open_work.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import { ResultFreer } from "./result_freer.ts";
 import { StageScheduler } from "./stage_scheduler.ts";
@@ -68,6 +69,7 @@
   readonly #options: PieceCoordinatorOptions;
   readonly #schedulers = new Map<string, StageScheduler>();
   readonly #chains = new Set<ChainRun>();
+  readonly #work = new OpenWork();
   readonly #placement: ReaderPlacement;
   readonly #refused = new RefusedCallers();
   readonly #monitor = new StarvationMonitor();
@@ -124,6 +126,7 @@
         now,
         readerZone,
         repeatedStages,
+        work: this.#work,
         settle: resolve,
       });
       this.#chains.add(chain);
@@ -207,7 +210,7 @@
     const stages = request.stages.map((stage, number) => ({
       backlog: backlogOf(stage.service, {
         scheduler: used[number],
-        chains: this.#chains,
+        work: this.#work,
         priority: request.priority,
       }),
       work: used[number]?.workTime(stage.pieces) ?? 0,
@@ -259,14 +262,22 @@
   #placementForecast({ reader, stages }: ChainRequest): StageForecast {
     const after = stages.map((_, number) => number);
     if (reader === undefined) return { backlog: 0, work: 0, after, turn: 0 };
-    const ahead =
-      [...this.#chains].filter((chain) =>
-        chain.request.reader?.service === reader.service
-      ).length;
-    const backlog = this.#placement.queueWait(reader.service, ahead);
+    const backlog = this.#placement.queueWait(
+      reader.service,
+      () => this.#countReadersOf(reader.service),
+    );
     return { backlog, work: 0, after, turn: 0 };
   }
 
+  /** Number of open chains whose request a service will run. */
+  #countReadersOf(service: string): number {
+    let count = 0;
+    for (const { request } of this.#chains) {
+      if (request.reader?.service === service) count++;
+    }
+    return count;
+  }
+
   /** Stages that an earlier run of the chain may have begun. */
   #findRepeatedStages(request: ChainRequest): ReadonlySet<number> {
     const { configuration } = this.#options;
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -26,6 +26,16 @@
 /** Pause before the next call to a full endpoint. */
 const FULL_PAUSE_MILLISECONDS = 60;
 const MAXIMUM_BACKOFF_DOUBLINGS = 2;
+/** A fraction of a call; each arrival asks for a forecast of its stages. */
+const FORECAST_MILLISECONDS = 5;
+
+/** What admission asks of a service. */
+export interface ServiceForecast {
+  /** Pieces per millisecond that usable endpoints make. */
+  readonly rate: number;
+  /** Time until a call could start with an empty queue, milliseconds. */
+  readonly slotWait: number;
+}
 
 /**
  * Schedules the pieces of all requests for one stage service. Pieces queue here
@@ -39,6 +49,7 @@
   readonly #retries: PieceRetries;
   #terms: PieceTerms;
   #isDispatchPending = false;
+  #forecast: (ServiceForecast & { readonly at: number }) | undefined;
 
   constructor(options: StageSchedulerOptions) {
     this.#options = options;
@@ -100,6 +111,18 @@
     this.#targets.resultFreed(result);
   }
 
+  /** Rate and wait of the service, at most `FORECAST_MILLISECONDS` old. */
+  forecast(): ServiceForecast {
+    const now = this.#now();
+    const known = this.#forecast;
+    if (known !== undefined && now - known.at <= FORECAST_MILLISECONDS) {
+      return known;
+    }
+    const forecast = { at: now, rate: this.rate(), slotWait: this.slotWait() };
+    this.#forecast = forecast;
+    return forecast;
+  }
+
   /** Pieces per millisecond that usable endpoints make now. */
   rate(): number {
     const now = this.#now();
--- a/packages/kelpspar-gateway/src/placement/reader_placement.ts
+++ b/packages/kelpspar-gateway/src/placement/reader_placement.ts
@@ -131,10 +131,10 @@
   }
 
   /**
-   * Milliseconds until a request behind `ahead` others can be placed; 0 while
+   * Milliseconds until a request behind `ahead()` others can be placed; 0 while
    * any endpoint of the service has no limit.
    */
-  queueWait(service: string, ahead: number): number {
+  queueWait(service: string, ahead: () => number): number {
     const { registry, rateLimiter, timer } = this.#options;
     const now = timer.now();
     const usable = preferHealthy(registry.availableFor(service), now);
@@ -148,7 +148,7 @@
     const first = Math.min(
       ...usable.map((one) => rateLimiter.waitFor(one, now)),
     );
-    return first + ahead * MILLISECONDS_PER_SECOND / perSecond;
+    return first + ahead() * MILLISECONDS_PER_SECOND / perSecond;
   }
 
   /**
