Probe peers by a call that older daemons answer, and repeat what waited on a silent connection

Change: the probe asks for addresses, as every version answers. A short call that fails because its connection was replaced is sent once more on the new one.

--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -112,7 +112,7 @@
     this.#silentConnections = new SilentConnectionDetector({
       connections: this.#connections,
       timer,
-      probe: (client) => client.ping.query(),
+      probe: (client) => client.addresses.query(),
     });
   }
 
@@ -299,7 +299,13 @@
     await this.#silentConnections.waitForVerdict(peer);
     const connection = this.#connections.open(peer);
     const sentAt = this.#timer.now();
-    const answer = call(connection.client);
+    const firstAnswer = call(connection.client);
+    const answer = firstAnswer.catch((error: unknown) => {
+      const current = this.#connections.open(peer);
+      if (current === connection) throw error;
+      // The connection was replaced because it is silent.
+      return call(current.client);
+    });
     let stopTimer = (): void => {};
     const timeout = new Promise<never>((_, reject) => {
       stopTimer = this.#timer.registerTimeout(() => {
@@ -307,7 +313,7 @@
           peer,
           connection,
           sentAt,
-          answer,
+          answer: firstAnswer,
         });
         reject(new PeerTimeoutError());
       }, timeoutMilliseconds);
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -138,8 +138,6 @@
   exchange: trpc.procedure.input(fleetDigestSchema).mutation(({ ctx, input }) =>
     ctx.handlers.exchange(input)
   ),
-  /** Shows that this process answers. */
-  ping: trpc.procedure.query(() => null),
   addresses: trpc.procedure.query(({ ctx }) => ctx.handlers.addresses()),
   configuration: trpc.procedure.query(({ ctx }) =>
     ctx.handlers.configuration() ?? null
