Forget the delay of the event loop when sampling ends

Found on reading the change again. Cause: the delay is sampled only while chains are open, and its average stayed when the last one ended. After a stall of some seconds a coordinator would have refused every new chain by it, so that none opened and the delay was never sampled again. Change: the average is reset with the teardown.

--- a/packages/kelpspar-gateway/src/__tests__/unit/loop_delay_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/loop_delay_test.ts
@@ -25,3 +25,15 @@
   stop();
   expect(delay.milliseconds).toEqual(0);
 });
+
+// Guards against a coordinator that refuses every chain for good: without open chains its delay isn't sampled, and none is admitted.
+test("a delay isn't kept when sampling ends", async () => {
+  const timer = new ManualTimer();
+  const delay = new LoopDelay(timer);
+  const stop = delay.register();
+  timer.jump(5_000);
+  await timer.advance(0);
+  expect(delay.milliseconds > 1_000).toEqual(true);
+  stop();
+  expect(delay.milliseconds).toEqual(0);
+});
--- a/packages/kelpspar-gateway/src/load/loop_delay.ts
+++ b/packages/kelpspar-gateway/src/load/loop_delay.ts
@@ -25,6 +25,7 @@
     );
     return () => {
       stop();
+      this.#mean = 0;
       this.#sampledAt = Number.NEGATIVE_INFINITY;
     };
   }
