--- a/packages/kelpspar-gateway/src/fleet/silent_connection_detector.ts
+++ b/packages/kelpspar-gateway/src/fleet/silent_connection_detector.ts
@@ -15,7 +15,7 @@
 export interface SilentConnectionDetectorOptions<Client> {
   readonly connections: PeerConnections<Client>;
   readonly timer: TimerService;
-  /** Calls a peer; settles once it has answered in any way. */
+  /** Calls a peer; resolves once it has answered. */
   readonly probe: (client: Client) => Promise<unknown>;
 }
 
