Log why a suspect prompt part is sent, and what blames and clears it

For a truncated answer it shows when the answer began, but not whether the crash was reported or blamed, nor which answer cleared a part, nor why a part with crashes is sent.

Change: no decision changes. `endpoint checked after truncated answer` has isIsolated, isReported, isBlamed and wroteMilliseconds; `prompt parts cleared` names the answer and the crashes; `suspect prompt part sent` gives, once for each try with a part at two crashes or more, the crashes in succession, the unrelated ones, the threshold and the reason. `explain` of a part lists each crash with who saw and who cleared it.

--- a/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -81,3 +81,35 @@
   const { own } = explainRequest("p", lines);
   expect(own.map(({ time }) => time.slice(17, 19))).toEqual(["01", "02", "40"]);
 });
+
+// Guards against crashes of a part whose reporters and clearances can't be told.
+test("the timeline of a part lists who saw and who cleared each crash", () => {
+  const crash = {
+    endpoint: "i1",
+    bornAt: 5,
+    parts: "s,p,o1",
+    state: "refused",
+  };
+  const checked = "endpoint checked after truncated answer";
+  const lines = [
+    line(1, checked, {
+      ...crash,
+      isReported: true,
+      isBlamed: false,
+      wroteMilliseconds: 330,
+    }),
+    line(1, checked, { ...crash, endpoint: "i2", isReported: false }),
+    line(2, "prompt parts cleared", {
+      attempt: "a7",
+      parts: "s,p",
+      crashes: "i0 born 1,i1 born 5",
+    }),
+  ].flatMap((text) => parseLogLine(text) ?? []);
+  const timeline = explainRequest("p", lines);
+  expect(timeline.crashes).toEqual([{
+    crash: "i1 born 5",
+    reporters: ["d1 (not blamed, wrote for 330 ms)"],
+    clearedBy: ["d1 a7"],
+  }]);
+  expect(formatTimeline(timeline)).toInclude("cleared by d1 a7");
+});
--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -1,4 +1,7 @@
 import type { LogLine } from "./log_line.ts";
+import type { ReportedCrash } from "./list_crashes.ts";
+import { listCrashes } from "./list_crashes.ts";
+import { partsOf } from "./parts_of.ts";
 
 /** The log lines about one request. */
 export interface RequestTimeline {
@@ -7,6 +10,8 @@
    * id of a part of prompts.
    */
   readonly id: string;
+  /** Crashes that daemons reported for a part of prompts, oldest first. */
+  readonly crashes: readonly ReportedCrash[];
   /** Lines about the request itself, sorted by time. */
   readonly own: readonly LogLine[];
   /** State changes of its daemons around the request, sorted by time. */
@@ -43,8 +48,10 @@
 /** Log messages that concern a part of prompts itself. */
 const PART_MESSAGES: ReadonlySet<string> = new Set([
   "endpoint checked after truncated answer",
+  "prompt parts cleared",
   "prompt parts quarantined",
   "prompt parts released from quarantine",
+  "suspect prompt part sent",
   "quarantine released by the operator",
 ]);
 
@@ -65,7 +72,7 @@
   const first = own[0];
   const last = own.at(-1);
   if (first === undefined || last === undefined) {
-    return { id, own, around: [] };
+    return { id, crashes: [], own, around: [] };
   }
   const from = Date.parse(first.time) - CONTEXT_WINDOW_MILLISECONDS;
   const to = Date.parse(last.time);
@@ -80,9 +87,5 @@
       line.message === "prompt parts quarantined" &&
         partsOf(line).every((part) => parts.has(part));
   });
-  return { id, own, around };
-}
-
-function partsOf({ parts = "" }: LogLine): readonly string[] {
-  return parts === "" ? [] : parts.split(",");
+  return { id, crashes: listCrashes(id, own), own, around };
 }
--- a/packages/kelpspar-cli/src/explain/format_timeline.ts
+++ b/packages/kelpspar-cli/src/explain/format_timeline.ts
@@ -1,3 +1,4 @@
+import type { ReportedCrash } from "./list_crashes.ts";
 import type { LogLine } from "./log_line.ts";
 import type { RequestTimeline } from "./explain_request.ts";
 
@@ -17,6 +18,7 @@
   }
   return [
     `Request ${timeline.id}`,
+    ...timeline.crashes.map(formatCrash),
     ...timeline.own.map((line) => formatLine(line, timeline.id)),
     "",
     "What its daemons learned around it",
@@ -31,3 +33,10 @@
   const clock = line.time.slice(11, 23);
   return `  ${clock} ${line.daemon} ${line.message}: ${fields.join(" ")}`;
 }
+
+function formatCrash({ crash, reporters, clearedBy }: ReportedCrash): string {
+  const cleared = clearedBy.length === 0
+    ? "not cleared"
+    : `cleared by ${clearedBy.join(", ")}`;
+  return `  crash of ${crash}: seen by ${reporters.join(", ")}; ${cleared}`;
+}
--- /dev/null
+++ b/packages/kelpspar-cli/src/explain/list_crashes.ts
@@ -0,0 +1,41 @@
+import type { LogLine } from "./log_line.ts";
+import { partsOf } from "./parts_of.ts";
+
+/** A crash of an endpoint that a part of prompts was at. */
+export interface ReportedCrash {
+  /** Id and start of the endpoint, as in the daemons' lines. */
+  readonly crash: string;
+  /** Daemons that saw it, each with how long its answer had written. */
+  readonly reporters: readonly string[];
+  /** Daemons whose answers cleared the part of it. */
+  readonly clearedBy: readonly string[];
+}
+
+/**
+ * Lists the crashes that lines about a part report, oldest first. `lines` must
+ * be sorted by time.
+ */
+export function listCrashes(
+  part: string,
+  lines: readonly LogLine[],
+): readonly ReportedCrash[] {
+  const reporters = new Map<string, string[]>();
+  for (const line of lines) {
+    const { endpoint, bornAt, isReported } = line;
+    if (isReported !== true || !partsOf(line).includes(part)) continue;
+    const crash = `${endpoint} born ${bornAt}`;
+    const wrote = line.wroteMilliseconds ?? 0;
+    const blame = line.isBlamed === true ? "blamed" : "not blamed";
+    const reporter = `${line.daemon} (${blame}, wrote for ${wrote} ms)`;
+    reporters.set(crash, [...reporters.get(crash) ?? [], reporter]);
+  }
+  return [...reporters].map(([crash, found]) => ({
+    crash,
+    reporters: found,
+    clearedBy: lines.filter((line) =>
+      line.message === "prompt parts cleared" &&
+      partsOf(line).includes(part) &&
+      line.crashes?.split(",").includes(crash)
+    ).map(({ daemon, attempt = "" }) => `${daemon} ${attempt}`.trim()),
+  }));
+}
--- a/packages/kelpspar-cli/src/explain/log_line.ts
+++ b/packages/kelpspar-cli/src/explain/log_line.ts
@@ -14,6 +14,15 @@
   attempts: z.string().optional(),
   /** Ids of parts of prompts, joined by commas. */
   parts: z.string().optional(),
+  /** Crashes of endpoints, joined by commas. */
+  crashes: z.string().optional(),
+  endpoint: z.string().optional(),
+  /** Start of the endpoint, Unix milliseconds. */
+  bornAt: z.number().optional(),
+  isReported: z.boolean().optional(),
+  isBlamed: z.boolean().optional(),
+  /** How long an answer had written events before it was cut. */
+  wroteMilliseconds: z.number().optional(),
   /** What an operator named. */
   id: z.string().optional(),
 });
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -1,7 +1,9 @@
 import type { ClearedPart, CrashPage } from "./crash_page.ts";
 import type { CrashReport, TimedCrashReport } from "./crash_report.ts";
 import type { CrashingParts } from "./find_crashing_parts.ts";
+import type { PartAssessment } from "./assess_part.ts";
 import { hashText } from "../routing/rendezvous_hash.ts";
+import { assessPart } from "./assess_part.ts";
 import { findCrashingParts } from "./find_crashing_parts.ts";
 import { findPoisonRequests } from "./find_poison_requests.ts";
 import { PartEvidence } from "./part_evidence.ts";
@@ -58,6 +60,8 @@
   #poison: ReadonlySet<string> = new Set();
   #crashingParts: readonly CrashingParts[] = [];
   #suspects: ReadonlySet<string> = new Set();
+  /** Results of `assessPart` since the last change. */
+  readonly #assessments = new Map<string, PartAssessment>();
   #checksum = 0;
   /** Whether the content changed since poison and parts were last found. */
   #isChanged = false;
@@ -103,13 +107,30 @@
     return longestSeries(this.#evidence.trials.get(part) ?? []).length;
   }
 
+  /** What is known against a part; undefined if no crash of it is known. */
+  assessPart(part: string): PartAssessment | undefined {
+    const known = this.#assessments.get(part);
+    if (known !== undefined) return known;
+    const crashes = this.#evidence.crashesOf(part);
+    if (crashes.length === 0) return undefined;
+    const assessment = assessPart(part, {
+      crashes,
+      reports: [...this.#reports.values()],
+      trials: this.#evidence.trials,
+      poison: this.#poison,
+    });
+    this.#assessments.set(part, assessment);
+    return assessment;
+  }
+
   /**
-   * Clears parts of the crashes before an answer began; returns false if there
-   * were none. Endpoints of other software prove nothing, since a new version
-   * may be what crashes.
+   * Crashes that an answer clears its parts of: those before it began. Endpoints
+   * of other software prove nothing, since a new version may be what crashes.
    */
-  clearParts({ parts, software, beganAt }: SoundAnswer, now: number): boolean {
-    const cleared = parts.flatMap((part) =>
+  findCleared(
+    { parts, software, beganAt }: SoundAnswer,
+  ): readonly ClearedPart[] {
+    return parts.flatMap((part) =>
       (this.#evidence.trials.get(part) ?? []).filter(({ reports }) =>
         reports.some((report) =>
           report.software === software &&
@@ -117,6 +138,11 @@
         )
       ).map(({ crash }) => ({ part, crash }))
     );
+  }
+
+  /** Clears parts as `findCleared` says; returns false if there were none. */
+  clearParts(answer: SoundAnswer, now: number): boolean {
+    const cleared = this.findCleared(answer);
     return cleared.length > 0 &&
       this.merge({ reports: [], served: [], cleared }, now);
   }
@@ -321,6 +347,7 @@
   #recompute(): void {
     if (!this.#isChanged) return;
     this.#isChanged = false;
+    this.#assessments.clear();
     const reports = [...this.#reports.values()];
     const counted = reports.filter((report) => this.#countsForPoison(report));
     this.#suspects = new Set(counted.map(({ fingerprint }) => fingerprint));
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -38,7 +38,8 @@
   readonly poison: ReadonlySet<string>;
 }
 
-interface Candidate {
+/** A part with two or more trials in succession. */
+export interface Candidate {
   readonly part: string;
   readonly trials: readonly PartTrial[];
   readonly series: readonly PartTrial[];
@@ -79,7 +80,7 @@
 }
 
 /** Returns parts with two or more trials in succession, the likeliest first. */
-function listCandidates(
+export function listCandidates(
   { trials }: FindCrashingPartsOptions,
   explained: ReadonlySet<string>,
 ): readonly Candidate[] {
@@ -101,7 +102,7 @@
 }
 
 /** Returns the times of crashes that neither causes nor candidates explain. */
-function listUnrelatedCrashes(
+export function listUnrelatedCrashes(
   { reports, poison }: FindCrashingPartsOptions,
   related: ReadonlySet<string>,
   explained: ReadonlySet<string>,
@@ -118,19 +119,26 @@
 }
 
 /** The crashes in succession that make a candidate the cause. */
-function thresholdOf(
-  { series }: Candidate,
+export function thresholdOf(
+  candidate: Candidate,
   unrelatedCrashes: readonly number[],
 ): number {
-  const lastAt = series.at(-1)?.at ?? 0;
-  const count =
-    unrelatedCrashes.filter((at) =>
-      at > lastAt - UNRELATED_MILLISECONDS && at <= lastAt
-    ).length;
+  const count = countUnrelated(candidate, unrelatedCrashes);
   const raised = UNRELATED_CRASH_STEPS.filter((step) => count >= step);
   return PART_CRASH_THRESHOLD + raised.length;
 }
 
+/** The unrelated crashes shortly before the last one of a candidate. */
+export function countUnrelated(
+  { series }: Pick<Candidate, "series">,
+  unrelatedCrashes: readonly number[],
+): number {
+  const lastAt = series.at(-1)?.at ?? 0;
+  return unrelatedCrashes.filter((at) =>
+    at > lastAt - UNRELATED_MILLISECONDS && at <= lastAt
+  ).length;
+}
+
 function describeCause(
   candidate: Candidate,
   threshold: number,
--- a/packages/kelpspar-decisions/src/quarantine/mod.ts
+++ b/packages/kelpspar-decisions/src/quarantine/mod.ts
@@ -14,6 +14,7 @@
   findPoisonRequests,
   POISON_CRASH_THRESHOLD,
 } from "./find_poison_requests.ts";
+export type { PartAssessment } from "./assess_part.ts";
 export type { ClearedPart } from "./crash_page.ts";
 export type { SoundAnswer } from "./crash_ledger.ts";
 export type { CrashingParts } from "./find_crashing_parts.ts";
--- a/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
@@ -22,6 +22,11 @@
     return this.#trials;
   }
 
+  /** Crashes that a part is blamed for, or was before it was cleared of them. */
+  crashesOf(part: string): readonly string[] {
+    return [...this.#evidence.get(part)?.keys() ?? []];
+  }
+
   /** Adds a report of an answer that is blamed. */
   add(report: TimedCrashReport): void {
     for (const part of new Set(report.parts)) {
--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
@@ -170,3 +170,18 @@
   expect(world.reply.status).toEqual(200);
   expect(world.quarantine.partsSize).toEqual(0);
 });
+
+// Guards against sends of a suspect part whose reason no log line gives.
+test("a request with a suspect part logs why it is sent", async () => {
+  const world = createWorld([() => stream(EVENT), () => stream(EVENT)]);
+  await crashOn(world, "p", 2);
+  await serve(world, prompted("p", "own"));
+  await serve(world, prompted("p", "own"));
+  const sent = world.logLines.filter(({ message }) =>
+    message === "suspect prompt part sent"
+  );
+  expect(sent.map(({ fields }) => fields["reason"]))
+    .toEqual(["few_crashes", "cleared"]);
+  expect(sent.map(({ fields }) => fields["crashesInSuccession"]))
+    .toEqual([2, 0]);
+});
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -1,3 +1,4 @@
+import type { CrashReport } from "kelpspar-decisions/quarantine";
 import type { TimerService } from "kelpspar-shared";
 import type { ListeningState } from "../exchange/check_listening.ts";
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
@@ -9,6 +10,7 @@
 import { describePromptParts } from "../requests/describe_prompt_parts.ts";
 import { sharedParts } from "../requests/shared_parts.ts";
 import { describeSoftware } from "../streams/software_of.ts";
+import { isBlamed } from "kelpspar-decisions/quarantine";
 
 /** An answer that ended before it was complete. */
 export interface TruncatedAnswer {
@@ -54,9 +56,18 @@
     const truncatedAt = timer.now();
     const { endpoint, answeredAt, fingerprint, hasRestarted } = answer;
     const state = hasRestarted ? "restarted" : await this.#checkOnce(endpoint);
-    const begunMillisecondsAgo = answeredAt === undefined
-      ? undefined
-      : Math.round(truncatedAt - answeredAt);
+    const report: CrashReport = {
+      fingerprint,
+      crash: `${endpoint.id} born ${endpoint.bornAt}`,
+      ranMilliseconds: millisecondsSince(answeredAt, truncatedAt),
+      wroteMilliseconds: millisecondsSince(answer.firstEventAt, truncatedAt),
+      parts: sharedParts(answer.promptParts),
+      software: describeSoftware(endpoint),
+    };
+    const mayHaveCrashed = state === "refused" || state === "restarted";
+    // An isolated daemon can't tell a crash from its own partition.
+    const isIsolated = state === "refused" && await isolation.verified();
+    const isReported = mayHaveCrashed && !isIsolated;
     log.info("endpoint checked after truncated answer", {
       attempt: answer.attemptId,
       fingerprint,
@@ -64,23 +75,14 @@
       endpoint: endpoint.id,
       bornAt: endpoint.bornAt,
       state,
+      isIsolated,
+      isReported,
+      isBlamed: isBlamed({ ...report, at: truncatedAt }),
       sentMillisecondsAgo: Math.round(truncatedAt - answer.sentAt),
-      begunMillisecondsAgo,
+      begunMillisecondsAgo: report.ranMilliseconds,
+      wroteMilliseconds: report.wroteMilliseconds,
     });
-    if (state !== "refused" && state !== "restarted") return;
-    // An isolated daemon can't tell a crash from its own partition.
-    if (state === "refused" && await isolation.verified()) return;
-    const { firstEventAt } = answer;
-    quarantine.reportCrash({
-      fingerprint,
-      crash: `${endpoint.id} born ${endpoint.bornAt}`,
-      ranMilliseconds: begunMillisecondsAgo,
-      wroteMilliseconds: firstEventAt === undefined
-        ? undefined
-        : Math.round(truncatedAt - firstEventAt),
-      parts: sharedParts(answer.promptParts),
-      software: describeSoftware(endpoint),
-    }, truncatedAt);
+    if (isReported) quarantine.reportCrash(report, truncatedAt);
   }
 
   /** Shares one check among answers that are truncated together. */
@@ -95,3 +97,10 @@
     return check;
   }
 }
+
+function millisecondsSince(
+  at: number | undefined,
+  now: number,
+): number | undefined {
+  return at === undefined ? undefined : Math.round(now - at);
+}
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -2,6 +2,7 @@
 import type {
   CrashPage,
   CrashReport,
+  PartAssessment,
   SoundAnswer,
 } from "kelpspar-decisions/quarantine";
 import type { GatewayLog } from "../log/gateway_log.ts";
@@ -22,6 +23,26 @@
  */
 const SUSPECT_CRASHES = 2;
 
+/** Crashes named in a log line at most. */
+const MAXIMUM_DESCRIBED_CRASHES = 20;
+
+/**
+ * Why requests with a part that endpoints crashed on are sent: too few crashes
+ * in succession, all cleared by answers, an answer may still clear it, or this
+ * daemon's own answers have it often.
+ */
+export type SuspectPartReason =
+  | "few_crashes"
+  | "cleared"
+  | "grace_period"
+  | "common";
+
+/** A part of a prompt that endpoints crashed on, and why it isn't quarantined. */
+export interface SuspectPart extends PartAssessment {
+  readonly part: string;
+  readonly reason: SuspectPartReason;
+}
+
 /**
  * Source of a change; `age` means that reports expired, `grace` that the grace
  * period of parts has ended, `answer` that an endpoint answered on suspects,
@@ -161,13 +182,43 @@
     if (this.#ledger.suspects.has(fingerprint)) this.#clearServed("own");
   }
 
+  /**
+   * The part of the request that most endpoints crashed on, if any, and why the
+   * request may be sent nevertheless.
+   */
+  findSuspectPart({ parts }: QuarantinableRequest): SuspectPart | undefined {
+    const now = this.#options.timer.now();
+    const [most] = parts.flatMap((part) => {
+      const assessment = this.#ledger.assessPart(part);
+      return assessment === undefined ? [] : [{ part, ...assessment }];
+    }).sort((left, right) =>
+      right.crashesInSuccession - left.crashesInSuccession ||
+      right.crashes - left.crashes
+    );
+    if (most === undefined) return undefined;
+    const { crashesInSuccession, threshold } = most;
+    const isCause = crashesInSuccession >= threshold;
+    const isCommon = this.#commonParts.has(most.part, now);
+    const reason = isCause
+      ? (isCommon ? "common" : "grace_period")
+      : (crashesInSuccession === 0 ? "cleared" : "few_crashes");
+    return { ...most, reason };
+  }
+
   /** Records that an endpoint answers on parts of a prompt. */
-  answered(answer: SoundAnswer): void {
+  answered(answer: SoundAnswer, attemptId?: string): void {
     const now = this.#options.timer.now();
     this.#commonParts.add(answer.parts, now);
     if (!this.#ledger.hasSuspectParts) return;
-    const isCleared = this.#ledger.clearParts(answer, now);
-    if (isCleared) this.#applyChange("answer", () => true);
+    const cleared = this.#ledger.findCleared(answer);
+    if (!this.#ledger.clearParts(answer, now)) return;
+    this.#options.log.info("prompt parts cleared", {
+      attempt: attemptId,
+      parts: [...new Set(cleared.map(({ part }) => part))].join(","),
+      crashes: describeCrashes(cleared.map(({ crash }) => crash)),
+      begunMillisecondsAgo: Math.round(now - answer.beganAt),
+    });
+    this.#applyChange("answer", () => true);
   }
 
   /**
@@ -278,7 +329,7 @@
     for (const [key, subject] of this.#subjects) {
       if (before.has(key)) continue;
       const { reports } = this.page(key);
-      const crashes = [...new Set(reports.map(({ crash }) => crash))].join(",");
+      const crashes = describeCrashes(reports.map(({ crash }) => crash));
       if (subject.type === "request") {
         const { fingerprint } = subject;
         log.warn("request quarantined", { fingerprint, source, crashes });
@@ -299,3 +350,8 @@
     }
   }
 }
+
+/** Lists the newest crashes for a log line, each once. */
+function describeCrashes(crashes: readonly string[]): string {
+  return [...new Set(crashes)].slice(-MAXIMUM_DESCRIBED_CRASHES).join(",");
+}
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -55,7 +55,12 @@
   readonly crashes: Pick<CrashDetector, "checkEndpoint">;
   readonly quarantine: Pick<
     Quarantine,
-    "find" | "isSuspect" | "crashesInSuccession" | "served" | "answered"
+    | "find"
+    | "findSuspectPart"
+    | "isSuspect"
+    | "crashesInSuccession"
+    | "served"
+    | "answered"
   >;
   readonly firstByteEstimates: FirstByteEstimates;
   readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -456,7 +456,7 @@
       parts,
       software: describeSoftware(endpoint.entry),
       beganAt,
-    });
+    }, options.request.attemptId);
   }
 
   #recordFailure(result: SendResult, reason: string, isCertain = false): void {
