--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -31,6 +31,7 @@
 export { InMemoryTable } from "./table/in_memory_table.ts";
 export { LaggingVmList } from "./vm/lagging_vm_list.ts";
 export type {
+  PartCrashPlan,
   RunnerArrival,
   RunnerFault,
   RunnerRun,
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -47,6 +47,16 @@
 /** Line end of a `text/event-stream`. */
 export type StreamLineEnd = "\n" | "\r\n" | "\r";
 
+/** How a part of a prompt crashes a runner. */
+export interface PartCrashPlan {
+  /** Time from the first event to the crash; with none, there is no event. */
+  readonly afterFirstEvent?: () => number;
+  /** Whether all answers stop from the first event until the crash. */
+  readonly isSilent?: boolean;
+  /** Called when the first event was written, with the request's attempt id. */
+  readonly onFirstEvent?: (attemptId: string) => void;
+}
+
 /** A request that a runner executed. */
 export interface RunnerRun {
   readonly attemptId: string;
@@ -134,6 +144,7 @@
   capacity: BrittleCapacity | undefined;
   /** Ids of prompt parts that crash the runner once it answers on them. */
   crashingParts: ReadonlySet<string> = new Set();
+  partCrashPlan: PartCrashPlan = {};
   /** Number of requests refused as overloaded. */
   refusals = 0;
   readonly runs: RunnerRun[] = [];
@@ -291,9 +302,46 @@
     if (this.#options.isStream) {
       response.writeHead(200, this.#responseHeaders(attemptId)).flushHeaders();
     }
-    await this.#delay(this.#options.delayMilliseconds);
+    if (this.partCrashPlan.afterFirstEvent === undefined) {
+      await this.#delay(this.#options.delayMilliseconds);
+    }
+    await this.#writeUntilCrash(attemptId, response);
     // Another request that crashes the runner may have been faster.
-    if (this.#server.listening) this.onCrash();
+    if (this.#server.listening && !this.#isOver(response)) this.onCrash();
+  }
+
+  /** Whether an earlier crash ended the runner's incarnation and the answer. */
+  #isOver(response: ServerResponse): boolean {
+    return this.partCrashPlan.afterFirstEvent !== undefined &&
+      response.destroyed;
+  }
+
+  /** Writes events until the plan's crash is due. */
+  async #writeUntilCrash(
+    attemptId: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { afterFirstEvent, isSilent, onFirstEvent } = this.partCrashPlan;
+    if (afterFirstEvent === undefined) return;
+    const write = (id: number): boolean =>
+      response.write(`id: ${id}\ndata: ${attemptId} ${id}\n\n`);
+    write(1);
+    onFirstEvent?.(attemptId);
+    const after = afterFirstEvent();
+    const crashAt = performance.now() + after;
+    if (isSilent === true) {
+      this.fallSilent(after);
+      await this.#delay(0);
+      return;
+    }
+    for (let id = 2; performance.now() < crashAt; id++) {
+      const rest = crashAt - performance.now();
+      await this.#delay(
+        Math.min(rest, this.#options.delayMilliseconds ?? rest),
+      );
+      if (response.destroyed) return;
+      if (performance.now() < crashAt) write(id);
+    }
   }
 
   #sendEndless(attemptId: string, response: ServerResponse): void {
