Hold a common prompt part from five crashes in succession, at all daemons

Callers saw: endpoints ended one after another on a part that had been sound and common; at three endpoints a second down, most sound requests had none left.

Cause: the verdict on a part is the fleet's, but each daemon exempted parts that ten of its own last 100 sound answers had, which at a few requests a second go back minutes. Daemons with that memory sent on, those that had just started didn't; a daemon that exempted a part also removed the row that holds it for all.

Change: a report of a crash names the parts that were common at the daemon that saw it. All daemons decide by the reports: a common part counts as the cause from five crashes in succession, later than others, is considered after uncommon ones, and not for crashes of a poison request that doesn't have it. A sound answer after the crashes releases it everywhere.

--- a/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
@@ -13,6 +13,7 @@
   readonly at: number;
   readonly fingerprint: string;
   readonly parts: readonly string[];
+  readonly commonParts?: readonly string[];
   /** Null for an answer that hadn't begun. */
   readonly ran?: number | null;
   readonly wrote?: number;
@@ -35,9 +36,11 @@
   parts: readonly string[],
   count: number,
   from = 1,
+  commonParts: readonly string[] = [],
 ): void {
   for (let number = from; number < from + count; number++) {
     report(ledger, {
+      commonParts,
       crash: `${parts.join()} ${number}`,
       at: number * SECOND,
       fingerprint: `${parts.join()} request ${number}`,
@@ -188,6 +191,42 @@
   expect(causesOf(ledger)).toEqual([["p"]]);
 });
 
+// Guards against a part that is never held because it was sound and common.
+test("a common part is the cause from five crashes in succession", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["p"], 4, 1, ["p"]);
+  expect(causesOf(ledger)).toEqual([]);
+  reportSeries(ledger, ["p"], 1, 5);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
+// Guards against holding what all requests share for the crashes of another.
+test("crashes of an uncommon part aren't blamed on a common one", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["all", "p"], 3, 1, ["all"]);
+  reportSeries(ledger, ["all", "q"], 1, 4, ["all"]);
+  reportSeries(ledger, ["all"], 1, 5, ["all"]);
+  expect(causesOf(ledger)).toEqual([["all", "p"]]);
+});
+
+// Guards against holding what all requests share for a poison request.
+test("crashes of a poison request aren't blamed on a common part beside it", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["all"], 5, 1, ["all"]);
+  expect(causesOf(ledger)).toEqual([["all"]]);
+  for (let number = 1; number <= 4; number++) {
+    const crash = `all ${number}`;
+    report(ledger, {
+      crash,
+      at: number * SECOND,
+      fingerprint: "poison",
+      parts: ["other"],
+    });
+  }
+  expect([...ledger.poison]).toEqual(["poison"]);
+  expect(causesOf(ledger)).toEqual([]);
+});
+
 /** `KELPSPAR_REPLAYED_MINUTES=1000` replays more by hand. */
 const REPLAYED_MINUTES = Number(process.env["KELPSPAR_REPLAYED_MINUTES"] ?? 6);
 const SITES = [
--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -15,6 +15,8 @@
   readonly clearedCrashes: number;
   readonly crashesInSuccession: number;
   readonly unrelatedCrashes: number;
+  /** Whether it was common in the sound answers of a daemon. */
+  readonly isCommon: boolean;
   /** Crashes in succession from which it counts as the cause. */
   readonly threshold: number;
 }
@@ -32,7 +34,12 @@
 ): PartAssessment {
   const { crashes, trials } = options;
   const open = trials.get(part) ?? [];
-  const candidate = { part, trials: open, series: longestSeries(open) };
+  const candidate = {
+    part,
+    isCommon: options.commonParts.has(part),
+    trials: open,
+    series: longestSeries(open),
+  };
   const related = new Set(
     [candidate, ...listCandidates(options, new Set())]
       .flatMap(({ trials: own }) => own.map(({ crash }) => crash)),
@@ -43,6 +50,7 @@
     clearedCrashes: crashes.length - open.length,
     crashesInSuccession: candidate.series.length,
     unrelatedCrashes: countUnrelated(candidate, unrelated),
+    isCommon: candidate.isCommon,
     threshold: thresholdOf(candidate, unrelated),
   };
 }
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -4,7 +4,10 @@
 import type { PartAssessment } from "./assess_part.ts";
 import { hashText } from "../routing/rendezvous_hash.ts";
 import { assessPart } from "./assess_part.ts";
-import { findCrashingParts } from "./find_crashing_parts.ts";
+import {
+  findCrashingParts,
+  partCrashThreshold,
+} from "./find_crashing_parts.ts";
 import { findPoisonRequests } from "./find_poison_requests.ts";
 import { PartEvidence } from "./part_evidence.ts";
 import { isBlamed, longestSeries } from "./part_trials.ts";
@@ -59,6 +62,7 @@
   readonly #evidence = new PartEvidence();
   #poison: ReadonlySet<string> = new Set();
   #crashingParts: readonly CrashingParts[] = [];
+  #commonParts: ReadonlySet<string> = new Set();
   #suspects: ReadonlySet<string> = new Set();
   /** Results of `assessPart` since the last change. */
   readonly #assessments = new Map<string, PartAssessment>();
@@ -107,6 +111,12 @@
     return longestSeries(this.#evidence.trials.get(part) ?? []).length;
   }
 
+  /** True if this many further crashes may show that the part is the cause. */
+  isSuspectPart(part: string, furtherCrashes: number): boolean {
+    const threshold = partCrashThreshold(this.#commonParts.has(part));
+    return this.crashesInSuccession(part) + furtherCrashes >= threshold;
+  }
+
   /** What is known against a part; undefined if no crash of it is known. */
   assessPart(part: string): PartAssessment | undefined {
     const known = this.#assessments.get(part);
@@ -118,6 +128,7 @@
       reports: [...this.#reports.values()],
       trials: this.#evidence.trials,
       poison: this.#poison,
+      commonParts: this.#commonParts,
     });
     this.#assessments.set(part, assessment);
     return assessment;
@@ -352,7 +363,11 @@
     const counted = reports.filter((report) => this.#countsForPoison(report));
     this.#suspects = new Set(counted.map(({ fingerprint }) => fingerprint));
     this.#poison = findPoisonRequests(counted);
+    this.#commonParts = new Set(
+      reports.flatMap(({ commonParts = [] }) => commonParts),
+    );
     this.#crashingParts = findCrashingParts({
+      commonParts: this.#commonParts,
       reports,
       trials: this.#evidence.trials,
       poison: this.#poison,
@@ -375,6 +390,7 @@
     right.wroteMilliseconds ?? Number.POSITIVE_INFINITY,
   );
   const parts = left.parts ?? right.parts;
+  const commonParts = mergeIds(left.commonParts, right.commonParts);
   const software = left.software ?? right.software;
   return {
     ...left,
@@ -383,13 +399,26 @@
     ranMilliseconds: Number.isFinite(ran) ? ran : undefined,
     // Daemons of older builds drop the parts of the reports that they pass on.
     ...(parts === undefined ? {} : { parts }),
+    ...(commonParts === undefined ? {} : { commonParts }),
     ...(software === undefined ? {} : { software }),
     ...(Number.isFinite(wrote) ? { wroteMilliseconds: wrote } : {}),
   };
 }
 
+/** Returns `left` itself if `right` adds nothing. */
+function mergeIds(
+  left: readonly string[] | undefined,
+  right: readonly string[] | undefined,
+): readonly string[] | undefined {
+  if (left === undefined || right === undefined) return left ?? right;
+  const added = right.filter((id) => !left.includes(id));
+  return added.length === 0 ? left : [...left, ...added].sort();
+}
+
 /** Drops the parts of a report, which matter only if the answer is blamed. */
-function withoutParts({ parts: _, ...report }: StoredReport): StoredReport {
+function withoutParts(
+  { parts: _, commonParts: __, ...report }: StoredReport,
+): StoredReport {
   return report;
 }
 
@@ -405,7 +434,8 @@
   return left.at === right.at && left.learnedAt === right.learnedAt &&
     left.ranMilliseconds === right.ranMilliseconds &&
     left.wroteMilliseconds === right.wroteMilliseconds &&
-    left.parts === right.parts && left.software === right.software;
+    left.parts === right.parts && left.commonParts === right.commonParts &&
+    left.software === right.software;
 }
 
 /** Orders entries from the oldest to the newest, then by key. */
--- a/packages/kelpspar-decisions/src/quarantine/crash_report.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_report.ts
@@ -16,6 +16,11 @@
   readonly wroteMilliseconds?: number | undefined;
   /** Ids of the prompt's parts that other requests may share. */
   readonly parts?: readonly string[];
+  /**
+   * Those of `parts` that were common in the sound answers of the daemon that saw
+   * the crash.
+   */
+  readonly commonParts?: readonly string[];
   /** Service and software version of the endpoint. */
   readonly software?: string;
 }
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -4,6 +4,11 @@
 
 /** Successive crashes from which a part counts as their cause. */
 export const PART_CRASH_THRESHOLD = 3;
+/**
+ * The same for a part that was common in the sound answers of a daemon: it is at
+ * most crashes whatever causes them.
+ */
+export const COMMON_PART_CRASH_THRESHOLD = 5;
 /**
  * Time from the first of these crashes until the part is quarantined. A sound
  * part that many requests share is answered on in between.
@@ -36,15 +41,23 @@
   readonly trials: PartTrials;
   /** Fingerprints of requests that crash endpoints. */
   readonly poison: ReadonlySet<string>;
+  /** Parts that were common in the sound answers of a daemon. */
+  readonly commonParts: ReadonlySet<string>;
 }
 
 /** A part with two or more trials in succession. */
 export interface Candidate {
   readonly part: string;
+  readonly isCommon: boolean;
   readonly trials: readonly PartTrial[];
   readonly series: readonly PartTrial[];
 }
 
+/** Successive crashes that make a part the cause, without unrelated ones. */
+export function partCrashThreshold(isCommon: boolean): number {
+  return isCommon ? COMMON_PART_CRASH_THRESHOLD : PART_CRASH_THRESHOLD;
+}
+
 /**
  * Finds the parts of prompts that crash the endpoints that begin to answer on
  * them. A part is the cause if endpoints crashed on it several times in
@@ -59,10 +72,10 @@
   const causes: CrashingParts[] = [];
   for (;;) {
     const candidates = listCandidates(options, explained);
-    const [likeliest] = candidates;
-    if (
-      likeliest === undefined || likeliest.series.length < PART_CRASH_THRESHOLD
-    ) return causes;
+    const mayBeCause = candidates.some(({ series }) =>
+      series.length >= PART_CRASH_THRESHOLD
+    );
+    if (!mayBeCause) return causes;
     const related = new Set(
       candidates.flatMap(({ trials }) => trials.map(({ crash }) => crash)),
     );
@@ -81,22 +94,51 @@
 
 /** Returns parts with two or more trials in succession, the likeliest first. */
 export function listCandidates(
-  { trials }: FindCrashingPartsOptions,
+  options: FindCrashingPartsOptions,
   explained: ReadonlySet<string>,
 ): readonly Candidate[] {
+  const { trials, commonParts } = options;
+  const poisonReports = listPoisonReports(options);
   const candidates: Candidate[] = [];
   for (const [part, partTrials] of trials) {
-    const open = partTrials.filter(({ crash }) => !explained.has(crash));
+    const isCommon = commonParts.has(part);
+    const open = partTrials.filter(({ crash }) =>
+      !explained.has(crash) &&
+      !(isCommon && isExplainedByPoison(part, poisonReports.get(crash)))
+    );
     const series = open.length < 2 ? [] : longestSeries(open);
-    if (series.length >= 2) candidates.push({ part, trials: open, series });
+    if (series.length < 2) continue;
+    candidates.push({ part, isCommon, trials: open, series });
   }
   return candidates.sort((left, right) =>
+    Number(left.isCommon) - Number(right.isCommon) ||
     right.series.length - left.series.length ||
     totalRan(left) - totalRan(right) ||
     (left.part < right.part ? -1 : 1)
   );
 }
 
+/** Reports of requests that crash endpoints, by crash. */
+function listPoisonReports(
+  { reports, poison }: FindCrashingPartsOptions,
+): ReadonlyMap<string, readonly TimedCrashReport[]> {
+  const byCrash = new Map<string, TimedCrashReport[]>();
+  for (const report of reports) {
+    if (!poison.has(report.fingerprint)) continue;
+    byCrash.set(report.crash, [...byCrash.get(report.crash) ?? [], report]);
+  }
+  return byCrash;
+}
+
+/** Whether a part was only beside the requests that explain a crash. */
+function isExplainedByPoison(
+  part: string,
+  reports: readonly TimedCrashReport[] = [],
+): boolean {
+  return reports.length > 0 &&
+    reports.every(({ parts = [] }) => !parts.includes(part));
+}
+
 function totalRan({ series }: Candidate): number {
   return series.reduce((sum, trial) => sum + trial.ranMilliseconds, 0);
 }
@@ -125,7 +167,10 @@
 ): number {
   const count = countUnrelated(candidate, unrelatedCrashes);
   const raised = UNRELATED_CRASH_STEPS.filter((step) => count >= step);
-  return PART_CRASH_THRESHOLD + raised.length;
+  return Math.max(
+    partCrashThreshold(candidate.isCommon),
+    PART_CRASH_THRESHOLD + raised.length,
+  );
 }
 
 /** The unrelated crashes shortly before the last one of a candidate. */
--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
@@ -24,8 +24,9 @@
   world: World,
   part: string,
   count: number,
+  from = 0,
 ): Promise<void> {
-  for (let number = 0; number < count; number++) {
+  for (let number = from; number < from + count; number++) {
     world.quarantine.reportCrash({
       fingerprint: `other ${number}`,
       crash: `c${number}`,
@@ -185,3 +186,46 @@
   expect(sent.map(({ fields }) => fields["crashesInSuccession"]))
     .toEqual([2, 0]);
 });
+
+/** Has a daemon serve many requests with a part. */
+function makeCommon(world: World, part: string): void {
+  for (let answers = 0; answers < 10; answers++) {
+    world.quarantine.answered({
+      parts: [part],
+      software: SOFTWARE,
+      beganAt: world.timer.now(),
+    });
+  }
+}
+
+// Guards against a verdict that depends on what each daemon served before.
+test("daemons agree on a common part, whichever of them served it", async () => {
+  const server = createWorld([]);
+  const newcomer = createWorld([]);
+  makeCommon(server, "p");
+  for (const crashes of [4, 1]) {
+    await crashOn(
+      server,
+      "p",
+      crashes,
+      server.quarantine.page().reports.length,
+    );
+    await newcomer.timer.advance(server.timer.now() - newcomer.timer.now());
+    newcomer.quarantine.merge(server.quarantine.page(), "daemon");
+    expect(newcomer.quarantine.keys).toEqual(server.quarantine.keys);
+  }
+  expect([...newcomer.quarantine.keys]).toEqual(["parts p"]);
+});
+
+// Guards against a common part that stays held although endpoints answer on it.
+test("an answer after its crashes releases a common part at all daemons", async () => {
+  const server = createWorld([]);
+  const other = createWorld([]);
+  makeCommon(server, "p");
+  await crashOn(server, "p", 5);
+  other.quarantine.merge(server.quarantine.page(), "daemon");
+  expect(other.quarantine.partsSize).toEqual(1);
+  makeCommon(server, "p");
+  other.quarantine.merge(server.quarantine.page(), "daemon");
+  expect(other.quarantine.partsSize).toEqual(0);
+});
--- a/packages/kelpspar-gateway/src/quarantine/common_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/common_parts.ts
@@ -11,8 +11,7 @@
 
 /**
  * The parts that many of this daemon's latest sound answers have. Such a part is
- * at most crashes whatever causes them, and quarantining it would refuse the
- * answers that clear it.
+ * at most crashes whatever causes them, so that reports of crashes name it.
  */
 export class CommonParts {
   readonly #answers: RememberedAnswer[] = [];
--- a/packages/kelpspar-gateway/src/quarantine/crash_message.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_message.ts
@@ -13,6 +13,8 @@
     /** Null when no event had arrived; daemons of older builds send none. */
     wroteMilliseconds: z.number().nullish(),
     parts: z.array(z.string()).optional(),
+    /** Daemons of older builds send none. */
+    commonParts: z.array(z.string()).optional(),
     software: z.string().optional(),
     ageMilliseconds: ageSchema,
   })),
@@ -30,11 +32,12 @@
 
 export function toCrashMessage(page: CrashPage): CrashMessage {
   return {
-    reports: page.reports.map(({ parts, ...report }) => ({
+    reports: page.reports.map(({ parts, commonParts, ...report }) => ({
       ...report,
       ranMilliseconds: report.ranMilliseconds ?? null,
       wroteMilliseconds: report.wroteMilliseconds ?? null,
       ...(parts === undefined ? {} : { parts: [...parts] }),
+      ...(commonParts === undefined ? {} : { commonParts: [...commonParts] }),
     })),
     served: [...page.served],
     cleared: [...page.cleared ?? []],
@@ -45,12 +48,16 @@
   return {
     served: message.served,
     cleared: message.cleared ?? [],
-    reports: message.reports.map(({ parts, software, ...report }) => ({
-      ...report,
-      ranMilliseconds: report.ranMilliseconds ?? undefined,
-      wroteMilliseconds: report.wroteMilliseconds ?? undefined,
-      ...(parts === undefined ? {} : { parts }),
-      ...(software === undefined ? {} : { software }),
-    })),
+    reports: message.reports.map((received) => {
+      const { parts, commonParts, software, ...report } = received;
+      return {
+        ...report,
+        ranMilliseconds: report.ranMilliseconds ?? undefined,
+        wroteMilliseconds: report.wroteMilliseconds ?? undefined,
+        ...(parts === undefined ? {} : { parts }),
+        ...(commonParts === undefined ? {} : { commonParts }),
+        ...(software === undefined ? {} : { software }),
+      };
+    }),
   };
 }
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -17,25 +17,18 @@
 
 /** How often expired reports are dropped, milliseconds. */
 const SWEEP_INTERVAL_MILLISECONDS = 60_000;
-/**
- * Crashes in succession on a part of a request from which this daemon doesn't
- * send the request to another endpoint by itself.
- */
-const SUSPECT_CRASHES = 2;
 
 /** Crashes named in a log line at most. */
 const MAXIMUM_DESCRIBED_CRASHES = 20;
 
 /**
  * Why requests with a part that endpoints crashed on are sent: too few crashes
- * in succession, all cleared by answers, an answer may still clear it, or this
- * daemon's own answers have it often.
+ * in succession, all cleared by answers, or an answer may still clear it.
  */
 export type SuspectPartReason =
   | "few_crashes"
   | "cleared"
-  | "grace_period"
-  | "common";
+  | "grace_period";
 
 /** A part of a prompt that endpoints crashed on, and why it isn't quarantined. */
 export interface SuspectPart extends PartAssessment {
@@ -115,18 +108,20 @@
 
   /** True if one more crash may show that a part of the request is the cause. */
   isSuspect(request: QuarantinableRequest): boolean {
-    return this.crashesInSuccession(request) >= SUSPECT_CRASHES;
+    return this.#hasSuspectPart(request, 1);
   }
 
-  /** Most endpoints that crashed in succession on a part of the request. */
-  crashesInSuccession({ parts }: QuarantinableRequest): number {
-    if (!this.#ledger.hasSuspectParts) return 0;
-    const now = this.#options.timer.now();
-    return Math.max(
-      0,
-      ...parts.filter((part) => !this.#commonParts.has(part, now))
-        .map((part) => this.#ledger.crashesInSuccession(part)),
-    );
+  /** True if one more crash may make the request suspect. */
+  mayBecomeSuspect(request: QuarantinableRequest): boolean {
+    return this.#hasSuspectPart(request, 2);
+  }
+
+  #hasSuspectPart(
+    { parts }: QuarantinableRequest,
+    furtherCrashes: number,
+  ): boolean {
+    return this.#ledger.hasSuspectParts &&
+      parts.some((part) => this.#ledger.isSuspectPart(part, furtherCrashes));
   }
 
   /** Keys of all subjects that must not be sent. */
@@ -173,7 +168,13 @@
     const now = this.#options.timer.now();
     this.#reportedHere.add(report.fingerprint);
     this.#crashesDetectedHere.add(report.crash);
-    this.#applyChange("own", () => this.#ledger.report(report, now, at));
+    const commonParts = (report.parts ?? []).filter((part) =>
+      this.#commonParts.has(part, now)
+    );
+    const stated = commonParts.length === 0
+      ? report
+      : { ...report, commonParts };
+    this.#applyChange("own", () => this.#ledger.report(stated, now, at));
   }
 
   /** Records that an endpoint answered a request completely. */
@@ -187,7 +188,6 @@
    * request may be sent nevertheless.
    */
   findSuspectPart({ parts }: QuarantinableRequest): SuspectPart | undefined {
-    const now = this.#options.timer.now();
     const [most] = parts.flatMap((part) => {
       const assessment = this.#ledger.assessPart(part);
       return assessment === undefined ? [] : [{ part, ...assessment }];
@@ -198,9 +198,8 @@
     if (most === undefined) return undefined;
     const { crashesInSuccession, threshold } = most;
     const isCause = crashesInSuccession >= threshold;
-    const isCommon = this.#commonParts.has(most.part, now);
     const reason = isCause
-      ? (isCommon ? "common" : "grace_period")
+      ? "grace_period"
       : (crashesInSuccession === 0 ? "cleared" : "few_crashes");
     return { ...most, reason };
   }
@@ -292,10 +291,9 @@
       ...[...poison].map((fingerprint) =>
         ({ type: "request", fingerprint }) as const
       ),
-      ...crashingParts.filter(({ enforcedFrom, parts }) =>
-        enforcedFrom <= now &&
-        !parts.every((part) => this.#commonParts.has(part, now))
-      ).map((cause) => ({ type: "parts", ...cause }) as const),
+      ...crashingParts.filter(({ enforcedFrom }) => enforcedFrom <= now).map((
+        cause,
+      ) => ({ type: "parts", ...cause }) as const),
     ];
     const before = this.#subjects;
     this.#subjects = new Map(
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -58,7 +58,7 @@
     | "find"
     | "findSuspectPart"
     | "isSuspect"
-    | "crashesInSuccession"
+    | "mayBecomeSuspect"
     | "served"
     | "answered"
   >;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -441,8 +441,7 @@
       firstEventAt,
       hasRestarted: endpoint.ended.aborted,
     });
-    const isCounted = quarantine.crashesInSuccession(run) > 0;
-    if (isCounted && run.hasAttemptsLeft) await check;
+    if (quarantine.mayBecomeSuspect(run) && run.hasAttemptsLeft) await check;
   }
 
   /** Records that the endpoint answers on the parts of the prompt. */
