--- a/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
+++ b/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
@@ -1,11 +1,18 @@
 import { SeededRandom } from "kelpspar-shared";
-import { CrashLedger } from "../../quarantine/mod.ts";
+import {
+  CrashLedger,
+  NARROW_WINDOW,
+  WIDE_WINDOW,
+} from "../../quarantine/mod.ts";
 import { EventQueue } from "./event_queue.ts";
 
 const MINUTE_MILLISECONDS = 60_000;
 const DOWN_MILLISECONDS = 2_500;
-/** Time for which an answer must go on to clear its parts. */
-const SOUND_MILLISECONDS = 400;
+/** Times after which an answer that goes on clears its parts. */
+const SOUND_MILLISECONDS = [NARROW_WINDOW, WIDE_WINDOW]
+  .map(({ soundAfterMilliseconds }) => soundAfterMilliseconds);
+const SHORTEST_BAD_MILLISECONDS = 30;
+const LONGEST_BAD_MILLISECONDS = 160;
 const SOFTWARE = "model v1";
 /** Parts that each request has. */
 const COMMON_PARTS = 4;
@@ -38,6 +45,8 @@
   readonly propagationMilliseconds: number;
   /** Interval of requests with a part that crashes endpoints, if any. */
   readonly badIntervalMilliseconds?: number;
+  /** Longest time for which their answers write before the crash. */
+  readonly longestBadMilliseconds?: number;
 }
 
 /** What a replayed minute showed. */
@@ -78,6 +87,8 @@
     readonly endpoint: number;
     readonly life: number;
     readonly answer: RunningAnswer;
+    /** Undefined once the answer has ended whole. */
+    readonly wroteMilliseconds: number | undefined;
   }
   | { readonly type: "act"; readonly act: (now: number) => void };
 
@@ -202,33 +213,54 @@
     if (index === undefined || endpoint === undefined) return;
     const beganAt = now + 60 + this.#random.next() * 500;
     const life = endpoint.incarnation;
+    let crashesAt = Number.NEGATIVE_INFINITY;
     if (prompt.isBad) {
       const third = this.#badCrashes[2];
       if (third !== undefined && now > third + 1_000) this.#lateBad++;
-      const at = beganAt + 30 + this.#random.next() * 130;
-      this.#events.push(at, { type: "crash", endpoint: index, life });
+      const { longestBadMilliseconds = LONGEST_BAD_MILLISECONDS } =
+        this.#options;
+      const range = longestBadMilliseconds - SHORTEST_BAD_MILLISECONDS;
+      crashesAt = beganAt + SHORTEST_BAD_MILLISECONDS +
+        this.#random.next() * range;
+      this.#events.push(crashesAt, { type: "crash", endpoint: index, life });
     }
     const answer = {
       prompt,
       beganAt,
-      endsAt: beganAt + 200 + this.#random.next() * 4_000,
+      // No answer on a bad part ends whole.
+      endsAt: Math.max(
+        beganAt + 200 + this.#random.next() * 4_000,
+        crashesAt + 1,
+      ),
     };
     endpoint.answers.push(answer);
-    this.#events.push(
-      Math.min(answer.endsAt, beganAt + SOUND_MILLISECONDS),
-      { type: "answered", endpoint: index, life, answer },
-    );
+    const answered = (at: number, wroteMilliseconds?: number): void =>
+      this.#events.push(at, {
+        type: "answered",
+        endpoint: index,
+        life,
+        answer,
+        wroteMilliseconds,
+      });
+    for (const wrote of SOUND_MILLISECONDS) {
+      if (beganAt + wrote < answer.endsAt) answered(beganAt + wrote, wrote);
+    }
+    answered(answer.endsAt);
   }
 
   #answer(
-    { endpoint, life, answer }: Extract<ReplayEvent, { type: "answered" }>,
+    event: Extract<ReplayEvent, { type: "answered" }>,
     now: number,
   ): void {
+    const { endpoint, life, answer, wroteMilliseconds } = event;
     const isAlive = this.#endpoints[endpoint]?.incarnation === life;
     if (!isAlive || !this.#ledger.hasSuspectParts) return;
     const { prompt: { parts }, beganAt } = answer;
     this.#later(now, (at) => {
-      this.#ledger.clearParts({ parts, software: SOFTWARE, beganAt }, at);
+      this.#ledger.clearParts(
+        { parts, software: SOFTWARE, beganAt, wroteMilliseconds },
+        at,
+      );
     });
   }
 
--- a/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
@@ -8,6 +8,7 @@
   MAXIMUM_REPORTS,
   REPORT_LIFETIME_MILLISECONDS,
   SUSPECT_LIFETIME_MILLISECONDS,
+  WIDE_WINDOW,
 } from "../../quarantine/mod.ts";
 
 /** The fingerprint of a request depends on the parts of its prompt. */
@@ -24,7 +25,8 @@
         fingerprint: fc.constantFrom("a", "b", "c"),
         crash: fc.constantFrom("1", "2", "3", "4", "5"),
         ranMilliseconds: fc.constantFrom(undefined, 5, 90),
-        wroteMilliseconds: fc.constantFrom(undefined, 5, 900),
+        wroteMilliseconds: fc.constantFrom(undefined, 5, 900, 1_100),
+        commonParts: fc.constantFrom([], ["p"], ["q"], ["p", "q"]),
         ageMilliseconds: fc.nat(1_000),
       }).map((report) => ({
         ...report,
@@ -36,13 +38,18 @@
       ageMilliseconds: fc.nat(1_000),
     })),
     clearedCrashes: fc.subarray(["1", "2", "3", "4", "5"]),
-  }).map(({ clearedCrashes, ...page }) => ({
+    clearedWideCrashes: fc.subarray(["1", "2", "3", "4", "5"]),
+  }).map(({ clearedCrashes, clearedWideCrashes, ...page }) => ({
     ...page,
     // A page has a blamed report of each crash that its parts are cleared of.
     cleared: page.reports
       .filter((report) => isBlamed({ ...report, at: 0 }))
       .filter(({ crash }) => clearedCrashes.includes(crash))
       .flatMap(({ crash, parts }) => parts.map((part) => ({ part, crash }))),
+    clearedWide: page.reports
+      .filter((report) => isBlamed({ ...report, at: 0 }, WIDE_WINDOW))
+      .filter(({ crash }) => clearedWideCrashes.includes(crash))
+      .flatMap(({ crash, parts }) => parts.map((part) => ({ part, crash }))),
   })),
 );
 
@@ -54,9 +61,10 @@
 
 /** All that a ledger holds, in an order that doesn't depend on its merges. */
 function contentOf(ledger: CrashLedger): readonly string[] {
-  const { reports, served, cleared = [] } = ledger.page(2_000);
+  const page = ledger.page(2_000);
+  const { reports, served, cleared = [], clearedWide = [] } = page;
   return [
-    ...[...reports, ...served, ...cleared].map((entry) =>
+    ...[...reports, ...served, ...cleared, ...clearedWide].map((entry) =>
       JSON.stringify(Object.entries(entry).sort())
     ),
     ...ledger.poison,
--- a/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
@@ -227,8 +227,46 @@
   expect(causesOf(ledger)).toEqual([]);
 });
 
+// Guards against never blaming a part whose answers write for a while.
+test("answers that were cut a while after they began take five crashes", () => {
+  const ledger = new CrashLedger();
+  const crashAt = (number: number): void =>
+    report(ledger, {
+      crash: `c${number}`,
+      at: number * SECOND,
+      fingerprint: `f${number}`,
+      parts: ["p"],
+      ran: 530,
+    });
+  for (const number of [1, 2, 3, 4]) crashAt(number);
+  expect(causesOf(ledger)).toEqual([]);
+  crashAt(5);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
+// Guards against clearing a part by an answer that crashes its endpoint later.
+test("an answer clears only crashes of answers that wrote for less time", () => {
+  const ledger = new CrashLedger();
+  for (let number = 1; number <= 5; number++) {
+    report(ledger, {
+      crash: `c${number}`,
+      at: number * SECOND,
+      fingerprint: `f${number}`,
+      parts: ["p"],
+      ran: 530,
+    });
+  }
+  const answer = { parts: ["p"], software: SOFTWARE, beganAt: 5_500 };
+  ledger.clearParts({ ...answer, wroteMilliseconds: 500 }, 6_100);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+  ledger.clearParts({ ...answer, wroteMilliseconds: 2_000 }, 7_600);
+  expect(causesOf(ledger)).toEqual([]);
+});
+
 /** `KELPSPAR_REPLAYED_MINUTES=1000` replays more by hand. */
 const REPLAYED_MINUTES = Number(process.env["KELPSPAR_REPLAYED_MINUTES"] ?? 6);
+/** Five, three that may follow, and what comes within 3 s of the fifth. */
+const MAXIMUM_CRASHES = 12;
 const SITES = [
   { endpoints: 8, requestsPerSecond: 40, parts: 44 },
   { endpoints: 9, requestsPerSecond: 60, parts: 53 },
@@ -278,3 +316,22 @@
     }
   }
 });
+
+// Guards against blaming only answers that were cut as they began.
+test("a part that crashes endpoints a while after the first event is held", () => {
+  for (const site of SITES) {
+    for (let seed = 1; seed <= REPLAYED_MINUTES; seed++) {
+      const { heldSound, badCrashes } = replayParts({
+        ...site,
+        seed,
+        chanceCrashes: "single",
+        crashesPerSecond: 0,
+        propagationMilliseconds: seed % 2 === 0 ? 200 : 30,
+        badIntervalMilliseconds: 700,
+        longestBadMilliseconds: 730,
+      });
+      expect(heldSound).toEqual(0);
+      expect(badCrashes).toBeLessThanOrEqual(MAXIMUM_CRASHES);
+    }
+  }
+});
--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -1,11 +1,11 @@
 import type { FindCrashingPartsOptions } from "./find_crashing_parts.ts";
 import {
   countUnrelated,
+  createCandidate,
   listCandidates,
   listUnrelatedCrashes,
-  thresholdOf,
+  thresholdsOf,
 } from "./find_crashing_parts.ts";
-import { longestSeries } from "./part_trials.ts";
 
 /** What speaks for a part being the cause of crashes. */
 export interface PartAssessment {
@@ -13,12 +13,17 @@
   readonly crashes: number;
   /** Those that an answer cleared it of. */
   readonly clearedCrashes: number;
+  /** Of answers that were cut as they began. */
   readonly crashesInSuccession: number;
+  /** Of these and of answers that were cut a while later. */
+  readonly wideCrashesInSuccession: number;
   readonly unrelatedCrashes: number;
   /** Whether it was common in the sound answers of a daemon. */
   readonly isCommon: boolean;
   /** Crashes in succession from which it counts as the cause. */
   readonly threshold: number;
+  /** The same for `wideCrashesInSuccession`. */
+  readonly wideThreshold: number;
 }
 
 /** Options of `assessPart`. */
@@ -32,25 +37,29 @@
   part: string,
   options: AssessPartOptions,
 ): PartAssessment {
-  const { crashes, trials } = options;
-  const open = trials.get(part) ?? [];
-  const candidate = {
+  const { crashes } = options;
+  const open = options.wideTrials.get(part) ?? [];
+  const candidate = createCandidate({
     part,
     isCommon: options.commonParts.has(part),
-    trials: open,
-    series: longestSeries(open),
-  };
+    trials: options.trials.get(part) ?? [],
+    wideTrials: open,
+  });
+  const { series, wideSeries } = candidate;
   const related = new Set(
     [candidate, ...listCandidates(options, new Set())]
       .flatMap(({ trials: own }) => own.map(({ crash }) => crash)),
   );
   const unrelated = listUnrelatedCrashes(options, related, new Set());
+  const thresholds = thresholdsOf(candidate, unrelated);
   return {
     crashes: crashes.length,
     clearedCrashes: crashes.length - open.length,
-    crashesInSuccession: candidate.series.length,
+    crashesInSuccession: series.length,
+    wideCrashesInSuccession: wideSeries.length,
     unrelatedCrashes: countUnrelated(candidate, unrelated),
     isCommon: candidate.isCommon,
-    threshold: thresholdOf(candidate, unrelated),
+    threshold: thresholds.narrow,
+    wideThreshold: thresholds.wide,
   };
 }
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -1,16 +1,15 @@
+import type { BlameWindow } from "./blame_window.ts";
 import type { ClearedPart, CrashPage } from "./crash_page.ts";
 import type { CrashReport, TimedCrashReport } from "./crash_report.ts";
 import type { CrashingParts } from "./find_crashing_parts.ts";
 import type { PartAssessment } from "./assess_part.ts";
 import { hashText } from "../routing/rendezvous_hash.ts";
 import { assessPart } from "./assess_part.ts";
-import {
-  findCrashingParts,
-  partCrashThreshold,
-} from "./find_crashing_parts.ts";
+import { isBlamed, NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
+import { baseThresholds, findCrashingParts } from "./find_crashing_parts.ts";
 import { findPoisonRequests } from "./find_poison_requests.ts";
 import { PartEvidence } from "./part_evidence.ts";
-import { isBlamed, longestSeries } from "./part_trials.ts";
+import { longestSeries } from "./part_trials.ts";
 
 /** How long a report that quarantines something is kept: one hour. */
 export const REPORT_LIFETIME_MILLISECONDS = 3_600_000;
@@ -38,6 +37,11 @@
   readonly learnedAt: number;
 }
 
+/** Crashes that an answer clears its parts of, by blame window. */
+export type ClearedParts = Required<
+  Pick<CrashPage, "cleared" | "clearedWide">
+>;
+
 /** An answer that shows that endpoints answer on its parts. */
 export interface SoundAnswer {
   /** Ids of the prompt's parts that other requests may share. */
@@ -46,6 +50,8 @@
   readonly software: string;
   /** When the answer began, monotonic milliseconds. */
   readonly beganAt: number;
+  /** For how long it has written events; undefined if it ended whole. */
+  readonly wroteMilliseconds?: number | undefined;
 }
 
 /**
@@ -59,7 +65,8 @@
   readonly #reports = new Map<string, StoredReport>();
   /** When requests were last served successfully. */
   readonly #served = new Map<string, number>();
-  readonly #evidence = new PartEvidence();
+  readonly #evidence = new PartEvidence(NARROW_WINDOW);
+  readonly #wideEvidence = new PartEvidence(WIDE_WINDOW);
   #poison: ReadonlySet<string> = new Set();
   #crashingParts: readonly CrashingParts[] = [];
   #commonParts: ReadonlySet<string> = new Set();
@@ -82,7 +89,7 @@
 
   /** True while an answer could clear a part. */
   get hasSuspectParts(): boolean {
-    return this.#evidence.trials.size > 0;
+    return this.#wideEvidence.trials.size > 0;
   }
 
   /** 0 for an empty ledger; equal for ledgers with the same content. */
@@ -103,30 +110,25 @@
     }, now);
   }
 
-  /**
-   * Number of endpoints that crashed in succession on a part without an answer
-   * on it in between.
-   */
-  crashesInSuccession(part: string): number {
-    return longestSeries(this.#evidence.trials.get(part) ?? []).length;
-  }
-
   /** True if this many further crashes may show that the part is the cause. */
   isSuspectPart(part: string, furtherCrashes: number): boolean {
-    const threshold = partCrashThreshold(this.#commonParts.has(part));
-    return this.crashesInSuccession(part) + furtherCrashes >= threshold;
+    const { narrow, wide } = baseThresholds(this.#commonParts.has(part));
+    const crashes = countSuccessive(this.#evidence, part);
+    if (crashes + furtherCrashes >= narrow) return true;
+    return countSuccessive(this.#wideEvidence, part) + furtherCrashes >= wide;
   }
 
   /** What is known against a part; undefined if no crash of it is known. */
   assessPart(part: string): PartAssessment | undefined {
     const known = this.#assessments.get(part);
     if (known !== undefined) return known;
-    const crashes = this.#evidence.crashesOf(part);
+    const crashes = this.#wideEvidence.crashesOf(part);
     if (crashes.length === 0) return undefined;
     const assessment = assessPart(part, {
       crashes,
       reports: [...this.#reports.values()],
       trials: this.#evidence.trials,
+      wideTrials: this.#wideEvidence.trials,
       poison: this.#poison,
       commonParts: this.#commonParts,
     });
@@ -135,27 +137,46 @@
   }
 
   /**
-   * Crashes that an answer clears its parts of: those before it began. Endpoints
-   * of other software prove nothing, since a new version may be what crashes.
+   * Crashes that an answer clears its parts of: those before it began, if it has
+   * written for long enough. Endpoints of other software prove nothing, since a
+   * new version may be what crashes.
    */
-  findCleared(
-    { parts, software, beganAt }: SoundAnswer,
-  ): readonly ClearedPart[] {
-    return parts.flatMap((part) =>
-      (this.#evidence.trials.get(part) ?? []).filter(({ reports }) =>
-        reports.some((report) =>
-          report.software === software &&
-          this.#latestCrashTime(report) < beganAt
-        )
-      ).map(({ crash }) => ({ part, crash }))
-    );
+  findCleared(answer: SoundAnswer): ClearedParts {
+    const { wroteMilliseconds = Number.POSITIVE_INFINITY } = answer;
+    const findIn = (
+      { trials }: PartEvidence,
+      { soundAfterMilliseconds }: BlameWindow,
+    ): readonly ClearedPart[] =>
+      wroteMilliseconds < soundAfterMilliseconds
+        ? []
+        : answer.parts.flatMap((part) =>
+          (trials.get(part) ?? [])
+            .filter(({ reports }) => this.#isDisproved(reports, answer))
+            .map(({ crash }) => ({ part, crash }))
+        );
+    return {
+      cleared: findIn(this.#evidence, NARROW_WINDOW),
+      clearedWide: findIn(this.#wideEvidence, WIDE_WINDOW),
+    };
   }
 
   /** Clears parts as `findCleared` says; returns false if there were none. */
   clearParts(answer: SoundAnswer, now: number): boolean {
-    const cleared = this.findCleared(answer);
-    return cleared.length > 0 &&
-      this.merge({ reports: [], served: [], cleared }, now);
+    return this.#clear(this.findCleared(answer), now);
+  }
+
+  #isDisproved(
+    reports: readonly TimedCrashReport[],
+    { software, beganAt }: SoundAnswer,
+  ): boolean {
+    return reports.some((report) =>
+      report.software === software && this.#latestCrashTime(report) < beganAt
+    );
+  }
+
+  #clear(parts: ClearedParts, now: number): boolean {
+    return parts.cleared.length + parts.clearedWide.length > 0 &&
+      this.merge({ reports: [], served: [], ...parts }, now);
   }
 
   /**
@@ -176,11 +197,14 @@
 
   /** Clears parts of all crashes that are known now. */
   releaseParts(parts: readonly string[], now: number): void {
-    const cleared = parts.flatMap((part) =>
-      (this.#evidence.trials.get(part) ?? [])
-        .map(({ crash }) => ({ part, crash }))
-    );
-    this.merge({ reports: [], served: [], cleared }, now);
+    const listIn = ({ trials }: PartEvidence): readonly ClearedPart[] =>
+      parts.flatMap((part) =>
+        (trials.get(part) ?? []).map(({ crash }) => ({ part, crash }))
+      );
+    this.#clear({
+      cleared: listIn(this.#evidence),
+      clearedWide: listIn(this.#wideEvidence),
+    }, now);
   }
 
   /** Merges another daemon's reports; returns false if nothing changed. */
@@ -190,7 +214,9 @@
       if (ageMilliseconds >= REPORT_LIFETIME_MILLISECONDS) continue;
       const at = now - ageMilliseconds;
       const stored = { ...report, at, learnedAt: now };
-      this.#addReport(isBlamed(stored) ? stored : withoutParts(stored));
+      this.#addReport(
+        isBlamed(stored, WIDE_WINDOW) ? stored : withoutParts(stored),
+      );
     }
     for (const { fingerprint, ageMilliseconds } of page.served) {
       if (ageMilliseconds >= REPORT_LIFETIME_MILLISECONDS) continue;
@@ -199,6 +225,10 @@
     for (const cleared of page.cleared ?? []) {
       if (this.#evidence.clear(cleared)) this.#toggle(clearedKey(cleared), 1);
     }
+    for (const cleared of page.clearedWide ?? []) {
+      if (!this.#wideEvidence.clear(cleared)) continue;
+      this.#toggle(clearedWideKey(cleared), 1);
+    }
     this.#dropExpired(now);
     this.#dropExcess();
     this.#dropOldSuspects(now);
@@ -243,13 +273,14 @@
   #createPage(
     reports: readonly StoredReport[],
     now: number,
-  ): Pick<CrashPage, "reports" | "cleared"> {
+  ): Pick<CrashPage, "reports" | "cleared" | "clearedWide"> {
     return {
       reports: reports.map(({ at, learnedAt: _, ...report }) => ({
         ...report,
         ageMilliseconds: now - at,
       })),
       cleared: this.#evidence.clearedOf(reports),
+      clearedWide: this.#wideEvidence.clearedOf(reports),
     };
   }
 
@@ -267,8 +298,12 @@
     if (known !== undefined && isSameReport(known, stored)) return;
     this.#reports.set(key, stored);
     this.#evidence.add(stored);
+    this.#wideEvidence.add(stored);
     if (known === undefined) this.#toggle(key, 1);
-    else this.#evidence.remove(known);
+    else {
+      this.#evidence.remove(known);
+      this.#wideEvidence.remove(known);
+    }
     this.#isChanged = true;
   }
 
@@ -278,6 +313,9 @@
     for (const ended of this.#evidence.remove(report)) {
       this.#toggle(clearedKey(ended), -1);
     }
+    for (const ended of this.#wideEvidence.remove(report)) {
+      this.#toggle(clearedWideKey(ended), -1);
+    }
   }
 
   #addServed(fingerprint: string, at: number): void {
@@ -370,6 +408,7 @@
       commonParts: this.#commonParts,
       reports,
       trials: this.#evidence.trials,
+      wideTrials: this.#wideEvidence.trials,
       poison: this.#poison,
     });
   }
@@ -378,17 +417,15 @@
 /**
  * Merges two reports of the same crash. The higher age is closer to the crash,
  * since a report's time in transit isn't part of its age. An answer that had
- * begun is the more specific observation.
+ * begun is the more specific observation, and of two the one that wrote for less
+ * time, so that merging never lifts the blame.
  */
 function mergeReports(left: StoredReport, right: StoredReport): StoredReport {
   const ran = Math.min(
     left.ranMilliseconds ?? Number.POSITIVE_INFINITY,
     right.ranMilliseconds ?? Number.POSITIVE_INFINITY,
   );
-  const wrote = Math.min(
-    left.wroteMilliseconds ?? Number.POSITIVE_INFINITY,
-    right.wroteMilliseconds ?? Number.POSITIVE_INFINITY,
-  );
+  const { wroteMilliseconds } = compareByWrote(left, right) <= 0 ? left : right;
   const parts = left.parts ?? right.parts;
   const commonParts = mergeIds(left.commonParts, right.commonParts);
   const software = left.software ?? right.software;
@@ -401,10 +438,18 @@
     ...(parts === undefined ? {} : { parts }),
     ...(commonParts === undefined ? {} : { commonParts }),
     ...(software === undefined ? {} : { software }),
-    ...(Number.isFinite(wrote) ? { wroteMilliseconds: wrote } : {}),
+    wroteMilliseconds,
   };
 }
 
+/** Orders reports by how long their answers had written, those not begun last. */
+function compareByWrote(left: StoredReport, right: StoredReport): number {
+  const hasBegun = ({ ranMilliseconds }: StoredReport): boolean =>
+    ranMilliseconds !== undefined;
+  return Number(hasBegun(right)) - Number(hasBegun(left)) ||
+    (left.wroteMilliseconds ?? -1) - (right.wroteMilliseconds ?? -1);
+}
+
 /** Returns `left` itself if `right` adds nothing. */
 function mergeIds(
   left: readonly string[] | undefined,
@@ -455,6 +500,14 @@
   return `${part} cleared of ${crash}`;
 }
 
+function clearedWideKey(cleared: ClearedPart): string {
+  return `${clearedKey(cleared)} wide`;
+}
+
+function countSuccessive({ trials }: PartEvidence, part: string): number {
+  return longestSeries(trials.get(part) ?? []).length;
+}
+
 function reportKey({ fingerprint, crash }: CrashReport): string {
   return `${fingerprint} ${crash}`;
 }
--- a/packages/kelpspar-decisions/src/quarantine/crash_page.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_page.ts
@@ -11,7 +11,10 @@
   readonly ageMilliseconds: number;
 }
 
-/** A part of a prompt that was answered on after a crash it was at. */
+/**
+ * A part of a prompt that was answered on after a crash it was at, for long
+ * enough to disprove the blame of one window.
+ */
 export interface ClearedPart {
   readonly part: string;
   readonly crash: string;
@@ -21,5 +24,8 @@
 export interface CrashPage {
   readonly reports: readonly AgedCrashReport[];
   readonly served: readonly AgedServedRequest[];
+  /** Of the narrow blame window. */
   readonly cleared?: readonly ClearedPart[];
+  /** Of the wide one; each of them stands in `cleared` as well. */
+  readonly clearedWide?: readonly ClearedPart[];
 }
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -1,14 +1,9 @@
 import type { TimedCrashReport } from "./crash_report.ts";
 import type { PartTrial, PartTrials } from "./part_trials.ts";
+import type { BlameWindow } from "./blame_window.ts";
+import { NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
 import { longestSeries } from "./part_trials.ts";
 
-/** Successive crashes from which a part counts as their cause. */
-export const PART_CRASH_THRESHOLD = 3;
-/**
- * The same for a part that was common in the sound answers of a daemon: it is at
- * most crashes whatever causes them.
- */
-export const COMMON_PART_CRASH_THRESHOLD = 5;
 /**
  * Time from the first of these crashes until the part is quarantined. A sound
  * part that many requests share is answered on in between.
@@ -37,25 +32,42 @@
 /** Options of `findCrashingParts`. */
 export interface FindCrashingPartsOptions {
   readonly reports: readonly TimedCrashReport[];
-  /** Trials of each part that weren't cleared. */
+  /** Trials of each part in the narrow blame window that weren't cleared. */
   readonly trials: PartTrials;
+  /** The same in the wide one. */
+  readonly wideTrials: PartTrials;
   /** Fingerprints of requests that crash endpoints. */
   readonly poison: ReadonlySet<string>;
   /** Parts that were common in the sound answers of a daemon. */
   readonly commonParts: ReadonlySet<string>;
 }
 
-/** A part with two or more trials in succession. */
+/** A part that may be the cause of crashes. */
 export interface Candidate {
   readonly part: string;
   readonly isCommon: boolean;
+  /** Trials in the wide blame window. */
   readonly trials: readonly PartTrial[];
+  /** Trials in succession in the narrow blame window. */
   readonly series: readonly PartTrial[];
+  /** The same in the wide one. */
+  readonly wideSeries: readonly PartTrial[];
+}
+
+/** Crashes in succession that make a part the cause, by blame window. */
+export interface CrashThresholds {
+  readonly narrow: number;
+  readonly wide: number;
 }
 
 /** Successive crashes that make a part the cause, without unrelated ones. */
-export function partCrashThreshold(isCommon: boolean): number {
-  return isCommon ? COMMON_PART_CRASH_THRESHOLD : PART_CRASH_THRESHOLD;
+export function baseThresholds(isCommon: boolean): CrashThresholds {
+  const thresholdOf = (window: BlameWindow): number =>
+    isCommon ? window.commonCrashThreshold : window.crashThreshold;
+  return {
+    narrow: thresholdOf(NARROW_WINDOW),
+    wide: thresholdOf(WIDE_WINDOW),
+  };
 }
 
 /**
@@ -72,52 +84,76 @@
   const causes: CrashingParts[] = [];
   for (;;) {
     const candidates = listCandidates(options, explained);
-    const mayBeCause = candidates.some(({ series }) =>
-      series.length >= PART_CRASH_THRESHOLD
-    );
-    if (!mayBeCause) return causes;
+    if (!candidates.some(mayBeCause)) return causes;
     const related = new Set(
       candidates.flatMap(({ trials }) => trials.map(({ crash }) => crash)),
     );
     const unrelated = listUnrelatedCrashes(options, related, explained);
     const cause = candidates.map((candidate) => ({
       candidate,
-      threshold: thresholdOf(candidate, unrelated),
-    })).find(({ candidate, threshold }) =>
-      candidate.series.length >= threshold
-    );
-    if (cause === undefined) return causes;
-    causes.push(describeCause(cause.candidate, cause.threshold, options));
+      evidence: sufficientSeries(candidate, unrelated),
+    })).find(({ evidence }) => evidence !== undefined);
+    if (cause?.evidence === undefined) return causes;
+    causes.push(describeCause(cause.candidate, cause.evidence, options));
     for (const { crash } of cause.candidate.trials) explained.add(crash);
   }
 }
 
-/** Returns parts with two or more trials in succession, the likeliest first. */
+/** Returns the parts that may be causes, the likeliest first. */
 export function listCandidates(
   options: FindCrashingPartsOptions,
   explained: ReadonlySet<string>,
 ): readonly Candidate[] {
-  const { trials, commonParts } = options;
+  const { trials, wideTrials, commonParts } = options;
   const poisonReports = listPoisonReports(options);
   const candidates: Candidate[] = [];
-  for (const [part, partTrials] of trials) {
+  for (const [part, partTrials] of wideTrials) {
     const isCommon = commonParts.has(part);
-    const open = partTrials.filter(({ crash }) =>
+    const isOpen = ({ crash }: PartTrial): boolean =>
       !explained.has(crash) &&
-      !(isCommon && isExplainedByPoison(part, poisonReports.get(crash)))
-    );
-    const series = open.length < 2 ? [] : longestSeries(open);
-    if (series.length < 2) continue;
-    candidates.push({ part, isCommon, trials: open, series });
+      !(isCommon && isExplainedByPoison(part, poisonReports.get(crash)));
+    const candidate = createCandidate({
+      part,
+      isCommon,
+      trials: (trials.get(part) ?? []).filter(isOpen),
+      wideTrials: partTrials.filter(isOpen),
+    });
+    const isRepeated = candidate.series.length >= 2 ||
+      candidate.wideSeries.length >= WIDE_WINDOW.crashThreshold;
+    if (isRepeated) candidates.push(candidate);
   }
   return candidates.sort((left, right) =>
     Number(left.isCommon) - Number(right.isCommon) ||
     right.series.length - left.series.length ||
+    right.wideSeries.length - left.wideSeries.length ||
     totalRan(left) - totalRan(right) ||
     (left.part < right.part ? -1 : 1)
   );
 }
 
+/** Creates a candidate from its trials that nothing else explains. */
+export function createCandidate(
+  { part, isCommon, trials, wideTrials }: {
+    readonly part: string;
+    readonly isCommon: boolean;
+    readonly trials: readonly PartTrial[];
+    readonly wideTrials: readonly PartTrial[];
+  },
+): Candidate {
+  return {
+    part,
+    isCommon,
+    trials: wideTrials,
+    series: longestSeries(trials),
+    wideSeries: longestSeries(wideTrials),
+  };
+}
+
+function mayBeCause({ isCommon, series, wideSeries }: Candidate): boolean {
+  const { narrow, wide } = baseThresholds(isCommon);
+  return series.length >= narrow || wideSeries.length >= wide;
+}
+
 /** Reports of requests that crash endpoints, by crash. */
 function listPoisonReports(
   { reports, poison }: FindCrashingPartsOptions,
@@ -160,25 +196,38 @@
   return [...unrelated.values()];
 }
 
+/** The trials that make a candidate the cause; undefined if they don't. */
+function sufficientSeries(
+  candidate: Candidate,
+  unrelatedCrashes: readonly number[],
+): readonly PartTrial[] | undefined {
+  const { series, wideSeries } = candidate;
+  const { narrow, wide } = thresholdsOf(candidate, unrelatedCrashes);
+  if (series.length >= narrow) return series.slice(0, narrow);
+  return wideSeries.length >= wide ? wideSeries.slice(0, wide) : undefined;
+}
+
 /** The crashes in succession that make a candidate the cause. */
-export function thresholdOf(
+export function thresholdsOf(
   candidate: Candidate,
   unrelatedCrashes: readonly number[],
-): number {
+): CrashThresholds {
   const count = countUnrelated(candidate, unrelatedCrashes);
   const raised = UNRELATED_CRASH_STEPS.filter((step) => count >= step);
-  return Math.max(
-    partCrashThreshold(candidate.isCommon),
-    PART_CRASH_THRESHOLD + raised.length,
-  );
+  const raisedThreshold = NARROW_WINDOW.crashThreshold + raised.length;
+  const { narrow, wide } = baseThresholds(candidate.isCommon);
+  return {
+    narrow: Math.max(narrow, raisedThreshold),
+    wide: Math.max(wide, raisedThreshold),
+  };
 }
 
 /** The unrelated crashes shortly before the last one of a candidate. */
 export function countUnrelated(
-  { series }: Pick<Candidate, "series">,
+  { series, wideSeries }: Pick<Candidate, "series" | "wideSeries">,
   unrelatedCrashes: readonly number[],
 ): number {
-  const lastAt = series.at(-1)?.at ?? 0;
+  const lastAt = (series.at(-1) ?? wideSeries.at(-1))?.at ?? 0;
   return unrelatedCrashes.filter((at) =>
     at > lastAt - UNRELATED_MILLISECONDS && at <= lastAt
   ).length;
@@ -186,14 +235,13 @@
 
 function describeCause(
   candidate: Candidate,
-  threshold: number,
-  { trials }: FindCrashingPartsOptions,
+  evidence: readonly PartTrial[],
+  { wideTrials }: FindCrashingPartsOptions,
 ): CrashingParts {
-  const { series } = candidate;
-  const [first] = series;
-  const last = series[threshold - 1];
+  const first = evidence[0];
+  const last = evidence.at(-1);
   return {
-    parts: inseparableParts(candidate, trials),
+    parts: inseparableParts(candidate, wideTrials),
     crashes: candidate.trials.map(({ crash }) => crash),
     enforcedFrom: Math.max(
       last?.at ?? 0,
--- a/packages/kelpspar-decisions/src/quarantine/mod.ts
+++ b/packages/kelpspar-decisions/src/quarantine/mod.ts
@@ -20,7 +20,7 @@
 export type { CrashingParts } from "./find_crashing_parts.ts";
 export {
   findCrashingParts,
-  PART_CRASH_THRESHOLD,
   PART_GRACE_MILLISECONDS,
 } from "./find_crashing_parts.ts";
-export { BLAME_WINDOW_MILLISECONDS, isBlamed } from "./part_trials.ts";
+export type { BlameWindow } from "./blame_window.ts";
+export { isBlamed, NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
--- a/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
@@ -1,6 +1,8 @@
 import type { ClearedPart } from "./crash_page.ts";
 import type { TimedCrashReport } from "./crash_report.ts";
+import type { BlameWindow } from "./blame_window.ts";
 import type { PartTrial, PartTrials } from "./part_trials.ts";
+import { isBlamed } from "./blame_window.ts";
 import { compareTrials, createTrial } from "./part_trials.ts";
 
 interface CrashEvidence {
@@ -11,12 +13,17 @@
 
 /**
  * What crash reports say about each part of a prompt, updated report by report.
- * A part is cleared of a crash for as long as one of its reports is kept.
+ * Only answers within the blame window count. A part is cleared of a crash for as long as one of its reports is kept.
  */
 export class PartEvidence {
+  readonly #window: BlameWindow;
   readonly #evidence = new Map<string, Map<string, CrashEvidence>>();
   readonly #trials = new Map<string, readonly PartTrial[]>();
 
+  constructor(window: BlameWindow) {
+    this.#window = window;
+  }
+
   /** Trials of the parts that have some, without those that were cleared. */
   get trials(): PartTrials {
     return this.#trials;
@@ -27,8 +34,9 @@
     return [...this.#evidence.get(part)?.keys() ?? []];
   }
 
-  /** Adds a report of an answer that is blamed. */
+  /** Adds a report, unless its answer isn't blamed. */
   add(report: TimedCrashReport): void {
+    if (!isBlamed(report, this.#window)) return;
     for (const part of new Set(report.parts)) {
       const crashes = this.#evidence.get(part) ??
         new Map<string, CrashEvidence>();
--- a/packages/kelpspar-decisions/src/quarantine/part_trials.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_trials.ts
@@ -1,10 +1,5 @@
 import type { TimedCrashReport } from "./crash_report.ts";
 
-/**
- * An answer that had written for longer before the crash isn't blamed for it:
- * the cause ends an endpoint as it begins to answer.
- */
-export const BLAME_WINDOW_MILLISECONDS = 200;
 /**
  * Time after a crash from which another answer counts as begun after it. An
  * outage doesn't end its endpoints at exactly the same moment.
@@ -16,7 +11,7 @@
  */
 const MAXIMUM_TRIALS_PER_REQUEST = 2;
 
-/** An endpoint that crashed as it began to answer on a part. */
+/** An endpoint that crashed while it answered on a part. */
 export interface PartTrial {
   readonly crash: string;
   /** When the crash was seen, monotonic milliseconds. */
@@ -32,12 +27,6 @@
 /** Trials of parts, each oldest first. */
 export type PartTrials = ReadonlyMap<string, readonly PartTrial[]>;
 
-/** Whether the endpoint had just begun to answer the request. */
-export function isBlamed(report: TimedCrashReport): boolean {
-  return report.ranMilliseconds !== undefined &&
-    (report.wroteMilliseconds ?? 0) <= BLAME_WINDOW_MILLISECONDS;
-}
-
 /** Creates a trial from the blamed reports of one crash, at least one. */
 export function createTrial(
   crash: string,
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -10,7 +10,7 @@
 import { describePromptParts } from "../requests/describe_prompt_parts.ts";
 import { sharedParts } from "../requests/shared_parts.ts";
 import { describeSoftware } from "../streams/software_of.ts";
-import { isBlamed } from "kelpspar-decisions/quarantine";
+import { isBlamed, WIDE_WINDOW } from "kelpspar-decisions/quarantine";
 
 /** An answer that ended before it was complete. */
 export interface TruncatedAnswer {
@@ -24,6 +24,8 @@
   readonly answeredAt: number | undefined;
   /** When its first event arrived, or a body that isn't a stream began. */
   readonly firstEventAt?: number | undefined;
+  /** When its last events arrived; undefined for a body that isn't a stream. */
+  readonly lastEventAt?: number | undefined;
   /** The endpoint is known to have restarted since the request was sent. */
   readonly hasRestarted: boolean;
 }
@@ -56,11 +58,14 @@
     const truncatedAt = timer.now();
     const { endpoint, answeredAt, fingerprint, hasRestarted } = answer;
     const state = hasRestarted ? "restarted" : await this.#checkOnce(endpoint);
+    // Time that passed after the last event says nothing about the endpoint: it
+    // may have hung, or this process may have been suspended.
+    const { firstEventAt, lastEventAt = truncatedAt } = answer;
     const report: CrashReport = {
       fingerprint,
       crash: `${endpoint.id} born ${endpoint.bornAt}`,
       ranMilliseconds: millisecondsSince(answeredAt, truncatedAt),
-      wroteMilliseconds: millisecondsSince(answer.firstEventAt, truncatedAt),
+      wroteMilliseconds: millisecondsSince(firstEventAt, lastEventAt),
       parts: sharedParts(answer.promptParts),
       software: describeSoftware(endpoint),
     };
@@ -77,7 +82,7 @@
       state,
       isIsolated,
       isReported,
-      isBlamed: isBlamed({ ...report, at: truncatedAt }),
+      isBlamed: isBlamed({ ...report, at: truncatedAt }, WIDE_WINDOW),
       sentMillisecondsAgo: Math.round(truncatedAt - answer.sentAt),
       begunMillisecondsAgo: report.ranMilliseconds,
       wroteMilliseconds: report.wroteMilliseconds,
--- a/packages/kelpspar-gateway/src/quarantine/crash_message.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_message.ts
@@ -3,6 +3,8 @@
 
 const ageSchema = z.number().nonnegative();
 
+const clearedSchema = z.object({ part: z.string(), crash: z.string() });
+
 /** Schema of crash reports as daemons send them to each other. */
 export const crashMessageSchema = z.object({
   reports: z.array(z.object({
@@ -23,8 +25,9 @@
     ageMilliseconds: ageSchema,
   })),
   /** Daemons of older builds send none. */
-  cleared: z.array(z.object({ part: z.string(), crash: z.string() }))
-    .optional(),
+  cleared: z.array(clearedSchema).optional(),
+  /** Daemons of older builds don't tell these from the others. */
+  clearedWide: z.array(clearedSchema).optional(),
 });
 
 /** Reports of crashes as sent between daemons. */
@@ -41,6 +44,7 @@
     })),
     served: [...page.served],
     cleared: [...page.cleared ?? []],
+    clearedWide: [...page.clearedWide ?? []],
   };
 }
 
@@ -48,6 +52,7 @@
   return {
     served: message.served,
     cleared: message.cleared ?? [],
+    clearedWide: message.clearedWide ?? message.cleared ?? [],
     reports: message.reports.map((received) => {
       const { parts, commonParts, software, ...report } = received;
       return {
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -53,6 +53,13 @@
 /** Called when the known crashes or the quarantined subjects change. */
 export type QuarantineListener = (source: QuarantineSource) => void;
 
+/** Options of `Quarantine.answered`. */
+export interface AnsweredOptions {
+  readonly attemptId?: string | undefined;
+  /** False if the same answer was recorded before; default true. */
+  readonly isNew?: boolean;
+}
+
 /** Options of `Quarantine`. */
 export interface QuarantineOptions {
   readonly timer: TimerService;
@@ -193,28 +200,34 @@
       return assessment === undefined ? [] : [{ part, ...assessment }];
     }).sort((left, right) =>
       right.crashesInSuccession - left.crashesInSuccession ||
+      right.wideCrashesInSuccession - left.wideCrashesInSuccession ||
       right.crashes - left.crashes
     );
     if (most === undefined) return undefined;
-    const { crashesInSuccession, threshold } = most;
-    const isCause = crashesInSuccession >= threshold;
+    const isCause = most.crashesInSuccession >= most.threshold ||
+      most.wideCrashesInSuccession >= most.wideThreshold;
     const reason = isCause
       ? "grace_period"
-      : (crashesInSuccession === 0 ? "cleared" : "few_crashes");
+      : (most.wideCrashesInSuccession === 0 ? "cleared" : "few_crashes");
     return { ...most, reason };
   }
 
   /** Records that an endpoint answers on parts of a prompt. */
-  answered(answer: SoundAnswer, attemptId?: string): void {
+  answered(
+    answer: SoundAnswer,
+    { attemptId, isNew = true }: AnsweredOptions = {},
+  ): void {
     const now = this.#options.timer.now();
-    this.#commonParts.add(answer.parts, now);
+    if (isNew) this.#commonParts.add(answer.parts, now);
     if (!this.#ledger.hasSuspectParts) return;
-    const cleared = this.#ledger.findCleared(answer);
+    const { cleared, clearedWide } = this.#ledger.findCleared(answer);
+    const all = [...cleared, ...clearedWide];
     if (!this.#ledger.clearParts(answer, now)) return;
     this.#options.log.info("prompt parts cleared", {
       attempt: attemptId,
-      parts: [...new Set(cleared.map(({ part }) => part))].join(","),
-      crashes: describeCrashes(cleared.map(({ crash }) => crash)),
+      parts: [...new Set(all.map(({ part }) => part))].join(","),
+      crashes: describeCrashes(all.map(({ crash }) => crash)),
+      wroteMilliseconds: answer.wroteMilliseconds,
       begunMillisecondsAgo: Math.round(now - answer.beganAt),
     });
     this.#applyChange("answer", () => true);
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/answer_evidence.ts
@@ -0,0 +1,71 @@
+import type { RequestRun } from "./request_run.ts";
+import type { SendResult } from "./send_result.ts";
+import { describeSoftware } from "../streams/software_of.ts";
+
+/** When the events of an answer arrived, monotonic milliseconds. */
+export interface EventTimes {
+  /** Undefined if there was none. */
+  readonly firstEventAt?: number | undefined;
+  /** Undefined if there was none, or for a body that isn't a stream. */
+  readonly lastEventAt?: number | undefined;
+}
+
+/** How far a sound answer has got. */
+export interface SoundAnswerProgress {
+  /** When its first event arrived, or a body that isn't a stream began. */
+  readonly beganAt: number | undefined;
+  /** For how long it has written events; undefined once it ended whole. */
+  readonly wroteMilliseconds?: number;
+  /** False if the same answer was recorded before; default true. */
+  readonly isNew?: boolean;
+}
+
+/** Tells the quarantine what the answers to one request show. */
+export class AnswerEvidence {
+  readonly #run: RequestRun;
+
+  constructor(run: RequestRun) {
+    this.#run = run;
+  }
+
+  /** Records that the endpoint answers on the parts of the prompt. */
+  recordSound(
+    { endpoint }: SendResult,
+    { beganAt, wroteMilliseconds, isNew = true }: SoundAnswerProgress,
+  ): void {
+    const { parts, options } = this.#run;
+    if (beganAt === undefined) return;
+    options.dependencies.quarantine.answered({
+      parts,
+      software: describeSoftware(endpoint.entry),
+      beganAt,
+      wroteMilliseconds,
+    }, { attemptId: options.request.attemptId, isNew });
+  }
+
+  /**
+   * Reports a crash if the endpoint of a truncated answer crashed. Waits for that
+   * only if the request may be sent again and has a part whose crashes are being
+   * counted.
+   */
+  async reportTruncated(
+    { endpoint, sentAt, answeredAt }: SendResult,
+    { firstEventAt, lastEventAt }: EventTimes = {},
+  ): Promise<void> {
+    const run = this.#run;
+    const { fingerprint, options } = run;
+    const { crashes, quarantine } = options.dependencies;
+    const check = crashes.checkEndpoint({
+      attemptId: options.request.attemptId,
+      fingerprint,
+      promptParts: options.request.promptParts,
+      endpoint: endpoint.entry,
+      sentAt,
+      answeredAt,
+      firstEventAt,
+      lastEventAt,
+      hasRestarted: endpoint.ended.aborted,
+    });
+    if (quarantine.mayBecomeSuspect(run) && run.hasAttemptsLeft) await check;
+  }
+}
--- a/packages/kelpspar-gateway/src/requests/answer_progress.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_progress.ts
@@ -1,33 +1,57 @@
 import type { RequestRun } from "./request_run.ts";
+import { NARROW_WINDOW, WIDE_WINDOW } from "kelpspar-decisions/quarantine";
 
-/**
- * An answer that goes on this long after its first event shows that its endpoint
- * answers on the parts of its prompt. Longer than the time within which a crash
- * is blamed on them.
- */
-const SOUND_AFTER_MILLISECONDS = 400;
+/** Called with the time for which an answer has written events so far. */
+export type AnswerProgressListener = (
+  wroteMilliseconds: number,
+  /** Whether it is the first call. */
+  isNew: boolean,
+) => void;
+
+/** Times after which an answer that goes on disproves the blame of a window. */
+const SOUND_AFTER_MILLISECONDS = [NARROW_WINDOW, WIDE_WINDOW]
+  .map(({ soundAfterMilliseconds }) => soundAfterMilliseconds);
 
 /** Observes how long one endpoint writes events of a stream. */
 export class AnswerProgress {
   readonly #run: RequestRun;
-  readonly #onSound: (firstEventAt: number) => void;
-  /** Whether the answer went on for long enough. */
-  isSound = false;
-  /** When the first event arrived, monotonic milliseconds. */
-  firstEventAt: number | undefined;
+  readonly #onSound: AnswerProgressListener;
+  readonly #pending = [...SOUND_AFTER_MILLISECONDS];
+  #firstEventAt: number | undefined;
+  #lastEventAt: number | undefined;
 
-  constructor(run: RequestRun, onSound: (firstEventAt: number) => void) {
+  constructor(run: RequestRun, onSound: AnswerProgressListener) {
     this.#run = run;
     this.#onSound = onSound;
   }
 
+  /** Whether the answer has written for long enough to prove anything. */
+  get isSound(): boolean {
+    return this.#pending.length < SOUND_AFTER_MILLISECONDS.length;
+  }
+
+  /** When the first event arrived, monotonic milliseconds. */
+  get firstEventAt(): number | undefined {
+    return this.#firstEventAt;
+  }
+
+  /** When the last events so far arrived, monotonic milliseconds. */
+  get lastEventAt(): number | undefined {
+    return this.#lastEventAt;
+  }
+
   /** To be called when events arrive. */
   advance(): void {
-    if (this.isSound) return;
     const now = this.#run.now();
-    this.firstEventAt ??= now;
-    if (now - this.firstEventAt < SOUND_AFTER_MILLISECONDS) return;
-    this.isSound = true;
-    this.#onSound(this.firstEventAt);
+    this.#firstEventAt ??= now;
+    this.#lastEventAt = now;
+    const wrote = now - this.#firstEventAt;
+    for (;;) {
+      const [next] = this.#pending;
+      if (next === undefined || wrote < next) return;
+      const isNew = !this.isSound;
+      this.#pending.shift();
+      this.#onSound(wrote, isNew);
+    }
   }
 }
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,11 +1,12 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
+import type { EventTimes } from "./answer_evidence.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
 import { reportBodyLimit } from "../exchange/report_body_limit.ts";
-import { describeSoftware } from "../streams/software_of.ts";
 import { shortestPause } from "../endpoints/shortest_pause.ts";
+import { AnswerEvidence } from "./answer_evidence.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
 import { requestPlacement } from "./request_placement.ts";
@@ -56,6 +57,7 @@
   readonly #run: RequestRun;
   readonly #hasStages: boolean;
   readonly #sender: EndpointSender;
+  readonly #evidence: AnswerEvidence;
   readonly #streamForwarder: StreamForwarder;
   readonly #continuation: StreamContinuation;
   readonly #relayer: RequestRelayer;
@@ -69,6 +71,7 @@
     this.#run = run;
     this.#hasStages = hasStages;
     this.#sender = new EndpointSender(run, relay);
+    this.#evidence = new AnswerEvidence(run);
     this.#streamForwarder = new StreamForwarder(run, relay);
     this.#continuation = new StreamContinuation(run, relay);
     this.#relayer = new RequestRelayer({
@@ -277,7 +280,7 @@
         return this.#handleRefusal(result, answer.refusal);
       case "unknown":
         this.#recordFailure(result, answer.reason);
-        await this.#reportPossibleCrash(result);
+        await this.#evidence.reportTruncated(result);
         return this.#retryOrFail(answer.reason);
     }
   }
@@ -327,12 +330,16 @@
       body = await readAnswerBody(run, answer);
     } catch (error) {
       return run.isOpen
-        ? await this.#handleCutAnswer(result, error, result.answeredAt)
+        ? await this.#handleCutAnswer(result, error, {
+          firstEventAt: result.answeredAt,
+        })
         : "ended";
     }
     if (!run.isOpen) return "ended";
     const { status, headers } = answer;
-    if (status < 300) this.#recordSoundAnswer(result, result.answeredAt);
+    if (status < 300) {
+      this.#evidence.recordSound(result, { beganAt: result.answeredAt });
+    }
     if (status >= 500) result.endpoint.failed(false, run.now());
     else this.#sender.recordFirstByte(result);
     if (!run.isRepeatable && NEVER_EXECUTED_STATUSES.has(status)) {
@@ -367,7 +374,12 @@
     const { endpoint } = result;
     const progress = new AnswerProgress(
       run,
-      (firstEventAt) => this.#recordSoundAnswer(result, firstEventAt),
+      (wroteMilliseconds, isNew) =>
+        this.#evidence.recordSound(result, {
+          beganAt: progress.firstEventAt,
+          wroteMilliseconds,
+          isNew,
+        }),
     );
     try {
       const onFirstEvent = (): void => {
@@ -385,16 +397,18 @@
       });
     } catch (error) {
       return run.isOpen
-        ? await this.#handleCutAnswer(result, error, progress.firstEventAt)
+        ? await this.#handleCutAnswer(result, error, progress)
         : "ended";
     } finally {
       result.release();
     }
     if (run.isOpen) {
       run.options.dependencies.quarantine.served(run.fingerprint);
-      if (!progress.isSound) {
-        this.#recordSoundAnswer(result, progress.firstEventAt);
-      }
+      const { firstEventAt, isSound } = progress;
+      this.#evidence.recordSound(result, {
+        beganAt: firstEventAt,
+        isNew: !isSound,
+      });
     }
     // No effect if the run has ended already, e.g. by a caller's disconnect.
     run.finish("served", {
@@ -408,7 +422,7 @@
   async #handleCutAnswer(
     result: SendResult,
     error: unknown,
-    firstEventAt: number | undefined,
+    times: EventTimes,
   ): Promise<DispatchOutcome | "again"> {
     const reason = error instanceof Error ? error.message : String(error);
     reportBodyLimit(this.#run.options.dependencies.malformedAnswers, error, {
@@ -416,48 +430,10 @@
       hasFailedCall: true,
     });
     this.#recordFailure(result, `answer cut: ${reason}`);
-    await this.#reportPossibleCrash(result, firstEventAt);
+    await this.#evidence.reportTruncated(result, times);
     return this.#run.isOpen ? this.#retryOrFail("answer cut") : "ended";
   }
 
-  /**
-   * Reports a crash if the endpoint crashed. Waits for that only if the request
-   * may be sent again and has a part whose crashes are being counted.
-   */
-  async #reportPossibleCrash(
-    { endpoint, sentAt, answeredAt }: SendResult,
-    firstEventAt?: number,
-  ): Promise<void> {
-    const run = this.#run;
-    const { fingerprint, options } = run;
-    const { crashes, quarantine } = options.dependencies;
-    const check = crashes.checkEndpoint({
-      attemptId: options.request.attemptId,
-      fingerprint,
-      promptParts: options.request.promptParts,
-      endpoint: endpoint.entry,
-      sentAt,
-      answeredAt,
-      firstEventAt,
-      hasRestarted: endpoint.ended.aborted,
-    });
-    if (quarantine.mayBecomeSuspect(run) && run.hasAttemptsLeft) await check;
-  }
-
-  /** Records that the endpoint answers on the parts of the prompt. */
-  #recordSoundAnswer(
-    { endpoint }: SendResult,
-    beganAt: number | undefined,
-  ): void {
-    const { parts, options } = this.#run;
-    if (beganAt === undefined) return;
-    options.dependencies.quarantine.answered({
-      parts,
-      software: describeSoftware(endpoint.entry),
-      beganAt,
-    }, options.request.attemptId);
-  }
-
   #recordFailure(result: SendResult, reason: string, isCertain = false): void {
     result.endpoint.failed(isCertain, this.#run.now());
     this.#sender.logFailure(result, reason);
--- a/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
@@ -78,9 +78,9 @@
   },
   {
     name: "answers that had gone on aren't blamed",
-    file: `${DECISIONS}/quarantine/crash_ledger.ts`,
-    code: "isBlamed(stored) ? stored : withoutParts(stored)",
-    without: "stored",
+    file: `${DECISIONS}/quarantine/part_evidence.ts`,
+    code: "if (!isBlamed(report, this.#window)) return;",
+    without: "",
     noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
   },
   {
@@ -93,8 +93,8 @@
   {
     name: "unrelated crashes raise the number that blames a part",
     file: `${DECISIONS}/quarantine/find_crashing_parts.ts`,
-    code: "PART_CRASH_THRESHOLD + raised.length",
-    without: "PART_CRASH_THRESHOLD",
+    code: "NARROW_WINDOW.crashThreshold + raised.length",
+    without: "NARROW_WINDOW.crashThreshold",
     noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
   },
   {
