Check endpoints that accepted connections last before a daemon is isolated

Callers saw: 503 ("this daemon reaches no endpoint") while answers were arriving, where nothing listens at most of the listed addresses.

Cause: a failed connection made a daemon check three endpoints at random, one for each service. With nine of 13 entries dead, all three often were.

Change: the two endpoints that accepted connections last are checked as well, also by the probes that end an isolation.

Result: the new test fails before (isolated at once) and passes; a daemon whose open connections live on while new ones are refused still counts as isolated.

--- a/packages/kelpspar-gateway/src/__tests__/unit/isolation_monitor_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/isolation_monitor_test.ts
@@ -102,3 +102,17 @@
   attempts.publish({ endpointId: "plain-0", isConnected: false, startedAt });
   expect(checked).toEqual([]);
 });
+
+// Guards against an isolation by entries at whose addresses nothing listens.
+test("a daemon that reaches one of many listed endpoints isn't isolated", async () => {
+  for (const reached of ["plain-0", "model-4"]) {
+    const { attempts, timer, fail } = createMonitor(({ id }) => id === reached);
+    const startedAt = timer.now();
+    attempts.publish({ endpointId: reached, isConnected: true, startedAt });
+    await timer.advance(10);
+    for (const id of ["model-1", "stage-2", "stage-5", "plain-3"]) {
+      expect(await fail(id)).toEqual(false);
+      await timer.advance(10);
+    }
+  }
+});
--- a/packages/kelpspar-gateway/src/isolation/isolation_monitor.ts
+++ b/packages/kelpspar-gateway/src/isolation/isolation_monitor.ts
@@ -41,6 +41,8 @@
   #isIsolated = false;
   #isolatedSince = 0;
   #connectedAt = Number.NEGATIVE_INFINITY;
+  /** When connections to endpoints were last opened, by endpoint id. */
+  readonly #connectedAtById = new Map<string, number>();
   #verification: Promise<void> | undefined;
   #stopProbing = (): void => {};
 
@@ -68,7 +70,7 @@
   register(): () => void {
     const stopListening = this.#options.attempts.registerListener(
       ({ endpointId, isConnected, startedAt }) => {
-        if (isConnected) this.#recordConnection();
+        if (isConnected) this.#recordConnection(endpointId);
         else this.#recordFailure(endpointId, startedAt);
       },
     );
@@ -78,8 +80,9 @@
     };
   }
 
-  #recordConnection(): void {
+  #recordConnection(endpointId: string): void {
     this.#connectedAt = this.#options.timer.now();
+    this.#connectedAtById.set(endpointId, this.#connectedAt);
     if (this.#isIsolated) this.#setIsolated(false);
   }
 
@@ -106,7 +109,20 @@
     const entries = registry.ids.flatMap((id) =>
       registry.find(id)?.entry ?? []
     );
-    return chooseCheckedEndpoints(entries, { count, failedId, random });
+    this.#forgetUnlisted();
+    return chooseCheckedEndpoints(entries, {
+      count,
+      failedId,
+      random,
+      connectedAt: (id) => this.#connectedAtById.get(id),
+    });
+  }
+
+  #forgetUnlisted(): void {
+    const { registry } = this.#options;
+    for (const id of this.#connectedAtById.keys()) {
+      if (registry.find(id) === undefined) this.#connectedAtById.delete(id);
+    }
   }
 
   /** The outcomes arrive through `attempts`. */
