Report crashes that a daemon saw while no daemon reached an endpoint

Cause: a daemon that reaches no endpoint can't tell a crash from its own partition, and dropped what it saw for good. When all endpoints of a pool are down, every daemon is in that state, so that nobody reports the crashes.

Change: what an isolated daemon saw is decided later: at once when all other live daemons are isolated as well, since the cause isn't its own partition then, or when its isolation ends, if nothing listens at the endpoint or it has restarted. After 10 s it is dropped. This covers whole requests as well as parts.

A partition of all daemons at once that refuses connections after resetting them counts as one crash in succession for what it cut.

--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -47,6 +47,7 @@
 
 /** Log messages that concern a part of prompts itself. */
 const PART_MESSAGES: ReadonlySet<string> = new Set([
+  "endpoint checked after isolation",
   "endpoint checked after truncated answer",
   "prompt parts cleared",
   "prompt parts quarantined",
--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -249,7 +249,8 @@
     crashes: new CrashDetector({
       endpoints,
       quarantine,
-      isolation: { verified: () => Promise.resolve(false) },
+      isolation: { verified: () => Promise.resolve(false), isIsolated: false },
+      membership: { hasOnlyIsolated: () => false },
       timer,
       log,
     }),
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -289,6 +289,13 @@
     return this.#records.get(daemonId)?.heartbeat?.isIsolated === true;
   }
 
+  /** Whether all other live daemons are isolated; false without any. */
+  hasOnlyIsolated(now: number): boolean {
+    const members = this.liveMembers(now);
+    return members.length > 0 &&
+      members.every(({ heartbeat }) => heartbeat.isIsolated);
+  }
+
   /** Whether a daemon runs, but has no configuration yet as far as is known. */
   isStarting(daemonId: string): boolean {
     const record = this.#records.get(daemonId);
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from "kelpspar-shared";
 import type { ListeningState } from "../exchange/check_listening.ts";
 import type { EndpointEntry } from "../endpoints/endpoint_entry.ts";
+import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { IsolationMonitor } from "../isolation/isolation_monitor.ts";
 import type { GatewayLog } from "../log/gateway_log.ts";
 import type { EndpointClient } from "../requests/endpoint_call.ts";
@@ -28,13 +29,31 @@
   readonly lastEventAt?: number | undefined;
   /** The endpoint is known to have restarted since the request was sent. */
   readonly hasRestarted: boolean;
+  /** Aborted once the endpoint is known to have restarted. */
+  readonly ended?: AbortSignal;
 }
 
+/** A possible crash that this daemon was too isolated to tell. */
+interface DeferredCrash {
+  readonly report: CrashReport;
+  /** Monotonic milliseconds. */
+  readonly truncatedAt: number;
+  readonly endpoint: EndpointEntry;
+  readonly ended: AbortSignal | undefined;
+}
+
+/** How often deferred crashes are checked again, milliseconds. */
+const DEFERRED_CHECK_MILLISECONDS = 100;
+/** Time after which a deferred crash is dropped. */
+const MAXIMUM_DEFERRAL_MILLISECONDS = 10_000;
+const MAXIMUM_DEFERRED_CRASHES = 200;
+
 /** Options of `CrashDetector`. */
 export interface CrashDetectorOptions {
   readonly quarantine: Pick<Quarantine, "reportCrash">;
   readonly endpoints: Pick<EndpointClient, "check">;
-  readonly isolation: Pick<IsolationMonitor, "verified">;
+  readonly isolation: Pick<IsolationMonitor, "verified" | "isIsolated">;
+  readonly membership: Pick<FleetMembership, "hasOnlyIsolated">;
   readonly timer: TimerService;
   readonly log: GatewayLog;
 }
@@ -45,6 +64,8 @@
  */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
+  /** Oldest first. */
+  readonly #deferred: DeferredCrash[] = [];
   /** Running checks by endpoint id. */
   readonly #checks = new Map<string, Promise<ListeningState>>();
 
@@ -87,6 +108,65 @@
       begunMillisecondsAgo: report.ranMilliseconds,
       wroteMilliseconds: report.wroteMilliseconds,
     });
+    const { ended } = answer;
+    if (isReported) quarantine.reportCrash(report, truncatedAt);
+    if (isIsolated) this.#defer({ report, truncatedAt, endpoint, ended });
+  }
+
+  /**
+   * Decides about a crash later: once this daemon reaches endpoints again, or
+   * when no other daemon reaches any, so that the cause isn't its own partition.
+   */
+  #defer(crash: DeferredCrash): void {
+    this.#deferred.push(crash);
+    if (this.#deferred.length > MAXIMUM_DEFERRED_CRASHES) {
+      this.#deferred.shift();
+    }
+    if (this.#deferred.length === 1) this.#scheduleDeferredCheck();
+  }
+
+  #scheduleDeferredCheck(): void {
+    this.#options.timer.registerTimeout(
+      () => void this.#checkDeferred(),
+      DEFERRED_CHECK_MILLISECONDS,
+    );
+  }
+
+  async #checkDeferred(): Promise<void> {
+    const { timer, isolation, membership } = this.#options;
+    const now = timer.now();
+    const isOwnPartition = isolation.isIsolated &&
+      !membership.hasOnlyIsolated(now);
+    const crashes = this.#deferred.splice(0);
+    const kept = isOwnPartition
+      ? crashes.filter(({ truncatedAt }) =>
+        now - truncatedAt < MAXIMUM_DEFERRAL_MILLISECONDS
+      )
+      : [];
+    if (!isOwnPartition) {
+      await Promise.all(crashes.map((crash) => this.#reportDeferred(crash)));
+    }
+    this.#deferred.unshift(...kept);
+    if (this.#deferred.length > 0) this.#scheduleDeferredCheck();
+  }
+
+  async #reportDeferred(crash: DeferredCrash): Promise<void> {
+    const { log, quarantine } = this.#options;
+    const { report, truncatedAt, endpoint, ended } = crash;
+    const state = ended?.aborted === true
+      ? "restarted"
+      : await this.#checkOnce(endpoint);
+    const isReported = state === "refused" || state === "restarted";
+    log.info("endpoint checked after isolation", {
+      fingerprint: report.fingerprint,
+      parts: report.parts?.join(","),
+      endpoint: endpoint.id,
+      bornAt: endpoint.bornAt,
+      state,
+      isReported,
+      isBlamed: isBlamed({ ...report, at: truncatedAt }, WIDE_WINDOW),
+      wroteMilliseconds: report.wroteMilliseconds,
+    });
     if (isReported) quarantine.reportCrash(report, truncatedAt);
   }
 
--- a/packages/kelpspar-gateway/src/requests/answer_evidence.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_evidence.ts
@@ -65,6 +65,7 @@
       firstEventAt,
       lastEventAt,
       hasRestarted: endpoint.ended.aborted,
+      ended: endpoint.ended,
     });
     if (quarantine.mayBecomeSuspect(run) && run.hasAttemptsLeft) await check;
   }
