Probe a quarantined common part with single requests

Once one is held no request with it is sent, so that no answer can clear it: if it was only beside the crashes of something else, such as a faulty release, most requests are refused for an hour.

Change: for a part that was common, the daemon with the lowest id of those that serve lets one request pass a minute after the last crash, and 15 minutes after a probe that crashed its endpoint. An answer releases the part everywhere. At most one probe falls into the first 15 minutes, within the three sends that the platform allows. Parts that were never common aren't probed.

--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -16,6 +16,14 @@
  */
 const UNRELATED_CRASH_STEPS: readonly number[] = [2, 6, 15];
 const UNRELATED_MILLISECONDS = 20_000;
+/**
+ * Time after the last crash until a common part is probed. What all requests
+ * share may have been at the crashes of something else, and once it is held no
+ * answer clears it.
+ */
+const PROBE_DELAY_MILLISECONDS = 60_000;
+/** The same after a probe that crashed its endpoint. */
+const REPEATED_PROBE_DELAY_MILLISECONDS = 900_000;
 /** Parts that a cause consists of at most. */
 const MAXIMUM_PARTS = 8;
 
@@ -27,6 +35,11 @@
   readonly crashes: readonly string[];
   /** From when requests are quarantined, monotonic milliseconds. */
   readonly enforcedFrom: number;
+  /**
+   * From when one request may be sent to find out whether endpoints answer on
+   * them again, monotonic milliseconds; undefined if none may.
+   */
+  readonly probeFrom: number | undefined;
 }
 
 /** Options of `findCrashingParts`. */
@@ -240,16 +253,27 @@
 ): CrashingParts {
   const first = evidence[0];
   const last = evidence.at(-1);
+  const enforcedFrom = Math.max(
+    last?.at ?? 0,
+    (first?.at ?? 0) + PART_GRACE_MILLISECONDS,
+  );
   return {
     parts: inseparableParts(candidate, wideTrials),
     crashes: candidate.trials.map(({ crash }) => crash),
-    enforcedFrom: Math.max(
-      last?.at ?? 0,
-      (first?.at ?? 0) + PART_GRACE_MILLISECONDS,
-    ),
+    enforcedFrom,
+    probeFrom: candidate.isCommon
+      ? findProbeTime(candidate, enforcedFrom)
+      : undefined,
   };
 }
 
+function findProbeTime({ trials }: Candidate, enforcedFrom: number): number {
+  const lastAt = trials.at(-1)?.at ?? enforcedFrom;
+  const hasProbed = lastAt >= enforcedFrom + PROBE_DELAY_MILLISECONDS;
+  return lastAt +
+    (hasProbed ? REPEATED_PROBE_DELAY_MILLISECONDS : PROBE_DELAY_MILLISECONDS);
+}
+
 /** The part and those that stand beside it at each of its crashes. */
 function inseparableParts(
   candidate: Candidate,
--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
@@ -229,3 +229,62 @@
   other.quarantine.merge(server.quarantine.page(), "daemon");
   expect(other.quarantine.partsSize).toEqual(0);
 });
+
+// Guards against refusing what many requests share long after the crashes ended.
+test("one request probes a common part a minute after its last crash", async () => {
+  const { quarantine, timer } = await createHeldWorld();
+  const requests = [1, 2, 3].map((number) => ({
+    fingerprint: `f${number}`,
+    parts: ["p"],
+  }));
+  const passed = (): readonly string[] =>
+    requests.filter((request) => quarantine.find(request) === undefined)
+      .map(({ fingerprint }) => fingerprint);
+  expect(passed()).toEqual([]);
+  await timer.advance(60_000);
+  expect(passed()).toEqual(["f1"]);
+  expect(passed()).toEqual(["f1"]);
+  quarantine.answered({
+    parts: ["p"],
+    software: SOFTWARE,
+    beganAt: timer.now(),
+  });
+  expect(passed()).toEqual(["f1", "f2", "f3"]);
+});
+
+// Guards against probes that crash one endpoint after another.
+test("a probe that crashes its endpoint is followed by none for minutes", async () => {
+  const { quarantine, timer } = await createHeldWorld();
+  await timer.advance(60_000);
+  const probe = { fingerprint: "f1", parts: ["p"] };
+  expect(quarantine.find(probe)).toEqual(undefined);
+  quarantine.reportCrash({
+    ...probe,
+    crash: "of the probe",
+    ranMilliseconds: 50,
+    wroteMilliseconds: 50,
+    software: SOFTWARE,
+  });
+  await timer.advance(600_000);
+  const next = { fingerprint: "f2", parts: ["p"] };
+  expect(quarantine.find(next)?.type).toEqual("parts");
+  await timer.advance(300_000);
+  expect(quarantine.find(next)).toEqual(undefined);
+});
+
+// Guards against sending a part that was never sound to find out.
+test("a part that was never common isn't probed", async () => {
+  const world = createWorld([]);
+  await crashOn(world, "p", 3);
+  await world.timer.advance(1_800_000);
+  const request = { fingerprint: "f1", parts: ["p"] };
+  expect(world.quarantine.find(request)?.type).toEqual("parts");
+});
+
+/** A world in which a common part is quarantined. */
+async function createHeldWorld(): Promise<World> {
+  const world = createWorld([]);
+  makeCommon(world, "p");
+  await crashOn(world, "p", 5);
+  return world;
+}
--- a/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
+++ b/packages/kelpspar-gateway/src/fleet/fleet_membership.ts
@@ -296,6 +296,18 @@
       members.every(({ heartbeat }) => heartbeat.isIsolated);
   }
 
+  /**
+   * Whether this daemon's id is the lowest of those that serve and reach
+   * endpoints, so that one daemon acts for the fleet. Others that don't hear of
+   * each other may act as well.
+   */
+  isFirstServing(now: number): boolean {
+    const { daemonId } = this.#options.self;
+    return this.relayCandidates(now).every(({ address, isLeaving }) =>
+      isLeaving || daemonId < address.daemonId
+    );
+  }
+
   /** Whether a daemon runs, but has no configuration yet as far as is known. */
   isStarting(daemonId: string): boolean {
     const record = this.#records.get(daemonId);
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -13,6 +13,7 @@
 import { CrashLedger } from "kelpspar-decisions/quarantine";
 import { appliesTo, subjectKey } from "./quarantined_subject.ts";
 import { CommonParts } from "./common_parts.ts";
+import { QuarantineProbes } from "./quarantine_probes.ts";
 import { ServedRequests } from "./served_requests.ts";
 
 /** How often expired reports are dropped, milliseconds. */
@@ -64,6 +65,11 @@
 export interface QuarantineOptions {
   readonly timer: TimerService;
   readonly log: GatewayLog;
+  /**
+   * Whether this daemon probes quarantined parts for the fleet; by default it
+   * does.
+   */
+  readonly isProbing?: () => boolean;
 }
 
 /** Requests and parts of prompts that crash the endpoints that answer them. */
@@ -72,6 +78,7 @@
   readonly #ledger = new CrashLedger();
   readonly #served = new ServedRequests();
   readonly #commonParts = new CommonParts();
+  readonly #probes: QuarantineProbes;
   /** Fingerprints of requests whose crashes this daemon detected. */
   readonly #reportedHere = new Set<string>();
   /** Crashes that this daemon detected. */
@@ -83,6 +90,7 @@
 
   constructor(options: QuarantineOptions) {
     this.#options = options;
+    this.#probes = new QuarantineProbes(options.isProbing ?? (() => true));
   }
 
   /** Number of quarantined requests. */
@@ -107,8 +115,11 @@
 
   /** What keeps a request from being sent; undefined if it may be sent. */
   find(request: QuarantinableRequest): QuarantinedSubject | undefined {
+    const now = this.#options.timer.now();
     for (const subject of this.#subjects.values()) {
-      if (appliesTo(subject, request)) return subject;
+      const isHeld = appliesTo(subject, request) &&
+        !this.#probes.mayPass(subject, request, now);
+      if (isHeld) return subject;
     }
     return undefined;
   }
@@ -312,6 +323,7 @@
     this.#subjects = new Map(
       subjects.map((subject) => [subjectKey(subject), subject]),
     );
+    this.#probes.retain(this.#subjects);
     this.#logChange(before, source);
     this.#awaitGrace(now);
   }
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
@@ -1,4 +1,5 @@
 import type { CrashDetectorOptions } from "./crash_detector.ts";
+import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { QuarantineSyncOptions } from "./quarantine_sync.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { Quarantine } from "./quarantine.ts";
@@ -7,7 +8,8 @@
 /** Options of `createQuarantineParts`. */
 export type QuarantinePartsOptions =
   & Omit<CrashDetectorOptions, "quarantine">
-  & Omit<QuarantineSyncOptions, "quarantine">;
+  & Omit<QuarantineSyncOptions, "quarantine">
+  & { readonly membership: Pick<FleetMembership, "isFirstServing"> };
 
 /** A daemon's quarantine, its crash detector and its sync with peers. */
 export interface QuarantineParts {
@@ -22,7 +24,11 @@
 export function createQuarantineParts(
   options: QuarantinePartsOptions,
 ): QuarantineParts {
-  const quarantine = new Quarantine(options);
+  const { membership, timer } = options;
+  const quarantine = new Quarantine({
+    ...options,
+    isProbing: () => membership.isFirstServing(timer.now()),
+  });
   const sync = new QuarantineSync({ ...options, quarantine });
   return {
     quarantine,
