Recognize common prompt parts from few sound answers

Cause, by reading: a part was common from ten sound answers of one daemon on. Beside load each daemon had fewer when endpoints crashed, also because daemons start again all the time, so that no report named the part, and three crashes held it.

Change: a part of at least three sound answers, and of half of those that the daemon remembers, is common as well.

--- a/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/quarantined_parts_test.ts
@@ -281,6 +281,19 @@
   expect(world.quarantine.find(request)?.type).toEqual("parts");
 });
 
+// Guards against holding what all requests share at daemons that just started.
+test("a part of most of a few sound answers is common", async () => {
+  const world = createWorld([]);
+  const answer = { software: SOFTWARE, beganAt: world.timer.now() };
+  for (const parts of [["p"], ["q"], ["p"], ["p"]]) {
+    world.quarantine.answered({ ...answer, parts });
+  }
+  await crashOn(world, "p", 4);
+  expect(world.quarantine.partsSize).toEqual(0);
+  await crashOn(world, "q", 4, 10);
+  expect([...world.quarantine.keys]).toEqual(["parts q"]);
+});
+
 /** A world in which a common part is quarantined. */
 async function createHeldWorld(): Promise<World> {
   const world = createWorld([]);
--- a/packages/kelpspar-gateway/src/quarantine/common_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/common_parts.ts
@@ -2,6 +2,9 @@
 const MAXIMUM_ANSWERS = 100;
 /** How many of them make a part common. */
 const COMMON_ANSWERS = 10;
+/** The same while they are half of all, as at a daemon that has just started. */
+const MINIMUM_COMMON_ANSWERS = 3;
+const COMMON_SHARE = 0.5;
 const LIFETIME_MILLISECONDS = 300_000;
 
 interface RememberedAnswer {
@@ -29,7 +32,10 @@
     while ((this.#answers[0]?.at ?? now) < now - LIFETIME_MILLISECONDS) {
       this.#dropOldest();
     }
-    return (this.#counts.get(part) ?? 0) >= COMMON_ANSWERS;
+    const count = this.#counts.get(part) ?? 0;
+    const isUsual = count >= MINIMUM_COMMON_ANSWERS &&
+      count >= COMMON_SHARE * this.#answers.length;
+    return isUsual || count >= COMMON_ANSWERS;
   }
 
   #dropOldest(): void {
