--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -40,6 +40,7 @@
 export type { StoreFault } from "./wire/store_stand_in.ts";
 export type { PartitionMode } from "./wire/network_partition.ts";
 export { LoopbackProxy } from "./wire/loopback_proxy.ts";
+export type { WireRouteOptions } from "./wire/wire_route_options.ts";
 export type { WireSiteOptions } from "./wire/wire_site.ts";
 export {
   CRASHING_PATH_SUFFIX,
