--- a/packages/kelpspar-decisions/src/quarantine/crash_page.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_page.ts
@@ -26,6 +26,6 @@
   readonly served: readonly AgedServedRequest[];
   /** Of the narrow blame window. */
   readonly cleared?: readonly ClearedPart[];
-  /** Of the wide one; each of them stands in `cleared` as well. */
+  /** Of the wide one. */
   readonly clearedWide?: readonly ClearedPart[];
 }
