Tell probes and other causes apart in the reason of a suspect send

A send past a quarantine or beside another cause was logged as in its grace period. Checks of deferred crashes are scheduled once at a time.

--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -66,6 +66,7 @@
   readonly #options: CrashDetectorOptions;
   /** Oldest first. */
   readonly #deferred: DeferredCrash[] = [];
+  #isCheckScheduled = false;
   /** Running checks by endpoint id. */
   readonly #checks = new Map<string, Promise<ListeningState>>();
 
@@ -122,10 +123,12 @@
     if (this.#deferred.length > MAXIMUM_DEFERRED_CRASHES) {
       this.#deferred.shift();
     }
-    if (this.#deferred.length === 1) this.#scheduleDeferredCheck();
+    this.#scheduleDeferredCheck();
   }
 
   #scheduleDeferredCheck(): void {
+    if (this.#isCheckScheduled) return;
+    this.#isCheckScheduled = true;
     this.#options.timer.registerTimeout(
       () => void this.#checkDeferred(),
       DEFERRED_CHECK_MILLISECONDS,
@@ -134,6 +137,7 @@
 
   async #checkDeferred(): Promise<void> {
     const { timer, isolation, membership } = this.#options;
+    this.#isCheckScheduled = false;
     const now = timer.now();
     const isOwnPartition = isolation.isIsolated &&
       !membership.hasOnlyIsolated(now);
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -24,12 +24,16 @@
 
 /**
  * Why requests with a part that endpoints crashed on are sent: too few crashes
- * in succession, all cleared by answers, or an answer may still clear it.
+ * in succession, all cleared by answers, an answer may still clear it, the
+ * request probes the quarantine, or something else explains the crashes, such as
+ * this part together with one that the request doesn't have.
  */
 export type SuspectPartReason =
   | "few_crashes"
   | "cleared"
-  | "grace_period";
+  | "grace_period"
+  | "probe"
+  | "other_cause";
 
 /** A part of a prompt that endpoints crashed on, and why it isn't quarantined. */
 export interface SuspectPart extends PartAssessment {
@@ -205,8 +209,8 @@
    * The part of the request that most endpoints crashed on, if any, and why the
    * request may be sent nevertheless.
    */
-  findSuspectPart({ parts }: QuarantinableRequest): SuspectPart | undefined {
-    const [most] = parts.flatMap((part) => {
+  findSuspectPart(request: QuarantinableRequest): SuspectPart | undefined {
+    const [most] = request.parts.flatMap((part) => {
       const assessment = this.#ledger.assessPart(part);
       return assessment === undefined ? [] : [{ part, ...assessment }];
     }).sort((left, right) =>
@@ -215,12 +219,24 @@
       right.crashes - left.crashes
     );
     if (most === undefined) return undefined;
-    const isCause = most.crashesInSuccession >= most.threshold ||
-      most.wideCrashesInSuccession >= most.wideThreshold;
-    const reason = isCause
-      ? "grace_period"
-      : (most.wideCrashesInSuccession === 0 ? "cleared" : "few_crashes");
-    return { ...most, reason };
+    return { ...most, reason: this.#explainSend(request, most) };
+  }
+
+  #explainSend(
+    request: QuarantinableRequest,
+    suspect: PartAssessment & { readonly part: string },
+  ): SuspectPartReason {
+    if (suspect.wideCrashesInSuccession === 0) return "cleared";
+    const isCause = suspect.crashesInSuccession >= suspect.threshold ||
+      suspect.wideCrashesInSuccession >= suspect.wideThreshold;
+    if (!isCause) return "few_crashes";
+    const subjects = [...this.#subjects.values()];
+    if (subjects.some((subject) => appliesTo(subject, request))) return "probe";
+    const now = this.#options.timer.now();
+    const isPending = this.#ledger.crashingParts.some((cause) =>
+      cause.enforcedFrom > now && cause.parts.includes(suspect.part)
+    );
+    return isPending ? "grace_period" : "other_cause";
   }
 
   /** Records that an endpoint answers on parts of a prompt. */
