Forget the last connections to endpoints that aren't listed any more

Cause: the isolation monitor kept when each endpoint last accepted a connection and dropped unlisted ones only when it checked for an isolation, so that a calm daemon kept an entry of each incarnation for good.

Change: they are dropped once the entries are twice as many as the endpoints that are listed. What is checked stays the same.

--- a/packages/kelpspar-gateway/src/isolation/isolation_monitor.ts
+++ b/packages/kelpspar-gateway/src/isolation/isolation_monitor.ts
@@ -83,6 +83,9 @@
   #recordConnection(endpointId: string): void {
     this.#connectedAt = this.#options.timer.now();
     this.#connectedAtById.set(endpointId, this.#connectedAt);
+    if (this.#connectedAtById.size > 2 * this.#options.registry.size) {
+      this.#forgetUnlisted();
+    }
     if (this.#isIsolated) this.#setIsolated(false);
   }
 
