--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -162,19 +162,11 @@
 
   /** Clears parts as `findCleared` says; returns false if there were none. */
   clearParts(answer: SoundAnswer, now: number): boolean {
-    return this.#clear(this.findCleared(answer), now);
+    return this.clear(this.findCleared(answer), now);
   }
 
-  #isDisproved(
-    reports: readonly TimedCrashReport[],
-    { software, beganAt }: SoundAnswer,
-  ): boolean {
-    return reports.some((report) =>
-      report.software === software && this.#latestCrashTime(report) < beganAt
-    );
-  }
-
-  #clear(parts: ClearedParts, now: number): boolean {
+  /** Clears parts of crashes; returns false if nothing changed. */
+  clear(parts: ClearedParts, now: number): boolean {
     return parts.cleared.length + parts.clearedWide.length > 0 &&
       this.merge({ reports: [], served: [], ...parts }, now);
   }
@@ -201,7 +193,7 @@
       parts.flatMap((part) =>
         (trials.get(part) ?? []).map(({ crash }) => ({ part, crash }))
       );
-    this.#clear({
+    this.clear({
       cleared: listIn(this.#evidence),
       clearedWide: listIn(this.#wideEvidence),
     }, now);
@@ -284,6 +276,15 @@
     };
   }
 
+  #isDisproved(
+    reports: readonly TimedCrashReport[],
+    { software, beganAt }: SoundAnswer,
+  ): boolean {
+    return reports.some((report) =>
+      report.software === software && this.#latestCrashTime(report) < beganAt
+    );
+  }
+
   /** Time at which the crash had happened by all that this ledger can tell. */
   #latestCrashTime(report: TimedCrashReport): number {
     const learnedAt = this.#reports.get(reportKey(report))?.learnedAt ??
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -247,9 +247,9 @@
     const now = this.#options.timer.now();
     if (isNew) this.#commonParts.add(answer.parts, now);
     if (!this.#ledger.hasSuspectParts) return;
-    const { cleared, clearedWide } = this.#ledger.findCleared(answer);
-    const all = [...cleared, ...clearedWide];
-    if (!this.#ledger.clearParts(answer, now)) return;
+    const found = this.#ledger.findCleared(answer);
+    if (!this.#ledger.clear(found, now)) return;
+    const all = [...found.cleared, ...found.clearedWide];
     this.#options.log.info("prompt parts cleared", {
       attempt: attemptId,
       parts: [...new Set(all.map(({ part }) => part))].join(","),
