Count sends over a limit, and say what explains the crashes of a suspect part

A send with a part above its threshold said other_cause, but not which cause. Change: counters of sends over a limit (attempts, deadline, the pause that an endpoint asked for), of sends with a suspect part by reason, and of what is quarantined and released; the log line lists the causes. No logic changes.

--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -133,6 +133,11 @@
     return Math.max(0, this.#pausedUntil - now, this.#refusedUntil - now);
   }
 
+  /** The same of the time that the endpoint requested. */
+  remainingRequestedPauseMilliseconds(now: number): number {
+    return Math.max(0, this.#pausedUntil - now);
+  }
+
   /**
    * Records the remaining cold time that the endpoint reported, milliseconds.
    */
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -153,6 +153,7 @@
     this.followClient = peers;
     const crashes = createQuarantineParts({
       ...options,
+      metrics: this.metrics,
       isolation,
       peers,
       membership,
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -70,6 +70,25 @@
     labelNames: ["service", "kind"],
     registers: [this.#registry],
   });
+  readonly #sendsOverLimit = new Counter({
+    name: "kelpspar_sends_over_limit_total",
+    help: "Requests sent to an endpoint although a limit forbids it",
+    labelNames: ["service", "limit"],
+    registers: [this.#registry],
+  });
+  readonly #suspectSends = new Counter({
+    name: "kelpspar_suspect_sends_total",
+    help:
+      "Requests sent with a prompt part that endpoints crashed on, by reason",
+    labelNames: ["service", "reason"],
+    registers: [this.#registry],
+  });
+  readonly #quarantineChanges = new Counter({
+    name: "kelpspar_quarantine_changes_total",
+    help: "Requests and prompt parts that were quarantined or released",
+    labelNames: ["subject", "change"],
+    registers: [this.#registry],
+  });
   readonly #anomalies = new Counter({
     name: "kelpspar_anomalies_total",
     help: "What should not happen and harms nothing, by kind",
@@ -126,6 +145,21 @@
     if (count > 0) this.#firstSends.inc(labels, count);
   }
 
+  countSendOverLimit(service: string, limit: string): void {
+    this.#sendsOverLimit.inc({ service, limit });
+  }
+
+  countSuspectSend(service: string, reason: string): void {
+    this.#suspectSends.inc({ service, reason });
+  }
+
+  countQuarantineChange(
+    subject: "request" | "parts",
+    change: "quarantined" | "released",
+  ): void {
+    this.#quarantineChanges.inc({ subject, change });
+  }
+
   countMalformedAnswer(sender: string, reason: string): void {
     this.#malformedAnswers.inc({ sender, reason });
   }
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -6,6 +6,7 @@
   SoundAnswer,
 } from "kelpspar-decisions/quarantine";
 import type { GatewayLog } from "../log/gateway_log.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type {
   QuarantinableRequest,
   QuarantinedSubject,
@@ -39,6 +40,8 @@
 export interface SuspectPart extends PartAssessment {
   readonly part: string;
   readonly reason: SuspectPartReason;
+  /** Parts that count as the cause of crashes now, each joined by commas. */
+  readonly causes: readonly string[];
 }
 
 /**
@@ -69,6 +72,8 @@
 export interface QuarantineOptions {
   readonly timer: TimerService;
   readonly log: GatewayLog;
+  /** Counts what is quarantined and released; default none. */
+  readonly metrics?: Pick<GatewayMetrics, "countQuarantineChange">;
   /**
    * Whether this daemon probes quarantined parts for the fleet; by default it
    * does.
@@ -219,7 +224,11 @@
       right.crashes - left.crashes
     );
     if (most === undefined) return undefined;
-    return { ...most, reason: this.#explainSend(request, most) };
+    return {
+      ...most,
+      reason: this.#explainSend(request, most),
+      causes: this.#ledger.crashingParts.map(({ parts }) => parts.join(",")),
+    };
   }
 
   #explainSend(
@@ -364,9 +373,10 @@
     before: ReadonlyMap<string, QuarantinedSubject>,
     source: QuarantineSource,
   ): void {
-    const { log } = this.#options;
+    const { log, metrics } = this.#options;
     for (const [key, subject] of this.#subjects) {
       if (before.has(key)) continue;
+      metrics?.countQuarantineChange(subject.type, "quarantined");
       const { reports } = this.page(key);
       const crashes = describeCrashes(reports.map(({ crash }) => crash));
       if (subject.type === "request") {
@@ -379,6 +389,7 @@
     }
     for (const [key, subject] of before) {
       if (this.#subjects.has(key)) continue;
+      metrics?.countQuarantineChange(subject.type, "released");
       if (subject.type === "request") {
         const { fingerprint } = subject;
         log.info("request released from quarantine", { fingerprint, source });
--- a/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine_parts.ts
@@ -1,5 +1,6 @@
 import type { CrashDetectorOptions } from "./crash_detector.ts";
 import type { FleetMembership } from "../fleet/fleet_membership.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { QuarantineSyncOptions } from "./quarantine_sync.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { Quarantine } from "./quarantine.ts";
@@ -9,7 +10,10 @@
 export type QuarantinePartsOptions =
   & Omit<CrashDetectorOptions, "quarantine">
   & Omit<QuarantineSyncOptions, "quarantine">
-  & { readonly membership: Pick<FleetMembership, "isFirstServing"> };
+  & {
+    readonly membership: Pick<FleetMembership, "isFirstServing">;
+    readonly metrics: Pick<GatewayMetrics, "countQuarantineChange">;
+  };
 
 /** A daemon's quarantine, its crash detector and its sync with peers. */
 export interface QuarantineParts {
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -8,6 +8,7 @@
   chooseRequestEndpoint,
   mayContinue,
 } from "./choose_request_endpoint.ts";
+import { auditSend } from "./send_audit.ts";
 import { isStreamed } from "./send_result.ts";
 import { firstSuccessful, isOverdue } from "./hedge.ts";
 import { describeEndpointLoad } from "../load/describe_endpoint_load.ts";
@@ -27,8 +28,6 @@
  * `HEDGE_DELAY_FACTOR` times its expected time.
  */
 const FIRST_EVENT_MARGIN_MILLISECONDS = 1_500;
-/** Crashes on a part from which sends of it are logged with their reason. */
-const SUSPECT_CRASHES = 2;
 
 /** Sends one request to endpoints and records their health and latency. */
 export class EndpointSender {
@@ -190,7 +189,7 @@
     const retry = run.takeReservedRetry();
     this.#triedEndpointIds.add(endpoint.entry.id);
     this.#logSend(choice);
-    this.#logSuspectPart(choice);
+    auditSend(run, endpoint);
     run.sends++;
     run.deliveries++;
     run.runs++;
@@ -335,19 +334,4 @@
       resumedAttempt: request.resumedAttemptId,
     });
   }
-
-  /** Logs why a request is sent although endpoints crashed on a part of it. */
-  #logSuspectPart({ endpoint }: EndpointChoice): void {
-    const { dependencies, request } = this.#run.options;
-    const suspect = dependencies.quarantine.findSuspectPart(this.#run);
-    if (suspect === undefined || suspect.crashes < SUSPECT_CRASHES) return;
-    const { part, ...assessment } = suspect;
-    dependencies.log.info("suspect prompt part sent", {
-      attempt: request.attemptId,
-      fingerprint: this.#run.fingerprint,
-      parts: part,
-      endpoint: endpoint.entry.id,
-      ...assessment,
-    });
-  }
 }
