Consider the part at most crashes first among those that were sound before

Callers saw: requests with a part that crashes endpoints went on for tens of seconds after the fifth crash, and sound requests were refused for innocent parts that took turns in quarantine. Cause: candidates were ordered by whether they are common before how many crashes they explain, and a cause takes its crashes out of the count of all others. In a small pool each crash cuts a third of the running requests, so that rarer innocent parts are at three of a common part's crashes; each explained some of them until an answer cleared it, and the next one took its place. Change: reports name the parts that endpoints had answered on. New parts are considered first as before; among the others the one at most crashes. The first unit test fails without the order.

--- a/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
@@ -14,6 +14,7 @@
   readonly fingerprint: string;
   readonly parts: readonly string[];
   readonly commonParts?: readonly string[];
+  readonly soundParts?: readonly string[];
   /** Null for an answer that hadn't begun. */
   readonly ran?: number | null;
   readonly wrote?: number;
@@ -335,3 +336,65 @@
     }
   }
 });
+
+/** Reports a crash each second of answers on all these parts. */
+function reportBeside(
+  ledger: CrashLedger,
+  crashes: readonly (readonly string[])[],
+  known: Pick<SeenCrash, "commonParts" | "soundParts">,
+): void {
+  for (const [index, parts] of crashes.entries()) {
+    for (const part of parts) {
+      report(ledger, {
+        ...known,
+        crash: `c${index}`,
+        at: index * SECOND,
+        fingerprint: `f${index} ${part}`,
+        parts: [part],
+      });
+    }
+  }
+}
+
+// Guards against innocent parts that explain the crashes of a common one by turns.
+test("a part at all crashes is their cause before parts at some of them", () => {
+  const ledger = new CrashLedger();
+  const innocent = ["i", "j"];
+  reportBeside(ledger, [
+    ["common", "i"],
+    ["common", "i"],
+    ["common", "j"],
+    ["common", "i"],
+    ["common", "j"],
+    ["common", "j"],
+  ], { commonParts: ["common"], soundParts: ["common", ...innocent] });
+  expect(causesOf(ledger)).toEqual([["common"]]);
+});
+
+// Guards against holding what all requests share for crashes of a new part.
+test("a part that no endpoint has answered on is a cause before a common one", () => {
+  const ledger = new CrashLedger();
+  reportBeside(ledger, [
+    ["common", "new"],
+    ["common", "new"],
+    ["common", "new"],
+    ["common"],
+    ["common"],
+    ["common"],
+  ], { commonParts: ["common"], soundParts: ["common"] });
+  expect(causesOf(ledger)).toEqual([["new"]]);
+});
+
+// Guards against holding a common part for one crash that has another cause.
+test("a rarer part is a cause before a common one at one crash more", () => {
+  const ledger = new CrashLedger();
+  const known = { commonParts: ["common"], soundParts: ["common", "rare"] };
+  reportBeside(ledger, [
+    ["common", "rare"],
+    ["common", "rare"],
+    ["common", "rare"],
+    ["common", "rare"],
+    ["common"],
+  ], known);
+  expect(causesOf(ledger)).toEqual([["rare"]]);
+});
--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -20,6 +20,8 @@
   readonly unrelatedCrashes: number;
   /** Whether it was common in the sound answers of a daemon. */
   readonly isCommon: boolean;
+  /** Whether endpoints answered on it before. */
+  readonly wasSound: boolean;
   /** Crashes in succession from which it counts as the cause. */
   readonly threshold: number;
   /** The same for `wideCrashesInSuccession`. */
@@ -38,10 +40,12 @@
   options: AssessPartOptions,
 ): PartAssessment {
   const { crashes } = options;
+  const isCommon = options.commonParts.has(part);
   const open = options.wideTrials.get(part) ?? [];
   const candidate = createCandidate({
     part,
-    isCommon: options.commonParts.has(part),
+    isCommon,
+    wasSound: isCommon || options.soundParts.has(part),
     trials: options.trials.get(part) ?? [],
     wideTrials: open,
   });
@@ -58,7 +62,8 @@
     crashesInSuccession: series.length,
     wideCrashesInSuccession: wideSeries.length,
     unrelatedCrashes: countUnrelated(candidate, unrelated),
-    isCommon: candidate.isCommon,
+    isCommon,
+    wasSound: candidate.wasSound,
     threshold: thresholds.narrow,
     wideThreshold: thresholds.wide,
   };
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -70,6 +70,7 @@
   #poison: ReadonlySet<string> = new Set();
   #crashingParts: readonly CrashingParts[] = [];
   #commonParts: ReadonlySet<string> = new Set();
+  #soundParts: ReadonlySet<string> = new Set();
   #suspects: ReadonlySet<string> = new Set();
   /** Results of `assessPart` since the last change. */
   readonly #assessments = new Map<string, PartAssessment>();
@@ -131,6 +132,7 @@
       wideTrials: this.#wideEvidence.trials,
       poison: this.#poison,
       commonParts: this.#commonParts,
+      soundParts: this.#soundParts,
     });
     this.#assessments.set(part, assessment);
     return assessment;
@@ -405,8 +407,12 @@
     this.#commonParts = new Set(
       reports.flatMap(({ commonParts = [] }) => commonParts),
     );
+    this.#soundParts = new Set(
+      reports.flatMap(({ soundParts = [] }) => soundParts),
+    );
     this.#crashingParts = findCrashingParts({
       commonParts: this.#commonParts,
+      soundParts: this.#soundParts,
       reports,
       trials: this.#evidence.trials,
       wideTrials: this.#wideEvidence.trials,
@@ -429,6 +435,7 @@
   const { wroteMilliseconds } = compareByWrote(left, right) <= 0 ? left : right;
   const parts = left.parts ?? right.parts;
   const commonParts = mergeIds(left.commonParts, right.commonParts);
+  const soundParts = mergeIds(left.soundParts, right.soundParts);
   const software = left.software ?? right.software;
   return {
     ...left,
@@ -438,6 +445,7 @@
     // Daemons of older builds drop the parts of the reports that they pass on.
     ...(parts === undefined ? {} : { parts }),
     ...(commonParts === undefined ? {} : { commonParts }),
+    ...(soundParts === undefined ? {} : { soundParts }),
     ...(software === undefined ? {} : { software }),
     wroteMilliseconds,
   };
@@ -463,7 +471,7 @@
 
 /** Drops the parts of a report, which matter only if the answer is blamed. */
 function withoutParts(
-  { parts: _, commonParts: __, ...report }: StoredReport,
+  { parts: _, commonParts: __, soundParts: ___, ...report }: StoredReport,
 ): StoredReport {
   return report;
 }
@@ -481,6 +489,7 @@
     left.ranMilliseconds === right.ranMilliseconds &&
     left.wroteMilliseconds === right.wroteMilliseconds &&
     left.parts === right.parts && left.commonParts === right.commonParts &&
+    left.soundParts === right.soundParts &&
     left.software === right.software;
 }
 
--- a/packages/kelpspar-decisions/src/quarantine/crash_report.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_report.ts
@@ -21,6 +21,8 @@
    * the crash.
    */
   readonly commonParts?: readonly string[];
+  /** Those of `parts` that endpoints answered on before, as that daemon knows. */
+  readonly soundParts?: readonly string[];
   /** Service and software version of the endpoint. */
   readonly software?: string;
 }
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -24,6 +24,11 @@
 const PROBE_DELAY_MILLISECONDS = 60_000;
 /** The same after a probe that crashed its endpoint. */
 const REPEATED_PROBE_DELAY_MILLISECONDS = 900_000;
+/**
+ * Crashes by which a common part must exceed a rarer one to be considered first:
+ * it is beside most requests that crash endpoints.
+ */
+const COMMON_HANDICAP = 1;
 /** Parts that a cause consists of at most. */
 const MAXIMUM_PARTS = 8;
 
@@ -53,12 +58,16 @@
   readonly poison: ReadonlySet<string>;
   /** Parts that were common in the sound answers of a daemon. */
   readonly commonParts: ReadonlySet<string>;
+  /** Parts that a daemon has had sound answers on. */
+  readonly soundParts: ReadonlySet<string>;
 }
 
 /** A part that may be the cause of crashes. */
 export interface Candidate {
   readonly part: string;
   readonly isCommon: boolean;
+  /** Whether endpoints answered on it before. */
+  readonly wasSound: boolean;
   /** Trials in the wide blame window. */
   readonly trials: readonly PartTrial[];
   /** Trials in succession in the narrow blame window. */
@@ -117,7 +126,7 @@
   options: FindCrashingPartsOptions,
   explained: ReadonlySet<string>,
 ): readonly Candidate[] {
-  const { trials, wideTrials, commonParts } = options;
+  const { trials, wideTrials, commonParts, soundParts } = options;
   const poisonReports = listPoisonReports(options);
   const candidates: Candidate[] = [];
   for (const [part, partTrials] of wideTrials) {
@@ -128,6 +137,7 @@
     const candidate = createCandidate({
       part,
       isCommon,
+      wasSound: isCommon || soundParts.has(part),
       trials: (trials.get(part) ?? []).filter(isOpen),
       wideTrials: partTrials.filter(isOpen),
     });
@@ -136,6 +146,8 @@
     if (isRepeated) candidates.push(candidate);
   }
   return candidates.sort((left, right) =>
+    Number(left.wasSound) - Number(right.wasSound) ||
+    weightOf(right) - weightOf(left) ||
     Number(left.isCommon) - Number(right.isCommon) ||
     right.series.length - left.series.length ||
     right.wideSeries.length - left.wideSeries.length ||
@@ -144,11 +156,23 @@
   );
 }
 
+/**
+ * How many crashes a candidate explains beyond those that it takes. Where each
+ * crash cuts many requests, innocent parts are at several crashes of a common
+ * cause, but at fewer than the cause itself.
+ */
+function weightOf({ isCommon, series, wideSeries }: Candidate): number {
+  const { narrow, wide } = baseThresholds(false);
+  const weight = Math.max(series.length - narrow, wideSeries.length - wide);
+  return isCommon ? weight - COMMON_HANDICAP : weight;
+}
+
 /** Creates a candidate from its trials that nothing else explains. */
 export function createCandidate(
-  { part, isCommon, trials, wideTrials }: {
+  { part, isCommon, wasSound, trials, wideTrials }: {
     readonly part: string;
     readonly isCommon: boolean;
+    readonly wasSound: boolean;
     readonly trials: readonly PartTrial[];
     readonly wideTrials: readonly PartTrial[];
   },
@@ -156,6 +180,7 @@
   return {
     part,
     isCommon,
+    wasSound,
     trials: wideTrials,
     series: longestSeries(trials),
     wideSeries: longestSeries(wideTrials),
--- a/packages/kelpspar-gateway/src/quarantine/common_parts.ts
+++ b/packages/kelpspar-gateway/src/quarantine/answered_parts.ts
@@ -1,10 +1,5 @@
-/** Sound answers that are remembered. */
+/** Answers that are remembered. */
 const MAXIMUM_ANSWERS = 100;
-/** How many of them make a part common. */
-const COMMON_ANSWERS = 10;
-/** The same while they are half of all, as at a daemon that has just started. */
-const MINIMUM_COMMON_ANSWERS = 3;
-const COMMON_SHARE = 0.5;
 const LIFETIME_MILLISECONDS = 300_000;
 
 interface RememberedAnswer {
@@ -12,15 +7,12 @@
   readonly at: number;
 }
 
-/**
- * The parts that many of this daemon's latest sound answers have. Such a part is
- * at most crashes whatever causes them, so that reports of crashes name it.
- */
-export class CommonParts {
+/** Counts the parts of this daemon's latest answers. */
+export class AnsweredParts {
   readonly #answers: RememberedAnswer[] = [];
   readonly #counts = new Map<string, number>();
 
-  /** Remembers a sound answer; `now` is in monotonic milliseconds. */
+  /** Remembers an answer; `now` is in monotonic milliseconds. */
   add(parts: readonly string[], now: number): void {
     if (parts.length === 0) return;
     this.#answers.push({ parts: [...new Set(parts)], at: now });
@@ -28,14 +20,22 @@
     if (this.#answers.length > MAXIMUM_ANSWERS) this.#dropOldest();
   }
 
-  has(part: string, now: number): boolean {
+  /** Number of answers that are remembered. */
+  size(now: number): number {
+    this.#dropExpired(now);
+    return this.#answers.length;
+  }
+
+  /** Number of these that have the part. */
+  countOf(part: string, now: number): number {
+    this.#dropExpired(now);
+    return this.#counts.get(part) ?? 0;
+  }
+
+  #dropExpired(now: number): void {
     while ((this.#answers[0]?.at ?? now) < now - LIFETIME_MILLISECONDS) {
       this.#dropOldest();
     }
-    const count = this.#counts.get(part) ?? 0;
-    const isUsual = count >= MINIMUM_COMMON_ANSWERS &&
-      count >= COMMON_SHARE * this.#answers.length;
-    return isUsual || count >= COMMON_ANSWERS;
   }
 
   #dropOldest(): void {
--- a/packages/kelpspar-gateway/src/quarantine/crash_message.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_message.ts
@@ -17,6 +17,8 @@
     parts: z.array(z.string()).optional(),
     /** Daemons of older builds send none. */
     commonParts: z.array(z.string()).optional(),
+    /** Daemons of older builds send none. */
+    soundParts: z.array(z.string()).optional(),
     software: z.string().optional(),
     ageMilliseconds: ageSchema,
   })),
@@ -35,12 +37,15 @@
 
 export function toCrashMessage(page: CrashPage): CrashMessage {
   return {
-    reports: page.reports.map(({ parts, commonParts, ...report }) => ({
+    reports: page.reports.map((
+      { parts, commonParts, soundParts, ...report },
+    ) => ({
       ...report,
       ranMilliseconds: report.ranMilliseconds ?? null,
       wroteMilliseconds: report.wroteMilliseconds ?? null,
       ...(parts === undefined ? {} : { parts: [...parts] }),
       ...(commonParts === undefined ? {} : { commonParts: [...commonParts] }),
+      ...(soundParts === undefined ? {} : { soundParts: [...soundParts] }),
     })),
     served: [...page.served],
     cleared: [...page.cleared ?? []],
@@ -54,13 +59,14 @@
     cleared: message.cleared ?? [],
     clearedWide: message.clearedWide ?? message.cleared ?? [],
     reports: message.reports.map((received) => {
-      const { parts, commonParts, software, ...report } = received;
+      const { parts, commonParts, soundParts, software, ...report } = received;
       return {
         ...report,
         ranMilliseconds: report.ranMilliseconds ?? undefined,
         wroteMilliseconds: report.wroteMilliseconds ?? undefined,
         ...(parts === undefined ? {} : { parts }),
         ...(commonParts === undefined ? {} : { commonParts }),
+        ...(soundParts === undefined ? {} : { soundParts }),
         ...(software === undefined ? {} : { software }),
       };
     }),
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -13,7 +13,7 @@
 } from "./quarantined_subject.ts";
 import { CrashLedger } from "kelpspar-decisions/quarantine";
 import { appliesTo, subjectKey } from "./quarantined_subject.ts";
-import { CommonParts } from "./common_parts.ts";
+import { KnownParts } from "./known_parts.ts";
 import { QuarantineProbes } from "./quarantine_probes.ts";
 import { ServedRequests } from "./served_requests.ts";
 
@@ -86,7 +86,7 @@
   readonly #options: QuarantineOptions;
   readonly #ledger = new CrashLedger();
   readonly #served = new ServedRequests();
-  readonly #commonParts = new CommonParts();
+  readonly #knownParts = new KnownParts();
   readonly #probes: QuarantineProbes;
   /** Fingerprints of requests whose crashes this daemon detected. */
   readonly #reportedHere = new Set<string>();
@@ -195,13 +195,8 @@
     const now = this.#options.timer.now();
     this.#reportedHere.add(report.fingerprint);
     this.#crashesDetectedHere.add(report.crash);
-    const commonParts = (report.parts ?? []).filter((part) =>
-      this.#commonParts.has(part, now)
-    );
-    const stated = commonParts.length === 0
-      ? report
-      : { ...report, commonParts };
-    this.#applyChange("own", () => this.#ledger.report(stated, now, at));
+    const described = this.#knownParts.describe(report, now);
+    this.#applyChange("own", () => this.#ledger.report(described, now, at));
   }
 
   /** Records that an endpoint answered a request completely. */
@@ -254,7 +249,7 @@
     { attemptId, isNew = true }: AnsweredOptions = {},
   ): void {
     const now = this.#options.timer.now();
-    if (isNew) this.#commonParts.add(answer.parts, now);
+    this.#knownParts.record(answer, { isNew, now });
     if (!this.#ledger.hasSuspectParts) return;
     const found = this.#ledger.findCleared(answer);
     if (!this.#ledger.clear(found, now)) return;
