Divide the attempts of a request among the daemons that it is relayed to

Cause: the relaying daemon counted a relayed request as one run, but allowed the other daemon all attempts that were left. After a lost or unknown answer the next daemon got one more. The class: a bound of one request that each daemon keeps from its own count. Change: half of the attempts that are left are granted to each daemon, and counted as runs unless it declares that it ran nothing. The unit test that guarded against this expected grants of 2 and 1 for a route with two attempts, which is three endpoints; it now expects 1 and 1, which is stricter.

--- a/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_request_test.ts
@@ -115,10 +115,20 @@
     { type: "unknown", reason: "reset" },
     { type: "unknown", reason: "reset" },
   ], OFTEN);
-  expect(messages.map(({ attemptsLeft }) => attemptsLeft)).toEqual([2, 1]);
+  expect(messages.map(({ attemptsLeft }) => attemptsLeft)).toEqual([1, 1]);
   expect(reply.refusal?.status).toEqual(502);
 });
 
+// Guards against attempts that are lost although no endpoint ran the request.
+test("a daemon that didn't run a request costs it no attempts", async () => {
+  const { messages } = await relayTo([
+    refused(true),
+    { type: "unreachable", reason: "no connection in time" },
+    answered(wholeAnswer(200, "done")),
+  ], { ...OFTEN, attempts: 4 });
+  expect(messages.map(({ attemptsLeft }) => attemptsLeft)).toEqual([2, 2, 2]);
+});
+
 // Guards against events that come twice or are missing after a relay is cut.
 test("a resumable stream goes on at another daemon after its last event", async () => {
   const cut = new Error("connection reset");
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -32,8 +32,8 @@
 
 /**
  * Has other daemons serve a request while this one is isolated or has no place
- * at brittle endpoints. A relayed request counts as a run at an endpoint, since
- * it may have reached one.
+ * at brittle endpoints. A relayed request counts as a run at each endpoint that
+ * the other daemon may use, since it may have reached them.
  */
 export class RequestRelayer {
   readonly #options: RequestRelayerOptions;
@@ -83,14 +83,14 @@
     if (!run.isOpen) return "ended";
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
-    const attemptsLeft = Math.max(1, run.attemptsLeft);
+    const attempts = grantAttempts(run);
     run.sends++;
-    run.runs++;
+    run.runs += attempts;
     const answer = await relay.send({
       peer,
       message: {
         configurationVersion: configuration.version,
-        attemptsLeft,
+        attemptsLeft: attempts,
         streamOrigin: run.streamOrigin,
         earlierStagesMilliseconds: run.earlierStagesMilliseconds,
         request: this.#createRequest(),
@@ -114,6 +114,10 @@
       if (answer.type === "answered") answer.answer.close();
       return "ended";
     }
+    const isNotRun = answer.type === "unreachable" ||
+      (answer.type === "refused" &&
+        NOT_RUN_STATUSES.has(answer.refusal.status));
+    if (isNotRun) run.runs -= attempts;
     return await this.#handle(answer, peer);
   }
 
@@ -143,7 +147,6 @@
       case "refused":
         return this.#handleRefusal(answer.refusal);
       case "unreachable":
-        run.runs--;
         return "again";
       case "unknown":
         run.deliveries++;
@@ -157,7 +160,6 @@
     const { run, fail } = this.#options;
     const { status, message } = refusal;
     if (NOT_RUN_STATUSES.has(status)) {
-      run.runs--;
       if (isDelivered === true) run.deliveries++;
       this.#retryAfterMilliseconds = refusal.retryAfterMilliseconds;
       if (isUnable) return "again";
@@ -232,6 +234,15 @@
   }
 }
 
+/**
+ * Number of endpoints that another daemon may use. Half of those that are left
+ * are kept for the next daemon, since nobody knows how many the first one used
+ * if its answer is lost.
+ */
+function grantAttempts({ isRepeatable, attemptsLeft }: RequestRun): number {
+  return isRepeatable ? Math.max(1, Math.ceil(attemptsLeft / 2)) : 1;
+}
+
 /** When a daemon may have begun the stages; undefined if it didn't. */
 function findStagesBegin(
   answer: RelayAnswer,
