--- a/packages/kelpspar-standins/src/stops/stop_situations.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situations.ts
@@ -50,6 +50,18 @@
   varying: { answerMilliseconds: [600, 6_000] },
   stages: { hasStages: true, answerMilliseconds: [2_000, 2_000] },
   resumable: { route: "resumed" },
+  one: { stopped: 1, route: "once", answerMilliseconds: [1_500, 1_500] },
+  "one-of-stages": {
+    stopped: 1,
+    hasStages: true,
+    answerMilliseconds: [2_000, 2_000],
+  },
+  "one-short-grace": {
+    stopped: 1,
+    graceSeconds: 4,
+    route: "once",
+    answerMilliseconds: [5_000, 5_000],
+  },
   "longest-grace": {
     graceSeconds: 60,
     rounds: 1,
