Split the order of candidates from the search for causes

Change: part_candidate.ts has the candidate, its thresholds and its order; no logic changes. Measured: the ledger's, the poison and the quarantine tests pass.

--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -1,11 +1,11 @@
 import type { FindCrashingPartsOptions } from "./find_crashing_parts.ts";
 import {
   countUnrelated,
-  createCandidate,
   listCandidates,
   listUnrelatedCrashes,
   thresholdsOf,
 } from "./find_crashing_parts.ts";
+import { createCandidate } from "./part_candidate.ts";
 
 /** What speaks for a part being the cause of crashes. */
 export interface PartAssessment {
