--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -133,7 +133,7 @@
     return Math.max(0, this.#pausedUntil - now, this.#refusedUntil - now);
   }
 
-  /** The same of the time that the endpoint requested. */
+  /** Remaining time without calls that the endpoint requested, milliseconds. */
   remainingRequestedPauseMilliseconds(now: number): number {
     return Math.max(0, this.#pausedUntil - now);
   }
