--- a/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
@@ -4,8 +4,9 @@
 import { longestSeries } from "./part_trials.ts";
 
 /**
- * Crashes by which a common part must exceed a rarer one to be considered first:
- * it is beside most requests that crash endpoints.
+ * A common part is considered before a rarer one only if it is at more crashes
+ * than these beyond those of the other, since it is beside most requests that
+ * crash endpoints.
  */
 const COMMON_HANDICAP = 1;
 
