--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -40,12 +40,10 @@
   options: AssessPartOptions,
 ): PartAssessment {
   const { crashes } = options;
-  const isCommon = options.commonParts.has(part);
   const open = options.wideTrials.get(part) ?? [];
   const candidate = createCandidate({
+    ...options,
     part,
-    isCommon,
-    wasSound: isCommon || options.soundParts.has(part),
     trials: options.trials.get(part) ?? [],
     wideTrials: open,
   });
@@ -62,7 +60,7 @@
     crashesInSuccession: series.length,
     wideCrashesInSuccession: wideSeries.length,
     unrelatedCrashes: countUnrelated(candidate, unrelated),
-    isCommon,
+    isCommon: candidate.isCommon,
     wasSound: candidate.wasSound,
     threshold: thresholds.narrow,
     wideThreshold: thresholds.wide,
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -105,8 +105,8 @@
       !(isCommon && isExplainedByPoison(part, poisonReports.get(crash)));
     const candidate = createCandidate({
       part,
-      isCommon,
-      wasSound: isCommon || soundParts.has(part),
+      commonParts,
+      soundParts,
       trials: (trials.get(part) ?? []).filter(isOpen),
       wideTrials: partTrials.filter(isOpen),
     });
--- a/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
@@ -62,20 +62,26 @@
   return isCommon ? weight - COMMON_HANDICAP : weight;
 }
 
-/** Creates a candidate from its trials that nothing else explains. */
+/** Options of `createCandidate`. */
+export interface CandidateOptions {
+  readonly part: string;
+  /** Trials that nothing else explains, in the narrow blame window. */
+  readonly trials: readonly PartTrial[];
+  /** The same in the wide one. */
+  readonly wideTrials: readonly PartTrial[];
+  readonly commonParts: ReadonlySet<string>;
+  readonly soundParts: ReadonlySet<string>;
+}
+
+/** Creates a candidate from its trials and from what is known of parts. */
 export function createCandidate(
-  { part, isCommon, wasSound, trials, wideTrials }: {
-    readonly part: string;
-    readonly isCommon: boolean;
-    readonly wasSound: boolean;
-    readonly trials: readonly PartTrial[];
-    readonly wideTrials: readonly PartTrial[];
-  },
+  { part, trials, wideTrials, commonParts, soundParts }: CandidateOptions,
 ): Candidate {
+  const isCommon = commonParts.has(part);
   return {
     part,
     isCommon,
-    wasSound,
+    wasSound: isCommon || soundParts.has(part),
     trials: wideTrials,
     series: longestSeries(trials),
     wideSeries: longestSeries(wideTrials),
