Log what is left of the grace period when a request is sent

Cause: the log of a stream that a planned stop cut said how much of the caller's deadline was left at its send, and not how much of the daemon's grace period, so that "asked once" and "a bound learnt in calm" of the incident's hypotheses couldn't be told apart. Change: `request sent` of a stopping daemon has daemonEndsInMilliseconds and answerMilliseconds. No logic changes.

--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -1,6 +1,7 @@
 import type { EndpointAnswer } from "./endpoint_call.ts";
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
+import type { LogFields } from "../log/gateway_log.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -330,8 +331,21 @@
       isSetAside: endpoint.isSetAside(now),
       tried: this.#triedEndpointIds.size,
       remainingMilliseconds: Math.round(this.#run.remaining()),
+      ...this.#describeShutdown(),
       lastEventId: this.#relay.lastEventId,
       resumedAttempt: request.resumedAttemptId,
     });
   }
+
+  /** Time that is left of the grace period, and what the answer may need. */
+  #describeShutdown(): LogFields {
+    const { dependencies, route } = this.#run.options;
+    const { lifecycle, answerTimes } = dependencies;
+    if (lifecycle.stopRequestedAt === undefined) return {};
+    const bound = answerTimes.bound(route.name);
+    return {
+      daemonEndsInMilliseconds: Math.round(lifecycle.remainingMilliseconds),
+      answerMilliseconds: bound === undefined ? undefined : Math.round(bound),
+    };
+  }
 }
