Let programs that play sites beside each other have ports of their own

Change: KELPSPAR_PORTS=FIRST-LAST sets the range that ports are looked for in. Without it nothing changes.

--- a/packages/kelpspar-standins/src/__tests__/unit/free_ports_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/free_ports_test.ts
@@ -1,7 +1,11 @@
 import { expect } from "earl";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
-import { findFreePorts, firstPortOffset } from "../../wire/free_ports.ts";
+import {
+  findFreePorts,
+  firstPortOffset,
+  parsePortRange,
+} from "../../wire/free_ports.ts";
 
 test("allocates no port twice", async () => {
   // A port looks free until its process listens. If a daemon that is still
@@ -28,3 +32,14 @@
     expect(offset).toBeGreaterThanOrEqual(portsOfSite);
   }
 });
+
+// Guards against sites beside each other that take over each other's ports.
+test("a range of ports can be set", () => {
+  expect(parsePortRange("14000-17999")).toEqual({
+    firstPort: 14_000,
+    count: 4_000,
+  });
+  for (const text of ["14000", "17999-14000", "a-b"]) {
+    expect(() => parsePortRange(text)).toThrow(TypeError);
+  }
+});
--- a/packages/kelpspar-standins/src/wire/free_ports.ts
+++ b/packages/kelpspar-standins/src/wire/free_ports.ts
@@ -1,11 +1,23 @@
 import { createServer } from "node:net";
+import process from "node:process";
+
+/**
+ * Environment variable with a range of ports, `FIRST-LAST`. Programs that run
+ * beside each other with ranges of their own never use each other's ports.
+ */
+export const PORT_RANGE_VARIABLE = "KELPSPAR_PORTS";
+
+/** A range of ports. */
+export interface PortRange {
+  readonly firstPort: number;
+  readonly count: number;
+}
 
 /**
  * Below the range from which the system assigns ports to connections, which
  * would otherwise take a port between its allocation and its use.
  */
-const FIRST_PORT = 10_000;
-const PORT_COUNT = 22_000;
+const DEFAULT_RANGE: PortRange = { firstPort: 10_000, count: 22_000 };
 /**
  * Distance between the first ports of processes with successive ids: more than a
  * site uses. A port of a daemon that is down looks free to another process, whose
@@ -13,11 +25,24 @@
  */
 const PROCESS_PORT_COUNT = 1_021;
 
+const range = parsePortRange(process.env[PORT_RANGE_VARIABLE]);
 let nextOffset = firstPortOffset(process.pid);
 
 /** Where a process begins to look for ports, from the lowest one. */
 export function firstPortOffset(processId: number): number {
-  return processId * PROCESS_PORT_COUNT % PORT_COUNT;
+  return processId * PROCESS_PORT_COUNT % range.count;
+}
+
+/** Parses `FIRST-LAST`; throws `TypeError` if it isn't a range of ports. */
+export function parsePortRange(text: string | undefined): PortRange {
+  if (text === undefined || text === "") return DEFAULT_RANGE;
+  const [, first, last] = /^(\d{4,5})-(\d{4,5})$/.exec(text) ?? [];
+  const firstPort = Number(first);
+  const count = Number(last) - firstPort + 1;
+  if (count > 0) return { firstPort, count };
+  throw new TypeError(
+    `${PORT_RANGE_VARIABLE} was read and takes FIRST-LAST, not "${text}"`,
+  );
 }
 
 /**
@@ -28,8 +53,8 @@
 export async function findFreePorts(count: number): Promise<readonly number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const port = FIRST_PORT + nextOffset;
-    nextOffset = (nextOffset + 1) % PORT_COUNT;
+    const port = range.firstPort + nextOffset;
+    nextOffset = (nextOffset + 1) % range.count;
     if (await isFree(port)) ports.push(port);
   }
   return ports;
