Ask again before each send whether an answer can end before its daemon

Cause: a stopping daemon asked once, when a request arrived, whether its answer would end in time, by what whole answers of the route took in calm. When the stages took seconds more, the request was sent all the same, begun and cut at the daemon's end. The class is a decision that is made at the arrival and rests on things that change until the send that can't be taken back. Change: ShutdownAdmission decides at the arrival, before each send and each relay, and every 50 ms for requests that still wait, so that they are refused (503, not run) as soon as nothing can come of them. Before a send it goes by what answers take from their send on, which daemons tell each other beside the times from the arrival; without that, requests whose slow stages are done would be refused though they can end. Stages get the daemon's end as their deadline. Quarantine, isolation, the software of a stream and freed inputs were asked before the waits for a place or a retry and not after them; they are asked by the same check now.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -133,6 +133,8 @@
   readonly quarantine: Quarantine;
   readonly lifecycle: DaemonLifecycle;
   readonly answerTimes: AnswerTimes;
+  /** Answer times from the send of a request. */
+  readonly sendTimes: AnswerTimes;
   /** Number of chains that were run. */
   readonly chainRunCount: () => number;
   readonly logLines: { readonly message: string; readonly fields: LogFields }[];
@@ -223,6 +225,7 @@
   const brittle = new BrittleServices();
   const lifecycle = new DaemonLifecycle({ timer, graceMilliseconds: GRACE });
   const answerTimes = new AnswerTimes(timer);
+  const sendTimes = new AnswerTimes(timer);
   if (options.senders !== undefined) {
     brittle.record("model", REFUSALS_PER_SECOND, timer.now());
   }
@@ -298,6 +301,7 @@
     malformedAnswers,
     lifecycle,
     answerTimes,
+    sendTimes,
     others: () => ({
       isOtherServing: true,
       isOtherStarting: false,
@@ -321,6 +325,7 @@
     quarantine,
     lifecycle,
     answerTimes,
+    sendTimes,
     chainRunCount: () => chainRunCount,
     logLines,
   };
--- a/packages/kelpspar-gateway/src/__tests__/unit/late_stages_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/late_stages_test.ts
@@ -119,3 +119,31 @@
   await served;
   expect([world.endpointCalls.length, world.reply.status]).toEqual([1, 503]);
 });
+
+// Guards against callers that wait for stages although nothing can come of it.
+test("a request is refused while it waits once its answer can't end in time", async () => {
+  const { world, endStages } = createLateStages([]);
+  const stopRefusals = world.service.registerShutdownRefusals();
+  void world.lifecycle.stop(BUSY);
+  await world.timer.advance(3_100);
+  const served = world.service.serve(request(), world.reply);
+  await world.timer.advance(3_300);
+  expect(world.reply.status).toEqual(undefined);
+  await world.timer.advance(TOO_LATE_MILLISECONDS - 6_400);
+  expect([world.endpointCalls.length, world.reply.status]).toEqual([0, 503]);
+  stopRefusals();
+  endStages();
+  await world.timer.settle();
+  await served;
+});
+
+// Guards against refusals by the time of stages that are already done.
+test("a request is sent if only its stages were slow", async () => {
+  const stages = createLateStages([() => stream("id: 1\ndata: a\n\n")]);
+  for (let count = 0; count < 20; count++) {
+    stages.world.sendTimes.record(ROUTE, 200);
+  }
+  await serveWithLateStages(stages, { arrivesAfterMilliseconds: 3_100 });
+  const { endpointCalls, reply } = stages.world;
+  expect([endpointCalls.length, reply.status]).toEqual([1, 200]);
+});
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -4,7 +4,7 @@
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
 import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
-import type { RouteTimes } from "../lifecycle/route_times.ts";
+import type { ToldRouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -172,7 +172,7 @@
   }
 
   /** Returns how long answers of each route take at a peer. */
-  async answerTimes(peer: string): Promise<readonly RouteTimes[]> {
+  async answerTimes(peer: string): Promise<readonly ToldRouteTimes[]> {
     const answer = await this.#callWithShortTimeout(
       peer,
       (client) => client.answerTimes.query(),
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -2,7 +2,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
-import type { RouteTimes } from "../lifecycle/route_times.ts";
+import type { ToldRouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -52,7 +52,7 @@
   /** Merges a peer's endpoint speeds; returns a page of those known here. */
   shareSpeeds(page: readonly LearnedSpeed[]): readonly LearnedSpeed[];
   /** Returns how long answers of each route take here. */
-  answerTimes(): readonly RouteTimes[];
+  answerTimes(): readonly ToldRouteTimes[];
   /**
    * Runs a chain of stages, or names the coordinator; `signal` aborts it when
    * the caller disconnects.
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -45,9 +45,9 @@
 import { listen } from "./front/listen.ts";
 import { OpenExchanges } from "./front/open_exchanges.ts";
 import { IsolationMonitor } from "./isolation/isolation_monitor.ts";
-import { AnswerTimes } from "./lifecycle/answer_times.ts";
 import { AnswerTimesSync } from "./lifecycle/answer_times_sync.ts";
 import { DaemonLifecycle } from "./lifecycle/daemon_lifecycle.ts";
+import { KnownAnswerTimes } from "./lifecycle/known_answer_times.ts";
 import { waitUntil } from "./lifecycle/wait_until.ts";
 import { LoopDelay } from "./load/loop_delay.ts";
 import { ProcessMonitor } from "./load/process_monitor.ts";
@@ -126,7 +126,7 @@
   readonly #streamOrigins: StreamOrigins;
   readonly #lifecycle: DaemonLifecycle;
   readonly #exchanges = new OpenExchanges();
-  readonly #answerTimes: AnswerTimes;
+  readonly #answerTimes: KnownAnswerTimes;
   readonly #answerTimesSync: AnswerTimesSync;
   #acceptedConnections = 0;
   #tablesConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -143,7 +143,7 @@
     const { configuration, registry, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#tablesConfirmedAt, Number.MAX_SAFE_INTEGER);
-    this.#answerTimes = new AnswerTimes(timer);
+    this.#answerTimes = new KnownAnswerTimes(timer);
     const lifecycle = new DaemonLifecycle(options);
     this.#lifecycle = lifecycle;
     const isolation = new IsolationMonitor({ ...options, registry });
@@ -300,7 +300,8 @@
       firstByteEstimates: new FirstByteEstimates(),
       malformedAnswers: options.malformedAnswers,
       lifecycle,
-      answerTimes: this.#answerTimes,
+      answerTimes: this.#answerTimes.fromArrival,
+      sendTimes: this.#answerTimes.fromSend,
       others: () => this.#otherDaemons(),
       timer,
       random: options.random,
@@ -563,12 +564,14 @@
   async stop(): Promise<void> {
     this.#lifecycle.registerListener((phase) => this.#handlePhase(phase));
     const { timer } = this.#options;
+    const stopRefusals = this.#requestService.registerShutdownRefusals();
     await this.#lifecycle.stop({
       isBusy: () =>
         this.#exchanges.count > 0 || this.#requestService.open > 0 ||
         this.#coordinator.openChains > 0,
       isReplaced: () => this.#membership.serving(timer.now()).length > 0,
     });
+    stopRefusals();
     this.#requestService.failOpenRequests();
     await waitUntil(() => this.#exchanges.count === 0, {
       timer,
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
@@ -28,9 +28,8 @@
 }
 
 /**
- * How long the answers of each route take, from the arrival of the request
- * until the caller's connection has taken the last byte. What daemons tell each
- * other outlasts their restarts.
+ * How long the answers of each route take, until the caller's connection has
+ * taken the last byte. What daemons tell each other outlasts their restarts.
  */
 export class AnswerTimes {
   readonly #timer: Pick<TimerService, "now">;
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times_sync.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times_sync.ts
@@ -1,7 +1,7 @@
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { FleetMembership } from "../fleet/fleet_membership.ts";
 import type { PeerClient } from "../fleet/peer_client.ts";
-import type { AnswerTimes } from "./answer_times.ts";
+import type { KnownAnswerTimes } from "./known_answer_times.ts";
 
 /** How often another daemon is asked, once one has answered. */
 const INTERVAL_MILLISECONDS = 20_000;
@@ -10,7 +10,7 @@
 
 /** Dependencies of an `AnswerTimesSync`. */
 export interface AnswerTimesSyncOptions {
-  readonly answerTimes: Pick<AnswerTimes, "merge">;
+  readonly answerTimes: Pick<KnownAnswerTimes, "merge">;
   readonly peers: Pick<PeerClient, "answerTimes">;
   readonly membership: Pick<FleetMembership, "likelyReachable">;
   readonly timer: TimerService;
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -94,6 +94,10 @@
   /** Sends the request; a repeatable call that is slow is hedged once. */
   async send(choice: EndpointChoice): Promise<SendResult> {
     const { dependencies, route } = this.#run.options;
+    // A stream that goes on elsewhere still lasts from its first send.
+    if (this.#run.firstByteAt === undefined) {
+      this.#run.sentAt = this.#run.now();
+    }
     const first = this.#sendTo(choice);
     if (route.kind !== "idempotent") return await first;
     const expected = Math.max(
@@ -340,9 +344,9 @@
   /** Time that is left of the grace period, and what the answer may need. */
   #describeShutdown(): LogFields {
     const { dependencies, route } = this.#run.options;
-    const { lifecycle, answerTimes } = dependencies;
+    const { lifecycle, sendTimes } = dependencies;
     if (lifecycle.stopRequestedAt === undefined) return {};
-    const bound = answerTimes.bound(route.name);
+    const bound = sendTimes.bound(route.name);
     return {
       daemonEndsInMilliseconds: Math.round(lifecycle.remainingMilliseconds),
       answerMilliseconds: bound === undefined ? undefined : Math.round(bound),
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -71,7 +71,10 @@
     | "stopRequestedAt"
     | "recordAdmission"
   >;
+  /** Answer times from the arrival of a request. */
   readonly answerTimes: Pick<AnswerTimes, "record" | "bound">;
+  /** Answer times from the send that was answered. */
+  readonly sendTimes: Pick<AnswerTimes, "record" | "bound">;
   /** What is known of other daemons while this one stops. */
   readonly others: () => OtherDaemons;
   readonly timer: TimerService;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -4,6 +4,7 @@
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
+import type { ShutdownAdmission } from "./shutdown_admission.ts";
 import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { shortestPause } from "../endpoints/shortest_pause.ts";
 import { AnswerEvidence } from "./answer_evidence.ts";
@@ -42,6 +43,13 @@
   /** This daemon reaches no endpoint; the request may be relayed. */
   | "isolated";
 
+/** Options of a `RequestDispatcher`. */
+export interface RequestDispatcherOptions {
+  /** Whether the request reads results of stages. */
+  readonly hasStages: boolean;
+  readonly shutdown: Pick<ShutdownAdmission, "refuseSend" | "refuseArrival">;
+}
+
 interface BufferedAnswer {
   readonly status: number;
   readonly headers: readonly string[];
@@ -55,7 +63,7 @@
  */
 export class RequestDispatcher {
   readonly #run: RequestRun;
-  readonly #hasStages: boolean;
+  readonly #options: RequestDispatcherOptions;
   readonly #sender: EndpointSender;
   readonly #evidence: AnswerEvidence;
   readonly #streamForwarder: StreamForwarder;
@@ -66,10 +74,10 @@
   /** Last error answer of an endpoint, returned if all retries fail too. */
   #fallback: BufferedAnswer | undefined;
 
-  constructor(run: RequestRun, hasStages: boolean) {
+  constructor(run: RequestRun, options: RequestDispatcherOptions) {
     const relay = new StreamRelay(run.options.request.lastEventId);
     this.#run = run;
-    this.#hasStages = hasStages;
+    this.#options = options;
     this.#sender = new EndpointSender(run, relay);
     this.#evidence = new AnswerEvidence(run);
     this.#streamForwarder = new StreamForwarder(run, relay);
@@ -78,6 +86,7 @@
       run,
       streamRelay: relay,
       streamForwarder: this.#streamForwarder,
+      shutdown: options.shutdown,
       fail: (reason, wait) => this.fail(reason, wait),
     });
   }
@@ -104,18 +113,10 @@
   async run(): Promise<DispatchOutcome> {
     const run = this.#run;
     const sender = this.#sender;
-    if (this.#hasStages) sender.inputs = run.resultHandles;
+    if (this.#options.hasStages) sender.inputs = run.resultHandles;
     while (run.isOpen) {
-      if (this.#isIsolated) return "isolated";
-      const failure = this.#continuation.failure;
-      if (failure !== undefined) return this.#failAndEnd(failure);
-      // Results are freed at the first event of a stream. An endpoint that
-      // resumes the stream needs them too, so they must be made again first.
-      if (this.#areInputsFreed) return "input_gone";
-      if (run.isQuarantined) {
-        run.rejectQuarantined();
-        return "ended";
-      }
+      const obstacle = this.#handleObstacle();
+      if (obstacle !== undefined) return obstacle;
       const choice = sender.chooseEndpoint() ??
         await this.#choosePlacedEndpoint() ??
         await this.#chooseAfterWait();
@@ -137,6 +138,12 @@
         run.cancelReservedSend();
         continue;
       }
+      // The waits above may have outlasted the first check.
+      const lateObstacle = this.#handleObstacle();
+      if (lateObstacle !== undefined) {
+        run.cancelReservedSend();
+        return lateObstacle;
+      }
       this.#retryCause = "failed";
       const result = await sender.send(current);
       if (!run.isOpen) closeAnswer(result);
@@ -159,6 +166,25 @@
     else run.fail(reason, retryAfterMilliseconds);
   }
 
+  /** Whether the request can't be sent now; fails it if it never can. */
+  #handleObstacle(): DispatchOutcome | undefined {
+    const run = this.#run;
+    if (this.#isIsolated) return "isolated";
+    const failure = this.#continuation.failure;
+    if (failure !== undefined) return this.#failAndEnd(failure);
+    // Results are freed at the first event of a stream. An endpoint that
+    // resumes the stream needs them too, so they must be made again first.
+    if (this.#areInputsFreed) return "input_gone";
+    if (run.isQuarantined) {
+      run.rejectQuarantined();
+      return "ended";
+    }
+    const refusal = this.#options.shutdown.refuseSend(run);
+    if (refusal === undefined) return undefined;
+    this.fail(refusal.reason, refusal.retryAfterMilliseconds);
+    return "ended";
+  }
+
   get #areInputsFreed(): boolean {
     return (this.#sender.inputs?.length ?? 0) > 0 &&
       this.#run.resultHandles.length === 0;
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -2,6 +2,7 @@
 import type { RelayAnswer } from "../relay/relay_answer.ts";
 import type { RelayRefusal } from "../relay/relay_refusal.ts";
 import type { RequestRun } from "./request_run.ts";
+import type { ShutdownAdmission } from "./shutdown_admission.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
 import type { StreamForwarder } from "./stream_forwarder.ts";
 import type { StreamRelay } from "./stream_relay.ts";
@@ -23,6 +24,7 @@
   readonly run: RequestRun;
   readonly streamRelay: StreamRelay;
   readonly streamForwarder: StreamForwarder;
+  readonly shutdown: Pick<ShutdownAdmission, "refuseArrival">;
   /** Fails the request, or returns an earlier answer of an endpoint. */
   readonly fail: (reason: string, retryAfterMilliseconds: number) => void;
 }
@@ -81,6 +83,13 @@
       return this.#failWithoutBudget();
     }
     if (!run.isOpen) return "ended";
+    // The other daemon runs the request from its stages on.
+    const refusal = this.#options.shutdown.refuseArrival(run);
+    if (refusal !== undefined) {
+      run.cancelReservedSend();
+      this.#options.fail(refusal.reason, refusal.retryAfterMilliseconds);
+      return "ended";
+    }
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
     const attempts = grantAttempts(run);
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -71,6 +71,8 @@
   stagesBegunAt: number | undefined;
   /** Value of `sends` when the coordinator was last asked for a place. */
   sendsAtPlacementRequest: number | undefined;
+  /** When it was last sent before its first byte, apart from hedges. */
+  sentAt: number | undefined;
   firstByteAt: number | undefined;
   /** Software that must continue the stream; undefined if any may begin it. */
   streamOrigin: StreamOrigin | undefined;
@@ -390,7 +392,11 @@
   async #recordAnswerTime(): Promise<void> {
     const { reply, request, dependencies, route, arrivedAt } = this.#options;
     if (request.lastEventId !== undefined || !await reply.sent) return;
-    dependencies.answerTimes.record(route.name, this.now() - arrivedAt);
+    const { answerTimes, sendTimes } = dependencies;
+    const now = this.now();
+    answerTimes.record(route.name, now - arrivedAt);
+    if (this.sentAt === undefined) return;
+    sendTimes.record(route.name, now - this.sentAt);
   }
 
   #setPlace(place: ReaderPlace | undefined): void {
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -3,7 +3,7 @@
 import type { ChainOutcome, ChainRefusal } from "../pieces/chain_outcome.ts";
 import type { ChainStage } from "../pieces/chain_request.ts";
 import type { RelayMessage } from "../relay/relay_message.ts";
-import type { RequestRefusal } from "./find_shutdown_refusal.ts";
+import type { RequestRefusal } from "./shutdown_admission.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { DaemonAnswer, RequestReply } from "./request_reply.ts";
 import type { RequestRunOptions } from "./request_run.ts";
@@ -15,14 +15,11 @@
   createChainStages,
 } from "./create_chain_request.ts";
 import { chooseTarget } from "./choose_target.ts";
-import {
-  findShutdownRefusal,
-  shutdownRetryMilliseconds,
-} from "./find_shutdown_refusal.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { LimitedEndpointProbes } from "./limited_endpoint_probes.ts";
 import { RequestDispatcher } from "./request_dispatcher.ts";
 import { RequestRun } from "./request_run.ts";
+import { ShutdownAdmission } from "./shutdown_admission.ts";
 import { QUEUE_SHARE } from "./queue_share.ts";
 import {
   FULL_RETRY_MILLISECONDS,
@@ -31,6 +28,8 @@
 
 /** Retry delay while a starting daemon has not read its configuration. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+/** How often a stopping daemon looks for requests that can't end in time. */
+const SHUTDOWN_CHECK_MILLISECONDS = 50;
 /** Maximum number of chain runs for a request whose results were lost. */
 const MAXIMUM_CHAIN_RUNS = 2;
 
@@ -58,6 +57,7 @@
   readonly #dependencies: RequestDependencies;
   readonly #limitedEndpointProbes: LimitedEndpointProbes;
   readonly #openRuns = new Set<RequestRun>();
+  readonly #shutdown = new ShutdownAdmission(this.#openRuns);
 
   constructor(dependencies: RequestDependencies) {
     this.#dependencies = dependencies;
@@ -75,10 +75,29 @@
    * stages couldn't know that it didn't run.
    */
   failOpenRequests(): void {
-    const open = [...this.#openRuns];
-    for (const run of open) {
+    for (const run of [...this.#openRuns]) {
       if (run.firstByteAt !== undefined) run.abort("daemon ends");
-      else run.fail("daemon ends", shutdownRetryMilliseconds(run, open));
+      else run.fail("daemon ends", this.#shutdown.retryMilliseconds(run));
+    }
+  }
+
+  /**
+   * Refuses requests at a stopping daemon as soon as their answers can't end in
+   * time any more, though they haven't been sent; returns the teardown.
+   */
+  registerShutdownRefusals(): () => void {
+    return this.#dependencies.timer.registerInterval(
+      () => this.#refuseWaitingRequests(),
+      SHUTDOWN_CHECK_MILLISECONDS,
+    );
+  }
+
+  #refuseWaitingRequests(): void {
+    for (const run of [...this.#openRuns]) {
+      if (run.runs > 0 || run.firstByteAt !== undefined) continue;
+      const refusal = this.#shutdown.refuseSend(run);
+      if (refusal === undefined) continue;
+      run.fail(refusal.reason, refusal.retryAfterMilliseconds);
     }
   }
 
@@ -119,7 +138,7 @@
       run.rejectQuarantined();
       return;
     }
-    const unservable = this.#findShutdownRefusal(run) ??
+    const unservable = this.#shutdown.refuseArrival(run) ??
       (this.#dependencies.relay.isNeeded
         ? undefined
         : findUnservableReason(run));
@@ -142,13 +161,6 @@
     }
   }
 
-  #findShutdownRefusal(run: RequestRun): RequestRefusal | undefined {
-    const { stopRequestedAt } = this.#dependencies.lifecycle;
-    return stopRequestedAt === undefined
-      ? undefined
-      : findShutdownRefusal(run, [...this.#openRuns]);
-  }
-
   #accept(
     request: ServingRequest,
     reply: RequestReply,
@@ -241,7 +253,10 @@
     const stages = createChainStages(run);
     const hasPieces = stages.some(({ pieces }) => pieces > 0);
     // Shared by all runs of the chain, since it tracks a stream's position.
-    const dispatcher = new RequestDispatcher(run, route.stages.length > 0);
+    const dispatcher = new RequestDispatcher(run, {
+      hasStages: route.stages.length > 0,
+      shutdown: this.#shutdown,
+    });
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (!await dispatcher.prepareContinuation()) return;
       if (await dispatcher.relay()) return;
@@ -271,10 +286,10 @@
     run: RequestRun,
     stages: readonly ChainStage[],
   ): Promise<ChainEnd> {
-    const request = createChainRequest(run, {
-      stages,
-      reader: createChainReader(run),
-    });
+    const request = {
+      ...createChainRequest(run, { stages, reader: createChainReader(run) }),
+      remainingMilliseconds: this.#shutdown.remainingBeforeSend(run),
+    };
     run.stagesBegunAt ??= run.now();
     const outcome = await this.#dependencies.chainRunner.run(
       request,
