Don't begin a relayed answer that the relaying daemon can't pass on

A daemon that serves for another one asked only whether its own end leaves enough time, while the answer passes through the one that relayed it. Change: a relay message says when its sender ends, if it was told to stop; the receiver counts the earlier end of the two, before it accepts the request and before it sends it. Result: "a relayed stream isn't begun if the relaying daemon ends before it" fails without the change (the endpoint is called once, 200) and passes.

--- a/packages/kelpspar-gateway/src/__tests__/unit/late_stages_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/late_stages_test.ts
@@ -147,3 +147,22 @@
   const { endpointCalls, reply } = stages.world;
   expect([endpointCalls.length, reply.status]).toEqual([1, 200]);
 });
+
+// Guards against relayed streams that are cut because the daemon that relayed
+// them ends.
+test("a relayed stream isn't begun if the relaying daemon ends before it", async () => {
+  const { world, endStages } = createLateStages([
+    () => stream("id: 1\ndata: a\n\n"),
+  ]);
+  const served = world.service.serveRelayed({
+    configurationVersion: 1,
+    attemptsLeft: 1,
+    senderEndsInMilliseconds: 4_000,
+    request: request(),
+  }, world.reply);
+  await world.timer.advance(3_500);
+  endStages();
+  await world.timer.settle();
+  await served;
+  expect([world.endpointCalls.length, world.reply.status]).toEqual([0, 503]);
+});
--- a/packages/kelpspar-gateway/src/relay/relay_message.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_message.ts
@@ -11,6 +11,8 @@
   streamOrigin: streamOriginSchema.optional(),
   /** Daemons of the previous version don't send it. */
   earlierStagesMilliseconds: z.number().optional(),
+  /** Time until a sender that was told to stop gives its open requests up. */
+  senderEndsInMilliseconds: z.number().nonnegative().optional(),
   request: z.object({
     attemptId: z.string(),
     method: z.string(),
@@ -38,6 +40,8 @@
   readonly streamOrigin?: StreamOrigin | undefined;
   /** How long ago the sender began the stages; undefined if it didn't. */
   readonly earlierStagesMilliseconds?: number | undefined;
+  /** When a sender that was told to stop ends; undefined while it serves. */
+  readonly senderEndsInMilliseconds?: number | undefined;
   readonly request: ServingRequest;
 }
 
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -102,6 +102,7 @@
         attemptsLeft: attempts,
         streamOrigin: run.streamOrigin,
         earlierStagesMilliseconds: run.earlierStagesMilliseconds,
+        senderEndsInMilliseconds: this.#endsInMilliseconds,
         request: this.#createRequest(),
       },
       isRepeatable: run.hasAttemptsLeft,
@@ -130,6 +131,12 @@
     return await this.#handle(answer, peer);
   }
 
+  /** Time until this daemon ends; undefined while it wasn't told to stop. */
+  get #endsInMilliseconds(): number | undefined {
+    const remaining = this.#options.run.remainingLifetime();
+    return Number.isFinite(remaining) ? Math.max(0, remaining) : undefined;
+  }
+
   #createRequest(): RequestRun["options"]["request"] {
     const { run, streamRelay } = this.#options;
     const { request } = run.options;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -46,6 +46,8 @@
   readonly streamOrigin?: StreamOrigin | undefined;
   /** How long ago the relaying daemon began the stages; undefined if never. */
   readonly earlierStagesMilliseconds?: number | undefined;
+  /** Time from the arrival until the relaying daemon ends, if it stops. */
+  readonly senderEndsInMilliseconds?: number | undefined;
 }
 
 /**
@@ -232,6 +234,18 @@
     return this.options.dependencies.timer.now();
   }
 
+  /**
+   * Milliseconds until this daemon or the one that relayed the request ends;
+   * infinite while neither was told to stop.
+   */
+  remainingLifetime(): number {
+    const { dependencies, arrivedAt, senderEndsInMilliseconds } = this.options;
+    const { remainingMilliseconds } = dependencies.lifecycle;
+    if (senderEndsInMilliseconds === undefined) return remainingMilliseconds;
+    const senderEndsAt = arrivedAt + senderEndsInMilliseconds;
+    return Math.min(remainingMilliseconds, senderEndsAt - this.now());
+  }
+
   /** Milliseconds until the request's deadline or its route's timeout. */
   remaining(): number {
     return this.deadlineAt - this.now();
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -44,7 +44,10 @@
 /** What another daemon relays beside a request. */
 type RelayedState = Pick<
   RequestRunOptions,
-  "relayedAttempts" | "streamOrigin" | "earlierStagesMilliseconds"
+  | "relayedAttempts"
+  | "streamOrigin"
+  | "earlierStagesMilliseconds"
+  | "senderEndsInMilliseconds"
 >;
 
 const NOT_RELAYED: RelayedState = { relayedAttempts: undefined };
@@ -120,6 +123,7 @@
       relayedAttempts: message.attemptsLeft,
       streamOrigin: message.streamOrigin,
       earlierStagesMilliseconds: message.earlierStagesMilliseconds,
+      senderEndsInMilliseconds: message.senderEndsInMilliseconds,
     });
   }
 
--- a/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
+++ b/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
@@ -8,8 +8,9 @@
 }
 
 /**
- * Refuses requests whose answers might not end before a stopping daemon does:
- * when they arrive, and again before each send, since stages may end late.
+ * Refuses requests whose answers might not end before a stopping daemon does,
+ * this one or the one that relayed them: when they arrive, and again before
+ * each send, since stages may end late.
  */
 export class ShutdownAdmission {
   readonly #openRuns: ReadonlySet<RequestRun>;
@@ -33,12 +34,10 @@
 
   /** Milliseconds until the request must have been sent. */
   remainingBeforeSend(run: RequestRun): number {
-    const { lifecycle } = run.options.dependencies;
-    if (lifecycle.stopRequestedAt === undefined) return run.remaining();
-    return Math.min(
-      run.remaining(),
-      lifecycle.remainingMilliseconds - this.#neededFromSend(run),
-    );
+    const lifetime = run.remainingLifetime();
+    return Number.isFinite(lifetime)
+      ? Math.min(run.remaining(), lifetime - this.#neededFromSend(run))
+      : run.remaining();
   }
 
   /** Milliseconds after which a request that isn't served may be sent again. */
@@ -61,9 +60,10 @@
     run: RequestRun,
     findNeeded: () => number,
   ): RequestRefusal | undefined {
-    const { lifecycle } = run.options.dependencies;
-    if (lifecycle.stopRequestedAt === undefined) return undefined;
-    if (findNeeded() <= lifecycle.remainingMilliseconds) return undefined;
+    const lifetime = run.remainingLifetime();
+    if (!Number.isFinite(lifetime) || findNeeded() <= lifetime) {
+      return undefined;
+    }
     return {
       reason: "daemon stops before the answer can end",
       retryAfterMilliseconds: this.retryMilliseconds(run),
