Don't use a place whose endpoint belongs to another service by now

Cause: a coordinator's place names an endpoint by its id. When the stages have ended, the id may be of an endpoint of another service (ROUTE), which the daemon didn't ask again. Change: the endpoint must be of the request's service. Result: reused_place_test.ts failed (the request ran at "other") and passes.

--- a/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
+++ b/packages/kelpspar-gateway/src/requests/choose_request_endpoint.ts
@@ -13,11 +13,15 @@
   tried: ReadonlySet<string>,
 ): EndpointChoice | undefined {
   const { place, options } = run;
+  const { service } = options;
   if (place === undefined || tried.has(place.endpointId)) return undefined;
   const { endpointRegistry, rateLimiter, timer } = options.dependencies;
   const find = (id: string | undefined): EndpointState | undefined => {
     const found = id === undefined ? undefined : endpointRegistry.find(id);
-    return found?.isHealthy(timer.now()) === true ? found : undefined;
+    // Another service's endpoint may use the id by now.
+    const isUsable = found?.entry.service === service &&
+      found.isHealthy(timer.now());
+    return isUsable ? found : undefined;
   };
   const endpoint = find(place.endpointId);
   if (endpoint === undefined || !mayContinue(run, endpoint)) return undefined;
