Refuse chains that can't end before their deadline

Cause: the coordinator compared the expected time of a chain with its objective and only for late chains with its deadline, which may be a daemon's end. 600 ms of work were admitted with 300 ms left and thrown away. Change: no limit of the admission lies beyond the deadline. Result: "a chain that can't end before its deadline isn't admitted" failed and passes; the other tests of admit_chain_test.ts pass unchanged.

--- a/packages/kelpspar-gateway/src/pieces/admit_chain.ts
+++ b/packages/kelpspar-gateway/src/pieces/admit_chain.ts
@@ -33,7 +33,7 @@
   | "urgent_work"
   /** The share of the wait that is left to each chain. */
   | "minimum_wait"
-  /** The chain is late; it must still end well before its deadline. */
+  /** It must end before its deadline; a late chain well before it. */
   | "deadline"
   /** The chain is late and the coordinator is busy. */
   | "loop_delay";
@@ -87,7 +87,7 @@
  */
 export function admitChain(options: AdmitChainOptions): ChainAdmission {
   const expected = expectedTime(options) + loopWait(options);
-  const limit = timeLimitOf(options);
+  const limit = withinDeadline(timeLimitOf(options), options.remaining);
   const excess = expected - limit.milliseconds;
   if (excess <= 0) return { type: "admitted", expected, limit };
   const wait = Math.max(excess, MIN_RETRY_MILLISECONDS);
@@ -95,6 +95,16 @@
   return { type: "refused", expected, limit, retryAfterMilliseconds };
 }
 
+/** A chain that can't end before its deadline would be work for nothing. */
+function withinDeadline(
+  limit: AdmissionLimit,
+  remaining: number,
+): AdmissionLimit {
+  return limit.milliseconds <= remaining
+    ? limit
+    : { milliseconds: remaining, cause: "deadline" };
+}
+
 /** Time of the longest path through the stages plus the request itself. */
 export function expectedTime(
   options: Pick<AdmitChainOptions, "stages" | "tail">,
