--- a/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/peer_client_test.ts
@@ -62,6 +62,7 @@
   shareCrashes: (page) => page,
   shareNotices: (page) => page,
   answerTimes: () => [],
+  sendTimes: () => [],
   shareSpeeds: (page) => page,
   follow: () => Promise.reject(new Error("Not followed")),
   runChain: async (_request, signal) => {
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -34,6 +34,7 @@
   shareCrashes: notUsed,
   shareNotices: notUsed,
   answerTimes: () => [],
+  sendTimes: () => [],
   shareSpeeds: notUsed,
   follow: notUsed,
   runChain: notUsed,
--- a/packages/kelpspar-gateway/src/__tests__/unit/shutdown_admission_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/shutdown_admission_test.ts
@@ -152,8 +152,8 @@
     now: () => 0,
   } as unknown as RequestRun;
   const admission = new ShutdownAdmission(new Set());
-  expect(admission.refuseSend(run)).toEqual(undefined);
-  expect(admission.remainingBeforeSend(run)).toEqual(4_000);
+  expect(admission.findSendRefusal(run)).toEqual(undefined);
+  expect(admission.remainingForStages(run)).toEqual(4_000);
 });
 
 // Guards against stages that are run although they can't end before their
@@ -198,14 +198,21 @@
   await timer.advance(130_000);
   recordEven(known.fromSend, 200);
   const previous = new AnswerTimes(timer);
-  previous.merge(z.array(routeTimesSchema).parse(known.page()));
+  previous.merge(
+    z.array(routeTimesSchema).parse(known.fromArrival.page()),
+  );
   expect((previous.bound(ROUTE) ?? 0) >= 3_000).toEqual(true);
 });
 
 // Guards against second runs that are begun at a stopping daemon and cut.
 test("a request isn't hedged if the hedge can't end before its daemon", async () => {
   const world = createWorld([
-    () => new Promise(() => {}),
+    ({ signal }) =>
+      new Promise((resolve) => {
+        const giveUp = (): void =>
+          resolve({ type: "unknown", reason: "given up" });
+        signal.addEventListener("abort", giveUp, { once: true });
+      }),
     () => wholeAnswer(200, "hedge"),
   ], { route: { kind: "idempotent", stages: [] } });
   recordEven(world.answerTimes, 1_000);
@@ -338,6 +345,10 @@
       questions++;
       return times.bound(route);
     },
+    estimate: (route: string) => {
+      questions++;
+      return times.estimate(route);
+    },
   };
   const lifecycle = {
     stopRequestedAt: 0,
@@ -371,7 +382,7 @@
   );
   const admission = new ShutdownAdmission(open);
   for (const waiting of open) {
-    expect(admission.refuseSend(waiting) === undefined).toEqual(false);
+    expect(admission.findSendRefusal(waiting) === undefined).toEqual(false);
   }
   expect(questions <= COUNT * 10).toEqual(true);
 });
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -4,7 +4,7 @@
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
 import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
-import type { ToldRouteTimes } from "../lifecycle/route_times.ts";
+import type { RouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -172,7 +172,7 @@
   }
 
   /** Returns how long answers of each route take at a peer. */
-  async answerTimes(peer: string): Promise<readonly ToldRouteTimes[]> {
+  async answerTimes(peer: string): Promise<readonly RouteTimes[]> {
     const answer = await this.#callWithShortTimeout(
       peer,
       (client) => client.answerTimes.query(),
@@ -180,6 +180,15 @@
     return routeTimesPageSchema.parse(answer);
   }
 
+  /** Returns the same, counted from the send of a request. */
+  async sendTimes(peer: string): Promise<readonly RouteTimes[]> {
+    const answer = await this.#callWithShortTimeout(
+      peer,
+      (client) => client.sendTimes.query(),
+    );
+    return routeTimesPageSchema.parse(answer);
+  }
+
   async follow(
     peer: string,
     request: FollowRequest,
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -2,7 +2,7 @@
 import type { ServingConfiguration } from "../configuration/serving_configuration.ts";
 import type { PeerChainAnswer } from "../pieces/chain_redirect.ts";
 import type { ChainRelease, ChainRequest } from "../pieces/chain_request.ts";
-import type { ToldRouteTimes } from "../lifecycle/route_times.ts";
+import type { RouteTimes } from "../lifecycle/route_times.ts";
 import type { LearnedSpeed } from "../load/learned_speed.ts";
 import type { NoticePage } from "../endpoints/notice_page.ts";
 import type { OriginAnswer } from "../streams/origin_answer.ts";
@@ -52,7 +52,9 @@
   /** Merges a peer's endpoint speeds; returns a page of those known here. */
   shareSpeeds(page: readonly LearnedSpeed[]): readonly LearnedSpeed[];
   /** Returns how long answers of each route take here. */
-  answerTimes(): readonly ToldRouteTimes[];
+  answerTimes(): readonly RouteTimes[];
+  /** Answer times from the send of a request. */
+  sendTimes(): readonly RouteTimes[];
   /**
    * Runs a chain of stages, or names the coordinator; `signal` aborts it when
    * the caller disconnects.
@@ -157,6 +159,7 @@
   answerTimes: trpc.procedure.query(({ ctx }) => [
     ...ctx.handlers.answerTimes(),
   ]),
+  sendTimes: trpc.procedure.query(({ ctx }) => [...ctx.handlers.sendTimes()]),
   runChain: trpc.procedure.input(chainSchema).mutation(({ ctx, input }) =>
     ctx.handlers.runChain(input, ctx.createDisconnectSignal())
   ),
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times.ts
@@ -57,17 +57,23 @@
     if (times === undefined || times.answers < MINIMUM_ANSWERS) {
       return undefined;
     }
-    const { answers, longestMilliseconds, meanMilliseconds } = times;
-    const spread = Math.max(0, longestMilliseconds - meanMilliseconds);
-    const bound = longestMilliseconds + Math.max(
-      MINIMUM_MARGIN_MILLISECONDS,
-      spread * (SPREAD_SHARE + SPREAD_ANSWERS / answers),
-    );
+    const { longestMilliseconds } = times;
+    const bound = withMargin(times);
     const required = bound *
-      (1 + OBSERVED_SPREAD_FACTOR * spread / Math.max(1, longestMilliseconds));
+      (1 + OBSERVED_SPREAD_FACTOR * spreadOf(times) /
+          Math.max(1, longestMilliseconds));
     return times.observedMilliseconds >= required ? bound : undefined;
   }
 
+  /**
+   * Milliseconds that the longest known answer of the route and a margin take,
+   * however few are known; undefined without any.
+   */
+  estimate(route: string): number | undefined {
+    const times = this.#find(route);
+    return times === undefined ? undefined : withMargin(times);
+  }
+
   /** The times that are known here. */
   page(): readonly RouteTimes[] {
     const routes = new Set([...this.#windows.keys(), ...this.#told.keys()]);
@@ -125,6 +131,19 @@
   }
 }
 
+function spreadOf(
+  { longestMilliseconds, meanMilliseconds }: RouteTimes,
+): number {
+  return Math.max(0, longestMilliseconds - meanMilliseconds);
+}
+
+function withMargin(times: RouteTimes): number {
+  const margin = spreadOf(times) *
+    (SPREAD_SHARE + SPREAD_ANSWERS / times.answers);
+  return times.longestMilliseconds +
+    Math.max(MINIMUM_MARGIN_MILLISECONDS, margin);
+}
+
 function toTimes({ at, ...times }: ToldTimes, now: number): RouteTimes {
   return { ...times, ageMilliseconds: Math.max(0, now - at) };
 }
--- a/packages/kelpspar-gateway/src/lifecycle/answer_times_sync.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/answer_times_sync.ts
@@ -10,8 +10,8 @@
 
 /** Dependencies of an `AnswerTimesSync`. */
 export interface AnswerTimesSyncOptions {
-  readonly answerTimes: Pick<KnownAnswerTimes, "merge">;
-  readonly peers: Pick<PeerClient, "answerTimes">;
+  readonly answerTimes: KnownAnswerTimes;
+  readonly peers: Pick<PeerClient, "answerTimes" | "sendTimes">;
   readonly membership: Pick<FleetMembership, "likelyReachable">;
   readonly timer: TimerService;
   readonly random: RandomSource;
@@ -40,8 +40,10 @@
     const peer = reachable[random.nextInteger(Math.max(1, reachable.length))];
     if (peer === undefined) return;
     try {
-      answerTimes.merge(await peers.answerTimes(peer.peer));
+      answerTimes.fromArrival.merge(await peers.answerTimes(peer.peer));
       this.#nextAt = timer.now() + INTERVAL_MILLISECONDS;
+      // Daemons of the previous build don't answer this call.
+      answerTimes.fromSend.merge(await peers.sendTimes(peer.peer));
     } catch {
       // Another daemon is asked at the next interval.
     }
--- a/packages/kelpspar-gateway/src/lifecycle/known_answer_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/known_answer_times.ts
@@ -1,5 +1,4 @@
 import type { TimerService } from "kelpspar-shared";
-import type { ToldRouteTimes } from "./route_times.ts";
 import { AnswerTimes } from "./answer_times.ts";
 
 /** Answer times of the routes, counted from two moments of a request. */
@@ -13,21 +12,4 @@
     this.fromArrival = new AnswerTimes(timer);
     this.fromSend = new AnswerTimes(timer);
   }
-
-  /** The times that are known here. */
-  page(): readonly ToldRouteTimes[] {
-    return [
-      ...this.fromArrival.page(),
-      ...this.fromSend.page().map((times) => ({
-        ...times,
-        from: "send" as const,
-      })),
-    ];
-  }
-
-  /** Takes over the times of another daemon. */
-  merge(page: readonly ToldRouteTimes[]): void {
-    this.fromArrival.merge(page.filter(({ from }) => from !== "send"));
-    this.fromSend.merge(page.filter(({ from }) => from === "send"));
-  }
 }
--- a/packages/kelpspar-gateway/src/lifecycle/route_times.ts
+++ b/packages/kelpspar-gateway/src/lifecycle/route_times.ts
@@ -16,13 +16,5 @@
 /** Times of a route's answers as daemons tell them, milliseconds. */
 export type RouteTimes = z.infer<typeof routeTimesSchema>;
 
-const toldRouteTimesSchema = routeTimesSchema.extend({
-  /** What they are counted from; default the arrival of the request. */
-  from: z.literal("send").optional(),
-});
-
-/** Times of a route's answers in the page of a daemon. */
-export type ToldRouteTimes = z.infer<typeof toldRouteTimesSchema>;
-
 /** The times of the routes that a daemon knows. */
-export const routeTimesPageSchema = z.array(toldRouteTimesSchema);
+export const routeTimesPageSchema = z.array(routeTimesSchema);
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -21,7 +21,10 @@
   /** Source of pieces without inputs. */
   readonly pieceKey: string;
   readonly stages: readonly ChainStage[];
-  /** Time until the request's deadline. */
+  /**
+   * Time until the request's deadline, or until its first event must come for
+   * its answer to end before its daemon.
+   */
   readonly remainingMilliseconds: number;
   /** Time until its answer is late; negative if it already is. */
   readonly objectiveMilliseconds: number;
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -58,11 +58,7 @@
 
   /** Expected time to the first byte of an answer, milliseconds. */
   get expectedMilliseconds(): number {
-    const { dependencies, route } = this.#run.options;
-    return dependencies.firstByteEstimates.estimate(
-      route.name,
-      route.kind === "stream",
-    );
+    return this.#run.expectedFirstByte;
   }
 
   /** True if an untried endpoint is left that didn't request a pause. */
@@ -93,11 +89,17 @@
 
   /** Sends the request; a repeatable call that is slow is hedged once. */
   async send(choice: EndpointChoice): Promise<SendResult> {
-    const { dependencies, route } = this.#run.options;
+    const run = this.#run;
     // A stream that goes on elsewhere still lasts from its first send.
-    if (this.#run.firstByteAt === undefined) {
-      this.#run.sentAt = this.#run.now();
-    }
+    if (run.firstByteAt === undefined) run.sentAt = run.now();
+    const result = await this.#sendHedged(choice);
+    const isOver = result.answer.type !== "answered";
+    if (isOver && run.firstByteAt === undefined) run.sentAt = undefined;
+    return result;
+  }
+
+  async #sendHedged(choice: EndpointChoice): Promise<SendResult> {
+    const { dependencies, route } = this.#run.options;
     const first = this.#sendTo(choice);
     if (route.kind !== "idempotent") return await first;
     const expected = Math.max(
@@ -344,12 +346,14 @@
   /** Time that is left of the grace period, and what the answer may need. */
   #describeShutdown(): LogFields {
     const { dependencies, route } = this.#run.options;
-    const { lifecycle, sendTimes } = dependencies;
-    if (lifecycle.stopRequestedAt === undefined) return {};
-    const bound = sendTimes.bound(route.name);
+    const lifetime = this.#run.remainingLifetime();
+    if (!Number.isFinite(lifetime)) return {};
+    const estimate = dependencies.sendTimes.estimate(route.name);
     return {
-      daemonEndsInMilliseconds: Math.round(lifecycle.remainingMilliseconds),
-      answerMilliseconds: bound === undefined ? undefined : Math.round(bound),
+      daemonEndsInMilliseconds: Math.round(lifetime),
+      answerMilliseconds: estimate === undefined
+        ? undefined
+        : Math.round(estimate),
     };
   }
 }
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -72,9 +72,9 @@
     | "recordAdmission"
   >;
   /** Answer times from the arrival of a request. */
-  readonly answerTimes: Pick<AnswerTimes, "record" | "bound">;
+  readonly answerTimes: Pick<AnswerTimes, "record" | "bound" | "estimate">;
   /** Answer times from the send that was answered. */
-  readonly sendTimes: Pick<AnswerTimes, "record" | "bound">;
+  readonly sendTimes: Pick<AnswerTimes, "record" | "estimate">;
   /** What is known of other daemons while this one stops. */
   readonly others: () => OtherDaemons;
   readonly timer: TimerService;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -47,7 +47,10 @@
 export interface RequestDispatcherOptions {
   /** Whether the request reads results of stages. */
   readonly hasStages: boolean;
-  readonly shutdown: Pick<ShutdownAdmission, "refuseSend" | "refuseArrival">;
+  readonly shutdown: Pick<
+    ShutdownAdmission,
+    "findSendRefusal" | "findArrivalRefusal"
+  >;
 }
 
 interface BufferedAnswer {
@@ -179,7 +182,7 @@
       run.rejectQuarantined();
       return "ended";
     }
-    const refusal = this.#options.shutdown.refuseSend(run);
+    const refusal = this.#options.shutdown.findSendRefusal(run);
     if (refusal === undefined) return undefined;
     this.fail(refusal.reason, refusal.retryAfterMilliseconds);
     return "ended";
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -24,7 +24,7 @@
   readonly run: RequestRun;
   readonly streamRelay: StreamRelay;
   readonly streamForwarder: StreamForwarder;
-  readonly shutdown: Pick<ShutdownAdmission, "refuseArrival">;
+  readonly shutdown: Pick<ShutdownAdmission, "findArrivalRefusal">;
   /** Fails the request, or returns an earlier answer of an endpoint. */
   readonly fail: (reason: string, retryAfterMilliseconds: number) => void;
 }
@@ -82,9 +82,12 @@
     if (await run.reserveSend("failed") === "refused") {
       return this.#failWithoutBudget();
     }
-    if (!run.isOpen) return "ended";
+    if (!run.isOpen) {
+      run.cancelReservedSend();
+      return "ended";
+    }
     // The other daemon runs the request from its stages on.
-    const refusal = this.#options.shutdown.refuseArrival(run);
+    const refusal = this.#options.shutdown.findArrivalRefusal(run);
     if (refusal !== undefined) {
       run.cancelReservedSend();
       this.#options.fail(refusal.reason, refusal.retryAfterMilliseconds);
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -73,8 +73,13 @@
   stagesBegunAt: number | undefined;
   /** Value of `sends` when the coordinator was last asked for a place. */
   sendsAtPlacementRequest: number | undefined;
-  /** When it was last sent before its first byte, apart from hedges. */
+  /**
+   * When it was sent to the endpoint that answers it or may do so, apart from
+   * hedges; undefined while it waits.
+   */
   sentAt: number | undefined;
+  /** Since when its caller has to take an event; undefined if it has to none. */
+  writingSince: number | undefined;
   firstByteAt: number | undefined;
   /** Software that must continue the stream; undefined if any may begin it. */
   streamOrigin: StreamOrigin | undefined;
@@ -246,6 +251,15 @@
     return Math.min(remainingMilliseconds, senderEndsAt - this.now());
   }
 
+  /** Expected time of the request itself until its first byte, milliseconds. */
+  get expectedFirstByte(): number {
+    const { dependencies, route } = this.options;
+    return dependencies.firstByteEstimates.estimate(
+      route.name,
+      route.kind === "stream",
+    );
+  }
+
   /** Milliseconds until the request's deadline or its route's timeout. */
   remaining(): number {
     return this.deadlineAt - this.now();
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -98,7 +98,7 @@
   #refuseWaitingRequests(): void {
     for (const run of [...this.#openRuns]) {
       if (run.runs > 0 || run.firstByteAt !== undefined) continue;
-      const refusal = this.#shutdown.refuseSend(run);
+      const refusal = this.#shutdown.findSendRefusal(run);
       if (refusal === undefined) continue;
       run.fail(refusal.reason, refusal.retryAfterMilliseconds);
     }
@@ -142,7 +142,7 @@
       run.rejectQuarantined();
       return;
     }
-    const unservable = this.#shutdown.refuseArrival(run) ??
+    const unservable = this.#shutdown.findArrivalRefusal(run) ??
       (this.#dependencies.relay.isNeeded
         ? undefined
         : findUnservableReason(run));
@@ -292,7 +292,7 @@
   ): Promise<ChainEnd> {
     const request = {
       ...createChainRequest(run, { stages, reader: createChainReader(run) }),
-      remainingMilliseconds: this.#shutdown.remainingBeforeSend(run),
+      remainingMilliseconds: this.#shutdown.remainingForStages(run),
     };
     run.stagesBegunAt ??= run.now();
     const outcome = await this.#dependencies.chainRunner.run(
@@ -309,7 +309,13 @@
       { type: "refused" }
     >,
   ): void {
-    run.fail(`stages: ${reason}`, retryAfterMilliseconds);
+    const { lifecycle } = this.#dependencies;
+    // The daemon's end was the deadline; the coordinator doesn't know it.
+    const isStopping = lifecycle.stopRequestedAt !== undefined;
+    const wait = isStopping && reason === "too_late"
+      ? this.#shutdown.retryMilliseconds(run)
+      : retryAfterMilliseconds;
+    run.fail(`stages: ${reason}`, wait);
   }
 
   #applyOutcome(run: RequestRun, outcome: ChainOutcome): ChainEnd {
--- a/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
+++ b/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
@@ -1,5 +1,11 @@
+import type { OpenAnswers } from "./open_answers.ts";
 import type { RequestRun } from "./request_run.ts";
 import { forecastRetry } from "../lifecycle/stop_forecast.ts";
+import { LongestAges, surveyOpenAnswers } from "./open_answers.ts";
+
+/** Open requests are surveyed at most this often, milliseconds. */
+const SURVEY_INTERVAL_MILLISECONDS = 20;
+const NO_AGES = new LongestAges();
 
 /** Why a request is refused, and when it may be sent again. */
 export interface RequestRefusal {
@@ -14,45 +20,51 @@
  */
 export class ShutdownAdmission {
   readonly #openRuns: ReadonlySet<RequestRun>;
+  #survey: OpenAnswers | undefined;
 
   constructor(openRuns: ReadonlySet<RequestRun>) {
     this.#openRuns = openRuns;
   }
 
   /**
-   * Refuses a request whose stages and answer can't end in time. While too
-   * little is known of its route, its deadline counts.
+   * Finds out that the stages and the answer of a request can't end in time.
+   * While too little is known of its route, its deadline counts.
    */
-  refuseArrival(run: RequestRun): RequestRefusal | undefined {
-    return this.#refuse(run, () => this.#neededMilliseconds(run));
+  findArrivalRefusal(run: RequestRun): RequestRefusal | undefined {
+    return this.#refuse(run, () => this.#neededFromArrival(run));
   }
 
-  /** Refuses a request whose answer can't end in time if it is sent now. */
-  refuseSend(run: RequestRun): RequestRefusal | undefined {
+  /** Finds out that an answer can't end in time if its request is sent now. */
+  findSendRefusal(run: RequestRun): RequestRefusal | undefined {
     return this.#refuse(run, () => this.#neededFromSend(run));
   }
 
-  /** Milliseconds until the request must have been sent. */
-  remainingBeforeSend(run: RequestRun): number {
+  /**
+   * Milliseconds until the first event of an answer must come, at the latest
+   * for it to end in time.
+   */
+  remainingForStages(run: RequestRun): number {
+    const remaining = run.remaining();
     const lifetime = run.remainingLifetime();
-    return Number.isFinite(lifetime)
-      ? Math.min(run.remaining(), lifetime - this.#neededFromSend(run))
-      : run.remaining();
+    if (remaining <= lifetime) return remaining;
+    const latestSend = lifetime - this.#neededFromSend(run);
+    return Math.min(remaining, latestSend + run.expectedFirstByte);
   }
 
   /** Milliseconds after which a request that isn't served may be sent again. */
   retryMilliseconds(run: RequestRun): number {
     const { lifecycle, others } = run.options.dependencies;
-    const openMilliseconds = [...this.#openRuns].map(
-      remainingAnswerMilliseconds,
-    );
+    const { isOtherServing, ...rest } = others();
+    const isServing = lifecycle.stopRequestedAt === undefined;
+    const { endsAt } = this.#surveyAt(run.now());
     return forecastRetry({
-      ...others(),
+      ...rest,
+      isOtherServing: isOtherServing || isServing,
       endsIn: Math.min(
         lifecycle.remainingMilliseconds,
-        Math.max(lifecycle.minimumMilliseconds, ...openMilliseconds),
+        Math.max(lifecycle.minimumMilliseconds, endsAt - run.now()),
       ),
-      neededMilliseconds: this.#neededMilliseconds(run),
+      neededMilliseconds: this.#neededFromArrival(run),
     });
   }
 
@@ -71,62 +83,59 @@
   }
 
   /** Milliseconds from its arrival that an answer takes at most. */
-  #neededMilliseconds(run: RequestRun): number {
+  #neededFromArrival(run: RequestRun): number {
     const { dependencies, route } = run.options;
     const bound = dependencies.answerTimes.bound(route.name);
-    if (bound === undefined) return run.remaining();
-    const longest = this.#longestAge(run, (open) => open.options.arrivedAt);
+    const { arrivals } = this.#surveyAt(run.now());
+    if (bound === undefined) return neededWithoutTimes(run);
+    const longest = (arrivals.get(route.name) ?? NO_AGES).longestBut(run);
     return restOf(run, Math.max(bound, longest));
   }
 
   /**
-   * Milliseconds from its send that an answer takes at most; 0 while that is
-   * unknown, since the request has been accepted.
+   * Milliseconds from its send that an answer takes at most; 0 while nothing is
+   * known of that, since the request has been accepted.
    */
   #neededFromSend(run: RequestRun): number {
     const { dependencies, route } = run.options;
-    const bound = dependencies.sendTimes.bound(route.name) ??
-      dependencies.answerTimes.bound(route.name);
-    if (bound === undefined) return 0;
-    const longest = this.#longestAge(run, ({ sentAt }) => sentAt);
-    return restOf(run, Math.max(bound, longest));
+    const fromArrival = dependencies.answerTimes.estimate(route.name);
+    const fromSend = dependencies.sendTimes.estimate(route.name) ?? fromArrival;
+    if (fromSend === undefined) return 0;
+    const { sends } = this.#surveyAt(run.now());
+    const longest = (sends.get(route.name) ?? NO_AGES).longestBut(run);
+    // Few times from the send can be longer than all from the arrival.
+    const expected = Math.min(fromSend, fromArrival ?? fromSend);
+    return restOf(run, Math.max(expected, longest));
   }
 
-  /** Answers in progress show first that a route has become slower. */
-  #longestAge(
-    run: RequestRun,
-    startOf: (open: RequestRun) => number | undefined,
-  ): number {
-    const { name } = run.options.route;
-    const ages = [...this.#openRuns]
-      .filter((open) => open !== run && open.options.route.name === name)
-      .map((open) => open.now() - (startOf(open) ?? open.now()));
-    return Math.max(0, ...ages);
+  #surveyAt(now: number): OpenAnswers {
+    const isCurrent = this.#survey !== undefined &&
+      now - this.#survey.at < SURVEY_INTERVAL_MILLISECONDS;
+    if (this.#survey === undefined || !isCurrent) {
+      this.#survey = surveyOpenAnswers(this.#openRuns, now);
+    }
+    return this.#survey;
   }
 }
 
+/**
+ * What a request needs of which no times are known. A daemon that stops and
+ * relayed it has found that it can end.
+ */
+function neededWithoutTimes(run: RequestRun): number {
+  const { lifecycle } = run.options.dependencies;
+  return lifecycle.stopRequestedAt === undefined ? 0 : run.remaining();
+}
+
 /**
  * Milliseconds that are left of an answer that takes `milliseconds` as a whole.
  * A stream that goes on elsewhere needs at least its next event.
  */
 function restOf(run: RequestRun, milliseconds: number): number {
-  const { firstByteAt, options } = run;
-  const { dependencies, route } = options;
+  const { firstByteAt } = run;
   if (firstByteAt === undefined) {
     return Math.min(run.remaining(), milliseconds);
   }
-  const nextEvent = dependencies.firstByteEstimates.estimate(
-    route.name,
-    route.kind === "stream",
-  );
   const rest = milliseconds - (run.now() - firstByteAt);
-  return Math.min(run.remaining(), Math.max(nextEvent, rest));
-}
-
-/** Milliseconds until the answer in progress has probably ended. */
-function remainingAnswerMilliseconds(run: RequestRun): number {
-  const { dependencies, route, arrivedAt } = run.options;
-  const bound = dependencies.answerTimes.bound(route.name);
-  if (bound === undefined) return run.remaining();
-  return Math.min(run.remaining(), bound - (run.now() - arrivedAt));
+  return Math.min(run.remaining(), Math.max(run.expectedFirstByte, rest));
 }
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -99,7 +99,9 @@
             onFirstEvent?.();
           }
           this.#beginReply(answer);
+          run.writingSince = dependencies.timer.now();
           await reply.write(events);
+          run.writingSince = undefined;
         }
         timeouts.wait(this.#relay.isInsideEvent);
       }
