Ask before hedges and after waits what holds a request back

A hedge was sent although its answer couldn't end before the daemon, or the request had been quarantined or become suspect while it waited for its retry; it held a first answer back for up to 800 ms while it waited, and ran after it. A retry that waited for a place was sent although a part had become suspect meanwhile. Change: a hedge asks the same as a send, also after its wait, and gives its retry back if the first answer comes. Suspects are asked before each repeat.

--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -3,6 +3,7 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { LogFields } from "../log/gateway_log.ts";
 import type { RequestRun } from "./request_run.ts";
+import type { RetryOutcome } from "../retries/retry_gate.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import {
@@ -30,17 +31,26 @@
  */
 const FIRST_EVENT_MARGIN_MILLISECONDS = 1_500;
 
+/** Options of an `EndpointSender`. */
+export interface EndpointSenderOptions {
+  readonly relay: StreamRelay;
+  /** Whether something keeps the request from being sent once more. */
+  readonly isPrevented: () => boolean;
+}
+
 /** Sends one request to endpoints and records their health and latency. */
 export class EndpointSender {
   /** Handles of the results that the request reads. */
   inputs: readonly string[] | undefined;
   readonly #run: RequestRun;
   readonly #relay: StreamRelay;
+  readonly #isPrevented: () => boolean;
   readonly #triedEndpointIds = new Set<string>();
 
-  constructor(run: RequestRun, relay: StreamRelay) {
+  constructor(run: RequestRun, options: EndpointSenderOptions) {
     this.#run = run;
-    this.#relay = relay;
+    this.#relay = options.relay;
+    this.#isPrevented = options.isPrevented;
   }
 
   get hasTriedEndpoint(): boolean {
@@ -113,7 +123,7 @@
     const isLate = await isOverdue(first, wait, dependencies.timer);
     const run = this.#run;
     const mayHedge = isLate && run.isOpen && run.hasAttemptsLeft &&
-      !run.isQuarantined && !run.isSuspect;
+      !this.#isPrevented();
     if (!mayHedge) return await first;
     const second = this.chooseEndpoint();
     // At an endpoint that takes longer than the wait so far, the hedge would be
@@ -121,13 +131,13 @@
     const isSooner = second !== undefined &&
       this.#expectedCallTime(second.endpoint) < wait;
     if (!isSooner || this.hasSentOften) return await first;
-    const outcome = await run.reserveSend("hedge");
-    // The endpoint's place, or the first answer, may have come and gone.
+    const outcome = await this.#reserveHedge(first);
+    // The endpoint's place may be gone, or the request held back meanwhile.
     const hedge = outcome === "allowed_after_wait"
       ? this.chooseEndpoint()
       : second;
     const isUseless = outcome === "refused" || hedge === undefined ||
-      !run.isOpen;
+      !run.isOpen || this.#isPrevented();
     if (isUseless) {
       run.cancelReservedSend();
       return await first;
@@ -135,6 +145,19 @@
     return await firstSuccessful([first, this.#sendTo(hedge)]);
   }
 
+  /** Reserves a hedge, unless the first answer comes while it waits. */
+  async #reserveHedge(first: Promise<SendResult>): Promise<RetryOutcome> {
+    let isAnswered = false;
+    const answered = first.then((): RetryOutcome => {
+      isAnswered = true;
+      return "refused";
+    });
+    return await Promise.race([
+      this.#run.reserveSend("hedge", () => !isAnswered),
+      answered,
+    ]);
+  }
+
   /**
    * Expected time of a call that is sent to an endpoint now, milliseconds; 0 if
    * endpoints of the service don't report their load.
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -81,7 +81,10 @@
     const relay = new StreamRelay(run.options.request.lastEventId);
     this.#run = run;
     this.#options = options;
-    this.#sender = new EndpointSender(run, relay);
+    this.#sender = new EndpointSender(run, {
+      relay,
+      isPrevented: () => this.#isPrevented,
+    });
     this.#evidence = new AnswerEvidence(run);
     this.#streamForwarder = new StreamForwarder(run, relay);
     this.#continuation = new StreamContinuation(run, relay);
@@ -182,12 +185,22 @@
       run.rejectQuarantined();
       return "ended";
     }
+    if (run.runs > 0 && run.isSuspect) {
+      return this.#failAndEnd("not sent again: a part may crash endpoints");
+    }
     const refusal = this.#options.shutdown.findSendRefusal(run);
     if (refusal === undefined) return undefined;
     this.fail(refusal.reason, refusal.retryAfterMilliseconds);
     return "ended";
   }
 
+  /** Whether a request that is in progress must not be sent once more. */
+  get #isPrevented(): boolean {
+    const run = this.#run;
+    return this.#isIsolated || run.isQuarantined || run.isSuspect ||
+      this.#options.shutdown.findSendRefusal(run) !== undefined;
+  }
+
   get #areInputsFreed(): boolean {
     return (this.#sender.inputs?.length ?? 0) > 0 &&
       this.#run.resultHandles.length === 0;
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -200,9 +200,12 @@
 
   /**
    * Reserves one more send, to be made at once. Sends are free until one was
-   * delivered.
+   * delivered. A retry that is granted when `isNeeded` is false is given back.
    */
-  reserveSend(cause: RetryCause): RetryOutcome | Promise<RetryOutcome> {
+  reserveSend(
+    cause: RetryCause,
+    isNeeded: () => boolean = () => true,
+  ): RetryOutcome | Promise<RetryOutcome> {
     if (this.deliveries === 0) return "allowed";
     const { dependencies, service } = this.options;
     return dependencies.retryGate.spend({
@@ -211,7 +214,8 @@
       priority: this.priority,
       deadlineAt: this.deadlineAt,
       onSpent: (spent) => {
-        this.#reservedRetry = spent;
+        if (isNeeded()) this.#reservedRetry = spent;
+        else dependencies.retryGate.giveBack(spent);
       },
     });
   }
