Play planned stops of a site whose streams begin after three stage services

Cause: the operators lost streams at planned stops in a shape that `npm run stops` couldn't play: stages of three services, streams of drawn lengths, callers that go on sending to a stopping daemon, a daemon that is stopped again soon after its start.

--- a/packages/kelpspar-standins/src/programs/stops_main.ts
+++ b/packages/kelpspar-standins/src/programs/stops_main.ts
@@ -46,7 +46,10 @@
     const seed = readCount("seed", values.seed);
     const runs = values.situations === undefined
       ? drawRuns(seed, readCount("seeds", values.seeds))
-      : namedRuns(seed, values.situations);
+      : namedRuns(values.situations, {
+        seed,
+        seeds: readCount("seeds", values.seeds),
+      });
     const sticky = values.sticky === undefined
       ? {}
       : { stickyCallers: Number(values.sticky) };
@@ -73,9 +76,12 @@
   });
 }
 
-function namedRuns(seed: number, text: string): readonly StopRun[] {
+function namedRuns(
+  text: string,
+  { seed, seeds }: { readonly seed: number; readonly seeds: number },
+): readonly StopRun[] {
   const names = text === "all" ? STOP_SITUATION_NAMES : text.split(",");
-  return names.map((name) => {
+  const situations = names.map((name) => {
     const known = STOP_SITUATION_NAMES.find((found) => found === name);
     if (known === undefined) {
       throw new TypeError(
@@ -84,8 +90,17 @@
         } or "all", not "${name}"`,
       );
     }
-    return { label: name, seed, situation: stopSituation(known) };
+    return { name, situation: stopSituation(known) };
   });
+  return Array.from(
+    { length: seeds },
+    (_, index) =>
+      situations.map(({ name, situation }) => ({
+        label: seeds === 1 ? name : `${name}, seed ${seed + index}`,
+        seed: seed + index,
+        situation,
+      })),
+  ).flat();
 }
 
 async function play(
--- a/packages/kelpspar-standins/src/stops/run_stops.ts
+++ b/packages/kelpspar-standins/src/stops/run_stops.ts
@@ -1,7 +1,9 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
 import type { DaemonProcess } from "../wire/daemon_process.ts";
+import type { DirectoryCallerOptions } from "../wire/directory_caller.ts";
 import type { PlannedStop } from "./stop_attempt.ts";
 import type { StopRecords } from "./check_stops.ts";
+import type { StopSite } from "./stop_sites.ts";
 import type { StopSituation } from "./stop_situation.ts";
 import { SeededRandom } from "kelpspar-shared";
 import { join } from "node:path";
@@ -12,16 +14,11 @@
 import { createDaemons } from "../wire/create_daemons.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { DirectoryCaller } from "../wire/directory_caller.ts";
+import { STOP_SITES } from "./stop_sites.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const RUNNERS = 4;
-const DEADLINE_MILLISECONDS = 15_000;
 /** Time for daemons to start and discover each other. */
 const STARTUP_MILLISECONDS = 3_000;
-/** Callers send for this time before the first stop, besides one answer. */
-const WARM_UP_MILLISECONDS = 2_000;
-/** Time between the end of a process and its next start. */
-const RESTART_MILLISECONDS = 500;
 /** Time between the last restart of a round and the next round. */
 const BETWEEN_ROUNDS_MILLISECONDS = 1_500;
 const CALLERS = 6;
@@ -44,12 +41,14 @@
 export async function runStops(options: RunStopsOptions): Promise<StopRecords> {
   const { situation } = options;
   const graceMilliseconds = situation.graceSeconds * MILLISECONDS_PER_SECOND;
+  const stopSite: StopSite = STOP_SITES[situation.site];
+  const { zones, deadlineMilliseconds } = stopSite;
   const site = new WireSite({
-    plainRunners: RUNNERS,
-    modelRunners: RUNNERS,
+    ...stopSite.options,
+    zones,
     hasEngines: false,
     graceSeconds: situation.graceSeconds,
-    timeoutMilliseconds: DEADLINE_MILLISECONDS,
+    timeoutMilliseconds: deadlineMilliseconds,
   });
   const folder = mkdtempSync(join(tmpdir(), "kelpspar-stops-"));
   const runners = [...site.plain, ...site.models];
@@ -66,45 +65,71 @@
     folder,
     program: options.program.path,
     nodeArguments: options.program.nodeArguments,
+    zones,
     onLine: options.onLine,
   });
   for (const daemon of daemons) daemon.start();
   try {
     await setTimeoutPromise(STARTUP_MILLISECONDS);
     let isOver = false;
+    const createCaller = (
+      name: string,
+      caller: Pick<
+        DirectoryCallerOptions,
+        "random" | "zone" | "isSticky" | "onlyAddress"
+      >,
+    ): DirectoryCaller =>
+      new DirectoryCaller({
+        ...caller,
+        name,
+        host: site.host,
+        daemons,
+        situation,
+        stopSite,
+      });
     const callers = Array.from(
       { length: CALLERS },
       (_, index) =>
-        new DirectoryCaller({
-          name: `c${index}`,
-          host: site.host,
-          daemons,
-          situation,
-          deadlineMilliseconds: DEADLINE_MILLISECONDS,
+        createCaller(`c${index}`, {
           random: new SeededRandom(options.seed * CALLERS + index),
+          zone: zones[index % zones.length] ?? "a",
           isSticky: index < situation.stickyCallers,
         }),
     );
+    const followers: DirectoryCaller[] = [];
+    const followRandom = new SeededRandom(options.seed);
+    const follow = (stop: PlannedStop): void => {
+      if (situation.followingMilliseconds === undefined) return;
+      const follower = createCaller(`f${followers.length}`, {
+        random: followRandom,
+        zone: "a",
+        isSticky: true,
+        onlyAddress: stop.address,
+      });
+      followers.push(follower);
+      const isGone = (): boolean => stop.endedAt !== undefined;
+      calls.push(follower.run(situation.followingMilliseconds, isGone));
+    };
     const interval = CALLERS * MILLISECONDS_PER_SECOND / situation.perSecond;
     const calls = callers.map((caller) => caller.run(interval, () => isOver));
     await setTimeoutPromise(
-      WARM_UP_MILLISECONDS + situation.answerMilliseconds[1] +
+      situation.warmUpMilliseconds + situation.answerMilliseconds[1] +
         situation.readMilliseconds,
     );
     site.store.fault = situation.store;
     const stops: PlannedStop[] = [];
     for (let round = 0; round < situation.rounds; round++) {
-      await playRound(daemons, { situation, graceMilliseconds, stops });
+      await playRound(daemons, { situation, graceMilliseconds, stops, follow });
       await setTimeoutPromise(BETWEEN_ROUNDS_MILLISECONDS);
     }
     isOver = true;
     await Promise.all(calls);
     return {
-      attempts: callers.flatMap(({ attempts }) => attempts),
+      attempts: [...callers, ...followers].flatMap(({ attempts }) => attempts),
       runs: runners.flatMap(({ runs }) => runs),
       stops,
       graceMilliseconds,
-      deadlineMilliseconds: DEADLINE_MILLISECONDS,
+      deadlineMilliseconds,
       isRepeatable: situation.route === "often" ||
         situation.route === "resumed",
     };
@@ -115,39 +140,60 @@
   }
 }
 
+/** What the stops of a round share. */
+interface RoundOptions {
+  readonly situation: StopSituation;
+  readonly graceMilliseconds: number;
+  /** Receives the stops. */
+  readonly stops: PlannedStop[];
+  /** Called when a stop begins. */
+  readonly follow: (stop: PlannedStop) => void;
+}
+
 async function playRound(
   daemons: readonly DaemonProcess[],
-  { situation, graceMilliseconds, stops }: {
-    readonly situation: StopSituation;
-    readonly graceMilliseconds: number;
-    readonly stops: PlannedStop[];
-  },
+  options: RoundOptions,
 ): Promise<void> {
+  const { stopped, gapMilliseconds, againMilliseconds } = options.situation;
   const restarts: Promise<void>[] = [];
-  for (const daemon of daemons.slice(0, situation.stopped)) {
-    for (const { signal, afterMilliseconds } of situation.signals) {
-      if (afterMilliseconds < 0) daemon.signal(signal);
-      else setTimeout(() => daemon.signal(signal), afterMilliseconds);
-    }
-    const stop: PlannedStop = {
-      address: daemon.front,
-      signalledAt: performance.now(),
-      endedAt: undefined,
-      wasKilled: false,
-    };
-    stops.push(stop);
-    daemon.signal("SIGTERM");
-    const kill = setTimeout(() => {
-      stop.wasKilled = true;
-      daemon.signal("SIGKILL");
-    }, graceMilliseconds);
-    restarts.push(daemon.exited.then(async () => {
-      clearTimeout(kill);
-      stop.endedAt = performance.now();
-      await setTimeoutPromise(RESTART_MILLISECONDS);
-      await daemon.restartAfterExit();
-    }));
-    await setTimeoutPromise(situation.gapMilliseconds);
+  for (const daemon of daemons.slice(0, stopped)) {
+    const restart = stopAndRestart(daemon, options);
+    restarts.push(
+      againMilliseconds === undefined ? restart : restart.then(async () => {
+        await setTimeoutPromise(againMilliseconds);
+        await stopAndRestart(daemon, options);
+      }),
+    );
+    await setTimeoutPromise(gapMilliseconds);
   }
   await Promise.all(restarts);
 }
+
+/** Resolves when the daemon has been started again. */
+async function stopAndRestart(
+  daemon: DaemonProcess,
+  { situation, graceMilliseconds, stops, follow }: RoundOptions,
+): Promise<void> {
+  for (const { signal, afterMilliseconds } of situation.signals) {
+    if (afterMilliseconds < 0) daemon.signal(signal);
+    else setTimeout(() => daemon.signal(signal), afterMilliseconds);
+  }
+  const stop: PlannedStop = {
+    address: daemon.front,
+    signalledAt: performance.now(),
+    endedAt: undefined,
+    wasKilled: false,
+  };
+  stops.push(stop);
+  daemon.signal("SIGTERM");
+  follow(stop);
+  const kill = setTimeout(() => {
+    stop.wasKilled = true;
+    daemon.signal("SIGKILL");
+  }, graceMilliseconds);
+  await daemon.exited;
+  clearTimeout(kill);
+  stop.endedAt = performance.now();
+  await setTimeoutPromise(situation.restartMilliseconds);
+  await daemon.restartAfterExit();
+}
--- a/packages/kelpspar-standins/src/stops/stop_situation.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situation.ts
@@ -1,5 +1,7 @@
 import type { WireRoute } from "../wire/wire_caller.ts";
 import type { StoreFault } from "../wire/store_stand_in.ts";
+import type { StopSiteName } from "./stop_sites.ts";
+import type { StreamLengths } from "./stream_lengths.ts";
 
 /** A signal that a stopping daemon gets besides the first SIGTERM. */
 export interface ExtraSignal {
@@ -10,6 +12,7 @@
 
 /** A series of planned stops, and the requests that are sent meanwhile. */
 export interface StopSituation {
+  readonly site: StopSiteName;
   /** Time from SIGTERM until a daemon is killed, seconds. */
   readonly graceSeconds: number;
   readonly daemons: number;
@@ -23,6 +26,8 @@
   readonly hasStages: boolean;
   /** Range of the time that runners take for an answer, milliseconds. */
   readonly answerMilliseconds: readonly [minimum: number, maximum: number];
+  /** Lengths of streams; undefined to draw from `answerMilliseconds`. */
+  readonly streamLengths: StreamLengths | undefined;
   /** Length of whole answers. */
   readonly bytes: number;
   /** Time that callers take to read an answer, milliseconds. */
@@ -33,12 +38,27 @@
   readonly signals: readonly ExtraSignal[];
   /** Callers, of six, that use a daemon until its process is gone. */
   readonly stickyCallers: number;
+  /**
+   * Time between two requests that are sent to each stopping daemon until its
+   * process is gone, besides `perSecond`; undefined for none, milliseconds.
+   */
+  readonly followingMilliseconds: number | undefined;
+  /** Time that callers send before the first stop, besides one answer. */
+  readonly warmUpMilliseconds: number;
+  /** Time between the end of a process and its next start. */
+  readonly restartMilliseconds: number;
+  /**
+   * Time after its restart at which each daemon is stopped once more; undefined
+   * for never, milliseconds.
+   */
+  readonly againMilliseconds: number | undefined;
   /** Fault of the store during the stops. */
   readonly store: StoreFault;
 }
 
 /** Six daemons that all stop while callers send streams. */
 export const DEFAULT_SITUATION: StopSituation = {
+  site: "plain",
   graceSeconds: 8,
   daemons: 6,
   stopped: 6,
@@ -47,11 +67,16 @@
   route: "stream",
   hasStages: false,
   answerMilliseconds: [6_000, 6_000],
+  streamLengths: undefined,
   bytes: 0,
   readMilliseconds: 0,
   perSecond: 30,
   slots: undefined,
   signals: [],
   stickyCallers: 3,
+  followingMilliseconds: undefined,
+  warmUpMilliseconds: 2_000,
+  restartMilliseconds: 500,
+  againMilliseconds: undefined,
   store: "none",
 };
--- a/packages/kelpspar-standins/src/stops/stop_situations.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situations.ts
@@ -3,6 +3,32 @@
 
 const LARGE_BYTES = 15_000_000;
 
+/**
+ * Streams that begin after stages of three services, while daemons are stopped
+ * one after the other and their callers go on sending to them.
+ */
+const STAGED_TURNS = {
+  site: "understated_stages",
+  daemons: 8,
+  stopped: 8,
+  gapMilliseconds: 1_300,
+  rounds: 1,
+  route: "resumed",
+  hasStages: true,
+  answerMilliseconds: [0, 1_456],
+  streamLengths: {
+    medianEvents: 14,
+    deviation: 1.4,
+    maximumEvents: 104,
+    eventMilliseconds: 14,
+  },
+  perSecond: 7,
+  stickyCallers: 0,
+  followingMilliseconds: 60,
+  warmUpMilliseconds: 25_000,
+  restartMilliseconds: 0,
+} as const satisfies Partial<StopSituation>;
+
 /** Situations by name, each with what differs from the default. */
 const DIFFERENCES = {
   streams: {},
@@ -67,6 +93,17 @@
     rounds: 1,
     answerMilliseconds: [12_000, 12_000],
   },
+  "staged-turns": STAGED_TURNS,
+  "staged-stated": { ...STAGED_TURNS, site: "three_stage_services" },
+  "staged-not-followed": { ...STAGED_TURNS, followingMilliseconds: undefined },
+  "staged-together": { ...STAGED_TURNS, gapMilliseconds: 0 },
+  "staged-hang-ups": {
+    ...STAGED_TURNS,
+    signals: [{ signal: "SIGHUP", afterMilliseconds: -300 }],
+  },
+  "staged-again": { ...STAGED_TURNS, againMilliseconds: 2_000 },
+  "staged-short-grace": { ...STAGED_TURNS, graceSeconds: 4 },
+  "staged-long-grace": { ...STAGED_TURNS, graceSeconds: 20 },
 } as const satisfies Readonly<Record<string, Partial<StopSituation>>>;
 
 /** Name of a situation. */
--- a/packages/kelpspar-standins/src/wire/directory_caller.ts
+++ b/packages/kelpspar-standins/src/wire/directory_caller.ts
@@ -2,10 +2,12 @@
 import type { RandomSource } from "kelpspar-shared";
 import type { DaemonProcess } from "./daemon_process.ts";
 import type { StopAttempt } from "../stops/stop_attempt.ts";
+import type { StopSite } from "../stops/stop_sites.ts";
 import type { StopSituation } from "../stops/stop_situation.ts";
 import { Agent, request as sendHttpRequest } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { request as sendRequest } from "undici";
+import { drawEventCount } from "../stops/stream_lengths.ts";
 
 const DIRECTORY_TIMEOUT_MILLISECONDS = 1_000;
 const DIRECTORY_TRIES = 3;
@@ -22,10 +24,14 @@
   readonly host: string;
   readonly daemons: readonly DaemonProcess[];
   readonly situation: StopSituation;
-  readonly deadlineMilliseconds: number;
+  readonly stopSite: StopSite;
+  /** Availability zone that it resolves addresses for. */
+  readonly zone: string;
   readonly random: RandomSource;
   /** Whether it uses a daemon until its process is gone. */
   readonly isSticky: boolean;
+  /** Sends to this address only; default those of the directory. */
+  readonly onlyAddress?: string;
 }
 
 /**
@@ -68,7 +74,8 @@
   }
 
   async #chooseAddress(): Promise<string | undefined> {
-    const { isSticky } = this.#options;
+    const { isSticky, onlyAddress } = this.#options;
+    if (onlyAddress !== undefined) return onlyAddress;
     if (isSticky && this.#current !== undefined) return this.#current;
     const addresses = await this.#resolve();
     const now = performance.now();
@@ -85,7 +92,7 @@
       const daemon = this.#pick(this.#options.daemons);
       try {
         const { body } = await sendRequest(
-          `http://${daemon?.directory}/-/resolve?name=x&region=r&zone=a`,
+          `http://${daemon?.directory}/-/resolve?name=x&region=r&zone=${this.#options.zone}`,
           { signal: AbortSignal.timeout(DIRECTORY_TIMEOUT_MILLISECONDS) },
         );
         const { addresses = [], ttlS = 0 } = await body.json() as {
@@ -145,7 +152,8 @@
 
   /** Sends a request; resolves to the response, whose body isn't read yet. */
   #exchange(address: string, attemptId: string): Promise<IncomingMessage> {
-    const { host, situation, deadlineMilliseconds } = this.#options;
+    const { host, situation, stopSite } = this.#options;
+    const { deadlineMilliseconds, pieces, hasSharedPieces } = stopSite;
     const { route, hasStages } = situation;
     const [hostname = "", port = ""] = address.split(":");
     const body = route === "often" ? "" : "body";
@@ -163,7 +171,12 @@
           "x-deadline-ms": deadlineMilliseconds,
           "x-api-key": "key-1",
           "content-length": body.length,
-          ...(hasStages ? { "x-pieces": "2,3", "x-piece-key": "k" } : {}),
+          ...(hasStages
+            ? {
+              "x-pieces": pieces.join(","),
+              "x-piece-key": hasSharedPieces ? "k" : attemptId,
+            }
+            : {}),
         },
       });
       request.on("response", resolve);
@@ -190,6 +203,11 @@
   #answerQuery(): string {
     const { situation, random } = this.#options;
     const { answerMilliseconds: [minimum, maximum], route, bytes } = situation;
+    const { streamLengths } = situation;
+    if (streamLengths !== undefined) {
+      const events = drawEventCount(streamLengths, random);
+      return `events=${events}&delay=${streamLengths.eventMilliseconds}`;
+    }
     const milliseconds = Math.round(
       minimum + random.next() * (maximum - minimum),
     );
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -29,6 +29,10 @@
   readonly stageRunners?: number;
   /** Fixed time of a stage call, milliseconds. */
   readonly callMilliseconds?: number;
+  /** Time of a stage call for each of its pieces, milliseconds. */
+  readonly pieceMilliseconds?: number;
+  /** Share of the time of stage calls that the configuration states. */
+  readonly statedShare?: number;
   /** Maximum number of pieces in a stage call. */
   readonly batch?: number;
   /** Number of results that a stage runner's memory holds. */
@@ -56,6 +60,8 @@
   readonly restartMilliseconds?: number;
   /** Timeout of all routes, milliseconds. */
   readonly timeoutMilliseconds?: number;
+  /** Time until the first byte that routes aim at, milliseconds. */
+  readonly objectiveMilliseconds?: number;
   /** Time from SIGTERM until a daemon is killed, seconds. */
   readonly graceSeconds?: number;
   /** Additional retries that the fleet may make within 10 s. */
@@ -82,7 +88,6 @@
 export const CONFIGURATION_APPLY_MILLISECONDS = 2_000;
 const HOST = "site.example";
 const DEFAULT_MODEL_SERVICE = "model";
-const PIECE_MILLISECONDS = 1;
 const RESULT_BYTES = 1_000;
 const BYTES_PER_MEGABYTE = 1_000_000;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -127,6 +132,8 @@
       modelServices: [],
       stageRunners: 2,
       callMilliseconds: 20,
+      pieceMilliseconds: 1,
+      statedShare: 1,
       batch: 6,
       room: 40,
       stageServices: [],
@@ -139,6 +146,7 @@
       coldPerSecond: 0,
       restartMilliseconds: 500,
       timeoutMilliseconds: 3_000,
+      objectiveMilliseconds: 1_000,
       graceSeconds: 3,
       retrySlack: RETRY_LIMITS.slack,
       attempts: 2,
@@ -305,14 +313,14 @@
     name: string,
     count: number,
   ): readonly StageRunnerStandIn[] {
-    const { callMilliseconds, room } = this.#options;
+    const { callMilliseconds, pieceMilliseconds, room } = this.#options;
     return Array.from(
       { length: count },
       (_, index) =>
         new StageRunnerStandIn({
           id: `${name}-${index}`,
           callMilliseconds,
-          pieceMilliseconds: PIECE_MILLISECONDS,
+          pieceMilliseconds,
           room,
           resultBytes: RESULT_BYTES,
         }),
@@ -460,13 +468,15 @@
   #configuration(version: number): object {
     const { callMilliseconds, room, coldPerSecond, hasEngines } = this.#options;
     const { timeoutMilliseconds, attempts, routes } = this.#options;
+    const { objectiveMilliseconds, pieceMilliseconds, statedShare } =
+      this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
       name,
       hostname: HOST,
       prefix: `/${name}/`,
       kind,
       timeoutMs: timeoutMilliseconds,
-      sloMs: 1_000,
+      sloMs: objectiveMilliseconds,
       priority: 1,
       attempts: 1,
       service: "plain",
@@ -528,8 +538,8 @@
             slots: 1,
             queue: 2,
             batch,
-            callMs: callMilliseconds,
-            itemMs: PIECE_MILLISECONDS,
+            callMs: Math.round(callMilliseconds * statedShare),
+            itemMs: Math.round(pieceMilliseconds * statedShare),
             headroomMb: room * RESULT_BYTES / BYTES_PER_MEGABYTE,
             handleS: 4,
           },
