--- a/packages/kelpspar-standins/src/stops/draw_situation.ts
+++ b/packages/kelpspar-standins/src/stops/draw_situation.ts
@@ -48,6 +48,7 @@
     againMilliseconds: random.next() < 1 / 4
       ? 1_000 + random.nextInteger(3_000)
       : undefined,
+    stageSlowdown: pickRandom([1, 1, 1, 3], random),
     rounds: 1,
   };
 }
--- a/packages/kelpspar-standins/src/stops/run_stops.ts
+++ b/packages/kelpspar-standins/src/stops/run_stops.ts
@@ -117,12 +117,14 @@
         situation.readMilliseconds,
     );
     site.store.fault = situation.store;
+    for (const stage of site.stages) stage.slowdown = situation.stageSlowdown;
     const stops: PlannedStop[] = [];
     for (let round = 0; round < situation.rounds; round++) {
       await playRound(daemons, { situation, graceMilliseconds, stops, follow });
       await setTimeoutPromise(BETWEEN_ROUNDS_MILLISECONDS);
     }
     isOver = true;
+    for (const stage of site.stages) stage.slowdown = 1;
     await Promise.all(calls);
     return {
       attempts: [...callers, ...followers].flatMap(({ attempts }) => attempts),
--- a/packages/kelpspar-standins/src/stops/stop_situation.ts
+++ b/packages/kelpspar-standins/src/stops/stop_situation.ts
@@ -54,6 +54,8 @@
   readonly againMilliseconds: number | undefined;
   /** Fault of the store during the stops. */
   readonly store: StoreFault;
+  /** Factor on the time of stage calls during the stops. */
+  readonly stageSlowdown: number;
 }
 
 /** Six daemons that all stop while callers send streams. */
@@ -79,4 +81,5 @@
   restartMilliseconds: 500,
   againMilliseconds: undefined,
   store: "none",
+  stageSlowdown: 1,
 };
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -45,6 +45,8 @@
 /** A stand-in for a stage runner; runs one call at a time. */
 export class StageRunnerStandIn {
   fault: StageFault = "none";
+  /** Factor on the time of its calls, besides that of `slow`. */
+  slowdown = 1;
   /** Draws the fault of each call, or of each piece for `failing`. */
   drawFault: (() => StageFault) | undefined;
   /** Pieces of all calls, refused or not, and for whichever id. */
@@ -204,7 +206,8 @@
 
   #simulateWork(pieces: number): Promise<void> {
     const { callMilliseconds, pieceMilliseconds } = this.#options;
-    const factor = this.fault === "slow" ? SLOW_FACTOR : 1;
+    const faultFactor = this.fault === "slow" ? SLOW_FACTOR : 1;
+    const factor = faultFactor * this.slowdown;
     const time = (callMilliseconds + pieces * pieceMilliseconds) *
       factor;
     return new Promise((resolve) => setTimeout(resolve, time));
