Play planned stops in series at a site with slow stage calls

Cause: planned stops without any fault spend more than half of the retry slack of the second and third stage service, as the operators measured; no play of `npm run repeats` had such a site. Its stage endpoints had room for 4,000 results, so that no coordinator was short of it.

Change: site `slow_stage_calls` (4 + 4 + 4 stage endpoints, 1, 6 and 16 pieces, 150 ms a call and 8 ms a piece, room for 25 and 51 results, one resumable route, grace 8 s), and situations `stops`, `stops-loaded`, `stops-sticky` (callers send to a stopping daemon every 60 ms until it is gone) and mixes with kills, ends of endpoints and rejections. Streams have drawn lengths; faults begin after 8 s. Stage stand-ins report the calls that wait.

--- a/packages/kelpspar-standins/src/repeats/daemon_faults.ts
+++ b/packages/kelpspar-standins/src/repeats/daemon_faults.ts
@@ -15,6 +15,7 @@
   "refused",
 ];
 const PAUSE_MILLISECONDS = 3_500;
+const STOPS_PER_KILL = 3;
 /** Daemons that run at first in a fleet that grows. */
 export const FIRST_DAEMONS = 2;
 
@@ -24,6 +25,12 @@
   kill_all: (daemons) => daemons.forEach((daemon) => restart(daemon)),
   stop_in_turn: (daemons, { number }) =>
     restart(daemons[number % daemons.length], "SIGTERM"),
+  stop_and_kill_in_turn: (daemons, { number }) => {
+    restart(daemons[number % daemons.length], "SIGTERM");
+    if (number % STOPS_PER_KILL > 0) return;
+    const opposite = number + daemons.length / 2;
+    restart(daemons[Math.floor(opposite) % daemons.length]);
+  },
   pause_in_turn: (daemons, { number }) =>
     daemons.forEach((daemon, index) => {
       const turn = (index + number * FIRST_DAEMONS) % daemons.length;
--- a/packages/kelpspar-standins/src/repeats/mixed_routes.ts
+++ b/packages/kelpspar-standins/src/repeats/mixed_routes.ts
@@ -44,6 +44,25 @@
   },
 ] as const satisfies readonly Omit<MixedRoute, "weight">[];
 
+/** Resumable streams behind one chain of stages. */
+export const ONE_CHAIN: readonly MixedRoute[] = [
+  {
+    name: "explain",
+    weight: 1,
+    kind: "streaming",
+    service: "model",
+    attempts: 2,
+    isResumable: true,
+    priority: 1,
+    objectiveMilliseconds: 1_900,
+    stages: chain(0, [
+      ["first", [1, 1]],
+      ["second", [6, 6]],
+      ["third", [16, 16]],
+    ]),
+  },
+];
+
 /**
  * Streams of one model service, two of three resumable, one of them with inputs
  * beside its chain, and bookings.
--- a/packages/kelpspar-standins/src/repeats/repeat_site.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_site.ts
@@ -1,9 +1,10 @@
 import type {
   ModelServiceOptions,
   StageServiceOptions,
+  WireSiteOptions,
 } from "../wire/wire_site.ts";
 import type { MixedRoute } from "./mixed_route.ts";
-import { MOSTLY_RESUMABLE, SEVERAL_MODELS } from "./mixed_routes.ts";
+import { MOSTLY_RESUMABLE, ONE_CHAIN, SEVERAL_MODELS } from "./mixed_routes.ts";
 
 /** The endpoints of a site and the limits of its retries. */
 export interface RepeatSite {
@@ -14,13 +15,22 @@
   readonly pieces: readonly number[];
   readonly zones: readonly string[];
   readonly retrySlack: number;
+  /** Times that differ from those of other sites. */
+  readonly timing: Pick<
+    WireSiteOptions,
+    "callMilliseconds" | "pieceMilliseconds" | "graceSeconds"
+  >;
   /** Routes of a situation whose route is `mixed`. */
   readonly mix: readonly MixedRoute[];
 }
 
-const MODELS: Pick<RepeatSite, "plainRunners" | "modelServices" | "mix"> = {
+const MODELS: Pick<
+  RepeatSite,
+  "plainRunners" | "modelServices" | "timing" | "mix"
+> = {
   plainRunners: 8,
   modelServices: [{ name: "model", runners: 8 }],
+  timing: {},
   mix: [],
 };
 
@@ -44,6 +54,19 @@
     zones: ["a", "b"],
     retrySlack: 56,
   },
+  slow_stage_calls: {
+    ...MODELS,
+    stageServices: [
+      { name: "first", runners: 4, batch: 8 },
+      { name: "second", runners: 4, batch: 8, room: 25 },
+      { name: "third", runners: 4, batch: 18, room: 51 },
+    ],
+    pieces: [],
+    zones: ["a", "b"],
+    retrySlack: 56,
+    timing: { callMilliseconds: 150, pieceMilliseconds: 8, graceSeconds: 8 },
+    mix: ONE_CHAIN,
+  },
   mostly_resumable: {
     plainRunners: 3,
     modelServices: [{ name: "model", runners: 9 }],
@@ -55,6 +78,7 @@
     pieces: [],
     zones: ["a", "b", "c"],
     retrySlack: 56,
+    timing: {},
     mix: MOSTLY_RESUMABLE,
   },
   several_models: {
@@ -71,6 +95,7 @@
     pieces: [],
     zones: ["a", "b", "c", "d"],
     retrySlack: 162,
+    timing: {},
     mix: SEVERAL_MODELS,
   },
 } as const satisfies Readonly<Record<string, RepeatSite>>;
--- a/packages/kelpspar-standins/src/repeats/repeat_situation.ts
+++ b/packages/kelpspar-standins/src/repeats/repeat_situation.ts
@@ -11,6 +11,8 @@
   | "kill_all"
   /** One after the other is stopped and starts again. */
   | "stop_in_turn"
+  /** The same, and for some of them another one is killed. */
+  | "stop_and_kill_in_turn"
   /** All but two are paused, others each time. */
   | "pause_in_turn"
   /** Two run at first, the others start one after the other. */
@@ -38,6 +40,8 @@
   readonly stageDownMilliseconds: number;
   readonly daemonFault: DaemonFault;
   readonly faultIntervalMilliseconds: number;
+  /** Daemons have no faults for this time, in which they learn answer times. */
+  readonly calmSeconds: number;
   readonly partitionTarget: PartitionTarget;
   /** Interval at which an endpoint is replaced at its address; 0 for never. */
   readonly replacementMilliseconds: number;
@@ -45,8 +49,9 @@
   readonly entryMilliseconds: number;
   /** Software versions of model endpoints, in rotation; none by default. */
   readonly modelVersions: readonly string[];
-  /** Number of events of a stream. */
+  /** Number of events of a stream, or their mean if they are drawn. */
   readonly events: number;
+  readonly areEventsDrawn: boolean;
   readonly eventMilliseconds: number;
   readonly deadlineMilliseconds: number;
   /** Number of times that a caller takes up a resumable stream. */
@@ -55,6 +60,11 @@
   readonly loadSeconds: number;
   /** Number of times that a refused caller sends again at once. */
   readonly callerRetries: number;
+  /**
+   * Interval at which callers of a stopping daemon send to it until its process
+   * is gone; 0 for never.
+   */
+  readonly stickyMilliseconds: number;
   readonly store: StoreFault;
 }
 
@@ -71,16 +81,19 @@
   stageDownMilliseconds: 0,
   daemonFault: "none",
   faultIntervalMilliseconds: 3_000,
+  calmSeconds: 0,
   partitionTarget: "endpoints",
   replacementMilliseconds: 0,
   entryMilliseconds: 1_500,
   modelVersions: [],
   events: 5,
+  areEventsDrawn: false,
   eventMilliseconds: 5,
   deadlineMilliseconds: 2_500,
   callerResumes: 0,
   loadSeconds: Number.POSITIVE_INFINITY,
   callerRetries: 0,
+  stickyMilliseconds: 0,
   store: "none",
 };
 
@@ -120,6 +133,25 @@
   faultIntervalMilliseconds: 4_500,
 };
 
+/** Stops of daemons one after the other, without any other fault. */
+const STOPS: RepeatSituation = {
+  ...PLAIN,
+  route: "mixed",
+  site: "slow_stage_calls",
+  daemons: 8,
+  perSecond: 7,
+  seconds: 34,
+  calmSeconds: 8,
+  runnerFault: "none",
+  share: 0.6,
+  daemonFault: "stop_in_turn",
+  faultIntervalMilliseconds: 1_300,
+  events: 26,
+  areEventsDrawn: true,
+  eventMilliseconds: 14,
+  deadlineMilliseconds: 10_000,
+};
+
 /** Situations by name. */
 export const REPEAT_SITUATIONS = {
   failing: PLAIN,
@@ -173,6 +205,24 @@
     daemonFault: "drawn",
     faultIntervalMilliseconds: 700,
   },
+  stops: STOPS,
+  "stops-loaded": { ...STOPS, perSecond: 12 },
+  "stops-sticky": { ...STOPS, stickyMilliseconds: 60 },
+  "stops-killed": { ...STOPS, daemonFault: "stop_and_kill_in_turn" },
+  "stops-ending": { ...STOPS, stageRestartMilliseconds: 1_300 },
+  "stops-down": {
+    ...STOPS,
+    stageRestartMilliseconds: 1_300,
+    stageDownMilliseconds: 1_500,
+  },
+  "stops-rejecting": { ...STOPS, runnerFault: "full", stageFault: "full" },
+  "stops-cut": { ...STOPS, runnerFault: "cut" },
+  "stops-killed-cut-ending": {
+    ...STOPS,
+    daemonFault: "stop_and_kill_in_turn",
+    runnerFault: "cut",
+    stageRestartMilliseconds: 1_300,
+  },
   "chains-failing": { ...CHAINS, runnerFault: "failing", share: 0.7 },
   "chains-rejecting-killed": {
     ...CHAINS,
--- a/packages/kelpspar-standins/src/repeats/run_repeats.ts
+++ b/packages/kelpspar-standins/src/repeats/run_repeats.ts
@@ -15,6 +15,7 @@
 import { judgeServices } from "./judge_services.ts";
 import { sendLoad } from "./send_load.ts";
 
+const MILLISECONDS_PER_SECOND = 1_000;
 const STAGE_ROOM = 4_000;
 const ATTEMPTS = 3;
 const MINIMUM_TIMEOUT_MILLISECONDS = 3_000;
@@ -65,6 +66,7 @@
     routes: mix,
     zones,
     retrySlack: parts.retrySlack,
+    ...parts.timing,
     modelVersions,
     eventMilliseconds,
     timeoutMilliseconds: Math.max(
@@ -101,9 +103,11 @@
     setEndpointFaults(site, situation, random);
     site.store.fault = situation.store;
     let number = 0;
-    timers.push(setInterval(() => {
-      FAULT_STEPS[daemonFault](daemons, { number: number++, random });
-    }, faultIntervalMilliseconds));
+    timers.push(setTimeout(() => {
+      timers.push(setInterval(() => {
+        FAULT_STEPS[daemonFault](daemons, { number: number++, random });
+      }, faultIntervalMilliseconds));
+    }, situation.calmSeconds * MILLISECONDS_PER_SECOND));
     if (situation.stageRestartMilliseconds > 0) {
       let stage = 0;
       timers.push(setInterval(() => {
--- a/packages/kelpspar-standins/src/wire/daemon_process.ts
+++ b/packages/kelpspar-standins/src/wire/daemon_process.ts
@@ -32,6 +32,8 @@
   readonly options: DaemonProcessOptions;
   readonly #programStart: ProgramStart;
   #process: StartedProcess | undefined;
+  /** The last process that was told to stop. */
+  #stoppedProcess: StartedProcess | undefined;
   readonly #listeners = new Set<(line: string) => void>();
   #isTerminated = false;
   #isPartitioned = false;
@@ -81,6 +83,12 @@
     return this.#process?.exited ?? Promise.resolve();
   }
 
+  /** Whether the current process was told to stop and still runs. */
+  get isStopping(): boolean {
+    return this.processId !== undefined &&
+      this.#process === this.#stoppedProcess;
+  }
+
   get isPartitioned(): boolean {
     return this.#isPartitioned;
   }
@@ -99,6 +107,7 @@
   }
 
   signal(signal: NodeJS.Signals): void {
+    if (signal === "SIGTERM") this.#stoppedProcess = this.#process;
     this.#process?.signal(signal);
   }
 
--- a/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/stage_runner_stand_in.ts
@@ -70,6 +70,8 @@
   #incarnation = 1;
   #callQueue: Promise<void> = Promise.resolve();
   #resultCount = 0;
+  /** Calls that haven't ended, of which it works on the first. */
+  #openCalls = 0;
 
   constructor(options: StageRunnerStandInOptions) {
     this.#options = options;
@@ -144,7 +146,9 @@
     const free = this.#options.room - this.heldHandles.size;
     const freeMb = free * this.#options.resultBytes / BYTES_PER_MEGABYTE;
     response.writeHead(200, { "Content-Type": "application/json" });
-    response.end(JSON.stringify({ waiting: 0, busy: false, freeMb }));
+    const waiting = Math.max(0, this.#openCalls - 1);
+    const busy = this.#openCalls > 0;
+    response.end(JSON.stringify({ waiting, busy, freeMb }));
   }
 
   #free(body: object, response: ServerResponse): void {
@@ -173,6 +177,7 @@
       response.writeHead(503, { "X-Not-Executed": "1" }).end();
       return;
     }
+    this.#openCalls++;
     this.#callQueue = this.#callQueue.then(async () => {
       if (response.destroyed) return;
       this.calls.push(entries);
@@ -180,7 +185,7 @@
       const answers = entries.map((entry) => this.#createResult(entry));
       response.writeHead(200, { "Content-Type": "application/json" });
       response.end(JSON.stringify({ entries: answers }));
-    });
+    }).finally(() => this.#openCalls--);
   }
 
   #recordArrivals(entries: readonly StageEntry[]): void {
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -11,6 +11,8 @@
   readonly runners: number;
   /** Maximum number of pieces in a call. */
   readonly batch: number;
+  /** Number of results that a runner's memory holds; default that of the site. */
+  readonly room?: number;
 }
 
 /** A service of model runners. */
@@ -29,7 +31,7 @@
   readonly stageRunners?: number;
   /** Fixed time of a stage call, milliseconds. */
   readonly callMilliseconds?: number;
-  /** Time of a stage call for each of its pieces, milliseconds. */
+  /** Time that each piece adds to a stage call, milliseconds. */
   readonly pieceMilliseconds?: number;
   /** Share of the time of stage calls that the configuration states. */
   readonly statedShare?: number;
@@ -167,9 +169,9 @@
     );
     this.models = [...this.modelsOf.values()].flat();
     this.stagesOf = new Map(
-      this.#stageServices.map(({ name, runners }) => [
+      this.#stageServices.map(({ name, runners, room: serviceRoom }) => [
         name,
-        this.#createStageRunners(name, runners),
+        this.#createStageRunners(name, runners, serviceRoom),
       ]),
     );
     this.stages = [...this.stagesOf.values()].flat();
@@ -312,8 +314,9 @@
   #createStageRunners(
     name: string,
     count: number,
+    room = this.#options.room,
   ): readonly StageRunnerStandIn[] {
-    const { callMilliseconds, pieceMilliseconds, room } = this.#options;
+    const { callMilliseconds, pieceMilliseconds } = this.#options;
     return Array.from(
       { length: count },
       (_, index) =>
@@ -530,7 +533,7 @@
           maxConns: 100,
           ...(hasEngines ? { engine: { slots: 8 } } : {}),
         })),
-        ...this.#stageServices.map(({ name, batch }) => ({
+        ...this.#stageServices.map(({ name, batch, room: serviceRoom }) => ({
           name,
           healthPath: "/health",
           maxConns: 100,
@@ -540,7 +543,8 @@
             batch,
             callMs: Math.round(callMilliseconds * statedShare),
             itemMs: Math.round(pieceMilliseconds * statedShare),
-            headroomMb: room * RESULT_BYTES / BYTES_PER_MEGABYTE,
+            headroomMb: (serviceRoom ?? room) * RESULT_BYTES /
+              BYTES_PER_MEGABYTE,
             handleS: 4,
           },
         })),
