Ask for an endpoint's room before calls that other daemons' results may fill

Cause: a coordinator counted the whole room of a stage endpoint as its own. After a planned stop the former coordinator's results fill it, so that the pieces that the next one sends are rejected for lack of room and sent again: with no fault at all, all lendable slack of a service. A rejection made it ask for the room, but 250 ms later it took all of it for free again; and a report that came while a call was in flight was compared with a count that held the results of that call already, which left its room to be given away twice.

Change: an endpoint whose room other daemons' results took when it was last known, or to which no call went for as long as results are kept, is asked before it gets a call, when none is in flight. It gets none for up to 100 ms meanwhile. Reports are valid for 100 ms instead of 250 ms, since an endpoint whose room is taken is now asked again instead of tried.

--- a/packages/kelpspar-gateway/src/pieces/learn_room.ts
+++ b/packages/kelpspar-gateway/src/pieces/learn_room.ts
@@ -3,8 +3,10 @@
 import type { CallTarget } from "./call_target.ts";
 import type { PieceClient } from "./piece_call.ts";
 
+/** A sound endpoint answers within this time, milliseconds. */
+const REPORT_MILLISECONDS = 100;
 /** How long an endpoint's room report is valid. */
-const ROOM_REPORT_LIFETIME_MILLISECONDS = 250;
+const ROOM_REPORT_LIFETIME_MILLISECONDS = 100;
 
 /** Options of `learnRoom`. */
 export interface LearnRoomOptions {
@@ -14,8 +16,8 @@
   readonly timer: TimerService;
   /** Called with the start time of a restarted endpoint. */
   readonly onRestart: (bornAt: number) => void;
-  /** Called when the report expires. */
-  readonly onExpired: () => void;
+  /** Called when the report is known, and when it expires. */
+  readonly onChanged: () => void;
 }
 
 /**
@@ -24,17 +26,25 @@
  * expire; without polling, every piece is sent and rejected several times a
  * second. The report is some hundred milliseconds old, as old as a call is
  * long, so it is valid only briefly: kept longer, it counts this daemon's own
- * results as foreign, which leaves only a tenth of the room in use.
+ * results as foreign, which leaves only a tenth of the room in use. Meanwhile
+ * the endpoint gets no call, unless it doesn't answer.
  */
 export async function learnRoom(options: LearnRoomOptions): Promise<void> {
-  const { target, timer, onExpired } = options;
+  const { target, timer, onChanged } = options;
   if (target.isRoomPolled) return;
-  target.isRoomPolled = true;
+  target.startRoomQuery(timer.now());
+  const endWait = (): void => {
+    stopWaiting();
+    target.isRoomAwaited = false;
+    onChanged();
+  };
+  const stopWaiting = timer.registerTimeout(endWait, REPORT_MILLISECONDS);
   await applyRoomReport(options);
+  if (target.isRoomAwaited) endWait();
   timer.registerTimeout(() => {
     target.isRoomPolled = false;
     target.foreignBytes = 0;
-    onExpired();
+    onChanged();
   }, ROOM_REPORT_LIFETIME_MILLISECONDS);
 }
 
@@ -50,4 +60,5 @@
   target.foreignBytes = 0;
   const counted = target.room(terms, timer.now());
   target.foreignBytes = Math.max(0, counted - report.freeBytes);
+  target.isRoomShared = target.foreignBytes > 0;
 }
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -172,6 +172,9 @@
     for (const chain of this.#queue.expired(now)) {
       this.#options.events.failed(chain, "too_late");
     }
+    for (const target of this.#targets.usable(now)) {
+      if (target.isRoomUnknown(this.#terms, now)) this.#learnRoom(target);
+    }
     const work = this.workTime(1);
     this.#queue.pruneAndSort((task) => rankTask(task, { work, now }));
     for (;;) {
@@ -326,14 +329,18 @@
    * fail again.
    */
   #endpointHadNoRoom(target: CallTarget, task: PieceTask): void {
-    const { registry, client, timer } = this.#options;
-    const terms = this.#terms;
     const { resultBytes } = task.chain.stage(task.stage);
+    const terms = this.#terms;
     target.recordNoRoom(resultBytes, { terms, now: this.#now() });
     this.#retries.requeueRejected([task]);
+    this.#learnRoom(target);
+  }
+
+  #learnRoom(target: CallTarget): void {
+    const { registry, client, timer } = this.#options;
     void learnRoom({
       target,
-      terms,
+      terms: this.#terms,
       client,
       timer,
       onRestart: (bornAt) =>
@@ -341,7 +348,7 @@
           { ...target.endpoint.entry, bornAt },
           timer.now(),
         ),
-      onExpired: () => this.dispatch(),
+      onChanged: () => this.dispatch(),
     });
   }
 
