Let an overdue call wait for other daemons' calls before it is hedged

Cause: a stage endpoint runs one call at a time, and each coordinator sends it one. After a planned stop the former coordinator still works off its backlog beside the next one, so that the calls of both wait for each other, take twice as long, count as overdue and are hedged. The first calls to four endpoints are 64 pieces: all that the fleet may lend, spent on pieces that come a few milliseconds later.

Change: when a call is overdue, its endpoint is asked for its report. A daemon has no more calls at an endpoint than that runs at a time, so that calls that wait there are due to another daemon; the hedge then waits for as many full calls, once. The log line `piece call overdue` has `sharedWaitMilliseconds`.

--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -41,6 +41,8 @@
   /** Times and the free room from then on, excluding foreign results. */
   readonly history: [number, number][];
   freeAt: number;
+  /** Starts of calls. */
+  readonly starts: number[];
 }
 
 /** Totals over all endpoints. */
@@ -95,6 +97,7 @@
           kept: new Map(),
           history: [],
           freeAt: 0,
+          starts: [],
         });
       }
     }
@@ -108,7 +111,13 @@
     const seen = maker.history.findLast(([at]) => at <= seenAt);
     const unused = seen?.[1] ?? maker.terms.resultBytes;
     const freeBytes = unused - this.#foreignAt(maker, seenAt);
-    return Promise.resolve({ freeBytes, bornAt: endpoint.bornAt });
+    const waitingCalls = maker.starts.filter((at) => at > this.#timer.now())
+      .length;
+    return Promise.resolve({
+      freeBytes,
+      waitingCalls,
+      bornAt: endpoint.bornAt,
+    });
   }
 
   freeResults(
@@ -143,6 +152,7 @@
       if (!Number.isFinite(work)) return;
       const start = Math.max(now, maker.freeAt);
       maker.freeAt = start + work;
+      maker.starts.push(start);
       this.figures.calls++;
       this.figures.pieces += call.pieces.length;
       this.figures.workMilliseconds += work;
--- a/packages/kelpspar-gateway/src/pieces/piece_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_call.ts
@@ -52,9 +52,11 @@
     readonly reason: string;
   };
 
-/** An endpoint's free room as of some hundred milliseconds ago. */
+/** An endpoint's free room and queue as of some hundred milliseconds ago. */
 export interface RoomReport {
   readonly freeBytes: number;
+  /** Calls of all daemons that wait until it can run them. */
+  readonly waitingCalls: number;
   /** Start of the reporting process, Unix milliseconds. */
   readonly bornAt: number;
 }
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -14,6 +14,7 @@
 import { createRunningCall } from "./create_running_call.ts";
 import { describeCall, describeLoad } from "./describe_load.ts";
 import { learnRoom } from "./learn_room.ts";
+import { findSharedWait } from "./find_shared_wait.ts";
 import { PieceQueue } from "./piece_queue.ts";
 import { PieceRetries } from "./piece_retries.ts";
 import { planCall } from "./plan_call.ts";
@@ -202,7 +203,8 @@
       call,
       slowness: target.endpoint.expectedSlowness(now),
       timer,
-      onOverdue: () => this.#hedge(target, call),
+      onOverdue: () => this.#callOverdue(target, call),
+      onHedge: () => this.#hedge(call),
     });
     const pieces = tasks.map((task) => toPieceRequest(task, now));
     void client.runPieces({
@@ -218,14 +220,34 @@
     });
   }
 
-  /** Queues the pieces of an overdue call for other endpoints as well. */
-  #hedge(target: CallTarget, call: RunningCall): void {
+  /**
+   * Returns how long to wait for the endpoint before pieces are sent to others
+   * as well, milliseconds.
+   */
+  async #callOverdue(target: CallTarget, call: RunningCall): Promise<number> {
+    const { client, timer, log, service } = this.#options;
+    const { endpoint } = target;
     const now = this.#now();
-    call.isHedged = true;
     const ratio = (now - call.startedAt) / call.expectedCallTime;
-    target.endpoint.overdue(ratio, now);
-    target.endpoint.load.overdue(ratio, now);
-    this.#log("piece call overdue", target, call);
+    endpoint.overdue(ratio, now);
+    endpoint.load.overdue(ratio, now);
+    const sharedWaitMilliseconds = await findSharedWait({
+      endpoint: endpoint.entry,
+      terms: this.#terms,
+      client,
+      timer,
+    });
+    log.warn("piece call overdue", {
+      service,
+      ...describeCall(target, call, this.#now()),
+      sharedWaitMilliseconds,
+    });
+    return sharedWaitMilliseconds;
+  }
+
+  /** Queues the pieces of an overdue call for other endpoints as well. */
+  #hedge(call: RunningCall): void {
+    call.isHedged = true;
     this.#targets.abortUnneeded();
     this.#retries.hedge(call.tasks);
     this.dispatch();
--- a/packages/kelpspar-gateway/src/pieces/watch_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/watch_call.ts
@@ -17,7 +17,10 @@
   /** Slowness of its endpoint at the start, relative to a healthy one. */
   readonly slowness: number;
   readonly timer: TimerService;
-  readonly onOverdue: () => void;
+  /** Returns how much longer to wait before the call is hedged, milliseconds. */
+  readonly onOverdue: () => Promise<number>;
+  /** Called if the call still hasn't ended then. */
+  readonly onHedge: () => void;
 }
 
 /**
@@ -26,17 +29,30 @@
  * take five times as long while the other endpoints are idle.
  */
 export function watchCall(options: WatchCallOptions): () => void {
-  const { call, timer, onOverdue } = options;
+  const { call, timer, onOverdue, onHedge } = options;
   const slowness = Math.max(1, options.slowness);
   const overdueAfter = call.expectedCallTime * OVERDUE_FACTOR * slowness +
     OVERDUE_MILLISECONDS;
-  const stopOverdue = timer.registerTimeout(onOverdue, overdueAfter);
+  let hasEnded = false;
+  let stopHedging = (): void => {};
+  const handleOverdue = async (): Promise<void> => {
+    const wait = await onOverdue();
+    if (hasEnded) return;
+    if (wait === 0) onHedge();
+    else stopHedging = timer.registerTimeout(onHedge, wait);
+  };
+  const stopOverdue = timer.registerTimeout(
+    () => void handleOverdue(),
+    overdueAfter,
+  );
   const stopAborting = timer.registerTimeout(
     () => call.abort.abort(),
     Math.max(overdueAfter * 2, call.expectedCallTime * ABORT_FACTOR),
   );
   return () => {
+    hasEnded = true;
     stopOverdue();
+    stopHedging();
     stopAborting();
   };
 }
