Add failing tests of crowds that don't behave

Change: crowds of raw connections call one daemon of 210 MB and 400 descriptors; its process must live and stay under both, and must serve an ordinary request beside and after them. Twenty-six kinds, one test each, run one file at a time after all other tests. No product code changes.

--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -76,6 +76,12 @@
 export { LOSS_SITUATIONS } from "./losses/loss_situation.ts";
 export { runDrawnLosses } from "./losses/run_drawn_losses.ts";
 export { runLosses } from "./losses/run_losses.ts";
+export type { CrowdKindName } from "./crowds/crowd_kinds.ts";
+export { CROWD_KIND_NAMES } from "./crowds/crowd_kinds.ts";
+export type { CrowdSituation } from "./crowds/crowd_situation.ts";
+export { DEFAULT_CROWD_SITUATION } from "./crowds/crowd_situation.ts";
+export type { CrowdResult } from "./crowds/run_crowds.ts";
+export { runCrowds } from "./crowds/run_crowds.ts";
 export { checkStops } from "./stops/check_stops.ts";
 export { runStops } from "./stops/run_stops.ts";
 export type { StopSituation } from "./stops/stop_situation.ts";
--- a/packages/kelpspar-standins/src/wire/answer_plan.ts
+++ b/packages/kelpspar-standins/src/wire/answer_plan.ts
@@ -4,7 +4,7 @@
   readonly events: number;
   /** Delay before a whole response and each event, milliseconds. */
   readonly delayMilliseconds: number | undefined;
-  /** Minimum length of a whole response. */
+  /** Minimum length of a whole response, or of an event's data. */
   readonly bytes: number | undefined;
 }
 
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -413,7 +413,7 @@
     { attemptId, fault, lastEventId, response, plan }: StreamOptions,
   ): Promise<void> {
     const { version } = this.#options;
-    const { events, delayMilliseconds } = plan;
+    const { events, delayMilliseconds, bytes } = plan;
     const mark = version === undefined ? "" : ` ${version}`;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunked";
     response.writeHead(200, {
@@ -423,7 +423,8 @@
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
       await this.#delay(delayMilliseconds);
       if (response.destroyed) return;
-      const lines = [`id: ${id}`, `data: ${attemptId} ${id}${mark}`, "", ""];
+      const data = `data: ${attemptId} ${id}${mark}`.padEnd(bytes ?? 0, ".");
+      const lines = [`id: ${id}`, data, "", ""];
       const event = lines.join(this.streamLineEnd);
       // A fault that was set may end during the stream; one that was drawn stays.
       const current = this.drawFault === undefined ? this.fault : fault;
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -72,6 +72,13 @@
   readonly attempts?: number;
   /** Whether a fault-injecting proxy precedes each runner and the store. */
   readonly hasProxies?: boolean;
+  /** Limit of callers' bodies. */
+  readonly bodyBytes?: number;
+  /** Limits of each daemon's process; default none. */
+  readonly processLimits?: {
+    readonly memoryMb?: number;
+    readonly maxFds?: number;
+  };
 }
 
 /** A runner that can be listed. */
@@ -153,6 +160,8 @@
       retrySlack: RETRY_LIMITS.slack,
       attempts: 2,
       hasProxies: false,
+      bodyBytes: 1_000_000,
+      processLimits: {},
       ...options,
     };
     const { plainRunners } = this.#options;
@@ -363,6 +372,7 @@
         ttl_max_s: 5,
         configApplyMs: CONFIGURATION_APPLY_MILLISECONDS,
       },
+      limits: this.#options.processLimits,
       provider: { address: this.#storeAddress },
       metricsPort: metrics,
     };
@@ -470,7 +480,7 @@
 
   #configuration(version: number): object {
     const { callMilliseconds, room, coldPerSecond, hasEngines } = this.#options;
-    const { timeoutMilliseconds, attempts, routes } = this.#options;
+    const { timeoutMilliseconds, attempts, routes, bodyBytes } = this.#options;
     const { objectiveMilliseconds, pieceMilliseconds, statedShare } =
       this.#options;
     const route = (name: string, kind: string, fields: object): object => ({
@@ -551,7 +561,7 @@
       ],
       limits: {
         headerBytes: 16_384,
-        bodyBytes: 1_000_000,
+        bodyBytes,
         headerTimeoutMs: 3_000,
         idleTimeoutMs: 15_000,
       },
