--- a/packages/kelpspar-standins/src/crowds/crowd.ts
+++ b/packages/kelpspar-standins/src/crowds/crowd.ts
@@ -41,8 +41,12 @@
 
   /** Resolves when all callers have sent what they can, or time is over. */
   async play(): Promise<void> {
-    const { behave, seconds: ownSeconds, restSeconds } = this.#kind;
-    const seconds = this.#options.seconds ?? ownSeconds ?? DEFAULT_SECONDS;
+    const { behave, isAnswered, restSeconds } = this.#kind;
+    const { seconds: ownSeconds = DEFAULT_SECONDS } = this.#kind;
+    // Requests that must be answered take the time that they need.
+    const seconds = isAnswered === true
+      ? ownSeconds
+      : this.#options.seconds ?? ownSeconds;
     await Promise.race([
       Promise.all(this.#callers.map((caller) => behave(caller))),
       wait(seconds),
@@ -76,11 +80,14 @@
   }
 
   /** Sends one of its requests alone; resolves to its status, if there is one. */
-  async sendAlone(): Promise<number | undefined> {
+  async sendAlone(milliseconds: number): Promise<number | undefined> {
     this.#isOver = false;
     const [caller] = this.#createCallers(`${this.#options.kind}-alone`, 1);
     if (caller === undefined) return undefined;
-    await this.#kind.behave(caller);
+    await Promise.race([
+      this.#kind.behave(caller),
+      wait(milliseconds / MILLISECONDS_PER_SECOND),
+    ]);
     caller.close();
     return caller.connection?.answer?.status;
   }
--- a/packages/kelpspar-standins/src/wire/build_program.ts
+++ b/packages/kelpspar-standins/src/wire/build_program.ts
@@ -40,17 +40,23 @@
   }
   symlinkSync(join(ROOT, "node_modules"), join(folder, "node_modules"));
   execFileSync(process.execPath, ["deploy/build.mjs"], { cwd: folder });
-  const deployment = readFileSync(join(folder, "deploy/system.toml"), "utf8");
-  const [, options = "", program = ""] = RUN.exec(deployment) ?? [];
   return {
     folder,
-    program,
-    nodeArguments: options.split(" "),
+    ...readRunCommand(folder),
     partitionHook: buildPartitionHook(folder),
     remove: () => rmSync(folder, { recursive: true }),
   };
 }
 
+/** Reads how the deployment runs the program below a folder. */
+export function readRunCommand(
+  folder: string,
+): Pick<BuiltProgram, "program" | "nodeArguments"> {
+  const deployment = readFileSync(join(folder, "deploy/system.toml"), "utf8");
+  const [, options = "", program = ""] = RUN.exec(deployment) ?? [];
+  return { program, nodeArguments: options.split(" ") };
+}
+
 /** Compiles the hook into a folder, since daemons run without the sources. */
 export function buildPartitionHook(folder: string): string {
   const outfile = join(folder, "partition_hook.mjs");
