Receive bodies into one buffer, not as a list of chunks

Cause: the readers of requests, relayed requests and calls of other daemons kept each chunk of the parser, a Buffer each. One request of 2 MB in chunks of one byte, inside all limits, ended the process: in a play of a daemon with memoryMb 210 the heap was full (SIGABRT) after 6.7 s at 320 MB.

Change: receiveBody of kelpspar-http copies chunks into a GrowingBuffer, which grows no further than the declared length or the limit. It replaces readRequestBody and the reader of router_listener. The test 'chunks of one byte aren't kept' is of the new function; the old reader was seen to fail by the play.

--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -3,6 +3,7 @@
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { ServingRequest } from "../requests/serving_request.ts";
+import { receiveBody } from "kelpspar-http";
 import { KelpsparError } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { Server as NetServer } from "node:net";
@@ -10,7 +11,6 @@
 import { discardBody } from "./discard_body.ts";
 import { HttpReply } from "./http_reply.ts";
 import { listen } from "./listen.ts";
-import { readRequestBody } from "./read_request_body.ts";
 
 /** Limits until a configuration sets others. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -119,7 +119,9 @@
       reply.refuse({ status: 431, message: "request head too large" });
       return;
     }
-    const body = await readRequestBody(message, this.#limits.bodyBytes);
+    const body = await receiveBody(message, {
+      maximumBytes: this.#limits.bodyBytes,
+    });
     if (body === "too_large") {
       reply.refuse({ status: 413, message: "request body too large" });
       discardBody(message);
--- a/packages/kelpspar-gateway/src/relay/relay_listener.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_listener.ts
@@ -6,8 +6,8 @@
 import type { OpenExchanges } from "../front/open_exchanges.ts";
 import type { RequestReply } from "../requests/request_reply.ts";
 import type { RelayMessage } from "./relay_message.ts";
+import { receiveBody } from "kelpspar-http";
 import { HttpReply } from "../front/http_reply.ts";
-import { readRequestBody } from "../front/read_request_body.ts";
 import { decodeRelayMessage } from "./relay_message.ts";
 import { RELAY_PATH } from "./relay_path.ts";
 import { RelayReply } from "./relay_reply.ts";
@@ -57,7 +57,9 @@
   response: ServerResponse,
   { serve, isAble }: RelayListenerOptions,
 ): Promise<void> {
-  const bytes = await readRequestBody(request, MAXIMUM_MESSAGE_BYTES);
+  const bytes = await receiveBody(request, {
+    maximumBytes: MAXIMUM_MESSAGE_BYTES,
+  });
   if (bytes === "cut") return;
   const message = bytes === "too_large" ? undefined : decode(bytes);
   const reply = createReply(
--- /dev/null
+++ b/packages/kelpspar-http/src/__tests__/unit/receive_body_test.ts
@@ -0,0 +1,113 @@
+import type { IncomingMessage, Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { BodyFailure } from "../../receive_body.ts";
+import { expect } from "earl";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { connect } from "node:net";
+import { PassThrough } from "node:stream";
+import { afterEach, beforeEach, test } from "node:test";
+import { setImmediate as setImmediatePromise } from "node:timers/promises";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { GrowingBuffer } from "../../growing_buffer.ts";
+import { receiveBody } from "../../receive_body.ts";
+
+const MAXIMUM_BYTES = 10_000;
+
+let server: Server;
+let port = 0;
+let received: Promise<Buffer | BodyFailure>[] = [];
+
+beforeEach(async () => {
+  received = [];
+  server = createServer((message, response) => {
+    const body = receiveBody(message, { maximumBytes: MAXIMUM_BYTES });
+    received.push(body);
+    void body.then(() => response.end());
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  port = (server.address() as AddressInfo).port;
+});
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+async function send(text: string): Promise<Buffer | BodyFailure | undefined> {
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => {});
+  socket.write(`POST / HTTP/1.1\r\nHost: a\r\n${text}`);
+  await once(server, "request");
+  if (text.endsWith("cut")) socket.destroy();
+  const body = await received[0];
+  socket.destroy();
+  return body;
+}
+
+/** A message that declares `headers` and whose body is `stream`. */
+function createMessage(
+  stream: PassThrough,
+  headers: Readonly<Record<string, string>>,
+): IncomingMessage {
+  return Object.assign(stream, { headers }) as unknown as IncomingMessage;
+}
+
+test("a body is received with a length and in chunks", async () => {
+  expect(String(await send("Content-Length: 4\r\n\r\nbody"))).toEqual("body");
+  received = [];
+  const chunks = [..."body"].map((text) => `1\r\n${text}\r\n`).join("");
+  const head = "Transfer-Encoding: chunked\r\n\r\n";
+  expect(String(await send(`${head}${chunks}0\r\n\r\n`))).toEqual("body");
+});
+
+// Guards against a body beyond the limit that is held all the same.
+test("a body beyond the limit is given up, declared or not", async () => {
+  const length = MAXIMUM_BYTES + 1;
+  expect(await send(`Content-Length: ${length}\r\n\r\n`)).toEqual("too_large");
+  received = [];
+  const chunk = `${length.toString(16)}\r\n${"x".repeat(length)}\r\n`;
+  expect(await send(`Transfer-Encoding: chunked\r\n\r\n${chunk}`))
+    .toEqual("too_large");
+});
+
+// Guards against a truncated body that is served as a whole one.
+test("a body whose connection closes is cut", async () => {
+  expect(await send("Content-Length: 10\r\n\r\ncut")).toEqual("cut");
+});
+
+// Guards against an object of the parser for each byte of a body, which held a
+// hundred times its bytes and ended the process.
+test("chunks of one byte aren't kept", async () => {
+  setFlagsFromString("--expose-gc");
+  const collect = runInNewContext("gc") as () => void;
+  const stream = new PassThrough();
+  const body = receiveBody(createMessage(stream, {}), {
+    maximumBytes: MAXIMUM_BYTES,
+  });
+  const chunks: WeakRef<Buffer>[] = [];
+  for (let count = 0; count < 1_000; count++) {
+    const chunk = Buffer.alloc(1, "x");
+    chunks.push(new WeakRef(chunk));
+    stream.write(chunk);
+    await setImmediatePromise();
+  }
+  collect();
+  const kept = chunks.filter((chunk) => chunk.deref() !== undefined).length;
+  stream.end();
+  expect((await body).length).toEqual(1_000);
+  // The stream itself may hold the last one.
+  expect(kept).toBeLessThanOrEqual(2);
+});
+
+// Guards against memory for twice a body whose length is known.
+test("no more is allocated than a body may have", () => {
+  const buffer = new GrowingBuffer({ maximumCapacity: 1_000 });
+  for (let count = 0; count < 1_000; count++) {
+    buffer.append(Buffer.alloc(1, "x"));
+    expect(buffer.capacity).toBeLessThanOrEqual(1_000);
+  }
+  expect(buffer.bytes.length).toEqual(1_000);
+});
--- a/packages/kelpspar-http/src/growing_buffer.ts
+++ b/packages/kelpspar-http/src/growing_buffer.ts
@@ -1,14 +1,25 @@
 const EMPTY = Buffer.alloc(0);
 const GROWTH_FACTOR = 2;
 
+/** Options of a `GrowingBuffer`. */
+export interface GrowingBufferOptions {
+  /** No more memory is allocated unless there are more bytes; default none. */
+  readonly maximumCapacity?: number;
+}
+
 /**
  * Collects bytes. Copies each byte a few times at most, and holds at most twice
  * the bytes: a list of chunks of one byte would hold a hundred times as much.
  */
 export class GrowingBuffer {
+  readonly #maximumCapacity: number;
   #store: Buffer = EMPTY;
   #length = 0;
 
+  constructor(options: GrowingBufferOptions = {}) {
+    this.#maximumCapacity = options.maximumCapacity ?? Number.POSITIVE_INFINITY;
+  }
+
   get length(): number {
     return this.#length;
   }
@@ -41,7 +52,8 @@
   }
 
   #grow(length: number): void {
-    const store = Buffer.allocUnsafeSlow(length * GROWTH_FACTOR);
+    const capacity = Math.min(length * GROWTH_FACTOR, this.#maximumCapacity);
+    const store = Buffer.allocUnsafeSlow(Math.max(length, capacity));
     this.#store.copy(store, 0, 0, this.#length);
     this.#store = store;
   }
--- a/packages/kelpspar-peers/src/router_listener.ts
+++ b/packages/kelpspar-peers/src/router_listener.ts
@@ -1,4 +1,5 @@
 import type { AnyTRPCRouter, inferRouterContext } from "@trpc/server";
+import type { BodyFailure } from "kelpspar-http";
 import type {
   IncomingMessage,
   RequestListener,
@@ -11,6 +12,7 @@
   TRPCError,
 } from "@trpc/server";
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
+import { receiveBody } from "kelpspar-http";
 
 /** Options of `createRouterListener`. */
 export interface RouterListenerOptions<Router extends AnyTRPCRouter> {
@@ -26,6 +28,10 @@
 }
 
 const STATUS_OK = 200;
+const FAILURES: Readonly<Record<BodyFailure, () => Error>> = {
+  too_large: () => new TRPCError({ code: "PAYLOAD_TOO_LARGE" }),
+  cut: () => new Error("The caller disconnected"),
+};
 
 /**
  * Serves a tRPC router to `createPeerLink`, directly on `node:http`. tRPC's
@@ -81,7 +87,8 @@
   message: IncomingMessage,
   maximumBytes: number,
 ): Promise<unknown> {
-  const bytes = await readBytes(message, maximumBytes);
+  const bytes = await receiveBody(message, { maximumBytes });
+  if (typeof bytes === "string") throw FAILURES[bytes]();
   try {
     const input: unknown = JSON.parse(bytes.toString("utf8"));
     return input ?? undefined;
@@ -90,32 +97,6 @@
   }
 }
 
-/**
- * Reads a request's body. Uses events, because an iterator of the stream costs
- * more than reading a small body.
- */
-function readBytes(
-  message: IncomingMessage,
-  maximumBytes: number,
-): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const onData = (chunk: Buffer): void => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length <= maximumBytes) return;
-      // The socket stays open for the response.
-      message.off("data", onData).pause();
-      reject(new TRPCError({ code: "PAYLOAD_TOO_LARGE" }));
-    };
-    message.on("data", onData);
-    message.once("end", () => resolve(Buffer.concat(chunks)));
-    message.once("error", reject);
-    message.once("close", () => reject(new Error("The caller disconnected")));
-  });
-}
-
 function send(response: ServerResponse, status: number, value: object): void {
   if (response.destroyed) return;
   const text = JSON.stringify(value);
