Bound what callers make a process hold by the memory of its machine

Cause: bodies, requests kept for repeats, relayed requests, their copies, calls of other daemons and answers that nobody reads were bounded one by one.

Change: CallerBudget counts all of them. When it is full, of the remote address that holds most what has stalled longest gives way, else the largest; never a whole body, whose request may have been passed on. Bodies get 503 with Retry-After and a close, unread answers a reset. An eighth is left to what has 64 KB or less. Sizes come from the new setting limits.memoryMb; the budget for answers of endpoints stays 64 MB from 350 MB on. Large bodies are collected in segments that are used again, and a large buffer that was released counts for another second, because the garbage collector leaves 64 MB and more. Relayed requests are encoded without texts of the whole body. An answer above 256 KB is written in parts. New: kelpspar_caller_cuts_total, caller_held_bytes, answer_held_bytes, the line 'caller cut'.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relay_message_test.ts
@@ -0,0 +1,83 @@
+import { expect } from "earl";
+import { CallerBudget } from "kelpspar-http";
+import { ManualTimer, SeededRandom } from "kelpspar-shared";
+import { test } from "node:test";
+import { PeerRelay } from "../../relay/peer_relay.ts";
+import {
+  decodeRelayMessage,
+  encodeRelayMessage,
+  relayMessageBytes,
+} from "../../relay/relay_message.ts";
+import { request } from "../support/request_world.ts";
+
+const MEBIBYTE = 1024 * 1024;
+
+function createMessage(
+  length: number,
+): Parameters<typeof encodeRelayMessage>[0] {
+  const body = Buffer.from(Array.from({ length }, (_, index) => index % 251));
+  return {
+    configurationVersion: 1,
+    attemptsLeft: 2,
+    request: request({ body, deadlineMilliseconds: 1_000, target: '/"ü' }),
+  };
+}
+
+// Guards against a body that is changed where its encoded parts meet.
+test("a relayed body arrives unchanged at any length", () => {
+  for (const length of [0, 1, 2, 3, 49_151, 49_152, 49_153, 98_305]) {
+    const message = createMessage(length);
+    const { body } = message.request;
+    const padded = Buffer.concat([Buffer.alloc(7), body]);
+    const inside = { ...message.request, body: padded.subarray(7) };
+    const encoded = encodeRelayMessage({ ...message, request: inside });
+    const decoded = decodeRelayMessage(encoded).request;
+    expect(Buffer.from(decoded.body).equals(body)).toEqual(true);
+    expect(decoded.target).toEqual('/"ü');
+    expect(encoded.length).toBeLessThanOrEqual(relayMessageBytes(message));
+  }
+});
+
+// Guards against copies for other daemons that fill the memory, and against a
+// daemon that is taken for dead since there is no memory here.
+test("a request isn't relayed without memory for its copy", async () => {
+  const timer = new ManualTimer();
+  const budget = new CallerBudget({ timer, maximumBytes: 8 * MEBIBYTE });
+  const kept = budget.open({ state: "kept" });
+  kept.set(6 * MEBIBYTE);
+  let failedCalls = 0;
+  const relay = new PeerRelay({
+    isolation: { isIsolated: true, verified: () => Promise.resolve(true) },
+    membership: {
+      relayCandidates: () => [],
+      isStalled: () => false,
+      reportFailedCall: () => failedCalls++,
+    },
+    coordinator: () => undefined,
+    timer,
+    random: new SeededRandom(1),
+    malformedAnswers: { publish: () => {} },
+    budget,
+  });
+  const send = (length: number): ReturnType<PeerRelay["send"]> =>
+    relay.send({
+      peer: {
+        daemonId: "d2",
+        front: "",
+        peer: "127.0.0.1:1",
+        zone: "a",
+        cores: 1,
+      },
+      message: createMessage(length),
+      isRepeatable: false,
+      signal: new AbortController().signal,
+    });
+  expect(await send(MEBIBYTE)).toEqual({
+    type: "unreachable",
+    reason: "no memory for a copy",
+  });
+  expect([relay.sent, failedCalls]).toEqual([0, 0]);
+  expect((await send(4)).type).toEqual("unreachable");
+  expect([relay.sent, failedCalls]).toEqual([1, 1]);
+  expect(budget.bytes).toEqual(6 * MEBIBYTE);
+});
--- a/packages/kelpspar-gateway/src/fleet/peer_listener.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_listener.ts
@@ -1,6 +1,8 @@
 import type { RequestListener, ServerResponse } from "node:http";
 import type { PeerHandlers } from "./peer_router.ts";
+import { CallerBudget } from "kelpspar-http";
 import { createRouterListener } from "kelpspar-peers";
+import { SystemTimer } from "kelpspar-shared";
 import { peerRouter } from "./peer_router.ts";
 
 /** HTTP path of the tRPC router for other daemons. */
@@ -9,11 +11,15 @@
 const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Creates the listener that answers other daemons under `PEER_PATH`. */
-export function createPeerListener(handlers: PeerHandlers): RequestListener {
+export function createPeerListener(
+  handlers: PeerHandlers,
+  budget = new CallerBudget({ timer: new SystemTimer() }),
+): RequestListener {
   return createRouterListener({
     router: peerRouter,
     path: PEER_PATH,
     maximumBodyBytes: MAXIMUM_BODY_BYTES,
+    budget,
     createContext: (_, response) => ({
       handlers,
       createDisconnectSignal: () => createDisconnectSignal(response),
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -1,12 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { BodyFailure } from "kelpspar-http";
 import type { OpenExchanges } from "./open_exchanges.ts";
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
-import type { RequestReply } from "../requests/request_reply.ts";
+import type { DaemonAnswer, RequestReply } from "../requests/request_reply.ts";
 import type { ServingRequest } from "../requests/serving_request.ts";
-import { receiveBody } from "kelpspar-http";
-import { KelpsparError } from "kelpspar-shared";
+import { CallerBudget, receiveBody } from "kelpspar-http";
+import { KelpsparError, SystemTimer } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { Server as NetServer } from "node:net";
+import { closeAfterRefusal } from "./close_after_refusal.ts";
 import { describeRefusal } from "./describe_refusal.ts";
 import { discardBody } from "./discard_body.ts";
 import { HttpReply } from "./http_reply.ts";
@@ -28,6 +30,20 @@
 const NODE_MAXIMUM_HEADER_BYTES = 128 * 1024;
 /** Idle connections stay open this much longer than callers reuse them, ms. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 1_000;
+/** Until bodies that fill the memory have arrived or were given up. */
+const NO_MEMORY_RETRY_MILLISECONDS = 1_000;
+/** Answers to requests whose body was not received. */
+const BODY_REFUSALS: Readonly<
+  Record<Exclude<BodyFailure, "cut">, DaemonAnswer>
+> = {
+  too_large: { status: 413, message: "request body too large" },
+  too_slow: { status: 408, message: "request body too slow" },
+  no_memory: {
+    status: 503,
+    retryAfterMilliseconds: NO_MEMORY_RETRY_MILLISECONDS,
+    message: "no memory for the request body",
+  },
+};
 
 /** Decodes a caller's request. Throws `KelpsparError` for one it can't read. */
 export type RequestDecoder = (
@@ -41,6 +57,8 @@
   /** Whether each connection is closed after its next answer. */
   readonly isLeaving: () => boolean;
   readonly exchanges: OpenExchanges;
+  /** Bounds what callers make the process hold; default a budget of its own. */
+  readonly budget?: CallerBudget;
   readonly serve: (
     request: ServingRequest,
     reply: RequestReply,
@@ -50,11 +68,14 @@
 /** Accepts callers' requests over HTTP. */
 export class FrontServer {
   readonly #options: FrontServerOptions;
+  readonly #budget: CallerBudget;
   readonly #server: Server;
   #limits = DEFAULT_LIMITS;
 
   constructor(options: FrontServerOptions) {
     this.#options = options;
+    this.#budget = options.budget ??
+      new CallerBudget({ timer: new SystemTimer() });
     this.#server = createServer({
       maxHeaderSize: NODE_MAXIMUM_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
@@ -106,11 +127,11 @@
     response: ServerResponse,
   ): Promise<void> {
     this.#options.exchanges.track(message, response);
-    const reply = new HttpReply(
-      response,
+    const reply = new HttpReply(response, {
       // Closing before the whole request has arrived would reset the connection.
-      () => this.#options.isLeaving() && message.complete,
-    );
+      mustClose: () => this.#options.isLeaving() && message.complete,
+      budget: this.#budget,
+    });
     const headBytes = message.rawHeaders.reduce(
       (sum, text) => sum + text.length + 2,
       0,
@@ -121,21 +142,34 @@
     }
     const body = await receiveBody(message, {
       maximumBytes: this.#limits.bodyBytes,
+      budget: this.#budget,
     });
-    if (body === "too_large") {
-      reply.refuse({ status: 413, message: "request body too large" });
-      discardBody(message);
+    if (body === "cut") return;
+    if (typeof body === "string") {
+      reply.refuse(BODY_REFUSALS[body]);
+      if (body === "too_large") discardBody(message);
+      else closeAfterRefusal(message, response);
       return;
     }
-    if (body === "cut") return;
-    let request: ServingRequest;
     try {
-      request = this.#options.decode(message, body);
+      const request = this.#decode(message, body.bytes);
+      if (request instanceof KelpsparError) {
+        reply.refuse(describeRefusal(request));
+      } else await this.#options.serve(request, reply);
+    } finally {
+      body.release();
+    }
+  }
+
+  #decode(
+    message: IncomingMessage,
+    body: Uint8Array,
+  ): ServingRequest | KelpsparError {
+    try {
+      return this.#options.decode(message, body);
     } catch (error) {
-      if (!(error instanceof KelpsparError)) throw error;
-      reply.refuse(describeRefusal(error));
-      return;
+      if (error instanceof KelpsparError) return error;
+      throw error;
     }
-    await this.#options.serve(request, reply);
   }
 }
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -22,6 +22,7 @@
 import type { RowStore } from "./tables/row_store.ts";
 import type { SharedTables } from "./tables/shared_tables.ts";
 import type { FollowClient } from "./tables/table_follower.ts";
+import { CallerBudget, PROCESS_READ_BUDGET, shareMemory } from "kelpspar-http";
 import { createServer } from "node:http";
 import { ActiveConfiguration } from "./configuration/active_configuration.ts";
 import { BrittleServices } from "./endpoints/brittle_services.ts";
@@ -41,6 +42,7 @@
 } from "./fleet/peer_client.ts";
 import { createPeerListener } from "./fleet/peer_listener.ts";
 import { chooseCallerAddresses } from "./front/choose_caller_addresses.ts";
+import { CallerCutLog } from "./front/caller_cut_log.ts";
 import { FrontServer } from "./front/front_server.ts";
 import { listen } from "./front/listen.ts";
 import { OpenExchanges } from "./front/open_exchanges.ts";
@@ -73,6 +75,8 @@
 /** How long a reading plan is cached, milliseconds. */
 const PLAN_CACHE_MILLISECONDS = 400;
 
+const DEFAULT_MEMORY_BYTES = 350 * 1024 * 1024;
+
 /** Options of `GatewayDaemon`; the platform supplies its adapters here. */
 export interface GatewayDaemonOptions {
   readonly self: DaemonAddress;
@@ -96,6 +100,8 @@
   readonly retryWindowMilliseconds: number;
   /** Time from the stop signal until the process is killed. */
   readonly graceMilliseconds: number;
+  /** Memory that the process may use; default 350 MiB. */
+  readonly memoryBytes?: number;
   /** Processor time that this process has used, milliseconds. */
   readonly processorMilliseconds: () => number;
 }
@@ -121,6 +127,7 @@
   readonly #coordinator: PieceCoordinator;
   readonly #chainClient: ChainClient;
   readonly #peerServer: Server;
+  readonly #callerBudget: CallerBudget;
   readonly #isolation: IsolationMonitor;
   readonly #relay: PeerRelay;
   readonly #streamOrigins: StreamOrigins;
@@ -140,6 +147,17 @@
     const { self, timer, log } = options;
     this.anomalies = new AnomalyLog(log, this.metrics);
     this.era = new StoreEra({ timer, anomalies: this.anomalies });
+    const { callerBytes, answerBytes } = shareMemory(
+      options.memoryBytes ?? DEFAULT_MEMORY_BYTES,
+    );
+    PROCESS_READ_BUDGET.maximumBytes = answerBytes;
+    const cutLog = new CallerCutLog({ ...options, metrics: this.metrics });
+    const budget = new CallerBudget({
+      timer,
+      maximumBytes: callerBytes,
+      onCut: (cut) => cutLog.record(cut),
+    });
+    this.#callerBudget = budget;
     const { configuration, registry, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#tablesConfirmedAt, Number.MAX_SAFE_INTEGER);
@@ -260,6 +278,7 @@
       isolation,
       membership,
       coordinator: () => chains.coordinator,
+      budget,
     });
     this.#relay = relay;
     const concurrency = new ConcurrencyLimiter({
@@ -321,6 +340,7 @@
       decode: options.decode,
       isLeaving: () => lifecycle.policy.isLeaving,
       exchanges: this.#exchanges,
+      budget,
       serve: (request, reply) => service.serve(request, reply),
     });
     const peerListener = createPeerListener({
@@ -345,13 +365,14 @@
       recordStreams: (streams) => streamOrigins.record(streams),
       findRecorded: (attemptId) => streamOrigins.findRecorded(attemptId),
       answerOrigin: (question) => streamOrigins.answer(question),
-    });
+    }, budget);
     this.#peerServer = createServer(createRelayListener({
       serve: (message, reply) => service.serveRelayed(message, reply),
       isAble: ({ configurationVersion }) =>
         !isolation.isIsolated && !lifecycle.policy.isLeaving &&
         configuration.version >= configurationVersion,
       exchanges: this.#exchanges,
+      budget,
       otherwise: peerListener,
     }));
     this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
@@ -538,6 +559,8 @@
     metrics.setState("store_era", this.era.current ?? 0);
     metrics.setState("reads_store", this.#plan?.isReader === true ? 1 : 0);
     metrics.setState("open_requests", this.#requestService.open);
+    metrics.setState("caller_held_bytes", this.#callerBudget.bytes);
+    metrics.setState("answer_held_bytes", PROCESS_READ_BUDGET.bytes);
     metrics.setState("open_exchanges", this.#exchanges.count);
     const { coordinatorChanges, redirectedChains } = this.#chainClient.counts;
     metrics.setState("coordinator_changes", coordinatorChanges);
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -101,6 +101,12 @@
     labelNames: ["sender", "reason"],
     registers: [this.#registry],
   });
+  readonly #callerCuts = new Counter({
+    name: "kelpspar_caller_cuts_total",
+    help: "Bodies and answers of callers that were given up or refused",
+    labelNames: ["what", "reason"],
+    registers: [this.#registry],
+  });
   readonly #stateGauge = new Gauge({
     name: "kelpspar_state",
     help: "Configuration version, endpoints, daemons and chains known now",
@@ -164,6 +170,10 @@
     this.#malformedAnswers.inc({ sender, reason });
   }
 
+  countCallerCut(what: string, reason: string): void {
+    this.#callerCuts.inc({ what, reason });
+  }
+
   setState(what: string, value: number): void {
     this.#stateGauge.set({ what }, value);
   }
--- a/packages/kelpspar-gateway/src/relay/peer_relay.ts
+++ b/packages/kelpspar-gateway/src/relay/peer_relay.ts
@@ -1,3 +1,4 @@
+import type { CallerBudget } from "kelpspar-http";
 import type { RandomSource, TimerService } from "kelpspar-shared";
 import type { MalformedAnswers } from "../exchange/malformed_answers.ts";
 import type { DaemonAddress } from "../fleet/fleet_digest.ts";
@@ -7,6 +8,7 @@
 import type { RelayMessage } from "./relay_message.ts";
 import { chooseRelayPeer } from "./choose_relay_peer.ts";
 import { relayRequest } from "./relay_client.ts";
+import { relayMessageBytes } from "./relay_message.ts";
 
 /** How often a relayed call checks that its daemon is alive. */
 const CHECK_INTERVAL_MILLISECONDS = 150;
@@ -23,6 +25,8 @@
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly malformedAnswers: Pick<MalformedAnswers, "publish">;
+  /** Bounds the encoded copies of requests that are held at the same time. */
+  readonly budget: CallerBudget;
 }
 
 /** One relayed request. */
@@ -81,9 +85,15 @@
 
   /** Never throws. The answer's body may still be arriving when it resolves. */
   async send(call: PeerRelayCall): Promise<RelayAnswer> {
-    const { membership, timer, malformedAnswers } = this.#options;
+    const { membership, timer, malformedAnswers, budget } = this.#options;
     const { peer, message, isRepeatable, signal } = call;
     const { daemonId } = peer;
+    const copyBytes = relayMessageBytes(message);
+    if (!budget.admit(copyBytes)) {
+      return { type: "unreachable", reason: "no memory for a copy" };
+    }
+    const copy = budget.open({ state: "kept", address: peer.peer });
+    copy.set(copyBytes);
     const abortController = new AbortController();
     const stop = (): void => abortController.abort();
     signal.addEventListener("abort", stop, { once: true });
@@ -108,6 +118,7 @@
       }
       return answer;
     } finally {
+      copy.end();
       stopCheck();
       signal.removeEventListener("abort", stop);
       this.#open.set(daemonId, (this.#open.get(daemonId) ?? 1) - 1);
--- a/packages/kelpspar-gateway/src/relay/relay_listener.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_listener.ts
@@ -3,10 +3,12 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
+import type { BodyFailure, CallerBudget } from "kelpspar-http";
 import type { OpenExchanges } from "../front/open_exchanges.ts";
-import type { RequestReply } from "../requests/request_reply.ts";
+import type { DaemonAnswer, RequestReply } from "../requests/request_reply.ts";
 import type { RelayMessage } from "./relay_message.ts";
 import { receiveBody } from "kelpspar-http";
+import { closeAfterRefusal } from "../front/close_after_refusal.ts";
 import { HttpReply } from "../front/http_reply.ts";
 import { decodeRelayMessage } from "./relay_message.ts";
 import { RELAY_PATH } from "./relay_path.ts";
@@ -16,6 +18,19 @@
 /** Relayed requests in progress at one daemon. */
 const MAXIMUM_OPEN_REQUESTS = 256;
 const BUSY_RETRY_MILLISECONDS = 500;
+const UNREADABLE: DaemonAnswer = {
+  status: 503,
+  message: "unreadable relayed request",
+};
+const REFUSALS: Readonly<Record<Exclude<BodyFailure, "cut">, DaemonAnswer>> = {
+  no_memory: {
+    status: 503,
+    retryAfterMilliseconds: BUSY_RETRY_MILLISECONDS,
+    message: "no memory for the relayed request",
+  },
+  too_large: UNREADABLE,
+  too_slow: UNREADABLE,
+};
 
 /** Options of `createRelayListener`. */
 export interface RelayListenerOptions {
@@ -23,6 +38,8 @@
   /** False if another daemon should be asked. */
   readonly isAble: (message: RelayMessage) => boolean;
   readonly exchanges: OpenExchanges;
+  /** Bounds the messages and answers that are held at the same time. */
+  readonly budget: CallerBudget;
   /** Answers requests at other paths. */
   readonly otherwise: RequestListener;
 }
@@ -40,7 +57,7 @@
     options.exchanges.track(request, response);
     if (open >= MAXIMUM_OPEN_REQUESTS) {
       request.resume();
-      createReply(response, () => true).refuse({
+      createReply(response, options).refuse({
         status: 503,
         retryAfterMilliseconds: BUSY_RETRY_MILLISECONDS,
         message: "too many relayed requests",
@@ -55,27 +72,41 @@
 async function handle(
   request: IncomingMessage,
   response: ServerResponse,
-  { serve, isAble }: RelayListenerOptions,
+  options: RelayListenerOptions,
 ): Promise<void> {
-  const bytes = await receiveBody(request, {
+  const { serve, isAble, budget } = options;
+  const body = await receiveBody(request, {
     maximumBytes: MAXIMUM_MESSAGE_BYTES,
+    budget,
   });
-  if (bytes === "cut") return;
-  const message = bytes === "too_large" ? undefined : decode(bytes);
-  const reply = createReply(
-    response,
-    () => message === undefined || !isAble(message),
-  );
-  if (message !== undefined) return await serve(message, reply);
-  reply.refuse({ status: 503, message: "unreadable relayed request" });
-  request.resume();
+  if (body === "cut") return;
+  if (typeof body === "string") {
+    createReply(response, options).refuse(REFUSALS[body]);
+    closeAfterRefusal(request, response);
+    return;
+  }
+  try {
+    const message = decode(body.bytes);
+    if (message === undefined) {
+      createReply(response, options).refuse(UNREADABLE);
+      return;
+    }
+    await serve(
+      message,
+      createReply(response, options, () => !isAble(message)),
+    );
+  } finally {
+    body.release();
+  }
 }
 
 function createReply(
   response: ServerResponse,
-  isUnable: () => boolean,
+  { budget }: RelayListenerOptions,
+  isUnable = (): boolean => true,
 ): RelayReply {
-  return new RelayReply(new HttpReply(response, () => true), isUnable);
+  const reply = new HttpReply(response, { mustClose: () => true, budget });
+  return new RelayReply(reply, isUnable);
 }
 
 function decode(bytes: Uint8Array): RelayMessage | undefined {
--- a/packages/kelpspar-gateway/src/relay/relay_message.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_message.ts
@@ -45,18 +45,47 @@
   readonly request: ServingRequest;
 }
 
-/** Encodes a message as JSON. */
+/** Bytes of the body that are encoded at a time; a multiple of three. */
+const ENCODED_PART_BYTES = 48 * 1024;
+const BASE64_RATIO = 4 / 3;
+/** Upper bound of an encoded message beside its texts and its body. */
+const MESSAGE_OVERHEAD_BYTES = 16 * 1024;
+/** What follows the body, which is empty at first, in an encoded message. */
+const MESSAGE_END = '"}}';
+
+/** About how many bytes the encoded message takes. */
+export function relayMessageBytes({ request }: RelayMessage): number {
+  return MESSAGE_OVERHEAD_BYTES +
+    Math.ceil(request.body.length * BASE64_RATIO);
+}
+
+/**
+ * Encodes a message as JSON. The body is encoded in parts, because texts of the
+ * whole body would hold several times its bytes.
+ */
 export function encodeRelayMessage(message: RelayMessage): Buffer {
-  const { request } = message;
-  const body = Buffer.from(request.body).toString("base64");
-  return Buffer.from(
-    JSON.stringify({ ...message, request: { ...request, body } }),
+  const { request: { body, ...request }, ...rest } = message;
+  const text = JSON.stringify({ ...rest, request: { ...request, body: "" } });
+  const head = Buffer.from(text.slice(0, -MESSAGE_END.length));
+  const bodyLength = Math.ceil(body.length / 3) * 4;
+  const encoded = Buffer.allocUnsafeSlow(
+    head.length + bodyLength + MESSAGE_END.length,
   );
+  let length = head.copy(encoded);
+  const bytes = Buffer.from(body.buffer, body.byteOffset, body.length);
+  for (let start = 0; start < bytes.length; start += ENCODED_PART_BYTES) {
+    const end = start + ENCODED_PART_BYTES;
+    const part = bytes.toString("base64", start, end);
+    length += encoded.write(part, length, "latin1");
+  }
+  encoded.write(MESSAGE_END, length, "latin1");
+  return encoded;
 }
 
 /** Decodes a message; throws if it isn't valid. */
 export function decodeRelayMessage(bytes: Uint8Array): RelayMessage {
-  const text = Buffer.from(bytes).toString("utf8");
+  const { buffer, byteOffset, length } = bytes;
+  const text = Buffer.from(buffer, byteOffset, length).toString("utf8");
   const { request, ...rest } = messageSchema.parse(JSON.parse(text));
   return {
     ...rest,
--- a/packages/kelpspar-http/src/__tests__/unit/receive_body_test.ts
+++ b/packages/kelpspar-http/src/__tests__/unit/receive_body_test.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { BodyFailure } from "../../receive_body.ts";
+import type { BodyFailure, ReceivedBody } from "../../receive_body.ts";
 import { expect } from "earl";
+import { SystemTimer } from "kelpspar-shared";
+import { randomBytes } from "node:crypto";
 import { once } from "node:events";
 import { createServer } from "node:http";
 import { connect } from "node:net";
@@ -10,19 +12,22 @@
 import { setImmediate as setImmediatePromise } from "node:timers/promises";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
-import { GrowingBuffer } from "../../growing_buffer.ts";
+import { BodyBuffer } from "../../body_buffer.ts";
+import { CallerBudget } from "../../caller_budget.ts";
 import { receiveBody } from "../../receive_body.ts";
+import { SEGMENT_BYTES, SegmentPool } from "../../segment_pool.ts";
 
 const MAXIMUM_BYTES = 10_000;
 
+const budget = new CallerBudget({ timer: new SystemTimer() });
 let server: Server;
 let port = 0;
-let received: Promise<Buffer | BodyFailure>[] = [];
+let received: Promise<ReceivedBody | BodyFailure>[] = [];
 
 beforeEach(async () => {
   received = [];
   server = createServer((message, response) => {
-    const body = receiveBody(message, { maximumBytes: MAXIMUM_BYTES });
+    const body = receiveBody(message, { maximumBytes: MAXIMUM_BYTES, budget });
     received.push(body);
     void body.then(() => response.end());
   });
@@ -36,7 +41,7 @@
   server.close();
 });
 
-async function send(text: string): Promise<Buffer | BodyFailure | undefined> {
+async function send(text: string): Promise<string | undefined> {
   const socket = connect(port, "127.0.0.1");
   socket.on("error", () => {});
   socket.write(`POST / HTTP/1.1\r\nHost: a\r\n${text}`);
@@ -44,7 +49,7 @@
   if (text.endsWith("cut")) socket.destroy();
   const body = await received[0];
   socket.destroy();
-  return body;
+  return typeof body === "object" ? String(body.bytes) : body;
 }
 
 /** A message that declares `headers` and whose body is `stream`. */
@@ -52,15 +57,18 @@
   stream: PassThrough,
   headers: Readonly<Record<string, string>>,
 ): IncomingMessage {
-  return Object.assign(stream, { headers }) as unknown as IncomingMessage;
+  return Object.assign(stream, {
+    headers,
+    socket: {},
+  }) as unknown as IncomingMessage;
 }
 
 test("a body is received with a length and in chunks", async () => {
-  expect(String(await send("Content-Length: 4\r\n\r\nbody"))).toEqual("body");
+  expect(await send("Content-Length: 4\r\n\r\nbody")).toEqual("body");
   received = [];
   const chunks = [..."body"].map((text) => `1\r\n${text}\r\n`).join("");
   const head = "Transfer-Encoding: chunked\r\n\r\n";
-  expect(String(await send(`${head}${chunks}0\r\n\r\n`))).toEqual("body");
+  expect(await send(`${head}${chunks}0\r\n\r\n`)).toEqual("body");
 });
 
 // Guards against a body beyond the limit that is held all the same.
@@ -86,6 +94,7 @@
   const stream = new PassThrough();
   const body = receiveBody(createMessage(stream, {}), {
     maximumBytes: MAXIMUM_BYTES,
+    budget,
   });
   const chunks: WeakRef<Buffer>[] = [];
   for (let count = 0; count < 1_000; count++) {
@@ -97,17 +106,28 @@
   collect();
   const kept = chunks.filter((chunk) => chunk.deref() !== undefined).length;
   stream.end();
-  expect((await body).length).toEqual(1_000);
+  expect(budget.bytes).toBeLessThanOrEqual(2_000);
+  const { bytes } = await body as ReceivedBody;
+  expect(bytes.length).toEqual(1_000);
   // The stream itself may hold the last one.
   expect(kept).toBeLessThanOrEqual(2);
 });
 
-// Guards against memory for twice a body whose length is known.
-test("no more is allocated than a body may have", () => {
-  const buffer = new GrowingBuffer({ maximumCapacity: 1_000 });
-  for (let count = 0; count < 1_000; count++) {
-    buffer.append(Buffer.alloc(1, "x"));
-    expect(buffer.capacity).toBeLessThanOrEqual(1_000);
+// Guards against memory for twice a body, or for bodies that were given up.
+test("a body is held once, and its memory is used again", () => {
+  const buffer = new BodyBuffer();
+  const sent = randomBytes(5 * SEGMENT_BYTES + 1);
+  for (let start = 0; start < sent.length; start += 999) {
+    buffer.append(sent.subarray(start, start + 999));
+    const { length, capacity } = buffer;
+    expect(capacity).toBeLessThanOrEqual(
+      length <= SEGMENT_BYTES ? 2 * length : length + SEGMENT_BYTES,
+    );
   }
-  expect(buffer.bytes.length).toEqual(1_000);
+  expect(buffer.take().equals(sent)).toEqual(true);
+  expect(buffer.capacity).toEqual(0);
+  const pool = new SegmentPool();
+  const segment = pool.take();
+  pool.giveBack([segment]);
+  expect(pool.take() === segment).toEqual(true);
 });
--- a/packages/kelpspar-http/src/mod.ts
+++ b/packages/kelpspar-http/src/mod.ts
@@ -5,9 +5,26 @@
 export type { MalformedReason } from "./malformed_answer_error.ts";
 export type { MalformedListener, ReadEvent } from "./progress_guard.ts";
 export type { BodyTimeLimit, ReadBodyOptions } from "./read_body.ts";
-export type { BodyFailure, ReceiveBodyOptions } from "./receive_body.ts";
+export type {
+  BudgetTimer,
+  CallerBudgetOptions,
+  CallerCut,
+  OpenHoldingOptions,
+} from "./caller_budget.ts";
+export type {
+  CallerHolding,
+  CutReason,
+  HoldingState,
+} from "./caller_holding.ts";
+export type { MemoryShares } from "./memory_shares.ts";
+export type {
+  BodyFailure,
+  ReceiveBodyOptions,
+  ReceivedBody,
+} from "./receive_body.ts";
 export type { ReadHolding } from "./read_holding.ts";
 export { BodyLimitError } from "./body_limit_error.ts";
+export { CallerBudget, MAXIMUM_SMALL_BYTES } from "./caller_budget.ts";
 export { createGuardedAgent } from "./create_guarded_agent.ts";
 export { createGuardedPool } from "./create_guarded_pool.ts";
 export { GrowingBuffer } from "./growing_buffer.ts";
@@ -15,6 +32,7 @@
 export { MalformedAnswerError } from "./malformed_answer_error.ts";
 export { MAXIMUM_OVERHEAD_BYTES, ProgressGuard } from "./progress_guard.ts";
 export { MAXIMUM_BODY_BYTES, readBody } from "./read_body.ts";
+export { shareMemory } from "./memory_shares.ts";
 export { PROCESS_READ_BUDGET } from "./process_read_budget.ts";
-export { declaredBodyBytes, receiveBody } from "./receive_body.ts";
+export { findBodyFailure, receiveBody } from "./receive_body.ts";
 export { ReadBudget } from "./read_budget.ts";
--- a/packages/kelpspar-http/src/read_body.ts
+++ b/packages/kelpspar-http/src/read_body.ts
@@ -1,8 +1,8 @@
 import type { Readable } from "node:stream";
 import type { BodyLimitReason } from "./body_limit_error.ts";
 import type { ReadBudget } from "./read_budget.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 import { BodyLimitError } from "./body_limit_error.ts";
-import { GrowingBuffer } from "./growing_buffer.ts";
 import { PROCESS_READ_BUDGET } from "./process_read_budget.ts";
 
 /** Largest answer that is buffered whole. */
@@ -47,7 +47,7 @@
     budget = PROCESS_READ_BUDGET,
   } = options;
   return new Promise((resolve, reject) => {
-    const buffer = new GrowingBuffer();
+    const buffer = new BodyBuffer();
     const fail = (error: Error): void => {
       buffer.clear();
       end();
@@ -81,7 +81,7 @@
     body.once("close", onCut);
     body.once("end", () => {
       end();
-      resolve(buffer.bytes);
+      resolve(buffer.take());
     });
     body.on("data", onData);
   });
--- a/packages/kelpspar-http/src/read_budget.ts
+++ b/packages/kelpspar-http/src/read_budget.ts
@@ -2,7 +2,7 @@
 
 /** Bounds the bytes of all unfinished bodies and events together. */
 export class ReadBudget {
-  readonly #maximumBytes: number;
+  #maximumBytes: number;
   readonly #holdings = new Set<ReadHolding>();
   #bytes = 0;
 
@@ -10,6 +10,11 @@
     this.#maximumBytes = maximumBytes;
   }
 
+  /** Changes the limit; what is held then is cut at the next change. */
+  set maximumBytes(maximumBytes: number) {
+    this.#maximumBytes = maximumBytes;
+  }
+
   /** Bytes that are held now. */
   get bytes(): number {
     return this.#bytes;
--- a/packages/kelpspar-http/src/receive_body.ts
+++ b/packages/kelpspar-http/src/receive_body.ts
@@ -1,21 +1,37 @@
 import type { IncomingMessage } from "node:http";
-import { GrowingBuffer } from "./growing_buffer.ts";
+import type { CallerBudget } from "./caller_budget.ts";
+import type { CutReason } from "./caller_holding.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 
-/** Why the body of a request was not received. */
+/** Why the body of a request was not received; its rest is still to be read. */
 export type BodyFailure =
-  /** It has more bytes than allowed; the rest is still to be read. */
+  /** It has more bytes than allowed. */
   | "too_large"
+  | CutReason
   /** The caller closed the connection, so that nothing can be answered. */
   | "cut";
 
 /** Options of `receiveBody`. */
 export interface ReceiveBodyOptions {
   readonly maximumBytes: number;
+  readonly budget: CallerBudget;
 }
 
-/** The bytes that a request declares for its body; 0 if it declares none. */
-export function declaredBodyBytes(message: IncomingMessage): number {
-  return Number(message.headers["content-length"] ?? 0);
+/** A whole body. */
+export interface ReceivedBody {
+  readonly bytes: Buffer;
+  /** To be called when the bytes aren't needed any more. */
+  readonly release: () => void;
+}
+
+/** Finds out why a body must not arrive, by the length that it declares. */
+export function findBodyFailure(
+  message: IncomingMessage,
+  { maximumBytes, budget }: ReceiveBodyOptions,
+): BodyFailure | undefined {
+  const declaredBytes = readDeclaredBytes(message);
+  if (declaredBytes > maximumBytes) return "too_large";
+  return budget.admit(declaredBytes) ? undefined : "no_memory";
 }
 
 /**
@@ -24,26 +40,49 @@
  */
 export function receiveBody(
   message: IncomingMessage,
-  { maximumBytes }: ReceiveBodyOptions,
-): Promise<Buffer | BodyFailure> {
-  const declaredBytes = declaredBodyBytes(message);
-  if (declaredBytes > maximumBytes) return Promise.resolve("too_large");
-  const buffer = new GrowingBuffer({
-    maximumCapacity: declaredBytes === 0 ? maximumBytes : declaredBytes,
-  });
+  options: ReceiveBodyOptions,
+): Promise<ReceivedBody | BodyFailure> {
+  const failure = findBodyFailure(message, options);
+  if (failure !== undefined) return Promise.resolve(failure);
+  const { maximumBytes, budget } = options;
+  const buffer = new BodyBuffer();
   return new Promise((resolve) => {
-    const fail = (failure: BodyFailure): void => {
+    const fail = (reason: BodyFailure): void => {
       message.off("data", onData);
+      holding.end();
       buffer.clear();
-      resolve(failure);
+      resolve(reason);
     };
+    const onCut = (): void => {
+      if (holding.isCuttable) fail("cut");
+    };
+    const holding = budget.open({
+      state: "arriving",
+      address: message.socket.remoteAddress,
+      cut: fail,
+    });
     const onData = (chunk: Buffer): void => {
-      if (buffer.length + chunk.length > maximumBytes) fail("too_large");
-      else buffer.append(chunk);
+      if (buffer.length + chunk.length > maximumBytes) {
+        fail("too_large");
+        return;
+      }
+      buffer.append(chunk);
+      holding.progress(chunk.length);
+      holding.set(buffer.capacity);
     };
     message.on("data", onData);
-    message.once("end", () => resolve(buffer.bytes));
-    message.once("error", () => fail("cut"));
-    message.once("close", () => fail("cut"));
+    message.once("error", onCut);
+    message.once("close", onCut);
+    message.once("end", () => {
+      holding.keep();
+      const bytes = buffer.take();
+      holding.set(bytes.length);
+      resolve({ bytes, release: () => holding.end() });
+    });
   });
 }
+
+/** 0 if the body is sent in chunks. */
+function readDeclaredBytes(message: IncomingMessage): number {
+  return Number(message.headers["content-length"] ?? 0);
+}
--- a/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
+++ b/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
@@ -4,6 +4,8 @@
 import { createTRPCClient } from "@trpc/client";
 import { initTRPC } from "@trpc/server";
 import { expect } from "earl";
+import { CallerBudget } from "kelpspar-http";
+import { SystemTimer } from "kelpspar-shared";
 import { createServer } from "node:http";
 import { after, before, test } from "node:test";
 import { Agent } from "undici";
@@ -36,6 +38,7 @@
     router,
     path: PATH,
     maximumBodyBytes: MAXIMUM_BODY_BYTES,
+    budget: new CallerBudget({ timer: new SystemTimer() }),
     createContext: (message) => ({
       caller: String(message.headers["x-caller"]),
     }),
--- a/packages/kelpspar-peers/src/router_listener.ts
+++ b/packages/kelpspar-peers/src/router_listener.ts
@@ -1,5 +1,9 @@
 import type { AnyTRPCRouter, inferRouterContext } from "@trpc/server";
-import type { BodyFailure } from "kelpspar-http";
+import type {
+  BodyFailure,
+  CallerBudget,
+  ReceiveBodyOptions,
+} from "kelpspar-http";
 import type {
   IncomingMessage,
   RequestListener,
@@ -21,6 +25,8 @@
   readonly path: string;
   /** Maximum size of an input, in bytes. */
   readonly maximumBodyBytes: number;
+  /** Bounds the inputs that are held at the same time. */
+  readonly budget: CallerBudget;
   readonly createContext: (
     message: IncomingMessage,
     response: ServerResponse,
@@ -29,6 +35,8 @@
 
 const STATUS_OK = 200;
 const FAILURES: Readonly<Record<BodyFailure, () => Error>> = {
+  no_memory: () => new TRPCError({ code: "SERVICE_UNAVAILABLE" }),
+  too_slow: () => new TRPCError({ code: "TIMEOUT" }),
   too_large: () => new TRPCError({ code: "PAYLOAD_TOO_LARGE" }),
   cut: () => new Error("The caller disconnected"),
 };
@@ -51,7 +59,10 @@
   const procedure = parseProcedure(message, options.path);
   try {
     const context = options.createContext(message, response);
-    const input = await readInput(message, options.maximumBodyBytes);
+    const input = await readInput(message, {
+      maximumBytes: options.maximumBodyBytes,
+      budget: options.budget,
+    });
     const data: unknown = await callTRPCProcedure({
       router: options.router,
       path: procedure,
@@ -85,15 +96,17 @@
 
 async function readInput(
   message: IncomingMessage,
-  maximumBytes: number,
+  options: ReceiveBodyOptions,
 ): Promise<unknown> {
-  const bytes = await receiveBody(message, { maximumBytes });
-  if (typeof bytes === "string") throw FAILURES[bytes]();
+  const body = await receiveBody(message, options);
+  if (typeof body === "string") throw FAILURES[body]();
   try {
-    const input: unknown = JSON.parse(bytes.toString("utf8"));
+    const input: unknown = JSON.parse(body.bytes.toString("utf8"));
     return input ?? undefined;
   } catch (cause) {
     throw new TRPCError({ code: "PARSE_ERROR", cause });
+  } finally {
+    body.release();
   }
 }
 
