Give up bodies and answers that bring or take too few bytes a second

Cause: a body had no bound on its time. 120 bodies of a byte at a time, or ones that had stopped, kept their connections and memory as long as callers liked (none was closed), also where the budget isn't full.

Change: one interval for all holdings. A body has to bring 8 KiB a second on average in each span of 10 s, else it gets 408 and a close; of an answer as much has to be read in 30 s, else it is reset. Whole bodies aren't checked.

--- a/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
@@ -147,3 +147,13 @@
   await until(() => read.socket.bytesRead > ANSWER_BYTES);
   await until(() => budget.bytes === 0);
 });
+
+// Guards against a caller that keeps a connection and memory as long as it
+// likes, and against one that takes that for an answer of an endpoint.
+test("a body that doesn't go on is answered with 408 and a close", async () => {
+  const caller = open(post("/", 100), Buffer.alloc(10));
+  await until(() => budget.bytes > 0);
+  await timer.advance(11_000);
+  expect(await caller.received).toEqual(expect.regex(/^HTTP\/1\.1 408 /));
+  expect(served).toEqual(0);
+});
--- a/packages/kelpspar-http/src/__tests__/unit/caller_budget_test.ts
+++ b/packages/kelpspar-http/src/__tests__/unit/caller_budget_test.ts
@@ -9,6 +9,7 @@
 import { beforeEach, test } from "node:test";
 import { CallerBudget, MAXIMUM_SMALL_BYTES, shareMemory } from "../../mod.ts";
 
+const KIBIBYTE = 1024;
 const MEBIBYTE = 1024 * 1024;
 const MAXIMUM_BYTES = 8 * MEBIBYTE;
 /** What large bodies and answers may take. */
@@ -112,6 +113,60 @@
   expect(budget.admit(2 * MEBIBYTE)).toEqual(true);
 });
 
+// Guards against bodies that come a few bytes at a time and never end, and
+// against a bound by the clock alone, which ends those of slow networks.
+test("a body that brings too little in ten seconds is cut", async () => {
+  const dripping = hold("dripping", KIBIBYTE);
+  const slow = hold("slow", KIBIBYTE);
+  hold("whole", KIBIBYTE).keep();
+  for (let second = 0; second < 60; second++) {
+    dripping.progress(1);
+    slow.progress(8 * KIBIBYTE);
+    await timer.advance(1_000);
+    const isCut = cuts.includes("dripping too_slow");
+    if (second < 8) expect(isCut).toEqual(false);
+    if (second > 10) expect(isCut).toEqual(true);
+  }
+  expect(cuts).toEqual(["dripping too_slow"]);
+  await timer.advance(11_000);
+  expect(cuts).toEqual(["dripping too_slow", "slow too_slow"]);
+});
+
+// Guards against answers that nobody reads, which stay as long as they like, and
+// against one that ends because the buffers of its connection are large.
+test("an answer of which too little is read in 30 seconds is cut", async () => {
+  hold("unread", KIBIBYTE, { state: "unread" });
+  const read = hold("read", KIBIBYTE, { state: "unread" });
+  await timer.advance(25_000);
+  expect(cuts).toEqual([]);
+  read.progress(240 * KIBIBYTE);
+  await timer.advance(6_000);
+  expect(cuts).toEqual(["unread too_slow"]);
+});
+
+// Guards against a timer for each body, and one that keeps a process alive.
+test("all bodies share a timer that ends after the last of them", async () => {
+  let timers = 0;
+  const counting = new CallerBudget({
+    timer: {
+      now: () => timer.now(),
+      registerInterval: (listener, milliseconds) => {
+        const stop = timer.registerInterval(listener, milliseconds);
+        timers++;
+        return () => {
+          timers--;
+          stop();
+        };
+      },
+    },
+  });
+  const holdings = [1, 2, 3].map(() => counting.open({ state: "arriving" }));
+  expect(timers).toEqual(1);
+  for (const holding of holdings) holding.end();
+  await timer.advance(1_000);
+  expect(timers).toEqual(0);
+});
+
 // Guards against a process that takes more memory than its machine has.
 test("what is shared out fits beside a process at rest", () => {
   for (const megabytes of [210, 350, 602]) {
--- a/packages/kelpspar-http/src/caller_budget.ts
+++ b/packages/kelpspar-http/src/caller_budget.ts
@@ -1,5 +1,6 @@
 import type { CutReason, HoldingState } from "./caller_holding.ts";
 import { CallerHolding } from "./caller_holding.ts";
+import { CHECK_INTERVAL_MILLISECONDS, checkPace } from "./check_pace.ts";
 import { chooseCut } from "./choose_cut.ts";
 import { UncollectedBytes } from "./uncollected_bytes.ts";
 
@@ -19,6 +20,8 @@
 export interface BudgetTimer {
   /** Monotonic time, milliseconds. */
   now(): number;
+  /** Calls `listener` again and again; returns the teardown. */
+  registerInterval(listener: () => void, milliseconds: number): () => void;
 }
 
 /** Options of a `CallerBudget`. */
@@ -56,6 +59,9 @@
   /** The part of it that is never given up. */
   readonly #kept = { all: 0, large: 0 };
 
+  /** Undefined while nothing is held. */
+  #stopChecks: (() => void) | undefined;
+
   constructor(options: CallerBudgetOptions) {
     const { maximumBytes = DEFAULT_BYTES } = options;
     this.#timer = options.timer;
@@ -105,6 +111,10 @@
       },
     });
     this.#holdings.add(holding);
+    this.#stopChecks ??= this.#timer.registerInterval(
+      () => this.#checkPace(),
+      CHECK_INTERVAL_MILLISECONDS,
+    );
     return holding;
   }
 
@@ -114,6 +124,16 @@
     if (bytes > before) this.#enforce();
   }
 
+  #checkPace(): void {
+    for (const holding of [...this.#holdings]) {
+      if (!checkPace(holding)) holding.cut("too_slow");
+    }
+    // Not at the end of each request, most of which last for milliseconds.
+    if (this.#holdings.size > 0) return;
+    this.#stopChecks?.();
+    this.#stopChecks = undefined;
+  }
+
   #enforce(): void {
     for (let cut = this.#findCut(); cut !== undefined; cut = this.#findCut()) {
       cut.cut("no_memory");
