End the holding of an answer behind another one with its connection

Cause: front_server_test took 33 s instead of 3: an answer that waits for an earlier one on its connection emits neither close nor drain when the connection closes, so that it counted as unread until it was given up after 30 s.

Change: HttpReply listens for the close of the connection too.

Result: the new test waits without end on the code before (timed out after 8 s); it passes, and front_server_test ends at once again.

--- a/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
@@ -53,9 +53,15 @@
     serve: async ({ body, target }, reply) => {
       served++;
       if (target === "/wait") await gate;
-      const isLarge = target === "/large";
-      const text = Buffer.from(String(body.length));
-      reply.answer(200, [], isLarge ? Buffer.alloc(ANSWER_BYTES) : text);
+      const lengths: Readonly<Record<string, number>> = {
+        "/large": ANSWER_BYTES,
+        "/next": MEBIBYTE / 2,
+      };
+      const length = lengths[target];
+      const answer = length === undefined
+        ? Buffer.from(String(body.length))
+        : Buffer.alloc(length);
+      reply.answer(200, [], answer);
     },
   });
   await server.listen(`127.0.0.1:${port}`);
@@ -148,6 +154,17 @@
   await until(() => budget.bytes === 0);
 });
 
+// Guards against answers that are held after their caller has gone, because an
+// answer behind another one announces no end.
+test("answers behind one another end with their connection", async () => {
+  const caller = open(LARGE_ANSWER);
+  caller.socket.pause();
+  caller.socket.write(LARGE_ANSWER.replace("large", "next"));
+  await until(() => budget.bytes === ANSWER_BYTES + MEBIBYTE / 2);
+  caller.socket.destroy();
+  await until(() => budget.bytes === 0);
+});
+
 // Guards against a caller that keeps a connection and memory as long as it
 // likes, and against one that takes that for an answer of an endpoint.
 test("a body that doesn't go on is answered with 408 and a close", async () => {
--- a/packages/kelpspar-gateway/src/front/http_reply.ts
+++ b/packages/kelpspar-gateway/src/front/http_reply.ts
@@ -106,21 +106,39 @@
     return new Promise((resolve) => {
       const done = (): void => {
         response.off("drain", done);
-        response.off("close", done);
+        stopWaiting();
         resolve();
       };
       response.on("drain", done);
-      response.on("close", done);
+      const stopWaiting = this.#onceClosed(done);
     });
   }
 
   /** Counts bytes until the connection has taken the answer or was closed. */
   #holdUntilClosed(bytes: number): CallerHolding {
     const holding = this.#hold(bytes);
-    this.#response.once("close", () => holding.end());
+    this.#onceClosed(() => holding.end());
     return holding;
   }
 
+  /** Calls `listener` once when the answer ends; returns the teardown. */
+  #onceClosed(listener: () => void): () => void {
+    const response = this.#response;
+    const { socket } = response.req;
+    const stopWaiting = (): void => {
+      response.off("close", onClose);
+      socket.off("close", onClose);
+    };
+    const onClose = (): void => {
+      stopWaiting();
+      listener();
+    };
+    response.on("close", onClose);
+    // A response that waits for an earlier one emits nothing.
+    socket.on("close", onClose);
+    return stopWaiting;
+  }
+
   #hold(bytes: number): CallerHolding {
     // A response that waits for an earlier one has no socket of its own yet.
     const { socket } = this.#response.req;
