Refuse a body before the continue if it isn't to come

Cause: a caller with Expect: 100-continue was told to go on before its declared length was looked at, and then sent a body that was refused.

Change: the continue is sent when the length is within the limit and fits beside what is never given up. Refused otherwise (413, 503), with a close: the caller may send its next request instead, which would be taken for the body.

--- a/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/held_memory_test.ts
@@ -174,3 +174,21 @@
   expect(await caller.received).toEqual(expect.regex(/^HTTP\/1\.1 408 /));
   expect(served).toEqual(0);
 });
+
+// Guards against a caller that is asked to send a body that is refused, and
+// against its next request being taken for that body.
+test("a body that isn't to come is refused before the continue", async () => {
+  const expectation = "Expect: 100-continue\r\n";
+  const tooLarge = open(post("/", 5 * MEBIBYTE, expectation));
+  expect(await tooLarge.received).toEqual(expect.regex(/^HTTP\/1\.1 413 /));
+  const kept = open(post("/wait", 4 * MEBIBYTE), Buffer.alloc(4 * MEBIBYTE));
+  await until(() => served === 1);
+  const refused = open(post("/", 4 * MEBIBYTE, expectation));
+  expect(await refused.received).toEqual(expect.regex(/^HTTP\/1\.1 503 /));
+  const fits = open(post("/", 4, `${expectation}Connection: close\r\n`));
+  await once(fits.socket, "data");
+  fits.socket.write("body");
+  expect(await fits.received)
+    .toEqual(expect.regex(/^HTTP\/1\.1 100 .*HTTP\/1\.1 200 /s));
+  kept.socket.destroy();
+});
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -88,8 +88,7 @@
     });
     // Without this a caller that sends `Expect: 100-continue` waits forever.
     this.#server.on("checkContinue", (message, response) => {
-      response.writeContinue();
-      this.#answer(message, response);
+      this.#answer(message, response, () => response.writeContinue());
     });
   }
 
@@ -118,13 +117,19 @@
   }
 
   /** An error fails the request that causes it, not those of other callers. */
-  #answer(message: IncomingMessage, response: ServerResponse): void {
-    this.#handle(message, response).catch(() => response.destroy());
+  #answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+    sendContinue?: () => void,
+  ): void {
+    this.#handle(message, response, sendContinue)
+      .catch(() => response.destroy());
   }
 
   async #handle(
     message: IncomingMessage,
     response: ServerResponse,
+    sendContinue?: () => void,
   ): Promise<void> {
     this.#options.exchanges.track(message, response);
     const reply = new HttpReply(response, {
@@ -143,11 +148,15 @@
     const body = await receiveBody(message, {
       maximumBytes: this.#limits.bodyBytes,
       budget: this.#budget,
+      onAdmitted: sendContinue,
     });
     if (body === "cut") return;
     if (typeof body === "string") {
       reply.refuse(BODY_REFUSALS[body]);
-      if (body === "too_large") discardBody(message);
+      // A caller that waits for the continue may send another request instead
+      // of the body, which would be taken for it.
+      const isReadOn = body === "too_large" && sendContinue === undefined;
+      if (isReadOn) discardBody(message);
       else closeAfterRefusal(message, response);
       return;
     }
--- a/packages/kelpspar-http/src/mod.ts
+++ b/packages/kelpspar-http/src/mod.ts
@@ -34,5 +34,5 @@
 export { MAXIMUM_BODY_BYTES, readBody } from "./read_body.ts";
 export { shareMemory } from "./memory_shares.ts";
 export { PROCESS_READ_BUDGET } from "./process_read_budget.ts";
-export { findBodyFailure, receiveBody } from "./receive_body.ts";
+export { receiveBody } from "./receive_body.ts";
 export { ReadBudget } from "./read_budget.ts";
--- a/packages/kelpspar-http/src/receive_body.ts
+++ b/packages/kelpspar-http/src/receive_body.ts
@@ -15,6 +15,8 @@
 export interface ReceiveBodyOptions {
   readonly maximumBytes: number;
   readonly budget: CallerBudget;
+  /** Called before the body is read, unless its length is refused. */
+  readonly onAdmitted?: (() => void) | undefined;
 }
 
 /** A whole body. */
@@ -24,16 +26,6 @@
   readonly release: () => void;
 }
 
-/** Finds out why a body must not arrive, by the length that it declares. */
-export function findBodyFailure(
-  message: IncomingMessage,
-  { maximumBytes, budget }: ReceiveBodyOptions,
-): BodyFailure | undefined {
-  const declaredBytes = readDeclaredBytes(message);
-  if (declaredBytes > maximumBytes) return "too_large";
-  return budget.admit(declaredBytes) ? undefined : "no_memory";
-}
-
 /**
  * Receives the body of a request. Uses events, because an iterator of the
  * stream costs more than reading a small body. Never rejects.
@@ -42,9 +34,11 @@
   message: IncomingMessage,
   options: ReceiveBodyOptions,
 ): Promise<ReceivedBody | BodyFailure> {
-  const failure = findBodyFailure(message, options);
-  if (failure !== undefined) return Promise.resolve(failure);
-  const { maximumBytes, budget } = options;
+  const { maximumBytes, budget, onAdmitted } = options;
+  const declaredBytes = readDeclaredBytes(message);
+  if (declaredBytes > maximumBytes) return Promise.resolve("too_large");
+  if (!budget.admit(declaredBytes)) return Promise.resolve("no_memory");
+  onAdmitted?.();
   const buffer = new BodyBuffer();
   return new Promise((resolve) => {
     const fail = (reason: BodyFailure): void => {
