Serve the requests of one connection one at a time

Cause: each pipelined request of a connection ran as soon as its head was parsed, and opened a connection to an endpoint of its own. 20,000 requests on one connection took all descriptors. OpenExchanges added a listener per request to the connection.

Change: `RequestQueue` serves the requests of a connection in order.

--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -13,6 +13,8 @@
 import { discardBody } from "./discard_body.ts";
 import { HttpReply } from "./http_reply.ts";
 import { listen } from "./listen.ts";
+import { ReadGates } from "./read_gates.ts";
+import { RequestQueue } from "./request_queue.ts";
 
 /** Limits until a configuration sets others. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -70,12 +72,14 @@
   readonly #options: FrontServerOptions;
   readonly #budget: CallerBudget;
   readonly #server: Server;
+  readonly #queue: RequestQueue;
   #limits = DEFAULT_LIMITS;
 
   constructor(options: FrontServerOptions) {
     this.#options = options;
     this.#budget = options.budget ??
       new CallerBudget({ timer: new SystemTimer() });
+    this.#queue = new RequestQueue({ gates: new ReadGates() });
     this.#server = createServer({
       maxHeaderSize: NODE_MAXIMUM_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
@@ -84,11 +88,15 @@
       requestTimeout: 0,
     });
     this.#server.on("request", (message, response) => {
-      this.#answer(message, response);
+      this.#enqueue(message, response, () => this.#answer(message, response));
     });
     // Without this a caller that sends `Expect: 100-continue` waits forever.
     this.#server.on("checkContinue", (message, response) => {
-      this.#answer(message, response, () => response.writeContinue());
+      this.#enqueue(
+        message,
+        response,
+        () => this.#answer(message, response, () => response.writeContinue()),
+      );
     });
   }
 
@@ -116,6 +124,15 @@
     this.#server.closeIdleConnections();
   }
 
+  #enqueue(
+    message: IncomingMessage,
+    response: ServerResponse,
+    serve: () => void,
+  ): void {
+    this.#options.exchanges.track(message, response);
+    this.#queue.add({ socket: message.socket, response, serve });
+  }
+
   /** An error fails the request that causes it, not those of other callers. */
   #answer(
     message: IncomingMessage,
@@ -131,7 +148,6 @@
     response: ServerResponse,
     sendContinue?: () => void,
   ): Promise<void> {
-    this.#options.exchanges.track(message, response);
     const reply = new HttpReply(response, {
       // Closing before the whole request has arrived would reset the connection.
       mustClose: () => this.#options.isLeaving() && message.complete,
--- a/packages/kelpspar-gateway/src/front/open_exchanges.ts
+++ b/packages/kelpspar-gateway/src/front/open_exchanges.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /**
  * Requests from their head until the connection has taken the whole answer or
@@ -6,23 +7,36 @@
  * exits.
  */
 export class OpenExchanges {
-  /** A set, because both events below may announce the same end. */
-  readonly #open = new Set<ServerResponse>();
+  /** Responses by connection; a connection stays while it is open. */
+  readonly #open = new Map<Socket, Set<ServerResponse>>();
+  #count = 0;
 
   get count(): number {
-    return this.#open.size;
+    return this.#count;
   }
 
   track(message: IncomingMessage, response: ServerResponse): void {
     const { socket } = message;
-    this.#open.add(response);
-    const onEnd = (): void => {
-      response.off("close", onEnd);
-      socket.off("close", onEnd);
-      this.#open.delete(response);
-    };
-    response.on("close", onEnd);
+    if (socket.destroyed) return;
+    const responses = this.#responsesOf(socket);
+    responses.add(response);
+    this.#count++;
+    response.once("close", () => {
+      if (responses.delete(response)) this.#count--;
+    });
+  }
+
+  #responsesOf(socket: Socket): Set<ServerResponse> {
+    const existing = this.#open.get(socket);
+    if (existing !== undefined) return existing;
+    const responses = new Set<ServerResponse>();
+    this.#open.set(socket, responses);
     // A pipelined response that was never begun emits nothing.
-    socket.on("close", onEnd);
+    socket.once("close", () => {
+      this.#open.delete(socket);
+      this.#count -= responses.size;
+      responses.clear();
+    });
+    return responses;
   }
 }
