Give each listener a share of the descriptors

Cause: no listener bounded its connections. 4,500 connections that send nothing, at the front or at the directory, took all descriptors of the process, so that nobody was served.

Change: `limits.maxFds` (4,100) is divided among front, control, directory, ready and metrics; the rest is left for endpoints, the store and other daemons. When a share is full, an idle connection gives way to a new one: silent ones first, then kept ones, then those with an open body; of these one of the address with most, the longest idle first. Metrics and a log line at most each 10 s say how many.

--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BodyFailure } from "kelpspar-http";
+import type { ConnectionShares } from "./connections/connection_shares.ts";
 import type { OpenExchanges } from "./open_exchanges.ts";
 import type { CallerLimits } from "../configuration/serving_configuration.ts";
 import type { DaemonAnswer, RequestReply } from "../requests/request_reply.ts";
@@ -61,6 +62,8 @@
   readonly exchanges: OpenExchanges;
   /** Bounds what callers make the process hold; default a budget of its own. */
   readonly budget?: CallerBudget;
+  /** Without it connections aren't limited. */
+  readonly connectionShares?: ConnectionShares;
   readonly serve: (
     request: ServingRequest,
     reply: RequestReply,
@@ -79,7 +82,11 @@
     this.#options = options;
     this.#budget = options.budget ??
       new CallerBudget({ timer: new SystemTimer() });
-    this.#queue = new RequestQueue({ gates: new ReadGates() });
+    const { connectionShares } = options;
+    this.#queue = new RequestQueue({
+      gates: new ReadGates(),
+      onClosed: () => connectionShares?.noteClosed("front", "pipelined"),
+    });
     this.#server = createServer({
       maxHeaderSize: NODE_MAXIMUM_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
@@ -98,6 +105,7 @@
         () => this.#answer(message, response, () => response.writeContinue()),
       );
     });
+    connectionShares?.limit("front", this.#server);
   }
 
   /** Accepts callers at `address:port`. */
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -41,6 +41,8 @@
   PeerClient,
 } from "./fleet/peer_client.ts";
 import { createPeerListener } from "./fleet/peer_listener.ts";
+import { ConnectionShares } from "./front/connections/connection_shares.ts";
+import { DEFAULT_MAXIMUM_DESCRIPTORS } from "./front/connections/divide_descriptors.ts";
 import { chooseCallerAddresses } from "./front/choose_caller_addresses.ts";
 import { CallerCutLog } from "./front/caller_cut_log.ts";
 import { FrontServer } from "./front/front_server.ts";
@@ -104,6 +106,8 @@
   readonly memoryBytes?: number;
   /** Processor time that this process has used, milliseconds. */
   readonly processorMilliseconds: () => number;
+  /** Descriptors that this process may have open; default 4,100. */
+  readonly maximumDescriptors?: number;
 }
 
 /** A daemon between callers on one side, endpoints and peers on the other. */
@@ -118,6 +122,8 @@
   /** Fetches the store's tables from other daemons. */
   readonly followClient: FollowClient;
   readonly quarantine: Quarantine;
+  /** Shares of the listeners in the descriptors of the process. */
+  readonly connectionShares: ConnectionShares;
   readonly #options: GatewayDaemonOptions;
   readonly #quarantineParts: QuarantineParts;
   readonly #membership: FleetMembership;
@@ -158,6 +164,12 @@
       onCut: (cut) => cutLog.record(cut),
     });
     this.#callerBudget = budget;
+    this.connectionShares = new ConnectionShares({
+      ...options,
+      metrics: this.metrics,
+      maximumDescriptors: options.maximumDescriptors ??
+        DEFAULT_MAXIMUM_DESCRIPTORS,
+    });
     const { configuration, registry, limits, era } = this;
     const storeAge = (): number =>
       Math.min(timer.now() - this.#tablesConfirmedAt, Number.MAX_SAFE_INTEGER);
@@ -342,6 +354,7 @@
       exchanges: this.#exchanges,
       budget,
       serve: (request, reply) => service.serve(request, reply),
+      connectionShares: this.connectionShares,
     });
     const peerListener = createPeerListener({
       exchange: (digest) => fleet.exchange(digest),
@@ -375,6 +388,7 @@
       budget,
       otherwise: peerListener,
     }));
+    this.connectionShares.limit("control", this.#peerServer);
     this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
     this.#peerServer.on("connection", () => this.#acceptedConnections++);
     coordinator.register();
@@ -562,6 +576,9 @@
     metrics.setState("caller_held_bytes", this.#callerBudget.bytes);
     metrics.setState("answer_held_bytes", PROCESS_READ_BUDGET.bytes);
     metrics.setState("open_exchanges", this.#exchanges.count);
+    for (const [name, open] of this.connectionShares.openConnections()) {
+      metrics.setConnections(name, open);
+    }
     const { coordinatorChanges, redirectedChains } = this.#chainClient.counts;
     metrics.setState("coordinator_changes", coordinatorChanges);
     metrics.setState("redirected_chains", redirectedChains);
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -107,6 +107,18 @@
     labelNames: ["what", "reason"],
     registers: [this.#registry],
   });
+  readonly #connections = new Gauge({
+    name: "kelpspar_connections",
+    help: "Open connections of callers by listener",
+    labelNames: ["listener"],
+    registers: [this.#registry],
+  });
+  readonly #closedConnections = new Counter({
+    name: "kelpspar_connections_closed_total",
+    help: "Connections of callers closed to protect others, by reason",
+    labelNames: ["listener", "reason"],
+    registers: [this.#registry],
+  });
   readonly #stateGauge = new Gauge({
     name: "kelpspar_state",
     help: "Configuration version, endpoints, daemons and chains known now",
@@ -174,6 +186,14 @@
     this.#callerCuts.inc({ what, reason });
   }
 
+  countClosedConnection(listener: string, reason: string): void {
+    this.#closedConnections.inc({ listener, reason });
+  }
+
+  setConnections(listener: string, count: number): void {
+    this.#connections.set({ listener }, count);
+  }
+
   setState(what: string, value: number): void {
     this.#stateGauge.set({ what }, value);
   }
--- a/packages/kelpspar-gateway/src/mod.ts
+++ b/packages/kelpspar-gateway/src/mod.ts
@@ -32,7 +32,7 @@
 export type { DaemonAddress } from "./fleet/fleet_digest.ts";
 export type { ListeningState } from "./exchange/check_listening.ts";
 export type { RequestDecoder } from "./front/front_server.ts";
-export type { TextAnswer } from "./front/text_server.ts";
+export type { TextAnswer, TextHandler } from "./front/text_server.ts";
 export type { LoadReport } from "./load/load_report.ts";
 export type { GatewayLog, LogFields } from "./log/gateway_log.ts";
 export type {
