Bound what is discarded of refused requests

Cause: after a 431, and after a 413 for a declared length, Node.js dropped the body unseen by `discardBody`, without a bound. `discardBody` bounded bytes only, though a chunk of one byte costs as much as some hundred bytes, and no time. At the control port a refused input left the connection paused and open; a relayed request that was refused was read without a bound, and its answer closed the connection while the body still arrived.

Refused relayed requests are answered after their body. The control port reads on within the limit.

--- a/packages/kelpspar-gateway/src/__tests__/support/front_fixture.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/front_fixture.ts
@@ -53,6 +53,22 @@
   }
 }
 
+/** Sends without an end, until the connection is closed. */
+export async function sendUntilClosed(
+  caller: RawCaller,
+  part: string,
+): Promise<void> {
+  while (!caller.isClosed) {
+    if (!caller.socket.write(part)) {
+      await Promise.race([
+        once(caller.socket, "drain").catch(() => {}),
+        once(caller.socket, "close").catch(() => {}),
+      ]);
+    }
+    await pollSockets(1);
+  }
+}
+
 /** A front whose requests are served by the test. */
 export class FrontFixture {
   readonly exchanges = new OpenExchanges();
--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -167,6 +167,7 @@
     );
     if (headBytes > this.#limits.headerBytes) {
       reply.refuse({ status: 431, message: "request head too large" });
+      void discardBody(message);
       return;
     }
     const body = await receiveBody(message, {
@@ -180,7 +181,7 @@
       // A caller that waits for the continue may send another request instead
       // of the body, which would be taken for it.
       const isReadOn = body === "too_large" && sendContinue === undefined;
-      if (isReadOn) discardBody(message);
+      if (isReadOn) void discardBody(message);
       else closeAfterRefusal(message, response);
       return;
     }
--- a/packages/kelpspar-gateway/src/relay/relay_listener.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_listener.ts
@@ -8,13 +8,15 @@
 import type { DaemonAnswer, RequestReply } from "../requests/request_reply.ts";
 import type { RelayMessage } from "./relay_message.ts";
 import { receiveBody } from "kelpspar-http";
-import { closeAfterRefusal } from "../front/close_after_refusal.ts";
+import { discardBody } from "../front/discard_body.ts";
 import { HttpReply } from "../front/http_reply.ts";
 import { decodeRelayMessage } from "./relay_message.ts";
 import { RELAY_PATH } from "./relay_path.ts";
 import { RelayReply } from "./relay_reply.ts";
 
 const MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024;
+/** Bytes of a message that is refused; its sender reads the answer after them. */
+const MAXIMUM_DISCARDED_MESSAGE_BYTES = 2 * MAXIMUM_MESSAGE_BYTES;
 /** Relayed requests in progress at one daemon. */
 const MAXIMUM_OPEN_REQUESTS = 256;
 const BUSY_RETRY_MILLISECONDS = 500;
@@ -56,8 +58,7 @@
     }
     options.exchanges.track(request, response);
     if (open >= MAXIMUM_OPEN_REQUESTS) {
-      request.resume();
-      createReply(response, options).refuse({
+      void refuse(request, createReply(response, options), {
         status: 503,
         retryAfterMilliseconds: BUSY_RETRY_MILLISECONDS,
         message: "too many relayed requests",
@@ -81,8 +82,7 @@
   });
   if (body === "cut") return;
   if (typeof body === "string") {
-    createReply(response, options).refuse(REFUSALS[body]);
-    closeAfterRefusal(request, response);
+    await refuse(request, createReply(response, options), REFUSALS[body]);
     return;
   }
   try {
@@ -100,6 +100,19 @@
   }
 }
 
+/**
+ * Refuses a request after its whole body: the answer closes the connection, and
+ * would be lost while the body still arrives.
+ */
+async function refuse(
+  request: IncomingMessage,
+  reply: RelayReply,
+  answer: DaemonAnswer,
+): Promise<void> {
+  const options = { maximumBytes: MAXIMUM_DISCARDED_MESSAGE_BYTES };
+  if (await discardBody(request, options)) reply.refuse(answer);
+}
+
 function createReply(
   response: ServerResponse,
   { budget }: RelayListenerOptions,
--- a/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
+++ b/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
@@ -7,6 +7,7 @@
 import { CallerBudget } from "kelpspar-http";
 import { SystemTimer } from "kelpspar-shared";
 import { createServer } from "node:http";
+import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { Agent } from "undici";
 import { z } from "zod";
@@ -111,6 +112,26 @@
   expect(statuses).toEqual([400, 400, 404, 404, 413]);
 });
 
+// Guards against a connection that stays open, half read, after its refusal.
+for (const size of [1, 1_000]) {
+  test(`a refused input in chunks of ${size} without end is closed`, async () => {
+    const socket = connect(Number(new URL(origin).port), "127.0.0.1");
+    let isClosed = false;
+    socket.on("error", () => {});
+    socket.on("close", () => isClosed = true);
+    socket.resume();
+    socket.write(
+      `POST ${PATH}/greet HTTP/1.1\r\nHost: a\r\n` +
+        "Transfer-Encoding: chunked\r\n\r\n",
+    );
+    const chunk = `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`;
+    while (!isClosed) {
+      socket.write(chunk.repeat(1_000));
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+  });
+}
+
 // Guards against a call that waits for a peer that doesn't exist.
 test("a call to a closed port rejects", async () => {
   const client = createTRPCClient<typeof router>({
--- a/packages/kelpspar-peers/src/mod.ts
+++ b/packages/kelpspar-peers/src/mod.ts
@@ -3,6 +3,7 @@
 export type { PeerLinkOptions } from "./peer_link.ts";
 export type { PeerAnswer, PeerFetch, PeerRequest } from "./peer_fetch.ts";
 export type { RouterListenerOptions } from "./router_listener.ts";
+export { DiscardLimit } from "./discard_limit.ts";
 export { PeerConnections } from "./peer_connections.ts";
 export { createPeerFetch } from "./peer_fetch.ts";
 export { createPeerLink } from "./peer_link.ts";
--- a/packages/kelpspar-peers/src/router_listener.ts
+++ b/packages/kelpspar-peers/src/router_listener.ts
@@ -17,6 +17,7 @@
 } from "@trpc/server";
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
 import { receiveBody } from "kelpspar-http";
+import { DiscardLimit } from "./discard_limit.ts";
 
 /** Options of `createRouterListener`. */
 export interface RouterListenerOptions<Router extends AnyTRPCRouter> {
@@ -99,7 +100,10 @@
   options: ReceiveBodyOptions,
 ): Promise<unknown> {
   const body = await receiveBody(message, options);
-  if (typeof body === "string") throw FAILURES[body]();
+  if (typeof body === "string") {
+    discardRest(message, options.maximumBytes);
+    throw FAILURES[body]();
+  }
   try {
     const input: unknown = JSON.parse(body.bytes.toString("utf8"));
     return input ?? undefined;
@@ -110,6 +114,15 @@
   }
 }
 
+/** Closes the connection if the caller sends on and on after its response. */
+function discardRest(message: IncomingMessage, maximumBytes: number): void {
+  const limit = new DiscardLimit(maximumBytes);
+  message.on("data", (chunk: Buffer) => {
+    limit.add(chunk);
+    if (limit.isExceeded) message.destroy();
+  });
+}
+
 function send(response: ServerResponse, status: number, value: object): void {
   if (response.destroyed) return;
   const text = JSON.stringify(value);
