Close connections of pages and daemons whose requests don't arrive

Cause: pages read on whatever body a request had, without a bound: 100 bodies of 2 MB in chunks of one byte at the metrics page hung the process. The control port allowed 300 s for a request, as Node.js does by default.

Change: pages never read a body; such a request is answered, at most 64 KB and 1 s of its body are discarded, and its connection is closed.

--- a/packages/kelpspar-gateway/src/front/text_server.ts
+++ b/packages/kelpspar-gateway/src/front/text_server.ts
@@ -1,7 +1,15 @@
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { ServerTimes } from "./create_timed_server.ts";
 import { KelpsparError } from "kelpspar-shared";
-import { createServer } from "node:http";
+import { createTimedServer } from "./create_timed_server.ts";
 import { describeRefusal } from "./describe_refusal.ts";
+import { discardBody } from "./discard_body.ts";
+
+/** Time for a whole request to arrive, milliseconds. */
+const REQUEST_TIMEOUT_MILLISECONDS = 5_000;
+/** Limits of a body, which no page reads. */
+const MAXIMUM_BODY_BYTES = 64 * 1024;
+const MAXIMUM_BODY_MILLISECONDS = 1_000;
 
 /** Answer of a text page. */
 export interface TextAnswer {
@@ -24,17 +32,52 @@
   text: "Not found\n",
 };
 
-/** Creates a server of text pages; a path that is none of a URL is a 400. */
-export function createTextServer(handler: TextHandler): Server {
-  return createServer((message, response) => {
-    message.resume();
-    answer(message.url ?? "/", handler)
-      .then(({ status, contentType, text }) => {
-        response.writeHead(status, { "Content-Type": contentType });
-        response.end(text);
-      })
-      .catch(() => response.destroy());
-  });
+/**
+ * Creates a server of text pages; a path that is none of a URL is a 400. The
+ * connection of a request with a body is closed after its answer.
+ */
+export function createTextServer(
+  handler: TextHandler,
+  times: ServerTimes = {},
+): Server {
+  return createTimedServer((message, response) => {
+    respond(message, response, handler).catch(() => response.destroy());
+  }, { requestMilliseconds: REQUEST_TIMEOUT_MILLISECONDS, ...times });
+}
+
+async function respond(
+  message: IncomingMessage,
+  response: ServerResponse,
+  handler: TextHandler,
+): Promise<void> {
+  const discarded = hasBody(message)
+    ? discardBody(message, {
+      maximumBytes: MAXIMUM_BODY_BYTES,
+      maximumMilliseconds: MAXIMUM_BODY_MILLISECONDS,
+    })
+    : undefined;
+  if (discarded === undefined) message.resume();
+  const { status, contentType, text } = await answer(
+    message.url ?? "/",
+    handler,
+  );
+  const headers = {
+    "Content-Type": contentType,
+    "Content-Length": Buffer.byteLength(text),
+  };
+  if (discarded === undefined) {
+    response.writeHead(status, headers).end(text);
+    return;
+  }
+  // The end closes the connection, which would reset it while the body arrives.
+  response.writeHead(status, { ...headers, Connection: "close" }).write(text);
+  await discarded;
+  response.end();
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
 }
 
 async function answer(
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -23,7 +23,6 @@
 import type { SharedTables } from "./tables/shared_tables.ts";
 import type { FollowClient } from "./tables/table_follower.ts";
 import { CallerBudget, PROCESS_READ_BUDGET, shareMemory } from "kelpspar-http";
-import { createServer } from "node:http";
 import { ActiveConfiguration } from "./configuration/active_configuration.ts";
 import { BrittleServices } from "./endpoints/brittle_services.ts";
 import { ConcurrencyLimiter } from "./endpoints/concurrency_limiter.ts";
@@ -45,6 +44,7 @@
 import { DEFAULT_MAXIMUM_DESCRIPTORS } from "./front/connections/divide_descriptors.ts";
 import { chooseCallerAddresses } from "./front/choose_caller_addresses.ts";
 import { CallerCutLog } from "./front/caller_cut_log.ts";
+import { createTimedServer } from "./front/create_timed_server.ts";
 import { FrontServer } from "./front/front_server.ts";
 import { listen } from "./front/listen.ts";
 import { OpenExchanges } from "./front/open_exchanges.ts";
@@ -379,17 +379,19 @@
       findRecorded: (attemptId) => streamOrigins.findRecorded(attemptId),
       answerOrigin: (question) => streamOrigins.answer(question),
     }, budget);
-    this.#peerServer = createServer(createRelayListener({
-      serve: (message, reply) => service.serveRelayed(message, reply),
-      isAble: ({ configurationVersion }) =>
-        !isolation.isIsolated && !lifecycle.policy.isLeaving &&
-        configuration.version >= configurationVersion,
-      exchanges: this.#exchanges,
-      budget,
-      otherwise: peerListener,
-    }));
+    this.#peerServer = createTimedServer(
+      createRelayListener({
+        serve: (message, reply) => service.serveRelayed(message, reply),
+        isAble: ({ configurationVersion }) =>
+          !isolation.isIsolated && !lifecycle.policy.isLeaving &&
+          configuration.version >= configurationVersion,
+        exchanges: this.#exchanges,
+        budget,
+        otherwise: peerListener,
+      }),
+      { idleMilliseconds: PEER_IDLE_TIMEOUT_MILLISECONDS },
+    );
     this.connectionShares.limit("control", this.#peerServer);
-    this.#peerServer.keepAliveTimeout = PEER_IDLE_TIMEOUT_MILLISECONDS;
     this.#peerServer.on("connection", () => this.#acceptedConnections++);
     coordinator.register();
     streamOrigins.register();
