Read connections with very many parts one in each turn

Cause: a read of 64 KB may deliver ten thousand chunks of one byte. With many such connections each turn of the event loop read all of them, while ordinary requests waited.

Change: after 1,024 parts of a body a connection isn't read until its turn; `ReadTurns` gives one turn to one connection in each pass of the event loop. `ReadGate` needs no method of the socket replaced.

The first read of a new connection isn't bounded by it.

--- a/packages/kelpspar-gateway/src/front/front_server.ts
+++ b/packages/kelpspar-gateway/src/front/front_server.ts
@@ -15,6 +15,7 @@
 import { HttpReply } from "./http_reply.ts";
 import { listen } from "./listen.ts";
 import { ReadGates } from "./read_gates.ts";
+import { ReadTurns } from "./read_turns.ts";
 import { RequestQueue } from "./request_queue.ts";
 
 /** Limits until a configuration sets others. */
@@ -83,11 +84,13 @@
     this.#budget = options.budget ??
       new CallerBudget({ timer: new SystemTimer() });
     const { connectionShares } = options;
+    const gates = new ReadGates();
     this.#queue = new RequestQueue({
-      gates: new ReadGates(),
+      gates,
       onClosed: () => connectionShares?.noteClosed("front", "pipelined"),
     });
     this.#server = createServer({
+      IncomingMessage: new ReadTurns({ gates }).createMessageClass(),
       maxHeaderSize: NODE_MAXIMUM_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
       keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMilliseconds +
--- a/packages/kelpspar-gateway/src/front/read_gate.ts
+++ b/packages/kelpspar-gateway/src/front/read_gate.ts
@@ -14,14 +14,10 @@
  */
 export class ReadGate {
   readonly #socket: Socket;
-  readonly #resume: () => Socket;
   readonly #holds = new Set<ReadHold>();
 
   constructor(socket: Socket) {
     this.#socket = socket;
-    this.#resume = socket.resume.bind(socket);
-    socket.resume = () => this.isHeld ? socket : this.#resume();
-    // A resume that was requested before the hold takes effect after it.
     socket.on("resume", () => {
       if (this.isHeld) this.#pause();
     });
@@ -38,7 +34,7 @@
 
   release(hold: ReadHold): void {
     if (!this.#holds.delete(hold) || this.isHeld) return;
-    if (!this.#socket.destroyed) this.#resume();
+    if (!this.#socket.destroyed) this.#socket.resume();
   }
 
   #pause(): void {
