--- a/packages/kelpspar-gateway/src/__tests__/unit/relay_message_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relay_message_test.ts
@@ -1,8 +1,14 @@
+import type { AddressInfo } from "node:net";
 import { expect } from "earl";
 import { CallerBudget } from "kelpspar-http";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
+import { once } from "node:events";
+import { createServer } from "node:http";
 import { test } from "node:test";
+import { OpenExchanges } from "../../front/open_exchanges.ts";
 import { PeerRelay } from "../../relay/peer_relay.ts";
+import { relayRequest } from "../../relay/relay_client.ts";
+import { createRelayListener } from "../../relay/relay_listener.ts";
 import {
   decodeRelayMessage,
   encodeRelayMessage,
@@ -81,3 +87,53 @@
   expect([relay.sent, failedCalls]).toEqual([1, 1]);
   expect(budget.bytes).toEqual(6 * MEBIBYTE);
 });
+
+// Guards against relayed requests that fill the memory, and against a refusal
+// that ends the request though another daemon could serve it.
+test("a daemon without memory for a relayed request is unable", async () => {
+  const timer = new ManualTimer();
+  const budget = new CallerBudget({ timer, maximumBytes: 8 * MEBIBYTE });
+  const kept = budget.open({ state: "kept" });
+  kept.set(6 * MEBIBYTE);
+  let served = 0;
+  const server = createServer(createRelayListener({
+    serve: (message, reply) => {
+      served = message.request.body.length;
+      reply.refuse({ status: 503, message: "served" });
+      return Promise.resolve();
+    },
+    isAble: () => true,
+    exchanges: new OpenExchanges(),
+    budget,
+    otherwise: () => {},
+  })).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const relay = (): ReturnType<typeof relayRequest> =>
+    relayRequest({
+      peer: `127.0.0.1:${port}`,
+      message: createMessage(MEBIBYTE),
+      timer,
+      malformedAnswers: { publish: () => {} },
+      signal: new AbortController().signal,
+    });
+  expect(await relay()).toEqual({
+    type: "refused",
+    refusal: {
+      status: 503,
+      message: "no memory for the relayed request",
+      retryAfterMilliseconds: 500,
+      isUnable: true,
+    },
+  });
+  expect(served).toEqual(0);
+  kept.end();
+  await timer.advance(1_000);
+  expect(await relay()).toEqual({
+    type: "refused",
+    refusal: { status: 503, message: "served", isUnable: false },
+  });
+  expect(served).toEqual(MEBIBYTE);
+  expect(budget.bytes).toEqual(0);
+  server.close();
+});
--- a/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
+++ b/packages/kelpspar-peers/src/__tests__/unit/router_listener_test.ts
@@ -16,6 +16,7 @@
 
 const PATH = "/peer";
 const MAXIMUM_BODY_BYTES = 1_000;
+const BUDGET_BYTES = 10_000;
 
 const trpc = initTRPC.context<{ readonly caller: string }>().create({
   isDev: false,
@@ -31,6 +32,10 @@
 });
 
 const agent = new Agent();
+const budget = new CallerBudget({
+  timer: new SystemTimer(),
+  maximumBytes: BUDGET_BYTES,
+});
 let server: Server;
 let origin = "";
 
@@ -39,7 +44,7 @@
     router,
     path: PATH,
     maximumBodyBytes: MAXIMUM_BODY_BYTES,
-    budget: new CallerBudget({ timer: new SystemTimer() }),
+    budget,
     createContext: (message) => ({
       caller: String(message.headers["x-caller"]),
     }),
@@ -132,6 +137,17 @@
   });
 }
 
+// Guards against inputs that fill the memory beside what callers send.
+test("an input is refused while there is no memory for it", async () => {
+  const kept = budget.open({ state: "kept" });
+  kept.set(BUDGET_BYTES - 10);
+  const input = JSON.stringify({ name: "a name of more" });
+  expect((await post(`${PATH}/greet`, input)).status).toEqual(503);
+  kept.end();
+  expect((await post(`${PATH}/greet`, input)).status).toEqual(200);
+  expect(budget.bytes).toEqual(0);
+});
+
 // Guards against a call that waits for a peer that doesn't exist.
 test("a call to a closed port rejects", async () => {
   const client = createTRPCClient<typeof router>({
