Hold connections whose unread bodies have many parts

Cause: Node.js limits an unread body to 64 KB, which in chunks of one byte are 65,536 buffers. A pipelined request waits for its turn with its body unread.

--- a/packages/kelpspar-gateway/src/__tests__/unit/read_turns_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/read_turns_test.ts
@@ -16,6 +16,7 @@
 const PARTS_PER_TURN = 500;
 /** More than a first read delivers, which tells that a body has many parts. */
 const PARTS_OF_FIRST_READ = 12_000;
+const POLLS = 50;
 const TINY_PARTS = 40_000;
 const CHUNKED = "Host: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -106,3 +107,31 @@
   await waitFor(() => fixture.exchanges.count === 0);
   fixture.stop();
 });
+
+// Guards against a waiting request whose body fills the memory, since Node.js
+// limits the bytes of an unread body and not its parts.
+test("a body that nobody reads yet isn't read on after many parts", async () => {
+  const turns = new ReadTurns({
+    gates: new ReadGates(),
+    partsPerTurn: PARTS_PER_TURN,
+  });
+  const messages: IncomingMessage[] = [];
+  const server = createServer(
+    { IncomingMessage: turns.createMessageClass() },
+    (message, response) => {
+      messages.push(message);
+      message.on("end", () => response.end());
+    },
+  ).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const caller = new RawCaller((server.address() as AddressInfo).port);
+  caller.socket.write(chunked(TINY_PARTS, 1));
+  await waitFor(() => messages.length === 1);
+  await pollSockets(POLLS);
+  expect((messages[0]?.readableLength ?? 0) <= PARTS_OF_FIRST_READ)
+    .toEqual(true);
+  messages[0]?.resume();
+  await waitFor(() => caller.statuses.length === 1);
+  caller.socket.destroy();
+  server.close();
+});
--- a/packages/kelpspar-gateway/src/front/read_gate.ts
+++ b/packages/kelpspar-gateway/src/front/read_gate.ts
@@ -4,6 +4,8 @@
 export type ReadHold =
   /** Pipelined requests wait for the one in progress. */
   | "pipelined_requests"
+  /** Nobody reads the body yet, and it has many parts. */
+  | "unread_parts"
   /** Other connections whose bodies have many parts are read first. */
   | "many_parts";
 
--- a/packages/kelpspar-gateway/src/front/read_turns.ts
+++ b/packages/kelpspar-gateway/src/front/read_turns.ts
@@ -16,6 +16,8 @@
  * Lets connections whose bodies have very many parts read one after another,
  * one in each turn of the event loop. A single read may deliver ten thousand
  * chunks of one byte, so that many such connections would hold up all others.
+ * A connection whose body nobody reads yet waits until somebody does: each part
+ * takes far more memory than the bytes that Node.js limits.
  */
 export class ReadTurns {
   readonly #gates: ReadGates;
@@ -30,14 +32,27 @@
   /** Creates the class of messages whose parts are counted. */
   createMessageClass(): typeof IncomingMessage {
     const partsPerTurn = this.#partsPerTurn;
+    const gates = this.#gates;
     const wait = (socket: Socket): void => this.#wait(socket);
     return class CountedMessage extends IncomingMessage {
       #parts = 0;
+      #isRead = false;
 
       override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-        if (++this.#parts % partsPerTurn === 0) wait(this.socket);
+        if (++this.#parts % partsPerTurn === 0) {
+          if (this.#isRead) wait(this.socket);
+          else gates.of(this.socket).hold("unread_parts");
+        }
         return super.push(chunk, encoding);
       }
+
+      override _read(size: number): void {
+        if (!this.#isRead) {
+          this.#isRead = true;
+          gates.of(this.socket).release("unread_parts");
+        }
+        super._read(size);
+      }
     };
   }
 
