Release the bodies that the test of receiveBody received

Cause: the test's process never ended, since a body that is kept keeps the interval of the budget: the runner hung on it, twice for 200 s and more.

Change: the test releases them, and sees that nothing is held then.

--- a/packages/kelpspar-http/src/__tests__/unit/receive_body_test.ts
+++ b/packages/kelpspar-http/src/__tests__/unit/receive_body_test.ts
@@ -49,7 +49,10 @@
   if (text.endsWith("cut")) socket.destroy();
   const body = await received[0];
   socket.destroy();
-  return typeof body === "object" ? String(body.bytes) : body;
+  if (typeof body !== "object") return body;
+  body.release();
+  expect(budget.bytes).toEqual(0);
+  return String(body.bytes);
 }
 
 /** A message that declares `headers` and whose body is `stream`. */
@@ -107,7 +110,8 @@
   const kept = chunks.filter((chunk) => chunk.deref() !== undefined).length;
   stream.end();
   expect(budget.bytes).toBeLessThanOrEqual(2_000);
-  const { bytes } = await body as ReceivedBody;
+  const { bytes, release } = await body as ReceivedBody;
+  release();
   expect(bytes.length).toEqual(1_000);
   // The stream itself may hold the last one.
   expect(kept).toBeLessThanOrEqual(2);
