Read what a daemon holds in a thread of its own beside crowds

Change: a worker reads; a play of which nothing was read is broken. Crowds, bounds and settings are the same.

--- a/packages/kelpspar-standins/src/crowds/process_watch.ts
+++ b/packages/kelpspar-standins/src/crowds/process_watch.ts
@@ -1,43 +1,53 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { Worker } from "node:worker_threads";
+import { buildScript } from "../wire/build_program.ts";
+import { WATCHED_COUNTERS } from "./watched_counters.ts";
 
-const MEMORY_MILLISECONDS = 50;
-/** Descriptors are counted at each so many readings of the memory. */
-const DESCRIPTOR_INTERVAL = 4;
-const RESIDENT = /^VmRSS:\s+(\d+) kB$/m;
 const BYTES_PER_KILOBYTE = 1_024;
+const PROCESS_MILLISECONDS = 50;
+const READER = "packages/kelpspar-standins/src/crowds/read_process.ts";
 
-/** Follows what a process holds. */
+/** Options of a `ProcessWatch`. */
+export interface ProcessWatchOptions {
+  /** Path of the compiled `read_process.ts`. */
+  readonly reader: string;
+  readonly processId: () => number | undefined;
+}
+
+/** Compiles what `ProcessWatch` runs in its thread. */
+export function buildProcessReader(folder: string): string {
+  return buildScript(READER, folder);
+}
+
+/** Follows what a process holds, and its successors after restarts. */
 export class ProcessWatch {
-  /** Highest resident memory. */
-  peakBytes = 0;
-  peakDescriptors = 0;
-  readonly #processId: () => number | undefined;
+  readonly #counters = new Int32Array(
+    new SharedArrayBuffer(
+      Object.keys(WATCHED_COUNTERS).length * Int32Array.BYTES_PER_ELEMENT,
+    ),
+  );
+  readonly #worker: Worker;
   readonly #timer: NodeJS.Timeout;
-  #readings = 0;
 
-  constructor(processId: () => number | undefined) {
-    this.#processId = processId;
-    this.#timer = setInterval(() => this.#read(), MEMORY_MILLISECONDS);
+  constructor({ reader, processId }: ProcessWatchOptions) {
+    this.#worker = new Worker(reader, { workerData: this.#counters });
+    this.#timer = setInterval(() => {
+      const { processId: place } = WATCHED_COUNTERS;
+      Atomics.store(this.#counters, place, processId() ?? 0);
+    }, PROCESS_MILLISECONDS);
   }
 
-  stop(): void {
-    clearInterval(this.#timer);
+  /** Highest resident memory. */
+  get peakBytes(): number {
+    const { peakKilobytes } = WATCHED_COUNTERS;
+    return Atomics.load(this.#counters, peakKilobytes) * BYTES_PER_KILOBYTE;
   }
 
-  #read(): void {
-    const folder = `/proc/${this.#processId()}`;
-    try {
-      const [, kilobytes = "0"] =
-        RESIDENT.exec(readFileSync(`${folder}/status`, "utf8")) ?? [];
-      this.peakBytes = Math.max(
-        this.peakBytes,
-        Number(kilobytes) * BYTES_PER_KILOBYTE,
-      );
-      if (this.#readings++ % DESCRIPTOR_INTERVAL !== 0) return;
-      const { length } = readdirSync(`${folder}/fd`);
-      this.peakDescriptors = Math.max(this.peakDescriptors, length);
-    } catch {
-      // The process has exited.
-    }
+  get peakDescriptors(): number {
+    return Atomics.load(this.#counters, WATCHED_COUNTERS.peakDescriptors);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    await this.#worker.terminate();
   }
 }
--- a/packages/kelpspar-standins/src/crowds/run_crowds.ts
+++ b/packages/kelpspar-standins/src/crowds/run_crowds.ts
@@ -13,7 +13,7 @@
 import { Crowd } from "./crowd.ts";
 import { CROWD_DEADLINE_MILLISECONDS } from "./crowd_caller.ts";
 import { CROWD_BODY_BYTES } from "./crowd_kinds.ts";
-import { ProcessWatch } from "./process_watch.ts";
+import { buildProcessReader, ProcessWatch } from "./process_watch.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const BYTES_PER_MEGABYTE = 1_024 * 1_024;
@@ -75,11 +75,12 @@
     nodeArguments: program.nodeArguments,
     onLine: options.onLine,
   });
-  const play = new CrowdPlay(situation, site, daemons);
+  const reader = buildProcessReader(folder);
+  const play = new CrowdPlay(situation, { site, daemons, reader });
   try {
     return await play.run();
   } finally {
-    play.end();
+    await play.end();
     await Promise.all(daemons.map((daemon) => daemon.end()));
     site.stop();
     rmSync(folder, { recursive: true, force: true });
@@ -101,14 +102,17 @@
 
   constructor(
     situation: CrowdSituation,
-    site: WireSite,
-    daemons: readonly DaemonProcess[],
+    { site, daemons, reader }: {
+      readonly site: WireSite;
+      readonly daemons: readonly DaemonProcess[];
+      readonly reader: string;
+    },
   ) {
     this.#situation = situation;
     this.#site = site;
     this.#watched = daemons.map((daemon) => ({
       daemon,
-      watch: new ProcessWatch(() => daemon.processId),
+      watch: new ProcessWatch({ reader, processId: () => daemon.processId }),
     }));
     this.#crowds = situation.crowds.map(({ kind, connections }) =>
       new Crowd({
@@ -134,10 +138,10 @@
     return this.#judge();
   }
 
-  end(): void {
+  async end(): Promise<void> {
     this.#isEnded = true;
     for (const crowd of this.#crowds) crowd.close();
-    for (const { watch } of this.#watched) watch.stop();
+    await Promise.all(this.#watched.map(({ watch }) => watch.stop()));
   }
 
   async #playCrowds(): Promise<void> {
@@ -229,6 +233,9 @@
     const { memoryMb, maxFds } = this.#situation;
     for (const { daemon, watch } of this.#watched) {
       const { name } = daemon.options;
+      if (watch.peakBytes === 0 || watch.peakDescriptors === 0) {
+        this.#broken.push(`${name}: nothing was read of the process`);
+      }
       if (watch.peakBytes > memoryMb * BYTES_PER_MEGABYTE) {
         this.#broken.push(
           `${name}: ${toMegabytes(watch.peakBytes)} MB of ${memoryMb}`,
--- a/packages/kelpspar-standins/src/wire/build_program.ts
+++ b/packages/kelpspar-standins/src/wire/build_program.ts
@@ -7,7 +7,7 @@
   symlinkSync,
 } from "node:fs";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { basename, join } from "node:path";
 import { fileURLToPath } from "node:url";
 
 const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
@@ -59,9 +59,14 @@
 
 /** Compiles the hook into a folder, since daemons run without the sources. */
 export function buildPartitionHook(folder: string): string {
-  const outfile = join(folder, "partition_hook.mjs");
+  return buildScript(PARTITION_HOOK, folder);
+}
+
+/** Compiles a source file into a folder, as a module that needs no loader. */
+export function buildScript(source: string, folder: string): string {
+  const outfile = join(folder, `${basename(source, ".ts")}.mjs`);
   execFileSync(join(ROOT, "node_modules/.bin/esbuild"), [
-    join(ROOT, PARTITION_HOOK),
+    join(ROOT, source),
     "--bundle",
     "--platform=node",
     "--format=esm",
