Count bytes after an answer that the parser drops without an error

Cause: a report of surplus bytes was made from the error of Node's parser. Change: where the length of the answer is known (Content-Length or no body), what the connection delivered beyond it is counted when the answer ends. Answers in chunks still depend on the parser's error.

--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -6,7 +6,10 @@
 import { parseHost } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
 import { bodyFraming } from "./body_framing.ts";
-import { countSurplusBytes } from "./count_surplus_bytes.ts";
+import {
+  countDroppedBytes,
+  countRejectedBytes,
+} from "./count_surplus_bytes.ts";
 import { watchBody } from "./watch_body.ts";
 import { watchHangUp } from "./watch_hang_up.ts";
 
@@ -127,11 +130,25 @@
         stopConnecting();
       });
     });
-    outgoing.on("information", () => guard.recordInformational());
+    let hasInformational = false;
+    outgoing.on("information", () => {
+      hasInformational = true;
+      guard.recordInformational();
+    });
     let isComplete = (): boolean => false;
+    let hasSurplus = false;
+    const checkSurplus = (bytes: number): void => {
+      if (hasSurplus || bytes < MAXIMUM_OVERHEAD_BYTES) return;
+      hasSurplus = true;
+      onMalformed("surplus_bytes", false);
+    };
     outgoing.on("response", (message) => {
       guard.recordProgress();
-      watchBody(message, () => guard.recordProgress());
+      let bodyBytes = 0;
+      watchBody(message, ({ length }) => {
+        bodyBytes += length;
+        guard.recordProgress();
+      });
       isComplete = () => message.complete;
       signal.removeEventListener("abort", onAbort);
       // Errors reach the reader of the body; without a reader they are ignored.
@@ -143,13 +160,15 @@
       if (framing === "close_delimited") {
         cutBody = (error) => void message.destroy(error);
       }
+      message.once("end", () => {
+        if (hasInformational) return;
+        checkSurplus(countDroppedBytes({ message, framing, bodyBytes }));
+      });
       const close = (): void => void outgoing.destroy();
       resolve({ type: "answered", message, framing, close });
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
-      const isSurplus = isComplete() &&
-        countSurplusBytes(error) >= MAXIMUM_OVERHEAD_BYTES;
-      if (isSurplus) onMalformed("surplus_bytes", false);
+      if (isComplete()) checkSurplus(countRejectedBytes(error));
       cutBody(error);
       fail(error.message, error.code === "ECONNREFUSED");
     });
