Keep the platform's words out of crowds

Change: callerHeaders in wire; a situation has memoryMegabytes and maximumDescriptors, which the site translates. What crowds send, bounds and settings are the same.

--- a/packages/kelpspar-standins/src/crowds/ask_daemon.ts
+++ b/packages/kelpspar-standins/src/crowds/ask_daemon.ts
@@ -1,6 +1,7 @@
 import type { DaemonProcess } from "../wire/daemon_process.ts";
 import { request as sendHttpRequest } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
+import { callerHeaders } from "../wire/caller_headers.ts";
 
 const ANSWER_MILLISECONDS = 5_000;
 const RETRY_MILLISECONDS = 100;
@@ -76,9 +77,10 @@
       signal: AbortSignal.timeout(Math.ceil(milliseconds)),
       headers: body === undefined ? {} : {
         host,
-        "x-attempt-id": `ordinary-${attempts++}`,
-        "x-deadline-ms": ANSWER_MILLISECONDS,
-        "x-api-key": "key-1",
+        ...callerHeaders({
+          attemptId: `ordinary-${attempts++}`,
+          deadlineMilliseconds: ANSWER_MILLISECONDS,
+        }),
         "content-length": body.length,
       },
     });
--- a/packages/kelpspar-standins/src/crowds/crowd_caller.ts
+++ b/packages/kelpspar-standins/src/crowds/crowd_caller.ts
@@ -1,5 +1,6 @@
 import type { CrowdPort } from "./crowd_port.ts";
 import type { RawConnectionOptions } from "./raw_connection.ts";
+import { callerHeaders } from "../wire/caller_headers.ts";
 import { PORT_TARGETS } from "./crowd_port.ts";
 import { RawConnection } from "./raw_connection.ts";
 
@@ -84,12 +85,14 @@
   head({ method = "POST", target, fields = [] }: CrowdHead = {}): string {
     const { name, index, port, host } = this.#options;
     const targets = PORT_TARGETS[port];
+    const headers = callerHeaders({
+      attemptId: `${name}-${index}-${this.#attempts++}`,
+      deadlineMilliseconds: CROWD_DEADLINE_MILLISECONDS,
+    });
     return [
       `${method} ${target ?? targets[index % targets.length]} HTTP/1.1`,
       `Host: ${host}`,
-      `X-Attempt-Id: ${name}-${index}-${this.#attempts++}`,
-      `X-Deadline-Ms: ${CROWD_DEADLINE_MILLISECONDS}`,
-      "X-Api-Key: key-1",
+      ...Object.entries(headers).map(([key, value]) => `${key}: ${value}`),
       ...fields,
       "\r\n",
     ].join("\r\n");
--- a/packages/kelpspar-standins/src/crowds/crowd_situation.ts
+++ b/packages/kelpspar-standins/src/crowds/crowd_situation.ts
@@ -10,9 +10,9 @@
   }[];
   readonly daemons: number;
   /** Limit of each process, MiB. */
-  readonly memoryMb: number;
+  readonly memoryMegabytes: number;
   /** Limit of each process. */
-  readonly maxFds: number;
+  readonly maximumDescriptors: number;
   /** Maximum time that the crowds send; default that of each kind. */
   readonly seconds?: number | undefined;
   /** Time until the first daemon is stopped and started again; default never. */
@@ -25,7 +25,7 @@
 export const DEFAULT_CROWD_SITUATION: CrowdSituation = {
   crowds: [],
   daemons: 1,
-  memoryMb: 210,
-  maxFds: 400,
+  memoryMegabytes: 210,
+  maximumDescriptors: 400,
   store: "none",
 };
--- a/packages/kelpspar-standins/src/crowds/draw_crowds.ts
+++ b/packages/kelpspar-standins/src/crowds/draw_crowds.ts
@@ -7,7 +7,7 @@
 
 const MAXIMUM_KINDS = 3;
 const MAXIMUM_DAEMONS = 4;
-/** Range of `memoryMb` at the users' sites. */
+/** Range of the memory at the users' sites, MiB. */
 const MINIMUM_MEMORY = 210;
 const MAXIMUM_MEMORY = 602;
 const MAXIMUM_DESCRIPTORS = [400, 1_000, 4_100];
@@ -36,9 +36,9 @@
     ...DEFAULT_CROWD_SITUATION,
     crowds,
     daemons: 1 + random.nextInteger(MAXIMUM_DAEMONS),
-    memoryMb: MINIMUM_MEMORY +
+    memoryMegabytes: MINIMUM_MEMORY +
       random.nextInteger(MAXIMUM_MEMORY - MINIMUM_MEMORY + 1),
-    maxFds: pickRandom(MAXIMUM_DESCRIPTORS, random),
+    maximumDescriptors: pickRandom(MAXIMUM_DESCRIPTORS, random),
     stopSeconds: random.next() < STOP_SHARE
       ? random.next() * MAXIMUM_STOP_SECONDS
       : undefined,
--- a/packages/kelpspar-standins/src/programs/crowds_main.ts
+++ b/packages/kelpspar-standins/src/programs/crowds_main.ts
@@ -39,7 +39,9 @@
     const { kinds, memory, seconds } = values;
     const names = kinds === undefined ? CROWD_KIND_NAMES : readKinds(kinds);
     const fixed = {
-      ...memory === undefined ? {} : { memoryMb: readCount("memory", memory) },
+      ...memory === undefined
+        ? {}
+        : { memoryMegabytes: readCount("memory", memory) },
       ...seconds === undefined
         ? {}
         : { seconds: readCount("seconds", seconds) },
@@ -86,14 +88,23 @@
       ? {}
       : { onLine: (line) => appendFileSync(log, `${line}\n`) }),
   });
-  const { crowds, daemons, memoryMb, maxFds, stopSeconds, store } = situation;
+  const {
+    crowds,
+    daemons,
+    memoryMegabytes,
+    maximumDescriptors,
+    stopSeconds,
+    store,
+  } = situation;
   const kinds = crowds.map(({ kind, connections }) => `${connections} ${kind}`);
   printText(
     `seed ${seed}: ${kinds.join(", ")} at ${daemons} daemon(s)` +
       `${stopSeconds === undefined ? "" : ", one stopped"}` +
       `${store === "none" ? "" : `, store ${store}`}: ` +
-      `${peakMb} MB of ${memoryMb}, ${peakDescriptors} descriptors of ` +
-      `${maxFds}${broken.map((line) => ` | BROKEN ${line}`).join("")}`,
+      `${peakMb} MB of ${memoryMegabytes}, ${peakDescriptors} descriptors of ` +
+      `${maximumDescriptors}${
+        broken.map((line) => ` | BROKEN ${line}`).join("")
+      }`,
   );
   if (broken.length > 0) process.exitCode = EXIT_CHECK_FAILED;
 }
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -76,8 +76,8 @@
   readonly bodyBytes?: number;
   /** Limits of each daemon's process; default none. */
   readonly processLimits?: {
-    readonly memoryMb?: number;
-    readonly maxFds?: number;
+    readonly memoryMegabytes?: number;
+    readonly descriptors?: number;
   };
 }
 
@@ -352,6 +352,7 @@
   ): Promise<Readonly<Record<string, unknown>>> {
     const ports = await findFreePorts(5);
     const [front, ready, control, directory, metrics] = ports;
+    const { memoryMegabytes, descriptors } = this.#options.processLimits;
     return {
       nodeName,
       ip: "127.0.0.1",
@@ -372,7 +373,7 @@
         ttl_max_s: 5,
         configApplyMs: CONFIGURATION_APPLY_MILLISECONDS,
       },
-      limits: this.#options.processLimits,
+      limits: { memoryMb: memoryMegabytes, maxFds: descriptors },
       provider: { address: this.#storeAddress },
       metricsPort: metrics,
     };
