--- a/packages/kelpspar-gateway/src/pieces/call_target.ts
+++ b/packages/kelpspar-gateway/src/pieces/call_target.ts
@@ -26,16 +26,10 @@
   foreignBytes = 0;
   /** True while its room is being queried or the last report is valid. */
   isRoomPolled = false;
-  /** True while its room is being queried. */
-  isRoomAwaited = false;
-  /** Whether other daemons' results took room when it was last known. */
-  isRoomShared = false;
   /** Set once the endpoint is gone; results that it still returns are lost. */
   isGone = false;
   readonly #rateLimiter: EndpointRateLimiter;
   readonly #results = new Map<string, KeptResult>();
-  /** When a call to it began or its room was asked for. */
-  #usedAt = Number.NEGATIVE_INFINITY;
 
   constructor(endpoint: EndpointState, rateLimiter: EndpointRateLimiter) {
     this.endpoint = endpoint;
@@ -44,8 +38,7 @@
 
   /** True when another call may start. */
   isFree(terms: PieceTerms, now: number): boolean {
-    return this.calls.size < terms.slots && !this.isRoomAwaited &&
-      this.pausedUntil <= now &&
+    return this.calls.size < terms.slots && this.pausedUntil <= now &&
       this.endpoint.remainingPauseMilliseconds(now) === 0 &&
       this.#rateLimiter.isWithinLimit(this.endpoint, now);
   }
@@ -84,29 +77,11 @@
 
   /** Records the start of a call. */
   startCall(call: RunningCall, now: number): void {
-    this.#usedAt = now;
     this.calls.add(call);
     this.endpoint.inFlight++;
     this.#rateLimiter.recordRequest(this.endpoint, now);
   }
 
-  /**
-   * Whether other daemons' results may take room that isn't counted here: they
-   * did before, or none of this daemon's calls is recent enough to tell. A
-   * report doesn't tell whether it counts the results of a call in flight.
-   */
-  isRoomUnknown(terms: PieceTerms, now: number): boolean {
-    return !this.isRoomPolled && this.calls.size === 0 &&
-      (this.isRoomShared || now - this.#usedAt > terms.keptMilliseconds);
-  }
-
-  /** Records that its room is being queried. */
-  startRoomQuery(now: number): void {
-    this.#usedAt = now;
-    this.isRoomPolled = true;
-    this.isRoomAwaited = true;
-  }
-
   /** Bytes free for results, less those reserved for in-flight calls. */
   room(terms: PieceTerms, now: number): number {
     let used = 0;
@@ -125,7 +100,6 @@
   ): void {
     const excess = this.room(options.terms, options.now) - bytes + 1;
     if (excess > 0) this.foreignBytes += excess;
-    this.isRoomShared = true;
   }
 
   /** Describes a result that this endpoint made. */
--- a/packages/kelpspar-gateway/src/pieces/learn_room.ts
+++ b/packages/kelpspar-gateway/src/pieces/learn_room.ts
@@ -3,10 +3,8 @@
 import type { CallTarget } from "./call_target.ts";
 import type { PieceClient } from "./piece_call.ts";
 
-/** A sound endpoint answers within this time, milliseconds. */
-const REPORT_MILLISECONDS = 100;
 /** How long an endpoint's room report is valid. */
-const ROOM_REPORT_LIFETIME_MILLISECONDS = 100;
+const ROOM_REPORT_LIFETIME_MILLISECONDS = 250;
 
 /** Options of `learnRoom`. */
 export interface LearnRoomOptions {
@@ -16,8 +14,8 @@
   readonly timer: TimerService;
   /** Called with the start time of a restarted endpoint. */
   readonly onRestart: (bornAt: number) => void;
-  /** Called when the report is known, and when it expires. */
-  readonly onChanged: () => void;
+  /** Called when the report expires. */
+  readonly onExpired: () => void;
 }
 
 /**
@@ -26,25 +24,17 @@
  * expire; without polling, every piece is sent and rejected several times a
  * second. The report is some hundred milliseconds old, as old as a call is
  * long, so it is valid only briefly: kept longer, it counts this daemon's own
- * results as foreign, which leaves only a tenth of the room in use. Meanwhile
- * the endpoint gets no call, unless it doesn't answer.
+ * results as foreign, which leaves only a tenth of the room in use.
  */
 export async function learnRoom(options: LearnRoomOptions): Promise<void> {
-  const { target, timer, onChanged } = options;
+  const { target, timer, onExpired } = options;
   if (target.isRoomPolled) return;
-  target.startRoomQuery(timer.now());
-  const endWait = (): void => {
-    stopWaiting();
-    target.isRoomAwaited = false;
-    onChanged();
-  };
-  const stopWaiting = timer.registerTimeout(endWait, REPORT_MILLISECONDS);
+  target.isRoomPolled = true;
   await applyRoomReport(options);
-  if (target.isRoomAwaited) endWait();
   timer.registerTimeout(() => {
     target.isRoomPolled = false;
     target.foreignBytes = 0;
-    onChanged();
+    onExpired();
   }, ROOM_REPORT_LIFETIME_MILLISECONDS);
 }
 
@@ -60,5 +50,4 @@
   target.foreignBytes = 0;
   const counted = target.room(terms, timer.now());
   target.foreignBytes = Math.max(0, counted - report.freeBytes);
-  target.isRoomShared = target.foreignBytes > 0;
 }
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -173,9 +173,6 @@
     for (const chain of this.#queue.expired(now)) {
       this.#options.events.failed(chain, "too_late");
     }
-    for (const target of this.#targets.usable(now)) {
-      if (target.isRoomUnknown(this.#terms, now)) this.#learnRoom(target);
-    }
     const work = this.workTime(1);
     this.#queue.pruneAndSort((task) => rankTask(task, { work, now }));
     for (;;) {
@@ -351,18 +348,14 @@
    * fail again.
    */
   #endpointHadNoRoom(target: CallTarget, task: PieceTask): void {
-    const { resultBytes } = task.chain.stage(task.stage);
+    const { registry, client, timer } = this.#options;
     const terms = this.#terms;
+    const { resultBytes } = task.chain.stage(task.stage);
     target.recordNoRoom(resultBytes, { terms, now: this.#now() });
     this.#retries.requeueRejected([task]);
-    this.#learnRoom(target);
-  }
-
-  #learnRoom(target: CallTarget): void {
-    const { registry, client, timer } = this.#options;
     void learnRoom({
       target,
-      terms: this.#terms,
+      terms,
       client,
       timer,
       onRestart: (bornAt) =>
@@ -370,7 +363,7 @@
           { ...target.endpoint.entry, bornAt },
           timer.now(),
         ),
-      onChanged: () => this.dispatch(),
+      onExpired: () => this.dispatch(),
     });
   }
 
