Bound what callers make a process hold only where the settings state its memory

Cause: without limits.memoryMb a daemon took 350 MB as its memory, and gave unread answers up beyond 58 MB in sum. Change: the bound takes effect only where the settings state it, as the users ask of new limits. Open: on a machine whose settings state its memory, such callers together still lose answers.

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -77,7 +77,7 @@
 /** How long a reading plan is cached, milliseconds. */
 const PLAN_CACHE_MILLISECONDS = 400;
 
-const DEFAULT_MEMORY_BYTES = 350 * 1024 * 1024;
+const DEFAULT_MEMORY_BYTES = Number.POSITIVE_INFINITY;
 
 /** Options of `GatewayDaemon`; the platform supplies its adapters here. */
 export interface GatewayDaemonOptions {
@@ -102,7 +102,7 @@
   readonly retryWindowMilliseconds: number;
   /** Time from the stop signal until the process is killed. */
   readonly graceMilliseconds: number;
-  /** Memory that the process may use; default 350 MiB. */
+  /** Memory that the process may use; default without a bound. */
   readonly memoryBytes?: number;
   /** Processor time that this process has used, milliseconds. */
   readonly processorMilliseconds: () => number;
