Say once what the change said twice

Tests, crowds and bounds are unchanged. - LongestAges has a file of its own; a constant for no bound of memory is gone.

--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -77,8 +77,6 @@
 /** How long a reading plan is cached, milliseconds. */
 const PLAN_CACHE_MILLISECONDS = 400;
 
-const DEFAULT_MEMORY_BYTES = Number.POSITIVE_INFINITY;
-
 /** Options of `GatewayDaemon`; the platform supplies its adapters here. */
 export interface GatewayDaemonOptions {
   readonly self: DaemonAddress;
@@ -154,7 +152,7 @@
     this.anomalies = new AnomalyLog(log, this.metrics);
     this.era = new StoreEra({ timer, anomalies: this.anomalies });
     const { callerBytes, answerBytes } = shareMemory(
-      options.memoryBytes ?? DEFAULT_MEMORY_BYTES,
+      options.memoryBytes ?? Number.POSITIVE_INFINITY,
     );
     PROCESS_READ_BUDGET.maximumBytes = answerBytes;
     const cutLog = new CallerCutLog({ ...options, metrics: this.metrics });
--- a/packages/kelpspar-gateway/src/requests/create_chain_request.ts
+++ b/packages/kelpspar-gateway/src/requests/create_chain_request.ts
@@ -31,7 +31,7 @@
     readonly reader: ChainReader | undefined;
   },
 ): ChainRequest {
-  const { request, route, dependencies } = run.options;
+  const { request, route } = run.options;
   return {
     attemptId: request.attemptId ?? "",
     kind: route.name,
@@ -40,10 +40,7 @@
     remainingMilliseconds: run.remaining(),
     objectiveMilliseconds: run.remainingObjective(),
     reader: options.reader,
-    tailMilliseconds: dependencies.firstByteEstimates.estimate(
-      route.name,
-      route.kind === "stream",
-    ),
+    tailMilliseconds: run.expectedFirstByte,
     priority: run.priority,
     earlierRunMilliseconds: run.earlierStagesMilliseconds,
   };
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -369,14 +369,10 @@
 
 /** Brittle endpoints without a place for the request when its stages end. */
 function findMissingPlace(run: RequestRun): RequestRefusal | undefined {
-  const { dependencies, service, route } = run.options;
-  const { concurrency, firstByteEstimates } = dependencies;
+  const { dependencies, service } = run.options;
+  const { concurrency } = dependencies;
   if (!concurrency.isLimited(service)) return undefined;
-  const isStream = route.kind === "stream";
-  const wait = concurrency.expectedWait(
-    service,
-    firstByteEstimates.estimate(route.name, isStream),
-  );
+  const wait = concurrency.expectedWait(service, run.expectedFirstByte);
   if (wait <= run.remainingObjective() * QUEUE_SHARE) return undefined;
   return {
     reason: "brittle endpoints are at capacity",
--- a/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
+++ b/packages/kelpspar-gateway/src/requests/shutdown_admission.ts
@@ -1,7 +1,8 @@
 import type { OpenAnswers } from "./open_answers.ts";
 import type { RequestRun } from "./request_run.ts";
 import { forecastRetry } from "../lifecycle/stop_forecast.ts";
-import { LongestAges, surveyOpenAnswers } from "./open_answers.ts";
+import { LongestAges } from "./longest_ages.ts";
+import { surveyOpenAnswers } from "./open_answers.ts";
 
 /** Open requests are surveyed at most this often, milliseconds. */
 const SURVEY_INTERVAL_MILLISECONDS = 20;
