Log and count who ended an answer that wasn't whole, and why

Cause: a stream that this daemon closes for its silence and one that its endpoint ends have the same line, 'answer cut: aborted'. Change: 'answer cut' says endedBy, cause and both times; a stream that stages keep from going on says so ('stages: retry_budget'); counters kelpspar_cut_answers_total and kelpspar_broken_answers_total. No decision changes.

--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -58,6 +58,18 @@
     labelNames: ["service", "outcome"],
     registers: [this.#registry],
   });
+  readonly #cutAnswers = new Counter({
+    name: "kelpspar_cut_answers_total",
+    help: "Answers of endpoints that weren't whole, by who ended them and why",
+    labelNames: ["service", "ended_by", "cause"],
+    registers: [this.#registry],
+  });
+  readonly #brokenAnswers = new Counter({
+    name: "kelpspar_broken_answers_total",
+    help: "Answers that were broken off at the caller, by reason",
+    labelNames: ["service", "reason"],
+    registers: [this.#registry],
+  });
   readonly #retries = new Counter({
     name: "kelpspar_retries_total",
     help: "Requests and pieces to be sent again, by service, cause and outcome",
@@ -145,6 +157,19 @@
     this.#endpointCalls.inc({ service, outcome });
   }
 
+  countCutAnswer({ service, endedBy, cause }: {
+    readonly service: string;
+    /** `daemon` or `endpoint`. */
+    readonly endedBy: string;
+    readonly cause: string;
+  }): void {
+    this.#cutAnswers.inc({ service, ended_by: endedBy, cause });
+  }
+
+  countBrokenAnswer(service: string, reason: string): void {
+    this.#brokenAnswers.inc({ service, reason });
+  }
+
   countRetries({ count, ...labels }: {
     readonly service: string;
     readonly cause: string;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,5 +1,6 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
+import type { CutDescription } from "./describe_cut.ts";
 import type { EventTimes } from "./answer_evidence.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
@@ -9,6 +10,7 @@
 import { shortestPause } from "../endpoints/shortest_pause.ts";
 import { AnswerEvidence } from "./answer_evidence.ts";
 import { AnswerProgress } from "./answer_progress.ts";
+import { describeCut } from "./describe_cut.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
@@ -472,10 +474,34 @@
       hasFailedCall: true,
     });
     this.#recordFailure(result, `answer cut: ${reason}`);
+    this.#reportCut(result, describeCut(error), times);
     await this.#evidence.reportTruncated(result, times);
     return this.#run.isOpen ? this.#retryOrFail("answer cut") : "ended";
   }
 
+  #reportCut(
+    { endpoint }: SendResult,
+    { endedBy, cause }: CutDescription,
+    { firstEventAt, lastEventAt = firstEventAt }: EventTimes,
+  ): void {
+    const run = this.#run;
+    const { dependencies, request, service } = run.options;
+    const { log, metrics } = dependencies;
+    const now = run.now();
+    metrics.countCutAnswer({ service, endedBy, cause });
+    log.info("answer cut", {
+      attempt: request.attemptId,
+      endpoint: endpoint.entry.id,
+      endedBy,
+      cause,
+      sinceFirstEventMilliseconds: roundedAge(firstEventAt, now),
+      sinceLastEventMilliseconds: roundedAge(lastEventAt, now),
+      openCalls: endpoint.inFlight,
+      attemptsLeft: run.attemptsLeft,
+      remainingMilliseconds: Math.round(run.remaining()),
+    });
+  }
+
   #recordFailure(result: SendResult, reason: string, isCertain = false): void {
     result.endpoint.failed(isCertain, this.#run.now());
     this.#sender.logFailure(result, reason);
@@ -488,3 +514,7 @@
     return this.#failAndEnd(reason);
   }
 }
+
+function roundedAge(at: number | undefined, now: number): number | undefined {
+  return at === undefined ? undefined : Math.round(now - at);
+}
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -385,7 +385,7 @@
       ? `quarantined: prompt parts ${subject.parts.join(",")} crash endpoints`
       : "quarantined: it crashed the endpoints that ran it";
     if (this.firstByteAt !== undefined) {
-      this.abort(reason);
+      this.abort(reason, "quarantined");
       return;
     }
     const status = QUARANTINED_STATUS;
@@ -399,10 +399,15 @@
     this.options.reply.refuse(answer, { stagesMilliseconds, isDelivered });
   }
 
-  /** Aborts an answer that has begun and can't be completed. */
-  abort(reason: string): void {
+  /**
+   * Aborts an answer that has begun and can't be completed. `label` is the
+   * reason without ids, for the metrics.
+   */
+  abort(reason: string, label = reason): void {
     if (!this.isOpen) return;
-    this.options.reply.abort();
+    const { reply, dependencies, service } = this.options;
+    reply.abort();
+    dependencies.metrics.countBrokenAnswer(service, label);
     this.finish("failed", { reason });
   }
 
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -324,7 +324,7 @@
         this.#dependencies.relay.isNeeded;
       if (isIsolated) return "isolated";
       // The answer of a resumed stream has begun, so it can only be aborted.
-      if (run.firstByteAt !== undefined) run.abort(outcome.reason);
+      if (run.firstByteAt !== undefined) run.abort(`stages: ${outcome.reason}`);
       else this.#failStages(run, outcome);
       return "ended";
     }
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -4,6 +4,7 @@
 import type { ReceivedAnswer } from "./send_result.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import { BodyLimitError, PROCESS_READ_BUDGET } from "kelpspar-http";
+import { StreamSilenceError } from "./stream_silence_error.ts";
 import { StreamTimeouts } from "./stream_timeouts.ts";
 
 /** A stream to forward. */
@@ -68,16 +69,18 @@
     const run = this.#run;
     const { answer, beforeFirstEvent, onFirstEvent } = stream;
     const { reply, dependencies } = run.options;
-    let limitError: BodyLimitError | undefined;
-    const giveUp = (reason: BodyLimitReason): void => {
-      limitError = new BodyLimitError(reason);
+    let closeCause: Error | undefined;
+    const close = (cause: Error): void => {
+      closeCause = cause;
       answer.close();
     };
+    const giveUp = (reason: BodyLimitReason): void =>
+      close(new BodyLimitError(reason));
     const holding = PROCESS_READ_BUDGET.open(() => giveUp("memory"));
     const timeouts = new StreamTimeouts({
       run,
       isRelayed: stream.endpoint === undefined,
-      onSilence: () => answer.close(),
+      onSilence: (milliseconds) => close(new StreamSilenceError(milliseconds)),
       onSlowEvent: () => giveUp("slow_event"),
     });
     timeouts.wait(false);
@@ -106,12 +109,12 @@
         timeouts.wait(this.#relay.isInsideEvent);
       }
     } catch (error) {
-      throw limitError ?? error;
+      throw closeCause ?? error;
     } finally {
       timeouts.stop();
       holding.end();
     }
-    if (limitError !== undefined) throw limitError;
+    if (closeCause !== undefined) throw closeCause;
   }
 
   /** Throws if the stream was broken off, although its body ended regularly. */
--- a/packages/kelpspar-gateway/src/requests/stream_timeouts.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_timeouts.ts
@@ -19,8 +19,8 @@
   readonly run: RequestRun;
   /** True if another daemon sends the stream. */
   readonly isRelayed: boolean;
-  /** Called when nothing arrived for too long. */
-  readonly onSilence: () => void;
+  /** Called when nothing arrived for too long, with that time. */
+  readonly onSilence: (milliseconds: number) => void;
   /** Called when an event has begun and doesn't end. */
   readonly onSlowEvent: () => void;
 }
@@ -47,7 +47,10 @@
     const idleMilliseconds = isRelayed
       ? RELAYED_IDLE_TIMEOUT_MILLISECONDS
       : STREAM_IDLE_TIMEOUT_MILLISECONDS;
-    this.#stopIdle = timer.registerTimeout(onSilence, idleMilliseconds);
+    this.#stopIdle = timer.registerTimeout(
+      () => onSilence(idleMilliseconds),
+      idleMilliseconds,
+    );
     if (!isInsideEvent || this.#stopEvent !== undefined) return;
     const objectives = isRelayed ? RELAYED_EVENT_OBJECTIVES : EVENT_OBJECTIVES;
     this.#stopEvent = timer.registerTimeout(
