Test streams whose endpoint pauses, which are cut

Reproduced: an endpoint pauses for 2.5 s after an event and would go on. The stream is broken if no retry is left, if the stages can't be made again, if the next endpoint is full, and if it is silent too. A stream whose endpoint stays silent goes on at another one and has to go on doing so.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -146,6 +146,8 @@
   options: {
     readonly route?: Partial<ServiceRoute>;
     readonly chain?: ChainOutcome | Promise<ChainOutcome>;
+    /** Outcomes of successive chains; `chain` counts after the last. */
+    readonly chains?: readonly ChainOutcome[];
     /** Limits of the endpoints; none by default. */
     readonly limits?: EndpointLimits;
     /** False for a daemon that has no configuration yet. */
@@ -272,7 +274,7 @@
       run: () => {
         chainRunCount++;
         return Promise.resolve(
-          options.chain ?? {
+          options.chains?.[chainRunCount - 1] ?? options.chain ?? {
             type: "done",
             results: [{
               handle: `h${chainRunCount}`,
