Hold a silent stream while another endpoint is looked for

Cause: an endpoint's silence of 1.5 s closed its stream, an event that took two objectives closed it too, and a late answer was given up, before it was known whether the retry budget, the stages, a place or an endpoint allow to go on elsewhere. What is held was given up before its replacement was certain. The held answer is closed when the other one answers, and ends the search when it sends something. A search that has begun when the endpoint really ends is used.

--- a/packages/kelpspar-gateway/src/__tests__/unit/paused_endpoint_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_endpoint_test.ts
@@ -138,3 +138,57 @@
   expectWhole(world);
   expect(world.endpointCalls[1]?.lastEventId).toEqual("1");
 });
+
+// Guards against requests that fail though their endpoint would have answered.
+test("an endpoint that pauses before its answer keeps the request", async () => {
+  let answer = (): void => {};
+  const world = createWorld([
+    ({ signal }) =>
+      new Promise((resolve) => {
+        signal.addEventListener(
+          "abort",
+          () => resolve({ type: "unknown", reason: "aborted" }),
+        );
+        answer = () => resolve(stream(FIRST, SECOND, THIRD));
+      }),
+  ], { slack: 0 });
+  const served = world.service.serve(
+    request({ pieceCounts: [0] }),
+    world.reply,
+  );
+  await world.timer.advance(2 * PAUSE_MILLISECONDS);
+  answer();
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expectWhole(world);
+});
+
+// Guards against events that come twice when both endpoints go on.
+test("an endpoint that goes on while another one is asked is kept", async () => {
+  const endpoint = new PausingEndpoint();
+  let answerSecond = (): void => {};
+  const world = createWorld([
+    endpoint.answer,
+    () =>
+      new Promise((resolve) => {
+        answerSecond = () => resolve(stream(SECOND, THIRD));
+      }),
+  ]);
+  const served = world.service.serve(
+    request({ pieceCounts: [0] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  expect([world.endpointCalls.length, endpoint.isClosed]).toEqual([2, false]);
+  endpoint.write(SECOND);
+  await world.timer.settle();
+  answerSecond();
+  await world.timer.settle();
+  endpoint.write(THIRD);
+  endpoint.end();
+  await world.timer.settle();
+  await served;
+  expectWhole(world);
+});
--- a/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
+++ b/packages/kelpspar-gateway/src/metrics/gateway_metrics.ts
@@ -70,6 +70,18 @@
     labelNames: ["service", "reason"],
     registers: [this.#registry],
   });
+  readonly #stalledStreams = new Counter({
+    name: "kelpspar_stalled_streams_total",
+    help: "Streams whose endpoint was silent for long, by what followed",
+    labelNames: ["service", "outcome"],
+    registers: [this.#registry],
+  });
+  readonly #failoverRefusals = new Counter({
+    name: "kelpspar_failover_refusals_total",
+    help: "Searches for another endpoint of a stalled stream, by what lacked",
+    labelNames: ["service", "reason"],
+    registers: [this.#registry],
+  });
   readonly #retries = new Counter({
     name: "kelpspar_retries_total",
     help: "Requests and pieces to be sent again, by service, cause and outcome",
@@ -170,6 +182,17 @@
     this.#brokenAnswers.inc({ service, reason });
   }
 
+  countStalledStream(
+    service: string,
+    outcome: "resumed" | "replaced" | "ended",
+  ): void {
+    this.#stalledStreams.inc({ service, outcome });
+  }
+
+  countFailoverRefusal(service: string, reason: string): void {
+    this.#failoverRefusals.inc({ service, reason });
+  }
+
   countRetries({ count, ...labels }: {
     readonly service: string;
     readonly cause: string;
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -26,7 +26,7 @@
 const HEDGE_DELAY_FACTOR = 2;
 const MINIMUM_HEDGE_DELAY_MILLISECONDS = 40;
 /**
- * A resumable stream fails over when its answer hasn't begun this long after
+ * The answer of a resumable stream is late if it hasn't begun this long after
  * `HEDGE_DELAY_FACTOR` times its expected time.
  */
 const FIRST_EVENT_MARGIN_MILLISECONDS = 1_500;
@@ -76,6 +76,14 @@
     return this.#unpausedEndpoints(this.#run.now()).length > 0;
   }
 
+  /** True if an untried endpoint is left that isn't failing. */
+  get hasHealthyEndpoint(): boolean {
+    const now = this.#run.now();
+    return this.#unpausedEndpoints(now).some((endpoint) =>
+      endpoint.isHealthy(now)
+    );
+  }
+
   /** Untried endpoints that didn't request a pause. */
   #unpausedEndpoints(now: number): readonly EndpointState[] {
     const { dependencies, service } = this.#run.options;
@@ -97,20 +105,44 @@
     return this.#run.sends >= MAXIMUM_SENDS;
   }
 
-  /** Sends the request; a repeatable call that is slow is hedged once. */
-  async send(choice: EndpointChoice): Promise<SendResult> {
+  /**
+   * Sends the request; a repeatable call that is slow is hedged once. `signal`
+   * gives the call up for one that was sent beside it.
+   */
+  async send(
+    choice: EndpointChoice,
+    signal?: AbortSignal,
+  ): Promise<SendResult> {
     const run = this.#run;
     // A stream that goes on elsewhere still lasts from its first send.
     if (run.firstByteAt === undefined) run.sentAt = run.now();
-    const result = await this.#sendHedged(choice);
-    const isOver = result.answer.type !== "answered";
+    const result = await this.#sendHedged(choice, signal);
+    const isOver = result.answer.type !== "answered" &&
+      signal?.aborted !== true;
     if (isOver && run.firstByteAt === undefined) run.sentAt = undefined;
     return result;
   }
 
-  async #sendHedged(choice: EndpointChoice): Promise<SendResult> {
+  /** Sends a stream while the answer of another endpoint is held. */
+  async sendBeside(
+    choice: EndpointChoice,
+    signal: AbortSignal,
+  ): Promise<SendResult> {
+    return await this.#sendTo(choice, signal);
+  }
+
+  /** Time after which the answer of a stream should have begun, milliseconds. */
+  get lateAnswerMilliseconds(): number {
+    return this.expectedMilliseconds * HEDGE_DELAY_FACTOR +
+      FIRST_EVENT_MARGIN_MILLISECONDS;
+  }
+
+  async #sendHedged(
+    choice: EndpointChoice,
+    signal: AbortSignal | undefined,
+  ): Promise<SendResult> {
     const { dependencies, route } = this.#run.options;
-    const first = this.#sendTo(choice);
+    const first = this.#sendTo(choice, signal);
     if (route.kind !== "idempotent") return await first;
     const expected = Math.max(
       this.expectedMilliseconds,
@@ -211,7 +243,10 @@
     });
   }
 
-  async #sendTo(choice: EndpointChoice): Promise<SendResult> {
+  async #sendTo(
+    choice: EndpointChoice,
+    signal?: AbortSignal,
+  ): Promise<SendResult> {
     const run = this.#run;
     const { dependencies, request, service, account } = run.options;
     const { endpoint, home } = choice;
@@ -227,11 +262,10 @@
     const endCall = dependencies.concurrency.startCall(endpoint);
     const abortController = new AbortController();
     const onStop = (): void => abortController.abort(run.stop.signal.reason);
-    run.stop.signal.addEventListener("abort", onStop, { once: true });
-    endpoint.ended.addEventListener("abort", onStop, { once: true });
-    const stopFirstEventTimeout = this.#registerFirstEventTimeout(
-      abortController,
-    );
+    const stopSignals = [run.stop.signal, endpoint.ended, signal];
+    for (const stopSignal of stopSignals) {
+      stopSignal?.addEventListener("abort", onStop, { once: true });
+    }
     const endOverdueTimeout = this.#registerOverdueTimeout(endpoint);
     const endLoadCall = this.#startLoadCall(endpoint);
     const answer = await dependencies.endpoints.send({
@@ -245,10 +279,10 @@
       promptSource: home?.entry.address,
       signal: abortController.signal,
     });
-    stopFirstEventTimeout();
     const isSample = endOverdueTimeout(answer);
-    run.stop.signal.removeEventListener("abort", onStop);
-    endpoint.ended.removeEventListener("abort", onStop);
+    for (const stopSignal of stopSignals) {
+      stopSignal?.removeEventListener("abort", onStop);
+    }
     const didNotRun = answer.type === "not_run" ||
       answer.type === "unreachable";
     const release = (): void => {
@@ -329,17 +363,6 @@
     };
   }
 
-  /** Aborts the call of a resumable stream when no answer begins. */
-  #registerFirstEventTimeout(abortController: AbortController): () => void {
-    const { dependencies, route } = this.#run.options;
-    if (route.kind !== "stream" || !this.#run.hasAttemptsLeft) return () => {};
-    return dependencies.timer.registerTimeout(
-      () => abortController.abort(),
-      this.expectedMilliseconds * HEDGE_DELAY_FACTOR +
-        FIRST_EVENT_MARGIN_MILLISECONDS,
-    );
-  }
-
   #logSend({ endpoint, home, isPlaced }: EndpointChoice): void {
     const { dependencies, request, service } = this.#run.options;
     const now = dependencies.timer.now();
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/failover_refusal.ts
@@ -0,0 +1,7 @@
+/** Why a stream can't go on at another endpoint now. */
+export interface FailoverRefusal {
+  /** Without ids. */
+  readonly reason: string;
+  /** When to try again, milliseconds; undefined if nobody knows. */
+  readonly retryAfterMilliseconds?: number | undefined;
+}
--- a/packages/kelpspar-gateway/src/requests/hedge.ts
+++ b/packages/kelpspar-gateway/src/requests/hedge.ts
@@ -10,10 +10,11 @@
 ): Promise<boolean> {
   return new Promise((resolve) => {
     const stop = timer.registerTimeout(() => resolve(true), wait);
-    void send.then(() => {
+    const end = (): void => {
       stop();
       resolve(false);
-    });
+    };
+    send.then(end, end);
   });
 }
 
@@ -40,6 +41,7 @@
   });
 }
 
-function isSuccessful({ answer }: SendResult): boolean {
+/** True for an answer that isn't an endpoint's failure. */
+export function isSuccessful({ answer }: SendResult): boolean {
   return answer.type === "answered" && answer.status < 500;
 }
--- a/packages/kelpspar-gateway/src/requests/request_dependencies.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dependencies.ts
@@ -49,6 +49,7 @@
     | "recordRequest"
     | "spend"
     | "giveBack"
+    | "waitFor"
     | "retryAfterMilliseconds"
     | "describe"
   >;
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,7 +1,10 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
+import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
+import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { CutDescription } from "./describe_cut.ts";
 import type { EventTimes } from "./answer_evidence.ts";
+import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
@@ -21,8 +24,10 @@
 } from "./retry_waits.ts";
 import { QUEUE_SHARE } from "./queue_share.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
+import { isOverdue, isSuccessful } from "./hedge.ts";
 import { closeAnswer, isStreamed } from "./send_result.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
+import { StreamFailover } from "./stream_failover.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
@@ -53,6 +58,8 @@
     ShutdownAdmission,
     "findSendRefusal" | "findArrivalRefusal"
   >;
+  /** Makes the results of the request's stages. */
+  readonly runStages: (signal: AbortSignal) => Promise<ChainOutcome>;
 }
 
 interface BufferedAnswer {
@@ -153,7 +160,7 @@
         return lateObstacle;
       }
       this.#retryCause = "failed";
-      const result = await sender.send(current);
+      const result = await this.#send(current);
       if (!run.isOpen) closeAnswer(result);
       else {
         const end = await this.#handleResult(result);
@@ -312,6 +319,111 @@
     return "ended";
   }
 
+  /**
+   * Sends the request. While the answer of a resumable stream is late, another
+   * endpoint is looked for beside it.
+   */
+  async #send(choice: EndpointChoice): Promise<SendResult> {
+    const run = this.#run;
+    const sender = this.#sender;
+    if (!run.isResumableStream) return await sender.send(choice);
+    const replaced = new AbortController();
+    const held = sender.send(choice, replaced.signal);
+    const { timer } = run.options.dependencies;
+    const isLate = await isOverdue(held, sender.lateAnswerMilliseconds, timer);
+    if (!isLate || !run.isOpen || !run.hasAttemptsLeft) return await held;
+    const failover = this.#createFailover(choice.endpoint);
+    const found = new Promise<"found">((resolve) => {
+      failover.registerFound(() => resolve("found"));
+    });
+    failover.start("late_answer");
+    const first = await Promise.race([held, found]);
+    if (first === "found") {
+      replaced.abort();
+      const result = await held;
+      const next = await failover.take();
+      return this.#replace(result, next);
+    }
+    if (isSuccessful(first) || !run.isOpen) {
+      failover.cancel();
+      return first;
+    }
+    return this.#replace(first, await failover.take());
+  }
+
+  /** Gives up a send for the one that a failover found, if it found any. */
+  #replace(result: SendResult, next: SendResult | undefined): SendResult {
+    if (next === undefined) return result;
+    this.#recordUnsuccessful(result);
+    return next;
+  }
+
+  /** Records a send whose answer isn't used. */
+  #recordUnsuccessful(result: SendResult): void {
+    const { answer } = result;
+    switch (answer.type) {
+      case "answered":
+        if (answer.status >= 500) {
+          this.#recordFailure(result, `status ${answer.status}`);
+        }
+        closeAnswer(result);
+        return;
+      case "unreachable":
+        this.#recordFailure(result, answer.reason, answer.isRefused);
+        return;
+      case "not_run":
+        this.#recordRefusal(result, answer.refusal);
+        return;
+      case "unknown":
+        this.#recordFailure(result, answer.reason);
+        void this.#evidence.reportTruncated(result);
+    }
+  }
+
+  #createFailover(endpoint: EndpointState): StreamFailover {
+    const run = this.#run;
+    const { relay, retryGate } = run.options.dependencies;
+    return new StreamFailover({
+      run,
+      sender: this.#sender,
+      endpoint,
+      findObstacle: () => this.#findFailoverObstacle(),
+      prepareInputs: (signal) => this.#prepareInputs(signal),
+      mayRelay: () =>
+        this.#isIsolated && run.mayRelay && run.hasAttemptsLeft &&
+        relay.choosePeer(new Set()) !== undefined &&
+        retryGate.waitFor(run.options.service, 1) === 0,
+      recordFailure: (result) => this.#recordUnsuccessful(result),
+    });
+  }
+
+  #findFailoverObstacle(): string | undefined {
+    const run = this.#run;
+    if (this.#isIsolated) return "isolated";
+    if (run.isQuarantined) return "quarantined";
+    if (run.isSuspect) return "a part may crash endpoints";
+    return this.#continuation.failure ??
+      this.#options.shutdown.findSendRefusal(run)?.reason;
+  }
+
+  /** Makes the results of the stages again if they were freed. */
+  async #prepareInputs(
+    signal: AbortSignal,
+  ): Promise<FailoverRefusal | undefined> {
+    if (!this.#areInputsFreed) return undefined;
+    const run = this.#run;
+    const stop = AbortSignal.any([signal, run.stop.signal]);
+    const outcome = await this.#options.runStages(stop);
+    if (outcome.type === "refused") {
+      const { reason, retryAfterMilliseconds } = outcome;
+      return { reason: `stages: ${reason}`, retryAfterMilliseconds };
+    }
+    run.holdResults(outcome.results, outcome.place);
+    if (signal.aborted) run.releaseResults();
+    else this.#sender.inputs = run.resultHandles;
+    return undefined;
+  }
+
   async #handleResult(result: SendResult): Promise<DispatchOutcome | "again"> {
     const { answer } = result;
     switch (answer.type) {
@@ -333,21 +445,15 @@
     result: SendResult,
     refusal: EndpointRefusal,
   ): DispatchOutcome | "again" {
-    this.#sender.logFailure(result, refusal);
-    const { endpointRegistry } = this.#run.options.dependencies;
+    this.#recordRefusal(result, refusal);
     const handlers: Readonly<
       Record<EndpointRefusal, () => DispatchOutcome | "again">
     > = {
       full: () => {
-        const { concurrency } = this.#run.options.dependencies;
-        concurrency.recordRefusal(result.endpoint);
         this.#retryCause = "rejected";
         return "again";
       },
-      replaced: () => {
-        endpointRegistry.retire(result.endpoint.entry);
-        return "again";
-      },
+      replaced: () => "again",
       input_gone: () => "input_gone",
       rejected: () => this.#failAndEnd("rejected by endpoint"),
       unsendable: () => this.#failAndEnd("can't be sent to an endpoint"),
@@ -355,6 +461,15 @@
     return handlers[refusal]();
   }
 
+  #recordRefusal(result: SendResult, refusal: EndpointRefusal): void {
+    this.#sender.logFailure(result, refusal);
+    const { endpoint } = result;
+    const { concurrency, endpointRegistry } = this.#run.options.dependencies;
+    if (refusal === "full") concurrency.recordRefusal(endpoint);
+    if (refusal === "replaced") endpointRegistry.retire(endpoint.entry);
+    if (refusal === "input_gone") this.#run.releaseResults();
+  }
+
   async #handleAnswer(
     result: SendResult,
     answer: ReceivedAnswer,
@@ -425,27 +540,36 @@
           isNew,
         }),
     );
+    const failover = this.#createFailover(endpoint);
+    const onFirstEvent = (): void => {
+      this.#sender.recordFirstByte(result);
+      this.#continuation.begun(endpoint.entry);
+      // An endpoint that writes events has read its inputs.
+      run.releaseResults();
+    };
+    let cut: { readonly error: unknown } | undefined;
     try {
-      const onFirstEvent = (): void => {
-        this.#sender.recordFirstByte(result);
-        this.#continuation.begun(endpoint.entry);
-        // An endpoint that writes events has read its inputs.
-        run.releaseResults();
-      };
       await this.#streamForwarder.forward({
         answer,
         endpoint,
+        failover,
         beforeFirstEvent: () => this.#continuation.begin(endpoint.entry),
         onFirstEvent,
         onEvents: () => progress.advance(),
       });
     } catch (error) {
-      return run.isOpen
-        ? await this.#handleCutAnswer(result, error, progress)
-        : "ended";
+      cut = { error };
     } finally {
       result.release();
     }
+    if (run.isOpen && cut !== undefined) {
+      return await this.#continueCutStream(result, {
+        error: cut.error,
+        times: progress,
+        failover,
+      });
+    }
+    failover.cancel();
     if (run.isOpen) {
       run.options.dependencies.quarantine.served(run.fingerprint);
       const { firstEventAt, isSound } = progress;
@@ -463,20 +587,55 @@
     return "ended";
   }
 
+  /** Goes on with what a failover found before the stream was cut, if it did. */
+  async #continueCutStream(
+    result: SendResult,
+    { error, times, failover }: {
+      readonly error: unknown;
+      readonly times: EventTimes;
+      readonly failover: StreamFailover;
+    },
+  ): Promise<DispatchOutcome | "again"> {
+    const run = this.#run;
+    const isReplaced = failover.hasFound;
+    this.#recordCut(result, error, { times, isReplaced });
+    const report = this.#evidence.reportTruncated(result, times);
+    if (!isReplaced) await report;
+    const next = await failover.take();
+    if (next === undefined) return this.#retryIfOpen("answer cut");
+    if (run.isOpen) return await this.#handleResult(next);
+    closeAnswer(next);
+    return "ended";
+  }
+
   async #handleCutAnswer(
     result: SendResult,
     error: unknown,
     times: EventTimes,
   ): Promise<DispatchOutcome | "again"> {
+    this.#recordCut(result, error, { times, isReplaced: false });
+    await this.#evidence.reportTruncated(result, times);
+    return this.#retryIfOpen("answer cut");
+  }
+
+  #recordCut(
+    result: SendResult,
+    error: unknown,
+    { times, isReplaced }: {
+      readonly times: EventTimes;
+      /** Whether the endpoint's failure is known already. */
+      readonly isReplaced: boolean;
+    },
+  ): void {
     const reason = error instanceof Error ? error.message : String(error);
     reportBodyLimit(this.#run.options.dependencies.malformedAnswers, error, {
       sender: result.endpoint.entry.id,
       hasFailedCall: true,
     });
-    this.#recordFailure(result, `answer cut: ${reason}`);
+    const description = `answer cut: ${reason}`;
+    if (isReplaced) this.#sender.logFailure(result, description);
+    else this.#recordFailure(result, description);
     this.#reportCut(result, describeCut(error), times);
-    await this.#evidence.reportTruncated(result, times);
-    return this.#run.isOpen ? this.#retryOrFail("answer cut") : "ended";
   }
 
   #reportCut(
@@ -507,6 +666,10 @@
     this.#sender.logFailure(result, reason);
   }
 
+  #retryIfOpen(reason: string): DispatchOutcome | "again" {
+    return this.#run.isOpen ? this.#retryOrFail(reason) : "ended";
+  }
+
   #retryOrFail(reason: string): DispatchOutcome | "again" {
     const run = this.#run;
     const maySend = run.hasAttemptsLeft && !run.isSuspect;
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -260,6 +260,7 @@
     const dispatcher = new RequestDispatcher(run, {
       hasStages: route.stages.length > 0,
       shutdown: this.#shutdown,
+      runStages: (signal) => this.#runStages(run, { stages, signal }),
     });
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (!await dispatcher.prepareContinuation()) return;
@@ -290,16 +291,26 @@
     run: RequestRun,
     stages: readonly ChainStage[],
   ): Promise<ChainEnd> {
+    const { signal } = run.stop;
+    return this.#applyOutcome(
+      run,
+      await this.#runStages(run, { stages, signal }),
+    );
+  }
+
+  #runStages(
+    run: RequestRun,
+    { stages, signal }: {
+      readonly stages: readonly ChainStage[];
+      readonly signal: AbortSignal;
+    },
+  ): Promise<ChainOutcome> {
     const request = {
       ...createChainRequest(run, { stages, reader: createChainReader(run) }),
       remainingMilliseconds: this.#shutdown.remainingForStages(run),
     };
     run.stagesBegunAt ??= run.now();
-    const outcome = await this.#dependencies.chainRunner.run(
-      request,
-      run.stop.signal,
-    );
-    return this.#applyOutcome(run, outcome);
+    return this.#dependencies.chainRunner.run(request, signal);
   }
 
   #failStages(
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -2,6 +2,7 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
+import type { FailoverCause, StreamFailover } from "./stream_failover.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import { BodyLimitError, PROCESS_READ_BUDGET } from "kelpspar-http";
 import { StreamSilenceError } from "./stream_silence_error.ts";
@@ -12,6 +13,11 @@
   readonly answer: ReceivedAnswer;
   /** Undefined for a stream that another daemon relays. */
   readonly endpoint?: EndpointState;
+  /** Looks for another endpoint while nothing arrives; none for a relayed one. */
+  readonly failover?: Pick<
+    StreamFailover,
+    "start" | "cancel" | "registerFound"
+  >;
   /**
    * Called once, when the first event of all streams of the request was received;
    * resolves when it may leave.
@@ -67,7 +73,7 @@
 
   async #forwardEvents(stream: ForwardedStream): Promise<void> {
     const run = this.#run;
-    const { answer, beforeFirstEvent, onFirstEvent } = stream;
+    const { answer, beforeFirstEvent, onFirstEvent, failover } = stream;
     const { reply, dependencies } = run.options;
     let closeCause: Error | undefined;
     const close = (cause: Error): void => {
@@ -77,21 +83,37 @@
     const giveUp = (reason: BodyLimitReason): void =>
       close(new BodyLimitError(reason));
     const holding = PROCESS_READ_BUDGET.open(() => giveUp("memory"));
+    let isEventSlow = false;
+    const failOver = (cause: FailoverCause, error: Error): void => {
+      if (failover === undefined) return close(error);
+      failoverError = error;
+      failover.start(cause);
+    };
+    let failoverError = new Error("The stream goes on elsewhere");
+    const stopListening = failover?.registerFound(() => close(failoverError));
     const timeouts = new StreamTimeouts({
       run,
       isRelayed: stream.endpoint === undefined,
-      onSilence: (milliseconds) => close(new StreamSilenceError(milliseconds)),
-      onSlowEvent: () => giveUp("slow_event"),
+      onSilence: (milliseconds) =>
+        failOver("silence", new StreamSilenceError(milliseconds)),
+      onSlowEvent: () => {
+        isEventSlow = true;
+        failOver("slow_event", new BodyLimitError("slow_event"));
+      },
     });
     timeouts.wait(false);
     this.#hasAnswerBytes = false;
     try {
       for await (const chunk of answer.body) {
         if (!run.isOpen) return;
+        // Another endpoint was asked for what follows the last whole event.
+        if (closeCause !== undefined) throw closeCause;
         timeouts.received();
         this.#hasAnswerBytes = true;
         const events = this.#relay.push(chunk as Buffer);
         holding.set(this.#relay.heldBytes);
+        isEventSlow &&= events.length === 0;
+        if (!isEventSlow) failover?.cancel();
         if (events.length > 0) {
           timeouts.stop();
           stream.onEvents?.();
@@ -111,6 +133,7 @@
     } catch (error) {
       throw closeCause ?? error;
     } finally {
+      stopListening?.();
       timeouts.stop();
       holding.end();
     }
