--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -355,6 +355,7 @@
   #replace(result: SendResult, next: SendResult | undefined): SendResult {
     if (next === undefined) return result;
     this.#recordUnsuccessful(result);
+    this.#run.sentAt = next.sentAt;
     return next;
   }
 
