--- a/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
+++ b/packages/kelpspar-standins/src/__tests__/unit/soak_test.ts
@@ -30,6 +30,7 @@
   headers: {},
   body: "",
   lastEventId: undefined,
+  runnerId: "r",
 };
 
 // Connections left open by a proxy must not keep the process alive.
--- /dev/null
+++ b/packages/kelpspar-standins/src/pauses/run_pauses.ts
@@ -0,0 +1,155 @@
+import type { BuiltProgram } from "../wire/build_program.ts";
+import type { ServiceRepeats } from "../repeats/judge_services.ts";
+import type { PauseVerdict } from "./judge_pauses.ts";
+import type { EndingSite, SeriesStep } from "./pause_series.ts";
+import type { PauseSituation } from "./pause_situation.ts";
+import { SeededRandom } from "kelpspar-shared";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
+import { judgeServices } from "../repeats/judge_services.ts";
+import { REPEAT_SITES } from "../repeats/repeat_site.ts";
+import { createDaemons } from "../wire/create_daemons.ts";
+import { WireSite } from "../wire/wire_site.ts";
+import { judgePauses } from "./judge_pauses.ts";
+import {
+  CONFIGURATION_SERIES,
+  ENDING_SERIES,
+  modelInTurn,
+  ROUTE_TIMEOUT_MILLISECONDS,
+} from "./pause_series.ts";
+import { sendStreams } from "./send_streams.ts";
+
+const SITE_NAME = "slow_stage_calls";
+const { zones: ZONES, timing: TIMING, ...SITE } = REPEAT_SITES[SITE_NAME];
+/** Number of pieces of each stage. */
+const PIECES = [1, 6, 16];
+const OBJECTIVE_MILLISECONDS = 2_700;
+/** More than the streams of an endpoint. */
+const SLOTS = 16;
+const RESTART_MILLISECONDS = 4_000;
+const PAUSE_INTERVAL_MILLISECONDS = 2_000;
+/** Time for daemons to start and discover each other. */
+const STARTUP_MILLISECONDS = 3_000;
+const STAGED_ROUTE = "resumed";
+const DIRECT_ROUTE = "direct";
+
+/** Options of `runPauses`. */
+export interface RunPausesOptions {
+  readonly seed: number;
+  readonly situation: PauseSituation;
+  /** The daemon's program. */
+  readonly program: Pick<BuiltProgram, "nodeArguments"> & {
+    readonly path: string;
+  };
+  /** Receives the daemons' log lines. */
+  readonly onLine?: (line: string) => void;
+}
+
+/** What callers and endpoints saw. */
+export interface PauseResult extends PauseVerdict {
+  readonly sent: number;
+  readonly services: readonly ServiceRepeats[];
+}
+
+/** Sends streams while their endpoints pause or end, and judges them. */
+export async function runPauses(
+  { seed, situation, program, onLine }: RunPausesOptions,
+): Promise<PauseResult> {
+  const site = new WireSite({
+    plainRunners: 1,
+    modelServices: SITE.modelServices,
+    stageServices: SITE.stageServices,
+    retrySlack: SITE.retrySlack,
+    ...TIMING,
+    routes: [{
+      name: DIRECT_ROUTE,
+      kind: "streaming",
+      service: "model",
+      attempts: 2,
+      isResumable: true,
+      priority: 1,
+      objectiveMilliseconds: OBJECTIVE_MILLISECONDS,
+      stages: [],
+    }],
+    hasEngines: false,
+    hasSignedEvents: true,
+    objectiveMilliseconds: OBJECTIVE_MILLISECONDS,
+    restartMilliseconds: RESTART_MILLISECONDS,
+    slots: SLOTS,
+    timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
+    zones: ZONES,
+  });
+  const folder = mkdtempSync(join(tmpdir(), "kelpspar-pauses-"));
+  await site.start();
+  const daemons = await createDaemons(site, {
+    count: situation.daemons,
+    folder,
+    program: program.path,
+    nodeArguments: program.nodeArguments,
+    zones: ZONES,
+    onLine,
+  });
+  const ending: EndingSite = { site, endings: new Map() };
+  try {
+    for (const daemon of daemons) daemon.start();
+    await setTimeoutPromise(STARTUP_MILLISECONDS);
+    const stopSeries = startSeries(ending, situation);
+    const { hasStages } = situation;
+    const streams = await sendStreams(situation, {
+      daemons,
+      host: site.host,
+      random: new SeededRandom(seed),
+      path: `/${hasStages ? STAGED_ROUTE : DIRECT_ROUTE}/x`,
+      pieces: hasStages ? PIECES : [],
+    }).finally(stopSeries);
+    const services = new Set([
+      "model",
+      ...(hasStages ? site.stagesOf.keys() : []),
+    ]);
+    return {
+      ...judgePauses({
+        streams,
+        runs: site.models.flatMap(({ runs }) => runs),
+        endings: ending.endings,
+        stops: [],
+        deadlineMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
+      }),
+      sent: streams.length,
+      services: judgeServices(
+        site,
+        { site: SITE_NAME },
+        streams.map(({ sentAt }) => ({ at: sentAt, services })),
+      ),
+    };
+  } finally {
+    await Promise.all(daemons.map((daemon) => daemon.end()));
+    site.stop();
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+/** Starts what a situation plays; returns the function that ends it. */
+function startSeries(
+  ending: EndingSite,
+  situation: PauseSituation,
+): () => void {
+  const { pauseMilliseconds, silence } = situation;
+  const series: readonly SeriesStep[] = [
+    CONFIGURATION_SERIES[situation.configuration],
+    ENDING_SERIES[situation.ending],
+    {
+      intervalMilliseconds: PAUSE_INTERVAL_MILLISECONDS,
+      play: (_, number) => {
+        if (pauseMilliseconds === 0) return;
+        modelInTurn(ending, number)?.fallSilent(pauseMilliseconds, silence);
+      },
+    },
+  ];
+  const timers = series.map(({ intervalMilliseconds, play }) => {
+    let number = 0;
+    return setInterval(() => play(ending, number++), intervalMilliseconds);
+  });
+  return () => timers.forEach(clearInterval);
+}
--- a/packages/kelpspar-standins/src/repeats/judge_services.ts
+++ b/packages/kelpspar-standins/src/repeats/judge_services.ts
@@ -31,7 +31,7 @@
 /** Judges what reached the endpoints of each service that callers need. */
 export function judgeServices(
   site: WireSite,
-  situation: RepeatSituation,
+  situation: Pick<RepeatSituation, "site">,
   sent: readonly SentRequest[],
 ): readonly ServiceRepeats[] {
   const slack = REPEAT_SITES[situation.site].retrySlack;
--- a/packages/kelpspar-standins/src/stops/check_stops.ts
+++ b/packages/kelpspar-standins/src/stops/check_stops.ts
@@ -1,5 +1,6 @@
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
 import type { PlannedStop, StopAttempt } from "./stop_attempt.ts";
+import { groupRuns } from "../wire/group_runs.ts";
 
 /** The users' rule: planned work lasts until this long after `graceS`. */
 const AFTER_GRACE_MILLISECONDS = 1_000;
@@ -46,10 +47,7 @@
 /** Checks the users' rules on planned stops (LOST, TWICE and REFUSED). */
 export function checkStops(records: StopRecords): StopVerdict {
   const { attempts, runs, stops } = records;
-  const runsOf = new Map<string, readonly RunnerRun[]>();
-  for (const run of runs) {
-    runsOf.set(run.attemptId, [...runsOf.get(run.attemptId) ?? [], run]);
-  }
+  const runsOf = groupRuns(runs);
   const of = (attempt: StopAttempt): readonly RunnerRun[] =>
     runsOf.get(attempt.attemptId) ?? [];
   const isRefusal = ({ status }: StopAttempt): boolean =>
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -60,6 +60,8 @@
 /** A request that a runner executed. */
 export interface RunnerRun {
   readonly attemptId: string;
+  /** Id of the runner at that time. */
+  readonly runnerId: string;
   /** Arrival time, monotonic milliseconds. */
   readonly at: number;
   /** Path and query. */
@@ -67,6 +69,8 @@
   readonly headers: IncomingMessage["headers"];
   readonly body: string;
   readonly lastEventId: string | undefined;
+  /** When its first event was written; undefined until then. */
+  firstEventAt?: number;
   /** When its response ended or was cut; undefined until then. */
   endedAt?: number;
 }
@@ -89,20 +93,36 @@
   readonly delayMilliseconds?: number;
   /** Version of its software, which its events contain; default none. */
   readonly version?: string | undefined;
+  /** Whether events contain the runner's id, before their middle and after. */
+  readonly hasSignedEvents?: boolean;
+}
+
+/** What a runner that falls silent does with its requests. */
+export interface SilenceOptions {
+  /** Which requests it sends nothing for; default all. */
+  readonly requests?: "all" | "begun";
+  /** Whether streams fall silent in the middle of an event. */
+  readonly isInsideEvents?: boolean;
+}
+
+/** A time in which a runner sends nothing, monotonic milliseconds. */
+interface Silence extends SilenceOptions {
+  readonly from: number;
+  readonly until: number;
 }
 
 /** One response in progress. */
 interface AnswerOptions {
-  readonly attemptId: string;
+  readonly run: RunnerRun;
   readonly response: ServerResponse;
   readonly plan: AnswerPlan;
 }
 
 interface StreamOptions extends AnswerOptions {
   readonly fault: RunnerFault;
-  readonly lastEventId: string | undefined;
 }
 
+const NO_SILENCE: Silence = { from: 0, until: 0 };
 const DEFAULT_DELAY_MILLISECONDS = 5;
 /** Version in the entries of runners whose events contain none. */
 const DEFAULT_VERSION = "v1";
@@ -152,8 +172,7 @@
   readonly crashTimes: number[] = [];
   readonly #options: RunnerStandInOptions;
   readonly #server: Server;
-  /** End of the current silence, monotonic milliseconds. */
-  #silentUntil = 0;
+  #silence = NO_SILENCE;
   #address: string | undefined;
   #incarnation = 1;
   /** Called when a request crashes the runner. */
@@ -199,6 +218,7 @@
   /** Restarts after a crash, on the same port and under a new id. */
   restart(): void {
     this.#incarnation++;
+    this.#silence = NO_SILENCE;
     this.limit.text = undefined;
     const port = Number(this.#address?.split(":")[1]);
     this.#server.listen(port, "127.0.0.1");
@@ -215,9 +235,14 @@
     this.#server.close();
   }
 
-  /** Sends nothing for this time, then goes on with all requests. */
-  fallSilent(milliseconds: number): void {
-    this.#silentUntil = performance.now() + milliseconds;
+  /**
+   * Sends nothing for this time, then goes on with all requests. A request that
+   * arrives meanwhile gets not even a head until then, unless only those that
+   * had begun are silent; one for another id is refused at once.
+   */
+  fallSilent(milliseconds: number, options: SilenceOptions = {}): void {
+    const from = performance.now();
+    this.#silence = { ...options, from, until: from + milliseconds };
   }
 
   #handle(
@@ -258,6 +283,7 @@
     const at = performance.now();
     const run: RunnerRun = {
       attemptId,
+      runnerId: this.id,
       at,
       target,
       headers,
@@ -283,8 +309,8 @@
       void this.#crashMidway(attemptId, response);
     } else if (handler !== undefined) handler();
     else if (this.#options.isStream) {
-      void this.#stream({ attemptId, fault, lastEventId, response, plan });
-    } else void this.#answer({ attemptId, response, plan });
+      void this.#stream({ run, fault, response, plan });
+    } else void this.#answer({ run, response, plan });
   }
 
   #recordArrival(key: string): void {
@@ -382,11 +408,12 @@
     };
   }
 
-  async #answer({ attemptId, response, plan }: AnswerOptions): Promise<void> {
+  async #answer({ run, response, plan }: AnswerOptions): Promise<void> {
+    const { attemptId } = run;
     const capacity = this.brittle ?? this.capacity;
     await capacity?.acquire();
     const startedAt = performance.now();
-    await this.#delay(plan.delayMilliseconds);
+    await this.#delay(plan.delayMilliseconds, run);
     capacity?.release(performance.now() - startedAt);
     const text = `answer to ${attemptId}`.padEnd(plan.bytes ?? 0, ".");
     const length = { "Content-Length": String(text.length) };
@@ -410,22 +437,26 @@
   }
 
   async #sendEvents(
-    { attemptId, fault, lastEventId, response, plan }: StreamOptions,
+    { run, fault, response, plan }: StreamOptions,
   ): Promise<void> {
-    const { version } = this.#options;
+    const { attemptId, lastEventId } = run;
+    const { version, hasSignedEvents = false } = this.#options;
     const { events, delayMilliseconds, bytes } = plan;
-    const mark = version === undefined ? "" : ` ${version}`;
+    const signature = hasSignedEvents ? ` ${run.runnerId}` : "";
+    const mark = `${version === undefined ? "" : ` ${version}`}${signature}`;
     response.useChunkedEncodingByDefault = this.streamFraming === "chunked";
     response.writeHead(200, {
       ...this.#responseHeaders(attemptId),
       "Content-Type": "text/event-stream",
     });
     for (let id = Number(lastEventId ?? 0) + 1; id <= events; id++) {
-      await this.#delay(delayMilliseconds);
+      await this.#delay(delayMilliseconds, run);
       if (response.destroyed) return;
       const data = `data: ${attemptId} ${id}${mark}`.padEnd(bytes ?? 0, ".");
-      const lines = [`id: ${id}`, data, "", ""];
-      const event = lines.join(this.streamLineEnd);
+      const start = [`id: ${id}`, data].join(this.streamLineEnd);
+      const end = [signature, "", ""].join(this.streamLineEnd);
+      const event = `${start}${end}`;
+      run.firstEventAt ??= performance.now();
       // A fault that was set may end during the stream; one that was drawn stays.
       const current = this.drawFault === undefined ? this.fault : fault;
       const isCut = current === "cut" ||
@@ -438,13 +469,29 @@
         response.end(event.slice(0, 6));
         return;
       }
-      response.write(event);
+      if (this.#silence.isInsideEvents === true && this.#silenceOf(run) > 0) {
+        response.write(start);
+        await this.#delay(0, run);
+        if (response.destroyed) return;
+        response.write(end);
+      } else response.write(event);
     }
     response.end();
   }
 
-  #delay(delayMilliseconds = DEFAULT_DELAY_MILLISECONDS): Promise<void> {
-    const silence = Math.max(0, this.#silentUntil - performance.now());
+  /** How long a request still gets nothing, milliseconds. */
+  #silenceOf(run: RunnerRun | undefined): number {
+    const { from, until, requests = "all" } = this.#silence;
+    const isExempt = requests === "begun" && (run?.at ?? 0) > from;
+    return isExempt ? 0 : Math.max(0, until - performance.now());
+  }
+
+  /** Waits before the next part of an answer. */
+  #delay(
+    delayMilliseconds = DEFAULT_DELAY_MILLISECONDS,
+    run?: RunnerRun,
+  ): Promise<void> {
+    const silence = this.#silenceOf(run);
     return new Promise((resolve) =>
       setTimeout(resolve, silence + delayMilliseconds * this.slowdown)
     );
--- a/packages/kelpspar-standins/src/wire/send_stream_attempt.ts
+++ b/packages/kelpspar-standins/src/wire/send_stream_attempt.ts
@@ -18,8 +18,8 @@
     readonly firstAttemptId: string;
     readonly lastEventId: number;
   } | undefined;
-  /** Leaves when nothing arrives for this time. */
-  readonly idleMilliseconds: number;
+  /** Leaves when nothing arrives for this time; default never. */
+  readonly idleMilliseconds?: number;
   /** Leaves after this many events; default never. */
   readonly maximumEvents?: number;
 }
@@ -27,6 +27,13 @@
 /** An attempt, or the reason why no connection was made. */
 export interface SentAttempt extends Omit<StreamAttempt, "readyMilliseconds"> {
   readonly isConnected: boolean;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** Whether the whole response arrived. */
+  readonly isWhole: boolean;
+  /** What arrived of the response's body. */
+  readonly text: string;
 }
 
 const EVENT = /id: (\d+)\ndata: \S+ \d+ (\S+)\n\n/g;
@@ -40,6 +47,8 @@
     options;
   let status: number | undefined;
   let acceptedAt: number | undefined;
+  let isWhole = false;
+  const sentAt = performance.now();
   let statusMilliseconds = 0;
   let text = "";
   return new Promise((resolve) => {
@@ -53,6 +62,10 @@
         events: status === 200 ? readEvents(text) : [],
         isResumed: resumed !== undefined,
         isConnected: acceptedAt !== undefined,
+        sentAt,
+        endedAt: performance.now(),
+        isWhole,
+        text,
       });
     };
     const request = sendRequest(`http://${address}${path}`, {
@@ -72,7 +85,9 @@
       },
     });
     const timeout = setTimeout(end, deadlineMilliseconds);
-    request.setTimeout(options.idleMilliseconds, end);
+    if (options.idleMilliseconds !== undefined) {
+      request.setTimeout(options.idleMilliseconds, end);
+    }
     request.on("socket", (socket) => {
       if (!socket.connecting) acceptedAt = performance.now();
       else socket.once("connect", () => acceptedAt = performance.now());
@@ -83,9 +98,13 @@
       statusMilliseconds = performance.now() - (acceptedAt ?? 0);
       response.on("data", (chunk: Buffer) => {
         text += chunk.toString();
+        if (maximumEvents === Number.POSITIVE_INFINITY) return;
         if (readEvents(text).length >= maximumEvents) end();
       });
-      response.on("close", end);
+      response.on("close", () => {
+        isWhole = response.complete;
+        end();
+      });
       response.on("error", end);
     });
     request.end("body");
--- a/packages/kelpspar-standins/src/wire/wire_site.ts
+++ b/packages/kelpspar-standins/src/wire/wire_site.ts
@@ -48,6 +48,8 @@
   readonly routes?: readonly WireRouteOptions[];
   /** Software versions, assigned to model runners in rotation. */
   readonly modelVersions?: readonly string[];
+  /** Whether events of model runners contain the runner's id. */
+  readonly hasSignedEvents?: boolean;
   /** Number of requests that a runner says it runs at the same time. */
   readonly slots?: number;
   /** Whether the coordinator places requests at model runners. */
@@ -117,7 +119,7 @@
   readonly stagesOf: ReadonlyMap<string, readonly StageRunnerStandIn[]>;
   /** Empty unless `hasProxies` is set. */
   readonly proxies: LoopbackProxy[] = [];
-  readonly #options: Required<WireSiteOptions>;
+  #options: Required<WireSiteOptions>;
   /** Pending restarts of crashed runners, and entries to be written. */
   readonly #restarts = new Set<NodeJS.Timeout>();
   #storeAddress = "";
@@ -148,6 +150,7 @@
       stageServices: [],
       routes: [],
       modelVersions: [],
+      hasSignedEvents: false,
       slots: 4,
       hasEngines: true,
       eventMilliseconds: 5,
@@ -204,8 +207,9 @@
     }
   }
 
-  /** Writes the next version of the configuration. */
-  publish(): void {
+  /** Writes the next version of the configuration, with these changes. */
+  publish(changes: Pick<WireSiteOptions, "timeoutMilliseconds"> = {}): void {
+    this.#options = { ...this.#options, ...changes };
     this.#write("op", "config", this.#configuration(this.#version++));
   }
 
@@ -317,6 +321,7 @@
       isStream: true,
       delayMilliseconds: this.#options.eventMilliseconds,
       version,
+      hasSignedEvents: this.#options.hasSignedEvents,
     });
   }
 
