Test that a stream goes on at a third endpoint if two of them stay silent

Callers see: a dead endpoint, and a second one that is silent too, cost the caller the stream. Cause: EndpointSender.sendBeside waits for the second head until the deadline, while the old code gave a late answer up after 1.5 s and asked the third.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -0,0 +1,35 @@
+import type { World } from "../support/request_world.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import {
+  PausingEndpoint,
+  silentEndpoint,
+} from "../support/pausing_endpoint.ts";
+import { createWorld, request, stream } from "../support/request_world.ts";
+
+const FIRST = "id: 1\ndata: a\n\n";
+const SECOND = "id: 2\ndata: b\n\n";
+const DEADLINE_MILLISECONDS = 10_000;
+
+function serveStream(world: World, pieces = 0): Promise<void> {
+  return world.service.serve(
+    request({ pieceCounts: [pieces] }),
+    world.reply,
+  );
+}
+
+// Guards against a second endpoint whose silence hides a third one that serves.
+test("a stream goes on at a third endpoint if two of them stay silent", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld(
+    [endpoint.answer, silentEndpoint, () => stream(SECOND)],
+    { route: { attempts: 3 } },
+  );
+  const served = serveStream(world);
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expect([world.reply.text, world.reply.endState])
+    .toEqual([FIRST + SECOND, "ended"]);
+});
