--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -33,3 +33,15 @@
   expect([world.reply.text, world.reply.endState])
     .toEqual([FIRST + SECOND, "ended"]);
 });
+
+// Guards against a second endpoint whose silence hides a third one that serves.
+test("a late stream begins at a third endpoint if two of them stay silent", async () => {
+  const world = createWorld(
+    [silentEndpoint, silentEndpoint, () => stream(FIRST)],
+    { route: { attempts: 3 } },
+  );
+  const served = serveStream(world);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expect([world.reply.text, world.reply.endState]).toEqual([FIRST, "ended"]);
+});
