Test that an endpoint's error beside a late answer reaches the caller

Callers see: 504 at the deadline instead of the answer of an endpoint. Cause: StreamFailover takes answers of events alone; a final 404 is closed and the attempts are used up.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -5,7 +5,12 @@
   PausingEndpoint,
   silentEndpoint,
 } from "../support/pausing_endpoint.ts";
-import { createWorld, request, stream } from "../support/request_world.ts";
+import {
+  createWorld,
+  request,
+  stream,
+  wholeAnswer,
+} from "../support/request_world.ts";
 
 const FIRST = "id: 1\ndata: a\n\n";
 const SECOND = "id: 2\ndata: b\n\n";
@@ -45,3 +50,17 @@
   await served;
   expect([world.reply.text, world.reply.endState]).toEqual([FIRST, "ended"]);
 });
+
+// Guards against final answers that are dropped for an endpoint that is silent.
+test("an endpoint's error beside a late answer reaches the caller", async () => {
+  for (const status of [404, 500]) {
+    const world = createWorld([
+      silentEndpoint,
+      () => wholeAnswer(status, "error"),
+    ]);
+    const served = serveStream(world);
+    await world.timer.advance(DEADLINE_MILLISECONDS);
+    await served;
+    expect([world.reply.status, world.reply.text]).toEqual([status, "error"]);
+  }
+});
