Test that a suspected part isn't sent on before its silent endpoint is checked

Callers see: a part that crashes endpoints takes one more of them. Cause: StreamFailover asks isSuspect alone, though nobody has looked yet whether the silent endpoint still listens; before, a silent stream was closed, checked and then sent.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -64,3 +64,34 @@
     expect([world.reply.status, world.reply.text]).toEqual([status, "error"]);
   }
 });
+
+// Guards against prompt parts that crash a second endpoint, which gets them
+// before the silence of the first is known to be a crash.
+test("a suspected part isn't sent on before its silent endpoint is checked", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld(
+    [endpoint.answer, () => stream(SECOND)],
+    { check: () => "refused" },
+  );
+  world.quarantine.reportCrash({
+    fingerprint: "other",
+    crash: "c1",
+    ranMilliseconds: 50,
+    wroteMilliseconds: 50,
+    parts: ["p"],
+    software: "model ",
+  });
+  await world.timer.advance(500);
+  const promptParts = ["p", "own"].map((id) => ({ id, tokens: 100 }));
+  expect(world.quarantine.mayBecomeSuspect({ fingerprint: "", parts: ["p"] }))
+    .toEqual(true);
+  const served = world.service.serve(
+    request({ pieceCounts: [0], promptParts }),
+    world.reply,
+  );
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expect(world.endpointCalls.length).toEqual(1);
+});
