Test that an endpoint that is late keeps its stages until its first event

Callers see: stages are made again, or the stream is broken where they can't be. Cause: StreamFailover.cancel releases results that the held endpoint may not have read.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -95,3 +95,24 @@
   await served;
   expect(world.endpointCalls.length).toEqual(1);
 });
+
+// Guards against stages that are made again for an endpoint that fails before
+// its first event.
+test("an endpoint that is late keeps its stages until its first event", async () => {
+  const endpoint = new PausingEndpoint();
+  let answer = (): void => {};
+  const world = createWorld([
+    (call) =>
+      new Promise((resolve) => {
+        answer = () => resolve(endpoint.answer(call));
+      }),
+  ], { slack: 0 });
+  const served = serveStream(world, 1);
+  await world.timer.advance(3_000);
+  answer();
+  await world.timer.settle();
+  expect(world.releasedHandles).toEqual([]);
+  endpoint.end();
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+});
