--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -14,6 +14,8 @@
 
 const FIRST = "id: 1\ndata: a\n\n";
 const SECOND = "id: 2\ndata: b\n\n";
+/** Silence after which another endpoint is looked for. */
+const STALL_MILLISECONDS = 1_500;
 const DEADLINE_MILLISECONDS = 10_000;
 
 function serveStream(world: World, pieces = 0): Promise<void> {
@@ -116,3 +118,19 @@
   await world.timer.advance(DEADLINE_MILLISECONDS);
   await served;
 });
+
+// Guards against stages that are made again for an endpoint that fails inside
+// its first event.
+test("an endpoint that pauses keeps its stages until its first event", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld([endpoint.answer], { slack: 0 });
+  const served = serveStream(world, 1);
+  await world.timer.advance(2 * STALL_MILLISECONDS);
+  expect(endpoint.isClosed).toEqual(false);
+  endpoint.write("id:");
+  await world.timer.settle();
+  expect(world.releasedHandles).toEqual([]);
+  endpoint.breakOff();
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+});
