Test that a stream that waits for a retry isn't sent after its caller has left

Callers see: nothing; an endpoint works for nobody (GONE) and a retry is spent. Cause: StreamFailover asks for signal.aborted alone, which take() doesn't set; run.stop was aborted before sendTo listens to it.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -168,6 +168,10 @@
     readonly told?: Promise<void>;
     /** The fleet's retry slack; default 50. */
     readonly slack?: number;
+    /** Creates the retry gate; by default one that lends `slack` at once. */
+    readonly createGate?: (
+      timer: ManualTimer,
+    ) => RequestDependencies["retryGate"];
     /** Software version of each endpoint. */
     readonly versions?: readonly string[];
   } = {},
@@ -298,7 +302,8 @@
       isSettled: options.isSettled ?? (() => true),
       find: () => Promise.resolve(options.origin ?? onlySoftware),
     },
-    retryGate: createRetryGate(timer, { slack: options.slack ?? 50 }),
+    retryGate: options.createGate?.(timer) ??
+      createRetryGate(timer, { slack: options.slack ?? 50 }),
     firstByteEstimates: new FirstByteEstimates(),
     malformedAnswers,
     lifecycle,
--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -1,6 +1,8 @@
 import type { World } from "../support/request_world.ts";
+import type { ManualTimer } from "kelpspar-shared";
 import { expect } from "earl";
 import { test } from "node:test";
+import { RetryGate } from "../../retries/retry_gate.ts";
 import {
   PausingEndpoint,
   silentEndpoint,
@@ -25,6 +27,24 @@
   );
 }
 
+/** A gate whose fleet lends one retry at a time, after `milliseconds`. */
+function createSlowGate(timer: ManualTimer, milliseconds: number): RetryGate {
+  return new RetryGate({
+    limits: { ratio: 0, slack: 10, windowMilliseconds: 10_000 },
+    slack: {
+      borrow: () =>
+        new Promise((resolve) =>
+          timer.registerTimeout(
+            () => resolve({ granted: 1, retryAfterMilliseconds: 0 }),
+            milliseconds,
+          )
+        ),
+    },
+    fleetSize: () => 1,
+    timer,
+  });
+}
+
 // Guards against a second endpoint whose silence hides a third one that serves.
 test("a stream goes on at a third endpoint if two of them stay silent", async () => {
   const endpoint = new PausingEndpoint();
@@ -134,3 +154,21 @@
   await world.timer.advance(DEADLINE_MILLISECONDS);
   await served;
 });
+
+// Guards against requests that reach an endpoint after their caller has left.
+test("a stream that waits for a retry isn't sent after its caller has left", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld([endpoint.answer, () => stream(SECOND)], {
+    createGate: (timer) => createSlowGate(timer, 700),
+  });
+  const served = serveStream(world);
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(STALL_MILLISECONDS + 100);
+  endpoint.breakOff();
+  await world.timer.settle();
+  world.reply.disconnect();
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expect(world.endpointCalls.length).toEqual(1);
+});
