Test that a silent stream goes on elsewhere if all others are set aside

Callers see: a stream that waits for a dead endpoint beyond the gap that callers bear. Cause: hasHealthyEndpoint refuses what chooseEndpoint allows; an endpoint is set aside for up to 5 s.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -172,3 +172,24 @@
   await served;
   expect(world.endpointCalls.length).toEqual(1);
 });
+
+// Guards against silent endpoints that cost callers their deadline.
+test("a silent stream goes on elsewhere if all others are set aside", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld([endpoint.answer, () => stream(SECOND)]);
+  const others = ["i2", "i3"].map((id) => world.registry.find(id));
+  const isSetAside = (): boolean =>
+    others.every((other) => other?.isSetAside(world.timer.now() + 4_900));
+  while (!isSetAside()) {
+    await world.timer.advance(50);
+    for (const other of others) other?.failed(false, world.timer.now());
+  }
+  const served = serveStream(world);
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  // Callers leave after a gap of four objectives.
+  await world.timer.advance(4_000);
+  expect([world.reply.text, world.reply.endState])
+    .toEqual([FIRST + SECOND, "ended"]);
+  await served;
+});
