Test that a crash is known while another endpoint is asked for the stream

Callers see: nothing at once; quarantine learns late, with a wrong time. Cause: RequestDispatcher.#send awaits the search before it records the failure of the first endpoint, and the second may be silent.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -193,3 +193,28 @@
     .toEqual([FIRST + SECOND, "ended"]);
   await served;
 });
+
+// Guards against crashes that count as later than they were, which joins them
+// to other crashes.
+test("a crash is known while another endpoint is asked for the stream", async () => {
+  let crash = (): void => {};
+  const world = createWorld([
+    () =>
+      new Promise((resolve) => {
+        crash = () => resolve({ type: "unknown", reason: "reset" });
+      }),
+    silentEndpoint,
+  ], { check: () => "refused" });
+  const promptParts = ["p", "own"].map((id) => ({ id, tokens: 100 }));
+  const served = world.service.serve(
+    request({ pieceCounts: [0], promptParts }),
+    world.reply,
+  );
+  await world.timer.advance(3_000);
+  expect(world.endpointCalls.length).toEqual(2);
+  crash();
+  await world.timer.advance(100);
+  expect(world.quarantine.page().reports.length).toEqual(1);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+});
