Test that a stream that stays silent until its deadline doesn't count as resumed

Callers see: nothing; operators read kelpspar_stalled_streams_total wrongly. Cause: RequestDispatcher cancels the search at the end of the run; the counter that tells pauses from dead endpoints counts both as pauses.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -218,3 +218,18 @@
   await world.timer.advance(DEADLINE_MILLISECONDS);
   await served;
 });
+
+// Guards against streams that count as resumed though they ended silent.
+test("a stream that stays silent until its deadline doesn't count as resumed", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld([endpoint.answer], { slack: 0 });
+  const served = serveStream(world);
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  const outcomes = world.logLines
+    .filter(({ message }) => message === "stream no longer stalled")
+    .map(({ fields }) => fields["outcome"]);
+  expect(outcomes).toEqual(["ended"]);
+});
