Test that a stream without an attempt left isn't searched for again and again

Callers see: nothing; log and counters grow with each stalled stream. Cause: no attempt that is left comes back.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -233,3 +233,22 @@
     .map(({ fields }) => fields["outcome"]);
   expect(outcomes).toEqual(["ended"]);
 });
+
+// Guards against searches that go on though nothing can come of them.
+test("a stream without an attempt left isn't searched for again and again", async () => {
+  const endpoint = new PausingEndpoint();
+  const world = createWorld([
+    endpoint.answer,
+    () => ({ type: "unknown", reason: "reset" }),
+  ]);
+  const served = serveStream(world);
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  const refusals = world.logLines.filter(({ message, fields }) =>
+    message === "no other endpoint for stalled stream" &&
+    fields["reason"] === "no attempt left"
+  );
+  expect(refusals.length <= 1).toEqual(true);
+});
