Test that a relayed stream that pauses goes on if no other daemon is left

Callers see: 200 and a part of a stream. Cause: StreamForwarder closes a relayed stream that is silent for 3 s; the other daemon now holds one that only pauses.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_pause_test.ts
@@ -0,0 +1,48 @@
+import type { RequestDependencies } from "../../requests/request_dependencies.ts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { PausingEndpoint } from "../support/pausing_endpoint.ts";
+import { createWorld, request } from "../support/request_world.ts";
+
+const FIRST = "id: 1\ndata: a\n\n";
+const SECOND = "id: 2\ndata: b\n\n";
+const PEER = { daemonId: "d2", front: "", peer: "d2", zone: "a", cores: 1 };
+
+/** A daemon that reaches no endpoint while one other daemon does. */
+function createRelay(
+  send: RequestDependencies["relay"]["send"],
+): RequestDependencies["relay"] & { isNeeded: boolean } {
+  return {
+    isNeeded: true,
+    verified: () => Promise.resolve(true),
+    choosePeer: (tried) => tried.has(PEER.daemonId) ? undefined : PEER,
+    send,
+  };
+}
+
+// Guards against relayed streams that are cut though the other daemon holds
+// them and no third one serves.
+test("a relayed stream that pauses goes on if no other daemon is left", async () => {
+  const peer = new PausingEndpoint();
+  const world = createWorld([], {
+    relay: createRelay(() =>
+      Promise.resolve({ type: "answered", answer: peer.receive() })
+    ),
+    route: { attempts: 4 },
+  });
+  const served = world.service.serve(
+    request({ pieceCounts: [0] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.advance(3_500);
+  if (!peer.isClosed) {
+    peer.write(SECOND);
+    peer.end();
+  }
+  await world.timer.settle();
+  expect([world.reply.text, world.reply.endState])
+    .toEqual([FIRST + SECOND, "ended"]);
+  await served;
+});
