Test that a stream at an isolated daemon goes on if no retry is left

Callers see: 200 and a part of a stream. Cause: mayRelay asks RetryGate.waitFor, which is 0 while the fleet might lend; RequestRelayer reserves the retry after the held answer was closed.

--- a/packages/kelpspar-gateway/src/__tests__/unit/relayed_pause_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_pause_test.ts
@@ -46,3 +46,31 @@
     .toEqual([FIRST + SECOND, "ended"]);
   await served;
 });
+
+// Guards against streams that an isolated daemon cuts before it knows that
+// another one may get them.
+test("a stream at an isolated daemon goes on if no retry is left", async () => {
+  const endpoint = new PausingEndpoint();
+  const relay = createRelay(() =>
+    Promise.resolve({ type: "unknown", reason: "not expected" })
+  );
+  relay.isNeeded = false;
+  const world = createWorld([endpoint.answer], { relay, slack: 0 });
+  const served = world.service.serve(
+    request({ pieceCounts: [0] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.settle();
+  relay.isNeeded = true;
+  await world.timer.advance(2_500);
+  if (!endpoint.isClosed) {
+    endpoint.write(SECOND);
+    endpoint.end();
+  }
+  await world.timer.settle();
+  expect([world.reply.text, world.reply.endState])
+    .toEqual([FIRST + SECOND, "ended"]);
+  await served;
+});
