Test that a stage endpoint that pauses keeps its pieces if no retry is left

Callers see: stages: retry_budget, or a stream whose stages can't be made again. Cause: watchCall aborts a call whose hedge was refused; the pieces then wait for a budget that has nothing left, and the chain ends.

--- a/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/piece_coordinator_test.ts
@@ -432,3 +432,15 @@
   await timer.advance(5_000);
   expect(call?.call.signal.aborted).toEqual(true);
 });
+
+// Guards against pieces that are given up before others may make them.
+test("a stage endpoint that pauses keeps its pieces if no retry is left", async () => {
+  const { timer, client, run, outcomes } = createWorld(10_000, 0);
+  run("a", [1, 0], 5_000);
+  await timer.settle();
+  const [{ call } = { call: undefined }] = client.open;
+  await timer.advance(1_500);
+  client.make(call?.endpoint.id ?? "");
+  await timer.advance(100);
+  expect(outcomes.get("a")).toEqual("done");
+});
