Test that an answer that a failover found counts from its first send

Callers see: perhaps answers that a stop cuts, since its forecast lacks these. Cause: EndpointSender.send clears sentAt when the first call fails, though a second one is in progress that takes its place.

--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -252,3 +252,29 @@
   );
   expect(refusals.length <= 1).toEqual(true);
 });
+
+// Guards against a forecast of a stop that lacks the answers of second
+// endpoints.
+test("an answer that a failover found counts from its first send", async () => {
+  let fail = (): void => {};
+  let answer = (): void => {};
+  const world = createWorld([
+    () =>
+      new Promise((resolve) => {
+        fail = () => resolve({ type: "unknown", reason: "reset" });
+      }),
+    () =>
+      new Promise((resolve) => {
+        answer = () => resolve(stream(FIRST));
+      }),
+  ]);
+  const served = serveStream(world);
+  await world.timer.advance(2_500);
+  fail();
+  await world.timer.advance(500);
+  answer();
+  await world.timer.settle();
+  await served;
+  expect([world.reply.text, world.reply.endState]).toEqual([FIRST, "ended"]);
+  expect(world.sendTimes.estimate("r") === undefined).toEqual(false);
+});
