Find a third endpoint for a stalled stream, and record each send once

Cause: the search treated its own send as certain, the very fault that it is to mend, and results were recorded where they were used, not where they arrived. Change: sends of a search are pending side by side, each with the time after which another is looked for; a result is recorded once, when it arrives; the search ends with its request; a retry for a relay is reserved before the held answer is closed.

--- a/packages/kelpspar-gateway/src/requests/answer_evidence.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_evidence.ts
@@ -10,6 +10,11 @@
   readonly lastEventAt?: number | undefined;
 }
 
+/** The send of an answer that may have been truncated. */
+export type SentTo =
+  & Pick<SendResult, "endpoint" | "sentAt">
+  & Partial<Pick<SendResult, "answeredAt">>;
+
 /** How far a sound answer has got. */
 export interface SoundAnswerProgress {
   /** When its first event arrived, or a body that isn't a stream began. */
@@ -49,7 +54,7 @@
    * counted.
    */
   async reportTruncated(
-    { endpoint, sentAt, answeredAt }: SendResult,
+    { endpoint, sentAt, answeredAt }: SentTo,
     { firstEventAt, lastEventAt }: EventTimes = {},
   ): Promise<void> {
     const run = this.#run;
--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -76,14 +76,6 @@
     return this.#unpausedEndpoints(this.#run.now()).length > 0;
   }
 
-  /** True if an untried endpoint is left that isn't failing. */
-  get hasHealthyEndpoint(): boolean {
-    const now = this.#run.now();
-    return this.#unpausedEndpoints(now).some((endpoint) =>
-      endpoint.isHealthy(now)
-    );
-  }
-
   /** Untried endpoints that didn't request a pause. */
   #unpausedEndpoints(now: number): readonly EndpointState[] {
     const { dependencies, service } = this.#run.options;
--- a/packages/kelpspar-gateway/src/requests/failover_refusal.ts
+++ b/packages/kelpspar-gateway/src/requests/failover_refusal.ts
@@ -4,4 +4,6 @@
   readonly reason: string;
   /** When to try again, milliseconds; undefined if nobody knows. */
   readonly retryAfterMilliseconds?: number | undefined;
+  /** True if nothing can change it; default false. */
+  readonly isFinal?: boolean;
 }
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,9 +1,8 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
-import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
 import type { CutDescription } from "./describe_cut.ts";
-import type { EventTimes } from "./answer_evidence.ts";
+import type { EventTimes, SentTo } from "./answer_evidence.ts";
 import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
@@ -83,6 +82,8 @@
   readonly #relayer: RequestRelayer;
   /** Why the request would be sent again. */
   #retryCause: RetryCause = "failed";
+  /** Sends whose result was recorded, and when all of it was. */
+  readonly #recorded = new WeakMap<SendResult, Promise<void>>();
   /** Last error answer of an endpoint, returned if all retries fail too. */
   #fallback: BufferedAnswer | undefined;
 
@@ -332,7 +333,11 @@
     const { timer } = run.options.dependencies;
     const isLate = await isOverdue(held, sender.lateAnswerMilliseconds, timer);
     if (!isLate || !run.isOpen || !run.hasAttemptsLeft) return await held;
-    const failover = this.#createFailover(choice.endpoint);
+    const { sentAt = run.now() } = run;
+    const failover = this.#createFailover({
+      endpoint: choice.endpoint,
+      sentAt,
+    });
     const found = new Promise<"found">((resolve) => {
       failover.registerFound(() => resolve("found"));
     });
@@ -340,61 +345,88 @@
     const first = await Promise.race([held, found]);
     if (first === "found") {
       replaced.abort();
-      const result = await held;
       const next = await failover.take();
-      return this.#replace(result, next);
+      if (next === undefined) return await held;
+      void held.then((result) => this.#recordOnce(result));
+      return next;
     }
     if (isSuccessful(first) || !run.isOpen) {
       failover.cancel();
       return first;
     }
-    return this.#replace(first, await failover.take());
+    void this.#recordOnce(first);
+    // The answer that may follow counts from the first send.
+    run.sentAt = sentAt;
+    const next = await failover.take();
+    if (next === undefined) run.sentAt = undefined;
+    return next ?? first;
   }
 
-  /** Gives up a send for the one that a failover found, if it found any. */
-  #replace(result: SendResult, next: SendResult | undefined): SendResult {
-    if (next === undefined) return result;
-    this.#recordUnsuccessful(result);
-    this.#run.sentAt = next.sentAt;
-    return next;
+  /** Records what a send shows that isn't answered from, once. */
+  #recordOnce(result: SendResult): Promise<void> {
+    const known = this.#recorded.get(result);
+    if (known !== undefined) return known;
+    const recorded = this.#record(result);
+    this.#recorded.set(result, recorded);
+    return recorded;
   }
 
-  /** Records a send whose answer isn't used. */
-  #recordUnsuccessful(result: SendResult): void {
+  /** Resolves when a crash of the endpoint is known, if that matters. */
+  async #record(result: SendResult): Promise<void> {
     const { answer } = result;
     switch (answer.type) {
       case "answered":
-        if (answer.status >= 500) {
-          this.#recordFailure(result, `status ${answer.status}`);
-        }
-        closeAnswer(result);
-        return;
+        return await this.#discardAnswer(result, answer);
       case "unreachable":
-        this.#recordFailure(result, answer.reason, answer.isRefused);
-        return;
+        return this.#recordFailure(result, answer.reason, answer.isRefused);
       case "not_run":
-        this.#recordRefusal(result, answer.refusal);
-        return;
+        return this.#recordRefusal(result, answer.refusal);
       case "unknown":
         this.#recordFailure(result, answer.reason);
-        void this.#evidence.reportTruncated(result);
+        await this.#evidence.reportTruncated(result);
+    }
+  }
+
+  /** Keeps an error answer as the fallback if no other answer has begun. */
+  async #discardAnswer(
+    result: SendResult,
+    answer: ReceivedAnswer,
+  ): Promise<void> {
+    const { status, headers } = answer;
+    if (status >= 500) this.#recordFailure(result, `status ${status}`);
+    if (status < 500 || this.#run.firstByteAt !== undefined) {
+      closeAnswer(result);
+      return;
+    }
+    try {
+      const body = await readAnswerBody(this.#run, answer);
+      this.#fallback = { status, headers, body };
+    } catch {
+      // The answer was cut; its failure is recorded already.
     }
   }
 
-  #createFailover(endpoint: EndpointState): StreamFailover {
+  /** `times` are those of the events that the held answer has brought. */
+  #createFailover(
+    held: SentTo,
+    times: EventTimes = {},
+  ): StreamFailover {
     const run = this.#run;
-    const { relay, retryGate } = run.options.dependencies;
+    const { relay, quarantine } = run.options.dependencies;
     return new StreamFailover({
       run,
       sender: this.#sender,
-      endpoint,
+      endpoint: held.endpoint,
       findObstacle: () => this.#findFailoverObstacle(),
+      checkHeld: async () => {
+        if (!quarantine.mayBecomeSuspect(run)) return;
+        await this.#evidence.reportTruncated(held, times);
+      },
       prepareInputs: (signal) => this.#prepareInputs(signal),
       mayRelay: () =>
         this.#isIsolated && run.mayRelay && run.hasAttemptsLeft &&
-        relay.choosePeer(new Set()) !== undefined &&
-        retryGate.waitFor(run.options.service, 1) === 0,
-      recordFailure: (result) => this.#recordUnsuccessful(result),
+        relay.choosePeer(new Set()) !== undefined,
+      recordFailure: (result) => void this.#recordOnce(result),
     });
   }
 
@@ -429,24 +461,24 @@
     const { answer } = result;
     switch (answer.type) {
       case "answered":
-        return await this.#handleAnswer(result, answer);
+        if (!this.#recorded.has(result)) {
+          return await this.#handleAnswer(result, answer);
+        }
+        await this.#recordOnce(result);
+        return this.#retryIfOpen(`status ${answer.status}`);
       case "unreachable":
-        this.#recordFailure(result, answer.reason, answer.isRefused);
+        await this.#recordOnce(result);
         return "again";
       case "not_run":
-        return this.#handleRefusal(result, answer.refusal);
+        await this.#recordOnce(result);
+        return this.#handleRefusal(answer.refusal);
       case "unknown":
-        this.#recordFailure(result, answer.reason);
-        await this.#evidence.reportTruncated(result);
+        await this.#recordOnce(result);
         return this.#retryOrFail(answer.reason);
     }
   }
 
-  #handleRefusal(
-    result: SendResult,
-    refusal: EndpointRefusal,
-  ): DispatchOutcome | "again" {
-    this.#recordRefusal(result, refusal);
+  #handleRefusal(refusal: EndpointRefusal): DispatchOutcome | "again" {
     const handlers: Readonly<
       Record<EndpointRefusal, () => DispatchOutcome | "again">
     > = {
@@ -541,7 +573,7 @@
           isNew,
         }),
     );
-    const failover = this.#createFailover(endpoint);
+    const failover = this.#createFailover(result, progress);
     const onFirstEvent = (): void => {
       this.#sender.recordFirstByte(result);
       this.#continuation.begun(endpoint.entry);
@@ -598,10 +630,10 @@
     },
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
-    const isReplaced = failover.hasFound;
-    this.#recordCut(result, error, { times, isReplaced });
+    const isKnown = failover.isSearching;
+    this.#recordCut(result, error, { times, isKnown });
     const report = this.#evidence.reportTruncated(result, times);
-    if (!isReplaced) await report;
+    if (!failover.hasFound) await report;
     const next = await failover.take();
     if (next === undefined) return this.#retryIfOpen("answer cut");
     if (run.isOpen) return await this.#handleResult(next);
@@ -614,7 +646,7 @@
     error: unknown,
     times: EventTimes,
   ): Promise<DispatchOutcome | "again"> {
-    this.#recordCut(result, error, { times, isReplaced: false });
+    this.#recordCut(result, error, { times, isKnown: false });
     await this.#evidence.reportTruncated(result, times);
     return this.#retryIfOpen("answer cut");
   }
@@ -622,10 +654,10 @@
   #recordCut(
     result: SendResult,
     error: unknown,
-    { times, isReplaced }: {
+    { times, isKnown }: {
       readonly times: EventTimes;
-      /** Whether the endpoint's failure is known already. */
-      readonly isReplaced: boolean;
+      /** Whether the endpoint counts as failing already. */
+      readonly isKnown: boolean;
     },
   ): void {
     const reason = error instanceof Error ? error.message : String(error);
@@ -634,7 +666,7 @@
       hasFailedCall: true,
     });
     const description = `answer cut: ${reason}`;
-    if (isReplaced) this.#sender.logFailure(result, description);
+    if (isKnown) this.#sender.logFailure(result, description);
     else this.#recordFailure(result, description);
     this.#reportCut(result, describeCut(error), times);
   }
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -95,6 +95,7 @@
     }
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
+    run.takeReservedRetry();
     const attempts = grantAttempts(run);
     run.sends++;
     run.runs += attempts;
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -1,3 +1,4 @@
+import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { EndpointSender } from "./endpoint_sender.ts";
 import type { FailoverRefusal } from "./failover_refusal.ts";
@@ -9,29 +10,51 @@
 
 /** Bounds of the time until another endpoint is looked for once more. */
 const MINIMUM_RETRY_MILLISECONDS = 250;
-const MAXIMUM_RETRY_MILLISECONDS = 1_000;
+const MAXIMUM_RETRY_MILLISECONDS = 2_000;
+
+const NO_ENDPOINT: FailoverRefusal = { reason: "no endpoint" };
+const ENDED: FailoverRefusal = { reason: "ended" };
+const NO_ATTEMPT: FailoverRefusal = {
+  reason: "no attempt left",
+  isFinal: true,
+};
 
 /** Why another endpoint is looked for. */
 export type FailoverCause = "silence" | "slow_event" | "late_answer";
 
+/** What followed a stall. */
+export type StallOutcome =
+  /** The held answer went on. */
+  | "resumed"
+  /** Another endpoint answered. */
+  | "replaced"
+  /** The held answer was cut, or the request ended. */
+  | "ended";
+
 /** Options of a `StreamFailover`. */
 export interface StreamFailoverOptions {
   readonly run: RequestRun;
   readonly sender: Pick<
     EndpointSender,
-    "chooseEndpoint" | "sendBeside" | "hasHealthyEndpoint" | "hasSentOften"
+    | "chooseEndpoint"
+    | "sendBeside"
+    | "hasUnpausedEndpoint"
+    | "hasSentOften"
+    | "lateAnswerMilliseconds"
   >;
   /** The endpoint whose answer is held. */
   readonly endpoint: EndpointState;
   /** Why the stream must not be sent once more, if so. */
   readonly findObstacle: () => string | undefined;
+  /** Reports a crash of the held endpoint if the request may be the cause. */
+  readonly checkHeld: () => Promise<void>;
   /** Makes freed results of the stages again. */
   readonly prepareInputs: (
     signal: AbortSignal,
   ) => Promise<FailoverRefusal | undefined>;
   /** True if this daemon reaches no endpoint and another one serves. */
   readonly mayRelay: () => boolean;
-  /** Records a send that brought no answer. */
+  /** Records a send whose answer isn't used. */
   readonly recordFailure: (result: SendResult) => void;
 }
 
@@ -42,6 +65,12 @@
   readonly result: Promise<SendResult | undefined>;
 }
 
+/** A send without a result yet. */
+interface PendingSend {
+  readonly abort: AbortController;
+  readonly result: Promise<SendResult>;
+}
+
 /**
  * Looks for another endpoint for a stream whose endpoint is silent. The answer of
  * the silent one is held meanwhile: it may only pause, and the retry budget, the
@@ -53,13 +82,21 @@
   #search: Search | undefined;
   #isHeld = true;
   #hasFound = false;
-  #stopWaiting = (): void => {};
+  readonly #pending = new Set<PendingSend>();
+  readonly #results: SendResult[] = [];
+  /** Ends the current wait. */
+  #wake = (): void => {};
   readonly #foundListeners = new Set<() => void>();
 
   constructor(options: StreamFailoverOptions) {
     this.#options = options;
   }
 
+  /** True from the start of a stall until the held answer goes on. */
+  get isSearching(): boolean {
+    return this.#search !== undefined;
+  }
+
   /** True once the held answer is to be closed. */
   get hasFound(): boolean {
     return this.#hasFound;
@@ -92,18 +129,20 @@
     this.#search = { abort, cause, startedAt, result };
   }
 
-  /** Keeps the held answer, which goes on or has ended. */
+  /** Ends the search, since the held answer goes on or its request has ended. */
   cancel(): void {
     const search = this.#search;
     if (search === undefined) return;
+    const { run } = this.#options;
     this.#search = undefined;
     search.abort.abort();
-    this.#stopWaiting();
+    this.#wake();
     void search.result.then((result) => {
       if (result !== undefined) closeAnswer(result);
     });
-    this.#options.run.releaseResults();
-    this.#recordEnd(search, "resumed");
+    // Until its first event, the held endpoint may fail and its inputs be needed.
+    if (run.firstByteAt !== undefined) run.releaseResults();
+    this.#recordEnd(search, run.isOpen ? "resumed" : "ended");
   }
 
   /**
@@ -114,7 +153,7 @@
     const search = this.#search;
     if (search === undefined) return undefined;
     this.#isHeld = false;
-    this.#stopWaiting();
+    if (this.#pending.size === 0) this.#wake();
     const result = await search.result;
     this.#recordEnd(search, this.#hasFound ? "replaced" : "ended");
     return result;
@@ -140,44 +179,125 @@
 
   /** Tries until another endpoint answers or the held answer is over. */
   async #find(signal: AbortSignal): Promise<SendResult | undefined> {
-    const { run, mayRelay } = this.#options;
-    while (!signal.aborted && run.isOpen) {
-      if (mayRelay()) {
-        this.#reportFound();
-        return undefined;
-      }
-      const attempt = await this.#try(signal);
-      if (signal.aborted) return resultOf(attempt);
-      if ("answer" in attempt) {
-        if (isStreamed(attempt.answer, run.options.route)) {
-          this.#reportFound();
-          return attempt;
+    const { run, mayRelay, recordFailure } = this.#options;
+    const wake = (): void => this.#wake();
+    run.stop.signal.addEventListener("abort", wake, { once: true });
+    try {
+      let wait = 0;
+      for (;;) {
+        const result = await this.#nextResult(wait);
+        if (signal.aborted || !run.isOpen) return result;
+        if (result !== undefined) {
+          if (this.#isAnswer(result)) return this.#report(result);
+          if (this.#isOver) return result;
+          recordFailure(result);
+          wait = MINIMUM_RETRY_MILLISECONDS;
+          continue;
         }
-        if (!this.#isHeld) return attempt;
+        if (this.#isOver) return undefined;
+        const isRelayed = mayRelay();
+        const refusal = isRelayed
+          ? await this.#reserve(signal)
+          : await this.#sendNext(signal);
+        if (signal.aborted || !run.isOpen) return undefined;
+        // Another daemon serves the request with the retry that is reserved.
+        if (isRelayed && refusal === undefined) return this.#report(undefined);
+        wait = this.#waitAfter(refusal);
       }
-      if (!this.#isHeld) return undefined;
-      await this.#wait(this.#recordRefusal(attempt), signal);
-      if (!this.#isHeld) return undefined;
+    } finally {
+      run.stop.signal.removeEventListener("abort", wake);
+      this.#giveUpPending({ isReplaced: this.#hasFound });
     }
-    return undefined;
   }
 
-  async #try(signal: AbortSignal): Promise<SendResult | FailoverRefusal> {
-    const { run, sender, prepareInputs } = this.#options;
+  /** True if nothing is left to wait for. */
+  get #isOver(): boolean {
+    return !this.#isHeld && this.#pending.size === 0 &&
+      this.#results.length === 0;
+  }
+
+  /** True for an answer with which the request goes on. */
+  #isAnswer({ answer }: SendResult): boolean {
+    const { run } = this.#options;
+    if (isStreamed(answer, run.options.route)) return true;
+    const isFinal = answer.type === "answered" &&
+      (answer.status < 500 || !run.hasAttemptsLeft);
+    return isFinal && run.firstByteAt === undefined;
+  }
+
+  /** Waits for the next result; undefined if there is none in time. */
+  #nextResult(milliseconds: number): Promise<SendResult | undefined> {
+    const result = this.#results.shift();
+    if (result !== undefined || milliseconds === 0 || this.#isOver) {
+      return Promise.resolve(result);
+    }
+    return new Promise((resolve) => {
+      const end = (): void => {
+        stopTimer();
+        this.#wake = () => {};
+        resolve(this.#results.shift());
+      };
+      const stopTimer = Number.isFinite(milliseconds)
+        ? this.#dependencies.timer.registerTimeout(end, milliseconds)
+        : () => {};
+      this.#wake = end;
+    });
+  }
+
+  /** Sends the request to another endpoint, or tells why it can't. */
+  async #sendNext(signal: AbortSignal): Promise<FailoverRefusal | undefined> {
+    const { run, sender, prepareInputs, checkHeld } = this.#options;
+    const known = this.#findRefusal();
+    if (known !== undefined) return known;
+    await checkHeld();
     const refusal = this.#findRefusal() ?? await prepareInputs(signal);
     if (refusal !== undefined) return refusal;
-    const outcome = signal.aborted
-      ? "refused"
-      : await run.reserveSend("failed", () => !signal.aborted);
-    if (outcome === "refused") return this.#spentBudget();
-    const choice = signal.aborted ? undefined : sender.chooseEndpoint();
+    const missing = await this.#reserve(signal);
+    if (missing !== undefined) return missing;
+    const choice = sender.chooseEndpoint();
     // The waits above may have outlasted the first check.
     const obstacle = this.#findObstacle();
     if (choice === undefined || obstacle !== undefined) {
       run.cancelReservedSend();
-      return obstacle ?? { reason: "no endpoint" };
+      return obstacle ?? NO_ENDPOINT;
     }
-    return await sender.sendBeside(choice, signal);
+    this.#send(choice);
+    return undefined;
+  }
+
+  async #reserve(signal: AbortSignal): Promise<FailoverRefusal | undefined> {
+    const { run } = this.#options;
+    const isOver = (): boolean => signal.aborted || !run.isOpen;
+    if (isOver()) return ENDED;
+    const outcome = await run.reserveSend("failed", () => !isOver());
+    if (outcome === "refused") return this.#spentBudget();
+    if (!isOver()) return undefined;
+    run.cancelReservedSend();
+    return ENDED;
+  }
+
+  #send(choice: EndpointChoice): void {
+    const abort = new AbortController();
+    const result = this.#options.sender.sendBeside(choice, abort.signal);
+    const pending: PendingSend = { abort, result };
+    this.#pending.add(pending);
+    void result.then((settled) => {
+      // One that was given up is handled there.
+      if (!this.#pending.delete(pending)) return;
+      this.#results.push(settled);
+      this.#wake();
+    });
+  }
+
+  /** Ends all other sends; those that were replaced have failed. */
+  #giveUpPending({ isReplaced }: { readonly isReplaced: boolean }): void {
+    const { recordFailure } = this.#options;
+    for (const result of this.#results.splice(0)) closeAnswer(result);
+    for (const { abort, result } of this.#pending) {
+      abort.abort();
+      void result.then(isReplaced ? recordFailure : closeAnswer);
+    }
+    this.#pending.clear();
   }
 
   /** What is known to keep the stream from going on, before its stages. */
@@ -186,7 +306,7 @@
     const { retryGate } = this.#dependencies;
     const obstacle = this.#findObstacle();
     if (obstacle !== undefined) return obstacle;
-    if (!sender.hasHealthyEndpoint) return { reason: "no endpoint" };
+    if (!sender.hasUnpausedEndpoint) return NO_ENDPOINT;
     const wait = retryGate.waitFor(run.options.service, 1);
     return wait > 0 ? this.#spentBudget() : undefined;
   }
@@ -194,7 +314,7 @@
   #findObstacle(): FailoverRefusal | undefined {
     const { run, sender, findObstacle } = this.#options;
     if (!run.hasAttemptsLeft || sender.hasSentOften) {
-      return { reason: "no attempt left" };
+      return NO_ATTEMPT;
     }
     const reason = findObstacle();
     return reason === undefined ? undefined : { reason };
@@ -209,15 +329,14 @@
     };
   }
 
-  /** Records why nothing was found yet; returns when to try again. */
-  #recordRefusal(attempt: SendResult | FailoverRefusal): number {
-    const { run, recordFailure } = this.#options;
+  /** When to try again, milliseconds. */
+  #waitAfter(refusal: FailoverRefusal | undefined): number {
+    if (refusal === undefined) {
+      return this.#options.sender.lateAnswerMilliseconds;
+    }
+    const { run } = this.#options;
     const { log, metrics } = this.#dependencies;
-    if ("answer" in attempt) recordFailure(attempt);
-    const refusal: FailoverRefusal = "answer" in attempt
-      ? { reason: `endpoint: ${attempt.answer.type}` }
-      : attempt;
-    const { reason, retryAfterMilliseconds = 0 } = refusal;
+    const { reason, retryAfterMilliseconds = 0, isFinal } = refusal;
     const { service, request } = run.options;
     metrics.countFailoverRefusal(service, reason);
     log.info("no other endpoint for stalled stream", {
@@ -225,32 +344,23 @@
       reason,
       retryAfterMilliseconds,
     });
-    return Math.min(
-      Math.max(retryAfterMilliseconds, MINIMUM_RETRY_MILLISECONDS),
-      MAXIMUM_RETRY_MILLISECONDS,
+    if (isFinal === true) return Number.POSITIVE_INFINITY;
+    return Math.max(
+      Math.min(retryAfterMilliseconds, MAXIMUM_RETRY_MILLISECONDS),
+      MINIMUM_RETRY_MILLISECONDS,
     );
   }
 
-  async #wait(milliseconds: number, signal: AbortSignal): Promise<void> {
-    if (signal.aborted) return;
-    const { timer } = this.#dependencies;
-    await new Promise<void>((resolve) => {
-      const stop = timer.registerTimeout(resolve, milliseconds);
-      this.#stopWaiting = () => {
-        stop();
-        resolve();
-      };
-    });
-  }
-
-  #reportFound(): void {
+  /** Ends the search with the result of a send, or to relay the request. */
+  #report(result: SendResult | undefined): SendResult | undefined {
     this.#hasFound = true;
     for (const listener of this.#foundListeners) listener();
+    return result;
   }
 
   #recordEnd(
     { cause, startedAt }: Search,
-    outcome: "resumed" | "replaced" | "ended",
+    outcome: StallOutcome,
   ): void {
     const { run, endpoint } = this.#options;
     const { log, metrics } = this.#dependencies;
@@ -258,7 +368,7 @@
     const now = run.now();
     if (cause !== "late_answer") {
       endpoint.overdueCallEnded({
-        isAnswered: outcome === "resumed" && run.isOpen,
+        isAnswered: outcome === "resumed",
         startedAt,
         now,
       });
@@ -273,9 +383,3 @@
     });
   }
 }
-
-function resultOf(
-  attempt: SendResult | FailoverRefusal,
-): SendResult | undefined {
-  return "answer" in attempt ? attempt : undefined;
-}
