Test relayed streams that pause, which are cut

Cause: a relayed answer is closed after 3 s of silence, or when an event takes three objectives, before it is known whether it may go on at another daemon; the other daemon still holds its own silent stream. Change: paused_peer_test.ts plays a pause of 4 s without a retry left, without another daemon or one that may be asked, with one that refuses, isn't reached or stays silent, an event that ends late, and both going on. Streams whose daemon dies or stays silent have to go on elsewhere as before.

--- /dev/null
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
@@ -0,0 +1,296 @@
+import type { ServiceRoute } from "../../configuration/service_route.ts";
+import type { PeerRelayCall } from "../../relay/peer_relay.ts";
+import type { RelayAnswer } from "../../relay/relay_answer.ts";
+import type { World } from "../support/request_world.ts";
+import { expect } from "earl";
+import { Readable } from "node:stream";
+import { test } from "node:test";
+import { createWorld, request, stream } from "../support/request_world.ts";
+
+const FIRST = "id: 1\ndata: a\n\n";
+const SECOND = "id: 2\ndata: b\n\n";
+const THIRD = "id: 3\ndata: c\n\n";
+const WHOLE = [FIRST + SECOND + THIRD, "ended"];
+/** Longer than the silence after which another daemon is asked. */
+const PAUSE_MILLISECONDS = 4_000;
+/** Shorter than that silence. */
+const GAP_MILLISECONDS = 500;
+const DEADLINE_MILLISECONDS = 10_000;
+const PEERS = ["d2", "d3", "d4", "d5"];
+
+/** Answers one relayed call. */
+type ScriptedPeer = (
+  call: PeerRelayCall,
+) => RelayAnswer | Promise<RelayAnswer>;
+
+/** A daemon whose relayed stream the test writes. */
+class PausingPeer {
+  readonly #body = new Readable({ read: () => {} });
+
+  get isClosed(): boolean {
+    return this.#body.destroyed;
+  }
+
+  readonly answer: ScriptedPeer = () => ({
+    type: "answered",
+    answer: {
+      type: "answered",
+      status: 200,
+      headers: [],
+      framing: "chunked",
+      body: this.#body,
+      close: () => void this.#body.destroy(),
+    },
+  });
+
+  write(text: string): void {
+    this.#body.push(text);
+  }
+
+  end(): void {
+    this.#body.push(null);
+  }
+
+  cut(): void {
+    this.#body.destroy(new Error("connection reset"));
+  }
+}
+
+const unreachable: ScriptedPeer = () => ({
+  type: "unreachable",
+  reason: "no connection in time",
+});
+
+function refusing(isUnable: boolean): ScriptedPeer {
+  return () => ({
+    type: "refused",
+    refusal: {
+      status: 503,
+      retryAfterMilliseconds: 250,
+      message: "no",
+      isUnable,
+    },
+  });
+}
+
+/** Never answers; its call ends when it is given up. */
+const silent: ScriptedPeer = ({ signal }) =>
+  new Promise((resolve) => {
+    signal.addEventListener(
+      "abort",
+      () => resolve({ type: "unknown", reason: "given up" }),
+    );
+  });
+
+function streaming(...events: readonly string[]): ScriptedPeer {
+  return () => {
+    const answer = stream(...events);
+    if (answer.type !== "answered") throw new Error("Not an answer");
+    return { type: "answered", answer };
+  };
+}
+
+interface IsolatedOptions {
+  readonly route?: Partial<ServiceRoute>;
+  readonly slack?: number;
+}
+
+type IsolatedWorld = World & { readonly calls: readonly PeerRelayCall[] };
+
+/** An isolated daemon and the other daemons that answer it, in this order. */
+function createIsolated(
+  script: readonly ScriptedPeer[],
+  { route = {}, slack = 50 }: IsolatedOptions = {},
+): IsolatedWorld {
+  const calls: PeerRelayCall[] = [];
+  const world = createWorld([], {
+    route: { stages: [], ...route },
+    slack,
+    relay: {
+      isNeeded: true,
+      verified: () => Promise.resolve(true),
+      choosePeer: (tried) => {
+        const daemonId = PEERS.slice(0, script.length).find((id) =>
+          !tried.has(id)
+        );
+        if (daemonId === undefined) return undefined;
+        return { daemonId, front: "", peer: daemonId, zone: "a", cores: 1 };
+      },
+      send: async (call) => {
+        calls.push(call);
+        const answer = script[calls.length - 1];
+        if (answer === undefined) throw new Error("No scripted answer is left");
+        return await answer(call);
+      },
+    },
+  });
+  return { ...world, calls };
+}
+
+interface PauseOptions extends IsolatedOptions {
+  /** Daemons that are asked before the one that pauses. */
+  readonly before?: readonly ScriptedPeer[];
+  readonly after?: readonly ScriptedPeer[];
+}
+
+/** Plays a relayed stream that pauses after its first event, to its end. */
+async function playPause(options: PauseOptions): Promise<IsolatedWorld> {
+  const peer = new PausingPeer();
+  const { before = [], after = [], ...rest } = options;
+  const world = createIsolated([...before, peer.answer, ...after], rest);
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  if (!peer.isClosed) {
+    peer.write(SECOND);
+    await world.timer.advance(GAP_MILLISECONDS);
+    peer.write(THIRD);
+    peer.end();
+  }
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  return world;
+}
+
+function outcomeOf({ reply }: World): readonly string[] {
+  return [reply.text, reply.endState];
+}
+
+// Guards against relayed streams that are cut though no retry is left.
+test("a relayed stream that pauses goes on if no retry is left", async () => {
+  const world = await playPause({
+    slack: 0,
+    after: [streaming(SECOND, THIRD)],
+  });
+  expect(outcomeOf(world)).toEqual(WHOLE);
+  expect(world.calls.length).toEqual(1);
+});
+
+// Guards against relayed streams that are cut at the last daemon they may use.
+test("a relayed stream that pauses goes on if no more daemons may be asked", async () => {
+  const world = await playPause({
+    route: { attempts: 6 },
+    before: [unreachable, refusing(true)],
+    after: [streaming(SECOND, THIRD)],
+  });
+  expect(outcomeOf(world)).toEqual(WHOLE);
+  expect(world.calls.length).toEqual(3);
+});
+
+// Guards against relayed streams that are cut after their last attempt.
+test("a relayed stream that pauses goes on if no attempt is left", async () => {
+  const world = await playPause({
+    route: { attempts: 1 },
+    after: [streaming(SECOND, THIRD)],
+  });
+  expect(outcomeOf(world)).toEqual(WHOLE);
+  expect(world.calls.length).toEqual(1);
+});
+
+// Guards against relayed streams that are cut though only one daemon serves.
+test("a relayed stream that pauses goes on if no other daemon is there", async () => {
+  expect(outcomeOf(await playPause({}))).toEqual(WHOLE);
+});
+
+// Guards against relayed streams that are cut for a daemon that refuses them.
+test("a relayed stream that pauses goes on if the next daemon refuses", async () => {
+  for (const isUnable of [true, false]) {
+    const world = await playPause({ after: [refusing(isUnable)] });
+    expect(outcomeOf(world)).toEqual(WHOLE);
+  }
+});
+
+// Guards against relayed streams that are cut for a daemon that isn't reached.
+test("a relayed stream that pauses goes on if the next daemon isn't reached", async () => {
+  expect(outcomeOf(await playPause({ after: [unreachable] }))).toEqual(WHOLE);
+});
+
+// Guards against relayed streams that are cut for a daemon that doesn't answer.
+test("a relayed stream that pauses goes on if the next daemon is silent", async () => {
+  expect(outcomeOf(await playPause({ after: [silent] }))).toEqual(WHOLE);
+});
+
+// Guards against relayed streams that are cut inside an event that would end.
+test("a relayed event that ends late is kept if no retry is left", async () => {
+  const peer = new PausingPeer();
+  const world = createIsolated([peer.answer], { slack: 0 });
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  for (const byte of SECOND.slice(0, -1)) {
+    if (peer.isClosed) break;
+    peer.write(byte);
+    await world.timer.advance(GAP_MILLISECONDS / 2);
+  }
+  if (!peer.isClosed) {
+    peer.write(SECOND.slice(-1) + THIRD);
+    peer.end();
+  }
+  await world.timer.advance(DEADLINE_MILLISECONDS);
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+});
+
+// Guards against events that come twice when both daemons go on.
+test("a relayed stream that goes on while another daemon is asked is kept", async () => {
+  const peer = new PausingPeer();
+  const world = createIsolated([peer.answer, silent]);
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  const [, second] = world.calls;
+  expect([second?.signal.aborted, peer.isClosed]).toEqual([false, false]);
+  peer.write(SECOND);
+  await world.timer.settle();
+  expect(second?.signal.aborted).toEqual(true);
+  peer.write(THIRD);
+  peer.end();
+  await world.timer.settle();
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+});
+
+// Guards against streams that wait for a dead daemon until their deadline.
+test("a relayed stream whose daemon dies goes on at once", async () => {
+  const peer = new PausingPeer();
+  const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.settle();
+  peer.cut();
+  await world.timer.settle();
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+  expect(world.calls[1]?.message.request.lastEventId).toEqual("1");
+});
+
+// Guards against streams that wait for a silent connection until their deadline.
+test("a relayed stream that stays silent goes on elsewhere after 3 s", async () => {
+  const peer = new PausingPeer();
+  const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  await served;
+  expect([outcomeOf(world), peer.isClosed]).toEqual([WHOLE, true]);
+  expect(world.calls[1]?.message.request.lastEventId).toEqual("1");
+});
