Hold a silent relayed stream while another daemon is asked

Cause: a relayed answer was closed after 3 s of silence, or when an event took three objectives, before it was known whether the retry budget, the attempts or another daemon allow to go on. The retry of a daemon that refused, or wasn't reached, was spent too. A stream of a daemon that had become isolated was closed while the budget only might have a retry. Change: StreamFailover asks FailoverPlaces, which are other endpoints or other daemons. A relayed answer is held while another daemon is asked beside it and closed when that one's stream begins; its events end the search. Where the stream goes on outside the search, the retry is reserved before the held answer is closed, and the next send uses it. A relayed send that reached no endpoint gives its retry back.

--- a/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
@@ -1,7 +1,8 @@
 import type { ServiceRoute } from "../../configuration/service_route.ts";
 import type { PeerRelayCall } from "../../relay/peer_relay.ts";
 import type { RelayAnswer } from "../../relay/relay_answer.ts";
-import type { World } from "../support/request_world.ts";
+import type { ReceivedAnswer } from "../../requests/send_result.ts";
+import type { ScriptedAnswer, World } from "../support/request_world.ts";
 import { expect } from "earl";
 import { Readable } from "node:stream";
 import { test } from "node:test";
@@ -23,24 +24,26 @@
   call: PeerRelayCall,
 ) => RelayAnswer | Promise<RelayAnswer>;
 
-/** A daemon whose relayed stream the test writes. */
-class PausingPeer {
+/** A stream that the test writes. */
+class PausingStream {
   readonly #body = new Readable({ read: () => {} });
 
   get isClosed(): boolean {
     return this.#body.destroyed;
   }
 
+  readonly received: ReceivedAnswer = {
+    type: "answered",
+    status: 200,
+    headers: [],
+    framing: "chunked",
+    body: this.#body,
+    close: () => void this.#body.destroy(),
+  };
+
   readonly answer: ScriptedPeer = () => ({
     type: "answered",
-    answer: {
-      type: "answered",
-      status: 200,
-      headers: [],
-      framing: "chunked",
-      body: this.#body,
-      close: () => void this.#body.destroy(),
-    },
+    answer: this.received,
   });
 
   write(text: string): void {
@@ -93,6 +96,10 @@
 interface IsolatedOptions {
   readonly route?: Partial<ServiceRoute>;
   readonly slack?: number;
+  /** Whether this daemon reaches no endpoint; true by default. */
+  readonly isIsolated?: () => boolean;
+  /** Answers of endpoints, once this daemon reaches them. */
+  readonly endpoints?: readonly ScriptedAnswer[];
 }
 
 type IsolatedWorld = World & { readonly calls: readonly PeerRelayCall[] };
@@ -100,14 +107,17 @@
 /** An isolated daemon and the other daemons that answer it, in this order. */
 function createIsolated(
   script: readonly ScriptedPeer[],
-  { route = {}, slack = 50 }: IsolatedOptions = {},
+  options: IsolatedOptions = {},
 ): IsolatedWorld {
+  const { route, slack = 50, isIsolated, endpoints = [] } = options;
   const calls: PeerRelayCall[] = [];
-  const world = createWorld([], {
+  const world = createWorld(endpoints, {
     route: { stages: [], ...route },
     slack,
     relay: {
-      isNeeded: true,
+      get isNeeded(): boolean {
+        return isIsolated?.() ?? true;
+      },
       verified: () => Promise.resolve(true),
       choosePeer: (tried) => {
         const daemonId = PEERS.slice(0, script.length).find((id) =>
@@ -135,7 +145,7 @@
 
 /** Plays a relayed stream that pauses after its first event, to its end. */
 async function playPause(options: PauseOptions): Promise<IsolatedWorld> {
-  const peer = new PausingPeer();
+  const peer = new PausingStream();
   const { before = [], after = [], ...rest } = options;
   const world = createIsolated([...before, peer.answer, ...after], rest);
   const served = world.service.serve(
@@ -216,7 +226,7 @@
 
 // Guards against relayed streams that are cut inside an event that would end.
 test("a relayed event that ends late is kept if no retry is left", async () => {
-  const peer = new PausingPeer();
+  const peer = new PausingStream();
   const world = createIsolated([peer.answer], { slack: 0 });
   const served = world.service.serve(
     request({ pieceCounts: [] }),
@@ -240,7 +250,7 @@
 
 // Guards against events that come twice when both daemons go on.
 test("a relayed stream that goes on while another daemon is asked is kept", async () => {
-  const peer = new PausingPeer();
+  const peer = new PausingStream();
   const world = createIsolated([peer.answer, silent]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
@@ -263,7 +273,7 @@
 
 // Guards against streams that wait for a dead daemon until their deadline.
 test("a relayed stream whose daemon dies goes on at once", async () => {
-  const peer = new PausingPeer();
+  const peer = new PausingStream();
   const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
@@ -281,7 +291,7 @@
 
 // Guards against streams that wait for a silent connection until their deadline.
 test("a relayed stream that stays silent goes on elsewhere after 3 s", async () => {
-  const peer = new PausingPeer();
+  const peer = new PausingStream();
   const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
@@ -294,3 +304,86 @@
   expect([outcomeOf(world), peer.isClosed]).toEqual([WHOLE, true]);
   expect(world.calls[1]?.message.request.lastEventId).toEqual("1");
 });
+
+// Guards against retries that are spent on daemons that never sent the request.
+test("a daemon that refuses a stalled stream costs no retry", async () => {
+  for (const refusal of [refusing(true), unreachable]) {
+    const peer = new PausingStream();
+    const script = [peer.answer, refusal, streaming(SECOND, THIRD)];
+    const world = createIsolated(script, { slack: 3 });
+    const served = world.service.serve(
+      request({ pieceCounts: [] }),
+      world.reply,
+    );
+    await world.timer.settle();
+    peer.write(FIRST);
+    await world.timer.advance(DEADLINE_MILLISECONDS);
+    await served;
+    expect(outcomeOf(world)).toEqual(WHOLE);
+  }
+});
+
+/** Plays a relayed stream that stays silent while the isolation ends. */
+async function playRecovery(slack: number): Promise<boolean> {
+  const peer = new PausingStream();
+  let isIsolated = true;
+  const world = createIsolated([peer.answer], {
+    slack,
+    isIsolated: () => isIsolated,
+    endpoints: [() => stream(SECOND, THIRD)],
+  });
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.settle();
+  isIsolated = false;
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  const isHeld = !peer.isClosed;
+  if (isHeld) {
+    peer.write(SECOND + THIRD);
+    peer.end();
+    await world.timer.settle();
+  }
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+  return isHeld;
+}
+
+// Guards against streams that wait although their daemon reaches endpoints again.
+test("a silent relayed stream goes on here once endpoints are reached", async () => {
+  expect(await playRecovery(50)).toEqual(false);
+});
+
+// Guards against relayed streams that are cut when the isolation ends.
+test("a silent relayed stream is kept after an isolation if no retry is left", async () => {
+  expect(await playRecovery(0)).toEqual(true);
+});
+
+// Guards against streams that are closed for a daemon that may not be asked.
+test("a stream of a daemon that becomes isolated is kept if no retry is left", async () => {
+  const endpoint = new PausingStream();
+  let isIsolated = false;
+  const world = createIsolated([streaming(SECOND, THIRD)], {
+    slack: 0,
+    isIsolated: () => isIsolated,
+    endpoints: [() => endpoint.received],
+  });
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.settle();
+  isIsolated = true;
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  expect([world.calls.length, endpoint.isClosed]).toEqual([0, false]);
+  endpoint.write(SECOND + THIRD);
+  endpoint.end();
+  await world.timer.settle();
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+});
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/failover_places.ts
@@ -0,0 +1,39 @@
+import type { LogFields } from "../log/gateway_log.ts";
+import type { FailoverRefusal } from "./failover_refusal.ts";
+
+/** Why another place is looked for. */
+export type FailoverCause = "silence" | "slow_event" | "late_answer";
+
+/** What a send brought; only a stream replaces an answer that is held. */
+export type FailoverResultKind = "stream" | "answer" | "failure";
+
+/** How the wait for a held answer ended. Times are monotonic milliseconds. */
+export interface StallEnd {
+  readonly startedAt: number;
+  readonly now: number;
+  /** Whether the held answer went on. */
+  readonly isAnswered: boolean;
+}
+
+/** Where a stalled stream may go on: at other endpoints or other daemons. */
+export interface FailoverPlaces<Result> {
+  /** What the log says of the place whose answer is held. */
+  describeHeld(): LogFields;
+  /** Records that the held answer stalls; returns what records the end of it. */
+  startStall(cause: FailoverCause, now: number): (end: StallEnd) => void;
+  /** Why no other place may be asked, however many there are. */
+  findObstacle(): string | undefined;
+  /** Why there is no place to ask; undefined if there is one. */
+  findMissingPlace(): string | undefined;
+  /** True if the stream goes on by other means than `send` once it is given up. */
+  goesOnOtherwise(): boolean;
+  /** Makes what the send needs. */
+  prepare(signal: AbortSignal): Promise<FailoverRefusal | undefined>;
+  /** Asks a place, after a send was reserved; undefined if none is left. */
+  send(signal: AbortSignal): Promise<Result> | undefined;
+  kindOf(result: Result): FailoverResultKind;
+  /** Records a send that brought no stream; returns why. */
+  recordFailure(result: Result): FailoverRefusal;
+  /** Closes an answer that isn't used. */
+  close(result: Result): void;
+}
--- /dev/null
+++ b/packages/kelpspar-gateway/src/requests/peer_result.ts
@@ -0,0 +1,13 @@
+import type { DaemonAddress } from "../fleet/fleet_digest.ts";
+import type { RelayAnswer } from "../relay/relay_answer.ts";
+
+/** Result of relaying a request to another daemon. */
+export interface PeerResult {
+  readonly peer: DaemonAddress;
+  readonly answer: RelayAnswer;
+}
+
+/** Closes the connection of a relayed answer that won't be read. */
+export function closePeerAnswer({ answer }: PeerResult): void {
+  if (answer.type === "answered") answer.answer.close();
+}
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -26,6 +26,7 @@
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 import { isOverdue, isSuccessful } from "./hedge.ts";
 import { closeAnswer, isStreamed } from "./send_result.ts";
+import { EndpointPlaces } from "./endpoint_places.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
 import { StreamFailover } from "./stream_failover.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
@@ -380,10 +381,10 @@
     }
   }
 
-  #createFailover(endpoint: EndpointState): StreamFailover {
+  #createFailover(endpoint: EndpointState): StreamFailover<SendResult> {
     const run = this.#run;
     const { relay, retryGate } = run.options.dependencies;
-    return new StreamFailover({
+    const places = new EndpointPlaces({
       run,
       sender: this.#sender,
       endpoint,
@@ -395,6 +396,7 @@
         retryGate.waitFor(run.options.service, 1) === 0,
       recordFailure: (result) => this.#recordUnsuccessful(result),
     });
+    return new StreamFailover({ run, places });
   }
 
   #findFailoverObstacle(): string | undefined {
@@ -593,7 +595,7 @@
     { error, times, failover }: {
       readonly error: unknown;
       readonly times: EventTimes;
-      readonly failover: StreamFailover;
+      readonly failover: StreamFailover<SendResult>;
     },
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -6,11 +6,16 @@
 import type { ReceivedAnswer } from "./send_result.ts";
 import type { StreamForwarder } from "./stream_forwarder.ts";
 import type { StreamRelay } from "./stream_relay.ts";
+import type { PeerResult } from "./peer_result.ts";
 import { reportBodyLimit } from "../exchange/report_body_limit.ts";
+import { mayContinue } from "./choose_request_endpoint.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
 import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
+import { PeerPlaces } from "./peer_places.ts";
+import { closePeerAnswer } from "./peer_result.ts";
 import { isStreamed } from "./send_result.ts";
+import { StreamFailover } from "./stream_failover.ts";
 
 /** Daemons that one request is relayed to at most. */
 const MAXIMUM_PEERS = 3;
@@ -51,12 +56,8 @@
     const { run } = this.#options;
     const { relay } = run.options.dependencies;
     while (run.isOpen) {
-      const holders = this.#quotaHolders;
-      if (!relay.isNeeded && holders === undefined) return false;
-      const isExhausted = this.#tried.size >= MAXIMUM_PEERS;
-      const peer = isExhausted
-        ? undefined
-        : relay.choosePeer(this.#tried, holders);
+      if (this.#isServedHere) return false;
+      const peer = this.#choosePeer();
       if (peer === undefined && this.#tried.size === 0 && !relay.isNeeded) {
         return false;
       }
@@ -67,6 +68,23 @@
     return true;
   }
 
+  /** True if this daemon reaches endpoints and has a place at them. */
+  get #isServedHere(): boolean {
+    const { relay } = this.#options.run.options.dependencies;
+    return !relay.isNeeded && this.#quotaHolders === undefined;
+  }
+
+  get #hasAskedOften(): boolean {
+    return this.#tried.size >= MAXIMUM_PEERS;
+  }
+
+  #choosePeer(): DaemonAddress | undefined {
+    const { relay } = this.#options.run.options.dependencies;
+    return this.#hasAskedOften
+      ? undefined
+      : relay.choosePeer(this.#tried, this.#quotaHolders);
+  }
+
   /** Daemons with a place at brittle endpoints; undefined if any may serve. */
   get #quotaHolders(): ReadonlySet<string> | undefined {
     const { dependencies, service } = this.#options.run.options;
@@ -77,7 +95,6 @@
 
   async #relayTo(peer: DaemonAddress | undefined): Promise<RelayStep> {
     const { run } = this.#options;
-    const { relay, configuration, log, timer } = run.options.dependencies;
     if (peer === undefined) return this.#fail();
     if (await run.reserveSend("failed") === "refused") {
       return this.#failWithoutBudget();
@@ -93,11 +110,28 @@
       this.#options.fail(refusal.reason, refusal.retryAfterMilliseconds);
       return "ended";
     }
+    return await this.#handle(await this.#sendTo(peer));
+  }
+
+  /**
+   * Relays the request, after the send was reserved. `signal` gives it up for
+   * the answer that it was sent beside.
+   */
+  async #sendTo(
+    peer: DaemonAddress,
+    signal?: AbortSignal,
+  ): Promise<PeerResult> {
+    const { run } = this.#options;
+    const { relay, configuration, log, timer, retryGate } =
+      run.options.dependencies;
+    const retry = run.takeReservedRetry();
     this.#tried.add(peer.daemonId);
     const startedAt = timer.now();
     const attempts = grantAttempts(run);
     run.sends++;
+    run.deliveries++;
     run.runs += attempts;
+    const stopSignal = run.stop.signal;
     const answer = await relay.send({
       peer,
       message: {
@@ -109,7 +143,9 @@
         request: this.#createRequest(),
       },
       isRepeatable: run.hasAttemptsLeft,
-      signal: run.stop.signal,
+      signal: signal === undefined
+        ? stopSignal
+        : AbortSignal.any([stopSignal, signal]),
     });
     log.info("request relayed", {
       attempt: run.options.request.attemptId,
@@ -123,15 +159,12 @@
       now: run.now(),
     });
     if (stagesBegunAt !== undefined) run.recordEarlierStages(stagesBegunAt);
-    if (!run.isOpen) {
-      if (answer.type === "answered") answer.answer.close();
-      return "ended";
+    if (isNotRun(answer)) run.runs -= attempts;
+    if (isUndelivered(answer)) {
+      run.deliveries--;
+      if (retry !== undefined) retryGate.giveBack(retry);
     }
-    const isNotRun = answer.type === "unreachable" ||
-      (answer.type === "refused" &&
-        NOT_RUN_STATUSES.has(answer.refusal.status));
-    if (isNotRun) run.runs -= attempts;
-    return await this.#handle(answer, peer);
+    return { peer, answer };
   }
 
   /** Time until this daemon ends; undefined while it wasn't told to stop. */
@@ -154,38 +187,35 @@
     };
   }
 
-  #handle(
-    answer: RelayAnswer,
-    peer: DaemonAddress,
-  ): Promise<RelayStep> | RelayStep {
-    const { run } = this.#options;
+  #handle(result: PeerResult): Promise<RelayStep> | RelayStep {
+    const { answer, peer } = result;
+    if (!this.#options.run.isOpen) {
+      closePeerAnswer(result);
+      return "ended";
+    }
     switch (answer.type) {
       case "answered":
-        run.deliveries++;
         return this.#forward(answer.answer, peer);
       case "refused":
         return this.#handleRefusal(answer.refusal);
       case "unreachable":
         return "again";
       case "unknown":
-        run.deliveries++;
         return this.#retryOrFail(answer.reason);
     }
   }
 
   #handleRefusal(received: RelayRefusal): RelayStep {
-    const { isUnable, isDelivered, stagesMilliseconds: _, ...refusal } =
+    const { isUnable, isDelivered: _, stagesMilliseconds: __, ...refusal } =
       received;
     const { run, fail } = this.#options;
     const { status, message } = refusal;
     if (NOT_RUN_STATUSES.has(status)) {
-      if (isDelivered === true) run.deliveries++;
       this.#retryAfterMilliseconds = refusal.retryAfterMilliseconds;
       if (isUnable) return "again";
       fail(message, this.#retryMilliseconds);
       return "ended";
     }
-    run.deliveries++;
     if (UNKNOWN_STATUSES.has(status)) return this.#retryOrFail(message);
     run.refuse(refusal);
     return "ended";
@@ -196,25 +226,74 @@
     peer: DaemonAddress,
   ): Promise<RelayStep> {
     const { run, streamForwarder } = this.#options;
+    const failover = this.#createFailover(peer);
     try {
       if (isStreamed(answer, run.options.route)) {
-        await streamForwarder.forward({ answer });
+        await streamForwarder.forward({ answer, failover });
       } else await this.#forwardBuffered(answer);
     } catch (error) {
-      if (!run.isOpen) return "ended";
-      reportBodyLimit(run.options.dependencies.malformedAnswers, error, {
-        sender: peer.peer,
-        hasFailedCall: true,
-      });
-      const reason = error instanceof Error ? error.message : String(error);
-      return this.#retryOrFail(`relayed answer cut: ${reason}`);
+      return await this.#continueCutAnswer(error, { peer, failover });
     }
+    failover.cancel();
     run.finish(answer.status < 500 ? "served" : "failed", {
       status: answer.status,
     });
     return "ended";
   }
 
+  /** Goes on with what a failover found before the answer was cut, if it did. */
+  async #continueCutAnswer(
+    error: unknown,
+    { peer, failover }: {
+      readonly peer: DaemonAddress;
+      readonly failover: StreamFailover<PeerResult>;
+    },
+  ): Promise<RelayStep> {
+    const { run } = this.#options;
+    if (!run.isOpen) {
+      failover.cancel();
+      return "ended";
+    }
+    reportBodyLimit(run.options.dependencies.malformedAnswers, error, {
+      sender: peer.peer,
+      hasFailedCall: true,
+    });
+    const next = await failover.take();
+    if (next !== undefined) return await this.#handle(next);
+    if (!run.isOpen) return "ended";
+    const reason = error instanceof Error ? error.message : String(error);
+    return this.#retryOrFail(`relayed answer cut: ${reason}`);
+  }
+
+  #createFailover(peer: DaemonAddress): StreamFailover<PeerResult> {
+    const { run, shutdown } = this.#options;
+    const places = new PeerPlaces({
+      run,
+      peer,
+      findObstacle: () =>
+        this.#hasAskedOften
+          ? "no daemon may be asked"
+          : shutdown.findArrivalRefusal(run)?.reason,
+      choosePeer: () => this.#choosePeer(),
+      mayServe: () => this.#mayServe,
+      sendTo: (next, signal) => this.#sendTo(next, signal),
+    });
+    return new StreamFailover({ run, places });
+  }
+
+  /** True if only this daemon is left to go on with a stream, and may do so. */
+  get #mayServe(): boolean {
+    const { run } = this.#options;
+    const { dependencies, service } = run.options;
+    const { endpointRegistry, retryGate } = dependencies;
+    return this.#isServedHere && this.#choosePeer() === undefined &&
+      run.hasAttemptsLeft && !run.isSuspect &&
+      retryGate.waitFor(service, 1) === 0 &&
+      endpointRegistry.availableFor(service).some((endpoint) =>
+        mayContinue(run, endpoint) && endpoint.isHealthy(run.now())
+      );
+  }
+
   async #forwardBuffered(answer: ReceivedAnswer): Promise<void> {
     const { run } = this.#options;
     const body = await readAnswerBody(run, answer);
@@ -262,6 +341,18 @@
   return isRepeatable ? Math.max(1, Math.ceil(attemptsLeft / 2)) : 1;
 }
 
+/** True if the other daemon declared that no endpoint ran the request. */
+function isNotRun(answer: RelayAnswer): boolean {
+  return answer.type === "unreachable" ||
+    (answer.type === "refused" && NOT_RUN_STATUSES.has(answer.refusal.status));
+}
+
+/** True if the request reached no endpoint, not even one that rejected it. */
+function isUndelivered(answer: RelayAnswer): boolean {
+  if (!isNotRun(answer)) return false;
+  return answer.type !== "refused" || answer.refusal.isDelivered !== true;
+}
+
 /** When a daemon may have begun the stages; undefined if it didn't. */
 function findStagesBegin(
   answer: RelayAnswer,
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -200,13 +200,16 @@
 
   /**
    * Reserves one more send, to be made at once. Sends are free until one was
-   * delivered. A retry that is granted when `isNeeded` is false is given back.
+   * delivered, and one that was reserved and not made is used. A retry that is
+   * granted when `isNeeded` is false is given back.
    */
   reserveSend(
     cause: RetryCause,
     isNeeded: () => boolean = () => true,
   ): RetryOutcome | Promise<RetryOutcome> {
-    if (this.deliveries === 0) return "allowed";
+    if (this.deliveries === 0 || this.#reservedRetry !== undefined) {
+      return "allowed";
+    }
     const { dependencies, service } = this.options;
     return dependencies.retryGate.spend({
       service,
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -1,62 +1,52 @@
-import type { EndpointState } from "../endpoints/endpoint_state.ts";
-import type { EndpointSender } from "./endpoint_sender.ts";
+import type {
+  FailoverCause,
+  FailoverPlaces,
+  StallEnd,
+} from "./failover_places.ts";
 import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { RequestRun } from "./request_run.ts";
-import type { SendResult } from "./send_result.ts";
-import { closeAnswer, isStreamed } from "./send_result.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 
-/** Bounds of the time until another endpoint is looked for once more. */
+/** Bounds of the time until another place is looked for once more. */
 const MINIMUM_RETRY_MILLISECONDS = 250;
 const MAXIMUM_RETRY_MILLISECONDS = 1_000;
 
-/** Why another endpoint is looked for. */
-export type FailoverCause = "silence" | "slow_event" | "late_answer";
-
 /** Options of a `StreamFailover`. */
-export interface StreamFailoverOptions {
+export interface StreamFailoverOptions<Result> {
   readonly run: RequestRun;
-  readonly sender: Pick<
-    EndpointSender,
-    "chooseEndpoint" | "sendBeside" | "hasHealthyEndpoint" | "hasSentOften"
-  >;
-  /** The endpoint whose answer is held. */
-  readonly endpoint: EndpointState;
-  /** Why the stream must not be sent once more, if so. */
-  readonly findObstacle: () => string | undefined;
-  /** Makes freed results of the stages again. */
-  readonly prepareInputs: (
-    signal: AbortSignal,
-  ) => Promise<FailoverRefusal | undefined>;
-  /** True if this daemon reaches no endpoint and another one serves. */
-  readonly mayRelay: () => boolean;
-  /** Records a send that brought no answer. */
-  readonly recordFailure: (result: SendResult) => void;
+  readonly places: FailoverPlaces<Result>;
 }
 
-interface Search {
+interface Search<Result> {
   readonly abort: AbortController;
   readonly cause: FailoverCause;
   readonly startedAt: number;
-  readonly result: Promise<SendResult | undefined>;
+  readonly endStall: (end: StallEnd) => void;
+  readonly result: Promise<Result | undefined>;
 }
 
+type Attempt<Result> =
+  | { readonly type: "sent"; readonly result: Result }
+  | { readonly type: "refused"; readonly refusal: FailoverRefusal }
+  /** The stream goes on otherwise, with the send that was reserved. */
+  | { readonly type: "reserved" };
+
 /**
- * Looks for another endpoint for a stream whose endpoint is silent. The answer of
- * the silent one is held meanwhile: it may only pause, and the retry budget, the
+ * Looks for another endpoint, or another daemon, for a stream that is silent. The
+ * silent answer is held meanwhile: it may only pause, and the retry budget, the
  * stages or a place may be missing elsewhere. An answer that was given up first
  * would then be lost.
  */
-export class StreamFailover {
-  readonly #options: StreamFailoverOptions;
-  #search: Search | undefined;
+export class StreamFailover<Result> {
+  readonly #options: StreamFailoverOptions<Result>;
+  #search: Search<Result> | undefined;
   #isHeld = true;
   #hasFound = false;
   #stopWaiting = (): void => {};
   readonly #foundListeners = new Set<() => void>();
 
-  constructor(options: StreamFailoverOptions) {
+  constructor(options: StreamFailoverOptions<Result>) {
     this.#options = options;
   }
 
@@ -71,25 +61,24 @@
     return () => this.#foundListeners.delete(listener);
   }
 
-  /** Starts to look for another endpoint, unless that is in progress. */
+  /** Starts to look for another place, unless that is in progress. */
   start(cause: FailoverCause): void {
     if (this.#search !== undefined) return;
-    const { run, endpoint } = this.#options;
+    const { run, places } = this.#options;
     const { request } = run.options;
     const { log } = this.#dependencies;
     const abort = new AbortController();
     log.info("stream stalled", {
       attempt: request.attemptId,
-      endpoint: endpoint.entry.id,
+      ...places.describeHeld(),
       cause,
-      openCalls: endpoint.inFlight,
       attemptsLeft: run.attemptsLeft,
       remainingMilliseconds: Math.round(run.remaining()),
     });
     const startedAt = run.now();
-    if (cause !== "late_answer") endpoint.callOverdue(startedAt);
+    const endStall = places.startStall(cause, startedAt);
     const result = this.#findOrLog(abort.signal);
-    this.#search = { abort, cause, startedAt, result };
+    this.#search = { abort, cause, startedAt, endStall, result };
   }
 
   /** Keeps the held answer, which goes on or has ended. */
@@ -100,7 +89,7 @@
     search.abort.abort();
     this.#stopWaiting();
     void search.result.then((result) => {
-      if (result !== undefined) closeAnswer(result);
+      if (result !== undefined) this.#options.places.close(result);
     });
     this.#options.run.releaseResults();
     this.#recordEnd(search, "resumed");
@@ -110,7 +99,7 @@
    * To be called when the held answer is over. Resolves to the result of a send
    * that was made or is in progress; undefined if there is none.
    */
-  async take(): Promise<SendResult | undefined> {
+  async take(): Promise<Result | undefined> {
     const search = this.#search;
     if (search === undefined) return undefined;
     this.#isHeld = false;
@@ -125,7 +114,7 @@
   }
 
   /** An unexpected error ends the search, not the held answer. */
-  async #findOrLog(signal: AbortSignal): Promise<SendResult | undefined> {
+  async #findOrLog(signal: AbortSignal): Promise<Result | undefined> {
     try {
       return await this.#find(signal);
     } catch (error) {
@@ -138,68 +127,66 @@
     }
   }
 
-  /** Tries until another endpoint answers or the held answer is over. */
-  async #find(signal: AbortSignal): Promise<SendResult | undefined> {
-    const { run, mayRelay } = this.#options;
+  /** Tries until another place answers or the held answer is over. */
+  async #find(signal: AbortSignal): Promise<Result | undefined> {
+    const { run, places } = this.#options;
     while (!signal.aborted && run.isOpen) {
-      if (mayRelay()) {
-        this.#reportFound();
+      const attempt = await this.#try(signal);
+      const result = attempt.type === "sent" ? attempt.result : undefined;
+      if (attempt.type === "reserved") {
+        if (signal.aborted) run.cancelReservedSend();
+        else this.#reportFound();
         return undefined;
       }
-      const attempt = await this.#try(signal);
-      if (signal.aborted) return resultOf(attempt);
-      if ("answer" in attempt) {
-        if (isStreamed(attempt.answer, run.options.route)) {
-          this.#reportFound();
-          return attempt;
-        }
-        if (!this.#isHeld) return attempt;
+      if (signal.aborted) return result;
+      const kind = result === undefined ? "failure" : places.kindOf(result);
+      if (kind === "stream") {
+        this.#reportFound();
+        return result;
       }
-      if (!this.#isHeld) return undefined;
+      if (!this.#isHeld) return kind === "answer" ? result : undefined;
       await this.#wait(this.#recordRefusal(attempt), signal);
       if (!this.#isHeld) return undefined;
     }
     return undefined;
   }
 
-  async #try(signal: AbortSignal): Promise<SendResult | FailoverRefusal> {
-    const { run, sender, prepareInputs } = this.#options;
-    const refusal = this.#findRefusal() ?? await prepareInputs(signal);
-    if (refusal !== undefined) return refusal;
+  async #try(signal: AbortSignal): Promise<Attempt<Result>> {
+    const { run, places } = this.#options;
+    const isPrepared = !places.goesOnOtherwise();
+    const refusal = isPrepared
+      ? this.#findRefusal() ?? await places.prepare(signal)
+      : undefined;
+    if (refusal !== undefined) return { type: "refused", refusal };
     const outcome = signal.aborted
       ? "refused"
       : await run.reserveSend("failed", () => !signal.aborted);
-    if (outcome === "refused") return this.#spentBudget();
-    const choice = signal.aborted ? undefined : sender.chooseEndpoint();
+    if (outcome === "refused") {
+      return { type: "refused", refusal: this.#spentBudget() };
+    }
     // The waits above may have outlasted the first check.
-    const obstacle = this.#findObstacle();
-    if (choice === undefined || obstacle !== undefined) {
-      run.cancelReservedSend();
-      return obstacle ?? { reason: "no endpoint" };
+    if (!signal.aborted && places.goesOnOtherwise()) {
+      return { type: "reserved" };
     }
-    return await sender.sendBeside(choice, signal);
+    const obstacle = places.findObstacle();
+    const maySend = !signal.aborted && isPrepared && obstacle === undefined;
+    const send = maySend ? places.send(signal) : undefined;
+    if (send !== undefined) return { type: "sent", result: await send };
+    run.cancelReservedSend();
+    const reason = obstacle ?? places.findMissingPlace() ?? "no place left";
+    return { type: "refused", refusal: { reason } };
   }
 
   /** What is known to keep the stream from going on, before its stages. */
   #findRefusal(): FailoverRefusal | undefined {
-    const { run, sender } = this.#options;
+    const { run, places } = this.#options;
     const { retryGate } = this.#dependencies;
-    const obstacle = this.#findObstacle();
-    if (obstacle !== undefined) return obstacle;
-    if (!sender.hasHealthyEndpoint) return { reason: "no endpoint" };
+    const reason = places.findObstacle() ?? places.findMissingPlace();
+    if (reason !== undefined) return { reason };
     const wait = retryGate.waitFor(run.options.service, 1);
     return wait > 0 ? this.#spentBudget() : undefined;
   }
 
-  #findObstacle(): FailoverRefusal | undefined {
-    const { run, sender, findObstacle } = this.#options;
-    if (!run.hasAttemptsLeft || sender.hasSentOften) {
-      return { reason: "no attempt left" };
-    }
-    const reason = findObstacle();
-    return reason === undefined ? undefined : { reason };
-  }
-
   #spentBudget(): FailoverRefusal {
     const { service } = this.#options.run.options;
     return {
@@ -210,14 +197,14 @@
   }
 
   /** Records why nothing was found yet; returns when to try again. */
-  #recordRefusal(attempt: SendResult | FailoverRefusal): number {
-    const { run, recordFailure } = this.#options;
+  #recordRefusal(
+    attempt: Exclude<Attempt<Result>, { type: "reserved" }>,
+  ): number {
+    const { run, places } = this.#options;
     const { log, metrics } = this.#dependencies;
-    if ("answer" in attempt) recordFailure(attempt);
-    const refusal: FailoverRefusal = "answer" in attempt
-      ? { reason: `endpoint: ${attempt.answer.type}` }
-      : attempt;
-    const { reason, retryAfterMilliseconds = 0 } = refusal;
+    const { reason, retryAfterMilliseconds = 0 } = attempt.type === "sent"
+      ? places.recordFailure(attempt.result)
+      : attempt.refusal;
     const { service, request } = run.options;
     metrics.countFailoverRefusal(service, reason);
     log.info("no other endpoint for stalled stream", {
@@ -249,33 +236,22 @@
   }
 
   #recordEnd(
-    { cause, startedAt }: Search,
+    { cause, startedAt, endStall }: Search<Result>,
     outcome: "resumed" | "replaced" | "ended",
   ): void {
-    const { run, endpoint } = this.#options;
+    const { run, places } = this.#options;
     const { log, metrics } = this.#dependencies;
     const { service, request } = run.options;
     const now = run.now();
-    if (cause !== "late_answer") {
-      endpoint.overdueCallEnded({
-        isAnswered: outcome === "resumed" && run.isOpen,
-        startedAt,
-        now,
-      });
-    }
+    const isAnswered = outcome === "resumed" && run.isOpen;
+    endStall({ isAnswered, startedAt, now });
     metrics.countStalledStream(service, outcome);
     log.info("stream no longer stalled", {
       attempt: request.attemptId,
-      endpoint: endpoint.entry.id,
+      ...places.describeHeld(),
       cause,
       outcome,
       tookMilliseconds: Math.round(now - startedAt),
     });
   }
 }
-
-function resultOf(
-  attempt: SendResult | FailoverRefusal,
-): SendResult | undefined {
-  return "answer" in attempt ? attempt : undefined;
-}
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -2,7 +2,8 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
-import type { FailoverCause, StreamFailover } from "./stream_failover.ts";
+import type { FailoverCause } from "./failover_places.ts";
+import type { StreamFailover } from "./stream_failover.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import { BodyLimitError, PROCESS_READ_BUDGET } from "kelpspar-http";
 import { StreamSilenceError } from "./stream_silence_error.ts";
@@ -13,9 +14,9 @@
   readonly answer: ReceivedAnswer;
   /** Undefined for a stream that another daemon relays. */
   readonly endpoint?: EndpointState;
-  /** Looks for another endpoint while nothing arrives; none for a relayed one. */
-  readonly failover?: Pick<
-    StreamFailover,
+  /** Looks for another endpoint or daemon while nothing arrives. */
+  readonly failover: Pick<
+    StreamFailover<unknown>,
     "start" | "cancel" | "registerFound"
   >;
   /**
@@ -85,12 +86,11 @@
     const holding = PROCESS_READ_BUDGET.open(() => giveUp("memory"));
     let isEventSlow = false;
     const failOver = (cause: FailoverCause, error: Error): void => {
-      if (failover === undefined) return close(error);
       failoverError = error;
       failover.start(cause);
     };
     let failoverError = new Error("The stream goes on elsewhere");
-    const stopListening = failover?.registerFound(() => close(failoverError));
+    const stopListening = failover.registerFound(() => close(failoverError));
     const timeouts = new StreamTimeouts({
       run,
       isRelayed: stream.endpoint === undefined,
@@ -113,7 +113,7 @@
         const events = this.#relay.push(chunk as Buffer);
         holding.set(this.#relay.heldBytes);
         isEventSlow &&= events.length === 0;
-        if (!isEventSlow) failover?.cancel();
+        if (!isEventSlow) failover.cancel();
         if (events.length > 0) {
           timeouts.stop();
           stream.onEvents?.();
@@ -133,7 +133,7 @@
     } catch (error) {
       throw closeCause ?? error;
     } finally {
-      stopListening?.();
+      stopListening();
       timeouts.stop();
       holding.end();
     }
