Hold a late relayed answer while another daemon is asked

Cause: PeerRelay closed the connection once heartbeats were missing, before it was known whether a retry, an attempt or another daemon was left; the peer only pauses and would have answered. With heartbeats, nothing looked for another daemon before the deadline. Change: PeerRelay reports the silence and keeps the call. RequestRelayer asks another daemon beside it, for a resumable stream also after 3 s or three objectives; the first answer wins. That daemon is told that the stages may have begun, and the send costs a retry. A relayed send counts as delivered while its outcome is open. A daemon that is gone was followed by the next one there too, by the abort that PeerRelay made, which the stand-in doesn't play.

--- a/packages/kelpspar-gateway/src/__tests__/unit/relay_message_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relay_message_test.ts
@@ -75,7 +75,6 @@
         cores: 1,
       },
       message: createMessage(length),
-      isRepeatable: false,
       signal: new AbortController().signal,
     });
   expect(await send(MEBIBYTE)).toEqual({
--- a/packages/kelpspar-gateway/src/relay/peer_relay.ts
+++ b/packages/kelpspar-gateway/src/relay/peer_relay.ts
@@ -33,8 +33,8 @@
 export interface PeerRelayCall {
   readonly peer: DaemonAddress;
   readonly message: RelayMessage;
-  /** Whether to give the call up when the other daemon falls silent. */
-  readonly isRepeatable: boolean;
+  /** Called once if the other daemon falls silent before its answer begins. */
+  readonly onStalled?: (() => void) | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -86,7 +86,7 @@
   /** Never throws. The answer's body may still be arriving when it resolves. */
   async send(call: PeerRelayCall): Promise<RelayAnswer> {
     const { membership, timer, malformedAnswers, budget } = this.#options;
-    const { peer, message, isRepeatable, signal } = call;
+    const { peer, message, onStalled, signal } = call;
     const { daemonId } = peer;
     const copyBytes = relayMessageBytes(message);
     if (!budget.admit(copyBytes)) {
@@ -94,11 +94,10 @@
     }
     const copy = budget.open({ state: "kept", address: peer.peer });
     copy.set(copyBytes);
-    const abortController = new AbortController();
-    const stop = (): void => abortController.abort();
-    signal.addEventListener("abort", stop, { once: true });
     const stopCheck = timer.registerInterval(() => {
-      if (isRepeatable && membership.isStalled(daemonId, timer.now())) stop();
+      if (!membership.isStalled(daemonId, timer.now())) return;
+      stopCheck();
+      onStalled?.();
     }, CHECK_INTERVAL_MILLISECONDS);
     this.#open.set(daemonId, (this.#open.get(daemonId) ?? 0) + 1);
     this.#sent++;
@@ -108,7 +107,7 @@
         message,
         timer,
         malformedAnswers,
-        signal: abortController.signal,
+        signal,
       });
       if (answer.type === "unreachable" && !signal.aborted) {
         membership.reportFailedCall(peer.peer, {
@@ -120,7 +119,6 @@
     } finally {
       copy.end();
       stopCheck();
-      signal.removeEventListener("abort", stop);
       this.#open.set(daemonId, (this.#open.get(daemonId) ?? 1) - 1);
     }
   }
--- a/packages/kelpspar-gateway/src/requests/endpoint_places.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_places.ts
@@ -79,7 +79,8 @@
   }
 
   kindOf({ answer }: SendResult): FailoverResultKind {
-    if (isStreamed(answer, this.#options.run.options.route)) return "stream";
+    const { route } = this.#options.run.options;
+    if (isStreamed(answer, route)) return "replacement";
     return answer.type === "answered" ? "answer" : "failure";
   }
 
--- a/packages/kelpspar-gateway/src/requests/failover_places.ts
+++ b/packages/kelpspar-gateway/src/requests/failover_places.ts
@@ -4,8 +4,8 @@
 /** Why another place is looked for. */
 export type FailoverCause = "silence" | "slow_event" | "late_answer";
 
-/** What a send brought; only a stream replaces an answer that is held. */
-export type FailoverResultKind = "stream" | "answer" | "failure";
+/** What a send brought; only a replacement ends an answer that is held. */
+export type FailoverResultKind = "replacement" | "answer" | "failure";
 
 /** How the wait for a held answer ended. Times are monotonic milliseconds. */
 export interface StallEnd {
@@ -32,7 +32,7 @@
   /** Asks a place, after a send was reserved; undefined if none is left. */
   send(signal: AbortSignal): Promise<Result> | undefined;
   kindOf(result: Result): FailoverResultKind;
-  /** Records a send that brought no stream; returns why. */
+  /** Records a send that brought no replacement; returns why. */
   recordFailure(result: Result): FailoverRefusal;
   /** Closes an answer that isn't used. */
   close(result: Result): void;
--- a/packages/kelpspar-gateway/src/requests/peer_places.ts
+++ b/packages/kelpspar-gateway/src/requests/peer_places.ts
@@ -4,7 +4,7 @@
 import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { PeerResult } from "./peer_result.ts";
 import type { RequestRun } from "./request_run.ts";
-import { closePeerAnswer } from "./peer_result.ts";
+import { closePeerAnswer, isSuccessfulPeer } from "./peer_result.ts";
 import { isStreamed } from "./send_result.ts";
 
 /** Options of `PeerPlaces`. */
@@ -67,10 +67,14 @@
     return peer === undefined ? undefined : sendTo(peer, signal);
   }
 
-  kindOf({ answer }: PeerResult): FailoverResultKind {
+  kindOf(result: PeerResult): FailoverResultKind {
+    const { answer } = result;
     if (answer.type !== "answered") return "failure";
     const { route } = this.#options.run.options;
-    return isStreamed(answer.answer, route) ? "stream" : "answer";
+    const isReplacement = route.kind === "stream"
+      ? isStreamed(answer.answer, route)
+      : isSuccessfulPeer(result);
+    return isReplacement ? "replacement" : "answer";
   }
 
   recordFailure(result: PeerResult): FailoverRefusal {
--- a/packages/kelpspar-gateway/src/requests/peer_result.ts
+++ b/packages/kelpspar-gateway/src/requests/peer_result.ts
@@ -11,3 +11,8 @@
 export function closePeerAnswer({ answer }: PeerResult): void {
   if (answer.type === "answered") answer.answer.close();
 }
+
+/** True for an answer that isn't an endpoint's failure. */
+export function isSuccessfulPeer({ answer }: PeerResult): boolean {
+  return answer.type === "answered" && answer.answer.status < 500;
+}
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -1,5 +1,6 @@
 import type { DaemonAddress } from "../fleet/fleet_digest.ts";
 import type { RelayAnswer } from "../relay/relay_answer.ts";
+import type { PeerRelayCall } from "../relay/peer_relay.ts";
 import type { RelayRefusal } from "../relay/relay_refusal.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ShutdownAdmission } from "./shutdown_admission.ts";
@@ -13,9 +14,10 @@
 import { NO_ENDPOINT_RETRY_MILLISECONDS } from "./retry_waits.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 import { PeerPlaces } from "./peer_places.ts";
-import { closePeerAnswer } from "./peer_result.ts";
+import { closePeerAnswer, isSuccessfulPeer } from "./peer_result.ts";
 import { isStreamed } from "./send_result.ts";
 import { StreamFailover } from "./stream_failover.ts";
+import { lateRelayedAnswerMilliseconds } from "./stream_timeouts.ts";
 
 /** Daemons that one request is relayed to at most. */
 const MAXIMUM_PEERS = 3;
@@ -110,16 +112,74 @@
       this.#options.fail(refusal.reason, refusal.retryAfterMilliseconds);
       return "ended";
     }
-    return await this.#handle(await this.#sendTo(peer));
+    return await this.#handle(await this.#sendHeld(peer));
   }
 
   /**
-   * Relays the request, after the send was reserved. `signal` gives it up for
-   * the answer that it was sent beside.
+   * Relays the request. While the answer of a repeatable one is late, or its
+   * daemon is silent, another daemon is asked beside it.
    */
+  async #sendHeld(peer: DaemonAddress): Promise<PeerResult> {
+    const { run } = this.#options;
+    const { route, dependencies: { timer } } = run.options;
+    const failover = this.#createFailover(peer);
+    const found = new Promise<"found">((resolve) => {
+      failover.registerFound(() => resolve("found"));
+    });
+    const startedAt = run.now();
+    const askAnother = (): void => {
+      if (!run.isOpen || !run.hasAttemptsLeft) return;
+      run.recordEarlierStages(startedAt);
+      failover.start("late_answer");
+    };
+    const stopTimer = run.isResumableStream
+      ? timer.registerTimeout(askAnother, lateRelayedAnswerMilliseconds(route))
+      : () => {};
+    const replaced = new AbortController();
+    const held = this.#sendTo(peer, {
+      signal: replaced.signal,
+      onStalled: askAnother,
+    });
+    const first = await Promise.race([held, found]);
+    stopTimer();
+    if (first === "found") {
+      replaced.abort();
+      const result = await held;
+      return this.#replace(result, await failover.take());
+    }
+    if (isSuccessfulPeer(first) || !run.isOpen) {
+      failover.cancel();
+      return first;
+    }
+    return this.#replace(first, await failover.take());
+  }
+
+  /** Gives up an answer for the one that a failover found, if it found any. */
+  #replace(result: PeerResult, next: PeerResult | undefined): PeerResult {
+    if (next === undefined) return result;
+    closePeerAnswer(result);
+    return next;
+  }
+
+  /**
+   * Relays the request beside the answer of another daemon, unless the one that
+   * is asked is silent too.
+   */
+  async #sendBeside(
+    peer: DaemonAddress,
+    signal: AbortSignal,
+  ): Promise<PeerResult> {
+    const stalled = new AbortController();
+    return await this.#sendTo(peer, {
+      signal: AbortSignal.any([signal, stalled.signal]),
+      onStalled: () => stalled.abort(),
+    });
+  }
+
+  /** Relays the request, after the send was reserved. */
   async #sendTo(
     peer: DaemonAddress,
-    signal?: AbortSignal,
+    { signal, onStalled }: Pick<PeerRelayCall, "signal" | "onStalled">,
   ): Promise<PeerResult> {
     const { run } = this.#options;
     const { relay, configuration, log, timer, retryGate } =
@@ -131,7 +191,6 @@
     run.sends++;
     run.deliveries++;
     run.runs += attempts;
-    const stopSignal = run.stop.signal;
     const answer = await relay.send({
       peer,
       message: {
@@ -142,10 +201,8 @@
         senderEndsInMilliseconds: this.#endsInMilliseconds,
         request: this.#createRequest(),
       },
-      isRepeatable: run.hasAttemptsLeft,
-      signal: signal === undefined
-        ? stopSignal
-        : AbortSignal.any([stopSignal, signal]),
+      onStalled,
+      signal: AbortSignal.any([run.stop.signal, signal]),
     });
     log.info("request relayed", {
       attempt: run.options.request.attemptId,
@@ -276,7 +333,7 @@
           : shutdown.findArrivalRefusal(run)?.reason,
       choosePeer: () => this.#choosePeer(),
       mayServe: () => this.#mayServe,
-      sendTo: (next, signal) => this.#sendTo(next, signal),
+      sendTo: (next, signal) => this.#sendBeside(next, signal),
     });
     return new StreamFailover({ run, places });
   }
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -140,7 +140,7 @@
       }
       if (signal.aborted) return result;
       const kind = result === undefined ? "failure" : places.kindOf(result);
-      if (kind === "stream") {
+      if (kind === "replacement") {
         this.#reportFound();
         return result;
       }
--- a/packages/kelpspar-gateway/src/requests/stream_timeouts.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_timeouts.ts
@@ -1,3 +1,4 @@
+import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { RequestRun } from "./request_run.ts";
 
 /**
@@ -14,6 +15,16 @@
 const EVENT_OBJECTIVES = 2;
 const RELAYED_EVENT_OBJECTIVES = 3;
 
+/** Time after which a relayed answer should have begun, milliseconds. */
+export function lateRelayedAnswerMilliseconds(
+  { objectiveMilliseconds }: Pick<ServiceRoute, "objectiveMilliseconds">,
+): number {
+  return Math.max(
+    RELAYED_IDLE_TIMEOUT_MILLISECONDS,
+    RELAYED_EVENT_OBJECTIVES * objectiveMilliseconds,
+  );
+}
+
 /** Options of `StreamTimeouts`. */
 export interface StreamTimeoutsOptions {
   readonly run: RequestRun;
