Send the head of a resumed relayed answer before its first event

The one of the daemon whose answer is held is ended by the head of the next daemon's answer, and that head came with the first event, after the new endpoint had read the prompt. Cause: StreamForwarder begins a reply with its first whole event, and a head that is written isn't sent before the body. Change: a daemon that resumes a relayed stream begins its answer with the head of its endpoint's, and RelayReply sends it at once. A failure after that cuts the answer, as a second head can't be sent. Not measured with processes: how long both endpoints run.

--- a/packages/kelpspar-gateway/src/relay/relay_listener.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_listener.ts
@@ -119,7 +119,10 @@
   isUnable = (): boolean => true,
 ): RelayReply {
   const reply = new HttpReply(response, { mustClose: () => true, budget });
-  return new RelayReply(reply, isUnable);
+  const flushHead = (): void => {
+    if (!response.destroyed) response.flushHeaders();
+  };
+  return new RelayReply({ reply, isUnable, flushHead });
 }
 
 function decode(bytes: Uint8Array): RelayMessage | undefined {
--- a/packages/kelpspar-gateway/src/relay/relay_reply.ts
+++ b/packages/kelpspar-gateway/src/relay/relay_reply.ts
@@ -8,15 +8,24 @@
 import { RELAY_ORIGIN_HEADER } from "./relay_origin.ts";
 import { encodeRelayRefusal } from "./relay_refusal.ts";
 
+/** Options of a `RelayReply`. */
+export interface RelayReplyOptions {
+  readonly reply: HttpReply;
+  /** Whether another daemon should be asked. */
+  readonly isUnable: () => boolean;
+  /** Sends the head of an answer before its body. */
+  readonly flushHead: () => void;
+}
+
 /** Answers a relayed request; marks the answers of this daemon as its own. */
 export class RelayReply implements RequestReply {
+  readonly #options: RelayReplyOptions;
   readonly #reply: HttpReply;
-  readonly #isUnable: () => boolean;
+  #hasBegun = false;
 
-  /** `isUnable` tells whether another daemon should be asked. */
-  constructor(reply: HttpReply, isUnable: () => boolean) {
-    this.#reply = reply;
-    this.#isUnable = isUnable;
+  constructor(options: RelayReplyOptions) {
+    this.#options = options;
+    this.#reply = options.reply;
   }
 
   get disconnectSignal(): AbortSignal {
@@ -28,7 +37,11 @@
   }
 
   refuse(answer: DaemonAnswer, progress: RefusedProgress = {}): void {
-    const isUnable = this.#isUnable();
+    if (this.#hasBegun) {
+      this.#reply.abort();
+      return;
+    }
+    const isUnable = this.#options.isUnable();
     this.#reply.answer(
       answer.status,
       markOrigin("daemon", []),
@@ -37,11 +50,14 @@
   }
 
   answer(status: number, headers: readonly string[], body: Uint8Array): void {
-    this.#reply.answer(status, markOrigin("endpoint", headers), body);
+    if (this.#hasBegun) this.#reply.abort();
+    else this.#reply.answer(status, markOrigin("endpoint", headers), body);
   }
 
   begin(status: number, headers: readonly string[]): void {
+    this.#hasBegun = true;
     this.#reply.begin(status, markOrigin("endpoint", headers));
+    this.#options.flushHead();
   }
 
   write(chunk: Uint8Array): Promise<void> {
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -60,6 +60,7 @@
       signal.addEventListener("abort", onStop, { once: true });
     }
     try {
+      if (this.#endsHeldAnswer) this.#beginReply(answer);
       await this.#forwardEvents(stream);
       if (this.#run.isOpen) this.#assertComplete(answer);
     } catch (error) {
@@ -72,6 +73,16 @@
     if (this.#run.isOpen) await this.#endReply(answer);
   }
 
+  /**
+   * True if another daemon may hold the answer that this one goes on with. It
+   * closes that one once this one has begun, however late the first event is.
+   */
+  get #endsHeldAnswer(): boolean {
+    const { mayRelay, isResumableStream, options } = this.#run;
+    return !mayRelay && isResumableStream &&
+      options.request.lastEventId !== undefined;
+  }
+
   async #forwardEvents(stream: ForwardedStream): Promise<void> {
     const run = this.#run;
     const { answer, beforeFirstEvent, onFirstEvent, failover } = stream;
