Find the software of a relayed stream before going on with it here

Callers saw: nothing reported; a stream that another daemon had begun could go on at an endpoint of another software version (MIXED). Cause: the software of a stream is resolved before it is relayed, when there is no event yet. The daemon that relays pins nothing, and went on at any endpoint. Change: the software is resolved again when this daemon serves the request after all. A silent stream is held until its software is known.

--- a/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
@@ -2,6 +2,7 @@
 import type { PeerRelayCall } from "../../relay/peer_relay.ts";
 import type { RelayAnswer } from "../../relay/relay_answer.ts";
 import type { ReceivedAnswer } from "../../requests/send_result.ts";
+import type { OriginLookup } from "../../streams/stream_origins.ts";
 import type { ScriptedAnswer, World } from "../support/request_world.ts";
 import { expect } from "earl";
 import { Readable } from "node:stream";
@@ -100,6 +101,9 @@
   readonly isIsolated?: () => boolean;
   /** Answers of endpoints, once this daemon reaches them. */
   readonly endpoints?: readonly ScriptedAnswer[];
+  readonly versions?: readonly string[];
+  /** What is known of the software that began the stream. */
+  readonly origin?: OriginLookup;
 }
 
 type IsolatedWorld = World & { readonly calls: readonly PeerRelayCall[] };
@@ -109,11 +113,12 @@
   script: readonly ScriptedPeer[],
   options: IsolatedOptions = {},
 ): IsolatedWorld {
-  const { route, slack = 50, isIsolated, endpoints = [] } = options;
+  const { route, slack = 50, isIsolated, endpoints = [], ...rest } = options;
   const calls: PeerRelayCall[] = [];
   const world = createWorld(endpoints, {
     route: { stages: [], ...route },
     slack,
+    ...rest,
     relay: {
       get isNeeded(): boolean {
         return isIsolated?.() ?? true;
@@ -387,3 +392,82 @@
   await served;
   expect(outcomeOf(world)).toEqual(WHOLE);
 });
+
+// Guards against events of two software versions in one stream.
+test("a relayed stream goes on here at the software that began it", async () => {
+  for (const version of ["v1", "v2"]) {
+    const peer = new PausingStream();
+    let isIsolated = true;
+    const world = createIsolated([peer.answer], {
+      isIsolated: () => isIsolated,
+      endpoints: [() => stream(SECOND, THIRD)],
+      versions: ["v1", "v2", "v2"],
+      origin: { type: "known", origin: { service: "model", version } },
+    });
+    const served = world.service.serve(
+      request({ pieceCounts: [] }),
+      world.reply,
+    );
+    await world.timer.settle();
+    peer.write(FIRST);
+    await world.timer.settle();
+    isIsolated = false;
+    peer.cut();
+    await world.timer.settle();
+    await served;
+    expect(outcomeOf(world)).toEqual(WHOLE);
+    expect(world.endpointCalls[0]?.endpoint.version).toEqual(version);
+  }
+});
+
+// Guards against streams that go on although their software is gone or unknown.
+test("a relayed stream doesn't go on here at unknown software", async () => {
+  const peer = new PausingStream();
+  let isIsolated = true;
+  const world = createIsolated([peer.answer], {
+    isIsolated: () => isIsolated,
+    endpoints: [() => stream(SECOND, THIRD)],
+    versions: ["v1", "v2", "v2"],
+    origin: { type: "unknown" },
+  });
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.settle();
+  isIsolated = false;
+  peer.cut();
+  await world.timer.settle();
+  await served;
+  expect([world.reply.endState, world.endpointCalls.length]).toEqual([
+    "broken",
+    0,
+  ]);
+});
+
+// Guards against streams that are closed though nobody knows their software.
+test("a silent relayed stream is kept while its software is unknown", async () => {
+  const peer = new PausingStream();
+  let isIsolated = true;
+  const world = createIsolated([peer.answer], {
+    isIsolated: () => isIsolated,
+    origin: { type: "unknown" },
+  });
+  const served = world.service.serve(
+    request({ pieceCounts: [] }),
+    world.reply,
+  );
+  await world.timer.settle();
+  peer.write(FIRST);
+  await world.timer.settle();
+  isIsolated = false;
+  await world.timer.advance(PAUSE_MILLISECONDS);
+  expect(peer.isClosed).toEqual(false);
+  peer.write(SECOND + THIRD);
+  peer.end();
+  await world.timer.settle();
+  await served;
+  expect(outcomeOf(world)).toEqual(WHOLE);
+});
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -102,6 +102,7 @@
       run,
       streamRelay: relay,
       streamForwarder: this.#streamForwarder,
+      continuation: this.#continuation,
       shutdown: options.shutdown,
       fail: (reason, wait) => this.fail(reason, wait),
     });
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -5,6 +5,7 @@
 import type { RequestRun } from "./request_run.ts";
 import type { ShutdownAdmission } from "./shutdown_admission.ts";
 import type { ReceivedAnswer } from "./send_result.ts";
+import type { StreamContinuation } from "./stream_continuation.ts";
 import type { StreamForwarder } from "./stream_forwarder.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import type { PeerResult } from "./peer_result.ts";
@@ -31,6 +32,7 @@
   readonly run: RequestRun;
   readonly streamRelay: StreamRelay;
   readonly streamForwarder: StreamForwarder;
+  readonly continuation: Pick<StreamContinuation, "resolve">;
   readonly shutdown: Pick<ShutdownAdmission, "findArrivalRefusal">;
   /** Fails the request, or returns an earlier answer of an endpoint. */
   readonly fail: (reason: string, retryAfterMilliseconds: number) => void;
@@ -332,25 +334,38 @@
           ? "no daemon may be asked"
           : shutdown.findArrivalRefusal(run)?.reason,
       choosePeer: () => this.#choosePeer(),
-      mayServe: () => this.#mayServe,
+      mayServe: () => this.#mayServe(),
       sendTo: (next, signal) => this.#sendBeside(next, signal),
     });
     return new StreamFailover({ run, places });
   }
 
   /** True if only this daemon is left to go on with a stream, and may do so. */
-  get #mayServe(): boolean {
-    const { run } = this.#options;
+  #mayServe(): boolean {
+    const { run, continuation } = this.#options;
     const { dependencies, service } = run.options;
     const { endpointRegistry, retryGate } = dependencies;
-    return this.#isServedHere && this.#choosePeer() === undefined &&
-      run.hasAttemptsLeft && !run.isSuspect &&
+    if (!this.#isServedHere || this.#choosePeer() !== undefined) return false;
+    if (!this.#isSoftwareKnown) {
+      // In time for the next search.
+      void continuation.resolve();
+      return false;
+    }
+    return run.hasAttemptsLeft && !run.isSuspect &&
       retryGate.waitFor(service, 1) === 0 &&
       endpointRegistry.availableFor(service).some((endpoint) =>
         mayContinue(run, endpoint) && endpoint.isHealthy(run.now())
       );
   }
 
+  /** Whether it is known which endpoints may go on with the stream. */
+  get #isSoftwareKnown(): boolean {
+    const { run, streamRelay } = this.#options;
+    const hasBegun = run.isResumableStream &&
+      streamRelay.lastEventId !== undefined;
+    return !hasBegun || run.streamOrigin !== undefined;
+  }
+
   async #forwardBuffered(answer: ReceivedAnswer): Promise<void> {
     const { run } = this.#options;
     const body = await readAnswerBody(run, answer);
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -265,6 +265,8 @@
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (!await dispatcher.prepareContinuation()) return;
       if (await dispatcher.relay()) return;
+      // Another daemon may have begun the stream.
+      if (!await dispatcher.prepareContinuation()) return;
       if (hasPieces) {
         const end = await this.#runChain(run, stages);
         if (end === "isolated") continue;
