--- a/packages/kelpspar-gateway/src/requests/failover_refusal.ts
+++ b/packages/kelpspar-gateway/src/requests/failover_refusal.ts
@@ -7,3 +7,9 @@
   /** True if nothing can change it; default false. */
   readonly isFinal?: boolean;
 }
+
+/** The request has run at as many endpoints as it may. */
+export const NO_ATTEMPT: FailoverRefusal = {
+  reason: "no attempt left",
+  isFinal: true,
+};
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -13,6 +13,7 @@
 import { AnswerEvidence } from "./answer_evidence.ts";
 import { AnswerProgress } from "./answer_progress.ts";
 import { describeCut } from "./describe_cut.ts";
+import { EndpointPlaces } from "./endpoint_places.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
@@ -102,6 +103,7 @@
       run,
       streamRelay: relay,
       streamForwarder: this.#streamForwarder,
+      continuation: this.#continuation,
       shutdown: options.shutdown,
       fail: (reason, wait) => this.fail(reason, wait),
     });
@@ -410,10 +412,10 @@
   #createFailover(
     held: SentTo,
     times: EventTimes = {},
-  ): StreamFailover {
+  ): StreamFailover<SendResult> {
     const run = this.#run;
     const { relay, quarantine } = run.options.dependencies;
-    return new StreamFailover({
+    const places = new EndpointPlaces({
       run,
       sender: this.#sender,
       endpoint: held.endpoint,
@@ -428,6 +430,7 @@
         relay.choosePeer(new Set()) !== undefined,
       recordFailure: (result) => void this.#recordOnce(result),
     });
+    return new StreamFailover({ run, places });
   }
 
   #findFailoverObstacle(): string | undefined {
@@ -626,7 +629,7 @@
     { error, times, failover }: {
       readonly error: unknown;
       readonly times: EventTimes;
-      readonly failover: StreamFailover;
+      readonly failover: StreamFailover<SendResult>;
     },
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -1,26 +1,18 @@
-import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
-import type { EndpointState } from "../endpoints/endpoint_state.ts";
-import type { EndpointSender } from "./endpoint_sender.ts";
+import type {
+  FailoverCause,
+  FailoverPlaces,
+  StallEnd,
+} from "./failover_places.ts";
 import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { RequestDependencies } from "./request_dependencies.ts";
 import type { RequestRun } from "./request_run.ts";
-import type { SendResult } from "./send_result.ts";
-import { closeAnswer, isStreamed } from "./send_result.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 
 /** Bounds of the time until another endpoint is looked for once more. */
 const MINIMUM_RETRY_MILLISECONDS = 250;
 const MAXIMUM_RETRY_MILLISECONDS = 2_000;
 
-const NO_ENDPOINT: FailoverRefusal = { reason: "no endpoint" };
 const ENDED: FailoverRefusal = { reason: "ended" };
-const NO_ATTEMPT: FailoverRefusal = {
-  reason: "no attempt left",
-  isFinal: true,
-};
-
-/** Why another endpoint is looked for. */
-export type FailoverCause = "silence" | "slow_event" | "late_answer";
 
 /** What followed a stall. */
 export type StallOutcome =
@@ -32,63 +24,43 @@
   | "ended";
 
 /** Options of a `StreamFailover`. */
-export interface StreamFailoverOptions {
+export interface StreamFailoverOptions<Result> {
   readonly run: RequestRun;
-  readonly sender: Pick<
-    EndpointSender,
-    | "chooseEndpoint"
-    | "sendBeside"
-    | "hasUnpausedEndpoint"
-    | "hasSentOften"
-    | "lateAnswerMilliseconds"
-  >;
-  /** The endpoint whose answer is held. */
-  readonly endpoint: EndpointState;
-  /** Why the stream must not be sent once more, if so. */
-  readonly findObstacle: () => string | undefined;
-  /** Reports a crash of the held endpoint if the request may be the cause. */
-  readonly checkHeld: () => Promise<void>;
-  /** Makes freed results of the stages again. */
-  readonly prepareInputs: (
-    signal: AbortSignal,
-  ) => Promise<FailoverRefusal | undefined>;
-  /** True if this daemon reaches no endpoint and another one serves. */
-  readonly mayRelay: () => boolean;
-  /** Records a send whose answer isn't used. */
-  readonly recordFailure: (result: SendResult) => void;
+  readonly places: FailoverPlaces<Result>;
 }
 
-interface Search {
+interface Search<Result> {
   readonly abort: AbortController;
   readonly cause: FailoverCause;
   readonly startedAt: number;
-  readonly result: Promise<SendResult | undefined>;
+  readonly endStall: (end: StallEnd) => void;
+  readonly result: Promise<Result | undefined>;
 }
 
 /** A send without a result yet. */
-interface PendingSend {
+interface PendingSend<Result> {
   readonly abort: AbortController;
-  readonly result: Promise<SendResult>;
+  readonly result: Promise<Result>;
 }
 
 /**
- * Looks for another endpoint for a stream whose endpoint is silent. The answer of
- * the silent one is held meanwhile: it may only pause, and the retry budget, the
+ * Looks for another endpoint, or another daemon, for a stream that is silent. The
+ * silent answer is held meanwhile: it may only pause, and the retry budget, the
  * stages or a place may be missing elsewhere. An answer that was given up first
  * would then be lost.
  */
-export class StreamFailover {
-  readonly #options: StreamFailoverOptions;
-  #search: Search | undefined;
+export class StreamFailover<Result> {
+  readonly #options: StreamFailoverOptions<Result>;
+  #search: Search<Result> | undefined;
   #isHeld = true;
   #hasFound = false;
-  readonly #pending = new Set<PendingSend>();
-  readonly #results: SendResult[] = [];
+  readonly #pending = new Set<PendingSend<Result>>();
+  readonly #results: Result[] = [];
   /** Ends the current wait. */
   #wake = (): void => {};
   readonly #foundListeners = new Set<() => void>();
 
-  constructor(options: StreamFailoverOptions) {
+  constructor(options: StreamFailoverOptions<Result>) {
     this.#options = options;
   }
 
@@ -108,37 +80,36 @@
     return () => this.#foundListeners.delete(listener);
   }
 
-  /** Starts to look for another endpoint, unless that is in progress. */
+  /** Starts to look for another place, unless that is in progress. */
   start(cause: FailoverCause): void {
     if (this.#search !== undefined) return;
-    const { run, endpoint } = this.#options;
+    const { run, places } = this.#options;
     const { request } = run.options;
     const { log } = this.#dependencies;
     const abort = new AbortController();
     log.info("stream stalled", {
       attempt: request.attemptId,
-      endpoint: endpoint.entry.id,
+      ...places.describeHeld(),
       cause,
-      openCalls: endpoint.inFlight,
       attemptsLeft: run.attemptsLeft,
       remainingMilliseconds: Math.round(run.remaining()),
     });
     const startedAt = run.now();
-    if (cause !== "late_answer") endpoint.callOverdue(startedAt);
+    const endStall = places.startStall(cause, startedAt);
     const result = this.#findOrLog(abort.signal);
-    this.#search = { abort, cause, startedAt, result };
+    this.#search = { abort, cause, startedAt, endStall, result };
   }
 
   /** Ends the search, since the held answer goes on or its request has ended. */
   cancel(): void {
     const search = this.#search;
     if (search === undefined) return;
-    const { run } = this.#options;
+    const { run, places } = this.#options;
     this.#search = undefined;
     search.abort.abort();
     this.#wake();
     void search.result.then((result) => {
-      if (result !== undefined) closeAnswer(result);
+      if (result !== undefined) places.close(result);
     });
     // Until its first event, the held endpoint may fail and its inputs be needed.
     if (run.firstByteAt !== undefined) run.releaseResults();
@@ -149,7 +120,7 @@
    * To be called when the held answer is over. Resolves to the result of a send
    * that was made or is in progress; undefined if there is none.
    */
-  async take(): Promise<SendResult | undefined> {
+  async take(): Promise<Result | undefined> {
     const search = this.#search;
     if (search === undefined) return undefined;
     this.#isHeld = false;
@@ -164,7 +135,7 @@
   }
 
   /** An unexpected error ends the search, not the held answer. */
-  async #findOrLog(signal: AbortSignal): Promise<SendResult | undefined> {
+  async #findOrLog(signal: AbortSignal): Promise<Result | undefined> {
     try {
       return await this.#find(signal);
     } catch (error) {
@@ -177,9 +148,9 @@
     }
   }
 
-  /** Tries until another endpoint answers or the held answer is over. */
-  async #find(signal: AbortSignal): Promise<SendResult | undefined> {
-    const { run, mayRelay, recordFailure } = this.#options;
+  /** Tries until another place answers or the held answer is over. */
+  async #find(signal: AbortSignal): Promise<Result | undefined> {
+    const { run, places } = this.#options;
     const wake = (): void => this.#wake();
     run.stop.signal.addEventListener("abort", wake, { once: true });
     try {
@@ -188,20 +159,21 @@
         const result = await this.#nextResult(wait);
         if (signal.aborted || !run.isOpen) return result;
         if (result !== undefined) {
-          if (this.#isAnswer(result)) return this.#report(result);
+          if (places.isReplacement(result)) return this.#report(result);
           if (this.#isOver) return result;
-          recordFailure(result);
-          wait = MINIMUM_RETRY_MILLISECONDS;
+          wait = this.#waitAfter(places.recordFailure(result));
           continue;
         }
         if (this.#isOver) return undefined;
-        const isRelayed = mayRelay();
-        const refusal = isRelayed
+        const goesOnOtherwise = places.goesOnOtherwise();
+        const refusal = goesOnOtherwise
           ? await this.#reserve(signal)
           : await this.#sendNext(signal);
         if (signal.aborted || !run.isOpen) return undefined;
-        // Another daemon serves the request with the retry that is reserved.
-        if (isRelayed && refusal === undefined) return this.#report(undefined);
+        // Who goes on uses the retry that is reserved.
+        if (goesOnOtherwise && refusal === undefined) {
+          return this.#report(undefined);
+        }
         wait = this.#waitAfter(refusal);
       }
     } finally {
@@ -216,17 +188,8 @@
       this.#results.length === 0;
   }
 
-  /** True for an answer with which the request goes on. */
-  #isAnswer({ answer }: SendResult): boolean {
-    const { run } = this.#options;
-    if (isStreamed(answer, run.options.route)) return true;
-    const isFinal = answer.type === "answered" &&
-      (answer.status < 500 || !run.hasAttemptsLeft);
-    return isFinal && run.firstByteAt === undefined;
-  }
-
   /** Waits for the next result; undefined if there is none in time. */
-  #nextResult(milliseconds: number): Promise<SendResult | undefined> {
+  #nextResult(milliseconds: number): Promise<Result | undefined> {
     const result = this.#results.shift();
     if (result !== undefined || milliseconds === 0 || this.#isOver) {
       return Promise.resolve(result);
@@ -244,25 +207,17 @@
     });
   }
 
-  /** Sends the request to another endpoint, or tells why it can't. */
+  /** Asks another place, or tells why it can't. */
   async #sendNext(signal: AbortSignal): Promise<FailoverRefusal | undefined> {
-    const { run, sender, prepareInputs, checkHeld } = this.#options;
-    const known = this.#findRefusal();
-    if (known !== undefined) return known;
-    await checkHeld();
-    const refusal = this.#findRefusal() ?? await prepareInputs(signal);
+    const { run, places } = this.#options;
+    const refusal = this.#findRefusal() ?? await places.prepare(signal) ??
+      await this.#reserve(signal);
     if (refusal !== undefined) return refusal;
-    const missing = await this.#reserve(signal);
-    if (missing !== undefined) return missing;
-    const choice = sender.chooseEndpoint();
     // The waits above may have outlasted the first check.
-    const obstacle = this.#findObstacle();
-    if (choice === undefined || obstacle !== undefined) {
-      run.cancelReservedSend();
-      return obstacle ?? NO_ENDPOINT;
-    }
-    this.#send(choice);
-    return undefined;
+    const obstacle = places.findObstacle();
+    const missing = obstacle ?? this.#send();
+    if (missing !== undefined) run.cancelReservedSend();
+    return missing;
   }
 
   async #reserve(signal: AbortSignal): Promise<FailoverRefusal | undefined> {
@@ -276,10 +231,14 @@
     return ENDED;
   }
 
-  #send(choice: EndpointChoice): void {
+  #send(): FailoverRefusal | undefined {
+    const { places } = this.#options;
     const abort = new AbortController();
-    const result = this.#options.sender.sendBeside(choice, abort.signal);
-    const pending: PendingSend = { abort, result };
+    const result = places.send(abort.signal);
+    if (result === undefined) {
+      return places.findMissingPlace() ?? { reason: "no place left" };
+    }
+    const pending: PendingSend<Result> = { abort, result };
     this.#pending.add(pending);
     void result.then((settled) => {
       // One that was given up is handled there.
@@ -287,39 +246,34 @@
       this.#results.push(settled);
       this.#wake();
     });
+    return undefined;
   }
 
   /** Ends all other sends; those that were replaced have failed. */
   #giveUpPending({ isReplaced }: { readonly isReplaced: boolean }): void {
-    const { recordFailure } = this.#options;
-    for (const result of this.#results.splice(0)) closeAnswer(result);
+    const { places } = this.#options;
+    const handle = (result: Result): void => {
+      if (isReplaced) places.recordFailure(result);
+      else places.close(result);
+    };
+    for (const result of this.#results.splice(0)) handle(result);
     for (const { abort, result } of this.#pending) {
       abort.abort();
-      void result.then(isReplaced ? recordFailure : closeAnswer);
+      void result.then(handle);
     }
     this.#pending.clear();
   }
 
   /** What is known to keep the stream from going on, before its stages. */
   #findRefusal(): FailoverRefusal | undefined {
-    const { run, sender } = this.#options;
+    const { run, places } = this.#options;
     const { retryGate } = this.#dependencies;
-    const obstacle = this.#findObstacle();
-    if (obstacle !== undefined) return obstacle;
-    if (!sender.hasUnpausedEndpoint) return NO_ENDPOINT;
+    const refusal = places.findObstacle() ?? places.findMissingPlace();
+    if (refusal !== undefined) return refusal;
     const wait = retryGate.waitFor(run.options.service, 1);
     return wait > 0 ? this.#spentBudget() : undefined;
   }
 
-  #findObstacle(): FailoverRefusal | undefined {
-    const { run, sender, findObstacle } = this.#options;
-    if (!run.hasAttemptsLeft || sender.hasSentOften) {
-      return NO_ATTEMPT;
-    }
-    const reason = findObstacle();
-    return reason === undefined ? undefined : { reason };
-  }
-
   #spentBudget(): FailoverRefusal {
     const { service } = this.#options.run.options;
     return {
@@ -332,7 +286,7 @@
   /** When to try again, milliseconds. */
   #waitAfter(refusal: FailoverRefusal | undefined): number {
     if (refusal === undefined) {
-      return this.#options.sender.lateAnswerMilliseconds;
+      return this.#options.places.lateMilliseconds;
     }
     const { run } = this.#options;
     const { log, metrics } = this.#dependencies;
@@ -352,31 +306,25 @@
   }
 
   /** Ends the search with the result of a send, or to relay the request. */
-  #report(result: SendResult | undefined): SendResult | undefined {
+  #report(result: Result | undefined): Result | undefined {
     this.#hasFound = true;
     for (const listener of this.#foundListeners) listener();
     return result;
   }
 
   #recordEnd(
-    { cause, startedAt }: Search,
+    { cause, startedAt, endStall }: Search<Result>,
     outcome: StallOutcome,
   ): void {
-    const { run, endpoint } = this.#options;
+    const { run, places } = this.#options;
     const { log, metrics } = this.#dependencies;
     const { service, request } = run.options;
     const now = run.now();
-    if (cause !== "late_answer") {
-      endpoint.overdueCallEnded({
-        isAnswered: outcome === "resumed",
-        startedAt,
-        now,
-      });
-    }
+    endStall({ isAnswered: outcome === "resumed", startedAt, now });
     metrics.countStalledStream(service, outcome);
     log.info("stream no longer stalled", {
       attempt: request.attemptId,
-      endpoint: endpoint.entry.id,
+      ...places.describeHeld(),
       cause,
       outcome,
       tookMilliseconds: Math.round(now - startedAt),
