--- a/packages/kelpspar-standins/src/losses/loss_steps.ts
+++ b/packages/kelpspar-standins/src/losses/loss_steps.ts
@@ -5,6 +5,7 @@
 import type { WireSite } from "../wire/wire_site.ts";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { pickRandom } from "../soak/pick_random.ts";
+import { drawDaemons } from "../wire/draw_daemons.ts";
 
 /** What a step may change. */
 export interface StepContext {
@@ -94,13 +95,6 @@
   },
 };
 
-function drawDaemons(
-  { daemons, random }: StepContext,
-): readonly DaemonProcess[] {
-  const share = random.next();
-  return daemons.filter(() => random.next() < share);
-}
-
 async function kill(daemon: DaemonProcess): Promise<void> {
   const { processId, exited } = daemon;
   daemon.signal("SIGKILL");
--- a/packages/kelpspar-standins/src/mod.ts
+++ b/packages/kelpspar-standins/src/mod.ts
@@ -81,6 +81,8 @@
 export { DEFAULT_CROWD_SITUATION } from "./crowds/crowd_situation.ts";
 export type { CrowdResult } from "./crowds/crowd_result.ts";
 export { runCrowds } from "./crowds/run_crowds.ts";
+export { PAUSE_SITUATIONS } from "./pauses/pause_situation.ts";
+export { runPauses } from "./pauses/run_pauses.ts";
 export { checkStops } from "./stops/check_stops.ts";
 export { runStops } from "./stops/run_stops.ts";
 export type { StopSituation } from "./stops/stop_situation.ts";
--- a/packages/kelpspar-standins/src/pauses/judge_pauses.ts
+++ b/packages/kelpspar-standins/src/pauses/judge_pauses.ts
@@ -1,6 +1,7 @@
 import type { PlannedStop } from "../stops/stop_attempt.ts";
 import type { RunnerRun } from "../wire/runner_stand_in.ts";
 import type { PausedStream } from "./paused_stream.ts";
+import { checkStops } from "../stops/check_stops.ts";
 import { groupRuns } from "../wire/group_runs.ts";
 import { readEvents } from "./read_events.ts";
 
@@ -11,6 +12,8 @@
   /** When endpoints stopped to work, by id. */
   readonly endings: ReadonlyMap<string, number>;
   readonly stops: readonly PlannedStop[];
+  /** Time that daemons have to stop. */
+  readonly graceMilliseconds: number;
   /** Time after which callers leave. */
   readonly deadlineMilliseconds: number;
 }
@@ -77,6 +80,7 @@
   };
   const violations: string[] = [];
   const times: number[] = [];
+  const stopped: PausedStream[] = [];
   let gaps = 0;
   let repeats = 0;
   let joined = 0;
@@ -84,6 +88,7 @@
     const end = endOf(stream, records);
     ends[end]++;
     if (end === "whole") times.push(stream.endedAt - stream.sentAt);
+    if (end === "cut_by_stop") stopped.push(stream);
     if (end === "cut") violations.push(describe(stream, "cut"));
     if (stream.status !== SERVED_STATUS) continue;
     const read = readEvents(stream.text, stream.attemptId);
@@ -116,6 +121,8 @@
     slowMilliseconds: timeAt(SLOW_SHARE),
     violations: [
       ...violations,
+      ...checkStops({ ...records, attempts: stopped, isRepeatable: true })
+        .violations,
       ...doubled.map(({ attemptId, runnerId }) =>
         `${attemptId}: ran on at ${runnerId} beside another endpoint`
       ),
@@ -133,16 +140,18 @@
   const { deadlineMilliseconds, endings, stops } = records;
   const limit = deadlineMilliseconds - DEADLINE_SLACK_MILLISECONDS;
   if (endedAt - sentAt >= limit) return "timed_out";
+  if (status === SERVED_STATUS) {
+    const runnerId = lastRunnerOf(stream, records.runs) ?? "";
+    const endingAt = endings.get(runnerId) ?? Number.POSITIVE_INFINITY;
+    if (endingAt <= endedAt) return "cut_by_endpoint";
+  }
   const isStopped = stops.some((stop) =>
     stop.address === address && endedAt >= stop.signalledAt &&
     endedAt <= (stop.endedAt ?? Number.POSITIVE_INFINITY) +
         STOP_SLACK_MILLISECONDS
   );
   if (isStopped) return "cut_by_stop";
-  if (status !== SERVED_STATUS) return "unanswered";
-  const runnerId = lastRunnerOf(stream, records.runs);
-  const endingAt = endings.get(runnerId ?? "") ?? Number.POSITIVE_INFINITY;
-  return endingAt <= endedAt ? "cut_by_endpoint" : "cut";
+  return status === SERVED_STATUS ? "cut" : "unanswered";
 }
 
 /** Runs on which an endpoint worked too long after another had begun. */
--- a/packages/kelpspar-standins/src/pauses/pause_series.ts
+++ b/packages/kelpspar-standins/src/pauses/pause_series.ts
@@ -28,6 +28,8 @@
   readonly site: WireSite;
   /** By the endpoint's id at that time; monotonic milliseconds. */
   readonly endings: Map<string, number>;
+  /** Ends of silent endpoints that are still to come. */
+  readonly timers: NodeJS.Timeout[];
 }
 
 /** Timeout of the routes, milliseconds. */
@@ -93,14 +95,14 @@
 
 /** Lets an endpoint send nothing until it ends, which removes its entry. */
 export function silenceModel(
-  { site, endings }: EndingSite,
+  { site, endings, timers }: EndingSite,
   model: RunnerStandIn | undefined,
 ): void {
   if (model === undefined || endings.has(model.id)) return;
   endings.set(model.id, performance.now());
   model.fallSilent(FOR_GOOD_MILLISECONDS);
-  setTimeout(() => {
+  timers.push(setTimeout(() => {
     site.removeEntry(model.id);
     model.onCrash();
-  }, SILENT_MILLISECONDS).unref();
+  }, SILENT_MILLISECONDS));
 }
--- a/packages/kelpspar-standins/src/pauses/pause_situation.ts
+++ b/packages/kelpspar-standins/src/pauses/pause_situation.ts
@@ -14,9 +14,11 @@
   readonly silence: SilenceOptions;
   readonly configuration: ConfigurationSeries;
   readonly ending: EndingSeries;
+  /** Whether steps for endpoints, daemons and configurations are drawn. */
+  readonly hasDrawnSteps: boolean;
 }
 
-const CALM: PauseSituation = {
+export const CALM: PauseSituation = {
   daemons: 4,
   perSecond: 7.7,
   seconds: 26,
@@ -25,6 +27,7 @@
   silence: { requests: "begun" },
   configuration: "none",
   ending: "none",
+  hasDrawnSteps: false,
 };
 const SHORT: PauseSituation = { ...CALM, pauseMilliseconds: 1_900 };
 const LONG: PauseSituation = { ...CALM, pauseMilliseconds: 2_500 };
--- a/packages/kelpspar-standins/src/pauses/run_pauses.ts
+++ b/packages/kelpspar-standins/src/pauses/run_pauses.ts
@@ -1,8 +1,9 @@
 import type { BuiltProgram } from "../wire/build_program.ts";
 import type { ServiceRepeats } from "../repeats/judge_services.ts";
 import type { PauseVerdict } from "./judge_pauses.ts";
-import type { EndingSite, SeriesStep } from "./pause_series.ts";
+import type { SeriesStep } from "./pause_series.ts";
 import type { PauseSituation } from "./pause_situation.ts";
+import type { StepContext } from "./pause_steps.ts";
 import { SeededRandom } from "kelpspar-shared";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -19,6 +20,7 @@
   modelInTurn,
   ROUTE_TIMEOUT_MILLISECONDS,
 } from "./pause_series.ts";
+import { startDrawnSteps } from "./pause_steps.ts";
 import { sendStreams } from "./send_streams.ts";
 
 const SITE_NAME = "slow_stage_calls";
@@ -32,6 +34,7 @@
 const PAUSE_INTERVAL_MILLISECONDS = 2_000;
 /** Time for daemons to start and discover each other. */
 const STARTUP_MILLISECONDS = 3_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 const STAGED_ROUTE = "resumed";
 const DIRECT_ROUTE = "direct";
 
@@ -91,19 +94,29 @@
     zones: ZONES,
     onLine,
   });
-  const ending: EndingSite = { site, endings: new Map() };
+  const random = new SeededRandom(seed);
+  const context: StepContext = {
+    site,
+    daemons,
+    random,
+    graceMilliseconds: TIMING.graceSeconds * MILLISECONDS_PER_SECOND,
+    endings: new Map(),
+    timers: [],
+    stops: [],
+  };
   try {
     for (const daemon of daemons) daemon.start();
     await setTimeoutPromise(STARTUP_MILLISECONDS);
-    const stopSeries = startSeries(ending, situation);
+    const endSeries = startSeries(context, situation);
     const { hasStages } = situation;
     const streams = await sendStreams(situation, {
       daemons,
       host: site.host,
-      random: new SeededRandom(seed),
+      random,
       path: `/${hasStages ? STAGED_ROUTE : DIRECT_ROUTE}/x`,
       pieces: hasStages ? PIECES : [],
-    }).finally(stopSeries);
+      onSent: endSeries,
+    });
     const services = new Set([
       "model",
       ...(hasStages ? site.stagesOf.keys() : []),
@@ -112,8 +125,9 @@
       ...judgePauses({
         streams,
         runs: site.models.flatMap(({ runs }) => runs),
-        endings: ending.endings,
-        stops: [],
+        endings: context.endings,
+        stops: context.stops,
+        graceMilliseconds: context.graceMilliseconds,
         deadlineMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
       }),
       sent: streams.length,
@@ -124,6 +138,7 @@
       ),
     };
   } finally {
+    context.timers.forEach(clearTimeout);
     await Promise.all(daemons.map((daemon) => daemon.end()));
     site.stop();
     rmSync(folder, { recursive: true, force: true });
@@ -132,9 +147,10 @@
 
 /** Starts what a situation plays; returns the function that ends it. */
 function startSeries(
-  ending: EndingSite,
+  context: StepContext,
   situation: PauseSituation,
 ): () => void {
+  if (situation.hasDrawnSteps) return startDrawnSteps(context);
   const { pauseMilliseconds, silence } = situation;
   const series: readonly SeriesStep[] = [
     CONFIGURATION_SERIES[situation.configuration],
@@ -143,13 +159,13 @@
       intervalMilliseconds: PAUSE_INTERVAL_MILLISECONDS,
       play: (_, number) => {
         if (pauseMilliseconds === 0) return;
-        modelInTurn(ending, number)?.fallSilent(pauseMilliseconds, silence);
+        modelInTurn(context, number)?.fallSilent(pauseMilliseconds, silence);
       },
     },
   ];
   const timers = series.map(({ intervalMilliseconds, play }) => {
     let number = 0;
-    return setInterval(() => play(ending, number++), intervalMilliseconds);
+    return setInterval(() => play(context, number++), intervalMilliseconds);
   });
   return () => timers.forEach(clearInterval);
 }
--- a/packages/kelpspar-standins/src/pauses/send_streams.ts
+++ b/packages/kelpspar-standins/src/pauses/send_streams.ts
@@ -25,6 +25,8 @@
   readonly path: string;
   /** Number of pieces of each stage. */
   readonly pieces: readonly number[];
+  /** Called when the last one was sent. */
+  readonly onSent: () => void;
 }
 
 /**
@@ -33,7 +35,7 @@
  */
 export async function sendStreams(
   { perSecond, seconds }: Pick<PauseSituation, "perSecond" | "seconds">,
-  { daemons, host, random, path, pieces }: SendStreamsOptions,
+  { daemons, host, random, path, pieces, onSent }: SendStreamsOptions,
 ): Promise<readonly PausedStream[]> {
   const agent = new Agent({ keepAlive: true });
   const send = async (number: number): Promise<PausedStream> => {
@@ -78,6 +80,7 @@
     await setTimeoutPromise(Math.max(0, due - performance.now()));
     streams.push(send(number));
   }
+  onSent();
   const sent = await Promise.all(streams);
   agent.destroy();
   return sent;
--- a/packages/kelpspar-standins/src/programs/pauses_main.ts
+++ b/packages/kelpspar-standins/src/programs/pauses_main.ts
@@ -1,50 +1,54 @@
+import type { PauseResult } from "../pauses/run_pauses.ts";
 import type { PauseSituationName } from "../pauses/pause_situation.ts";
 import type { SituationRun } from "./play_situations.ts";
+import { SeededRandom } from "kelpspar-shared";
+import { drawPauseSituation } from "../pauses/draw_pause_situation.ts";
 import { PAUSE_SITUATIONS } from "../pauses/pause_situation.ts";
 import { runPauses } from "../pauses/run_pauses.ts";
 import { playSituations } from "./play_situations.ts";
+import { printServices } from "./print_services.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
 
-await playSituations({
+/** A situation, or one that is drawn. */
+type PlayedName = PauseSituationName | "drawn";
+
+await playSituations<PlayedName>({
   script: "pauses",
-  names: Object.keys(PAUSE_SITUATIONS) as readonly PauseSituationName[],
+  names: [
+    ...Object.keys(PAUSE_SITUATIONS) as readonly PauseSituationName[],
+    "drawn",
+  ],
   play,
 });
 
 async function play(
-  { name, daemons, ...run }: SituationRun<PauseSituationName>,
+  { name, daemons, ...run }: SituationRun<PlayedName>,
 ): Promise<void> {
+  const situation = name === "drawn"
+    ? drawPauseSituation(new SeededRandom(run.seed))
+    : PAUSE_SITUATIONS[name];
   const result = await runPauses({
     ...run,
-    situation: {
-      ...PAUSE_SITUATIONS[name],
-      ...(daemons === undefined ? {} : { daemons }),
-    },
+    situation: { ...situation, ...(daemons === undefined ? {} : { daemons }) },
   });
-  const { ends } = result;
-  printText(
-    `${name}, seed ${run.seed}: ${result.sent} streams, ${ends.whole} whole ` +
-      `(median ${result.medianMilliseconds} ms, 95 in 100 within ` +
-      `${result.slowMilliseconds} ms), ${ends.cut} cut, ` +
-      `${ends.cut_by_endpoint} ended with their endpoint, ` +
-      `${ends.cut_by_stop} with a stop, ${ends.timed_out} timed out, ` +
-      `${ends.refused} refused, ${ends.failed} failed, ` +
-      `${ends.unanswered} unanswered; ${result.runs} runs, ` +
-      `${result.doubled} doubled; ${result.gaps} gaps, ` +
-      `${result.repeats} repeats, ${result.joined} joined`,
-  );
+  printText(`${name}, seed ${run.seed}: ${describe(result)}`);
   for (const line of result.violations) printText(`  BROKEN ${line}`);
-  const exceeded = result.services.filter(({ worst }) => worst.isExceeded);
-  for (const { service, basis, worst } of result.services) {
-    printText(
-      `  ${service}, by ${basis}: ${worst.repeats} repeats of ` +
-        `${Math.floor(worst.allowed)} allowed in the worst window` +
-        `${worst.isExceeded ? " (EXCEEDED)" : ""}`,
-    );
-  }
-  if (result.violations.length > 0 || exceeded.length > 0) {
+  const isExceeded = printServices(result.services);
+  if (result.violations.length > 0 || isExceeded) {
     process.exitCode = EXIT_CHECK_FAILED;
   }
 }
+
+function describe(result: PauseResult): string {
+  const { sent, ends, runs, doubled, gaps, repeats, joined } = result;
+  return `${sent} streams, ${ends.whole} whole ` +
+    `(median ${result.medianMilliseconds} ms, 95 in 100 within ` +
+    `${result.slowMilliseconds} ms), ${ends.cut} cut, ` +
+    `${ends.cut_by_endpoint} cut with their endpoint, ` +
+    `${ends.cut_by_stop} with a stop, ${ends.timed_out} timed out, ` +
+    `${ends.refused} refused, ${ends.failed} failed, ` +
+    `${ends.unanswered} unanswered; ${runs} runs, ${doubled} doubled; ` +
+    `${gaps} gaps, ${repeats} repeats, ${joined} joined`;
+}
--- a/packages/kelpspar-standins/src/programs/repeats_main.ts
+++ b/packages/kelpspar-standins/src/programs/repeats_main.ts
@@ -6,6 +6,7 @@
 import { REPEAT_SITUATIONS } from "../repeats/repeat_situation.ts";
 import { runRepeats } from "../repeats/run_repeats.ts";
 import { playSituations } from "./play_situations.ts";
+import { printServices } from "./print_services.ts";
 import { printText } from "./read_settings.ts";
 
 const EXIT_CHECK_FAILED = 1;
@@ -42,12 +43,5 @@
       `${whole} of ${sent} whole (${statuses.join(", ")})` +
       (resuming > 0 ? `, ${resuming} take up a stream` : ""),
   );
-  for (const { service, basis, worst } of services) {
-    printText(
-      `  ${service}, by ${basis}: ${worst.repeats} repeats of ` +
-        `${Math.floor(worst.allowed)} allowed in the worst window` +
-        `${worst.isExceeded ? " (EXCEEDED)" : ""}`,
-    );
-    if (worst.isExceeded) process.exitCode = EXIT_CHECK_FAILED;
-  }
+  if (printServices(services)) process.exitCode = EXIT_CHECK_FAILED;
 }
--- a/packages/kelpspar-standins/src/stops/run_stops.ts
+++ b/packages/kelpspar-standins/src/stops/run_stops.ts
@@ -2,6 +2,7 @@
 import type { DaemonProcess } from "../wire/daemon_process.ts";
 import type { DirectoryCallerOptions } from "../wire/directory_caller.ts";
 import type { PlannedStop } from "./stop_attempt.ts";
+import type { StopAndRestartOptions } from "./stop_and_restart.ts";
 import type { StopRecords } from "./check_stops.ts";
 import type { StopSite } from "./stop_sites.ts";
 import type { StopSituation } from "./stop_situation.ts";
@@ -14,6 +15,7 @@
 import { createDaemons } from "../wire/create_daemons.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { DirectoryCaller } from "../wire/directory_caller.ts";
+import { stopAndRestart } from "./stop_and_restart.ts";
 import { STOP_SITES } from "./stop_sites.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -143,13 +145,10 @@
 }
 
 /** What the stops of a round share. */
-interface RoundOptions {
+interface RoundOptions
+  extends
+    Pick<StopAndRestartOptions, "graceMilliseconds" | "stops" | "follow"> {
   readonly situation: StopSituation;
-  readonly graceMilliseconds: number;
-  /** Receives the stops. */
-  readonly stops: PlannedStop[];
-  /** Called when a stop begins. */
-  readonly follow: (stop: PlannedStop) => void;
 }
 
 async function playRound(
@@ -159,43 +158,17 @@
   const { stopped, gapMilliseconds, againMilliseconds } = options.situation;
   const restarts: Promise<void>[] = [];
   for (const daemon of daemons.slice(0, stopped)) {
-    const restart = stopAndRestart(daemon, options);
+    const restart = stopAndRestart(daemon, {
+      ...options.situation,
+      ...options,
+    });
     restarts.push(
       againMilliseconds === undefined ? restart : restart.then(async () => {
         await setTimeoutPromise(againMilliseconds);
-        await stopAndRestart(daemon, options);
+        await stopAndRestart(daemon, { ...options.situation, ...options });
       }),
     );
     await setTimeoutPromise(gapMilliseconds);
   }
   await Promise.all(restarts);
 }
-
-/** Resolves when the daemon has been started again. */
-async function stopAndRestart(
-  daemon: DaemonProcess,
-  { situation, graceMilliseconds, stops, follow }: RoundOptions,
-): Promise<void> {
-  for (const { signal, afterMilliseconds } of situation.signals) {
-    if (afterMilliseconds < 0) daemon.signal(signal);
-    else setTimeout(() => daemon.signal(signal), afterMilliseconds);
-  }
-  const stop: PlannedStop = {
-    address: daemon.front,
-    signalledAt: performance.now(),
-    endedAt: undefined,
-    wasKilled: false,
-  };
-  stops.push(stop);
-  daemon.signal("SIGTERM");
-  follow(stop);
-  const kill = setTimeout(() => {
-    stop.wasKilled = true;
-    daemon.signal("SIGKILL");
-  }, graceMilliseconds);
-  await daemon.exited;
-  clearTimeout(kill);
-  stop.endedAt = performance.now();
-  await setTimeoutPromise(situation.restartMilliseconds);
-  await daemon.restartAfterExit();
-}
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -488,12 +488,13 @@
 
   /** Waits before the next part of an answer. */
   #delay(
-    delayMilliseconds = DEFAULT_DELAY_MILLISECONDS,
+    delayMilliseconds: number | undefined,
     run?: RunnerRun,
   ): Promise<void> {
     const silence = this.#silenceOf(run);
+    const delay = delayMilliseconds ?? DEFAULT_DELAY_MILLISECONDS;
     return new Promise((resolve) =>
-      setTimeout(resolve, silence + delayMilliseconds * this.slowdown)
+      setTimeout(resolve, silence + delay * this.slowdown)
     );
   }
 }
