--- a/packages/kelpspar-standins/src/pauses/pause_steps.ts
+++ b/packages/kelpspar-standins/src/pauses/pause_steps.ts
@@ -58,6 +58,10 @@
   "pause_one",
   "pause_one",
   "pause_one",
+  "pause_one",
+  "pause_one",
+  "pause_some",
+  "pause_some",
   "pause_some",
   "pause_some",
 ];
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -73,6 +73,8 @@
   firstEventAt?: number;
   /** When its response ended or was cut; undefined until then. */
   endedAt?: number;
+  /** Whether the whole response was sent. */
+  isFinished?: boolean;
 }
 
 /** A send that reached a runner, whether or not the runner executed it. */
@@ -291,7 +293,10 @@
       lastEventId,
     };
     this.runs.push(run);
-    response.on("close", () => run.endedAt = performance.now());
+    response.on("close", () => {
+      run.endedAt = performance.now();
+      run.isFinished = response.writableFinished;
+    });
     const plan = readAnswerPlan(target, this.#options);
     const handlers: Readonly<Record<string, () => void>> = {
       answer_lost: () => response.destroy(),
