--- a/packages/kelpspar-standins/src/losses/play_on_site.ts
+++ b/packages/kelpspar-standins/src/losses/play_on_site.ts
@@ -4,11 +4,7 @@
 import type { StreamCallerOptions } from "./stream_caller.ts";
 import type { StreamRecord } from "./stream_record.ts";
 import { SeededRandom } from "kelpspar-shared";
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { setTimeout as setTimeoutPromise } from "node:timers/promises";
-import { createDaemons } from "../wire/create_daemons.ts";
+import { runWithDaemons } from "../wire/run_with_daemons.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { judgeLosses } from "./judge_losses.ts";
 import { StreamCaller } from "./stream_caller.ts";
@@ -24,8 +20,6 @@
 /** Repeats are judged elsewhere. */
 const RETRY_SLACK = 400;
 const ROUTE_TIMEOUT_MILLISECONDS = 15_000;
-/** Time for daemons to start and discover each other. */
-const STARTUP_MILLISECONDS = 3_000;
 /** Endpoints that a version needs, so that streams survive the loss of one. */
 const RESUMABLE_ENDPOINTS = 2;
 
@@ -77,46 +71,44 @@
     hasEngines: false,
     zones: ZONES,
   });
-  const folder = mkdtempSync(join(tmpdir(), "kelpspar-losses-"));
-  await site.start();
-  const daemons = await createDaemons(site, {
-    count,
-    folder,
-    program: options.program.path,
-    nodeArguments: options.program.nodeArguments,
-    zones: ZONES,
-    onLine: options.onLine,
-  });
   const random = new SeededRandom(options.seed);
   const callers: StreamCaller[] = [];
-  const createCaller: RunningSite["createCaller"] = (callerOptions) => {
-    const caller = new StreamCaller({
-      ...callerOptions,
-      host: site.host,
-      daemons,
-      random,
-      events,
-      pieces: PIECES,
-    });
-    callers.push(caller);
-    return caller;
-  };
+  const { program, onLine } = options;
   try {
-    for (const daemon of daemons) daemon.start();
-    await setTimeoutPromise(STARTUP_MILLISECONDS);
-    const streams = await play({ site, daemons, random, createCaller });
-    return judgeLosses({
-      streams,
-      events,
-      resumableVersions: resumableVersionsOf(site),
-      lastLeavingAt: site.lastLeavingAt,
-      stageArrivals: site.stages.flatMap(({ arrivals }) => arrivals),
-    });
+    return await runWithDaemons(
+      site,
+      {
+        count,
+        program: program.path,
+        nodeArguments: program.nodeArguments,
+        zones: ZONES,
+        onLine,
+      },
+      async (daemons) => {
+        const createCaller: RunningSite["createCaller"] = (callerOptions) => {
+          const caller = new StreamCaller({
+            ...callerOptions,
+            host: site.host,
+            daemons,
+            random,
+            events,
+            pieces: PIECES,
+          });
+          callers.push(caller);
+          return caller;
+        };
+        const streams = await play({ site, daemons, random, createCaller });
+        return judgeLosses({
+          streams,
+          events,
+          resumableVersions: resumableVersionsOf(site),
+          lastLeavingAt: site.lastLeavingAt,
+          stageArrivals: site.stages.flatMap(({ arrivals }) => arrivals),
+        });
+      },
+    );
   } finally {
-    await Promise.all(daemons.map((daemon) => daemon.end()));
     for (const caller of callers) caller.end();
-    site.stop();
-    rmSync(folder, { recursive: true, force: true });
   }
 }
 
--- a/packages/kelpspar-standins/src/pauses/run_pauses.ts
+++ b/packages/kelpspar-standins/src/pauses/run_pauses.ts
@@ -1,17 +1,14 @@
-import type { BuiltProgram } from "../wire/build_program.ts";
 import type { ServiceRepeats } from "../repeats/judge_services.ts";
+import type { PlayOptions } from "../losses/play_on_site.ts";
+import type { PausedStream } from "./paused_stream.ts";
 import type { PauseVerdict } from "./judge_pauses.ts";
 import type { SeriesStep } from "./pause_series.ts";
 import type { PauseSituation } from "./pause_situation.ts";
 import type { StepContext } from "./pause_steps.ts";
 import { SeededRandom } from "kelpspar-shared";
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import { judgeServices } from "../repeats/judge_services.ts";
 import { REPEAT_SITES } from "../repeats/repeat_site.ts";
-import { createDaemons } from "../wire/create_daemons.ts";
+import { runWithDaemons } from "../wire/run_with_daemons.ts";
 import { WireSite } from "../wire/wire_site.ts";
 import { judgePauses } from "./judge_pauses.ts";
 import {
@@ -32,22 +29,13 @@
 const SLOTS = 16;
 const RESTART_MILLISECONDS = 4_000;
 const PAUSE_INTERVAL_MILLISECONDS = 2_000;
-/** Time for daemons to start and discover each other. */
-const STARTUP_MILLISECONDS = 3_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 const STAGED_ROUTE = "resumed";
 const DIRECT_ROUTE = "direct";
 
 /** Options of `runPauses`. */
-export interface RunPausesOptions {
-  readonly seed: number;
+export interface RunPausesOptions extends PlayOptions {
   readonly situation: PauseSituation;
-  /** The daemon's program. */
-  readonly program: Pick<BuiltProgram, "nodeArguments"> & {
-    readonly path: string;
-  };
-  /** Receives the daemons' log lines. */
-  readonly onLine?: (line: string) => void;
 }
 
 /** What callers and endpoints saw. */
@@ -84,65 +72,68 @@
     timeoutMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
     zones: ZONES,
   });
-  const folder = mkdtempSync(join(tmpdir(), "kelpspar-pauses-"));
-  await site.start();
-  const daemons = await createDaemons(site, {
+  const options = {
     count: situation.daemons,
-    folder,
     program: program.path,
     nodeArguments: program.nodeArguments,
     zones: ZONES,
     onLine,
-  });
-  const random = new SeededRandom(seed);
-  const context: StepContext = {
-    site,
-    daemons,
-    random,
-    graceMilliseconds: TIMING.graceSeconds * MILLISECONDS_PER_SECOND,
-    endings: new Map(),
-    timers: [],
-    stops: [],
   };
-  try {
-    for (const daemon of daemons) daemon.start();
-    await setTimeoutPromise(STARTUP_MILLISECONDS);
-    const endSeries = startSeries(context, situation);
-    const { hasStages } = situation;
-    const streams = await sendStreams(situation, {
+  return await runWithDaemons(site, options, async (daemons) => {
+    const random = new SeededRandom(seed);
+    const context: StepContext = {
+      site,
       daemons,
-      host: site.host,
       random,
-      path: `/${hasStages ? STAGED_ROUTE : DIRECT_ROUTE}/x`,
-      pieces: hasStages ? PIECES : [],
-      onSent: endSeries,
-    });
-    const services = new Set([
-      "model",
-      ...(hasStages ? site.stagesOf.keys() : []),
-    ]);
-    return {
-      ...judgePauses({
-        streams,
-        runs: site.models.flatMap(({ runs }) => runs),
-        endings: context.endings,
-        stops: context.stops,
-        graceMilliseconds: context.graceMilliseconds,
-        deadlineMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
-      }),
-      sent: streams.length,
-      services: judgeServices(
-        site,
-        { site: SITE_NAME },
-        streams.map(({ sentAt }) => ({ at: sentAt, services })),
-      ),
+      graceMilliseconds: TIMING.graceSeconds * MILLISECONDS_PER_SECOND,
+      endings: new Map(),
+      timers: [],
+      stops: [],
     };
-  } finally {
-    context.timers.forEach(clearTimeout);
-    await Promise.all(daemons.map((daemon) => daemon.end()));
-    site.stop();
-    rmSync(folder, { recursive: true, force: true });
-  }
+    const { hasStages } = situation;
+    const endSeries = startSeries(context, situation);
+    try {
+      const streams = await sendStreams(situation, {
+        daemons,
+        host: site.host,
+        random,
+        path: `/${hasStages ? STAGED_ROUTE : DIRECT_ROUTE}/x`,
+        pieces: hasStages ? PIECES : [],
+        onSent: endSeries,
+      });
+      return judge(context, situation, streams);
+    } finally {
+      endSeries();
+      context.timers.forEach(clearTimeout);
+    }
+  });
+}
+
+function judge(
+  { site, graceMilliseconds, endings, stops }: StepContext,
+  { hasStages }: PauseSituation,
+  streams: readonly PausedStream[],
+): PauseResult {
+  const services = new Set([
+    "model",
+    ...(hasStages ? site.stagesOf.keys() : []),
+  ]);
+  return {
+    ...judgePauses({
+      streams,
+      runs: site.models.flatMap(({ runs }) => runs),
+      endings,
+      stops,
+      graceMilliseconds,
+      deadlineMilliseconds: ROUTE_TIMEOUT_MILLISECONDS,
+    }),
+    sent: streams.length,
+    services: judgeServices(
+      site,
+      { site: SITE_NAME },
+      streams.map(({ sentAt }) => ({ at: sentAt, services })),
+    ),
+  };
 }
 
 /** Starts what a situation plays; returns the function that ends it. */
