Keep a hanging call of pieces while no other call may make them in time

Callers see: 503 with retry_budget for stages whose endpoint only pauses. Cause: a call of pieces was aborted after nine times its time, also when the retry budget had refused its hedge. Change: a hanging call is hedged again every 250 ms and aborted once another call has its pieces, or once they are too late for their request's objective.

--- a/packages/kelpspar-gateway/src/pieces/piece_retries.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_retries.ts
@@ -54,6 +54,15 @@
       !task.chain.isPieceDone(task.stage, task.piece);
   }
 
+  /** True if no other call has one of the pieces, and its chain may be on time. */
+  isOnlyCall(tasks: readonly PieceTask[]): boolean {
+    const now = this.#options.timer.now();
+    return tasks.some(({ chain, stage, piece, calls }) =>
+      calls <= 1 && chain.isOpen && now < chain.objectiveAt &&
+      !chain.isPieceDone(stage, piece)
+    );
+  }
+
   /** Number of queued pieces that may be sent again now. */
   get available(): number {
     return this.#options.retryGate.available(this.#options.service);
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -202,6 +202,7 @@
       timer,
       onOverdue: () => this.#callOverdue(target, call),
       onHedge: () => this.#hedge(call),
+      mayAbort: () => this.#mayAbort(call),
     });
     const pieces = tasks.map((task) => toPieceRequest(task, now));
     void client.runPieces({
@@ -250,6 +251,16 @@
     this.dispatch();
   }
 
+  /**
+   * Whether a call that hangs may be aborted: other calls carry its pieces, or
+   * they are late. One whose endpoint only pauses would have made pieces that the
+   * retry budget may not allow to be sent again.
+   */
+  #mayAbort(call: RunningCall): boolean {
+    if (this.#retries.isOnlyCall(call.tasks)) this.#hedge(call);
+    return !this.#retries.isOnlyCall(call.tasks);
+  }
+
   #callEnded(
     target: CallTarget,
     call: RunningCall,
--- a/packages/kelpspar-gateway/src/pieces/watch_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/watch_call.ts
@@ -6,10 +6,12 @@
 /** plus this, for the network and for pieces larger than average. */
 const OVERDUE_MILLISECONDS = 80;
 /**
- * A call is aborted after its expected time multiplied by this factor. Slow
- * endpoints finish before that; a hanging call must not occupy its slot.
+ * A call hangs after its expected time multiplied by this factor. Slow endpoints
+ * finish before that; a hanging call must not occupy its slot.
  */
-const ABORT_FACTOR = 9;
+const HANG_FACTOR = 9;
+/** How often a hanging call is asked about that may not be aborted yet. */
+const HANG_CHECK_MILLISECONDS = 250;
 
 /** Options of `watchCall`. */
 export interface WatchCallOptions {
@@ -21,6 +23,8 @@
   readonly onOverdue: () => Promise<number>;
   /** Called if the call still hasn't ended then. */
   readonly onHedge: () => void;
+  /** Whether a call that hangs may be aborted. */
+  readonly mayAbort: () => boolean;
 }
 
 /**
@@ -29,7 +33,7 @@
  * take five times as long while the other endpoints are idle.
  */
 export function watchCall(options: WatchCallOptions): () => void {
-  const { call, timer, onOverdue, onHedge } = options;
+  const { call, timer, onOverdue, onHedge, mayAbort } = options;
   const slowness = Math.max(1, options.slowness);
   const overdueAfter = call.expectedCallTime * OVERDUE_FACTOR * slowness +
     OVERDUE_MILLISECONDS;
@@ -45,9 +49,18 @@
     () => void handleOverdue(),
     overdueAfter,
   );
-  const stopAborting = timer.registerTimeout(
-    () => call.abort.abort(),
-    Math.max(overdueAfter * 2, call.expectedCallTime * ABORT_FACTOR),
+  const handleHang = (): void => {
+    if (mayAbort()) call.abort.abort();
+    else {
+      stopAborting = timer.registerTimeout(
+        handleHang,
+        HANG_CHECK_MILLISECONDS,
+      );
+    }
+  };
+  let stopAborting = timer.registerTimeout(
+    handleHang,
+    Math.max(overdueAfter * 2, call.expectedCallTime * HANG_FACTOR),
   );
   return () => {
     hasEnded = true;
