Keep the other call of a hedge until an answer is whole

Callers see: 502 though an endpoint had the whole answer. Cause: the call that was hedged was given up at the head of the hedge's answer; if that was cut and no attempt was left, nothing remained. The answer of a first call that failed was never closed. Change: the result of a hedge names the other call, which is used if the body is cut, and closed otherwise.

--- a/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
+++ b/packages/kelpspar-gateway/src/requests/endpoint_sender.ts
@@ -166,7 +166,7 @@
       run.cancelReservedSend();
       return await first;
     }
-    return await firstSuccessful([first, this.#sendTo(hedge)]);
+    return await firstSuccessful(first, this.#sendTo(hedge));
   }
 
   /** Reserves a hedge, unless the first answer comes while it waits. */
--- a/packages/kelpspar-gateway/src/requests/hedge.ts
+++ b/packages/kelpspar-gateway/src/requests/hedge.ts
@@ -19,26 +19,20 @@
 }
 
 /**
- * Resolves to the first successful result of several sends, or to the last one
- * if none succeeds. Answers that arrive later are closed.
+ * Resolves to the first successful of two results, or to the last one if none
+ * is. The other call goes on, as the answer may still be cut.
  */
-export function firstSuccessful(
-  sends: readonly Promise<SendResult>[],
+export async function firstSuccessful(
+  left: Promise<SendResult>,
+  right: Promise<SendResult>,
 ): Promise<SendResult> {
-  return new Promise((resolve) => {
-    let open = sends.length;
-    let isResolved = false;
-    for (const send of sends) {
-      void send.then((result) => {
-        open--;
-        if (isResolved) closeAnswer(result);
-        else if (isSuccessful(result) || open === 0) {
-          isResolved = true;
-          resolve(result);
-        }
-      });
-    }
-  });
+  const [result, other] = await Promise.race([
+    left.then((first) => [first, right] as const),
+    right.then((first) => [first, left] as const),
+  ]);
+  if (isSuccessful(result)) return { ...result, other };
+  closeAnswer(result);
+  return await other;
 }
 
 /** True for an answer that isn't an endpoint's failure. */
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -25,7 +25,7 @@
 import { QUEUE_SHARE } from "./queue_share.ts";
 import { SPENT_BUDGET_REASON } from "./spent_budget_reason.ts";
 import { isOverdue, isSuccessful } from "./hedge.ts";
-import { closeAnswer, isStreamed } from "./send_result.ts";
+import { closeAnswer, closeOther, isStreamed } from "./send_result.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
 import { StreamFailover } from "./stream_failover.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
@@ -524,12 +524,12 @@
     try {
       body = await readAnswerBody(run, answer);
     } catch (error) {
-      return run.isOpen
-        ? await this.#handleCutAnswer(result, error, {
-          firstEventAt: result.answeredAt,
-        })
-        : "ended";
+      const times = { firstEventAt: result.answeredAt };
+      if (run.isOpen) return await this.#handleCutAnswer(result, error, times);
+      closeOther(result);
+      return "ended";
     }
+    closeOther(result);
     if (!run.isOpen) return "ended";
     const { status, headers } = answer;
     if (status < 300) {
@@ -651,7 +651,11 @@
   ): Promise<DispatchOutcome | "again"> {
     this.#recordCut(result, error, { times, isKnown: false });
     await this.#evidence.reportTruncated(result, times);
-    return this.#retryIfOpen("answer cut");
+    const next = await result.other;
+    if (next === undefined) return this.#retryIfOpen("answer cut");
+    if (this.#run.isOpen) return await this.#handleResult(next);
+    closeAnswer(next);
+    return "ended";
   }
 
   #recordCut(
--- a/packages/kelpspar-gateway/src/requests/send_result.ts
+++ b/packages/kelpspar-gateway/src/requests/send_result.ts
@@ -15,6 +15,11 @@
   readonly answeredAt: number | undefined;
   /** To be called once the answer has ended, if it is a stream. */
   readonly release: () => void;
+  /**
+   * Result of the call that this one hedged, or of its hedge; to be used if this
+   * answer is cut, or else closed.
+   */
+  readonly other?: Promise<SendResult> | undefined;
 }
 
 /**
@@ -31,7 +36,14 @@
 }
 
 /** Closes the connection of an answer that won't be read. */
-export function closeAnswer({ answer, release }: SendResult): void {
+export function closeAnswer(result: SendResult): void {
+  const { answer, release } = result;
   if (answer.type === "answered") answer.close();
   release();
+  closeOther(result);
+}
+
+/** Closes the answer of the other call of a hedge when it comes. */
+export function closeOther({ other }: SendResult): void {
+  void other?.then(closeAnswer);
 }
