Retain results of resumable streams until their end, while there is room

Change: the release at the first event names the chain (`retainFor`) if another endpoint may still run the stream. The coordinator keeps such results beside at least half of each endpoint's room and a full call for each slot, and frees the oldest first as soon as a call takes more. A chain of the same attempt, route, key and pieces gets them back without a send or an admission. They end with the stream, 300 ms before they expire, when a maker is gone or leaves, when the coordinator reaches no endpoint, and when a daemon uses another coordinator. A final release has no attempt id, so that it can't end a later placement. Coordinators of the previous build ignore the field and free the results; daemons of it send none, and theirs are freed as before.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -3,6 +3,7 @@
 import type { ServiceRoute } from "../../configuration/service_route.ts";
 import type { LogFields } from "../../log/gateway_log.ts";
 import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
+import type { ChainRelease } from "../../pieces/chain_request.ts";
 import type {
   EndpointAnswer,
   EndpointCall,
@@ -128,6 +129,7 @@
   readonly registry: EndpointRegistry;
   readonly endpointCalls: EndpointCall[];
   readonly releasedHandles: string[];
+  readonly releases: ChainRelease[];
   /** Streams whose software other daemons were told. */
   readonly begunStreams: BegunStream[];
   readonly quarantine: Quarantine;
@@ -207,6 +209,7 @@
   const endpointCalls: EndpointCall[] = [];
   const begunStreams: BegunStream[] = [];
   const releasedHandles: string[] = [];
+  const releases: ChainRelease[] = [];
   const logLines: World["logLines"] = [];
   let chainRunCount = 0;
   const recordLine = (message: string, fields: LogFields = {}): void => {
@@ -285,7 +288,9 @@
           },
         );
       },
-      release: ({ results }) => {
+      release: (release) => {
+        releases.push(release);
+        const { results } = release;
         releasedHandles.push(...results.map(({ handle }) => handle));
       },
     },
@@ -323,6 +328,7 @@
     registry: endpointRegistry,
     endpointCalls,
     releasedHandles,
+    releases,
     begunStreams,
     quarantine,
     lifecycle,
--- a/packages/kelpspar-gateway/src/__tests__/support/shared_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/shared_stages.ts
@@ -1,4 +1,10 @@
-import type { PieceCall, PieceCallAnswer } from "../../pieces/piece_call.ts";
+import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
+import type { ChainRequest } from "../../pieces/chain_request.ts";
+import type {
+  PieceCall,
+  PieceCallAnswer,
+  ResultMaker,
+} from "../../pieces/piece_call.ts";
 import type { ForeignResults, SimulatedFault } from "./simulated_stages.ts";
 import { ManualTimer, SeededRandom } from "kelpspar-shared";
 import { ActiveConfiguration } from "../../configuration/active_configuration.ts";
@@ -25,11 +31,26 @@
   readonly foreign?: ForeignResults;
   /** Number of results that an endpoint holds; default more than any test. */
   readonly room?: number;
+  /** The fleet's retry slack. */
+  readonly slack?: number;
+  /** Time until an endpoint has freed results; default 0. */
+  readonly freeMilliseconds?: number;
+}
+
+/** A chain of one stage. */
+export interface SharedChain {
+  readonly attemptId: string;
+  readonly pieces: number;
+  /** Default the attempt's id. */
+  readonly pieceKey?: string;
 }
 
 /** Counts the pieces that reach an endpoint again, whoever sends them. */
 class CountingStages extends SimulatedStages {
   repeats = 0;
+  /** Handles in the order in which they were freed. */
+  readonly freed: string[] = [];
+  beforeFree = (): Promise<void> => Promise.resolve();
   readonly #seen = new Set<string>();
 
   override runPieces(call: PieceCall): Promise<PieceCallAnswer> {
@@ -40,6 +61,15 @@
     }
     return super.runPieces(call);
   }
+
+  override async freeResults(
+    maker: ResultMaker,
+    handles: readonly string[],
+  ): Promise<boolean> {
+    this.freed.push(...handles);
+    await this.beforeFree();
+    return await super.freeResults(maker, handles);
+  }
 }
 
 /** Coordinators that don't know of each other and share stage endpoints. */
@@ -50,14 +80,19 @@
   readonly #client: CountingStages;
   readonly #terms;
   readonly #store = new MemoryRowStore(this.timer);
+  readonly #slack: number;
+  readonly #registries: EndpointRegistry[] = [];
 
   constructor(
     {
       faults = [],
       foreign = { from: 0, until: 0, share: 0 },
       room = 10_000,
+      slack = SLACK,
+      freeMilliseconds = 0,
     }: SharedStagesOptions = {},
   ) {
+    this.#slack = slack;
     this.#terms = {
       batch: 18,
       slots: 1,
@@ -79,6 +114,11 @@
       foreign,
       resultBytes: () => RESULT_BYTES,
     });
+    if (freeMilliseconds === 0) return;
+    this.#client.beforeFree = () =>
+      new Promise((resolve) => {
+        this.timer.registerTimeout(resolve, freeMilliseconds);
+      });
   }
 
   /** Pieces that reached an endpoint again. */
@@ -86,10 +126,35 @@
     return this.#client.repeats;
   }
 
+  /** Pieces for which an endpoint had no room. */
+  get rejected(): number {
+    return this.#client.figures.turnedAway;
+  }
+
+  get freed(): readonly string[] {
+    return this.#client.freed;
+  }
+
+  /** Number of results at each endpoint. */
+  get kept(): readonly number[] {
+    return Array.from(
+      { length: ENDPOINTS },
+      (_, index) => this.#client.keptAt(endpointId(index)),
+    );
+  }
+
+  /** Has all coordinators learn that an endpoint has ended. */
+  end(index: number): void {
+    for (const registry of this.#registries) {
+      registry.retire({ id: endpointId(index), bornAt: 0 });
+    }
+  }
+
   createCoordinator(): PieceCoordinator {
     const { timer } = this;
     const configuration = new ActiveConfiguration();
     const registry = new EndpointRegistry();
+    this.#registries.push(registry);
     const coordinator = new PieceCoordinator({
       loopDelay: new LoopDelay(timer),
       isIsolated: () => false,
@@ -106,7 +171,7 @@
       }),
       timer,
       retryGate: createRetryGate(timer, {
-        slack: SLACK,
+        slack: this.#slack,
         daemons: DAEMONS,
         store: this.#store,
       }),
@@ -129,7 +194,7 @@
       accounts: undefined,
     });
     for (let index = 0; index < ENDPOINTS; index++) {
-      const id = `${SHARED_SERVICE}-${index}`;
+      const id = endpointId(index);
       registry.upsert({
         id,
         bornAt: 0,
@@ -147,28 +212,49 @@
   /** Runs a chain of one stage and frees its results. */
   async run(
     coordinator: PieceCoordinator,
-    { attemptId, pieces }: {
-      readonly attemptId: string;
-      readonly pieces: number;
-    },
+    chain: SharedChain,
   ): Promise<void> {
-    const outcome = await coordinator.run({
-      attemptId,
-      pieceKey: attemptId,
-      stages: [{
-        service: SHARED_SERVICE,
-        after: [],
-        resultBytes: RESULT_BYTES,
-        pieces,
-      }],
-      remainingMilliseconds: DEADLINE_MILLISECONDS,
-      objectiveMilliseconds: DEADLINE_MILLISECONDS,
-      kind: "model",
-      tailMilliseconds: 100,
-      priority: 0,
-    }, new AbortController().signal);
-    this.outcomes.push(outcome.type);
+    const outcome = await this.make(coordinator, chain);
     if (outcome.type !== "done") return;
+    const { attemptId } = chain;
     coordinator.release({ attemptId, results: outcome.results });
   }
+
+  /** Runs a chain of one stage. */
+  async make(
+    coordinator: PieceCoordinator,
+    chain: SharedChain,
+  ): Promise<ChainOutcome> {
+    const outcome = await coordinator.run(
+      requestOf(chain),
+      new AbortController().signal,
+    );
+    this.outcomes.push(outcome.type);
+    return outcome;
+  }
+}
+
+/** The request of a chain of one stage. */
+export function requestOf(
+  { attemptId, pieces, pieceKey = attemptId }: SharedChain,
+): ChainRequest {
+  return {
+    attemptId,
+    pieceKey,
+    stages: [{
+      service: SHARED_SERVICE,
+      after: [],
+      resultBytes: RESULT_BYTES,
+      pieces,
+    }],
+    remainingMilliseconds: DEADLINE_MILLISECONDS,
+    objectiveMilliseconds: DEADLINE_MILLISECONDS,
+    kind: "model",
+    tailMilliseconds: 100,
+    priority: 0,
+  };
+}
+
+function endpointId(index: number): string {
+  return `${SHARED_SERVICE}-${index}`;
 }
--- a/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/simulated_stages.ts
@@ -103,6 +103,11 @@
     }
   }
 
+  /** Number of results that an endpoint keeps. */
+  keptAt(endpointId: string): number {
+    return this.#makers.get(endpointId)?.kept.size ?? 0;
+  }
+
   /** Reports the room as of `roomLagMilliseconds` ago. */
   readRoom(endpoint: EndpointEntry): Promise<RoomReport | undefined> {
     const maker = this.#makers.get(endpoint.id);
--- a/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/release_interoperability_test.ts
@@ -72,6 +72,32 @@
   ]);
 });
 
+// Guards against results that a coordinator frees although they may be needed.
+test("a release tells the coordinator for which chain to retain results", async () => {
+  const client = new PeerClient({
+    timer: new SystemTimer(),
+    malformedAnswers: new MalformedAnswers(),
+  });
+  const release = { attemptId: "1", results: RESULTS, retainFor: "key" };
+  await client.release(peer, release);
+  expect(released.splice(0)).toEqual([release]);
+});
+
+// Guards against results that stay because another build says so differently.
+test("a release that names no valid chain frees its results", async () => {
+  for (const retainFor of [undefined, null, 5, true, {}]) {
+    const response = await fetch(`http://${peer}${PEER_PATH}/release`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ attemptId: "1", results: RESULTS, retainFor }),
+    });
+    expect(response.status).toEqual(200);
+    const release = released.pop();
+    expect([release?.results, release?.retainFor])
+      .toEqual([RESULTS, undefined]);
+  }
+});
+
 // Guards against results that stay in memory because daemons of another build
 // send a load that isn't understood, no load, or fields that are unknown here.
 test("a release without a valid load frees its results", async () => {
--- a/packages/kelpspar-gateway/src/fleet/peer_client.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_client.ts
@@ -203,11 +203,10 @@
   }
 
   release(peer: string, release: ChainRelease): Promise<null> {
-    const { attemptId, results, load } = release;
+    const results = [...release.results];
     return this.#callWithShortTimeout(
       peer,
-      (client) =>
-        client.release.mutate({ attemptId, results: [...results], load }),
+      (client) => client.release.mutate({ ...release, results }),
     );
   }
 
--- a/packages/kelpspar-gateway/src/fleet/peer_router.ts
+++ b/packages/kelpspar-gateway/src/fleet/peer_router.ts
@@ -130,6 +130,7 @@
   })),
   /** Results must be freed even if the load is invalid. */
   load: releaseLoadSchema.optional().catch(undefined),
+  retainFor: z.string().optional().catch(undefined),
 });
 
 // In development mode errors would expose stack traces to any client.
--- a/packages/kelpspar-gateway/src/gateway_daemon.ts
+++ b/packages/kelpspar-gateway/src/gateway_daemon.ts
@@ -392,6 +392,7 @@
     this.connectionShares.limit("control", this.#peerServer);
     this.#peerServer.on("connection", () => this.#acceptedConnections++);
     coordinator.register();
+    chains.registerCoordinatorChange(() => service.releaseRetainedResults());
     streamOrigins.register();
     isolation.registerListener((isIsolated) => {
       fleet.announceState();
--- a/packages/kelpspar-gateway/src/pieces/call_target.ts
+++ b/packages/kelpspar-gateway/src/pieces/call_target.ts
@@ -3,21 +3,18 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import type { RunningCall } from "./running_call.ts";
+import { KeptResults } from "./kept_results.ts";
 import { piecesPerMillisecond } from "./service_capacity.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Fewer pieces would split the stages of most requests. */
 const MINIMUM_TRIAL_PIECES = 4;
 
-interface KeptResult {
-  readonly bytes: number;
-  readonly expiresAt: number;
-}
-
 /** An endpoint of a stage service: its in-flight calls and room for results. */
 export class CallTarget {
   readonly endpoint: EndpointState;
   readonly calls = new Set<RunningCall>();
+  readonly results = new KeptResults();
   /** No calls until then because it was full; monotonic milliseconds. */
   pausedUntil = 0;
   /** Calls in succession that it refused as full. */
@@ -29,7 +26,6 @@
   /** Set once the endpoint is gone; results that it still returns are lost. */
   isGone = false;
   readonly #rateLimiter: EndpointRateLimiter;
-  readonly #results = new Map<string, KeptResult>();
 
   constructor(endpoint: EndpointState, rateLimiter: EndpointRateLimiter) {
     this.endpoint = endpoint;
@@ -84,15 +80,17 @@
 
   /** Bytes free for results, less those reserved for in-flight calls. */
   room(terms: PieceTerms, now: number): number {
-    let used = 0;
-    for (const [handle, { bytes, expiresAt }] of this.#results) {
-      if (expiresAt <= now) this.#results.delete(handle);
-      else used += bytes;
-    }
+    let used = this.results.totalBytes(now);
     for (const call of this.calls) used += call.resultBytes;
     return terms.resultBytes - used - this.foreignBytes;
   }
 
+  /** Bytes that will be free as soon as they are needed. */
+  reclaimableRoom(now: number): number {
+    return this.results.bytesOf("retained", now) +
+      this.results.bytesOf("freeing", now);
+  }
+
   /** Records that the endpoint had no room for a result of `bytes`. */
   recordNoRoom(
     bytes: number,
@@ -107,12 +105,4 @@
     const { id, address, zone } = this.endpoint.entry;
     return { handle, makerId: id, makerAddress: address, makerZone: zone };
   }
-
-  addResult(handle: string, result: KeptResult): void {
-    this.#results.set(handle, result);
-  }
-
-  removeResult(handle: string): void {
-    this.#results.delete(handle);
-  }
 }
--- a/packages/kelpspar-gateway/src/pieces/call_targets.ts
+++ b/packages/kelpspar-gateway/src/pieces/call_targets.ts
@@ -4,6 +4,7 @@
 import type { EndpointState } from "../endpoints/endpoint_state.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import { preferHealthy } from "../endpoints/prefer_healthy.ts";
+import type { KeptResults } from "./kept_results.ts";
 import type { RunningCall } from "./running_call.ts";
 import { CallTarget } from "./call_target.ts";
 
@@ -82,8 +83,13 @@
     for (const call of target.calls) call.abort.abort();
   }
 
-  resultFreed(result: PieceResult): void {
-    this.#targets.get(result.makerId)?.removeResult(result.handle);
+  find(id: string): CallTarget | undefined {
+    return this.#targets.get(id);
+  }
+
+  /** The results that a maker keeps; undefined if it isn't a target. */
+  resultsAt({ makerId }: PieceResult): KeptResults | undefined {
+    return this.#targets.get(makerId)?.results;
   }
 }
 
--- a/packages/kelpspar-gateway/src/pieces/chain_request.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_request.ts
@@ -51,4 +51,9 @@
   readonly results: readonly PieceResult[];
   /** Load of the endpoint that ran it; daemons of older builds send none. */
   readonly load?: ReleaseLoad | undefined;
+  /**
+   * Key of the chain, as of `chainKeyOf`, if its request may read the results
+   * once more; daemons of older builds send none and free them.
+   */
+  readonly retainFor?: string | undefined;
 }
--- a/packages/kelpspar-gateway/src/pieces/chain_run.ts
+++ b/packages/kelpspar-gateway/src/pieces/chain_run.ts
@@ -124,7 +124,7 @@
    * has one.
    */
   recordResult(
-    task: PieceTask,
+    task: Pick<PieceTask, "stage" | "piece">,
     result: PieceResult,
     expiresAt = Number.POSITIVE_INFINITY,
   ): boolean {
@@ -136,6 +136,23 @@
     return true;
   }
 
+  /** Records results that an earlier run of the chain has made. */
+  restoreFinalResults(
+    results: readonly PieceResult[],
+    expiresAt: number,
+  ): void {
+    const pieces = this.#finalStages().flatMap((stage) =>
+      Array.from(
+        { length: this.stage(stage).pieces },
+        (_, piece) => ({ stage, piece }),
+      )
+    );
+    for (const [index, task] of pieces.entries()) {
+      const result = results[index];
+      if (result !== undefined) this.recordResult(task, result, expiresAt);
+    }
+  }
+
   /** Starts the stages that can start now; returns their tasks. */
   startReady(): readonly PieceTask[] {
     return this.request.stages.flatMap((stage, number) => {
--- a/packages/kelpspar-gateway/src/pieces/describe_load.ts
+++ b/packages/kelpspar-gateway/src/pieces/describe_load.ts
@@ -22,6 +22,7 @@
   const sum = (of: (target: CallTarget) => number): number =>
     targets.reduce((total, target) => total + of(target), 0);
   const room = sum((target) => target.room(terms, now));
+  const retained = sum((target) => target.results.bytesOf("retained", now));
   return {
     queued: queue.length,
     queuedByKind: describeKinds(queue),
@@ -34,6 +35,9 @@
     freeRoomShare: Number(
       (room / (terms.resultBytes * targets.length)).toFixed(2),
     ),
+    retainedRoomShare: Number(
+      (retained / (terms.resultBytes * targets.length)).toFixed(2),
+    ),
     slowness: targets.map((target) =>
       target.endpoint.expectedSlowness(now).toFixed(2)
     ).join(","),
--- a/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
+++ b/packages/kelpspar-gateway/src/pieces/piece_coordinator.ts
@@ -18,8 +18,11 @@
 import type { PieceClient } from "./piece_call.ts";
 import type { PieceRetryGate } from "./piece_retries.ts";
 import type { PieceTask } from "./piece_task.ts";
+import type { ResultUse } from "./kept_results.ts";
+import type { RetainedChain } from "./retained_results.ts";
 import { ReaderPlacement } from "../placement/reader_placement.ts";
 import { admitChain } from "./admit_chain.ts";
+import { chainKeyOf } from "./chain_key.ts";
 import { backlogOf } from "./backlog.ts";
 import { ChainRun } from "./chain_run.ts";
 import { findRepeatedStages } from "./find_repeated_stages.ts";
@@ -28,6 +31,7 @@
 import { OpenWork } from "./open_work.ts";
 import { RefusedCallers } from "./refused_callers.ts";
 import { ResultFreer } from "./result_freer.ts";
+import { RetainedResults } from "./retained_results.ts";
 import { StageScheduler } from "./stage_scheduler.ts";
 
 /** Retry delay sent to callers after a stage failed. */
@@ -36,6 +40,8 @@
 const NO_ENDPOINT_RETRY_MILLISECONDS = 1_000;
 /** A chain fails after more restarts because of lost results. */
 const MAX_RESTARTS = 3;
+/** Least time until results expire that are read once more. */
+const MINIMUM_READ_MILLISECONDS = 300;
 /** How often the load of each service is logged. */
 const LOAD_LOG_MILLISECONDS = 500;
 /** How often queues are checked for work that no event dispatched. */
@@ -76,6 +82,7 @@
   /** Chains whose stages are done and whose request waits for an endpoint. */
   readonly #unplaced = new Set<ChainRun>();
   readonly #freer: ResultFreer;
+  readonly #retained = new RetainedResults();
   /** Stops the timers that run while chains are open. */
   #stopTimers: (() => void) | undefined;
 
@@ -88,6 +95,7 @@
       onFreed: (results) => this.#resultsFreed(results),
       mayFree: () => !options.isIsolated(),
       onFailed: (results) => {
+        this.#setUse(results, "used");
         if (options.isIsolated()) options.freeElsewhere(results);
       },
     });
@@ -115,7 +123,8 @@
     const request = this.#withStarvationPriority(
       this.#withObjectiveOfFirstAttempt(received),
     );
-    const refusal = this.#admit(request);
+    const retained = signal.aborted ? undefined : this.#claim(request);
+    const refusal = retained === undefined ? this.#admit(request) : undefined;
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const now = this.#options.timer.now();
@@ -129,6 +138,9 @@
         work: this.#work,
         settle: resolve,
       });
+      if (retained !== undefined) {
+        chain.restoreFinalResults(retained.results, retained.expiresAt);
+      }
       this.#chains.add(chain);
       this.#startTimers();
       signal.addEventListener(
@@ -136,8 +148,7 @@
         () => this.#close(chain, refuse("too_late", 0)),
         { once: true },
       );
-      this.#enqueue(chain.startReady());
-      this.#settleIfDone(chain);
+      if (!this.#settleIfDone(chain)) this.#enqueue(chain.startReady());
       if (signal.aborted) this.#close(chain, refuse("too_late", 0));
     });
   }
@@ -147,12 +158,99 @@
     for (const chain of [...this.#chains]) {
       this.#close(chain, refuse("isolated", NO_ENDPOINT_RETRY_MILLISECONDS));
     }
+    this.#freeEvicted(this.#retained.evictAll());
   }
 
-  /** Records that a request was read, or won't be, and frees its results. */
-  release({ attemptId, results, load }: ChainRelease): void {
+  /**
+   * Records that a request was read, or won't be, and frees its results, or
+   * retains them if it may read them once more.
+   */
+  release(release: ChainRelease): void {
+    const { attemptId, results, load, retainFor } = release;
     this.#placement.recordEnd(attemptId, load);
-    this.#freer.free(results);
+    const expiresAt = retainFor === undefined
+      ? undefined
+      : this.#expiryOf(results);
+    if (retainFor === undefined || expiresAt === undefined) {
+      this.#freer.free(this.#retained.end(results));
+      return;
+    }
+    this.#retain({ attemptId, chainKey: retainFor, results, expiresAt });
+  }
+
+  /** When the first result expires; undefined if one isn't counted here. */
+  #expiryOf(results: readonly PieceResult[]): number | undefined {
+    const schedulers = [...this.#schedulers.values()];
+    const expiries = results.map((result) =>
+      schedulers.map((scheduler) => scheduler.expiryOf(result))
+        .find((expiry) => expiry !== undefined)
+    );
+    const known = expiries.filter((expiry) => expiry !== undefined);
+    return results.length > 0 && known.length === results.length
+      ? Math.min(...known)
+      : undefined;
+  }
+
+  #retain(chain: RetainedChain): void {
+    this.#retained.removeExpired(this.#now());
+    const earlier = this.#retained.add(chain);
+    if (earlier !== undefined) this.#freeEvicted([earlier]);
+    this.#setUse(chain.results, "retained");
+    const makerIds = new Set(chain.results.map(({ makerId }) => makerId));
+    for (const makerId of makerIds) {
+      for (const scheduler of this.#schedulers.values()) {
+        scheduler.reclaimRoom(makerId);
+      }
+    }
+    // Results that there is no room to retain are freed like all others.
+    const isRetained = this.#retained.has(chain.attemptId);
+    if (!isRetained) this.#setUse(chain.results, "used");
+  }
+
+  /** Takes the results of a chain that its request reads once more. */
+  #claim(request: ChainRequest): RetainedChain | undefined {
+    const hasPieces = request.stages.some(({ pieces }) => pieces > 0);
+    if (!hasPieces) return undefined;
+    const chain = this.#retained.take(request.attemptId);
+    if (chain === undefined) return undefined;
+    const remaining = chain.expiresAt - this.#now();
+    const isUsable = chain.chainKey === chainKeyOf(request) &&
+      remaining >= MINIMUM_READ_MILLISECONDS;
+    this.#options.log.info("retained results claimed", {
+      attempt: request.attemptId,
+      isUsable,
+      results: chain.results.length,
+      remainingMilliseconds: Math.round(remaining),
+    });
+    if (!isUsable) {
+      this.#freeEvicted([chain]);
+      return undefined;
+    }
+    this.#setUse(chain.results, "used");
+    return chain;
+  }
+
+  #freeRetained(makerId: string): boolean {
+    this.#retained.removeExpired(this.#now());
+    const chain = this.#retained.evictOldestAt(makerId);
+    if (chain === undefined) return false;
+    this.#freeEvicted([chain]);
+    return true;
+  }
+
+  #freeEvicted(chains: readonly RetainedChain[]): void {
+    for (const { results } of chains) {
+      this.#setUse(results, "freeing");
+      this.#freer.free(results);
+    }
+  }
+
+  #setUse(results: readonly PieceResult[], use: ResultUse): void {
+    for (const result of results) {
+      for (const scheduler of this.#schedulers.values()) {
+        scheduler.setUse(result, use);
+      }
+    }
   }
 
   /**
@@ -300,6 +398,7 @@
       service,
       terms,
       free: (results) => this.#freer.free(results),
+      freeRetained: (makerId) => this.#freeRetained(makerId),
       events: {
         made: (task) => this.#pieceMade(task),
         inputsGone: (task) =>
@@ -395,6 +494,7 @@
    * endpoint.
    */
   #endpointGone(id: string, cause: EndpointGoneCause): void {
+    this.#freeRetainedAt(id, cause);
     if (cause === "leaving") {
       for (const scheduler of this.#schedulers.values()) scheduler.remove(id);
       return;
@@ -405,6 +505,16 @@
     }
   }
 
+  /** A request can't read what is left of its results once one is gone. */
+  #freeRetainedAt(makerId: string, cause: EndpointGoneCause): void {
+    for (const chain of this.#retained.evictAllAt(makerId)) {
+      const results = cause === "leaving"
+        ? chain.results
+        : chain.results.filter((result) => result.makerId !== makerId);
+      this.#freeEvicted([{ ...chain, results }]);
+    }
+  }
+
   /** Fails chains waiting for services whose zones are all evacuated. */
   #zonesEvacuated(): void {
     const { registry } = this.#options;
--- a/packages/kelpspar-gateway/src/pieces/plan_call.ts
+++ b/packages/kelpspar-gateway/src/pieces/plan_call.ts
@@ -20,6 +20,8 @@
   /** Number of pieces that may be sent again. */
   readonly repeats: number;
   readonly now: number;
+  /** Whether retained results may make way for the call; default false. */
+  readonly usesRetainedRoom?: boolean;
 }
 
 /** The next call to start. */
@@ -74,14 +76,18 @@
   return undefined;
 }
 
-/** Total free room of several endpoints, bytes. */
+/**
+ * Total room of several endpoints, bytes. Retained results count as free: they
+ * make way for calls.
+ */
 export function totalRoom(
   targets: readonly CallTarget[],
   terms: PieceTerms,
   now: number,
 ): number {
   return targets.reduce(
-    (sum, target) => sum + Math.max(0, target.room(terms, now)),
+    (sum, target) =>
+      sum + Math.max(0, target.room(terms, now) + target.reclaimableRoom(now)),
     0,
   );
 }
@@ -90,13 +96,14 @@
   target: CallTarget,
   options: PlanCallOptions,
 ): TargetState {
-  const { terms, now } = options;
+  const { terms, now, usesRetainedRoom = false } = options;
+  const reclaimable = usesRetainedRoom ? target.reclaimableRoom(now) : 0;
   const slowness = target.endpoint.expectedSlowness(now);
   return {
     target,
     zone: target.endpoint.entry.zone,
     isFree: target.isFree(terms, now),
-    room: target.room(terms, now),
+    room: target.room(terms, now) + reclaimable,
     slowness,
     wait: target.waitFor(terms, { slowness, now }),
   };
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler.ts
@@ -1,6 +1,7 @@
 import type { PieceTerms } from "../configuration/service_definition.ts";
 import type { PieceResult } from "./chain_outcome.ts";
 import type { ChainRun } from "./chain_run.ts";
+import type { ResultUse } from "./kept_results.ts";
 import type { CallTarget } from "./call_target.ts";
 import type {
   PieceAnswer,
@@ -27,6 +28,8 @@
 /** Pause before the next call to a full endpoint. */
 const FULL_PAUSE_MILLISECONDS = 60;
 const MAXIMUM_BACKOFF_DOUBLINGS = 2;
+/** Share of an endpoint's room beside which results are retained. */
+const UNRETAINED_ROOM_SHARE = 0.5;
 /** A fraction of a call; each arrival asks for a forecast of its stages. */
 const FORECAST_MILLISECONDS = 5;
 
@@ -49,6 +52,7 @@
   readonly #targets: CallTargets;
   readonly #retries: PieceRetries;
   #terms: PieceTerms;
+  #largestResultBytes = 0;
   #isDispatchPending = false;
   #forecast: (ServiceForecast & { readonly at: number }) | undefined;
 
@@ -69,6 +73,13 @@
   }
 
   enqueue(tasks: readonly PieceTask[]): void {
+    for (const { chain, stage } of tasks) {
+      const { resultBytes } = chain.stage(stage);
+      this.#largestResultBytes = Math.max(
+        this.#largestResultBytes,
+        resultBytes,
+      );
+    }
     this.#queue.add(tasks);
   }
 
@@ -109,7 +120,37 @@
 
   /** Stops counting the room of a freed result. */
   drop(result: PieceResult): void {
-    this.#targets.resultFreed(result);
+    this.#targets.resultsAt(result)?.remove(result.handle);
+  }
+
+  /** When a result expires; undefined if it isn't counted here. */
+  expiryOf(result: PieceResult): number | undefined {
+    return this.#targets.resultsAt(result)?.expiryOf(result.handle);
+  }
+
+  setUse(result: PieceResult, use: ResultUse): void {
+    this.#targets.resultsAt(result)?.setUse(result.handle, use);
+  }
+
+  /**
+   * Frees retained results at an endpoint until its next calls have room: a
+   * call that starts before they are freed must not be rejected for room.
+   */
+  reclaimRoom(makerId: string): void {
+    const target = this.#targets.find(makerId);
+    if (target === undefined) return;
+    const { slots, batch, resultBytes } = this.#terms;
+    const now = this.#now();
+    const reserve = Math.max(
+      resultBytes * UNRETAINED_ROOM_SHARE,
+      slots * batch * this.#largestResultBytes,
+    );
+    const { results } = target;
+    while (
+      target.room(this.#terms, now) + results.bytesOf("freeing", now) < reserve
+    ) {
+      if (!this.#options.freeRetained(makerId)) return;
+    }
   }
 
   /** Rate and wait of the service, at most `FORECAST_MILLISECONDS` old. */
@@ -180,10 +221,25 @@
       if (plan === undefined) break;
       this.#startCall(plan.target, plan.tasks);
     }
+    this.#reclaimForHeldCalls();
     const waiting = this.#queue.repeatsBeyond(this.#retries.available);
     this.#retries.handleWaiting(waiting, { workMilliseconds: work });
   }
 
+  /** Retains nothing while a call is held back for want of room. */
+  #reclaimForHeldCalls(): void {
+    const options = this.#planOptions();
+    const { queue, targets, now } = options;
+    const holders = targets.filter(({ results }) =>
+      results.bytesOf("retained", now) > 0
+    );
+    if (queue.length === 0 || holders.length === 0) return;
+    if (planCall({ ...options, usesRetainedRoom: true }) === undefined) return;
+    for (const { endpoint } of holders) {
+      while (this.#options.freeRetained(endpoint.entry.id));
+    }
+  }
+
   #startCall(target: CallTarget, tasks: readonly PieceTask[]): void {
     const { timer, client } = this.#options;
     const now = this.#now();
@@ -195,6 +251,7 @@
     this.#queue.remove(tasks);
     for (const task of tasks) task.calls++;
     target.startCall(call, now);
+    this.reclaimRoom(target.endpoint.entry.id);
     const sent = this.#retries.recordSends(tasks, target.endpoint.entry.zone);
     const stopWatching = watchCall({
       call,
@@ -306,7 +363,7 @@
   #pieceMade(target: CallTarget, task: PieceTask, handle: string): void {
     const result = target.resultOf(handle);
     const expiresAt = this.#now() + this.#terms.keptMilliseconds;
-    target.addResult(handle, {
+    target.results.add(handle, {
       bytes: task.chain.stage(task.stage).resultBytes,
       expiresAt,
     });
@@ -352,6 +409,7 @@
     const terms = this.#terms;
     const { resultBytes } = task.chain.stage(task.stage);
     target.recordNoRoom(resultBytes, { terms, now: this.#now() });
+    this.reclaimRoom(target.endpoint.entry.id);
     this.#retries.requeueRejected([task]);
     void learnRoom({
       target,
--- a/packages/kelpspar-gateway/src/pieces/stage_scheduler_options.ts
+++ b/packages/kelpspar-gateway/src/pieces/stage_scheduler_options.ts
@@ -32,4 +32,9 @@
   readonly events: StageSchedulerEvents;
   /** Frees results that are no longer needed. */
   readonly free: (results: readonly PieceResult[]) => void;
+  /**
+   * Frees the results that were retained first, of those with one at the maker;
+   * false if there are none.
+   */
+  readonly freeRetained: (makerId: string) => boolean;
 }
--- a/packages/kelpspar-gateway/src/requests/chain_client.ts
+++ b/packages/kelpspar-gateway/src/requests/chain_client.ts
@@ -91,6 +91,7 @@
   readonly #counts = { coordinatorChanges: 0, redirectedChains: 0 };
   /** The coordinator of the last chain. */
   #lastCoordinator: string | undefined;
+  readonly #coordinatorListeners = new Set<() => void>();
 
   constructor(options: ChainClientOptions) {
     this.#options = options;
@@ -121,6 +122,12 @@
     return outcome;
   }
 
+  /** Calls `listener` when chains are run by another coordinator than before. */
+  registerCoordinatorChange(listener: () => void): () => void {
+    this.#coordinatorListeners.add(listener);
+    return () => this.#coordinatorListeners.delete(listener);
+  }
+
   /** What happened to chains since the start, for the metrics. */
   get counts(): ChainClientCounts {
     return this.#counts;
@@ -274,6 +281,7 @@
     const { timer, log } = this.#options;
     const startedMillisecondsAgo = Math.round(timer.now() - this.#startedAt);
     log.info("coordinator changed", { from, to, startedMillisecondsAgo });
+    for (const listener of this.#coordinatorListeners) listener();
   }
 
   #candidates(): readonly string[] {
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -187,8 +187,8 @@
     if (this.#isIsolated) return "isolated";
     const failure = this.#continuation.failure;
     if (failure !== undefined) return this.#failAndEnd(failure);
-    // Results are freed at the first event of a stream. An endpoint that
-    // resumes the stream needs them too, so they must be made again first.
+    // Results are released at the first event of a stream. An endpoint that
+    // resumes the stream needs them too, so they must be claimed or made first.
     if (this.#areInputsFreed) return "input_gone";
     if (run.isQuarantined) {
       run.rejectQuarantined();
@@ -406,7 +406,7 @@
       this.#options.shutdown.findSendRefusal(run)?.reason;
   }
 
-  /** Makes the results of the stages again if they were freed. */
+  /** Claims the results of the stages, or makes them again. */
   async #prepareInputs(
     signal: AbortSignal,
   ): Promise<FailoverRefusal | undefined> {
@@ -419,7 +419,7 @@
       return { reason: `stages: ${reason}`, retryAfterMilliseconds };
     }
     run.holdResults(outcome.results, outcome.place);
-    if (signal.aborted) run.releaseResults();
+    if (signal.aborted) run.releaseReadResults();
     else this.#sender.inputs = run.resultHandles;
     return undefined;
   }
@@ -545,7 +545,7 @@
       this.#sender.recordFirstByte(result);
       this.#continuation.begun(endpoint.entry);
       // An endpoint that writes events has read its inputs.
-      run.releaseResults();
+      run.releaseReadResults();
     };
     let cut: { readonly error: unknown } | undefined;
     try {
--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -1,6 +1,7 @@
 import type { ServiceRoute } from "../configuration/service_route.ts";
 import type { ClientAccount } from "../configuration/serving_configuration.ts";
 import type { ChainOutcome, PieceResult } from "../pieces/chain_outcome.ts";
+import type { ChainRelease } from "../pieces/chain_request.ts";
 import type { ReleaseLoad } from "../load/release_load.ts";
 import type { StreamOrigin } from "../streams/stream_origin.ts";
 import type { ReaderPlace } from "../placement/reader_place.ts";
@@ -12,6 +13,8 @@
 import type { QuarantinedSubject } from "../quarantine/quarantined_subject.ts";
 import type { ServingRequest } from "./serving_request.ts";
 
+import { chainKeyOf } from "../pieces/chain_key.ts";
+import { createChainStages } from "./create_chain_request.ts";
 import { describePromptParts } from "./describe_prompt_parts.ts";
 import { requestFingerprint } from "../quarantine/request_fingerprint.ts";
 import { requestPriority } from "./request_priority.ts";
@@ -87,6 +90,8 @@
   releaseLoad: ReleaseLoad | undefined;
   #outcome: RequestOutcome | undefined;
   #results: readonly PieceResult[] = [];
+  /** Results that it has read and that another send may read. */
+  #retained: readonly PieceResult[] = [];
   #reservedRetry: SpentRetries | undefined;
   #place: ReaderPlace | undefined;
   #placementRetryMilliseconds: number | undefined;
@@ -296,6 +301,7 @@
   /** Stores results that are freed after the request has read them or ended. */
   holdResults(results: readonly PieceResult[], place?: ReaderPlace): void {
     this.releaseResults();
+    this.#endRetention(results);
     this.#results = results;
     this.#setPlace(place);
   }
@@ -327,7 +333,48 @@
     return this.#results.map(({ handle }) => handle);
   }
 
+  /**
+   * Releases results that an endpoint has read. Those of a stream that may be
+   * taken up at another endpoint are retained while there is room.
+   */
+  releaseReadResults(): void {
+    const mayReadAgain = this.isOpen && this.isResumableStream &&
+      this.hasAttemptsLeft;
+    if (!mayReadAgain || this.#results.length === 0) {
+      this.releaseResults();
+      return;
+    }
+    this.#retained = this.#results;
+    const { route, request } = this.options;
+    this.#release({
+      retainFor: chainKeyOf({
+        kind: route.name,
+        pieceKey: request.pieceKey,
+        stages: createChainStages(this),
+      }),
+    });
+  }
+
+  /** Has results freed that are retained for this request. */
+  releaseRetainedResults(): void {
+    this.#endRetention([]);
+  }
+
   releaseResults(): void {
+    this.#release({});
+  }
+
+  /** Frees retained results, apart from those that are held again. */
+  #endRetention(held: readonly PieceResult[]): void {
+    const handles = new Set(held.map(({ handle }) => handle));
+    const results = this.#retained.filter(({ handle }) => !handles.has(handle));
+    this.#retained = [];
+    if (results.length === 0) return;
+    // The end of the attempt was reported when its results were read.
+    this.options.dependencies.chainRunner.release({ attemptId: "", results });
+  }
+
+  #release(fields: Pick<ChainRelease, "retainFor">): void {
     const results = this.#results;
     if (results.length === 0 && !this.#hasUnreleasedPlace) return;
     this.#results = [];
@@ -336,8 +383,8 @@
     const load = this.releaseLoad;
     this.options.dependencies.chainRunner.release(
       load === undefined
-        ? { attemptId, results }
-        : { attemptId, results, load },
+        ? { attemptId, results, ...fields }
+        : { attemptId, results, load, ...fields },
     );
   }
 
@@ -421,6 +468,7 @@
     for (const teardown of this.#teardowns) teardown();
     this.stop.abort(REQUEST_ENDED);
     this.releaseResults();
+    this.releaseRetainedResults();
     if (end === "served") void this.#recordAnswerTime();
     this.#recordOutcome(end, fields);
   }
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -84,6 +84,14 @@
     }
   }
 
+  /**
+   * Has results freed that are retained for open streams. A new coordinator
+   * doesn't know them, and would count the room that they take as free.
+   */
+  releaseRetainedResults(): void {
+    for (const run of this.#openRuns) run.releaseRetainedResults();
+  }
+
   /**
    * Refuses requests at a stopping daemon as soon as their answers can't end in
    * time any more, though they haven't been sent; returns the teardown.
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -102,7 +102,7 @@
     void search.result.then((result) => {
       if (result !== undefined) closeAnswer(result);
     });
-    this.#options.run.releaseResults();
+    this.#options.run.releaseReadResults();
     this.#recordEnd(search, "resumed");
   }
 
