Make the stages again when retained results turn out to be gone

Cause: a stream may run its stages twice. If the second run brings retained results whose maker has ended unnoticed, the next endpoint answers 409, and the stream broke although its pieces could be made again, as before. Change: a resumable stream may run its stages three times.

--- a/packages/kelpspar-gateway/src/__tests__/unit/retained_stream_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/retained_stream_test.ts
@@ -76,6 +76,20 @@
   ]);
 });
 
+// Guards against streams that end with retained results that were lost unnoticed.
+test("a stream whose retained results are gone goes on with others", async () => {
+  const gone: ScriptedAnswer = () => ({
+    type: "not_run",
+    refusal: "input_gone",
+  });
+  const chains = [made("h1"), made("h1"), made("h2")];
+  const world = createWorld([CUT_AFTER_ONE, gone, REST], { chains });
+  await serve(world);
+  expect([world.reply.endState, world.chainRunCount()]).toEqual(["ended", 3]);
+  expect(world.endpointCalls.map(({ inputs }) => inputs?.join()))
+    .toEqual(["h1", "h1", "h2"]);
+});
+
 // Guards against room for results that no other endpoint may read.
 test("results of a stream that may run once are freed at its first event", async () => {
   for (const route of [{ isResumable: false }, { attempts: 1 }]) {
--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -32,6 +32,8 @@
 const SHUTDOWN_CHECK_MILLISECONDS = 50;
 /** Maximum number of chain runs for a request whose results were lost. */
 const MAXIMUM_CHAIN_RUNS = 2;
+/** One of them may bring retained results that turn out to be gone. */
+const MAXIMUM_CHAIN_RUNS_OF_RESUMABLE = 3;
 
 /** Refusals of chains that may be due to the isolation of this daemon. */
 const ISOLATION_REFUSALS: ReadonlySet<ChainRefusal> = new Set([
@@ -270,6 +272,9 @@
       shutdown: this.#shutdown,
       runStages: (signal) => this.#runStages(run, { stages, signal }),
     });
+    const maximumRuns = run.isResumableStream
+      ? MAXIMUM_CHAIN_RUNS_OF_RESUMABLE
+      : MAXIMUM_CHAIN_RUNS;
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (!await dispatcher.prepareContinuation()) return;
       if (await dispatcher.relay()) return;
@@ -283,7 +288,7 @@
       const end = await dispatcher.run();
       if (end === "ended" || !run.isOpen) return;
       if (end === "isolated") continue;
-      if (!hasPieces || chainRuns >= MAXIMUM_CHAIN_RUNS) {
+      if (!hasPieces || chainRuns >= maximumRuns) {
         dispatcher.fail("stage results were lost");
       }
     }
