--- a/packages/kelpspar-gateway/src/__tests__/unit/chain_client_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/chain_client_test.ts
@@ -186,3 +186,23 @@
     expect(ranByDaemon).toEqual([...expected]);
   });
 }
+
+// Guards against results that stay at their makers after a coordinator was replaced.
+test("a daemon notices that another coordinator runs its chains", async () => {
+  const { client, heardDaemons, timer } = createWorld();
+  let changes = 0;
+  client.registerCoordinatorChange(() => changes++);
+  const run = async (): Promise<void> => {
+    const ended = client.run(REQUEST, new AbortController().signal);
+    await timer.advance(CHAIN_MILLISECONDS);
+    await ended;
+  };
+  heardDaemons.push("other");
+  await run();
+  await run();
+  const known = changes;
+  heardDaemons.splice(0);
+  await run();
+  await run();
+  expect(changes - known).toEqual(1);
+});
