--- a/packages/kelpspar-gateway/src/requests/request_service.ts
+++ b/packages/kelpspar-gateway/src/requests/request_service.ts
@@ -32,6 +32,8 @@
 const SHUTDOWN_CHECK_MILLISECONDS = 50;
 /** Maximum number of chain runs for a request whose results were lost. */
 const MAXIMUM_CHAIN_RUNS = 2;
+/** One of them may bring retained results that turn out to be gone. */
+const MAXIMUM_CHAIN_RUNS_OF_RESUMABLE = 3;
 
 /** Refusals of chains that may be due to the isolation of this daemon. */
 const ISOLATION_REFUSALS: ReadonlySet<ChainRefusal> = new Set([
@@ -84,6 +86,14 @@
     }
   }
 
+  /**
+   * Has results freed that are retained for open streams. A new coordinator
+   * doesn't know them, and would count the room that they take as free.
+   */
+  releaseRetainedResults(): void {
+    for (const run of this.#openRuns) run.releaseRetainedResults();
+  }
+
   /**
    * Refuses requests at a stopping daemon as soon as their answers can't end in
    * time any more, though they haven't been sent; returns the teardown.
@@ -262,6 +272,9 @@
       shutdown: this.#shutdown,
       runStages: (signal) => this.#runStages(run, { stages, signal }),
     });
+    const maximumRuns = run.isResumableStream
+      ? MAXIMUM_CHAIN_RUNS_OF_RESUMABLE
+      : MAXIMUM_CHAIN_RUNS;
     for (let chainRuns = 1; run.isOpen; chainRuns++) {
       if (!await dispatcher.prepareContinuation()) return;
       if (await dispatcher.relay()) return;
@@ -277,7 +290,7 @@
       const end = await dispatcher.run();
       if (end === "ended" || !run.isOpen) return;
       if (end === "isolated") continue;
-      if (!hasPieces || chainRuns >= MAXIMUM_CHAIN_RUNS) {
+      if (!hasPieces || chainRuns >= maximumRuns) {
         dispatcher.fail("stage results were lost");
       }
     }
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -112,7 +112,7 @@
       if (result !== undefined) places.close(result);
     });
     // Until its first event, the held endpoint may fail and its inputs be needed.
-    if (run.firstByteAt !== undefined) run.releaseResults();
+    if (run.firstByteAt !== undefined) run.releaseReadResults();
     this.#recordEnd(search, run.isOpen ? "resumed" : "ended");
   }
 
