Use an endpoint again that goes on after one of its calls was replaced

Callers see: an endpoint that only paused gets next to nothing for up to 5 s. Change: one answer among the calls that were overdue together is enough. Evidence: the new test of endpoint_registry_test.ts fails before and passes.

--- a/packages/kelpspar-gateway/src/__tests__/unit/endpoint_registry_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/endpoint_registry_test.ts
@@ -208,3 +208,20 @@
   state?.failed(true, 940);
   expect(state?.isSetAside(1_650)).toEqual(false);
 });
+
+// Guards against long avoidance of an endpoint that only paused, because one of
+// its silent calls was replaced after the others went on.
+test("an endpoint that goes on isn't set aside for a call that was replaced", () => {
+  for (const lastIsAnswered of [true, false]) {
+    const registry = createRegistry();
+    registry.upsert(entry("i1"), 0);
+    const state = registry.find("i1");
+    for (let call = 0; call < 3; call++) state?.callOverdue(1_000);
+    expect(state?.isSetAside(1_100)).toEqual(true);
+    const end = { startedAt: 0, now: 1_100 };
+    state?.overdueCallEnded({ ...end, isAnswered: !lastIsAnswered });
+    state?.overdueCallEnded({ ...end, isAnswered: true });
+    state?.overdueCallEnded({ ...end, isAnswered: lastIsAnswered });
+    expect(state?.isSetAside(1_100)).toEqual(false);
+  }
+});
--- a/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
+++ b/packages/kelpspar-gateway/src/endpoints/endpoint_state.ts
@@ -62,6 +62,8 @@
   #slownessAt = 0;
   /** Calls in flight whose answers are overdue. */
   #overdueCalls = 0;
+  /** Whether one of the calls that were overdue together was answered. */
+  #hasResumed = false;
   readonly #trials = new ResumeTrials();
 
   constructor(entry: EndpointEntry, service: ServiceLoad) {
@@ -186,13 +188,16 @@
   }
 
   /**
-   * Records the end of an overdue call. Once all of them are answered, the
-   * endpoint was only silent and has no failures, unless it is slow. Returns
-   * whether the call's time shows how fast the endpoint is.
+   * Records the end of an overdue call. Once all of them have ended and one was
+   * answered, the endpoint was only silent and has no failures, unless it is
+   * slow: others may have been given up meanwhile. Returns whether the call's
+   * time shows how fast the endpoint is.
    */
   overdueCallEnded({ isAnswered, startedAt, now }: OverdueCallEnd): boolean {
     this.#overdueCalls--;
-    if (!isAnswered || this.#overdueCalls > 0) return this.#trials.isSlow;
+    this.#hasResumed ||= isAnswered;
+    if (!this.#hasResumed || this.#overdueCalls > 0) return this.#trials.isSlow;
+    this.#hasResumed = false;
     this.#trials.record({ isNormal: false, startedAt, now });
     if (this.#trials.start(now)) this.#clearFailures();
     return this.#trials.isSlow;
