Count broken answers by the kind of their reason

Cause: error messages and ids of parts became labels of kelpspar_broken_answers_total, without bound (found by the review). Change: the label ends at the reason's first colon.

--- a/packages/kelpspar-gateway/src/requests/request_run.ts
+++ b/packages/kelpspar-gateway/src/requests/request_run.ts
@@ -434,7 +434,7 @@
       ? `quarantined: prompt parts ${subject.parts.join(",")} crash endpoints`
       : "quarantined: it crashed the endpoints that ran it";
     if (this.firstByteAt !== undefined) {
-      this.abort(reason, "quarantined");
+      this.abort(reason);
       return;
     }
     const status = QUARANTINED_STATUS;
@@ -448,15 +448,12 @@
     this.options.reply.refuse(answer, { stagesMilliseconds, isDelivered });
   }
 
-  /**
-   * Aborts an answer that has begun and can't be completed. `label` is the
-   * reason without ids, for the metrics.
-   */
-  abort(reason: string, label = reason): void {
+  /** Aborts an answer that has begun and can't be completed. */
+  abort(reason: string): void {
     if (!this.isOpen) return;
     const { reply, dependencies, service } = this.options;
     reply.abort();
-    dependencies.metrics.countBrokenAnswer(service, label);
+    dependencies.metrics.countBrokenAnswer(service, kindOf(reason));
     this.finish("failed", { reason });
   }
 
@@ -540,3 +537,8 @@
     });
   }
 }
+
+/** A reason without the ids and messages that may follow it. */
+function kindOf(reason: string): string {
+  return reason.split(":", 1)[0] ?? reason;
+}
