Test that no stream is cut while its endpoints pause

Guards against the silence timeout, which closed streams before it was known whether they can go on elsewhere.

--- a/packages/kelpspar-standins/src/pauses/pause_situation.ts
+++ b/packages/kelpspar-standins/src/pauses/pause_situation.ts
@@ -9,8 +9,10 @@
   readonly seconds: number;
   /** Whether streams run through all stages first. */
   readonly hasStages: boolean;
-  /** Every 2 s another endpoint pauses for this time; 0 for never. */
+  /** Every 2 s other endpoints pause for this time; 0 for never. */
   readonly pauseMilliseconds: number;
+  /** Number of endpoints that pause together. */
+  readonly pausingEndpoints: number;
   readonly silence: SilenceOptions;
   readonly configuration: ConfigurationSeries;
   readonly ending: EndingSeries;
@@ -24,6 +26,7 @@
   seconds: 26,
   hasStages: true,
   pauseMilliseconds: 0,
+  pausingEndpoints: 1,
   silence: { requests: "begun" },
   configuration: "none",
   ending: "none",
@@ -42,9 +45,13 @@
   "2500": LONG,
   "6000": { ...CALM, pauseMilliseconds: 6_000 },
   "2500-direct": { ...LONG, ...NO_STAGES },
+  // These end when another endpoint that was asked for the rest begins.
+  "2200": { ...CALM, pauseMilliseconds: 2_200 },
+  "1560-direct": { ...CALM, ...NO_STAGES, pauseMilliseconds: 1_560 },
   "6000-direct": { ...CALM, ...NO_STAGES, pauseMilliseconds: 6_000 },
   "1900-low-load": { ...SHORT, ...LOW_LOAD },
   "2500-low-load": { ...LONG, ...LOW_LOAD },
+  "2500-low-load-half": { ...LONG, ...LOW_LOAD, pausingEndpoints: 4 },
   "1900-configurations": { ...SHORT, configuration: "same" },
   "2500-configurations": { ...LONG, configuration: "same" },
   "2500-timeouts": { ...LONG, configuration: "timeout" },
--- a/packages/kelpspar-standins/src/pauses/run_pauses.ts
+++ b/packages/kelpspar-standins/src/pauses/run_pauses.ts
@@ -142,7 +142,7 @@
   situation: PauseSituation,
 ): () => void {
   if (situation.hasDrawnSteps) return startDrawnSteps(context);
-  const { pauseMilliseconds, silence } = situation;
+  const { pauseMilliseconds, pausingEndpoints, silence } = situation;
   const series: readonly SeriesStep[] = [
     CONFIGURATION_SERIES[situation.configuration],
     ENDING_SERIES[situation.ending],
@@ -150,7 +150,10 @@
       intervalMilliseconds: PAUSE_INTERVAL_MILLISECONDS,
       play: (_, number) => {
         if (pauseMilliseconds === 0) return;
-        modelInTurn(context, number)?.fallSilent(pauseMilliseconds, silence);
+        for (let index = 0; index < pausingEndpoints; index++) {
+          modelInTurn(context, number * pausingEndpoints + index)
+            ?.fallSilent(pauseMilliseconds, silence);
+        }
       },
     },
   ];
