Spread the seeds of drawn situations

The first numbers of SeededRandom are nearly the same for small seeds, so that each of the first 21 had ten daemons and 7.7 requests a second.

--- a/packages/kelpspar-standins/src/pauses/draw_pause_situation.ts
+++ b/packages/kelpspar-standins/src/pauses/draw_pause_situation.ts
@@ -1,5 +1,5 @@
-import type { RandomSource } from "kelpspar-shared";
 import type { PauseSituation } from "./pause_situation.ts";
+import { SeededRandom } from "kelpspar-shared";
 import { pickRandom } from "../soak/pick_random.ts";
 import { CALM } from "./pause_situation.ts";
 
@@ -7,8 +7,12 @@
 const DAEMONS = [4, 4, 4, 6, 10];
 const REQUESTS_PER_SECOND = [2.5, 5, 7.7];
 
+/** The first numbers of successive small seeds are nearly the same. */
+const SEED_FACTOR = 0x9e3779b1;
+
 /** Draws a situation whose steps are drawn. */
-export function drawPauseSituation(random: RandomSource): PauseSituation {
+export function drawPauseSituation(seed: number): PauseSituation {
+  const random = new SeededRandom(Math.imul(seed, SEED_FACTOR));
   return {
     ...CALM,
     daemons: pickRandom(DAEMONS, random),
--- a/packages/kelpspar-standins/src/programs/pauses_main.ts
+++ b/packages/kelpspar-standins/src/programs/pauses_main.ts
@@ -1,7 +1,6 @@
 import type { PauseResult } from "../pauses/run_pauses.ts";
 import type { PauseSituationName } from "../pauses/pause_situation.ts";
 import type { SituationRun } from "./play_situations.ts";
-import { SeededRandom } from "kelpspar-shared";
 import { drawPauseSituation } from "../pauses/draw_pause_situation.ts";
 import { PAUSE_SITUATIONS } from "../pauses/pause_situation.ts";
 import { runPauses } from "../pauses/run_pauses.ts";
@@ -27,7 +26,7 @@
   { name, daemons, ...run }: SituationRun<PlayedName>,
 ): Promise<void> {
   const situation = name === "drawn"
-    ? drawPauseSituation(new SeededRandom(run.seed))
+    ? drawPauseSituation(run.seed)
     : PAUSE_SITUATIONS[name];
   const result = await runPauses({
     ...run,
