--- a/packages/kelpspar-standins/src/pauses/pause_steps.ts
+++ b/packages/kelpspar-standins/src/pauses/pause_steps.ts
@@ -53,18 +53,18 @@
   { requests: "begun", isInsideEvents: true },
   { requests: "all", isInsideEvents: true },
 ];
-/** Pauses are drawn more often than others. */
-const REPEATED: readonly PauseStep[] = [
-  "pause_one",
-  "pause_one",
-  "pause_one",
-  "pause_one",
-  "pause_one",
-  "pause_some",
-  "pause_some",
-  "pause_some",
-  "pause_some",
-];
+/** How often steps are drawn, compared with each other. */
+const WEIGHTS: Readonly<Record<PauseStep, number>> = {
+  pause_one: 9,
+  pause_some: 5,
+  end_one: 2,
+  silence_one: 2,
+  stop_some: 1,
+  stop_in_turn: 1,
+  hang_up_some: 2,
+  publish_same: 2,
+  publish_timeout: 2,
+};
 
 /** Steps by name. */
 export const PAUSE_STEPS: Readonly<
@@ -104,10 +104,8 @@
     CONFIGURATION_SERIES.timeout.play(context, context.random.nextInteger(2)),
 };
 
-const STEPS: readonly PauseStep[] = [
-  ...Object.keys(PAUSE_STEPS) as readonly PauseStep[],
-  ...REPEATED,
-];
+const STEPS = (Object.keys(PAUSE_STEPS) as readonly PauseStep[])
+  .flatMap((step) => Array.from({ length: WEIGHTS[step] }, () => step));
 
 /** Starts drawn steps that overlap; returns the function that ends them. */
 export function startDrawnSteps(context: StepContext): () => void {
