Tell all daemons once of a service that a route has moved to

Callers whose stream had begun at the service that a route had just moved to, and who took it up at a daemon with the older configuration, were sent on at the old service.

Cause: a version counted as known to all once it was on record in its service, whatever the route. Such a stream was told to three holders, or to nobody if the beginner knew one version beside it, and a daemon with the older configuration and a fresh list concluded the old service. What others were told of also lacked the route, so only the very stream was known there, not the ones after it.

Change: software is settled for a route when the version is on record in the service and the service in the route, 5 s each. Before that each of the other daemons is told once, with the route, and counts the service as one of the route's. A daemon that wasn't told yet is told with the next stream; those that were aren't told again beside it.

--- a/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/origin_fleet.ts
@@ -18,17 +18,17 @@
 /** Round trip between two daemons. */
 const ROUND_TRIP_MILLISECONDS = 2;
 
-/** A resumable route to a service. */
+/** Resumable routes, by name, to a service each. */
 function configurationOf(
-  service: string,
+  routes: Readonly<Record<string, string>>,
   version: number,
 ): ServingConfiguration {
   return {
     version,
-    routes: [{
-      name: ROUTE,
+    routes: Object.entries(routes).map(([name, service]) => ({
+      name,
       host: "host",
-      prefix: "/",
+      prefix: `/${name}`,
       kind: "stream",
       timeoutMilliseconds: DEADLINE_MILLISECONDS,
       objectiveMilliseconds: 1_000,
@@ -38,7 +38,7 @@
       isPublic: true,
       isResumable: true,
       stages: [],
-    }],
+    })),
     services: [],
     limits: {
       headerBytes: 1,
@@ -56,6 +56,12 @@
   readonly usesStore?: boolean;
 }
 
+/** Options of `OriginFleet`. */
+export interface OriginFleetOptions {
+  /** Resumable routes beside the one that streams begin on, to a service each. */
+  readonly otherRoutes?: Readonly<Record<string, string>>;
+}
+
 /** How a daemon answers others: not any more, or not at all. */
 export type DaemonFault = "none" | "refused" | "silent";
 
@@ -93,10 +99,12 @@
   /** Calls between daemons. */
   calls = 0;
   #starts = 0;
+  readonly #otherRoutes: Readonly<Record<string, string>>;
   #service = SERVICE;
   #configurationVersion = 1;
 
-  constructor() {
+  constructor({ otherRoutes = {} }: OriginFleetOptions = {}) {
+    this.#otherRoutes = otherRoutes;
     this.#unreachableStore.isAway = true;
   }
 
@@ -186,20 +194,20 @@
       isCutFromStore: false,
     };
     this.daemons.set(daemonId, daemon as FleetDaemon);
-    configuration.applyIfNewer(
-      configurationOf(this.#service, this.#configurationVersion),
-    );
+    configuration.applyIfNewer(this.#configuration);
     for (const version of versions) this.list(daemonId, version);
   }
 
-  /** Moves the route to another service. */
-  moveRoute(service: string): void {
+  /** Moves the route to another service, at all daemons but some. */
+  moveRoute(
+    service: string,
+    { exceptAt = [] }: { readonly exceptAt?: readonly string[] } = {},
+  ): void {
     this.#service = service;
     this.#configurationVersion++;
-    for (const { configuration } of this.daemons.values()) {
-      configuration.applyIfNewer(
-        configurationOf(service, this.#configurationVersion),
-      );
+    for (const [daemonId, { configuration }] of this.daemons) {
+      if (exceptAt.includes(daemonId)) continue;
+      configuration.applyIfNewer(this.#configuration);
     }
   }
 
@@ -217,14 +225,17 @@
   list(
     daemonId: string,
     version: string,
-    { isDraining = false }: { readonly isDraining?: boolean } = {},
+    { isDraining = false, service = SERVICE }: {
+      readonly isDraining?: boolean;
+      readonly service?: string;
+    } = {},
   ): void {
     const { registry, endpointList } = this.#daemon(daemonId);
     endpointList.isRead = true;
     registry.upsert({
       id: `endpoint-${version}`,
       bornAt: 0,
-      service: SERVICE,
+      service,
       address: "10.0.0.1:80",
       zone: "a",
       version,
@@ -297,11 +308,14 @@
     await this.#settle(
       this.#daemon(daemonId).origins.begin({
         stream: begun,
-        ...this.#route,
+        ...this.#routeAt(daemonId),
       }).then(() => endedAt = this.timer.now()),
     );
     const { attemptId } = stream;
-    this.#daemon(daemonId).origins.begun({ attemptId, ...this.#route });
+    this.#daemon(daemonId).origins.begun({
+      attemptId,
+      ...this.#routeAt(daemonId),
+    });
     return endedAt - startedAt;
   }
 
@@ -310,7 +324,7 @@
     daemonId: string,
     attemptId: string,
   ): Promise<OriginLookup & { readonly tookMilliseconds: number }> {
-    const options: FindOptions = { attemptId, ...this.#route };
+    const options: FindOptions = { attemptId, ...this.#routeAt(daemonId) };
     const startedAt = this.timer.now();
     let endedAt = startedAt;
     const lookup = this.#daemon(daemonId).origins.find(options);
@@ -318,8 +332,21 @@
     return { ...await lookup, tookMilliseconds: endedAt - startedAt };
   }
 
-  get #route(): StreamRoute {
-    return { route: ROUTE, services: [this.#service] };
+  get #configuration(): ServingConfiguration {
+    return configurationOf(
+      { [ROUTE]: this.#service, ...this.#otherRoutes },
+      this.#configurationVersion,
+    );
+  }
+
+  /** The route as a daemon's configuration has it. */
+  #routeAt(daemonId: string): StreamRoute {
+    const { table } = this.#daemon(daemonId).configuration;
+    const route = table?.configuration.routes.find(({ name }) =>
+      name === ROUTE
+    );
+    const services = route?.targets.map(({ service }) => service) ?? [];
+    return { route: ROUTE, services };
   }
 
   #daemon(daemonId: string): FleetDaemon {
--- a/packages/kelpspar-gateway/src/__tests__/unit/joined_versions_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/joined_versions_test.ts
@@ -90,3 +90,23 @@
   expect(lookup.type === "known" && lookup.origin.service === SERVICE)
     .toEqual(false);
 });
+
+// Guards against a service that is known from another route and counts as known to serve this one.
+test("streams of a route that has moved to a known service aren't of the old one at a daemon that learns of it later", async () => {
+  const fleet = new OriginFleet({ otherRoutes: { "other-route": "other" } });
+  for (let index = 0; index < DAEMONS; index++) {
+    fleet.add(`d${index}`, index % 2 === 0 ? "a" : "b", ["v1"]);
+    fleet.list(`d${index}`, "w1", { service: "other" });
+  }
+  await fleet.timer.advance(LONG_AGO_MILLISECONDS);
+  fleet.moveRoute("other", { exceptAt: ["d11"] });
+  expect(fleet.isSettled("d0", "w1")).toEqual(true);
+  await fleet.timer.advance(300);
+  for (let index = 0; index < 10; index++) {
+    const attemptId = `s${index}`;
+    await fleet.begin("d0", { attemptId, version: "w1" });
+    const lookup = await fleet.find("d11", attemptId);
+    expect(lookup.type === "known" && lookup.origin.service === SERVICE)
+      .toEqual(false);
+  }
+});
--- a/packages/kelpspar-gateway/src/streams/stream_origin.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origin.ts
@@ -22,6 +22,8 @@
 export interface BegunStream extends RecordedStream {
   /** Sends of the attempt so far; a later answer replaces an earlier one. */
   readonly sends: number;
+  /** Its route, which may have moved to the service lately. */
+  readonly route?: string | undefined;
 }
 
 /** Schema of a `StreamOrigin` in messages between daemons. */
@@ -40,5 +42,9 @@
 
 /** Schema of `BegunStream`s in messages between daemons. */
 export const begunStreamsSchema = z.array(
-  recordedStreamSchema.extend({ sends: z.number().int() }),
+  recordedStreamSchema.extend({
+    sends: z.number().int(),
+    /** Daemons of the previous version don't send it. */
+    route: z.string().optional(),
+  }),
 );
--- a/packages/kelpspar-gateway/src/streams/stream_origins.ts
+++ b/packages/kelpspar-gateway/src/streams/stream_origins.ts
@@ -19,7 +19,7 @@
 import { StoreClock } from "../tables/store_clock.ts";
 import { BegunStreams } from "./begun_streams.ts";
 import { collectAnswers } from "./collect_answers.ts";
-import { groupOfService } from "./history_group.ts";
+import { groupOfRoute, groupOfService } from "./history_group.ts";
 import { OriginSearch } from "./origin_search.ts";
 import { rankOriginHolders } from "./rank_origin_holders.ts";
 import { RecentMembers } from "./recent_members.ts";
@@ -72,6 +72,11 @@
   readonly stream: BegunStream;
 }
 
+/** Software that begins streams of a route. */
+interface RoutedSoftware extends StreamOrigin {
+  readonly route: string;
+}
+
 /**
  * Knows which software version began a stream, for daemons that take it up.
  * While several can have, the daemon that begins a stream tells some others
@@ -91,8 +96,8 @@
   readonly #candidates: SoftwareCandidates;
   readonly #search: OriginSearch;
   readonly #streams = new BegunStreams();
-  /** Software that all daemons were told of before they knew it. */
-  readonly #announced = new Set<string>();
+  /** Daemons that were told of software before they may have known it. */
+  readonly #announcedTo = new Map<string, Set<string>>();
 
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -168,50 +173,83 @@
    * Remembers which software begins a stream; resolves when enough other daemons
    * do, at most after `TELL_TIMEOUT_MILLISECONDS`. Never rejects.
    */
-  async begin({ stream, ...route }: BeginOptions): Promise<void> {
+  async begin({ stream: begun, ...route }: BeginOptions): Promise<void> {
     const { peers, timer } = this.#options;
+    const stream = { ...begun, route: route.route };
     this.#streams.add(stream, { isOwn: true, now: timer.now() });
-    const candidates = this.#candidates.of(route);
-    if (candidates.length <= 1) return;
+    const others = this.#othersThan(stream, route);
+    if (others.length === 0) return;
     const daemons = this.#rank(stream.attemptId);
-    const isNews = this.#isNews(stream, candidates);
-    const holders = isNews ? daemons : daemons.slice(0, HOLDERS);
-    const required = isNews ? daemons.length : REQUIRED_HOLDERS;
-    const answers = await collectAnswers(
-      holders.map(({ peer }) => peers.tellStreams(peer, [stream])),
+    const untold = this.#isNews(stream, others)
+      ? this.#untold(stream, daemons)
+      : [];
+    const told = new Set([...daemons.slice(0, HOLDERS), ...untold]);
+    const required = untold.length > 0 ? told.size : REQUIRED_HOLDERS;
+    await collectAnswers(
+      [...told].map(async ({ peer }) => {
+        await peers.tellStreams(peer, [stream]);
+        this.#announcedTo.get(describeNews(stream))?.add(peer);
+      }),
       {
         isEnough: ({ length }) => length >= required,
         timeoutMilliseconds: TELL_TIMEOUT_MILLISECONDS,
         timer,
       },
     );
-    if (isNews && answers.length === daemons.length) {
-      this.#announced.add(describeSoftware(stream));
-    }
   }
 
   /**
-   * True if others may conclude an older version, since they don't know of this
-   * one yet; they are all told once.
+   * True if others may conclude other software, since they don't know yet that
+   * this one serves the route; they are all told once.
    */
   #isNews(
-    software: StreamOrigin,
-    candidates: readonly StreamOrigin[],
+    stream: RoutedSoftware,
+    others: readonly StreamOrigin[],
   ): boolean {
-    return !this.isSettled(software) &&
-      !this.#announced.has(describeSoftware(software)) &&
-      candidates.some((candidate) => this.isSettled(candidate));
+    if (this.#isSettledAt(stream)) {
+      this.#announcedTo.delete(describeNews(stream));
+      return false;
+    }
+    return others.some((other) => this.isSettled(other));
+  }
+
+  /** Daemons that weren't told yet that this software serves the route. */
+  #untold(
+    stream: RoutedSoftware,
+    daemons: readonly DaemonAddress[],
+  ): readonly DaemonAddress[] {
+    const key = describeNews(stream);
+    const known = this.#announcedTo.get(key) ?? new Set();
+    this.#announcedTo.set(key, known);
+    return daemons.filter(({ peer }) => !known.has(peer));
+  }
+
+  /** False if other daemons may not know yet that it serves the route. */
+  #isSettledAt({ route, ...software }: RoutedSoftware): boolean {
+    return this.isSettled(software) &&
+      this.#history.isSettled(groupOfRoute(route), software.service);
+  }
+
+  /** Other software that can have begun streams of the route. */
+  #othersThan(
+    { service, version }: StreamOrigin,
+    route: StreamRoute,
+  ): readonly StreamOrigin[] {
+    return this.#candidates.of(route).filter((other) =>
+      other.service !== service || other.version !== version
+    );
   }
 
   /** Records a stream whose first event reaches the caller. */
   begun({ attemptId, ...route }: FindOptions): void {
     this.#streams.markBegun(attemptId);
-    if (this.#candidates.of(route).length <= 1) return;
     const stream = this.#streams.findBegun(
       attemptId,
       this.#options.timer.now(),
     );
-    if (stream !== undefined) this.#recorder.record([stream]);
+    if (stream === undefined) return;
+    if (this.#othersThan(stream, route).length === 0) return;
+    this.#recorder.record([stream]);
   }
 
   /** Records streams for another daemon. */
@@ -259,8 +297,10 @@
     const now = this.#options.timer.now();
     for (const stream of streams) {
       this.#streams.add(stream, { isOwn: false, now });
-      const { service, version } = stream;
+      const { service, version, route } = stream;
       this.#history.addAbsent(groupOfService(service), version);
+      if (route === undefined) continue;
+      this.#history.addAbsent(groupOfRoute(route), service);
     }
   }
 
@@ -318,6 +358,11 @@
   }
 }
 
+/** Key of software that serves a route. */
+function describeNews({ route, ...software }: RoutedSoftware): string {
+  return `${route} ${describeSoftware(software)}`;
+}
+
 /** Concludes from all software that can have begun a stream. */
 function toLookup(candidates: readonly StreamOrigin[]): OriginLookup {
   const [origin, ...others] = candidates;
