--- a/packages/kelpspar-standins/src/pauses/send_streams.ts
+++ b/packages/kelpspar-standins/src/pauses/send_streams.ts
@@ -49,7 +49,9 @@
       const { isConnected, status, sentAt, endedAt, isWhole, text } =
         await sendStreamAttempt({
           address: front,
-          path: `${path}?events=${events}&delay=${eventMilliseconds}`,
+          // Requests with the same path and body are blamed together for endpoints
+          // that end while they run.
+          path: `${path}${number}?events=${events}&delay=${eventMilliseconds}`,
           host,
           agent,
           attemptId,
