Let an endpoint that has just begun go on with a stalled stream

By the rule on requests that go on elsewhere (TWICE) the one before must not work on 400 ms later. Change: a held answer that goes on waits up to 300 ms, unread, for a send that was made; if that begins, it goes on, otherwise its call ends and the held answer is used. The test of a daemon that goes on expected the end of the other call at once and now expects it within these 300 ms, as the events still come once. Evidence: 'an endpoint that goes on gives way to one that has just begun' fails before.

--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -352,10 +352,9 @@
       void held.then((result) => this.#recordOnce(result));
       return next;
     }
-    if (isSuccessful(first) || !run.isOpen) {
-      failover.cancel();
-      return first;
-    }
+    if (isSuccessful(first) && run.isOpen) await failover.resume();
+    if (!run.isOpen) failover.cancel();
+    if (!failover.isSearching) return first;
     void this.#recordOnce(first);
     // The answer that may follow counts from the first send.
     run.sentAt = sentAt;
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -23,6 +23,12 @@
   /** The held answer was cut, or the request ended. */
   | "ended";
 
+/**
+ * A send that was made takes the place of a held answer that goes on if its own
+ * begins within this time: two endpoints must not both work on a stream.
+ */
+const RESUME_MILLISECONDS = 300;
+
 /** Options of a `StreamFailover`. */
 export interface StreamFailoverOptions<Result> {
   readonly run: RequestRun;
@@ -54,6 +60,8 @@
   #search: Search<Result> | undefined;
   #isHeld = true;
   #hasFound = false;
+  /** True while the held answer goes on and a send may take its place. */
+  #isResuming = false;
   readonly #pending = new Set<PendingSend<Result>>();
   readonly #results: Result[] = [];
   /** Ends the current wait. */
@@ -100,6 +108,34 @@
     this.#search = { abort, cause, startedAt, endStall, result };
   }
 
+  /**
+   * To be called when the held answer goes on, before it is used. Ends the search
+   * unless a send that was made takes its place.
+   */
+  async resume(): Promise<void> {
+    const search = this.#search;
+    if (search === undefined) return;
+    if (this.#pending.size > 0 && !this.#hasFound) {
+      this.#isResuming = true;
+      await this.#endsWithin(search, RESUME_MILLISECONDS);
+      this.#isResuming = false;
+    }
+    if (!this.#hasFound) this.cancel();
+  }
+
+  #endsWithin(search: Search<Result>, milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const stop = this.#dependencies.timer.registerTimeout(
+        resolve,
+        milliseconds,
+      );
+      void search.result.then(() => {
+        stop();
+        resolve();
+      });
+    });
+  }
+
   /** Ends the search, since the held answer goes on or its request has ended. */
   cancel(): void {
     const search = this.#search;
@@ -164,7 +200,7 @@
           wait = this.#waitAfter(places.recordFailure(result));
           continue;
         }
-        if (this.#isOver) return undefined;
+        if (this.#isOver || this.#isResuming) return undefined;
         const goesOnOtherwise = places.goesOnOtherwise();
         const refusal = goesOnOtherwise
           ? await this.#reserve(signal)
--- a/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_forwarder.ts
@@ -17,7 +17,7 @@
   /** Looks for another endpoint or daemon while nothing arrives. */
   readonly failover: Pick<
     StreamFailover<unknown>,
-    "start" | "cancel" | "registerFound"
+    "start" | "isSearching" | "resume" | "cancel" | "registerFound"
   >;
   /**
    * Called once, when the first event of all streams of the request was received;
@@ -116,10 +116,12 @@
     this.#hasAnswerBytes = false;
     try {
       for await (const chunk of answer.body) {
+        if (!run.isOpen) return;
+        timeouts.received();
+        if (failover.isSearching && !isEventSlow) await failover.resume();
         if (!run.isOpen) return;
         // Another endpoint was asked for what follows the last whole event.
         if (closeCause !== undefined) throw closeCause;
-        timeouts.received();
         this.#hasAnswerBytes = true;
         const events = this.#relay.push(chunk as Buffer);
         holding.set(this.#relay.heldBytes);
