--- a/packages/kelpspar-gateway/src/__tests__/unit/paused_endpoint_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_endpoint_test.ts
@@ -1,9 +1,8 @@
 import type { ChainOutcome } from "../../pieces/chain_outcome.ts";
-import type { EndpointAnswer } from "../../requests/endpoint_call.ts";
 import type { ScriptedAnswer, World } from "../support/request_world.ts";
 import { expect } from "earl";
-import { Readable } from "node:stream";
 import { test } from "node:test";
+import { PausingEndpoint } from "../support/pausing_endpoint.ts";
 import { createWorld, request, stream } from "../support/request_world.ts";
 
 const FIRST = "id: 1\ndata: a\n\n";
@@ -20,32 +19,6 @@
   retryAfterMilliseconds: 2_000,
 };
 
-/** An endpoint whose stream the test writes. */
-class PausingEndpoint {
-  readonly #body = new Readable({ read: () => {} });
-
-  get isClosed(): boolean {
-    return this.#body.destroyed;
-  }
-
-  readonly answer: ScriptedAnswer = (): EndpointAnswer => ({
-    type: "answered",
-    status: 200,
-    headers: [],
-    framing: "chunked",
-    body: this.#body,
-    close: () => void this.#body.destroy(),
-  });
-
-  write(text: string): void {
-    this.#body.push(text);
-  }
-
-  end(): void {
-    this.#body.push(null);
-  }
-}
-
 interface PauseOptions {
   readonly second?: ScriptedAnswer;
   readonly chains?: readonly ChainOutcome[];
--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -1,22 +1,21 @@
 import type { EndpointChoice } from "../endpoints/choose_endpoint.ts";
 import type { EndpointRefusal } from "./endpoint_call.ts";
 import type { ChainOutcome } from "../pieces/chain_outcome.ts";
-import type { CutDescription } from "./describe_cut.ts";
+import type { BufferedAnswer } from "./buffered_answer.ts";
 import type { EventTimes, SentTo } from "./answer_evidence.ts";
 import type { FailoverRefusal } from "./failover_refusal.ts";
 import type { RetryCause } from "../retries/retry_cause.ts";
 import type { RequestRun } from "./request_run.ts";
 import type { ReceivedAnswer, SendResult } from "./send_result.ts";
 import type { ShutdownAdmission } from "./shutdown_admission.ts";
-import { reportBodyLimit } from "../exchange/report_body_limit.ts";
 import { shortestPause } from "../endpoints/shortest_pause.ts";
 import { AnswerEvidence } from "./answer_evidence.ts";
 import { AnswerProgress } from "./answer_progress.ts";
-import { describeCut } from "./describe_cut.ts";
 import { EndpointPlaces } from "./endpoint_places.ts";
 import { EndpointSender } from "./endpoint_sender.ts";
 import { requestPlacement } from "./request_placement.ts";
 import { readAnswerBody } from "./read_answer_body.ts";
+import { SendRecorder } from "./send_recorder.ts";
 import { RequestRelayer } from "./request_relayer.ts";
 import {
   FULL_RETRY_MILLISECONDS,
@@ -62,12 +61,6 @@
   readonly runStages: (signal: AbortSignal) => Promise<ChainOutcome>;
 }
 
-interface BufferedAnswer {
-  readonly status: number;
-  readonly headers: readonly string[];
-  readonly body: Uint8Array;
-}
-
 /**
  * Sends a request to endpoints until it is answered or fails. After the stage
  * results that the request reads were lost and made again, `run` is called
@@ -78,15 +71,12 @@
   readonly #options: RequestDispatcherOptions;
   readonly #sender: EndpointSender;
   readonly #evidence: AnswerEvidence;
+  readonly #recorder: SendRecorder;
   readonly #streamForwarder: StreamForwarder;
   readonly #continuation: StreamContinuation;
   readonly #relayer: RequestRelayer;
   /** Why the request would be sent again. */
   #retryCause: RetryCause = "failed";
-  /** Sends whose result was recorded, and when all of it was. */
-  readonly #recorded = new WeakMap<SendResult, Promise<void>>();
-  /** Last error answer of an endpoint, returned if all retries fail too. */
-  #fallback: BufferedAnswer | undefined;
 
   constructor(run: RequestRun, options: RequestDispatcherOptions) {
     const relay = new StreamRelay(run.options.request.lastEventId);
@@ -97,6 +87,10 @@
       isPrevented: () => this.#isPrevented,
     });
     this.#evidence = new AnswerEvidence(run);
+    this.#recorder = new SendRecorder(run, {
+      sender: this.#sender,
+      evidence: this.#evidence,
+    });
     this.#streamForwarder = new StreamForwarder(run, relay);
     this.#continuation = new StreamContinuation(run, relay);
     this.#relayer = new RequestRelayer({
@@ -179,8 +173,9 @@
     retryAfterMilliseconds = FULL_RETRY_MILLISECONDS,
   ): void {
     const run = this.#run;
+    const { fallback } = this.#recorder;
     if (run.firstByteAt !== undefined) run.abort(reason);
-    else if (this.#fallback !== undefined) this.#sendAnswer(this.#fallback);
+    else if (fallback !== undefined) this.#sendAnswer(fallback);
     else run.fail(reason, retryAfterMilliseconds);
   }
 
@@ -349,13 +344,13 @@
       replaced.abort();
       const next = await failover.take();
       if (next === undefined) return await held;
-      void held.then((result) => this.#recordOnce(result));
+      void held.then((result) => this.#recorder.record(result));
       return next;
     }
     if (isSuccessful(first) && run.isOpen) await failover.resume();
     if (!run.isOpen) failover.cancel();
     if (!failover.isSearching) return first;
-    void this.#recordOnce(first);
+    void this.#recorder.record(first);
     // The answer that may follow counts from the first send.
     run.sentAt = sentAt;
     const next = await failover.take();
@@ -363,50 +358,6 @@
     return next ?? first;
   }
 
-  /** Records what a send shows that isn't answered from, once. */
-  #recordOnce(result: SendResult): Promise<void> {
-    const known = this.#recorded.get(result);
-    if (known !== undefined) return known;
-    const recorded = this.#record(result);
-    this.#recorded.set(result, recorded);
-    return recorded;
-  }
-
-  /** Resolves when a crash of the endpoint is known, if that matters. */
-  async #record(result: SendResult): Promise<void> {
-    const { answer } = result;
-    switch (answer.type) {
-      case "answered":
-        return await this.#discardAnswer(result, answer);
-      case "unreachable":
-        return this.#recordFailure(result, answer.reason, answer.isRefused);
-      case "not_run":
-        return this.#recordRefusal(result, answer.refusal);
-      case "unknown":
-        this.#recordFailure(result, answer.reason);
-        await this.#evidence.reportTruncated(result);
-    }
-  }
-
-  /** Keeps an error answer as the fallback if no other answer has begun. */
-  async #discardAnswer(
-    result: SendResult,
-    answer: ReceivedAnswer,
-  ): Promise<void> {
-    const { status, headers } = answer;
-    if (status >= 500) this.#recordFailure(result, `status ${status}`);
-    if (status < 500 || this.#run.firstByteAt !== undefined) {
-      closeAnswer(result);
-      return;
-    }
-    try {
-      const body = await readAnswerBody(this.#run, answer);
-      this.#fallback = { status, headers, body };
-    } catch {
-      // The answer was cut; its failure is recorded already.
-    }
-  }
-
   /** `times` are those of the events that the held answer has brought. */
   #createFailover(
     held: SentTo,
@@ -427,7 +378,7 @@
       mayRelay: () =>
         this.#isIsolated && run.mayRelay && run.hasAttemptsLeft &&
         relay.choosePeer(new Set()) !== undefined,
-      recordFailure: (result) => void this.#recordOnce(result),
+      recordFailure: (result) => void this.#recorder.record(result),
     });
     return new StreamFailover({ run, places });
   }
@@ -463,19 +414,19 @@
     const { answer } = result;
     switch (answer.type) {
       case "answered":
-        if (!this.#recorded.has(result)) {
+        if (!this.#recorder.has(result)) {
           return await this.#handleAnswer(result, answer);
         }
-        await this.#recordOnce(result);
+        await this.#recorder.record(result);
         return this.#retryIfOpen(`status ${answer.status}`);
       case "unreachable":
-        await this.#recordOnce(result);
+        await this.#recorder.record(result);
         return "again";
       case "not_run":
-        await this.#recordOnce(result);
+        await this.#recorder.record(result);
         return this.#handleRefusal(answer.refusal);
       case "unknown":
-        await this.#recordOnce(result);
+        await this.#recorder.record(result);
         return this.#retryOrFail(answer.reason);
     }
   }
@@ -496,15 +447,6 @@
     return handlers[refusal]();
   }
 
-  #recordRefusal(result: SendResult, refusal: EndpointRefusal): void {
-    this.#sender.logFailure(result, refusal);
-    const { endpoint } = result;
-    const { concurrency, endpointRegistry } = this.#run.options.dependencies;
-    if (refusal === "full") concurrency.recordRefusal(endpoint);
-    if (refusal === "replaced") endpointRegistry.retire(endpoint.entry);
-    if (refusal === "input_gone") this.#run.releaseResults();
-  }
-
   async #handleAnswer(
     result: SendResult,
     answer: ReceivedAnswer,
@@ -545,7 +487,7 @@
     // Otherwise the error answer is returned unchanged.
     if (status >= 500 && run.hasAttemptsLeft) {
       this.#sender.logFailure(result, `status ${status}`);
-      this.#fallback = { status, headers, body };
+      this.#recorder.fallback = { status, headers, body };
       return "again";
     }
     this.#sendAnswer({ status, headers, body });
@@ -633,7 +575,7 @@
   ): Promise<DispatchOutcome | "again"> {
     const run = this.#run;
     const isKnown = failover.isSearching;
-    this.#recordCut(result, error, { times, isKnown });
+    this.#recorder.recordCut(result, error, { times, isKnown });
     const report = this.#evidence.reportTruncated(result, times);
     if (!failover.hasFound) await report;
     const next = await failover.take();
@@ -648,7 +590,7 @@
     error: unknown,
     times: EventTimes,
   ): Promise<DispatchOutcome | "again"> {
-    this.#recordCut(result, error, { times, isKnown: false });
+    this.#recorder.recordCut(result, error, { times, isKnown: false });
     await this.#evidence.reportTruncated(result, times);
     const next = await result.other;
     if (next === undefined) return this.#retryIfOpen("answer cut");
@@ -657,54 +599,6 @@
     return "ended";
   }
 
-  #recordCut(
-    result: SendResult,
-    error: unknown,
-    { times, isKnown }: {
-      readonly times: EventTimes;
-      /** Whether the endpoint counts as failing already. */
-      readonly isKnown: boolean;
-    },
-  ): void {
-    const reason = error instanceof Error ? error.message : String(error);
-    reportBodyLimit(this.#run.options.dependencies.malformedAnswers, error, {
-      sender: result.endpoint.entry.id,
-      hasFailedCall: true,
-    });
-    const description = `answer cut: ${reason}`;
-    if (isKnown) this.#sender.logFailure(result, description);
-    else this.#recordFailure(result, description);
-    this.#reportCut(result, describeCut(error), times);
-  }
-
-  #reportCut(
-    { endpoint }: SendResult,
-    { endedBy, cause }: CutDescription,
-    { firstEventAt, lastEventAt = firstEventAt }: EventTimes,
-  ): void {
-    const run = this.#run;
-    const { dependencies, request, service } = run.options;
-    const { log, metrics } = dependencies;
-    const now = run.now();
-    metrics.countCutAnswer({ service, endedBy, cause });
-    log.info("answer cut", {
-      attempt: request.attemptId,
-      endpoint: endpoint.entry.id,
-      endedBy,
-      cause,
-      sinceFirstEventMilliseconds: roundedAge(firstEventAt, now),
-      sinceLastEventMilliseconds: roundedAge(lastEventAt, now),
-      openCalls: endpoint.inFlight,
-      attemptsLeft: run.attemptsLeft,
-      remainingMilliseconds: Math.round(run.remaining()),
-    });
-  }
-
-  #recordFailure(result: SendResult, reason: string, isCertain = false): void {
-    result.endpoint.failed(isCertain, this.#run.now());
-    this.#sender.logFailure(result, reason);
-  }
-
   #retryIfOpen(reason: string): DispatchOutcome | "again" {
     return this.#run.isOpen ? this.#retryOrFail(reason) : "ended";
   }
@@ -716,7 +610,3 @@
     return this.#failAndEnd(reason);
   }
 }
-
-function roundedAge(at: number | undefined, now: number): number | undefined {
-  return at === undefined ? undefined : Math.round(now - at);
-}
