Know the crash of an endpoint before its stream goes on

Cause: the check of an endpoint that cut an answer was awaited only once its parts had crashes. The stages that were made again used to take longer than the check; a stream that goes on with retained results doesn't wait for them, and reached the next endpoint first. Change: a request that shares a part with others waits for the check. The new unit test fails before.

--- a/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
+++ b/packages/kelpspar-gateway/src/__tests__/support/request_world.ts
@@ -155,7 +155,9 @@
     /** False for a daemon that has no configuration yet. */
     readonly isConfigured?: boolean;
     /** Checks if an endpoint accepts connections; all do by default. */
-    readonly check?: (endpoint: EndpointEntry) => ListeningState;
+    readonly check?: (
+      endpoint: EndpointEntry,
+    ) => ListeningState | Promise<ListeningState>;
     /** Other daemons; without them the daemon is never isolated. */
     readonly relay?: RequestDependencies["relay"];
     /** Other daemons while this one stops; one serves by default. */
@@ -228,8 +230,7 @@
       if (answer === undefined) throw new Error("No scripted answer is left");
       return await answer(call);
     },
-    check: (endpoint) =>
-      Promise.resolve(options.check?.(endpoint) ?? "listening"),
+    check: async (endpoint) => await (options.check?.(endpoint) ?? "listening"),
   };
   const brittle = new BrittleServices();
   const lifecycle = new DaemonLifecycle({ timer, graceMilliseconds: GRACE });
--- a/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/stream_failover_test.ts
@@ -118,6 +118,34 @@
   expect(world.endpointCalls.length).toEqual(1);
 });
 
+// Guards against parts that crash the next endpoint before the crash of the first
+// is counted.
+test("a stream with a shared part goes on once its endpoint is checked", async () => {
+  const endpoint = new PausingEndpoint();
+  let finishCheck = (): void => {};
+  const world = createWorld([endpoint.answer, () => stream(SECOND)], {
+    check: () =>
+      new Promise((resolve) => {
+        finishCheck = () => resolve("refused");
+      }),
+  });
+  const promptParts = ["p", "own"].map((id) => ({ id, tokens: 100 }));
+  const served = world.service.serve(
+    request({ pieceCounts: [0], promptParts }),
+    world.reply,
+  );
+  await world.timer.settle();
+  endpoint.write(FIRST);
+  await world.timer.settle();
+  endpoint.breakOff();
+  await world.timer.advance(100);
+  expect(world.endpointCalls.length).toEqual(1);
+  finishCheck();
+  await world.timer.settle();
+  await served;
+  expect(world.reply.text).toEqual(FIRST + SECOND);
+});
+
 // Guards against stages that are made again for an endpoint that fails before
 // its first event.
 test("an endpoint that is late keeps its stages until its first event", async () => {
--- a/packages/kelpspar-gateway/src/requests/answer_evidence.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_evidence.ts
@@ -50,8 +50,8 @@
 
   /**
    * Reports a crash if the endpoint of a truncated answer crashed. Waits for that
-   * only if the request may be sent again and has a part whose crashes are being
-   * counted.
+   * only if the request may be sent again and shares a part with others, which
+   * may have crashed the endpoint and would reach the next one.
    */
   async reportTruncated(
     { endpoint, sentAt, answeredAt }: SentTo,
@@ -72,6 +72,8 @@
       hasRestarted: endpoint.ended.aborted,
       ended: endpoint.ended,
     });
-    if (quarantine.mayBecomeSuspect(run) && run.hasAttemptsLeft) await check;
+    const mayBeBlamed = run.parts.length > 0 ||
+      quarantine.mayBecomeSuspect(run);
+    if (mayBeBlamed && run.hasAttemptsLeft) await check;
   }
 }
