--- a/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/paused_peer_test.ts
@@ -1,12 +1,11 @@
 import type { ServiceRoute } from "../../configuration/service_route.ts";
 import type { PeerRelayCall } from "../../relay/peer_relay.ts";
 import type { RelayAnswer } from "../../relay/relay_answer.ts";
-import type { ReceivedAnswer } from "../../requests/send_result.ts";
 import type { OriginLookup } from "../../streams/stream_origins.ts";
 import type { ScriptedAnswer, World } from "../support/request_world.ts";
 import { expect } from "earl";
-import { Readable } from "node:stream";
 import { test } from "node:test";
+import { PausingEndpoint } from "../support/pausing_endpoint.ts";
 import { createWorld, request, stream } from "../support/request_world.ts";
 
 const FIRST = "id: 1\ndata: a\n\n";
@@ -25,39 +24,9 @@
   call: PeerRelayCall,
 ) => RelayAnswer | Promise<RelayAnswer>;
 
-/** A stream that the test writes. */
-class PausingStream {
-  readonly #body = new Readable({ read: () => {} });
-
-  get isClosed(): boolean {
-    return this.#body.destroyed;
-  }
-
-  readonly received: ReceivedAnswer = {
-    type: "answered",
-    status: 200,
-    headers: [],
-    framing: "chunked",
-    body: this.#body,
-    close: () => void this.#body.destroy(),
-  };
-
-  readonly answer: ScriptedPeer = () => ({
-    type: "answered",
-    answer: this.received,
-  });
-
-  write(text: string): void {
-    this.#body.push(text);
-  }
-
-  end(): void {
-    this.#body.push(null);
-  }
-
-  cut(): void {
-    this.#body.destroy(new Error("connection reset"));
-  }
+/** A daemon that relays a stream which the test writes. */
+function relaying(stream: PausingEndpoint): ScriptedPeer {
+  return () => ({ type: "answered", answer: stream.receive() });
 }
 
 const unreachable: ScriptedPeer = () => ({
@@ -150,9 +119,9 @@
 
 /** Plays a relayed stream that pauses after its first event, to its end. */
 async function playPause(options: PauseOptions): Promise<IsolatedWorld> {
-  const peer = new PausingStream();
+  const peer = new PausingEndpoint();
   const { before = [], after = [], ...rest } = options;
-  const world = createIsolated([...before, peer.answer, ...after], rest);
+  const world = createIsolated([...before, relaying(peer), ...after], rest);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
     world.reply,
@@ -231,8 +200,8 @@
 
 // Guards against relayed streams that are cut inside an event that would end.
 test("a relayed event that ends late is kept if no retry is left", async () => {
-  const peer = new PausingStream();
-  const world = createIsolated([peer.answer], { slack: 0 });
+  const peer = new PausingEndpoint();
+  const world = createIsolated([relaying(peer)], { slack: 0 });
   const served = world.service.serve(
     request({ pieceCounts: [] }),
     world.reply,
@@ -255,8 +224,8 @@
 
 // Guards against events that come twice when both daemons go on.
 test("a relayed stream that goes on while another daemon is asked is kept", async () => {
-  const peer = new PausingStream();
-  const world = createIsolated([peer.answer, silent]);
+  const peer = new PausingEndpoint();
+  const world = createIsolated([relaying(peer), silent]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
     world.reply,
@@ -279,8 +248,8 @@
 
 // Guards against streams that wait for a dead daemon until their deadline.
 test("a relayed stream whose daemon dies goes on at once", async () => {
-  const peer = new PausingStream();
-  const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
+  const peer = new PausingEndpoint();
+  const world = createIsolated([relaying(peer), streaming(SECOND, THIRD)]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
     world.reply,
@@ -288,7 +257,7 @@
   await world.timer.settle();
   peer.write(FIRST);
   await world.timer.settle();
-  peer.cut();
+  peer.breakOff();
   await world.timer.settle();
   await served;
   expect(outcomeOf(world)).toEqual(WHOLE);
@@ -297,8 +266,8 @@
 
 // Guards against streams that wait for a silent connection until their deadline.
 test("a relayed stream that stays silent goes on elsewhere after 3 s", async () => {
-  const peer = new PausingStream();
-  const world = createIsolated([peer.answer, streaming(SECOND, THIRD)]);
+  const peer = new PausingEndpoint();
+  const world = createIsolated([relaying(peer), streaming(SECOND, THIRD)]);
   const served = world.service.serve(
     request({ pieceCounts: [] }),
     world.reply,
@@ -314,8 +283,8 @@
 // Guards against retries that are spent on daemons that never sent the request.
 test("a daemon that refuses a stalled stream costs no retry", async () => {
   for (const refusal of [refusing(true), unreachable]) {
-    const peer = new PausingStream();
-    const script = [peer.answer, refusal, streaming(SECOND, THIRD)];
+    const peer = new PausingEndpoint();
+    const script = [relaying(peer), refusal, streaming(SECOND, THIRD)];
     const world = createIsolated(script, { slack: 3 });
     const served = world.service.serve(
       request({ pieceCounts: [] }),
@@ -331,9 +300,9 @@
 
 /** Plays a relayed stream that stays silent while the isolation ends. */
 async function playRecovery(slack: number): Promise<boolean> {
-  const peer = new PausingStream();
+  const peer = new PausingEndpoint();
   let isIsolated = true;
-  const world = createIsolated([peer.answer], {
+  const world = createIsolated([relaying(peer)], {
     slack,
     isIsolated: () => isIsolated,
     endpoints: [() => stream(SECOND, THIRD)],
@@ -370,12 +339,12 @@
 
 // Guards against streams that are closed for a daemon that may not be asked.
 test("a stream of a daemon that becomes isolated is kept if no retry is left", async () => {
-  const endpoint = new PausingStream();
+  const endpoint = new PausingEndpoint();
   let isIsolated = false;
   const world = createIsolated([streaming(SECOND, THIRD)], {
     slack: 0,
     isIsolated: () => isIsolated,
-    endpoints: [() => endpoint.received],
+    endpoints: [endpoint.answer],
   });
   const served = world.service.serve(
     request({ pieceCounts: [] }),
@@ -397,9 +366,9 @@
 // Guards against events of two software versions in one stream.
 test("a relayed stream goes on here at the software that began it", async () => {
   for (const version of ["v1", "v2"]) {
-    const peer = new PausingStream();
+    const peer = new PausingEndpoint();
     let isIsolated = true;
-    const world = createIsolated([peer.answer], {
+    const world = createIsolated([relaying(peer)], {
       isIsolated: () => isIsolated,
       endpoints: [() => stream(SECOND, THIRD)],
       versions: ["v1", "v2", "v2"],
@@ -413,7 +382,7 @@
     peer.write(FIRST);
     await world.timer.settle();
     isIsolated = false;
-    peer.cut();
+    peer.breakOff();
     await world.timer.settle();
     await served;
     expect(outcomeOf(world)).toEqual(WHOLE);
@@ -423,9 +392,9 @@
 
 // Guards against streams that go on although their software is gone or unknown.
 test("a relayed stream doesn't go on here at unknown software", async () => {
-  const peer = new PausingStream();
+  const peer = new PausingEndpoint();
   let isIsolated = true;
-  const world = createIsolated([peer.answer], {
+  const world = createIsolated([relaying(peer)], {
     isIsolated: () => isIsolated,
     endpoints: [() => stream(SECOND, THIRD)],
     versions: ["v1", "v2", "v2"],
@@ -439,7 +408,7 @@
   peer.write(FIRST);
   await world.timer.settle();
   isIsolated = false;
-  peer.cut();
+  peer.breakOff();
   await world.timer.settle();
   await served;
   expect([world.reply.endState, world.endpointCalls.length]).toEqual([
@@ -450,9 +419,9 @@
 
 // Guards against streams that are closed though nobody knows their software.
 test("a silent relayed stream is kept while its software is unknown", async () => {
-  const peer = new PausingStream();
+  const peer = new PausingEndpoint();
   let isIsolated = true;
-  const world = createIsolated([peer.answer], {
+  const world = createIsolated([relaying(peer)], {
     isIsolated: () => isIsolated,
     origin: { type: "unknown" },
   });
--- a/packages/kelpspar-gateway/src/__tests__/unit/relayed_failover_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/relayed_failover_test.ts
@@ -1,19 +1,18 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { DaemonAddress } from "../../fleet/fleet_digest.ts";
-import type { ReceivedAnswer } from "../../requests/send_result.ts";
 import type { World } from "../support/request_world.ts";
 import { expect } from "earl";
 import { CallerBudget } from "kelpspar-http";
 import { ManualTimer, SeededRandom, SystemTimer } from "kelpspar-shared";
 import { once } from "node:events";
 import { createServer } from "node:http";
-import { Readable } from "node:stream";
 import { test } from "node:test";
 import { OpenExchanges } from "../../front/open_exchanges.ts";
 import { PeerRelay } from "../../relay/peer_relay.ts";
 import { createRelayListener } from "../../relay/relay_listener.ts";
 import { waitFor } from "../support/front_fixture.ts";
+import { PausingEndpoint } from "../support/pausing_endpoint.ts";
 import { createWorld, request } from "../support/request_world.ts";
 
 const FIRST = "id: 1\ndata: a\n\n";
@@ -24,20 +23,12 @@
 
 /** A daemon that reaches one endpoint, over a connection of its own. */
 class ServingDaemon {
-  readonly #body = new Readable({ read: () => {} });
-  readonly #answer: ReceivedAnswer = {
-    type: "answered",
-    status: 200,
-    headers: [],
-    framing: "chunked",
-    body: this.#body,
-    close: () => void this.#body.destroy(),
-  };
+  readonly endpoint = new PausingEndpoint();
   readonly world: World;
   readonly #server: Server;
 
   constructor() {
-    const world = createWorld([() => this.#answer], { route: ROUTE });
+    const world = createWorld([this.endpoint.answer], { route: ROUTE });
     this.world = world;
     this.#server = createServer(createRelayListener({
       budget: new CallerBudget({ timer: new SystemTimer() }),
@@ -61,22 +52,9 @@
     this.#server.close();
   }
 
-  write(text: string): void {
-    this.#body.push(text);
-  }
-
-  end(): void {
-    this.#body.push(null);
-  }
-
   get isAsked(): boolean {
     return this.world.endpointCalls.length > 0;
   }
-
-  /** Whether its endpoint's connection was closed. */
-  get isClosed(): boolean {
-    return this.#body.destroyed;
-  }
 }
 
 /** Serves a request at an isolated daemon with real connections to others. */
@@ -115,13 +93,13 @@
   const addresses = [await silent.start("d2"), await next.start("d3")];
   const { world, served } = serveIsolated(addresses);
   await waitFor(() => silent.isAsked);
-  silent.write(FIRST);
+  silent.endpoint.write(FIRST);
   await waitFor(() => world.reply.text === FIRST);
   await world.timer.advance(SILENCE_MILLISECONDS);
-  await waitFor(() => next.isAsked && silent.isClosed);
+  await waitFor(() => next.isAsked && silent.endpoint.isClosed);
   expect(next.world.endpointCalls[0]?.lastEventId).toEqual("1");
-  next.write(SECOND);
-  next.end();
+  next.endpoint.write(SECOND);
+  next.endpoint.end();
   await served;
   expect([world.reply.text, world.reply.endState]).toEqual([
     FIRST + SECOND,
