--- a/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
+++ b/packages/kelpspar-gateway/src/requests/request_dispatcher.ts
@@ -335,9 +335,7 @@
       endpoint: choice.endpoint,
       sentAt,
     });
-    const found = new Promise<"found">((resolve) => {
-      failover.registerFound(() => resolve("found"));
-    });
+    const found = failover.found();
     failover.start("late_answer");
     const first = await Promise.race([held, found]);
     if (first === "found") {
--- a/packages/kelpspar-gateway/src/requests/request_relayer.ts
+++ b/packages/kelpspar-gateway/src/requests/request_relayer.ts
@@ -125,9 +125,7 @@
     const { run } = this.#options;
     const { route, dependencies: { timer } } = run.options;
     const failover = this.#createFailover(peer);
-    const found = new Promise<"found">((resolve) => {
-      failover.registerFound(() => resolve("found"));
-    });
+    const found = failover.found();
     const startedAt = run.now();
     const askAnother = (): void => {
       if (!run.isOpen || !run.hasAttemptsLeft) return;
--- a/packages/kelpspar-gateway/src/requests/stream_failover.ts
+++ b/packages/kelpspar-gateway/src/requests/stream_failover.ts
@@ -88,6 +88,13 @@
     return () => this.#foundListeners.delete(listener);
   }
 
+  /** Resolves once the held answer is to be closed. */
+  found(): Promise<"found"> {
+    return new Promise((resolve) => {
+      this.registerFound(() => resolve("found"));
+    });
+  }
+
   /** Starts to look for another place, unless that is in progress. */
   start(cause: FailoverCause): void {
     if (this.#search !== undefined) return;
