Log answers that clear a part and crash their endpoint later

The logs named the answer that cleared a part of a crash, not what became of that answer; explain of a part shows both now, and when a request was sent whose answer had not begun. No logic changes.

--- a/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -104,12 +104,21 @@
       parts: "s,p",
       crashes: "i0 born 1,i1 born 5",
     }),
+    line(3, "clearing answer crashed its endpoint", {
+      attempt: "a7",
+      parts: "s,p",
+      crashes: "i1 born 5",
+    }),
   ].flatMap((text) => parseLogLine(text) ?? []);
   const timeline = explainRequest("p", lines);
   expect(timeline.crashes).toEqual([{
     crash: "i1 born 5",
     reporters: ["d1 (not blamed, wrote for 330 ms)"],
     clearedBy: ["d1 a7"],
+    disprovedBy: ["d1 a7"],
   }]);
-  expect(formatTimeline(timeline)).toInclude("cleared by d1 a7");
+  expect(formatTimeline(timeline))
+    .toInclude(
+      "cleared by d1 a7, of which d1 a7 crashed their endpoints later",
+    );
 });
--- a/packages/kelpspar-cli/src/explain/explain_request.ts
+++ b/packages/kelpspar-cli/src/explain/explain_request.ts
@@ -49,6 +49,7 @@
 const PART_MESSAGES: ReadonlySet<string> = new Set([
   "endpoint checked after isolation",
   "endpoint checked after truncated answer",
+  "clearing answer crashed its endpoint",
   "prompt parts cleared",
   "prompt parts quarantined",
   "prompt parts released from quarantine",
--- a/packages/kelpspar-cli/src/explain/format_timeline.ts
+++ b/packages/kelpspar-cli/src/explain/format_timeline.ts
@@ -34,9 +34,15 @@
   return `  ${clock} ${line.daemon} ${line.message}: ${fields.join(" ")}`;
 }
 
-function formatCrash({ crash, reporters, clearedBy }: ReportedCrash): string {
+function formatCrash(
+  { crash, reporters, clearedBy, disprovedBy }: ReportedCrash,
+): string {
   const cleared = clearedBy.length === 0
     ? "not cleared"
     : `cleared by ${clearedBy.join(", ")}`;
-  return `  crash of ${crash}: seen by ${reporters.join(", ")}; ${cleared}`;
+  const disproved = disprovedBy.length === 0
+    ? ""
+    : `, of which ${disprovedBy.join(", ")} crashed their endpoints later`;
+  const seen = `seen by ${reporters.join(", ")}`;
+  return `  crash of ${crash}: ${seen}; ${cleared}${disproved}`;
 }
--- a/packages/kelpspar-cli/src/explain/list_crashes.ts
+++ b/packages/kelpspar-cli/src/explain/list_crashes.ts
@@ -9,6 +9,8 @@
   readonly reporters: readonly string[];
   /** Daemons whose answers cleared the part of it. */
   readonly clearedBy: readonly string[];
+  /** Those whose answers crashed their endpoints afterwards. */
+  readonly disprovedBy: readonly string[];
 }
 
 /**
@@ -24,18 +26,34 @@
     const { endpoint, bornAt, isReported } = line;
     if (isReported !== true || !partsOf(line).includes(part)) continue;
     const crash = `${endpoint} born ${bornAt}`;
-    const wrote = line.wroteMilliseconds ?? 0;
     const blame = line.isBlamed === true ? "blamed" : "not blamed";
-    const reporter = `${line.daemon} (${blame}, wrote for ${wrote} ms)`;
+    const progress = line.wroteMilliseconds === undefined
+      ? `sent ${line.sentMillisecondsAgo ?? 0} ms before`
+      : `wrote for ${line.wroteMilliseconds} ms`;
+    const reporter = `${line.daemon} (${blame}, ${progress})`;
     reporters.set(crash, [...reporters.get(crash) ?? [], reporter]);
   }
   return [...reporters].map(([crash, found]) => ({
     crash,
     reporters: found,
-    clearedBy: lines.filter((line) =>
-      line.message === "prompt parts cleared" &&
-      partsOf(line).includes(part) &&
-      line.crashes?.split(",").includes(crash)
-    ).map(({ daemon, attempt = "" }) => `${daemon} ${attempt}`.trim()),
+    clearedBy: listAnswers("prompt parts cleared", { part, crash, lines }),
+    disprovedBy: listAnswers("clearing answer crashed its endpoint", {
+      part,
+      crash,
+      lines,
+    }),
   }));
 }
+
+/** Lists the answers that lines with this message name for a part and crash. */
+function listAnswers(message: string, { part, crash, lines }: {
+  readonly part: string;
+  readonly crash: string;
+  readonly lines: readonly LogLine[];
+}): readonly string[] {
+  return lines.filter((line) =>
+    line.message === message &&
+    partsOf(line).includes(part) &&
+    line.crashes?.split(",").includes(crash)
+  ).map(({ daemon, attempt = "" }) => `${daemon} ${attempt}`.trim());
+}
--- a/packages/kelpspar-cli/src/explain/log_line.ts
+++ b/packages/kelpspar-cli/src/explain/log_line.ts
@@ -23,6 +23,8 @@
   isBlamed: z.boolean().optional(),
   /** How long an answer had written events before it was cut. */
   wroteMilliseconds: z.number().optional(),
+  /** How long before a cut its request was sent. */
+  sentMillisecondsAgo: z.number().optional(),
   /** What an operator named. */
   id: z.string().optional(),
 });
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -53,6 +53,8 @@
   readonly beganAt: number;
   /** For how long it has written events; undefined if it ended whole. */
   readonly wroteMilliseconds?: number | undefined;
+  /** Fingerprint of its request, and the endpoint's incarnation. */
+  readonly id?: Pick<CrashReport, "fingerprint" | "crash">;
 }
 
 /**
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -8,6 +8,7 @@
 import type { EndpointClient } from "../requests/endpoint_call.ts";
 import type { PromptPart } from "../requests/serving_request.ts";
 import type { Quarantine } from "./quarantine.ts";
+import { describeIncarnation } from "./describe_incarnation.ts";
 import { describePromptParts } from "../requests/describe_prompt_parts.ts";
 import { sharedParts } from "../requests/shared_parts.ts";
 import { describeSoftware } from "../streams/software_of.ts";
@@ -85,7 +86,7 @@
     const { firstEventAt, lastEventAt = truncatedAt } = answer;
     const report: CrashReport = {
       fingerprint,
-      crash: `${endpoint.id} born ${endpoint.bornAt}`,
+      crash: describeIncarnation(endpoint),
       ranMilliseconds: millisecondsSince(answeredAt, truncatedAt),
       wroteMilliseconds: millisecondsSince(firstEventAt, lastEventAt),
       parts: sharedParts(answer.promptParts),
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -13,6 +13,7 @@
 } from "./quarantined_subject.ts";
 import { CrashLedger } from "kelpspar-decisions/quarantine";
 import { appliesTo, subjectKey } from "./quarantined_subject.ts";
+import { ClearingAnswers } from "./clearing_answers.ts";
 import { KnownParts } from "./known_parts.ts";
 import { QuarantineProbes } from "./quarantine_probes.ts";
 import { ServedRequests } from "./served_requests.ts";
@@ -87,6 +88,7 @@
   readonly #ledger = new CrashLedger();
   readonly #served = new ServedRequests();
   readonly #knownParts = new KnownParts();
+  readonly #clearingAnswers = new ClearingAnswers();
   readonly #probes: QuarantineProbes;
   /** Fingerprints of requests whose crashes this daemon detected. */
   readonly #reportedHere = new Set<string>();
@@ -197,6 +199,19 @@
     this.#crashesDetectedHere.add(report.crash);
     const described = this.#knownParts.describe(report, now);
     this.#applyChange("own", () => this.#ledger.report(described, now, at));
+    this.#logDisprovedClearing(report);
+  }
+
+  /** Logs that an answer cleared parts and crashed its endpoint afterwards. */
+  #logDisprovedClearing(report: CrashReport): void {
+    const clearing = this.#clearingAnswers.take(report);
+    if (clearing === undefined) return;
+    this.#options.log.warn("clearing answer crashed its endpoint", {
+      attempt: clearing.attemptId,
+      parts: clearing.parts.join(","),
+      crashes: describeCrashes(clearing.crashes),
+      wroteMilliseconds: report.wroteMilliseconds,
+    });
   }
 
   /** Records that an endpoint answered a request completely. */
@@ -254,10 +269,15 @@
     const found = this.#ledger.findCleared(answer);
     if (!this.#ledger.clear(found, now)) return;
     const all = [...found.cleared, ...found.clearedWide];
+    const parts = [...new Set(all.map(({ part }) => part))];
+    const crashes = all.map(({ crash }) => crash);
+    if (answer.id !== undefined && answer.wroteMilliseconds !== undefined) {
+      this.#clearingAnswers.add(answer.id, { attemptId, parts, crashes });
+    }
     this.#options.log.info("prompt parts cleared", {
       attempt: attemptId,
-      parts: [...new Set(all.map(({ part }) => part))].join(","),
-      crashes: describeCrashes(all.map(({ crash }) => crash)),
+      parts: parts.join(","),
+      crashes: describeCrashes(crashes),
       wroteMilliseconds: answer.wroteMilliseconds,
       begunMillisecondsAgo: Math.round(now - answer.beganAt),
     });
--- a/packages/kelpspar-gateway/src/requests/answer_evidence.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_evidence.ts
@@ -1,5 +1,6 @@
 import type { RequestRun } from "./request_run.ts";
 import type { SendResult } from "./send_result.ts";
+import { describeIncarnation } from "../quarantine/describe_incarnation.ts";
 import { describeSoftware } from "../streams/software_of.ts";
 
 /** When the events of an answer arrived, monotonic milliseconds. */
@@ -38,13 +39,14 @@
     { endpoint }: SendResult,
     { beganAt, wroteMilliseconds, isNew = true }: SoundAnswerProgress,
   ): void {
-    const { parts, options } = this.#run;
+    const { parts, options, fingerprint } = this.#run;
     if (beganAt === undefined) return;
     options.dependencies.quarantine.answered({
       parts,
       software: describeSoftware(endpoint.entry),
       beganAt,
       wroteMilliseconds,
+      id: { fingerprint, crash: describeIncarnation(endpoint.entry) },
     }, { attemptId: options.request.attemptId, isNew });
   }
 
