--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -51,6 +51,8 @@
 export interface PartCrashPlan {
   /** Time from the first event to the crash; with none, there is no event. */
   readonly afterFirstEvent?: () => number;
+  /** Time from the arrival to the crash, if no head of an answer is sent. */
+  readonly beforeHead?: () => number;
   /** Whether all answers stop from the first event until the crash. */
   readonly isSilent?: boolean;
   /** Called when the first event was written, with the request's attempt id. */
@@ -330,6 +332,12 @@
     attemptId: string,
     response: ServerResponse,
   ): Promise<void> {
+    const { beforeHead } = this.partCrashPlan;
+    if (beforeHead !== undefined) {
+      await this.#wait(beforeHead());
+      if (!response.destroyed) this.onCrash();
+      return;
+    }
     if (this.#options.isStream) {
       response.writeHead(200, this.#responseHeaders(attemptId)).flushHeaders();
     }
@@ -498,8 +506,10 @@
   ): Promise<void> {
     const silence = this.#silenceOf(run);
     const delay = delayMilliseconds ?? DEFAULT_DELAY_MILLISECONDS;
-    return new Promise((resolve) =>
-      setTimeout(resolve, silence + delay * this.slowdown)
-    );
+    return this.#wait(silence + delay * this.slowdown);
+  }
+
+  #wait(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, milliseconds));
   }
 }
