--- a/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
+++ b/packages/kelpspar-cli/src/__tests__/unit/explain_test.ts
@@ -95,7 +95,7 @@
     line(1, checked, {
       ...crash,
       isReported: true,
-      isBlamed: false,
+      weight: 0.81,
       wroteMilliseconds: 330,
     }),
     line(1, checked, { ...crash, endpoint: "i2", isReported: false }),
@@ -113,7 +113,7 @@
   const timeline = explainRequest("p", lines);
   expect(timeline.crashes).toEqual([{
     crash: "i1 born 5",
-    reporters: ["d1 (not blamed, wrote for 330 ms)"],
+    reporters: ["d1 (wrote for 330 ms, counts 0.81)"],
     clearedBy: ["d1 a7"],
     disprovedBy: ["d1 a7"],
   }]);
--- a/packages/kelpspar-cli/src/explain/list_crashes.ts
+++ b/packages/kelpspar-cli/src/explain/list_crashes.ts
@@ -26,11 +26,10 @@
     const { endpoint, bornAt, isReported } = line;
     if (isReported !== true || !partsOf(line).includes(part)) continue;
     const crash = `${endpoint} born ${bornAt}`;
-    const blame = line.isBlamed === true ? "blamed" : "not blamed";
     const progress = line.wroteMilliseconds === undefined
       ? `sent ${line.sentMillisecondsAgo ?? 0} ms before`
       : `wrote for ${line.wroteMilliseconds} ms`;
-    const reporter = `${line.daemon} (${blame}, ${progress})`;
+    const reporter = `${line.daemon} (${progress}, counts ${line.weight ?? 0})`;
     reporters.set(crash, [...reporters.get(crash) ?? [], reporter]);
   }
   return [...reporters].map(([crash, found]) => ({
--- a/packages/kelpspar-cli/src/explain/log_line.ts
+++ b/packages/kelpspar-cli/src/explain/log_line.ts
@@ -20,7 +20,8 @@
   /** Start of the endpoint, Unix milliseconds. */
   bornAt: z.number().optional(),
   isReported: z.boolean().optional(),
-  isBlamed: z.boolean().optional(),
+  /** What a crash counts against the parts of its request. */
+  weight: z.number().optional(),
   /** How long an answer had written events before it was cut. */
   wroteMilliseconds: z.number().optional(),
   /** How long before a cut its request was sent. */
--- a/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
+++ b/packages/kelpspar-decisions/src/__tests__/support/part_replay.ts
@@ -1,17 +1,24 @@
+import type { CrashReport } from "../../quarantine/mod.ts";
 import { SeededRandom } from "kelpspar-shared";
 import {
   CrashLedger,
-  NARROW_WINDOW,
-  WIDE_WINDOW,
+  MINIMUM_SOUND_MILLISECONDS,
 } from "../../quarantine/mod.ts";
 import { EventQueue } from "./event_queue.ts";
 
 const MINUTE_MILLISECONDS = 60_000;
 const DOWN_MILLISECONDS = 2_500;
-/** Times after which an answer that goes on clears its parts. */
-const SOUND_MILLISECONDS = [NARROW_WINDOW, WIDE_WINDOW]
-  .map(({ soundAfterMilliseconds }) => soundAfterMilliseconds);
 const SHORTEST_BAD_MILLISECONDS = 30;
+const SHORTEST_ANSWER_MILLISECONDS = 200;
+const LONGEST_ANSWER_MILLISECONDS = 4_200;
+/** Crashes after which all daemons know a bad part, by the platform's rule. */
+const KNOWN_CRASHES = 5;
+/** The platform's rule: time until all daemons know of a crash. */
+const CONTACT_MILLISECONDS = 3_000;
+/** Answers of which a common part is in ten. */
+const LATEST_ANSWERS = 100;
+const COMMON_ANSWERS = 10;
+const BAD_FROM_MILLISECONDS = 20_000;
 const LONGEST_BAD_MILLISECONDS = 160;
 const SOFTWARE = "model v1";
 /** Parts that each request has. */
@@ -47,6 +54,17 @@
   readonly badIntervalMilliseconds?: number;
   /** Longest time for which their answers write before the crash. */
   readonly longestBadMilliseconds?: number;
+  /** The shortest one; default 30 ms. */
+  readonly shortestBadMilliseconds?: number;
+  /** Whether endpoints crash before the head of a bad answer; default false. */
+  readonly hasNoHead?: boolean;
+  /** Share of the sound requests with the bad part before it is bad; default 0. */
+  readonly soundShare?: number;
+  /** Times that sound answers take, milliseconds; default 0.2 to 4.2 s. */
+  readonly shortestAnswerMilliseconds?: number;
+  readonly longestAnswerMilliseconds?: number;
+  /** Whether reports name common and sound parts; default false. */
+  readonly areReportsDescribed?: boolean;
 }
 
 /** What a replayed minute showed. */
@@ -58,6 +76,8 @@
   readonly badCrashes: number;
   /** Bad requests that reached an endpoint over 1 s after the third crash. */
   readonly lateBad: number;
+  /** Those that did over 3 s after the fifth crash. */
+  readonly lateByRule: number;
 }
 
 interface Prompt {
@@ -68,6 +88,7 @@
 
 interface RunningAnswer {
   readonly prompt: Prompt;
+  readonly sentAt: number;
   readonly beganAt: number;
   readonly endsAt: number;
 }
@@ -105,7 +126,10 @@
   readonly #endpoints: ReplayedEndpoint[];
   readonly #cumulativeShares: readonly number[];
   readonly #badCrashes: number[] = [];
+  readonly #latestAnswers: (readonly string[])[] = [];
+  readonly #soundParts = new Set<string>();
   #lateBad = 0;
+  #lateByRule = 0;
   #heldSound = 0;
   #sound = 0;
   #nextNumber = 0;
@@ -128,7 +152,7 @@
     this.#events.push(0, { type: "next_sound" });
     this.#events.push(0, { type: "next_chance" });
     if (this.#options.badIntervalMilliseconds !== undefined) {
-      this.#events.push(20_000, { type: "next_bad" });
+      this.#events.push(BAD_FROM_MILLISECONDS, { type: "next_bad" });
     }
     for (;;) {
       const next = this.#events.pop();
@@ -140,6 +164,7 @@
       sound: this.#sound,
       badCrashes: this.#badCrashes.length,
       lateBad: this.#lateBad,
+      lateByRule: this.#lateByRule,
     };
   }
 
@@ -150,13 +175,13 @@
           now + this.#interval(this.#options.requestsPerSecond),
           event,
         );
-        return this.#arrive(this.#createSound(), now);
+        return this.#arrive(this.#createSound(now), now);
       case "next_bad":
         this.#events.push(
           now + (this.#options.badIntervalMilliseconds ?? 0),
           event,
         );
-        return this.#arrive(this.#createBad(), now);
+        return this.#arrive(this.#createBad(now), now);
       case "next_chance":
         return this.#crashByChance(now);
       case "arrival":
@@ -174,17 +199,21 @@
     return -Math.log(1 - this.#random.next()) * 1_000 / perSecond;
   }
 
-  #createSound(): Prompt {
+  #createSound(now: number): Prompt {
     const common = Array.from({ length: COMMON_PARTS }, (_, at) => `all${at}`);
     const parts = [...common, this.#drawPart(), this.#drawPart()];
     const fingerprint = `f${this.#nextNumber++}`;
     // Sessions come again: their last part is left out like any other.
     this.#random.nextInteger(SESSIONS);
+    const { soundShare = 0 } = this.#options;
+    const hasBadPart = soundShare > 0 && now < BAD_FROM_MILLISECONDS &&
+      this.#random.next() < soundShare;
+    if (hasBadPart) parts.push("bad");
     return { fingerprint, parts, isBad: false };
   }
 
-  #createBad(): Prompt {
-    const { parts } = this.#createSound();
+  #createBad(now: number): Prompt {
+    const { parts } = this.#createSound(now);
     const fingerprint = `bad${this.#nextNumber++}`;
     return { fingerprint, parts: [...parts, "bad"], isBad: true };
   }
@@ -217,19 +246,30 @@
     if (prompt.isBad) {
       const third = this.#badCrashes[2];
       if (third !== undefined && now > third + 1_000) this.#lateBad++;
-      const { longestBadMilliseconds = LONGEST_BAD_MILLISECONDS } =
-        this.#options;
-      const range = longestBadMilliseconds - SHORTEST_BAD_MILLISECONDS;
-      crashesAt = beganAt + SHORTEST_BAD_MILLISECONDS +
-        this.#random.next() * range;
+      const fifth = this.#badCrashes[KNOWN_CRASHES - 1];
+      const isLate = fifth !== undefined && now > fifth + CONTACT_MILLISECONDS;
+      if (isLate) this.#lateByRule++;
+      const {
+        longestBadMilliseconds = LONGEST_BAD_MILLISECONDS,
+        shortestBadMilliseconds = SHORTEST_BAD_MILLISECONDS,
+      } = this.#options;
+      const range = longestBadMilliseconds - shortestBadMilliseconds;
+      crashesAt = this.#options.hasNoHead === true
+        ? beganAt - 1
+        : beganAt + shortestBadMilliseconds + this.#random.next() * range;
       this.#events.push(crashesAt, { type: "crash", endpoint: index, life });
     }
+    const {
+      shortestAnswerMilliseconds: shortest = SHORTEST_ANSWER_MILLISECONDS,
+      longestAnswerMilliseconds: longest = LONGEST_ANSWER_MILLISECONDS,
+    } = this.#options;
     const answer = {
       prompt,
+      sentAt: now,
       beganAt,
       // No answer on a bad part ends whole.
       endsAt: Math.max(
-        beganAt + 200 + this.#random.next() * 4_000,
+        beganAt + shortest + this.#random.next() * (longest - shortest),
         crashesAt + 1,
       ),
     };
@@ -242,8 +282,9 @@
         answer,
         wroteMilliseconds,
       });
-    for (const wrote of SOUND_MILLISECONDS) {
-      if (beganAt + wrote < answer.endsAt) answered(beganAt + wrote, wrote);
+    let wrote = MINIMUM_SOUND_MILLISECONDS;
+    for (; beganAt + wrote < answer.endsAt; wrote *= 2) {
+      answered(beganAt + wrote, wrote);
     }
     answered(answer.endsAt);
   }
@@ -254,11 +295,13 @@
   ): void {
     const { endpoint, life, answer, wroteMilliseconds } = event;
     const isAlive = this.#endpoints[endpoint]?.incarnation === life;
+    if (isAlive && wroteMilliseconds === undefined) this.#remember(answer);
     if (!isAlive || !this.#ledger.hasSuspectParts) return;
-    const { prompt: { parts }, beganAt } = answer;
+    const { prompt: { parts, fingerprint }, beganAt } = answer;
+    const id = { fingerprint, crash: `${endpoint} ${life}` };
     this.#later(now, (at) => {
       this.#ledger.clearParts(
-        { parts, software: SOFTWARE, beganAt, wroteMilliseconds },
+        { parts, software: SOFTWARE, beganAt, wroteMilliseconds, id },
         at,
       );
     });
@@ -314,16 +357,20 @@
     endpoint.answers = [];
     endpoint.incarnation++;
     endpoint.downUntil = now + DOWN_MILLISECONDS;
-    if (cut.some(({ prompt, beganAt }) => prompt.isBad && beganAt <= now)) {
+    const hasBegun = ({ beganAt }: RunningAnswer): boolean =>
+      beganAt <= now || this.#options.hasNoHead === true;
+    if (cut.some((answer) => answer.prompt.isBad && hasBegun(answer))) {
       this.#badCrashes.push(now);
     }
-    for (const { prompt, beganAt } of cut) {
+    for (const { prompt, beganAt, sentAt } of cut) {
       const ran = beganAt <= now ? now - beganAt : undefined;
       const report = {
         fingerprint: prompt.fingerprint,
         crash,
         ranMilliseconds: ran,
         wroteMilliseconds: ran,
+        ...(ran === undefined ? { waitedMilliseconds: now - sentAt } : {}),
+        ...this.#describe(prompt.parts),
         parts: prompt.parts,
         software: SOFTWARE,
       };
@@ -333,6 +380,27 @@
     }
   }
 
+  #remember({ prompt: { parts } }: RunningAnswer): void {
+    for (const part of parts) this.#soundParts.add(part);
+    this.#latestAnswers.push(parts);
+    if (this.#latestAnswers.length > LATEST_ANSWERS) {
+      this.#latestAnswers.shift();
+    }
+  }
+
+  /** What daemons know of parts before endpoints crash on them. */
+  #describe(
+    parts: readonly string[],
+  ): Pick<CrashReport, "commonParts" | "soundParts"> {
+    if (this.#options.areReportsDescribed !== true) return {};
+    const countOf = (part: string): number =>
+      this.#latestAnswers.filter((answer) => answer.includes(part)).length;
+    return {
+      commonParts: parts.filter((part) => countOf(part) >= COMMON_ANSWERS),
+      soundParts: parts.filter((part) => this.#soundParts.has(part)),
+    };
+  }
+
   #later(now: number, act: (now: number) => void): void {
     const { propagationMilliseconds } = this.#options;
     this.#events.push(now + propagationMilliseconds, { type: "act", act });
--- a/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/crash_ledger_test.ts
@@ -3,12 +3,11 @@
 import fc from "fast-check";
 import { test } from "node:test";
 import {
+  answerAge,
   CrashLedger,
-  isBlamed,
   MAXIMUM_REPORTS,
   REPORT_LIFETIME_MILLISECONDS,
   SUSPECT_LIFETIME_MILLISECONDS,
-  WIDE_WINDOW,
 } from "../../quarantine/mod.ts";
 
 /** The fingerprint of a request depends on the parts of its prompt. */
@@ -26,6 +25,7 @@
         crash: fc.constantFrom("1", "2", "3", "4", "5"),
         ranMilliseconds: fc.constantFrom(undefined, 5, 90),
         wroteMilliseconds: fc.constantFrom(undefined, 5, 900, 1_100),
+        waitedMilliseconds: fc.constantFrom(undefined, 5, 900),
         commonParts: fc.constantFrom([], ["p"], ["q"], ["p", "q"]),
         ageMilliseconds: fc.nat(1_000),
       }).map((report) => ({
@@ -38,18 +38,25 @@
       ageMilliseconds: fc.nat(1_000),
     })),
     clearedCrashes: fc.subarray(["1", "2", "3", "4", "5"]),
-    clearedWideCrashes: fc.subarray(["1", "2", "3", "4", "5"]),
-  }).map(({ clearedCrashes, clearedWideCrashes, ...page }) => ({
+    ongoing: fc.array(
+      fc.record({
+        fingerprint: fc.constantFrom("a", "b"),
+        crash: fc.constantFrom("1", "2", "3", "4", "5"),
+        wroteMilliseconds: fc.constantFrom(400, 900, 2_500),
+      }, { noNullPrototype: true }),
+      { maxLength: 3 },
+    ),
+  }).map(({ clearedCrashes, ongoing, ...page }) => ({
     ...page,
-    // A page has a blamed report of each crash that its parts are cleared of.
+    // A page has a report that counts of each crash that parts are cleared of.
     cleared: page.reports
-      .filter((report) => isBlamed({ ...report, at: 0 }))
-      .filter(({ crash }) => clearedCrashes.includes(crash))
-      .flatMap(({ crash, parts }) => parts.map((part) => ({ part, crash }))),
-    clearedWide: page.reports
-      .filter((report) => isBlamed({ ...report, at: 0 }, WIDE_WINDOW))
-      .filter(({ crash }) => clearedWideCrashes.includes(crash))
-      .flatMap(({ crash, parts }) => parts.map((part) => ({ part, crash }))),
+      .filter((report) => answerAge(report) !== undefined)
+      .flatMap(({ crash, parts }) =>
+        parts.flatMap((part) => [
+          ...(clearedCrashes.includes(crash) ? [{ part, crash }] : []),
+          ...ongoing.map((by) => ({ part, crash, by })),
+        ])
+      ),
   })),
 );
 
@@ -62,9 +69,9 @@
 /** All that a ledger holds, in an order that doesn't depend on its merges. */
 function contentOf(ledger: CrashLedger): readonly string[] {
   const page = ledger.page(2_000);
-  const { reports, served, cleared = [], clearedWide = [] } = page;
+  const { reports, served, cleared = [] } = page;
   return [
-    ...[...reports, ...served, ...cleared, ...clearedWide].map((entry) =>
+    ...[...reports, ...served, ...cleared].map((entry) =>
       JSON.stringify(Object.entries(entry).sort())
     ),
     ...ledger.poison,
--- a/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
@@ -18,15 +18,18 @@
   /** Null for an answer that hadn't begun. */
   readonly ran?: number | null;
   readonly wrote?: number;
+  /** Since its request was sent, if the answer hadn't begun. */
+  readonly waited?: number;
 }
 
 function report(ledger: CrashLedger, seen: SeenCrash): void {
-  const { at, ran = 50, wrote = ran, ...rest } = seen;
+  const { at, ran = 50, wrote = ran, waited, ...rest } = seen;
   const found: CrashReport = {
     ...rest,
     software: SOFTWARE,
     ranMilliseconds: ran ?? undefined,
     wroteMilliseconds: wrote ?? undefined,
+    ...(waited === undefined ? {} : { waitedMilliseconds: waited }),
   };
   ledger.report(found, at, at);
 }
@@ -264,6 +267,164 @@
   expect(causesOf(ledger)).toEqual([]);
 });
 
+/** Reports a crash each second of one answer on `p` that had lasted this long. */
+function reportLasting(
+  ledger: CrashLedger,
+  ran: number,
+  count: number,
+  from = 10,
+): void {
+  for (let number = from; number < from + count; number++) {
+    report(ledger, {
+      crash: `c${number}`,
+      at: number * SECOND,
+      fingerprint: `f${number}`,
+      parts: ["p"],
+      ran,
+    });
+  }
+}
+
+// Guards against an age of answers beyond which no part is blamed.
+test("answers that had lasted for seconds take six crashes", () => {
+  for (const ran of [2_500, 4_000, 9_000]) {
+    const ledger = new CrashLedger();
+    reportLasting(ledger, ran, 5);
+    expect(causesOf(ledger)).toEqual([]);
+    reportLasting(ledger, ran, 1, 15);
+    expect(causesOf(ledger)).toEqual([["p"]]);
+  }
+});
+
+// Guards against blaming only parts of answers that had begun.
+test("requests whose answers hadn't begun take four crashes", () => {
+  const ledger = new CrashLedger();
+  const crashAt = (number: number): void =>
+    report(ledger, {
+      crash: `c${number}`,
+      at: number * SECOND,
+      fingerprint: `f${number}`,
+      parts: ["p"],
+      ran: null,
+      waited: 60,
+    });
+  for (const number of [1, 2, 3]) crashAt(number);
+  expect(causesOf(ledger)).toEqual([]);
+  crashAt(4);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
+// Guards against clearing a part by an answer that crashes its endpoint later.
+test("an answer that crashes its endpoint clears nothing", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["p"], 3);
+  const answer = {
+    parts: ["p"],
+    software: SOFTWARE,
+    beganAt: 3_500,
+    wroteMilliseconds: 400,
+    id: { fingerprint: "later", crash: "c" },
+  };
+  ledger.clearParts(answer, 3_900);
+  expect(causesOf(ledger)).toEqual([]);
+  report(ledger, {
+    ...answer.id,
+    at: 5_000,
+    parts: ["p"],
+    ran: 1_500,
+  });
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
+// Guards against answers that clear a part by turns before each crashes.
+test("answers on a part don't clear it before they outlast one that had", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["p"], 3);
+  const answer = {
+    parts: ["p"],
+    software: SOFTWARE,
+    beganAt: 3_500,
+    wroteMilliseconds: 400,
+    id: { fingerprint: "later", crash: "c" },
+  };
+  ledger.clearParts(answer, 3_900);
+  report(ledger, { ...answer.id, at: 6_000, parts: ["p"], ran: 2_500 });
+  const next = { ...answer, id: { fingerprint: "next", crash: "d" } };
+  ledger.clearParts({ ...next, wroteMilliseconds: 2_400 }, 6_200);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+  ledger.clearParts({ ...next, wroteMilliseconds: 6_400 }, 12_000);
+  expect(causesOf(ledger)).toEqual([]);
+});
+
+// Guards against clearing a crash by the age of the youngest of two answers.
+test("an answer clears a part of a crash once it outlasts the few answers there", () => {
+  const ledger = new CrashLedger();
+  for (const number of [1, 2, 3, 4, 5, 6]) {
+    for (const ran of [100, 900]) {
+      report(ledger, {
+        crash: `c${number}`,
+        at: number * SECOND,
+        fingerprint: `f${number} ${ran}`,
+        parts: ["p"],
+        ran,
+      });
+    }
+  }
+  const answer = {
+    parts: ["p"],
+    software: SOFTWARE,
+    beganAt: 7_000,
+    id: { fingerprint: "later", crash: "c" },
+  };
+  ledger.clearParts({ ...answer, wroteMilliseconds: 1_600 }, 8_600);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+  ledger.clearParts({ ...answer, wroteMilliseconds: 3_200 }, 10_200);
+  expect(causesOf(ledger)).toEqual([]);
+});
+
+// Guards against crashes that fall out of the count because answers overlap.
+test("crashes of answers that overlap count one by one", () => {
+  const ledger = new CrashLedger();
+  for (let number = 0; number < 6; number++) {
+    report(ledger, {
+      crash: `c${number}`,
+      at: 10_000 + number * 300,
+      fingerprint: `f${number}`,
+      parts: ["p"],
+      ran: 2_500,
+    });
+  }
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
+// Guards against waiting for five crashes although only other answers end whole.
+test("a common part takes three crashes while answers on other parts end whole", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["common", "other"], 3, 1, ["common", "other"]);
+  expect(causesOf(ledger)).toEqual([]);
+  ledger.clearParts(
+    { parts: ["other"], software: SOFTWARE, beganAt: 3_500 },
+    4_000,
+  );
+  expect(causesOf(ledger)).toEqual([["common"]]);
+});
+
+// Guards against sound requests that are cut often and then explain the crashes.
+test("a common part is a cause before poison requests at fewer crashes", () => {
+  const ledger = new CrashLedger();
+  reportSeries(ledger, ["common"], 8, 1, ["common"]);
+  for (let number = 1; number <= 4; number++) {
+    report(ledger, {
+      crash: `common ${number}`,
+      at: number * SECOND,
+      fingerprint: "cut often",
+      parts: ["other"],
+    });
+  }
+  expect([...ledger.poison]).toEqual(["cut often"]);
+  expect(causesOf(ledger)).toEqual([["common"]]);
+});
+
 /** `KELPSPAR_REPLAYED_MINUTES=1000` replays more by hand. */
 const REPLAYED_MINUTES = Number(process.env["KELPSPAR_REPLAYED_MINUTES"] ?? 6);
 /** Five, three that may follow, and what comes within 3 s of the fifth. */
@@ -337,6 +498,59 @@
   }
 });
 
+const LATE_CRASHES = [
+  { badIntervalMilliseconds: 300, badMilliseconds: 2_500 },
+  { badIntervalMilliseconds: 700, badMilliseconds: 4_000 },
+];
+/** Requests with a part that may reach endpoints once all daemons know it. */
+const MAXIMUM_LATE_REQUESTS = 3;
+
+// Guards against a time beyond which crashes aren't held against a part.
+test("a part that crashes endpoints after seconds is held", () => {
+  for (const { badMilliseconds, ...load } of LATE_CRASHES) {
+    for (const soundShare of [0, 0.2]) {
+      for (let seed = 1; seed <= REPLAYED_MINUTES; seed++) {
+        const { lateByRule } = replayParts({
+          endpoints: 9,
+          requestsPerSecond: 40,
+          parts: 53,
+          ...load,
+          seed,
+          soundShare,
+          chanceCrashes: "single",
+          crashesPerSecond: 0,
+          propagationMilliseconds: seed % 2 === 0 ? 200 : 30,
+          shortestBadMilliseconds: badMilliseconds,
+          longestBadMilliseconds: badMilliseconds,
+          shortestAnswerMilliseconds: 100,
+          longestAnswerMilliseconds: 600,
+          areReportsDescribed: true,
+        });
+        expect(lateByRule).toBeLessThanOrEqual(MAXIMUM_LATE_REQUESTS);
+      }
+    }
+  }
+});
+
+// Guards against a part whose crashes nothing but waiting requests tell of.
+test("a part that crashes endpoints before the head is held", () => {
+  for (const site of SITES) {
+    for (let seed = 1; seed <= REPLAYED_MINUTES; seed++) {
+      const { lateByRule } = replayParts({
+        ...site,
+        seed,
+        chanceCrashes: "single",
+        crashesPerSecond: 0,
+        propagationMilliseconds: seed % 2 === 0 ? 200 : 30,
+        badIntervalMilliseconds: 700,
+        hasNoHead: true,
+        areReportsDescribed: true,
+      });
+      expect(lateByRule).toBeLessThanOrEqual(MAXIMUM_LATE_REQUESTS);
+    }
+  }
+});
+
 /** Reports a crash each second of answers on all these parts. */
 function reportBeside(
   ledger: CrashLedger,
--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -3,8 +3,9 @@
   countUnrelated,
   listCandidates,
   listUnrelatedCrashes,
-  thresholdsOf,
+  thresholdOf,
 } from "./find_crashing_parts.ts";
+import { PoisonCrashes } from "./poison_crashes.ts";
 import { createCandidate } from "./part_candidate.ts";
 
 /** What speaks for a part being the cause of crashes. */
@@ -13,19 +14,16 @@
   readonly crashes: number;
   /** Those that an answer cleared it of. */
   readonly clearedCrashes: number;
-  /** Of answers that were cut as they began. */
   readonly crashesInSuccession: number;
-  /** Of these and of answers that were cut a while later. */
-  readonly wideCrashesInSuccession: number;
+  /** What these weigh; the older the answers, the less. */
+  readonly weight: number;
   readonly unrelatedCrashes: number;
   /** Whether it was common in the sound answers of a daemon. */
   readonly isCommon: boolean;
   /** Whether endpoints answered on it before. */
   readonly wasSound: boolean;
-  /** Crashes in succession from which it counts as the cause. */
+  /** Weight from which it counts as the cause. */
   readonly threshold: number;
-  /** The same for `wideCrashesInSuccession`. */
-  readonly wideThreshold: number;
 }
 
 /** Options of `assessPart`. */
@@ -40,29 +38,28 @@
   options: AssessPartOptions,
 ): PartAssessment {
   const { crashes } = options;
-  const open = options.wideTrials.get(part) ?? [];
-  const candidate = createCandidate({
-    ...options,
-    part,
-    trials: options.trials.get(part) ?? [],
-    wideTrials: open,
-  });
-  const { series, wideSeries } = candidate;
+  const open = options.trials.get(part) ?? [];
+  const candidate = createCandidate({ ...options, part, trials: open });
+  const { series, weight } = candidate;
   const related = new Set(
-    [candidate, ...listCandidates(options, new Set())]
+    [
+      candidate,
+      ...listCandidates(options, {
+        explained: new Set(),
+        poisonCrashes: new PoisonCrashes(options),
+      }),
+    ]
       .flatMap(({ trials: own }) => own.map(({ crash }) => crash)),
   );
   const unrelated = listUnrelatedCrashes(options, related, new Set());
-  const thresholds = thresholdsOf(candidate, unrelated);
   return {
     crashes: crashes.length,
     clearedCrashes: crashes.length - open.length,
     crashesInSuccession: series.length,
-    wideCrashesInSuccession: wideSeries.length,
+    weight: Number(weight.toFixed(2)),
     unrelatedCrashes: countUnrelated(candidate, unrelated),
     isCommon: candidate.isCommon,
     wasSound: candidate.wasSound,
-    threshold: thresholds.narrow,
-    wideThreshold: thresholds.wide,
+    threshold: thresholdOf(candidate, unrelated),
   };
 }
--- a/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_ledger.ts
@@ -1,16 +1,17 @@
-import type { BlameWindow } from "./blame_window.ts";
 import type { ClearedPart, CrashPage } from "./crash_page.ts";
 import type { CrashReport, TimedCrashReport } from "./crash_report.ts";
 import type { CrashingParts } from "./find_crashing_parts.ts";
+import type { CandidateOptions } from "./part_candidate.ts";
 import type { PartAssessment } from "./assess_part.ts";
 import { hashText } from "../routing/rendezvous_hash.ts";
 import { assessPart } from "./assess_part.ts";
-import { isBlamed, NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
-import { baseThresholds } from "./part_candidate.ts";
+import { answerAge } from "./answer_age.ts";
+import { CountedIds } from "./counted_ids.ts";
+import { createCandidate, thresholdOfCandidate } from "./part_candidate.ts";
 import { findCrashingParts } from "./find_crashing_parts.ts";
 import { findPoisonRequests } from "./find_poison_requests.ts";
-import { PartEvidence } from "./part_evidence.ts";
-import { longestSeries } from "./part_trials.ts";
+import { ongoingKey, PartEvidence } from "./part_evidence.ts";
+import { reportKey } from "./report_key.ts";
 
 /** How long a report that quarantines something is kept: one hour. */
 export const REPORT_LIFETIME_MILLISECONDS = 3_600_000;
@@ -38,11 +39,6 @@
   readonly learnedAt: number;
 }
 
-/** Crashes that an answer clears its parts of, by blame window. */
-export type ClearedParts = Required<
-  Pick<CrashPage, "cleared" | "clearedWide">
->;
-
 /** An answer that shows that endpoints answer on its parts. */
 export interface SoundAnswer {
   /** Ids of the prompt's parts that other requests may share. */
@@ -68,12 +64,12 @@
   readonly #reports = new Map<string, StoredReport>();
   /** When requests were last served successfully. */
   readonly #served = new Map<string, number>();
-  readonly #evidence = new PartEvidence(NARROW_WINDOW);
-  readonly #wideEvidence = new PartEvidence(WIDE_WINDOW);
+  readonly #evidence = new PartEvidence();
   #poison: ReadonlySet<string> = new Set();
   #crashingParts: readonly CrashingParts[] = [];
-  #commonParts: ReadonlySet<string> = new Set();
-  #soundParts: ReadonlySet<string> = new Set();
+  /** Parts that reports name as common, and as sound. */
+  readonly #commonParts = new CountedIds();
+  readonly #soundParts = new CountedIds();
   #suspects: ReadonlySet<string> = new Set();
   /** Results of `assessPart` since the last change. */
   readonly #assessments = new Map<string, PartAssessment>();
@@ -93,7 +89,7 @@
 
   /** True while an answer could clear a part. */
   get hasSuspectParts(): boolean {
-    return this.#wideEvidence.trials.size > 0;
+    return this.#evidence.hasUnsettled;
   }
 
   /** 0 for an empty ledger; equal for ledgers with the same content. */
@@ -116,26 +112,24 @@
 
   /** True if this many further crashes may show that the part is the cause. */
   isSuspectPart(part: string, furtherCrashes: number): boolean {
-    const { narrow, wide } = baseThresholds(this.#commonParts.has(part));
-    const crashes = countSuccessive(this.#evidence, part);
-    if (crashes + furtherCrashes >= narrow) return true;
-    return countSuccessive(this.#wideEvidence, part) + furtherCrashes >= wide;
+    const trials = this.#evidence.trials.get(part) ?? [];
+    const candidate = createCandidate({ ...this.#known, part, trials });
+    return candidate.weight + furtherCrashes >=
+      thresholdOfCandidate(candidate);
   }
 
   /** What is known against a part; undefined if no crash of it is known. */
   assessPart(part: string): PartAssessment | undefined {
     const known = this.#assessments.get(part);
     if (known !== undefined) return known;
-    const crashes = this.#wideEvidence.crashesOf(part);
+    const crashes = this.#evidence.crashesOf(part);
     if (crashes.length === 0) return undefined;
     const assessment = assessPart(part, {
       crashes,
+      ...this.#known,
       reports: [...this.#reports.values()],
       trials: this.#evidence.trials,
-      wideTrials: this.#wideEvidence.trials,
       poison: this.#poison,
-      commonParts: this.#commonParts,
-      soundParts: this.#soundParts,
     });
     this.#assessments.set(part, assessment);
     return assessment;
@@ -146,23 +140,16 @@
    * written for long enough. Endpoints of other software prove nothing, since a
    * new version may be what crashes.
    */
-  findCleared(answer: SoundAnswer): ClearedParts {
-    const { wroteMilliseconds = Number.POSITIVE_INFINITY } = answer;
-    const findIn = (
-      { trials }: PartEvidence,
-      { soundAfterMilliseconds }: BlameWindow,
-    ): readonly ClearedPart[] =>
-      wroteMilliseconds < soundAfterMilliseconds
-        ? []
-        : answer.parts.flatMap((part) =>
-          (trials.get(part) ?? [])
-            .filter(({ reports }) => this.#isDisproved(reports, answer))
-            .map(({ crash }) => ({ part, crash }))
-        );
-    return {
-      cleared: findIn(this.#evidence, NARROW_WINDOW),
-      clearedWide: findIn(this.#wideEvidence, WIDE_WINDOW),
-    };
+  findCleared(answer: SoundAnswer): readonly ClearedPart[] {
+    const { id, wroteMilliseconds } = answer;
+    const by = id === undefined || wroteMilliseconds === undefined
+      ? {}
+      : { by: { ...id, wroteMilliseconds } };
+    return answer.parts.flatMap((part) =>
+      this.#evidence.listClearable(part, wroteMilliseconds)
+        .filter(({ reports }) => this.#isDisproved(reports, answer))
+        .map(({ crash }) => ({ part, crash, ...by }))
+    );
   }
 
   /** Clears parts as `findCleared` says; returns false if there were none. */
@@ -171,9 +158,9 @@
   }
 
   /** Clears parts of crashes; returns false if nothing changed. */
-  clear(parts: ClearedParts, now: number): boolean {
-    return parts.cleared.length + parts.clearedWide.length > 0 &&
-      this.merge({ reports: [], served: [], ...parts }, now);
+  clear(cleared: readonly ClearedPart[], now: number): boolean {
+    return cleared.length > 0 &&
+      this.merge({ reports: [], served: [], cleared }, now);
   }
 
   /**
@@ -194,14 +181,11 @@
 
   /** Clears parts of all crashes that are known now. */
   releaseParts(parts: readonly string[], now: number): void {
-    const listIn = ({ trials }: PartEvidence): readonly ClearedPart[] =>
-      parts.flatMap((part) =>
-        (trials.get(part) ?? []).map(({ crash }) => ({ part, crash }))
-      );
-    this.clear({
-      cleared: listIn(this.#evidence),
-      clearedWide: listIn(this.#wideEvidence),
-    }, now);
+    const { trials } = this.#evidence;
+    const cleared = parts.flatMap((part) =>
+      (trials.get(part) ?? []).map(({ crash }) => ({ part, crash }))
+    );
+    this.clear(cleared, now);
   }
 
   /** Merges another daemon's reports; returns false if nothing changed. */
@@ -212,7 +196,7 @@
       const at = now - ageMilliseconds;
       const stored = { ...report, at, learnedAt: now };
       this.#addReport(
-        isBlamed(stored, WIDE_WINDOW) ? stored : withoutParts(stored),
+        answerAge(stored) === undefined ? withoutParts(stored) : stored,
       );
     }
     for (const { fingerprint, ageMilliseconds } of page.served) {
@@ -222,10 +206,6 @@
     for (const cleared of page.cleared ?? []) {
       if (this.#evidence.clear(cleared)) this.#toggle(clearedKey(cleared), 1);
     }
-    for (const cleared of page.clearedWide ?? []) {
-      if (!this.#wideEvidence.clear(cleared)) continue;
-      this.#toggle(clearedWideKey(cleared), 1);
-    }
     this.#dropExpired(now);
     this.#dropExcess();
     this.#dropOldSuspects(now);
@@ -267,17 +247,28 @@
     return { ...this.#createPage(reports, now), served: [] };
   }
 
+  /** What is known of parts besides their trials. */
+  get #known(): Pick<
+    CandidateOptions,
+    "commonParts" | "soundParts" | "answeredCrashes"
+  > {
+    return {
+      commonParts: this.#commonParts.ids,
+      soundParts: this.#soundParts.ids,
+      answeredCrashes: this.#evidence.answeredCrashes,
+    };
+  }
+
   #createPage(
     reports: readonly StoredReport[],
     now: number,
-  ): Pick<CrashPage, "reports" | "cleared" | "clearedWide"> {
+  ): Pick<CrashPage, "reports" | "cleared"> {
     return {
       reports: reports.map(({ at, learnedAt: _, ...report }) => ({
         ...report,
         ageMilliseconds: now - at,
       })),
       cleared: this.#evidence.clearedOf(reports),
-      clearedWide: this.#wideEvidence.clearedOf(reports),
     };
   }
 
@@ -304,24 +295,28 @@
     if (known !== undefined && isSameReport(known, stored)) return;
     this.#reports.set(key, stored);
     this.#evidence.add(stored);
-    this.#wideEvidence.add(stored);
+    this.#commonParts.add(stored.commonParts);
+    this.#soundParts.add(stored.soundParts);
     if (known === undefined) this.#toggle(key, 1);
     else {
       this.#evidence.remove(known);
-      this.#wideEvidence.remove(known);
+      this.#forgetParts(known);
     }
     this.#isChanged = true;
   }
 
   #removeReport(key: string, report: StoredReport): void {
     this.#reports.delete(key);
+    this.#forgetParts(report);
     this.#toggle(key, -1);
     for (const ended of this.#evidence.remove(report)) {
       this.#toggle(clearedKey(ended), -1);
     }
-    for (const ended of this.#wideEvidence.remove(report)) {
-      this.#toggle(clearedWideKey(ended), -1);
-    }
+  }
+
+  #forgetParts({ commonParts, soundParts }: StoredReport): void {
+    this.#commonParts.remove(commonParts);
+    this.#soundParts.remove(soundParts);
   }
 
   #addServed(fingerprint: string, at: number): void {
@@ -373,7 +368,7 @@
    */
   #dropExcess(): void {
     if (this.#served.size > MAXIMUM_REPORTS) {
-      const servedByAge = [...this.#served].sort(compareByAge);
+      const servedByAge = [...this.#served].sort(compareEntries);
       for (const [fingerprint] of servedByAge.slice(0, -MAXIMUM_REPORTS)) {
         this.#removeServed(fingerprint);
       }
@@ -384,7 +379,7 @@
     const dropped = [...this.#reports]
       .sort(([leftKey, left], [rightKey, right]) =>
         Number(this.#isExplained(left)) - Number(this.#isExplained(right)) ||
-        compareByAge([leftKey, left.at], [rightKey, right.at])
+        compareEntries([leftKey, left.at], [rightKey, right.at])
       )
       .slice(0, surplus);
     for (const [key, report] of dropped) this.#removeReport(key, report);
@@ -407,18 +402,10 @@
     const counted = reports.filter((report) => this.#countsForPoison(report));
     this.#suspects = new Set(counted.map(({ fingerprint }) => fingerprint));
     this.#poison = findPoisonRequests(counted);
-    this.#commonParts = new Set(
-      reports.flatMap(({ commonParts = [] }) => commonParts),
-    );
-    this.#soundParts = new Set(
-      reports.flatMap(({ soundParts = [] }) => soundParts),
-    );
     this.#crashingParts = findCrashingParts({
-      commonParts: this.#commonParts,
-      soundParts: this.#soundParts,
+      ...this.#known,
       reports,
       trials: this.#evidence.trials,
-      wideTrials: this.#wideEvidence.trials,
       poison: this.#poison,
     });
   }
@@ -435,7 +422,8 @@
     left.ranMilliseconds ?? Number.POSITIVE_INFINITY,
     right.ranMilliseconds ?? Number.POSITIVE_INFINITY,
   );
-  const { wroteMilliseconds } = compareByWrote(left, right) <= 0 ? left : right;
+  const { wroteMilliseconds, waitedMilliseconds } =
+    compareByAge(left, right) <= 0 ? left : right;
   const parts = left.parts ?? right.parts;
   const commonParts = mergeIds(left.commonParts, right.commonParts);
   const soundParts = mergeIds(left.soundParts, right.soundParts);
@@ -451,15 +439,20 @@
     ...(soundParts === undefined ? {} : { soundParts }),
     ...(software === undefined ? {} : { software }),
     wroteMilliseconds,
+    waitedMilliseconds,
   };
 }
 
-/** Orders reports by how long their answers had written, those not begun last. */
-function compareByWrote(left: StoredReport, right: StoredReport): number {
+/** Orders reports by the ages of their answers, those not begun last. */
+function compareByAge(left: StoredReport, right: StoredReport): number {
   const hasBegun = ({ ranMilliseconds }: StoredReport): boolean =>
     ranMilliseconds !== undefined;
+  const ageOf = (report: StoredReport): number =>
+    answerAge(report) ?? Number.MAX_VALUE;
   return Number(hasBegun(right)) - Number(hasBegun(left)) ||
-    (left.wroteMilliseconds ?? -1) - (right.wroteMilliseconds ?? -1);
+    ageOf(left) - ageOf(right) ||
+    (left.wroteMilliseconds ?? -1) - (right.wroteMilliseconds ?? -1) ||
+    (left.waitedMilliseconds ?? -1) - (right.waitedMilliseconds ?? -1);
 }
 
 /** Returns `left` itself if `right` adds nothing. */
@@ -491,13 +484,14 @@
   return left.at === right.at && left.learnedAt === right.learnedAt &&
     left.ranMilliseconds === right.ranMilliseconds &&
     left.wroteMilliseconds === right.wroteMilliseconds &&
+    left.waitedMilliseconds === right.waitedMilliseconds &&
     left.parts === right.parts && left.commonParts === right.commonParts &&
     left.soundParts === right.soundParts &&
     left.software === right.software;
 }
 
 /** Orders entries from the oldest to the newest, then by key. */
-function compareByAge(
+function compareEntries(
   [leftKey, leftAt]: readonly [string, number],
   [rightKey, rightAt]: readonly [string, number],
 ): number {
@@ -509,18 +503,7 @@
   return `${fingerprint} served`;
 }
 
-function clearedKey({ part, crash }: ClearedPart): string {
-  return `${part} cleared of ${crash}`;
-}
-
-function clearedWideKey(cleared: ClearedPart): string {
-  return `${clearedKey(cleared)} wide`;
-}
-
-function countSuccessive({ trials }: PartEvidence, part: string): number {
-  return longestSeries(trials.get(part) ?? []).length;
-}
-
-function reportKey({ fingerprint, crash }: CrashReport): string {
-  return `${fingerprint} ${crash}`;
+function clearedKey({ part, crash, by }: ClearedPart): string {
+  const key = `${part} cleared of ${crash}`;
+  return by === undefined ? key : `${key} by ${ongoingKey(by)}`;
 }
--- a/packages/kelpspar-decisions/src/quarantine/crash_report.ts
+++ b/packages/kelpspar-decisions/src/quarantine/crash_report.ts
@@ -14,6 +14,11 @@
    * undefined if no event had arrived.
    */
   readonly wroteMilliseconds?: number | undefined;
+  /**
+   * Time from the send of the request to the crash, milliseconds, if no part of
+   * the answer had arrived.
+   */
+  readonly waitedMilliseconds?: number | undefined;
   /** Ids of the prompt's parts that other requests may share. */
   readonly parts?: readonly string[];
   /**
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -1,11 +1,12 @@
 import type { TimedCrashReport } from "./crash_report.ts";
 import type { PartTrial, PartTrials } from "./part_trials.ts";
-import type { Candidate, CrashThresholds } from "./part_candidate.ts";
-import { NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
+import type { Candidate, PartSet } from "./part_candidate.ts";
+import { PoisonCrashes } from "./poison_crashes.ts";
+import { CRASH_THRESHOLD } from "./crash_weight.ts";
 import {
-  baseThresholds,
   compareCandidates,
   createCandidate,
+  thresholdOfCandidate,
 } from "./part_candidate.ts";
 
 /**
@@ -28,6 +29,8 @@
 const PROBE_DELAY_MILLISECONDS = 60_000;
 /** The same after a probe that crashed its endpoint. */
 const REPEATED_PROBE_DELAY_MILLISECONDS = 900_000;
+/** Weight from which a part may be a cause, so that its crashes are related. */
+const MINIMUM_CANDIDATE_WEIGHT = CRASH_THRESHOLD - 1;
 /** Parts that a cause consists of at most. */
 const MAXIMUM_PARTS = 8;
 
@@ -49,22 +52,22 @@
 /** Options of `findCrashingParts`. */
 export interface FindCrashingPartsOptions {
   readonly reports: readonly TimedCrashReport[];
-  /** Trials of each part in the narrow blame window that weren't cleared. */
+  /** Trials of each part that weren't cleared. */
   readonly trials: PartTrials;
-  /** The same in the wide one. */
-  readonly wideTrials: PartTrials;
   /** Fingerprints of requests that crash endpoints. */
   readonly poison: ReadonlySet<string>;
   /** Parts that were common in the sound answers of a daemon. */
-  readonly commonParts: ReadonlySet<string>;
+  readonly commonParts: PartSet;
   /** Parts that a daemon has had sound answers on. */
-  readonly soundParts: ReadonlySet<string>;
+  readonly soundParts: PartSet;
+  /** Crashes after which an answer on some part ended whole. */
+  readonly answeredCrashes: Pick<ReadonlySet<string>, "has">;
 }
 
 /**
- * Finds the parts of prompts that crash the endpoints that begin to answer on
- * them. A part is the cause if endpoints crashed on it several times in
- * succession while none answered on it. Parts that come together at all of these
+ * Finds the parts of prompts that crash the endpoints that answer on them. A
+ * part is the cause if endpoints crashed on it several times in succession while
+ * no answer on it lasted. Parts that come together at all of these
  * crashes are a cause together, the narrowest one; a further crash or answer
  * tells them apart. Crashes that one cause explains don't count against others.
  */
@@ -72,9 +75,10 @@
   options: FindCrashingPartsOptions,
 ): readonly CrashingParts[] {
   const explained = new Set<string>();
+  const poisonCrashes = new PoisonCrashes(options);
   const causes: CrashingParts[] = [];
   for (;;) {
-    const candidates = listCandidates(options, explained);
+    const candidates = listCandidates(options, { explained, poisonCrashes });
     if (!candidates.some(mayBeCause)) return causes;
     const related = new Set(
       candidates.flatMap(({ trials }) => trials.map(({ crash }) => crash)),
@@ -92,55 +96,34 @@
 
 /** Returns the parts that may be causes, the likeliest first. */
 export function listCandidates(
-  options: FindCrashingPartsOptions,
-  explained: ReadonlySet<string>,
+  { trials, ...known }: FindCrashingPartsOptions,
+  { explained, poisonCrashes }: {
+    /** Crashes that causes explain already. */
+    readonly explained: ReadonlySet<string>;
+    readonly poisonCrashes: PoisonCrashes;
+  },
 ): readonly Candidate[] {
-  const { trials, wideTrials, commonParts, soundParts } = options;
-  const poisonReports = listPoisonReports(options);
   const candidates: Candidate[] = [];
-  for (const [part, partTrials] of wideTrials) {
-    const isCommon = commonParts.has(part);
-    const isOpen = ({ crash }: PartTrial): boolean =>
-      !explained.has(crash) &&
-      !(isCommon && isExplainedByPoison(part, poisonReports.get(crash)));
-    const candidate = createCandidate({
-      part,
-      commonParts,
-      soundParts,
-      trials: (trials.get(part) ?? []).filter(isOpen),
-      wideTrials: partTrials.filter(isOpen),
-    });
-    const isRepeated = candidate.series.length >= 2 ||
-      candidate.wideSeries.length >= WIDE_WINDOW.crashThreshold;
-    if (isRepeated) candidates.push(candidate);
+  for (const [part, partTrials] of trials) {
+    const open = partTrials.filter(({ crash }) => !explained.has(crash));
+    if (open.length < 2) continue;
+    const create = (openTrials: readonly PartTrial[]): Candidate =>
+      createCandidate({ ...known, part, trials: openTrials });
+    const whole = create(open);
+    const candidate = whole.isCommon
+      ? create(
+        open.filter(({ crash }) => !poisonCrashes.explains(crash, whole)),
+      )
+      : whole;
+    if (candidate.weight >= MINIMUM_CANDIDATE_WEIGHT) {
+      candidates.push(candidate);
+    }
   }
   return candidates.sort(compareCandidates);
 }
 
-function mayBeCause({ isCommon, series, wideSeries }: Candidate): boolean {
-  const { narrow, wide } = baseThresholds(isCommon);
-  return series.length >= narrow || wideSeries.length >= wide;
-}
-
-/** Reports of requests that crash endpoints, by crash. */
-function listPoisonReports(
-  { reports, poison }: FindCrashingPartsOptions,
-): ReadonlyMap<string, readonly TimedCrashReport[]> {
-  const byCrash = new Map<string, TimedCrashReport[]>();
-  for (const report of reports) {
-    if (!poison.has(report.fingerprint)) continue;
-    byCrash.set(report.crash, [...byCrash.get(report.crash) ?? [], report]);
-  }
-  return byCrash;
-}
-
-/** Whether a part was only beside the requests that explain a crash. */
-function isExplainedByPoison(
-  part: string,
-  reports: readonly TimedCrashReport[] = [],
-): boolean {
-  return reports.length > 0 &&
-    reports.every(({ parts = [] }) => !parts.includes(part));
+function mayBeCause(candidate: Candidate): boolean {
+  return candidate.weight >= thresholdOfCandidate(candidate);
 }
 
 /** Returns the times of crashes that neither causes nor candidates explain. */
@@ -165,33 +148,31 @@
   candidate: Candidate,
   unrelatedCrashes: readonly number[],
 ): readonly PartTrial[] | undefined {
-  const { series, wideSeries } = candidate;
-  const { narrow, wide } = thresholdsOf(candidate, unrelatedCrashes);
-  if (series.length >= narrow) return series.slice(0, narrow);
-  return wideSeries.length >= wide ? wideSeries.slice(0, wide) : undefined;
+  const threshold = thresholdOf(candidate, unrelatedCrashes);
+  let weight = 0;
+  for (const [index, trial] of candidate.series.entries()) {
+    weight += trial.weight;
+    if (weight >= threshold) return candidate.series.slice(0, index + 1);
+  }
+  return undefined;
 }
 
-/** The crashes in succession that make a candidate the cause. */
-export function thresholdsOf(
+/** The weight of crashes in succession that makes a candidate the cause. */
+export function thresholdOf(
   candidate: Candidate,
   unrelatedCrashes: readonly number[],
-): CrashThresholds {
+): number {
   const count = countUnrelated(candidate, unrelatedCrashes);
   const raised = UNRELATED_CRASH_STEPS.filter((step) => count >= step);
-  const raisedThreshold = NARROW_WINDOW.crashThreshold + raised.length;
-  const { narrow, wide } = baseThresholds(candidate.isCommon);
-  return {
-    narrow: Math.max(narrow, raisedThreshold),
-    wide: Math.max(wide, raisedThreshold),
-  };
+  return thresholdOfCandidate(candidate, raised.length);
 }
 
 /** The unrelated crashes shortly before the last one of a candidate. */
 export function countUnrelated(
-  { series, wideSeries }: Pick<Candidate, "series" | "wideSeries">,
+  { series }: Pick<Candidate, "series">,
   unrelatedCrashes: readonly number[],
 ): number {
-  const lastAt = (series.at(-1) ?? wideSeries.at(-1))?.at ?? 0;
+  const lastAt = series.at(-1)?.at ?? 0;
   return unrelatedCrashes.filter((at) =>
     at > lastAt - UNRELATED_MILLISECONDS && at <= lastAt
   ).length;
@@ -200,7 +181,7 @@
 function describeCause(
   candidate: Candidate,
   evidence: readonly PartTrial[],
-  { wideTrials }: FindCrashingPartsOptions,
+  { trials }: FindCrashingPartsOptions,
 ): CrashingParts {
   const first = evidence[0];
   const last = evidence.at(-1);
@@ -209,7 +190,7 @@
     (first?.at ?? 0) + PART_GRACE_MILLISECONDS,
   );
   return {
-    parts: inseparableParts(candidate, wideTrials),
+    parts: inseparableParts(candidate, trials),
     crashes: candidate.trials.map(({ crash }) => crash),
     enforcedFrom,
     probeFrom: candidate.isCommon
--- a/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_candidate.ts
@@ -1,11 +1,10 @@
-import type { BlameWindow } from "./blame_window.ts";
 import type { PartTrial } from "./part_trials.ts";
-import { NARROW_WINDOW, WIDE_WINDOW } from "./blame_window.ts";
-import { longestSeries } from "./part_trials.ts";
+import { COMMON_CRASH_THRESHOLD, CRASH_THRESHOLD } from "./crash_weight.ts";
+import { longestSeries, weightOfSeries } from "./part_trials.ts";
 
 /**
- * A common part is considered before a rarer one only if it is at more crashes
- * than these beyond those of the other, since it is beside most requests that
+ * A common part is considered before a rarer one only if its crashes weigh more
+ * than this beyond those of the other, since it is beside most requests that
  * crash endpoints.
  */
 const COMMON_HANDICAP = 1;
@@ -16,78 +15,82 @@
   readonly isCommon: boolean;
   /** Whether endpoints answered on it before. */
   readonly wasSound: boolean;
-  /** Trials in the wide blame window. */
   readonly trials: readonly PartTrial[];
-  /** Trials in succession in the narrow blame window. */
+  /** Trials in succession. */
   readonly series: readonly PartTrial[];
-  /** The same in the wide one. */
-  readonly wideSeries: readonly PartTrial[];
+  /** What these weigh. */
+  readonly weight: number;
+  /** What those weigh after which answers on other parts ended whole. */
+  readonly answeredWeight: number;
 }
 
-/** Crashes in succession that make a part the cause, by blame window. */
-export interface CrashThresholds {
-  readonly narrow: number;
-  readonly wide: number;
-}
-
-/** Successive crashes that make a part the cause, without unrelated ones. */
-export function baseThresholds(isCommon: boolean): CrashThresholds {
-  const thresholdOf = (window: BlameWindow): number =>
-    isCommon ? window.commonCrashThreshold : window.crashThreshold;
-  return {
-    narrow: thresholdOf(NARROW_WINDOW),
-    wide: thresholdOf(WIDE_WINDOW),
-  };
+/**
+ * Weight that makes a part the cause; `raise` is added for unrelated crashes.
+ * That no answer ends whole on a common part tells little while none does at
+ * all.
+ */
+export function thresholdOfCandidate(
+  { isCommon, answeredWeight }: Pick<Candidate, "isCommon" | "answeredWeight">,
+  raise = 0,
+): number {
+  const threshold = CRASH_THRESHOLD + raise;
+  return isCommon && answeredWeight < threshold
+    ? Math.max(COMMON_CRASH_THRESHOLD, threshold)
+    : threshold;
 }
 
 /** Orders candidates from the likeliest cause to the least likely one. */
 export function compareCandidates(left: Candidate, right: Candidate): number {
   return Number(left.wasSound) - Number(right.wasSound) ||
-    weightOf(right) - weightOf(left) ||
+    rankOf(right) - rankOf(left) ||
     Number(left.isCommon) - Number(right.isCommon) ||
     right.series.length - left.series.length ||
-    right.wideSeries.length - left.wideSeries.length ||
-    totalRan(left) - totalRan(right) ||
+    totalAge(left) - totalAge(right) ||
     (left.part < right.part ? -1 : 1);
 }
 
-/**
- * How many crashes a candidate explains beyond those that it takes. Where each
- * crash cuts many requests, innocent parts are at several crashes of a common
- * cause, but at fewer than the cause itself.
- */
-function weightOf({ isCommon, series, wideSeries }: Candidate): number {
-  const { narrow, wide } = baseThresholds(false);
-  const weight = Math.max(series.length - narrow, wideSeries.length - wide);
+/** Whether a candidate explains more than a rarer cause of this weight. */
+export function outweighs(candidate: Candidate, weight: number): boolean {
+  return rankOf(candidate) > weight;
+}
+
+function rankOf({ isCommon, weight }: Candidate): number {
   return isCommon ? weight - COMMON_HANDICAP : weight;
 }
 
+/** Ids of parts. */
+export type PartSet = Pick<ReadonlySet<string>, "has">;
+
 /** Options of `createCandidate`. */
 export interface CandidateOptions {
   readonly part: string;
-  /** Trials that nothing else explains, in the narrow blame window. */
+  /** Trials that nothing else explains. */
   readonly trials: readonly PartTrial[];
-  /** The same in the wide one. */
-  readonly wideTrials: readonly PartTrial[];
-  readonly commonParts: ReadonlySet<string>;
-  readonly soundParts: ReadonlySet<string>;
+  readonly commonParts: PartSet;
+  readonly soundParts: PartSet;
+  /** Crashes after which an answer on some part ended whole. */
+  readonly answeredCrashes: Pick<ReadonlySet<string>, "has">;
 }
 
 /** Creates a candidate from its trials and from what is known of parts. */
 export function createCandidate(
-  { part, trials, wideTrials, commonParts, soundParts }: CandidateOptions,
+  { part, trials, commonParts, soundParts, answeredCrashes }: CandidateOptions,
 ): Candidate {
   const isCommon = commonParts.has(part);
+  const series = longestSeries(trials);
   return {
     part,
     isCommon,
     wasSound: isCommon || soundParts.has(part),
-    trials: wideTrials,
-    series: longestSeries(trials),
-    wideSeries: longestSeries(wideTrials),
+    trials,
+    series,
+    weight: weightOfSeries(series),
+    answeredWeight: weightOfSeries(
+      series.filter(({ crash }) => answeredCrashes.has(crash)),
+    ),
   };
 }
 
-function totalRan({ series }: Candidate): number {
-  return series.reduce((sum, trial) => sum + trial.ranMilliseconds, 0);
+function totalAge({ series }: Candidate): number {
+  return series.reduce((sum, trial) => sum + trial.ageMilliseconds, 0);
 }
--- a/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_evidence.ts
@@ -1,51 +1,77 @@
-import type { ClearedPart } from "./crash_page.ts";
+import type { ClearedPart, OngoingAnswer } from "./crash_page.ts";
 import type { TimedCrashReport } from "./crash_report.ts";
-import type { BlameWindow } from "./blame_window.ts";
 import type { PartTrial, PartTrials } from "./part_trials.ts";
-import { isBlamed } from "./blame_window.ts";
+import { answerAge } from "./answer_age.ts";
+import { CountedIds } from "./counted_ids.ts";
+import { soundAfter } from "./crash_weight.ts";
 import { compareTrials, createTrial } from "./part_trials.ts";
+import { reportKey } from "./report_key.ts";
 
 interface CrashEvidence {
   /** The requests with the part that were at the crash. */
   readonly reports: Set<TimedCrashReport>;
-  isCleared: boolean;
+  trial: PartTrial;
+  /** Whether an answer that ended whole cleared the part. */
+  isDisproved: boolean;
+  /** Answers that cleared it before their end, by `ongoingKey`. */
+  readonly ongoing: Map<string, OngoingAnswer>;
 }
 
 /**
  * What crash reports say about each part of a prompt, updated report by report.
- * Only answers within the blame window count. A part is cleared of a crash for as long as one of its reports is kept.
+ * A part is cleared of a crash for as long as one of its reports is kept.
  */
 export class PartEvidence {
-  readonly #window: BlameWindow;
   readonly #evidence = new Map<string, Map<string, CrashEvidence>>();
   readonly #trials = new Map<string, readonly PartTrial[]>();
-
-  constructor(window: BlameWindow) {
-    this.#window = window;
-  }
+  /** The same with those that only ongoing answers cleared. */
+  readonly #unsettled = new Map<string, readonly PartTrial[]>();
+  readonly #reports = new Map<string, TimedCrashReport>();
+  /** Numbers of parts that answers which ended whole cleared, by crash. */
+  readonly #answered = new CountedIds();
+  /** By part, the longest age of an answer that cleared it and was cut. */
+  readonly #longestDisproved = new Map<string, number>();
 
   /** Trials of the parts that have some, without those that were cleared. */
   get trials(): PartTrials {
     return this.#trials;
   }
 
+  /** Crashes after which an answer on some part ended whole. */
+  get answeredCrashes(): Pick<ReadonlySet<string>, "has"> {
+    return this.#answered.ids;
+  }
+
+  /** True while an answer could clear a part. */
+  get hasUnsettled(): boolean {
+    return this.#unsettled.size > 0;
+  }
+
   /** Crashes that a part is blamed for, or was before it was cleared of them. */
   crashesOf(part: string): readonly string[] {
     return [...this.#evidence.get(part)?.keys() ?? []];
   }
 
-  /** Adds a report, unless its answer isn't blamed. */
+  /** Adds a report, unless its answer has no known age. */
   add(report: TimedCrashReport): void {
-    if (!isBlamed(report, this.#window)) return;
+    if (answerAge(report) === undefined) return;
+    this.#reports.set(reportKey(report), report);
     for (const part of new Set(report.parts)) {
       const crashes = this.#evidence.get(part) ??
         new Map<string, CrashEvidence>();
       this.#evidence.set(part, crashes);
       const found = crashes.get(report.crash);
       if (found === undefined) {
-        const reports = new Set([report]);
-        crashes.set(report.crash, { reports, isCleared: false });
-      } else found.reports.add(report);
+        crashes.set(report.crash, {
+          reports: new Set([report]),
+          trial: createTrial(report.crash, [report]),
+          isDisproved: false,
+          ongoing: new Map(),
+        });
+      } else {
+        found.reports.add(report);
+        found.trial = createTrial(report.crash, [...found.reports]);
+      }
       this.#updateTrials(part);
     }
   }
@@ -53,6 +79,8 @@
   /** Removes a report; returns clearances that ended with it. */
   remove(report: TimedCrashReport): readonly ClearedPart[] {
     const { crash } = report;
+    const key = reportKey(report);
+    if (this.#reports.get(key) === report) this.#reports.delete(key);
     const ended: ClearedPart[] = [];
     for (const part of new Set(report.parts)) {
       const crashes = this.#evidence.get(part);
@@ -61,41 +89,140 @@
       found.reports.delete(report);
       if (found.reports.size === 0) {
         crashes.delete(crash);
-        if (found.isCleared) ended.push({ part, crash });
+        if (found.isDisproved) this.#answered.remove([crash]);
+        ended.push(...listCleared(part, crash, found));
         if (crashes.size === 0) this.#evidence.delete(part);
-      }
+      } else found.trial = createTrial(crash, [...found.reports]);
       this.#updateTrials(part);
     }
     return ended;
   }
 
-  /** Clears a part of a crash; returns false if it was or isn't reported. */
-  clear({ part, crash }: ClearedPart): boolean {
+  /** Clears a part of a crash; returns false if that is known or unneeded. */
+  clear({ part, crash, by }: ClearedPart): boolean {
     const found = this.#evidence.get(part)?.get(crash);
-    if (found === undefined || found.isCleared) return false;
-    found.isCleared = true;
+    if (found === undefined) return false;
+    if (by === undefined) {
+      if (found.isDisproved) return false;
+      found.isDisproved = true;
+      this.#answered.add([crash]);
+    } else {
+      const key = ongoingKey(by);
+      if (found.ongoing.has(key)) return false;
+      found.ongoing.set(key, by);
+    }
     this.#updateTrials(part);
     return true;
   }
 
   /** Returns the parts that were cleared of these crashes. */
   clearedOf(reports: readonly TimedCrashReport[]): readonly ClearedPart[] {
-    const cleared = new Map<string, ClearedPart>();
+    const crashesOf = new Map<string, Set<string>>();
     for (const { crash, parts = [] } of reports) {
       for (const part of parts) {
-        if (this.#evidence.get(part)?.get(crash)?.isCleared !== true) continue;
-        cleared.set(`${part} ${crash}`, { part, crash });
+        const crashes = crashesOf.get(part) ?? new Set();
+        crashesOf.set(part, crashes.add(crash));
       }
     }
-    return [...cleared.values()];
+    return [...crashesOf].flatMap(([part, crashes]) =>
+      [...crashes].flatMap((crash) => {
+        const found = this.#evidence.get(part)?.get(crash);
+        return found === undefined ? [] : listCleared(part, crash, found);
+      })
+    );
+  }
+
+  /**
+   * Trials of a part that an answer clears if it began after them: those that
+   * it has outlasted, or all that no answer has settled yet if it ended whole.
+   */
+  listClearable(
+    part: string,
+    wroteMilliseconds: number | undefined,
+  ): readonly PartTrial[] {
+    if (wroteMilliseconds === undefined) return this.#unsettled.get(part) ?? [];
+    return (this.#trials.get(part) ?? []).filter((trial) =>
+      wroteMilliseconds >= this.#soundAfter(part, trial)
+    );
+  }
+
+  /** For how long an answer on the part must write to clear it of a trial. */
+  #soundAfter(part: string, { ageMilliseconds }: PartTrial): number {
+    const disproved = this.#longestDisproved.get(part) ?? 0;
+    return soundAfter(Math.max(ageMilliseconds, disproved));
   }
 
   #updateTrials(part: string): void {
-    const trials: PartTrial[] = [];
-    for (const [crash, found] of this.#evidence.get(part) ?? []) {
-      if (!found.isCleared) trials.push(createTrial(crash, [...found.reports]));
+    const crashes = this.#evidence.get(part) ??
+      new Map<string, CrashEvidence>();
+    this.#updateDisproved(part, crashes);
+    const unsettled = [...crashes.values()]
+      .flatMap(({ isDisproved, trial }) => isDisproved ? [] : [trial])
+      .sort(compareTrials);
+    const trials = unsettled.filter((trial) =>
+      !this.#isOutlasted(part, trial, crashes.get(trial.crash))
+    );
+    setOrDelete(this.#unsettled, part, unsettled);
+    setOrDelete(this.#trials, part, trials);
+  }
+
+  /**
+   * Finds the answers that cleared the part and crashed their endpoints since,
+   * unless an answer that ended whole has cleared the part of these crashes.
+   */
+  #updateDisproved(
+    part: string,
+    crashes: ReadonlyMap<string, CrashEvidence>,
+  ): void {
+    const ages: number[] = [];
+    for (const { ongoing } of crashes.values()) {
+      for (const answer of ongoing.values()) {
+        const report = this.#reports.get(reportKey(answer));
+        if (report === undefined) continue;
+        const isSettled = crashes.get(report.crash)?.isDisproved !== false;
+        if (!isSettled) ages.push(answerAge(report) ?? 0);
+      }
     }
-    if (trials.length === 0) this.#trials.delete(part);
-    else this.#trials.set(part, trials.sort(compareTrials));
+    if (ages.length === 0) this.#longestDisproved.delete(part);
+    else this.#longestDisproved.set(part, Math.max(...ages));
+  }
+
+  /** Whether an answer that hasn't crashed its endpoint outlasted a trial. */
+  #isOutlasted(
+    part: string,
+    trial: PartTrial,
+    found: CrashEvidence | undefined,
+  ): boolean {
+    const needed = this.#soundAfter(part, trial);
+    return [...found?.ongoing.values() ?? []].some((answer) =>
+      answer.wroteMilliseconds >= needed &&
+      !this.#reports.has(reportKey(answer))
+    );
   }
 }
+
+/** Identifies an answer at the moment when it cleared a part. */
+export function ongoingKey(answer: OngoingAnswer): string {
+  return `${reportKey(answer)} after ${answer.wroteMilliseconds}`;
+}
+
+function setOrDelete(
+  trials: Map<string, readonly PartTrial[]>,
+  part: string,
+  found: readonly PartTrial[],
+): void {
+  if (found.length === 0) trials.delete(part);
+  else trials.set(part, found);
+}
+
+function listCleared(
+  part: string,
+  crash: string,
+  { isDisproved, ongoing }: CrashEvidence,
+): readonly ClearedPart[] {
+  const whole = isDisproved ? [{ part, crash }] : [];
+  return [
+    ...whole,
+    ...[...ongoing.values()].map((by) => ({ part, crash, by })),
+  ];
+}
--- a/packages/kelpspar-decisions/src/quarantine/part_trials.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_trials.ts
@@ -1,50 +1,78 @@
 import type { TimedCrashReport } from "./crash_report.ts";
+import { answerAge } from "./answer_age.ts";
+import { weightOfCrash } from "./crash_weight.ts";
 
 /**
  * Time after a crash from which another answer counts as begun after it. An
  * outage doesn't end its endpoints at exactly the same moment.
  */
 const SEPARATION_MILLISECONDS = 100;
+/** Time after which another crash isn't part of the same outage. */
+const OUTAGE_MILLISECONDS = 250;
 /**
  * Crashes of the same request that count against a part. A part is only blamed
  * beyond the request that has it once another request with it crashes too.
  */
 const MAXIMUM_TRIALS_PER_REQUEST = 2;
 
-/** An endpoint that crashed while it answered on a part. */
+/** Answers on a part at one crash that are suspected at most, youngest first. */
+const MAXIMUM_SUSPECTS = 3;
+
+/** An endpoint that crashed with answers on a part. */
 export interface PartTrial {
   readonly crash: string;
   /** When the crash was seen, monotonic milliseconds. */
   readonly at: number;
   /** When the youngest of the answers on the part had begun. */
   readonly beganAt: number;
-  /** Time from its beginning to the crash. */
-  readonly ranMilliseconds: number;
-  /** The requests with the part that the endpoint had begun to answer. */
+  /** Age that an answer has to outlast to show that the part isn't the cause. */
+  readonly ageMilliseconds: number;
+  /** What the crash counts against the part, at most 1. */
+  readonly weight: number;
+  /** The requests with the part that were at the endpoint. */
   readonly reports: readonly TimedCrashReport[];
+  /** Their fingerprints, in ascending order. */
+  readonly fingerprints: readonly string[];
 }
 
 /** Trials of parts, each oldest first. */
 export type PartTrials = ReadonlyMap<string, readonly PartTrial[]>;
 
-/** Creates a trial from the blamed reports of one crash, at least one. */
+/** Creates a trial from the reports of one crash, at least one. */
 export function createTrial(
   crash: string,
   reports: readonly TimedCrashReport[],
 ): PartTrial {
   const at = Math.min(...reports.map((report) => report.at));
-  const beganAt = Math.max(
-    ...reports.map((report) => report.at - (report.ranMilliseconds ?? 0)),
-  );
+  const beganAt = Math.max(...reports.map(beginningOf));
   return {
     crash,
     at,
     beganAt: Math.min(at, beganAt),
-    ranMilliseconds: Math.max(0, at - beganAt),
+    ageMilliseconds: suspectAge(reports),
+    weight: Math.max(...reports.map(weightOfCrash)),
     reports,
+    fingerprints: reports.map(({ fingerprint }) => fingerprint).sort(),
   };
 }
 
+/**
+ * Any of the few answers on a rare part may have caused the crash, but not all of
+ * those on a part that most requests share.
+ */
+function suspectAge(reports: readonly TimedCrashReport[]): number {
+  const ages = reports.flatMap((report) => answerAge(report) ?? [])
+    .sort((left, right) => left - right);
+  return ages[Math.min(MAXIMUM_SUSPECTS, ages.length) - 1] ?? 0;
+}
+
+/** When an answer began, or its request was sent if it hadn't begun. */
+function beginningOf(
+  { at, ranMilliseconds, waitedMilliseconds = 0 }: TimedCrashReport,
+): number {
+  return at - (ranMilliseconds ?? waitedMilliseconds);
+}
+
 /** Orders trials from the oldest to the newest. */
 export function compareTrials(left: PartTrial, right: PartTrial): number {
   if (left.at !== right.at) return left.at - right.at;
@@ -52,8 +80,8 @@
 }
 
 /**
- * Returns trials that each began after the crash of the one before. Answers
- * that an outage cuts together began before it, so that they count once.
+ * Returns trials that count one by one: those of answers that began after the
+ * crash before, and those of later outages.
  */
 export function longestSeries(
   trials: readonly PartTrial[],
@@ -61,17 +89,21 @@
   const series: PartTrial[] = [];
   const counts = new Map<string, number>();
   for (const trial of trials) {
-    const previous = series.at(-1);
-    const earliest = (previous?.at ?? Number.NEGATIVE_INFINITY) +
-      SEPARATION_MILLISECONDS;
-    if (trial.beganAt < earliest) continue;
-    const fingerprint = trial.reports.map((report) => report.fingerprint)
-      .sort().find((candidate) =>
-        (counts.get(candidate) ?? 0) < MAXIMUM_TRIALS_PER_REQUEST
-      );
+    const previousAt = series.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
+    const isSeparate = trial.at >= previousAt + OUTAGE_MILLISECONDS ||
+      trial.beganAt >= previousAt + SEPARATION_MILLISECONDS;
+    if (!isSeparate) continue;
+    const fingerprint = trial.fingerprints.find((candidate) =>
+      (counts.get(candidate) ?? 0) < MAXIMUM_TRIALS_PER_REQUEST
+    );
     if (fingerprint === undefined) continue;
     counts.set(fingerprint, (counts.get(fingerprint) ?? 0) + 1);
     series.push(trial);
   }
   return series;
 }
+
+/** What trials count together. */
+export function weightOfSeries(series: readonly PartTrial[]): number {
+  return series.reduce((sum, { weight }) => sum + weight, 0);
+}
--- a/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
+++ b/packages/kelpspar-gateway/src/quarantine/crash_detector.ts
@@ -12,7 +12,7 @@
 import { describePromptParts } from "../requests/describe_prompt_parts.ts";
 import { sharedParts } from "../requests/shared_parts.ts";
 import { describeSoftware } from "../streams/software_of.ts";
-import { isBlamed, WIDE_WINDOW } from "kelpspar-decisions/quarantine";
+import { weightOfCrash } from "kelpspar-decisions/quarantine";
 
 /** An answer that ended before it was complete. */
 export interface TruncatedAnswer {
@@ -88,6 +88,9 @@
       fingerprint,
       crash: describeIncarnation(endpoint),
       ranMilliseconds: millisecondsSince(answeredAt, truncatedAt),
+      ...(answeredAt === undefined
+        ? { waitedMilliseconds: Math.round(truncatedAt - answer.sentAt) }
+        : {}),
       wroteMilliseconds: millisecondsSince(firstEventAt, lastEventAt),
       parts: sharedParts(answer.promptParts),
       software: describeSoftware(endpoint),
@@ -105,7 +108,7 @@
       state,
       isIsolated,
       isReported,
-      isBlamed: isBlamed({ ...report, at: truncatedAt }, WIDE_WINDOW),
+      weight: describeWeight(report),
       sentMillisecondsAgo: Math.round(truncatedAt - answer.sentAt),
       begunMillisecondsAgo: report.ranMilliseconds,
       wroteMilliseconds: report.wroteMilliseconds,
@@ -169,7 +172,7 @@
       bornAt: endpoint.bornAt,
       state,
       isReported,
-      isBlamed: isBlamed({ ...report, at: truncatedAt }, WIDE_WINDOW),
+      weight: describeWeight(report),
       wroteMilliseconds: report.wroteMilliseconds,
     });
     if (isReported) quarantine.reportCrash(report, truncatedAt);
@@ -188,6 +191,11 @@
   }
 }
 
+/** What the crash counts against the parts of its request, for a log line. */
+function describeWeight(report: CrashReport): number {
+  return Number(weightOfCrash(report).toFixed(2));
+}
+
 function millisecondsSince(
   at: number | undefined,
   now: number,
--- a/packages/kelpspar-gateway/src/quarantine/quarantine.ts
+++ b/packages/kelpspar-gateway/src/quarantine/quarantine.ts
@@ -229,9 +229,7 @@
       const assessment = this.#ledger.assessPart(part);
       return assessment === undefined ? [] : [{ part, ...assessment }];
     }).sort((left, right) =>
-      right.crashesInSuccession - left.crashesInSuccession ||
-      right.wideCrashesInSuccession - left.wideCrashesInSuccession ||
-      right.crashes - left.crashes
+      right.weight - left.weight || right.crashes - left.crashes
     );
     if (most === undefined) return undefined;
     return {
@@ -245,10 +243,8 @@
     request: QuarantinableRequest,
     suspect: PartAssessment & { readonly part: string },
   ): SuspectPartReason {
-    if (suspect.wideCrashesInSuccession === 0) return "cleared";
-    const isCause = suspect.crashesInSuccession >= suspect.threshold ||
-      suspect.wideCrashesInSuccession >= suspect.wideThreshold;
-    if (!isCause) return "few_crashes";
+    if (suspect.crashesInSuccession === 0) return "cleared";
+    if (suspect.weight < suspect.threshold) return "few_crashes";
     const subjects = [...this.#subjects.values()];
     if (subjects.some((subject) => appliesTo(subject, request))) return "probe";
     const now = this.#options.timer.now();
@@ -266,11 +262,10 @@
     const now = this.#options.timer.now();
     this.#knownParts.record(answer, { isNew, now });
     if (!this.#ledger.hasSuspectParts) return;
-    const found = this.#ledger.findCleared(answer);
-    if (!this.#ledger.clear(found, now)) return;
-    const all = [...found.cleared, ...found.clearedWide];
-    const parts = [...new Set(all.map(({ part }) => part))];
-    const crashes = all.map(({ crash }) => crash);
+    const cleared = this.#ledger.findCleared(answer);
+    if (!this.#ledger.clear(cleared, now)) return;
+    const parts = [...new Set(cleared.map(({ part }) => part))];
+    const crashes = cleared.map(({ crash }) => crash);
     if (answer.id !== undefined && answer.wroteMilliseconds !== undefined) {
       this.#clearingAnswers.add(answer.id, { attemptId, parts, crashes });
     }
--- a/packages/kelpspar-gateway/src/requests/answer_progress.ts
+++ b/packages/kelpspar-gateway/src/requests/answer_progress.ts
@@ -1,5 +1,5 @@
 import type { RequestRun } from "./request_run.ts";
-import { NARROW_WINDOW, WIDE_WINDOW } from "kelpspar-decisions/quarantine";
+import { MINIMUM_SOUND_MILLISECONDS } from "kelpspar-decisions/quarantine";
 
 /** Called with the time for which an answer has written events so far. */
 export type AnswerProgressListener = (
@@ -8,15 +8,14 @@
   isNew: boolean,
 ) => void;
 
-/** Times after which an answer that goes on disproves the blame of a window. */
-const SOUND_AFTER_MILLISECONDS = [NARROW_WINDOW, WIDE_WINDOW]
-  .map(({ soundAfterMilliseconds }) => soundAfterMilliseconds);
-
-/** Observes how long one endpoint writes events of a stream. */
+/**
+ * Observes how long one endpoint writes events of a stream, which is reported
+ * each time that it has doubled.
+ */
 export class AnswerProgress {
   readonly #run: RequestRun;
   readonly #onSound: AnswerProgressListener;
-  readonly #pending = [...SOUND_AFTER_MILLISECONDS];
+  #reportAfter = MINIMUM_SOUND_MILLISECONDS;
   #firstEventAt: number | undefined;
   #lastEventAt: number | undefined;
 
@@ -27,7 +26,7 @@
 
   /** Whether the answer has written for long enough to prove anything. */
   get isSound(): boolean {
-    return this.#pending.length < SOUND_AFTER_MILLISECONDS.length;
+    return this.#reportAfter > MINIMUM_SOUND_MILLISECONDS;
   }
 
   /** When the first event arrived, monotonic milliseconds. */
@@ -46,12 +45,9 @@
     this.#firstEventAt ??= now;
     this.#lastEventAt = now;
     const wrote = now - this.#firstEventAt;
-    for (;;) {
-      const [next] = this.#pending;
-      if (next === undefined || wrote < next) return;
-      const isNew = !this.isSound;
-      this.#pending.shift();
-      this.#onSound(wrote, isNew);
-    }
+    if (wrote < this.#reportAfter) return;
+    const isNew = !this.isSound;
+    while (this.#reportAfter <= wrote) this.#reportAfter *= 2;
+    this.#onSound(wrote, isNew);
   }
 }
--- a/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
+++ b/packages/kelpspar-scenarios/src/guards/quarantine_guards.ts
@@ -73,15 +73,29 @@
   {
     name: "answers that were cut together count once",
     file: `${DECISIONS}/quarantine/part_trials.ts`,
-    code: "if (trial.beganAt < earliest) continue;",
+    code: "if (!isSeparate) continue;",
     without: "",
     noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
   },
   {
-    name: "answers that had gone on aren't blamed",
+    name: "crashes of answers that had gone on weigh less",
+    file: `${DECISIONS}/quarantine/crash_weight.ts`,
+    code: "CRASH_THRESHOLD / (CRASH_THRESHOLD + doublings)",
+    without: "1",
+    noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
+  },
+  {
+    name: "an answer that crashes its endpoint clears nothing",
     file: `${DECISIONS}/quarantine/part_evidence.ts`,
-    code: "if (!isBlamed(report, this.#window)) return;",
-    without: "",
+    code: "!this.#reports.has(reportKey(answer))",
+    without: "true",
+    noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
+  },
+  {
+    name: "answers outlast those that cleared a part and crashed",
+    file: `${DECISIONS}/quarantine/part_evidence.ts`,
+    code: "Math.max(ageMilliseconds, disproved)",
+    without: "ageMilliseconds",
     noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
   },
   {
@@ -94,8 +108,8 @@
   {
     name: "unrelated crashes raise the number that blames a part",
     file: `${DECISIONS}/quarantine/find_crashing_parts.ts`,
-    code: "NARROW_WINDOW.crashThreshold + raised.length",
-    without: "NARROW_WINDOW.crashThreshold",
+    code: "thresholdOfCandidate(candidate, raised.length)",
+    without: "thresholdOfCandidate(candidate)",
     noticedBy: `${DECISIONS}/__tests__/unit/find_crashing_parts_test.ts`,
   },
   {
