Take an answer with an odd status for none

Cause: the status was checked nowhere at the boundary to endpoints. Change: exchangeHttp, which calls of requests, pieces and relays share, accepts 200 to 599 as final; anything else is an unknown outcome of a malformed answer (odd_status) and is repeated where the route allows it. An answer that is reset during a long upload (3.9 MB; at once, 30 or 300 ms later) was held for truncated before: three cases as a test.

--- a/packages/kelpspar-gateway/src/__tests__/unit/http_exchange_test.ts
+++ b/packages/kelpspar-gateway/src/__tests__/unit/http_exchange_test.ts
@@ -12,6 +12,7 @@
 /** Sends one request to a server that answers with `answer`. */
 async function exchange(
   answer: (socket: Socket) => void,
+  body: Uint8Array = Buffer.alloc(0),
 ): Promise<string> {
   const server: Server = createServer((socket) => {
     // The client may also reset the connection; the test ignores it.
@@ -24,18 +25,18 @@
   const { port } = server.address() as AddressInfo;
   const result = await exchangeHttp({
     address: `127.0.0.1:${port}`,
-    method: "GET",
+    method: body.length === 0 ? "GET" : "POST",
     target: "/",
-    headers: ["Host", "a"],
-    body: Buffer.alloc(0),
+    headers: ["Host", "a", "Content-Length", String(body.length)],
+    body,
     connectTimeoutMilliseconds: 1_000,
     timer: new SystemTimer(),
     signal: new AbortController().signal,
   });
   try {
     if (result.type !== "answered") return result.type;
-    const body = await readBody(result.message);
-    return `whole: ${body.toString()}`;
+    const received = await readBody(result.message);
+    return `whole: ${received.toString()}`;
   } catch {
     return "cut";
   } finally {
@@ -73,6 +74,36 @@
   expect(text).toEqual("cut");
 });
 
+// Guards against taking an answer that isn't one for a success.
+test("an answer whose status no final answer has is none", async () => {
+  for (const status of ["000", "001", "101", "600", "999"]) {
+    const head = `HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\n`;
+    expect(await exchange((socket) => socket.end(`${head}ok`)))
+      .toEqual("unknown");
+  }
+});
+
+// Guards against the same for an upgrade that nobody asked for.
+test("an unrequested upgrade is no answer", async () => {
+  const head = "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n" +
+    "Upgrade: other\r\n\r\n";
+  expect(await exchange((socket) => socket.end(`${head}ok`)))
+    .toEqual("unknown");
+});
+
+// Guards against a part of an answer as a whole one while the upload goes on.
+test("an answer that is reset during a long upload is truncated", async () => {
+  const body = Buffer.alloc(3_900_000);
+  for (const delay of [0, 30, 300]) {
+    const text = await exchange((socket) => {
+      socket.write(`${HEAD}part of`, () => {
+        setTimeout(() => socket.resetAndDestroy(), delay);
+      });
+    }, body);
+    expect(text.startsWith("whole")).toEqual(false);
+  }
+});
+
 test("a refused connection is distinguished from a lost answer", async () => {
   const lost = await exchange((socket) => socket.destroy());
   expect(lost).toEqual("unknown");
--- a/packages/kelpspar-gateway/src/exchange/http_exchange.ts
+++ b/packages/kelpspar-gateway/src/exchange/http_exchange.ts
@@ -2,7 +2,11 @@
 import type { TimerService } from "kelpspar-shared";
 import type { MalformedReason } from "kelpspar-http";
 import type { BodyFraming } from "./body_framing.ts";
-import { MAXIMUM_OVERHEAD_BYTES, ProgressGuard } from "kelpspar-http";
+import {
+  isFinalStatus,
+  MAXIMUM_OVERHEAD_BYTES,
+  ProgressGuard,
+} from "kelpspar-http";
 import { parseHost } from "kelpspar-shared";
 import { request as sendRequest } from "node:http";
 import { bodyFraming } from "./body_framing.ts";
@@ -143,6 +147,14 @@
       onMalformed("surplus_bytes", false);
     };
     outgoing.on("response", (message) => {
+      const { statusCode: status = 0 } = message;
+      if (!isFinalStatus(status)) {
+        message.on("error", () => {});
+        outgoing.destroy();
+        onMalformed("odd_status", true);
+        fail(`status ${status} is no answer`);
+        return;
+      }
       guard.recordProgress();
       let bodyBytes = 0;
       watchBody(message, ({ length }) => {
--- a/packages/kelpspar-http/src/malformed_answer_error.ts
+++ b/packages/kelpspar-http/src/malformed_answer_error.ts
@@ -6,6 +6,8 @@
   | "no_progress"
   /** Many informational answers (1xx) instead of a final one. */
   | "informational_answers"
+  /** A status that no final answer has. */
+  | "odd_status"
   /** Many bytes after the end of the only answer. */
   | "surplus_bytes"
   | BodyLimitReason;
--- a/packages/kelpspar-http/src/mod.ts
+++ b/packages/kelpspar-http/src/mod.ts
@@ -23,6 +23,7 @@
   ReceivedBody,
 } from "./receive_body.ts";
 export type { ReadHolding } from "./read_holding.ts";
+export { isFinalStatus } from "./final_status.ts";
 export { BodyLimitError } from "./body_limit_error.ts";
 export { CallerBudget, MAXIMUM_SMALL_BYTES } from "./caller_budget.ts";
 export { createGuardedAgent } from "./create_guarded_agent.ts";
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -39,7 +39,9 @@
   /** Refuses each request with 409, as if its inputs were gone. */
   | "inputs_gone"
   /** Sends `endlessBytes` until the connection is closed. */
-  | "endless";
+  | "endless"
+  /** Sends a whole answer with `oddStatus`. */
+  | "odd_status";
 
 /** How a runner marks the end of its streams. */
 export type StreamFraming = "chunked" | "close_delimited";
@@ -149,6 +151,8 @@
   /** Draws the fault of each request; replaces `fault` while set. */
   drawFault: (() => RunnerFault) | undefined;
   endlessBytes: EndlessBytes = { start: "", repeated: "x" };
+  /** Status of the answers while its fault is `odd_status`. */
+  oddStatus = "000";
   /** Requests that arrived, refused or not, and for whichever id. */
   readonly arrivals: RunnerArrival[] = [];
   streamFraming: StreamFraming = "chunked";
@@ -304,6 +308,7 @@
       answer_lost: () => response.destroy(),
       mute: () => {},
       endless: () => this.#sendEndless(attemptId, response),
+      odd_status: () => this.#sendOddStatus(attemptId, response),
       unframed_reset: () => this.#resetMidway(attemptId, response),
       failing: () => {
         response.writeHead(500, this.#responseHeaders(attemptId)).end("failed");
@@ -391,6 +396,16 @@
     sendEndlessBytes(socket, this.endlessBytes, lines);
   }
 
+  #sendOddStatus(attemptId: string, response: ServerResponse): void {
+    const body = `id: 1\ndata: ${attemptId} 1\n\n`;
+    const head = Object.entries(this.#responseHeaders(attemptId))
+      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    response.socket?.end(
+      `HTTP/1.1 ${this.oddStatus} Odd\r\n${head}` +
+        `Content-Length: ${body.length}\r\n\r\n${body}`,
+    );
+  }
+
   #resetMidway(attemptId: string, response: ServerResponse): void {
     const { socket } = response;
     const head = Object.entries(this.#responseHeaders(attemptId))
