Count further crashes of an outage against a part

Cause: three endpoints that end together are one crash in succession, so that it took a third outage, which comes later than 3 s after the fifth crash. Seen in a trace: three crashes each at 0.88, 4.48 and 8.08 s. Change: the crashes of an outage beyond the first add a quarter each, two at most.

--- a/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
+++ b/packages/kelpspar-decisions/src/__tests__/unit/find_crashing_parts_test.ts
@@ -397,6 +397,26 @@
   expect(causesOf(ledger)).toEqual([["p"]]);
 });
 
+// Guards against a third outage of a small pool, whose endpoints end together.
+test("a part at all endpoints of two outages is their cause", () => {
+  const ledger = new CrashLedger();
+  const end = (endpoints: number, at: number): void => {
+    for (let number = 0; number < endpoints; number++) {
+      report(ledger, {
+        crash: `${number} at ${at}`,
+        at: at + number,
+        fingerprint: `f${number} at ${at}`,
+        parts: ["p"],
+      });
+    }
+  };
+  end(3, 1_000);
+  end(2, 4_000);
+  expect(causesOf(ledger)).toEqual([]);
+  end(3, 4_000);
+  expect(causesOf(ledger)).toEqual([["p"]]);
+});
+
 // Guards against waiting for five crashes although only other answers end whole.
 test("a common part takes three crashes while answers on other parts end whole", () => {
   const ledger = new CrashLedger();
--- a/packages/kelpspar-decisions/src/quarantine/part_trials.ts
+++ b/packages/kelpspar-decisions/src/quarantine/part_trials.ts
@@ -9,6 +9,10 @@
 const SEPARATION_MILLISECONDS = 100;
 /** Time after which another crash isn't part of the same outage. */
 const OUTAGE_MILLISECONDS = 250;
+/** Share that further crashes of an outage count. */
+const OUTAGE_WEIGHT = 0.25;
+/** What they count together at most. */
+const MAXIMUM_OUTAGE_WEIGHT = 0.5;
 /**
  * Crashes of the same request that count against a part. A part is only blamed
  * beyond the request that has it once another request with it crashes too.
@@ -27,7 +31,7 @@
   readonly beganAt: number;
   /** Age that an answer has to outlast to show that the part isn't the cause. */
   readonly ageMilliseconds: number;
-  /** What the crash counts against the part, at most 1. */
+  /** What the crash counts against the part. */
   readonly weight: number;
   /** The requests with the part that were at the endpoint. */
   readonly reports: readonly TimedCrashReport[];
@@ -81,26 +85,46 @@
 
 /**
  * Returns trials that count one by one: those of answers that began after the
- * crash before, and those of later outages.
+ * crash before, and those of later outages. Each has the weight of its outage.
  */
 export function longestSeries(
   trials: readonly PartTrial[],
 ): readonly PartTrial[] {
   const series: PartTrial[] = [];
+  const outages: PartTrial[][] = [];
+  let outageTrials: PartTrial[] = [];
   const counts = new Map<string, number>();
   for (const trial of trials) {
     const previousAt = series.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
     const isSeparate = trial.at >= previousAt + OUTAGE_MILLISECONDS ||
       trial.beganAt >= previousAt + SEPARATION_MILLISECONDS;
-    if (!isSeparate) continue;
+    if (!isSeparate) {
+      outageTrials.push(trial);
+      continue;
+    }
     const fingerprint = trial.fingerprints.find((candidate) =>
       (counts.get(candidate) ?? 0) < MAXIMUM_TRIALS_PER_REQUEST
     );
     if (fingerprint === undefined) continue;
     counts.set(fingerprint, (counts.get(fingerprint) ?? 0) + 1);
+    outageTrials = [trial];
+    outages.push(outageTrials);
     series.push(trial);
   }
-  return series;
+  return outages.map(mergeOutage);
+}
+
+/**
+ * Returns the first trial of an outage, with what the others add to its weight:
+ * a sound part is seldom at several of the endpoints that end together.
+ */
+function mergeOutage(outage: readonly PartTrial[]): PartTrial {
+  const [first, ...others] = outage as [PartTrial, ...PartTrial[]];
+  const added = OUTAGE_WEIGHT * weightOfSeries(others);
+  return {
+    ...first,
+    weight: first.weight + Math.min(MAXIMUM_OUTAGE_WEIGHT, added),
+  };
 }
 
 /** What trials count together. */
