End a stand-in that crashes before its head once

Cause, traced with a monitor of uncaught exceptions: two requests with the part at one endpoint within 60 ms both crashed it, so that it was started twice (ERR_SERVER_ALREADY_LISTEN). Change: the second one finds that the server doesn't listen any more.

--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -340,7 +340,8 @@
     const { beforeHead } = this.partCrashPlan;
     if (beforeHead !== undefined) {
       await this.#wait(beforeHead());
-      if (!response.destroyed) this.onCrash();
+      // Another request that crashes the runner may have been faster.
+      if (this.#server.listening && !response.destroyed) this.onCrash();
       return;
     }
     if (this.#options.isStream) {
