--- a/packages/kelpspar-decisions/src/quarantine/assess_part.ts
+++ b/packages/kelpspar-decisions/src/quarantine/assess_part.ts
@@ -2,6 +2,7 @@
 import {
   countUnrelated,
   listCandidates,
+  listCrashTimes,
   listUnrelatedCrashes,
   thresholdOf,
 } from "./find_crashing_parts.ts";
@@ -51,7 +52,11 @@
     ]
       .flatMap(({ trials: own }) => own.map(({ crash }) => crash)),
   );
-  const unrelated = listUnrelatedCrashes(options, related, new Set());
+  const unrelated = listUnrelatedCrashes(
+    listCrashTimes(options),
+    related,
+    new Set(),
+  );
   return {
     crashes: crashes.length,
     clearedCrashes: crashes.length - open.length,
--- a/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
+++ b/packages/kelpspar-decisions/src/quarantine/find_crashing_parts.ts
@@ -76,6 +76,7 @@
 ): readonly CrashingParts[] {
   const explained = new Set<string>();
   const poisonCrashes = new PoisonCrashes(options);
+  const crashTimes = listCrashTimes(options);
   const causes: CrashingParts[] = [];
   for (;;) {
     const candidates = listCandidates(options, { explained, poisonCrashes });
@@ -83,7 +84,7 @@
     const related = new Set(
       candidates.flatMap(({ trials }) => trials.map(({ crash }) => crash)),
     );
-    const unrelated = listUnrelatedCrashes(options, related, explained);
+    const unrelated = listUnrelatedCrashes(crashTimes, related, explained);
     const cause = candidates.map((candidate) => ({
       candidate,
       evidence: sufficientSeries(candidate, unrelated),
@@ -126,21 +127,29 @@
   return candidate.weight >= thresholdOfCandidate(candidate);
 }
 
-/** Returns the times of crashes that neither causes nor candidates explain. */
-export function listUnrelatedCrashes(
+/** Returns the times of crashes that no poison request explains. */
+export function listCrashTimes(
   { reports, poison }: FindCrashingPartsOptions,
-  related: ReadonlySet<string>,
-  explained: ReadonlySet<string>,
-): readonly number[] {
-  const unrelated = new Map<string, number>();
+): ReadonlyMap<string, number> {
+  const times = new Map<string, number>();
   const poisoned = new Set<string>();
   for (const { crash, fingerprint, at } of reports) {
     if (poison.has(fingerprint)) poisoned.add(crash);
-    if (related.has(crash) || explained.has(crash)) continue;
-    unrelated.set(crash, Math.min(at, unrelated.get(crash) ?? at));
+    times.set(crash, Math.min(at, times.get(crash) ?? at));
   }
-  for (const crash of poisoned) unrelated.delete(crash);
-  return [...unrelated.values()];
+  for (const crash of poisoned) times.delete(crash);
+  return times;
+}
+
+/** Returns the times of crashes that neither causes nor candidates explain. */
+export function listUnrelatedCrashes(
+  crashTimes: ReadonlyMap<string, number>,
+  related: ReadonlySet<string>,
+  explained: ReadonlySet<string>,
+): readonly number[] {
+  return [...crashTimes].flatMap(([crash, at]) =>
+    related.has(crash) || explained.has(crash) ? [] : [at]
+  );
 }
 
 /** The trials that make a candidate the cause; undefined if they don't. */
