--- a/packages/kelpspar-gateway/src/quarantine/clearing_answers.ts
+++ b/packages/kelpspar-gateway/src/quarantine/clearing_answers.ts
@@ -1,4 +1,5 @@
 import type { CrashReport } from "kelpspar-decisions/quarantine";
+import { reportKey } from "kelpspar-decisions/quarantine";
 
 /** What an answer cleared while it went on. */
 export interface Clearing {
@@ -18,7 +19,7 @@
   readonly #clearings = new Map<string, Clearing>();
 
   add(answer: AnswerId, clearing: Clearing): void {
-    const key = keyOf(answer);
+    const key = reportKey(answer);
     const known = this.#clearings.get(key);
     this.#clearings.delete(key);
     this.#clearings.set(key, {
@@ -33,17 +34,13 @@
 
   /** Removes and returns what an answer cleared, if anything. */
   take(answer: AnswerId): Clearing | undefined {
-    const key = keyOf(answer);
+    const key = reportKey(answer);
     const clearing = this.#clearings.get(key);
     this.#clearings.delete(key);
     return clearing;
   }
 }
 
-function keyOf({ fingerprint, crash }: AnswerId): string {
-  return `${fingerprint} ${crash}`;
-}
-
 function union(
   known: readonly string[] | undefined,
   added: readonly string[],
--- a/packages/kelpspar-standins/src/wire/runner_stand_in.ts
+++ b/packages/kelpspar-standins/src/wire/runner_stand_in.ts
@@ -392,15 +392,13 @@
   #sendEndless(attemptId: string, response: ServerResponse): void {
     const { socket } = response;
     if (socket === null) return;
-    const lines = Object.entries(this.#responseHeaders(attemptId))
-      .map(([name, value]) => `${name}: ${value}`);
-    sendEndlessBytes(socket, this.endlessBytes, lines);
+    sendEndlessBytes(socket, this.endlessBytes, this.#headerLines(attemptId));
   }
 
   #sendOddStatus(attemptId: string, response: ServerResponse): void {
     const body = `id: 1\ndata: ${attemptId} 1\n\n`;
-    const head = Object.entries(this.#responseHeaders(attemptId))
-      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    const head = this.#headerLines(attemptId)
+      .map((line) => `${line}\r\n`).join("");
     response.socket?.end(
       `HTTP/1.1 ${this.oddStatus} Odd\r\n${head}` +
         `Content-Length: ${body.length}\r\n\r\n${body}`,
@@ -409,13 +407,18 @@
 
   #resetMidway(attemptId: string, response: ServerResponse): void {
     const { socket } = response;
-    const head = Object.entries(this.#responseHeaders(attemptId))
-      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    const head = this.#headerLines(attemptId)
+      .map((line) => `${line}\r\n`).join("");
     socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\npart of`, () => {
       setTimeout(() => socket.resetAndDestroy(), 20);
     });
   }
 
+  #headerLines(attemptId: string): readonly string[] {
+    return Object.entries(this.#responseHeaders(attemptId))
+      .map(([name, value]) => `${name}: ${value}`);
+  }
+
   #responseHeaders(attemptId: string): Record<string, string> {
     return {
       "X-Attempt-Id": this.fault === "foreign" ? "of-another" : attemptId,
